--- /dev/null
+++ b/crates/agent/src/endpoint.rs
@@ -0,0 +1,111 @@
+//! State that the parts of an agent share.
+
+use std::{
+    sync::{
+        Arc, Mutex, MutexGuard,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use cassiawheel_decide::{GateState, PresetHolder};
+use cassiawheel_model::{LoadReport, Timestamp, settings::AgentSettings};
+use cassiawheel_platform::{ModelEngine, TableStore, WeightSource};
+use cassiawheel_runtime::timeout;
+use cassiawheel_wire::WireSender;
+use smol::channel::{Receiver, Sender, bounded};
+
+use crate::{metrics::AgentMetrics, transfer::TransferState};
+
+/// Longest wait before a waiter looks at the gate again.
+const LOOK_AGAIN: Duration = Duration::from_millis(20);
+
+/// Everything that the parts of an agent share.
+pub(crate) struct EndpointShared {
+    /// The settings.
+    pub(crate) settings: AgentSettings,
+    /// Distinguishes this process from earlier ones at the instance.
+    pub(crate) incarnation: u64,
+    /// The engine or plain service.
+    pub(crate) engine: Arc<dyn ModelEngine>,
+    /// The table service.
+    pub(crate) table: Arc<dyn TableStore>,
+    /// The origin of weights.
+    pub(crate) origin: Arc<dyn WeightSource>,
+    /// Weights held and being fetched.
+    pub(crate) transfer: TransferState,
+    /// Metrics.
+    pub(crate) metrics: AgentMetrics,
+    gate: Mutex<GateState>,
+    holder: Mutex<PresetHolder>,
+    load: Mutex<LoadReport>,
+    entries: Mutex<Vec<WireSender>>,
+    attempts: AtomicU64,
+    released: (Sender<()>, Receiver<()>),
+}
+
+impl EndpointShared {
+    /// The state of a process that has just started.
+    pub(crate) fn new(
+        settings: AgentSettings,
+        engine: Arc<dyn ModelEngine>,
+        table: Arc<dyn TableStore>,
+        origin: Arc<dyn WeightSource>,
+        metrics: AgentMetrics,
+    ) -> Self {
+        let now = Timestamp::now();
+        Self {
+            incarnation: now.0,
+            gate: Mutex::new(GateState::new(settings.engine.max_in_flight)),
+            holder: Mutex::default(),
+            load: Mutex::new(LoadReport { in_flight: 0, queued: 0, measured_at: now }),
+            entries: Mutex::default(),
+            attempts: AtomicU64::new(0),
+            released: bounded(1),
+            transfer: TransferState::new(&settings.transfer),
+            settings,
+            engine,
+            table,
+            origin,
+            metrics,
+        }
+    }
+
+    /// The gate.
+    pub(crate) fn gate(&self) -> MutexGuard<'_, GateState> {
+        self.gate.lock().unwrap_or_else(|poison| poison.into_inner())
+    }
+
+    /// The preset in force.
+    pub(crate) fn holder(&self) -> MutexGuard<'_, PresetHolder> {
+        self.holder.lock().unwrap_or_else(|poison| poison.into_inner())
+    }
+
+    /// The engine's last load report.
+    pub(crate) fn load(&self) -> MutexGuard<'_, LoadReport> {
+        self.load.lock().unwrap_or_else(|poison| poison.into_inner())
+    }
+
+    /// Connections to entries.
+    pub(crate) fn entries(&self) -> MutexGuard<'_, Vec<WireSender>> {
+        self.entries.lock().unwrap_or_else(|poison| poison.into_inner())
+    }
+
+    /// A number that no other attempt of this process has.
+    pub(crate) fn next_attempt(&self) -> u64 {
+        self.attempts.fetch_add(1, Ordering::Relaxed)
+    }
+
+    /// Gives a permit of the gate back.
+    pub(crate) fn leave_gate(&self) {
+        self.gate().leave();
+        let _ = self.released.0.try_send(());
+    }
+
+    /// Completes when a permit may have been given back.
+    ///
+    /// Looks again after a short while, since the signal wakes one waiter only.
+    pub(crate) async fn permit_released(&self) {
+        timeout(LOOK_AGAIN, self.released.1.recv()).await;
+    }
+}
--- /dev/null
+++ b/crates/agent/src/metrics.rs
@@ -0,0 +1,46 @@
+//! Metrics of an agent.
+
+use prometheus::{IntCounter, IntGauge, Registry};
+
+/// Counters and gauges of an agent.
+pub(crate) struct AgentMetrics {
+    /// Requests admitted by the gate.
+    pub(crate) admitted: IntCounter,
+    /// Requests refused by the gate.
+    pub(crate) refused: IntCounter,
+    /// Bytes of chunks fetched from other agents.
+    pub(crate) peer_bytes: IntCounter,
+    /// Bytes of chunks fetched from the origin.
+    pub(crate) origin_bytes: IntCounter,
+    /// Bytes of chunks sent to other agents.
+    pub(crate) sent_bytes: IntCounter,
+    /// Chunks that arrived corrupt.
+    pub(crate) corrupt_chunks: IntCounter,
+    /// Chunks still missing of the weights being fetched.
+    pub(crate) missing_chunks: IntGauge,
+}
+
+impl AgentMetrics {
+    /// Metrics registered in `registry`.
+    pub(crate) fn register(registry: &Registry) -> prometheus::Result<Self> {
+        let counter = |name: &str, help: &str| -> prometheus::Result<IntCounter> {
+            let counter = IntCounter::new(format!("cassiawheel_agent_{name}"), help)?;
+            registry.register(Box::new(counter.clone()))?;
+            Ok(counter)
+        };
+        let missing_chunks = IntGauge::new(
+            "cassiawheel_agent_missing_chunks",
+            "Chunks still missing of the weights being fetched",
+        )?;
+        registry.register(Box::new(missing_chunks.clone()))?;
+        Ok(Self {
+            admitted: counter("admitted_total", "Requests admitted by the gate")?,
+            refused: counter("refused_total", "Requests refused by the gate")?,
+            peer_bytes: counter("peer_bytes_total", "Chunk bytes fetched from other agents")?,
+            origin_bytes: counter("origin_bytes_total", "Chunk bytes fetched from the origin")?,
+            sent_bytes: counter("sent_bytes_total", "Chunk bytes sent to other agents")?,
+            corrupt_chunks: counter("corrupt_chunks_total", "Chunks that arrived corrupt")?,
+            missing_chunks,
+        })
+    }
+}
--- /dev/null
+++ b/crates/agent/src/serve.rs
@@ -0,0 +1,91 @@
+//! Start and graceful shutdown of an agent.
+
+use std::{sync::Arc, time::Duration};
+
+use anyhow::Context;
+use cassiawheel_decide::rank::{first_ranked, subject_of};
+use cassiawheel_model::{Timestamp, settings::AgentSettings};
+use cassiawheel_platform::{HttpClient, HttpEngine, HttpTable, HttpWeights};
+use cassiawheel_runtime::{
+    ShutdownTrigger, probes::serve_probes, shutdown::termination, spawn, timeout,
+};
+use cassiawheel_wire::ControlMessage;
+use prometheus::Registry;
+use smol::net::TcpListener;
+
+use crate::{
+    endpoint::EndpointShared, entry_link, exchange, metrics::AgentMetrics, report, transfer,
+};
+
+/// Time for the last answers to leave the sockets.
+const LINGER: Duration = Duration::from_millis(200);
+
+/// Runs until the process is asked to stop; then drains.
+pub(crate) async fn serve(settings: AgentSettings) -> anyhow::Result<()> {
+    let inner = bind(settings.listen_inner, "listen_inner").await?;
+    let metrics_listener = bind(settings.listen_metrics, "listen_metrics").await?;
+    let registry = Registry::new();
+    let metrics = AgentMetrics::register(&registry)?;
+    let shared = Arc::new(build_shared(settings, metrics));
+    let (trigger, shutdown) = ShutdownTrigger::new();
+
+    let ready = shared.clone();
+    let is_ready = move || ready.holder().current().is_some();
+    spawn(serve_probes(metrics_listener, registry, is_ready, shutdown.clone())).detach();
+    spawn(transfer::serve_peers(shared.clone(), inner, shutdown.clone())).detach();
+    for addr in chosen_entries(&shared.settings) {
+        spawn(entry_link::keep_connected(shared.clone(), addr)).detach();
+    }
+    spawn(exchange::follow_preset(shared.clone())).detach();
+    spawn(report::report_regularly(shared.clone())).detach();
+    log::info!(target: "process", instance:% = shared.settings.place.instance, inner:% = shared.settings.listen_inner; "The agent runs.");
+
+    termination().await?;
+    drain(&shared).await;
+    trigger.fire();
+    Ok(())
+}
+
+fn build_shared(settings: AgentSettings, metrics: AgentMetrics) -> EndpointShared {
+    let client = HttpClient::default();
+    let platform = &settings.platform;
+    let span = Duration::from_millis(platform.timeout_ms);
+    let engine = Arc::new(HttpEngine::new(client.clone(), settings.engine.addr));
+    let table = Arc::new(HttpTable::new(client.clone(), platform.table, span));
+    let stall = Duration::from_millis(settings.transfer.stall_ms).max(span);
+    let origin = Arc::new(HttpWeights::new(client, platform.origin, stall));
+    EndpointShared::new(settings, engine, table, origin, metrics)
+}
+
+async fn bind(addr: std::net::SocketAddr, path: &str) -> anyhow::Result<TcpListener> {
+    TcpListener::bind(addr).await.with_context(|| format!("{path}: cannot listen at {addr}"))
+}
+
+/// The entries to dial: the same choice after every restart, spread over the agents.
+fn chosen_entries(settings: &AgentSettings) -> Vec<std::net::SocketAddr> {
+    let names: Vec<_> = settings.entries.iter().map(ToString::to_string).collect();
+    let subject = subject_of(settings.place.instance.as_str());
+    first_ranked(subject, names.iter().map(String::as_str), settings.entry_links)
+        .into_iter()
+        .filter_map(|name| name.parse().ok())
+        .collect()
+}
+
+/// Admits nothing more, tells the entries, and finishes the requests in progress.
+async fn drain(shared: &EndpointShared) {
+    let deadline = Timestamp::now().deadline_after(Duration::from_millis(shared.settings.drain_ms));
+    shared.gate().drain();
+    let instance = shared.settings.place.instance.clone();
+    log::info!(target: "drain", in_progress = shared.gate().in_progress(); "The agent leaves.");
+    let entries = shared.entries().clone();
+    for entry in &entries {
+        let _ = entry.try_send(ControlMessage::Leaving { instance: instance.clone() });
+    }
+    report::send_report(shared);
+    while shared.gate().in_progress() > 0 && !deadline.is_past(Timestamp::now()) {
+        timeout(deadline.remaining(Timestamp::now()), shared.permit_released()).await;
+    }
+    smol::Timer::after(LINGER).await;
+    let left = shared.gate().in_progress();
+    log::info!(target: "drain", in_progress = left; "The agent ends.");
+}
--- /dev/null
+++ b/crates/agent/src/transfer/peer.rs
@@ -0,0 +1,136 @@
+//! Fetching from another agent.
+
+use std::{
+    collections::HashMap,
+    sync::{
+        Arc, Mutex, MutexGuard,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use cassiawheel_model::{InstanceId, ManifestDigest};
+use cassiawheel_wire::{
+    ChunkMessage, HelloMessage, ProcessKind, WireMessage, WireReceiver, WireSender, connect,
+    message::{ChunkRefusal, EndpointAddress},
+};
+use smol::{
+    Timer,
+    channel::{Receiver, Sender, bounded},
+};
+
+use super::{stage::TransferEvent, state::set_positions};
+use crate::endpoint::EndpointShared;
+
+/// Wait before a peer is dialled again.
+const DIAL_AGAIN: Duration = Duration::from_millis(300);
+
+type ChunkReply = Result<Vec<u8>, ChunkRefusal>;
+
+/// A connection to another agent from which chunks are fetched.
+pub(super) struct PeerClient {
+    sender: WireSender,
+    calls: AtomicU64,
+    waiting: Mutex<HashMap<u64, Sender<ChunkReply>>>,
+}
+
+impl PeerClient {
+    /// Asks for a chunk; the reply arrives on the channel, which closes with the connection.
+    pub(super) async fn ask(
+        &self,
+        manifest: ManifestDigest,
+        index: usize,
+    ) -> Option<Receiver<ChunkReply>> {
+        let (reply, waiting) = bounded(1);
+        let call = self.calls.fetch_add(1, Ordering::Relaxed);
+        self.waiting().insert(call, reply);
+        let message = ChunkMessage::Wanted { call, manifest, index: index as u32 };
+        self.sender.send(message).await.ok()?;
+        Some(waiting)
+    }
+
+    fn waiting(&self) -> MutexGuard<'_, HashMap<u64, Sender<ChunkReply>>> {
+        self.waiting.lock().unwrap_or_else(|poison| poison.into_inner())
+    }
+
+    fn answer(&self, call: u64, reply: ChunkReply) {
+        // A reply that nobody waits for any more came after its deadline.
+        if let Some(waiting) = self.waiting().remove(&call) {
+            let _ = waiting.try_send(reply);
+        }
+    }
+}
+
+/// Keeps a connection to `peer` and passes on what it says it holds.
+pub(super) async fn follow_peer(
+    shared: Arc<EndpointShared>,
+    peer: EndpointAddress,
+    manifest: ManifestDigest,
+    chunks: usize,
+    events: Sender<TransferEvent>,
+) {
+    let local = Some(shared.settings.listen_inner.ip());
+    loop {
+        if let Ok((sender, receiver)) =
+            connect(peer.inner_addr, &shared.settings.inner_key, local).await
+        {
+            let client = Arc::new(PeerClient {
+                sender,
+                calls: AtomicU64::new(0),
+                waiting: Mutex::default(),
+            });
+            let up = TransferEvent::PeerUp(peer.instance.clone(), client.clone());
+            if events.send(up).await.is_err() {
+                return;
+            }
+            let hello = HelloMessage {
+                kind: ProcessKind::Agent,
+                instance: shared.settings.place.instance.clone(),
+                incarnation: shared.incarnation,
+            };
+            if client.sender.send(hello).await.is_ok() {
+                listen(&client, receiver, &peer.instance, manifest, chunks, &events).await;
+            }
+            client.sender.close();
+            client.waiting().clear();
+            if events.send(TransferEvent::PeerDown(peer.instance.clone())).await.is_err() {
+                return;
+            }
+        }
+        Timer::after(DIAL_AGAIN).await;
+    }
+}
+
+async fn listen(
+    client: &PeerClient,
+    mut receiver: WireReceiver,
+    peer: &InstanceId,
+    manifest: ManifestDigest,
+    chunks: usize,
+    events: &Sender<TransferEvent>,
+) {
+    while let Ok(message) = receiver.recv().await {
+        let held = match message {
+            WireMessage::Chunk(ChunkMessage::Held { manifest: told, bits }) if told == manifest => {
+                set_positions(&bits, chunks).collect()
+            }
+            WireMessage::Chunk(ChunkMessage::Gained { manifest: told, index })
+                if told == manifest =>
+            {
+                vec![index as usize]
+            }
+            WireMessage::Chunk(ChunkMessage::Bytes { call, bytes }) => {
+                client.answer(call, Ok(bytes));
+                continue;
+            }
+            WireMessage::Chunk(ChunkMessage::Refused { call, reason }) => {
+                client.answer(call, Err(reason));
+                continue;
+            }
+            _ => continue,
+        };
+        if events.send(TransferEvent::PeerHolds(peer.clone(), held)).await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/agent/src/transfer/serve.rs
@@ -0,0 +1,100 @@
+//! Serving chunks to other agents.
+
+use std::{pin::pin, sync::Arc};
+
+use bytes::Bytes;
+use cassiawheel_model::ManifestDigest;
+use cassiawheel_runtime::{ShutdownSignal, spawn};
+use cassiawheel_wire::{ChunkMessage, WireMessage, WireSender, accept, message::ChunkRefusal};
+use futures_util::future::{Either, select};
+use smol::net::{TcpListener, TcpStream};
+
+use crate::endpoint::EndpointShared;
+
+/// Accepts other agents until `shutdown`.
+pub(crate) async fn serve_peers(
+    shared: Arc<EndpointShared>,
+    listener: TcpListener,
+    shutdown: ShutdownSignal,
+) {
+    loop {
+        match select(pin!(listener.accept()), pin!(shutdown.wait())).await {
+            Either::Left((Ok((stream, _)), _)) => {
+                spawn(serve_peer(shared.clone(), stream)).detach();
+            }
+            Either::Left((Err(error), _)) => {
+                log::warn!(target: "transfer", cause:% = error; "Cannot accept a peer.");
+            }
+            Either::Right(_) => return,
+        }
+    }
+}
+
+async fn serve_peer(shared: Arc<EndpointShared>, stream: TcpStream) {
+    let (sender, mut receiver) = match accept(stream, &shared.settings.inner_key).await {
+        Ok(connection) => connection,
+        Err(error) => {
+            log::warn!(target: "transfer", cause:% = error; "Refused a connection.");
+            return;
+        }
+    };
+    shared.transfer.add_watcher(sender.clone());
+    loop {
+        match receiver.recv().await {
+            Ok(WireMessage::Chunk(message)) => handle(&shared, &sender, message).await,
+            Ok(WireMessage::Hello(_) | WireMessage::Control(_) | WireMessage::Request(_)) => {}
+            Err(error) => {
+                log::debug!(target: "transfer", cause:% = error; "A peer's connection ended.");
+                sender.close();
+                return;
+            }
+        }
+    }
+}
+
+async fn handle(shared: &Arc<EndpointShared>, sender: &WireSender, message: ChunkMessage) {
+    match message {
+        ChunkMessage::ManifestWanted { manifest } => {
+            if let Some(found) = shared.transfer.manifest(manifest) {
+                let reply = ChunkMessage::Manifest(Box::new(found.as_ref().clone()));
+                let _ = sender.send(reply).await;
+            }
+        }
+        ChunkMessage::Wanted { call, manifest, index } => {
+            let (shared, sender) = (shared.clone(), sender.clone());
+            spawn(async move {
+                let reply = match upload(&shared, manifest, index as usize).await {
+                    Ok(bytes) => ChunkMessage::Bytes { call, bytes: bytes.to_vec() },
+                    Err(reason) => ChunkMessage::Refused { call, reason },
+                };
+                let _ = sender.send(reply).await;
+            })
+            .detach();
+        }
+        ChunkMessage::Held { .. }
+        | ChunkMessage::Gained { .. }
+        | ChunkMessage::Manifest(_)
+        | ChunkMessage::Bytes { .. }
+        | ChunkMessage::Refused { .. } => {}
+    }
+}
+
+async fn upload(
+    shared: &EndpointShared,
+    manifest: ManifestDigest,
+    index: usize,
+) -> Result<Bytes, ChunkRefusal> {
+    let Some(_slot) = shared.transfer.upload_slots.try_acquire() else {
+        return Err(ChunkRefusal::Busy);
+    };
+    let cached = shared.transfer.find(manifest, index).ok_or(ChunkRefusal::NotHeld)?;
+    let bytes = match cached {
+        Some(bytes) => bytes,
+        None => {
+            shared.engine.read_chunk(manifest, index).await.map_err(|_| ChunkRefusal::NotHeld)?
+        }
+    };
+    shared.transfer.upload.pass(bytes.len()).await;
+    shared.metrics.sent_bytes.inc_by(bytes.len() as u64);
+    Ok(bytes)
+}
--- /dev/null
+++ b/crates/decide/src/holder.rs
@@ -0,0 +1,60 @@
+//! Which preset a process takes to be in force.
+//!
+//! A process adopts only a higher revision. Without that rule a slow reply
+//! from the store, or a peer that lags, would bring an old preset back; an
+//! operator would notice a change that took effect and then reverted.
+
+use std::sync::Arc;
+
+use cassiawheel_model::{ForcedPreset, PresetRevision};
+
+/// What became of an offered preset.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Adoption {
+    /// It is in force here from now on.
+    Adopted,
+    /// It is the one that is in force already.
+    Known,
+    /// It is older than the one in force and was ignored.
+    Older,
+    /// It has the revision of the one in force but another content.
+    ///
+    /// The table's compare-and-set excludes this; it would mean that two
+    /// histories exist, so it is reported and never adopted.
+    Conflicting,
+}
+
+/// The preset in force at one process.
+#[derive(Debug, Clone, Default)]
+pub struct PresetHolder {
+    current: Option<Arc<ForcedPreset>>,
+}
+
+impl PresetHolder {
+    /// Considers `offered`.
+    pub fn offer(&mut self, offered: Arc<ForcedPreset>) -> Adoption {
+        let Some(current) = &self.current else {
+            self.current = Some(offered);
+            return Adoption::Adopted;
+        };
+        if offered.revision < current.revision {
+            return Adoption::Older;
+        }
+        if offered.revision == current.revision {
+            let same = offered.change == current.change && offered.content == current.content;
+            return if same { Adoption::Known } else { Adoption::Conflicting };
+        }
+        self.current = Some(offered);
+        Adoption::Adopted
+    }
+
+    /// The preset in force, if one is known.
+    pub fn current(&self) -> Option<&Arc<ForcedPreset>> {
+        self.current.as_ref()
+    }
+
+    /// Revision of the preset in force; zero while none is known.
+    pub fn revision(&self) -> PresetRevision {
+        self.current.as_ref().map(|preset| preset.revision).unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/crates/decide/src/lib.rs
@@ -0,0 +1,25 @@
+//! The decisions of cassiawheel, as pure functions and state machines.
+//!
+//! Nothing here performs I/O, reads a clock or draws its own random numbers:
+//! the present moment and a random generator are arguments. The same code so
+//! runs in the processes, in seeded histories and in benches.
+
+pub mod advice;
+pub mod claim;
+pub mod gate;
+pub mod holder;
+pub mod identity;
+pub mod rank;
+pub mod retry;
+pub mod roster;
+pub mod route;
+pub mod select;
+
+pub use advice::{AdviceInput, EntryAdvice, advise};
+pub use claim::{ClaimRecord, ClaimStep, ClaimView};
+pub use gate::{GateState, SwitchError};
+pub use holder::{Adoption, PresetHolder};
+pub use retry::{AttemptEnd, RetryStep, RetryTracker};
+pub use roster::EndpointRoster;
+pub use route::{RouteCandidate, RouteChoice, RouteSnapshot};
+pub use select::{ChunkPicker, ChunkSource, FetchOrder, PickerSettings};
--- /dev/null
+++ b/crates/entry/src/caller.rs
@@ -0,0 +1,98 @@
+//! Requests of callers.
+//!
+//! `accept → identify → attempts (route → dispatch) → relay → outcome`
+
+mod attempts;
+mod identify;
+mod outcome;
+mod relay;
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+
+use cassiawheel_decide::{advice::AdviceInput, advise};
+use cassiawheel_model::{OutcomeKind, Timestamp};
+use cassiawheel_runtime::http::{ReplyBody, error_reply, json_reply};
+use hyper::{Request, Response, StatusCode, body::Incoming};
+
+use crate::shared::EntryShared;
+
+/// Path at which callers ask which entries to use.
+const ADVICE_PATH: &str = "/v1/entries";
+
+/// Path below which services are called.
+const SERVICE_PATH: &str = "/v1/services/";
+
+/// Answers one request of a caller.
+pub(crate) async fn accept(
+    shared: Arc<EntryShared>,
+    request: Request<Incoming>,
+    _remote: SocketAddr,
+) -> Response<ReplyBody> {
+    let path = request.uri().path();
+    if path == ADVICE_PATH {
+        return advice_reply(&shared);
+    }
+    if !path.starts_with(SERVICE_PATH) {
+        let message = format!("no page {path}; services are under {SERVICE_PATH}NAME/");
+        return error_reply(StatusCode::NOT_FOUND, "not-found", message);
+    }
+    let identified = match identify::identify(&shared, request).await {
+        Ok(identified) => identified,
+        Err(error) => return error.reply(),
+    };
+    let (head, body) = (identified.head, identified.body);
+    let guard = InFlight::begin(shared.clone());
+    match attempts::run_attempts(&shared, &head, &body).await {
+        Ok(begun) => relay::answer_reply(guard, head, begun).await,
+        Err(failed) => {
+            shared.metrics.count(failed.outcome.kind());
+            outcome::failure_reply(&head, &failed)
+        }
+    }
+}
+
+fn advice_reply(shared: &EntryShared) -> Response<ReplyBody> {
+    let settings = &shared.settings;
+    let own = AdviceInput {
+        caller_addr: settings.listen.caller,
+        failure_domain: settings.place.failure_domain.clone(),
+        in_flight: shared.in_flight.load(Ordering::Relaxed),
+        leaving: shared.leaving.load(Ordering::Acquire),
+    };
+    let mut entries = vec![own];
+    entries.extend(shared.peers().values().map(|peer| peer.advice.clone()));
+    let span = Duration::from_millis(settings.caller.advice_ms);
+    let valid_until = Timestamp::now().deadline_after(span);
+    let count = settings.caller.advice_addresses;
+    let domain = &settings.place.failure_domain;
+    json_reply(StatusCode::OK, &advise(&entries, domain, count, valid_until, &mut rand::rng()))
+}
+
+/// Counts a request as in progress until its answer is whole or given up.
+pub(crate) struct InFlight {
+    shared: Arc<EntryShared>,
+}
+
+impl InFlight {
+    fn begin(shared: Arc<EntryShared>) -> Self {
+        shared.in_flight.fetch_add(1, Ordering::Relaxed);
+        shared.metrics.in_flight.inc();
+        Self { shared }
+    }
+
+    /// Counts the request's outcome.
+    pub(crate) fn count(&self, kind: OutcomeKind) {
+        self.shared.metrics.count(kind);
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.shared.in_flight.fetch_sub(1, Ordering::Relaxed);
+        self.shared.metrics.in_flight.dec();
+    }
+}
--- /dev/null
+++ b/crates/entry/src/caller/identify.rs
@@ -0,0 +1,133 @@
+//! Identifying a request: workspace, service, priority, repeatability, deadline.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use cassiawheel_decide::identity::repeatability;
+use cassiawheel_model::{
+    Deadline, PresetRevision, PriorityClass, RequestHead, RequestKey, ServiceName, Timestamp,
+    WorkspaceId,
+};
+use cassiawheel_runtime::http::{BodyError, ReplyBody, error_reply, read_body};
+use hyper::{HeaderMap, Request, Response, StatusCode, body::Incoming, header::CONTENT_TYPE};
+
+use super::SERVICE_PATH;
+use crate::shared::EntryShared;
+
+/// Header that names the caller's workspace.
+pub(crate) const WORKSPACE_HEADER: &str = "cassiawheel-workspace";
+/// Header with the priority: `low`, `normal` or `high`.
+pub(crate) const PRIORITY_HEADER: &str = "cassiawheel-priority";
+/// Header with the absolute deadline, in milliseconds since the Unix epoch.
+pub(crate) const DEADLINE_HEADER: &str = "cassiawheel-deadline";
+/// Header that says whether the request may be repeated: `true` or `false`.
+pub(crate) const IDEMPOTENT_HEADER: &str = "cassiawheel-idempotent";
+/// Header with the caller's idempotency key.
+pub(crate) const KEY_HEADER: &str = "idempotency-key";
+
+/// Workspace of callers that name none.
+const DEFAULT_WORKSPACE: &str = "default";
+
+/// A request that has been identified.
+pub(crate) struct IdentifiedRequest {
+    /// What routing needs to know.
+    pub(crate) head: RequestHead,
+    /// The body.
+    pub(crate) body: Bytes,
+}
+
+/// Why a request was not understood.
+pub(crate) struct BadRequest {
+    status: StatusCode,
+    message: String,
+}
+
+impl BadRequest {
+    fn new(place: &str, message: impl std::fmt::Display) -> Self {
+        Self { status: StatusCode::BAD_REQUEST, message: format!("{place}: {message}") }
+    }
+
+    /// The reply to the caller.
+    pub(crate) fn reply(self) -> Response<ReplyBody> {
+        error_reply(self.status, "bad-request", self.message)
+    }
+}
+
+/// Reads head and body of a request.
+pub(crate) async fn identify(
+    shared: &EntryShared,
+    request: Request<Incoming>,
+) -> Result<IdentifiedRequest, BadRequest> {
+    let settings = &shared.settings.caller;
+    let (parts, body) = request.into_parts();
+    let now = Timestamp::now();
+    let (service, path) = split_path(&parts.uri)?;
+    let idempotent = parse(&parts.headers, IDEMPOTENT_HEADER)?;
+    let default_deadline = now.deadline_after(Duration::from_millis(settings.default_deadline_ms));
+    let workspace = match parse::<WorkspaceId>(&parts.headers, WORKSPACE_HEADER)? {
+        Some(workspace) => workspace,
+        None => WorkspaceId::new(DEFAULT_WORKSPACE)
+            .map_err(|error| BadRequest::new(WORKSPACE_HEADER, error))?,
+    };
+    let head = RequestHead {
+        id: shared.next_request().map_err(|error| BadRequest::new("request", error))?,
+        workspace,
+        service,
+        priority: priority(&parts.headers)?,
+        repeat: repeatability(parts.method.as_str(), idempotent),
+        key: parse::<RequestKey>(&parts.headers, KEY_HEADER)?,
+        deadline: parse(&parts.headers, DEADLINE_HEADER)?.map_or(default_deadline, Deadline),
+        method: parts.method.to_string(),
+        path,
+        content_type: parse(&parts.headers, CONTENT_TYPE.as_str())?,
+        prefix: None,
+        revision: PresetRevision::default(),
+        version: None,
+    };
+    let body = read_body(body, settings.max_body_bytes).await.map_err(|error| match error {
+        BodyError::TooLong => BadRequest {
+            status: StatusCode::PAYLOAD_TOO_LARGE,
+            message: format!("body: longer than {} bytes", settings.max_body_bytes),
+        },
+        BodyError::Cut => BadRequest::new("body", "ended early"),
+    })?;
+    Ok(IdentifiedRequest { head, body })
+}
+
+fn split_path(uri: &hyper::Uri) -> Result<(ServiceName, String), BadRequest> {
+    let path = uri.path_and_query().map_or(uri.path(), |whole| whole.as_str());
+    let rest = path.strip_prefix(SERVICE_PATH).unwrap_or_default();
+    let (name, rest) = rest.split_once('/').unwrap_or((rest, ""));
+    let service = ServiceName::new(name)
+        .map_err(|error| BadRequest::new("path", format_args!("the service name {error}")))?;
+    Ok((service, format!("/{rest}")))
+}
+
+fn priority(headers: &HeaderMap) -> Result<PriorityClass, BadRequest> {
+    match text(headers, PRIORITY_HEADER)? {
+        None | Some("normal") => Ok(PriorityClass::Normal),
+        Some("low") => Ok(PriorityClass::Low),
+        Some("high") => Ok(PriorityClass::High),
+        Some(other) => Err(BadRequest::new(
+            PRIORITY_HEADER,
+            format_args!("must be low, normal or high, is {other:?}"),
+        )),
+    }
+}
+
+fn parse<T>(headers: &HeaderMap, name: &str) -> Result<Option<T>, BadRequest>
+where
+    T: std::str::FromStr<Err: std::fmt::Display>,
+{
+    let Some(text) = text(headers, name)? else {
+        return Ok(None);
+    };
+    text.parse().map(Some).map_err(|error| BadRequest::new(name, error))
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, BadRequest> {
+    let Some(value) = headers.get(name) else {
+        return Ok(None);
+    };
+    value.to_str().map(Some).map_err(|_| BadRequest::new(name, "is not plain text"))
+}
--- /dev/null
+++ b/crates/entry/src/control.rs
@@ -0,0 +1,6 @@
+//! Presets, heartbeats and membership at an entry.
+
+pub(crate) mod change;
+pub(crate) mod membership;
+pub(crate) mod poll;
+pub(crate) mod spread;
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,27 @@
+//! The entry: where callers and operators reach the system.
+//!
+//! A request passes small filters, one file each under [`caller`]:
+//! accept, identify, route, dispatch, relay, outcome. Presets, heartbeats and
+//! the spread between entries live under `control`, the operators' API under
+//! `admin`, and its command line under [`cli`].
+
+mod admin;
+mod caller;
+pub mod cli;
+mod control;
+mod inner;
+mod link;
+mod metrics;
+mod serve;
+mod shared;
+
+use cassiawheel_model::settings::EntrySettings;
+
+/// Executor threads of an entry.
+const THREADS: usize = 4;
+
+/// Runs an entry until it is asked to stop.
+pub fn run(settings: EntrySettings) -> anyhow::Result<()> {
+    let _log = cassiawheel_runtime::logging::start(&settings.log)?;
+    cassiawheel_runtime::run(THREADS, serve::serve(settings))?
+}
--- /dev/null
+++ b/crates/entry/src/metrics.rs
@@ -0,0 +1,57 @@
+//! Metrics of an entry.
+
+use cassiawheel_model::OutcomeKind;
+use prometheus::{IntCounter, IntCounterVec, IntGauge, Opts, Registry};
+
+/// Counters and gauges of an entry.
+pub(crate) struct EntryMetrics {
+    outcomes: IntCounterVec,
+    /// Attempts sent to endpoints.
+    pub(crate) attempts: IntCounter,
+    /// Requests in progress.
+    pub(crate) in_flight: IntGauge,
+    /// Revision of the preset in force.
+    pub(crate) revision: IntGauge,
+    /// Reads of the table service.
+    pub(crate) store_reads: IntCounter,
+    /// Reads of the table service that failed.
+    pub(crate) store_failures: IntCounter,
+}
+
+impl EntryMetrics {
+    /// Metrics registered in `registry`.
+    pub(crate) fn register(registry: &Registry) -> prometheus::Result<Self> {
+        let name = |name: &str| format!("cassiawheel_entry_{name}");
+        let metrics = Self {
+            outcomes: IntCounterVec::new(
+                Opts::new(name("outcomes_total"), "Requests by outcome"),
+                &["outcome"],
+            )?,
+            attempts: IntCounter::new(name("attempts_total"), "Attempts sent to endpoints")?,
+            in_flight: IntGauge::new(name("in_flight"), "Requests in progress")?,
+            revision: IntGauge::new(name("revision"), "Revision of the preset in force")?,
+            store_reads: IntCounter::new(name("store_reads_total"), "Reads of the table service")?,
+            store_failures: IntCounter::new(
+                name("store_failures_total"),
+                "Reads of the table service that failed",
+            )?,
+        };
+        registry.register(Box::new(metrics.outcomes.clone()))?;
+        registry.register(Box::new(metrics.attempts.clone()))?;
+        registry.register(Box::new(metrics.in_flight.clone()))?;
+        registry.register(Box::new(metrics.revision.clone()))?;
+        registry.register(Box::new(metrics.store_reads.clone()))?;
+        registry.register(Box::new(metrics.store_failures.clone()))?;
+        Ok(metrics)
+    }
+
+    /// Counts a request's outcome.
+    pub(crate) fn count(&self, kind: OutcomeKind) {
+        let label = match kind {
+            OutcomeKind::Complete => "complete",
+            OutcomeKind::NotRun => "not-run",
+            OutcomeKind::Unknown => "unknown",
+        };
+        self.outcomes.with_label_values(&[label]).inc();
+    }
+}
--- /dev/null
+++ b/crates/model/src/endpoint.rs
@@ -0,0 +1,95 @@
+//! What an endpoint's agent tells about itself.
+
+use std::net::SocketAddr;
+
+use macro_rules_attribute::apply;
+
+use crate::{
+    FailureDomain, InstanceId, ManifestDigest, ModelVersion, PresetRevision, RegionName,
+    ServiceName, Timestamp,
+};
+
+/// What an endpoint is there for.
+#[apply(label!)]
+#[serde(rename_all = "kebab-case")]
+pub enum EndpointRole {
+    /// Runs a model engine.
+    Model,
+    /// Runs a plain service.
+    Plain,
+}
+
+/// State of the weights at an endpoint, as its agent's gate knows it.
+#[apply(record!)]
+#[derive(Eq)]
+#[serde(rename_all = "kebab-case")]
+pub enum EndpointState {
+    /// No weights are loaded.
+    Empty,
+    /// Serves requests; plain services have no version.
+    Serving {
+        /// The version in the engine.
+        version: Option<ModelVersion>,
+        /// Counts the commits at this endpoint.
+        generation: u64,
+    },
+    /// Exchanges the weights; no request starts.
+    Switching,
+    /// Leaves; requests in progress finish, none starts.
+    Draining,
+}
+
+/// Load of an endpoint, as its engine reported it.
+#[apply(record!)]
+#[derive(Copy, Eq)]
+pub struct LoadReport {
+    /// Requests in progress.
+    pub in_flight: u32,
+    /// Requests that wait in the engine.
+    pub queued: u32,
+    /// When the engine measured this.
+    pub measured_at: Timestamp,
+}
+
+/// Everything that an agent reports in a heartbeat.
+#[apply(record!)]
+pub struct EndpointReport {
+    /// The instance.
+    pub instance: InstanceId,
+    /// Distinguishes processes that run one after another at the same instance.
+    pub incarnation: u64,
+    /// Where it stands.
+    pub region: RegionName,
+    /// Where it stands inside the region.
+    pub failure_domain: FailureDomain,
+    /// The service that the endpoint belongs to.
+    pub service: ServiceName,
+    /// Model engine or plain service.
+    pub role: EndpointRole,
+    /// Where other agents fetch chunks from it.
+    pub inner_addr: SocketAddr,
+    /// State of its weights.
+    pub state: EndpointState,
+    /// The manifest being staged or already staged, if any.
+    pub staged: Option<StagedWeights>,
+    /// Load of its engine.
+    pub load: LoadReport,
+    /// The highest preset revision that it knows.
+    pub revision: PresetRevision,
+    /// Requests that its gate admits at a time.
+    pub limit: u32,
+}
+
+/// How much of a manifest an endpoint holds.
+#[apply(record!)]
+#[derive(Eq)]
+pub struct StagedWeights {
+    /// The version.
+    pub version: ModelVersion,
+    /// The manifest.
+    pub manifest: ManifestDigest,
+    /// Verified chunks.
+    pub chunks_ready: u32,
+    /// Chunks in the manifest.
+    pub chunks_total: u32,
+}
--- /dev/null
+++ b/crates/model/src/lib.rs
@@ -0,0 +1,31 @@
+//! Domain types that every part of cassiawheel shares.
+//!
+//! Nothing here performs I/O or reads a clock: identifiers, deadlines,
+//! manifests, presets, requests and settings, together with the findings that
+//! a check of operator input reports.
+
+#[macro_use]
+mod derives;
+
+pub mod endpoint;
+pub mod finding;
+pub mod ids;
+pub mod manifest;
+pub mod outcome;
+pub mod preset;
+pub mod request;
+pub mod settings;
+pub mod time;
+
+pub use endpoint::{EndpointReport, EndpointRole, EndpointState, LoadReport, StagedWeights};
+pub use finding::{FindingList, FindingPlace};
+pub use ids::{
+    AttemptNonce, ChangeId, ChunkDigest, FailureDomain, InstanceId, LeaseHolder, ManifestDigest,
+    ModelVersion, OperatorName, PresetName, RegionName, RequestId, RequestKey, ServiceName,
+    WorkspaceId,
+};
+pub use manifest::{ChunkEntry, ManifestError, WeightManifest};
+pub use outcome::{NotRunReason, OutcomeKind, RequestOutcome};
+pub use preset::{ForcedPreset, PresetContent, PresetRevision, ServiceKind, ServiceTarget};
+pub use request::{PriorityClass, Repeatability, RequestHead};
+pub use time::{Deadline, Timestamp};
--- /dev/null
+++ b/crates/model/src/request.rs
@@ -0,0 +1,63 @@
+//! What routing needs to know about a request.
+
+use macro_rules_attribute::apply;
+
+use crate::{
+    Deadline, ModelVersion, PresetRevision, RequestId, RequestKey, ServiceName, WorkspaceId,
+};
+
+/// Order in which requests are shed under overload.
+#[apply(label!)]
+#[derive(Default)]
+#[serde(rename_all = "kebab-case")]
+pub enum PriorityClass {
+    /// Shed first.
+    Low,
+    /// The default.
+    #[default]
+    Normal,
+    /// Shed last.
+    High,
+}
+
+/// Whether a request may run more than once.
+#[apply(label!)]
+#[serde(rename_all = "kebab-case")]
+pub enum Repeatability {
+    /// Idempotent: may be retried and hedged.
+    Idempotent,
+    /// Runs at most once; without a key it is sent once, with a key it is claimed first.
+    AtMostOnce,
+}
+
+/// A request as the entry identified it.
+#[apply(record!)]
+#[derive(Eq)]
+pub struct RequestHead {
+    /// Unique per arrival.
+    pub id: RequestId,
+    /// Whom it belongs to.
+    pub workspace: WorkspaceId,
+    /// The service asked for.
+    pub service: ServiceName,
+    /// Order of shedding.
+    pub priority: PriorityClass,
+    /// Whether it may be repeated.
+    pub repeat: Repeatability,
+    /// The caller's idempotency key.
+    pub key: Option<RequestKey>,
+    /// When the answer is of no more use.
+    pub deadline: Deadline,
+    /// HTTP method towards the endpoint.
+    pub method: String,
+    /// Path and query towards the endpoint.
+    pub path: String,
+    /// The body's media type.
+    pub content_type: Option<String>,
+    /// Digest of the leading part of the prompt, for prefix affinity; a hint.
+    pub prefix: Option<u64>,
+    /// The preset by which it is routed.
+    pub revision: PresetRevision,
+    /// The version that has to answer; none for plain services.
+    pub version: Option<ModelVersion>,
+}
--- /dev/null
+++ b/crates/model/src/settings/agent.rs
@@ -0,0 +1,179 @@
+//! Settings of an agent process.
+
+use std::net::SocketAddr;
+
+use macro_rules_attribute::apply;
+
+use super::{
+    CheckedSettings, LogSettings, PlaceSettings, PlatformSettings,
+    common::{check_distinct, check_secret},
+};
+use crate::{EndpointRole, FindingList, ServiceName};
+
+/// Everything an agent process is told.
+#[apply(record!)]
+#[serde(deny_unknown_fields)]
+pub struct AgentSettings {
+    /// Who it is and where it stands.
+    pub place: PlaceSettings,
+    /// Where other agents reach it.
+    pub listen_inner: SocketAddr,
+    /// Metrics and probes.
+    pub listen_metrics: SocketAddr,
+    /// Inner addresses of the entries.
+    pub entries: Vec<SocketAddr>,
+    /// Entries that it keeps a connection to.
+    #[serde(default = "default_entry_links")]
+    pub entry_links: usize,
+    /// The platform's services.
+    pub platform: PlatformSettings,
+    /// Key that our own processes share; at least 16 bytes.
+    pub inner_key: String,
+    /// The engine or plain service at this instance.
+    pub engine: EngineSettings,
+    /// Transfer of weights.
+    #[serde(default)]
+    pub transfer: TransferSettings,
+    /// Time between heartbeats, in milliseconds.
+    #[serde(default = "default_heartbeat_ms")]
+    pub heartbeat_ms: u64,
+    /// Longest graceful shutdown, in milliseconds.
+    #[serde(default = "default_drain_ms")]
+    pub drain_ms: u64,
+    /// Logs.
+    #[serde(default)]
+    pub log: LogSettings,
+}
+
+fn default_entry_links() -> usize {
+    9
+}
+
+fn default_heartbeat_ms() -> u64 {
+    250
+}
+
+fn default_drain_ms() -> u64 {
+    30_000
+}
+
+/// The engine or plain service behind an agent.
+#[apply(record!)]
+#[serde(deny_unknown_fields)]
+pub struct EngineSettings {
+    /// Its address.
+    pub addr: SocketAddr,
+    /// Model engine or plain service.
+    pub role: EndpointRole,
+    /// The service it belongs to.
+    pub service: ServiceName,
+    /// Whether the engine refuses orders with an old fencing token.
+    #[serde(default)]
+    pub checks_fencing: bool,
+    /// Requests that the agent admits at a time.
+    #[serde(default = "default_max_in_flight")]
+    pub max_in_flight: u32,
+}
+
+fn default_max_in_flight() -> u32 {
+    32
+}
+
+/// Which of the two figures a deployment weighs more.
+#[apply(label!)]
+#[serde(rename_all = "kebab-case")]
+pub enum TransferMode {
+    /// Time until N replicas serve.
+    Time,
+    /// Bytes drawn from the origin.
+    Bytes,
+}
+
+/// Transfer of weights.
+#[apply(record!)]
+#[serde(deny_unknown_fields, default)]
+pub struct TransferSettings {
+    /// Which figure counts more.
+    pub mode: TransferMode,
+    /// Copies of a version that all agents together may draw from the origin.
+    pub origin_copies: f64,
+    /// Capacity of the instance's link in each direction, in bytes per second; 0 is unlimited.
+    pub link_bytes_per_s: u64,
+    /// Part of the link kept free for live requests, from 0 to 0.9.
+    pub live_share: f64,
+    /// Chunks sent to other agents at a time.
+    pub upload_slots: usize,
+    /// Chunks fetched at a time.
+    pub download_slots: usize,
+    /// Wait before a chunk is asked of another source, in milliseconds.
+    pub stall_ms: u64,
+    /// One step of the wait before an agent of a lower rank goes to the origin, in milliseconds.
+    pub origin_step_ms: u64,
+    /// Verified chunks kept in memory for other agents, in bytes.
+    pub cache_bytes: u64,
+}
+
+impl Default for TransferSettings {
+    fn default() -> Self {
+        Self {
+            mode: TransferMode::Bytes,
+            origin_copies: 1.0,
+            link_bytes_per_s: 0,
+            live_share: 0.2,
+            upload_slots: 4,
+            download_slots: 8,
+            stall_ms: 2_000,
+            origin_step_ms: 500,
+            cache_bytes: 64 << 20,
+        }
+    }
+}
+
+impl CheckedSettings for AgentSettings {
+    fn check(&self, findings: &mut FindingList) {
+        check_distinct(
+            findings,
+            &[("listen_inner", self.listen_inner), ("listen_metrics", self.listen_metrics)],
+        );
+        check_secret(findings, "inner_key", &self.inner_key);
+        findings.require(!self.entries.is_empty(), "entries", "must name at least one entry");
+        findings.require(self.entry_links > 0, "entry_links", "must be at least 1");
+        findings.require(
+            (20..=60_000).contains(&self.heartbeat_ms),
+            "heartbeat_ms",
+            "must lie between 20 and 60000 milliseconds",
+        );
+        findings.require(self.drain_ms > 0, "drain_ms", "must be at least 1");
+        findings.require(
+            self.engine.max_in_flight > 0,
+            "engine.max_in_flight",
+            "must be at least 1",
+        );
+        self.transfer.check(findings);
+    }
+}
+
+impl TransferSettings {
+    fn check(&self, findings: &mut FindingList) {
+        findings.require(
+            (1.0..=64.0).contains(&self.origin_copies),
+            "transfer.origin_copies",
+            "must lie between 1 and 64: less than one copy never completes",
+        );
+        findings.require(
+            (0.0..=0.9).contains(&self.live_share),
+            "transfer.live_share",
+            "must lie between 0 and 0.9",
+        );
+        let positive = [
+            ("transfer.upload_slots", self.upload_slots as u64),
+            ("transfer.download_slots", self.download_slots as u64),
+            ("transfer.stall_ms", self.stall_ms),
+            ("transfer.origin_step_ms", self.origin_step_ms),
+            ("transfer.cache_bytes", self.cache_bytes),
+        ];
+        for (path, value) in positive {
+            findings.require(value > 0, path, "must be at least 1");
+        }
+    }
+}
--- /dev/null
+++ b/crates/platform/src/client.rs
@@ -0,0 +1,181 @@
+//! The HTTP client that all adapters share.
+//!
+//! `hyper-util`'s pooled client over smol sockets. An error tells whether the
+//! request may have reached the server, since "not run" may only be said when
+//! it has not.
+
+use std::{
+    future::Future,
+    net::SocketAddr,
+    pin::Pin,
+    task::{Context, Poll},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use cassiawheel_runtime::{spawn, timeout};
+use http_body_util::{BodyExt, Full};
+use hyper::{
+    Request, Response, Uri,
+    body::Incoming,
+    rt::{Executor, ReadBufCursor},
+};
+use hyper_util::client::legacy::{
+    Client,
+    connect::{Connected, Connection},
+};
+use smol::net::TcpStream;
+use smol_hyper::rt::{FuturesIo, SmolTimer};
+use tower_service::Service;
+
+/// How long an unused connection is kept.
+const IDLE_TIME: Duration = Duration::from_secs(5);
+
+/// Why a call failed.
+#[derive(Debug, Clone, thiserror::Error)]
+pub enum ClientError {
+    /// The request never left this process.
+    #[error("not sent: {0}")]
+    NotSent(String),
+    /// The request may have reached the server.
+    #[error("no answer: {0}")]
+    NoAnswer(String),
+}
+
+/// A pooled HTTP client.
+#[derive(Clone)]
+pub struct HttpClient {
+    inner: Client<SmolConnector, Full<Bytes>>,
+}
+
+impl Default for HttpClient {
+    fn default() -> Self {
+        let inner = Client::builder(TaskExecutor)
+            .pool_timer(SmolTimer::new())
+            .timer(SmolTimer::new())
+            .pool_idle_timeout(IDLE_TIME)
+            .build(SmolConnector);
+        Self { inner }
+    }
+}
+
+impl HttpClient {
+    /// Sends `request` and waits for the head of the answer.
+    pub async fn send(
+        &self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, ClientError> {
+        self.inner.request(request).await.map_err(|error| {
+            if error.is_connect() {
+                ClientError::NotSent(chain(&error))
+            } else {
+                ClientError::NoAnswer(chain(&error))
+            }
+        })
+    }
+
+    /// Sends `request` and reads the whole answer within `span`.
+    pub async fn send_whole(
+        &self,
+        request: Request<Full<Bytes>>,
+        span: Duration,
+    ) -> Result<Response<Bytes>, ClientError> {
+        let call = async {
+            let (head, body) = self.send(request).await?.into_parts();
+            let body = body.collect().await;
+            let body = body.map_err(|error| ClientError::NoAnswer(chain(&error)))?;
+            Ok(Response::from_parts(head, body.to_bytes()))
+        };
+        timeout(span, call)
+            .await
+            .unwrap_or_else(|| Err(ClientError::NoAnswer("timed out".to_owned())))
+    }
+}
+
+fn chain(error: &dyn std::error::Error) -> String {
+    let mut text = error.to_string();
+    let mut source = error.source();
+    while let Some(cause) = source {
+        text.push_str(": ");
+        text.push_str(&cause.to_string());
+        source = cause.source();
+    }
+    text
+}
+
+#[derive(Debug, Clone, Copy)]
+struct TaskExecutor;
+
+impl<F> Executor<F> for TaskExecutor
+where
+    F: Future + Send + 'static,
+    F::Output: Send + 'static,
+{
+    fn execute(&self, task: F) {
+        spawn(task).detach();
+    }
+}
+
+#[derive(Debug, Clone, Copy)]
+struct SmolConnector;
+
+impl Service<Uri> for SmolConnector {
+    type Response = ClientSocket;
+    type Error = std::io::Error;
+    type Future = Pin<Box<dyn Future<Output = Result<ClientSocket, std::io::Error>> + Send>>;
+
+    fn poll_ready(&mut self, _: &mut Context<'_>) -> Poll<Result<(), Self::Error>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn call(&mut self, uri: Uri) -> Self::Future {
+        Box::pin(async move {
+            let addr: SocketAddr = uri
+                .authority()
+                .and_then(|authority| authority.as_str().parse().ok())
+                .ok_or_else(|| std::io::Error::other("the address is not an IP number and port"))?;
+            let stream = TcpStream::connect(addr).await?;
+            stream.set_nodelay(true)?;
+            Ok(ClientSocket { io: FuturesIo::new(stream) })
+        })
+    }
+}
+
+/// A socket as `hyper-util` wants it.
+struct ClientSocket {
+    io: FuturesIo<TcpStream>,
+}
+
+impl Connection for ClientSocket {
+    fn connected(&self) -> Connected {
+        Connected::new()
+    }
+}
+
+impl hyper::rt::Read for ClientSocket {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: ReadBufCursor<'_>,
+    ) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.io).poll_read(cx, buf)
+    }
+}
+
+impl hyper::rt::Write for ClientSocket {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<std::io::Result<usize>> {
+        Pin::new(&mut self.io).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.io).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.io).poll_shutdown(cx)
+    }
+}
--- /dev/null
+++ b/crates/platform/src/engine_http.rs
@@ -0,0 +1,165 @@
+//! HTTP client of an engine or a plain service.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use cassiawheel_model::{ManifestDigest, ModelVersion, RequestHead, WeightManifest};
+use http_body_util::Full;
+use hyper::{Method, Request, Response, header::CONTENT_TYPE};
+
+use crate::{
+    ClientError, EdgeFuture, EngineAnswer, EngineError, EngineStatus, HttpClient, LoadOrder,
+    ModelEngine, StagedBits,
+};
+
+/// Header in which an engine names the version that it answers from.
+pub const VERSION_HEADER: &str = "x-model-version";
+
+/// Header that carries the request id to the endpoint.
+pub const REQUEST_HEADER: &str = "x-request-id";
+
+/// Header that carries the idempotency key to the endpoint.
+pub const KEY_HEADER: &str = "idempotency-key";
+
+/// Longest wait for an answer to an order or a status call.
+const ORDER_TIME: Duration = Duration::from_secs(10);
+
+/// An engine over HTTP.
+#[derive(Clone)]
+pub struct HttpEngine {
+    client: HttpClient,
+    addr: SocketAddr,
+}
+
+impl HttpEngine {
+    /// A client of the engine at `addr`.
+    pub fn new(client: HttpClient, addr: SocketAddr) -> Self {
+        Self { client, addr }
+    }
+
+    async fn order(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+    ) -> Result<Response<Bytes>, EngineError> {
+        let request = Request::builder()
+            .method(method)
+            .uri(format!("http://{}{path}", self.addr))
+            .body(Full::new(body))
+            .map_err(|error| EngineError::NotSent(error.to_string()))?;
+        let reply = self.client.send_whole(request, ORDER_TIME).await?;
+        if reply.status().is_success() {
+            return Ok(reply);
+        }
+        let detail = String::from_utf8_lossy(reply.body()).into_owned();
+        if reply.status().is_client_error() {
+            Err(EngineError::Refused(detail))
+        } else {
+            Err(EngineError::NoAnswer(detail))
+        }
+    }
+}
+
+fn json<T: serde::de::DeserializeOwned>(reply: &Response<Bytes>) -> Result<T, EngineError> {
+    serde_json::from_slice(reply.body()).map_err(|error| EngineError::NoAnswer(error.to_string()))
+}
+
+fn encode(value: &impl serde::Serialize) -> Result<Bytes, EngineError> {
+    let text =
+        serde_json::to_vec(value).map_err(|error| EngineError::NotSent(error.to_string()))?;
+    Ok(Bytes::from(text))
+}
+
+impl ModelEngine for HttpEngine {
+    fn status(&self) -> EdgeFuture<'_, Result<EngineStatus, EngineError>> {
+        Box::pin(
+            async move { json(&self.order(Method::GET, "/v1/engine/status", Bytes::new()).await?) },
+        )
+    }
+
+    fn stage<'a>(
+        &'a self,
+        manifest: &'a WeightManifest,
+    ) -> EdgeFuture<'a, Result<StagedBits, EngineError>> {
+        Box::pin(async move {
+            let path = format!("/v1/engine/staging/{}", manifest.digest);
+            json(&self.order(Method::PUT, &path, encode(manifest)?).await?)
+        })
+    }
+
+    fn stage_chunk(
+        &self,
+        manifest: ManifestDigest,
+        index: usize,
+        bytes: Bytes,
+    ) -> EdgeFuture<'_, Result<(), EngineError>> {
+        Box::pin(async move {
+            let path = format!("/v1/engine/staging/{manifest}/{index}");
+            self.order(Method::PUT, &path, bytes).await?;
+            Ok(())
+        })
+    }
+
+    fn read_chunk(
+        &self,
+        manifest: ManifestDigest,
+        index: usize,
+    ) -> EdgeFuture<'_, Result<Bytes, EngineError>> {
+        Box::pin(async move {
+            let path = format!("/v1/engine/staging/{manifest}/{index}");
+            Ok(self.order(Method::GET, &path, Bytes::new()).await?.into_body())
+        })
+    }
+
+    fn load<'a>(&'a self, order: &'a LoadOrder) -> EdgeFuture<'a, Result<(), EngineError>> {
+        Box::pin(async move {
+            self.order(Method::POST, "/v1/engine/load", encode(order)?).await?;
+            Ok(())
+        })
+    }
+
+    fn call<'a>(
+        &'a self,
+        head: &'a RequestHead,
+        body: Bytes,
+    ) -> EdgeFuture<'a, Result<EngineAnswer, EngineError>> {
+        Box::pin(async move {
+            let request = call_request(self.addr, head, body)
+                .map_err(|error| EngineError::NotSent(error.to_string()))?;
+            let reply = self
+                .client
+                .send(request)
+                .await
+                .map_err(|error: ClientError| EngineError::from(error))?;
+            let (parts, body) = reply.into_parts();
+            let text = |name: &str| {
+                parts.headers.get(name).and_then(|value| value.to_str().ok()).map(str::to_owned)
+            };
+            Ok(EngineAnswer {
+                status: parts.status.as_u16(),
+                content_type: text(CONTENT_TYPE.as_str()),
+                version: text(VERSION_HEADER).and_then(|name| ModelVersion::new(&name).ok()),
+                body,
+            })
+        })
+    }
+}
+
+fn call_request(
+    addr: SocketAddr,
+    head: &RequestHead,
+    body: Bytes,
+) -> Result<Request<Full<Bytes>>, hyper::http::Error> {
+    let mut request = Request::builder()
+        .method(head.method.as_str())
+        .uri(format!("http://{addr}{}", head.path))
+        .header(REQUEST_HEADER, head.id.as_str());
+    if let Some(kind) = &head.content_type {
+        request = request.header(CONTENT_TYPE, kind);
+    }
+    if let Some(key) = &head.key {
+        request = request.header(KEY_HEADER, key.as_str());
+    }
+    request.body(Full::new(body))
+}
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,29 @@
+//! The edges of a process: traits for the platform and for engines, and their
+//! HTTP clients.
+//!
+//! Each protocol lives behind one narrow trait in one small file, so that an
+//! adapter for another platform is a day's work. The traits are used as trait
+//! objects; their methods return boxed futures.
+
+pub mod client;
+pub mod engine;
+pub mod engine_http;
+pub mod instances;
+pub mod store_error;
+pub mod table;
+pub mod table_http;
+pub mod weights;
+
+pub use client::{ClientError, HttpClient};
+pub use engine::{EngineAnswer, EngineError, EngineStatus, LoadOrder, ModelEngine, StagedBits};
+pub use engine_http::HttpEngine;
+pub use instances::{HttpInstances, InstanceList, ListedInstance, ListedState};
+pub use store_error::StoreError;
+pub use table::{TableGuard, TableRow, TableStore, TableWrite, WriteResult, WriteVerdict};
+pub use table_http::HttpTable;
+pub use weights::{HttpWeights, WeightError, WeightSource};
+
+use std::{future::Future, pin::Pin};
+
+/// A boxed future, so that the traits can be used as objects.
+pub type EdgeFuture<'a, T> = Pin<Box<dyn Future<Output = T> + Send + 'a>>;
--- /dev/null
+++ b/crates/platform/src/store_error.rs
@@ -0,0 +1,31 @@
+//! Why a call to the platform failed.
+
+use std::time::Duration;
+
+use crate::ClientError;
+
+/// Why a call to the table service failed.
+#[derive(Debug, Clone, thiserror::Error)]
+pub enum StoreError {
+    /// The call took no effect.
+    #[error("the call took no effect: {0}")]
+    NoEffect(String),
+    /// The service asks to come back later; the call took no effect.
+    #[error("rate limited")]
+    RateLimited {
+        /// How long the service asks to wait.
+        retry_after: Duration,
+    },
+    /// The call may or may not have taken effect.
+    #[error("it is unknown whether the call took effect: {0}")]
+    Unknown(String),
+}
+
+impl From<ClientError> for StoreError {
+    fn from(error: ClientError) -> Self {
+        match error {
+            ClientError::NotSent(detail) => Self::NoEffect(detail),
+            ClientError::NoAnswer(detail) => Self::Unknown(detail),
+        }
+    }
+}
--- /dev/null
+++ b/crates/platform/src/weights.rs
@@ -0,0 +1,105 @@
+//! Sources of weights outside the system: the origin and the weight store.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use cassiawheel_model::{ManifestDigest, ManifestError, ModelVersion, WeightManifest};
+use http_body_util::Full;
+use hyper::{Request, StatusCode};
+
+use crate::{ClientError, EdgeFuture, HttpClient, table_http::retry_after};
+
+/// Why weights could not be fetched.
+#[derive(Debug, Clone, thiserror::Error)]
+pub enum WeightError {
+    /// The source has no such version or chunk.
+    #[error("the source does not have it")]
+    NotFound,
+    /// The source asks to come back later.
+    #[error("rate limited")]
+    RateLimited {
+        /// How long the source asks to wait.
+        retry_after: Duration,
+    },
+    /// The source cannot be reached or answered with an error.
+    #[error("the source failed: {0}")]
+    Failed(String),
+    /// The source sent a manifest that is inconsistent or not the pinned one.
+    #[error(transparent)]
+    Manifest(#[from] ManifestError),
+}
+
+impl From<ClientError> for WeightError {
+    fn from(error: ClientError) -> Self {
+        Self::Failed(error.to_string())
+    }
+}
+
+/// A source of weights.
+pub trait WeightSource: Send + Sync {
+    /// The manifest of `version`, verified against its own digest.
+    fn manifest<'a>(
+        &'a self,
+        version: &'a ModelVersion,
+    ) -> EdgeFuture<'a, Result<WeightManifest, WeightError>>;
+
+    /// Bytes of the chunk at `index`; the caller verifies them.
+    fn chunk(
+        &self,
+        manifest: ManifestDigest,
+        index: usize,
+    ) -> EdgeFuture<'_, Result<Bytes, WeightError>>;
+}
+
+/// A source over HTTP: `GET /v1/manifests/VERSION` and `GET /v1/weights/DIGEST/INDEX`.
+#[derive(Clone)]
+pub struct HttpWeights {
+    client: HttpClient,
+    addr: SocketAddr,
+    timeout: Duration,
+}
+
+impl HttpWeights {
+    /// A client of the source at `addr` that waits at most `timeout` for an answer.
+    pub fn new(client: HttpClient, addr: SocketAddr, timeout: Duration) -> Self {
+        Self { client, addr, timeout }
+    }
+
+    async fn get(&self, path: String) -> Result<Bytes, WeightError> {
+        let request = Request::get(format!("http://{}{path}", self.addr))
+            .body(Full::new(Bytes::new()))
+            .map_err(|error| WeightError::Failed(error.to_string()))?;
+        let reply = self.client.send_whole(request, self.timeout).await?;
+        match reply.status() {
+            StatusCode::OK => Ok(reply.into_body()),
+            StatusCode::NOT_FOUND => Err(WeightError::NotFound),
+            StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => {
+                Err(WeightError::RateLimited { retry_after: retry_after(&reply) })
+            }
+            status => Err(WeightError::Failed(status.to_string())),
+        }
+    }
+}
+
+impl WeightSource for HttpWeights {
+    fn manifest<'a>(
+        &'a self,
+        version: &'a ModelVersion,
+    ) -> EdgeFuture<'a, Result<WeightManifest, WeightError>> {
+        Box::pin(async move {
+            let text = self.get(format!("/v1/manifests/{version}")).await?;
+            let manifest: WeightManifest = serde_json::from_slice(&text)
+                .map_err(|error| WeightError::Failed(error.to_string()))?;
+            manifest.verify()?;
+            Ok(manifest)
+        })
+    }
+
+    fn chunk(
+        &self,
+        manifest: ManifestDigest,
+        index: usize,
+    ) -> EdgeFuture<'_, Result<Bytes, WeightError>> {
+        Box::pin(self.get(format!("/v1/weights/{manifest}/{index}")))
+    }
+}
--- /dev/null
+++ b/crates/runtime/src/lib.rs
@@ -0,0 +1,14 @@
+//! What both binaries need of their process.
+//!
+//! An executor on several threads, shutdown signals, structured logs, and HTTP
+//! listeners with limits. Nothing here knows about weights or requests.
+
+pub mod executor;
+pub mod http;
+pub mod logging;
+pub mod pacer;
+pub mod probes;
+pub mod shutdown;
+
+pub use executor::{run, spawn, timeout};
+pub use shutdown::{ShutdownSignal, ShutdownTrigger};
--- /dev/null
+++ b/crates/testkit/src/caller.rs
@@ -0,0 +1,137 @@
+//! A caller that checks what it is told against what it may expect.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use cassiawheel_platform::{ClientError, HttpClient};
+use cassiawheel_runtime::timeout;
+use http_body_util::{BodyExt, Full};
+use hyper::{HeaderMap, Request, StatusCode, header::TE};
+
+use crate::weights::answer_text;
+
+/// What a caller makes of an answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum CallVerdict {
+    /// The whole answer to this request.
+    Complete {
+        /// The version that answered.
+        version: Option<String>,
+        /// The preset it was answered under.
+        revision: Option<u64>,
+    },
+    /// Told that it was not run.
+    NotRun(String),
+    /// Told that it may have run, or told nothing.
+    Unknown(String),
+    /// An answer that looks whole but is not the one expected.
+    Wrong(String),
+}
+
+/// A caller of one deployment.
+#[derive(Clone, Default)]
+pub struct TestCaller {
+    client: HttpClient,
+}
+
+/// One call.
+#[derive(Debug, Clone)]
+pub struct TestCall {
+    /// The entry to call.
+    pub entry: SocketAddr,
+    /// Path below `/v1/services/`.
+    pub path: String,
+    /// Headers.
+    pub headers: Vec<(&'static str, String)>,
+    /// Body.
+    pub body: Vec<u8>,
+}
+
+impl TestCaller {
+    /// Sends `call`; `expected` gives the whole answer for the version that answered.
+    pub async fn call(
+        &self,
+        call: TestCall,
+        span: Duration,
+        expected: impl Fn(Option<&str>) -> Option<String>,
+    ) -> CallVerdict {
+        match timeout(span, self.whole_answer(call)).await {
+            None => CallVerdict::Unknown("the caller timed out".to_owned()),
+            Some(Err(error)) => CallVerdict::Unknown(error.to_string()),
+            Some(Ok(answer)) => answer.judge(expected),
+        }
+    }
+
+    /// Asks a model for `tokens` tokens.
+    pub async fn generate(
+        &self,
+        entry: SocketAddr,
+        service: &str,
+        prompt: &str,
+        tokens: u32,
+        token_ms: u64,
+        weights: impl Fn(&str) -> Option<[u8; 32]>,
+    ) -> CallVerdict {
+        let body = serde_json::json!({ "prompt": prompt, "tokens": tokens, "token_ms": token_ms });
+        let call = TestCall {
+            entry,
+            path: format!("{service}/v1/generate"),
+            headers: vec![("cassiawheel-idempotent", "true".to_owned())],
+            body: body.to_string().into_bytes(),
+        };
+        let span = Duration::from_secs(30);
+        let expected =
+            |version: Option<&str>| Some(answer_text(&weights(version?)?, prompt, tokens));
+        self.call(call, span, expected).await
+    }
+
+    async fn whole_answer(&self, call: TestCall) -> Result<WholeAnswer, ClientError> {
+        let mut request = Request::post(format!("http://{}/v1/services/{}", call.entry, call.path))
+            .header(TE, "trailers");
+        for (name, value) in &call.headers {
+            request = request.header(*name, value);
+        }
+        let request = request
+            .body(Full::new(Bytes::from(call.body)))
+            .map_err(|error| ClientError::NotSent(error.to_string()))?;
+        let (head, body) = self.client.send(request).await?.into_parts();
+        let collected =
+            body.collect().await.map_err(|error| ClientError::NoAnswer(error.to_string()))?;
+        let mut headers = head.headers;
+        if let Some(trailers) = collected.trailers() {
+            headers.extend(trailers.clone());
+        }
+        Ok(WholeAnswer { status: head.status, headers, body: collected.to_bytes() })
+    }
+}
+
+struct WholeAnswer {
+    status: StatusCode,
+    headers: HeaderMap,
+    body: Bytes,
+}
+
+impl WholeAnswer {
+    fn judge(&self, expected: impl Fn(Option<&str>) -> Option<String>) -> CallVerdict {
+        let text = |name: &str| {
+            self.headers.get(name).and_then(|value| value.to_str().ok()).map(str::to_owned)
+        };
+        let body = String::from_utf8_lossy(&self.body).into_owned();
+        match text("cassiawheel-outcome").as_deref() {
+            Some("not-run") => CallVerdict::NotRun(body),
+            Some("unknown") => CallVerdict::Unknown(body),
+            Some("complete") => {
+                let version = text("cassiawheel-version");
+                match expected(version.as_deref()) {
+                    Some(wanted) if wanted == body => CallVerdict::Complete {
+                        version,
+                        revision: text("cassiawheel-revision").and_then(|r| r.parse().ok()),
+                    },
+                    _ => CallVerdict::Wrong(format!("{} from {version:?}: {body}", self.status)),
+                }
+            }
+            // Without the end mark nothing tells that the answer is whole.
+            _ => CallVerdict::Unknown(format!("{} without an outcome: {body}", self.status)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/deployment.rs
@@ -0,0 +1,496 @@
+//! A whole deployment on loopback: stand-ins here, entries and agents as
+//! processes of their own.
+//!
+//! Every instance has an IP address of its own in 127.0.0.0/8, so ports never
+//! collide and a link can be told by its addresses.
+
+use std::{
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    path::{Path, PathBuf},
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use anyhow::Context;
+use bytes::Bytes;
+use cassiawheel_model::{
+    EndpointRole, FailureDomain, InstanceId, OperatorName, RegionName, ServiceName,
+    settings::{
+        AgentSettings, CallerSettings, ControlSettings, EngineSettings, EntryListen, EntrySettings,
+        LogSettings, OperatorRole, OperatorToken, PlaceSettings, PlatformSettings,
+        TransferSettings,
+    },
+};
+use cassiawheel_platform::HttpClient;
+use http_body_util::Full;
+use hyper::{Method, Request, Response, StatusCode, header::AUTHORIZATION};
+use rand::Rng;
+use tempfile::TempDir;
+
+use crate::{
+    ChildProcess, FaultSwitches,
+    processes::binary_path,
+    stand_in::{
+        RunningStandIn, engine::EngineState, instances::InstanceRows, origin::OriginImages,
+        plain::PlainLedger, table::TableRows,
+    },
+};
+
+/// Token of the deployment's operator.
+pub const OPERATOR_TOKEN: &str = "operator-token-for-tests";
+/// Token of one who may only view.
+pub const VIEWER_TOKEN: &str = "viewer-token-for-tests";
+/// Key between the deployment's processes.
+pub const INNER_KEY: &str = "inner-key-for-tests-only";
+/// Name of the model service.
+pub const MODEL_SERVICE: &str = "desk";
+/// Name of the plain service.
+pub const PLAIN_SERVICE: &str = "ledger";
+
+const CALLER_PORT: u16 = 7001;
+const ADMIN_PORT: u16 = 7002;
+const INNER_PORT: u16 = 7003;
+const METRICS_PORT: u16 = 7004;
+const ENGINE_PORT: u16 = 7005;
+const TABLE_PORT: u16 = 7006;
+const ORIGIN_PORT: u16 = 7007;
+const LIST_PORT: u16 = 7008;
+
+/// Last octet of the platform's address, of the first entry's and of the first agent's.
+const PLATFORM_HOST: u8 = 1;
+const FIRST_ENTRY: u8 = 10;
+const FIRST_AGENT: u8 = 40;
+
+/// What a deployment consists of.
+#[derive(Debug, Clone)]
+pub struct DeploymentPlan {
+    /// Entries.
+    pub entries: usize,
+    /// Model engines with their agents.
+    pub model_agents: usize,
+    /// Plain services with their agents.
+    pub plain_agents: usize,
+    /// Failure domains over which instances are spread.
+    pub failure_domains: usize,
+    /// The origin's link, in bytes per second; zero is unlimited.
+    pub origin_bytes_per_s: u64,
+    /// Transfer settings of the agents.
+    pub transfer: TransferSettings,
+    /// Control settings of the entries.
+    pub control: ControlSettings,
+    /// Caller settings of the entries.
+    pub caller: CallerSettings,
+    /// Log level of all processes.
+    pub log_level: String,
+    /// Whether the model engines refuse old orders.
+    pub checks_fencing: bool,
+    /// Requests that an agent admits at a time.
+    pub max_in_flight: u32,
+    /// Time that the plain services work on a call.
+    pub plain_work: Duration,
+}
+
+impl Default for DeploymentPlan {
+    fn default() -> Self {
+        Self {
+            entries: 3,
+            model_agents: 4,
+            plain_agents: 0,
+            failure_domains: 2,
+            origin_bytes_per_s: 0,
+            transfer: TransferSettings::default(),
+            control: ControlSettings { poll_ms: 200, ..ControlSettings::default() },
+            caller: CallerSettings { advice_ms: 300, ..CallerSettings::default() },
+            log_level: "info".to_owned(),
+            checks_fencing: true,
+            max_in_flight: 32,
+            plain_work: Duration::from_millis(5),
+        }
+    }
+}
+
+/// One endpoint with its agent.
+pub struct TestEndpoint {
+    /// Its instance.
+    pub instance: InstanceId,
+    /// Its model engine; none at a plain service.
+    pub engine: Option<Arc<EngineState>>,
+    /// Its plain service; none at a model engine.
+    pub ledger: Option<Arc<PlainLedger>>,
+    /// Faults of the engine or plain service.
+    pub switches: Arc<FaultSwitches>,
+    /// The agent's process; none while it is stopped.
+    pub agent: Option<ChildProcess>,
+    /// The agent's settings file.
+    pub config: PathBuf,
+    /// Where the agent listens for other agents.
+    pub inner_addr: SocketAddr,
+    _stand_in: RunningStandIn,
+}
+
+/// One entry.
+pub struct TestEntry {
+    /// Its instance.
+    pub instance: InstanceId,
+    /// Its process; none while it is stopped.
+    pub process: Option<ChildProcess>,
+    /// Its settings file.
+    pub config: PathBuf,
+    /// Where callers reach it.
+    pub caller_addr: SocketAddr,
+    /// Where operators reach it.
+    pub admin_addr: SocketAddr,
+    /// Where our own processes reach it.
+    pub inner_addr: SocketAddr,
+}
+
+/// A running deployment; everything ends when it is dropped.
+pub struct Deployment {
+    /// Rows of the table service.
+    pub table: Arc<TableRows>,
+    /// Faults of the table service.
+    pub table_switches: Arc<FaultSwitches>,
+    /// The origin.
+    pub origin: Arc<OriginImages>,
+    /// Faults of the origin.
+    pub origin_switches: Arc<FaultSwitches>,
+    /// The platform's list of instances.
+    pub instances: Arc<InstanceRows>,
+    /// The endpoints.
+    pub endpoints: Vec<TestEndpoint>,
+    /// The entries.
+    pub entries: Vec<TestEntry>,
+    client: HttpClient,
+    folder: TempDir,
+    _stand_ins: Vec<RunningStandIn>,
+}
+
+impl Deployment {
+    /// Starts everything in `plan`.
+    pub async fn start(plan: &DeploymentPlan) -> anyhow::Result<Self> {
+        let folder = tempfile::tempdir()?;
+        let table = Arc::new(TableRows::default());
+        let table_switches = Arc::new(FaultSwitches::default());
+        let (net, table_stand_in) = claim_net(&table, &table_switches).await?;
+        let platform_host = IpAddr::V4(net.host(PLATFORM_HOST));
+        let origin = Arc::new(OriginImages::new(plan.origin_bytes_per_s));
+        let origin_switches = Arc::new(FaultSwitches::default());
+        let instances = Arc::new(InstanceRows::default());
+        let platform = PlatformSettings {
+            table: table_stand_in.addr,
+            origin: SocketAddr::new(platform_host, ORIGIN_PORT),
+            instances: SocketAddr::new(platform_host, LIST_PORT),
+            timeout_ms: 1_000,
+        };
+        let stand_ins = vec![
+            table_stand_in,
+            origin.serve(platform.origin, origin_switches.clone()).await?,
+            instances.serve(platform.instances, Arc::default()).await?,
+        ];
+        let layout = DeploymentLayout { plan, net, platform, folder: folder.path() };
+        let mut entries = Vec::new();
+        for index in 0..plan.entries {
+            entries.push(layout.start_entry(index)?);
+        }
+        let mut endpoints = Vec::new();
+        for index in 0..plan.model_agents + plan.plain_agents {
+            endpoints.push(layout.start_endpoint(index).await?);
+        }
+        let client = HttpClient::default();
+        Ok(Self {
+            table,
+            table_switches,
+            origin,
+            origin_switches,
+            instances,
+            endpoints,
+            entries,
+            client,
+            folder,
+            _stand_ins: stand_ins,
+        })
+    }
+
+    /// Makes one call of the operators' API at the entry `index`.
+    pub async fn admin(
+        &self,
+        index: usize,
+        token: &str,
+        method: Method,
+        path: &str,
+        body: Vec<u8>,
+    ) -> anyhow::Result<Response<Bytes>> {
+        let request = Request::builder()
+            .method(method)
+            .uri(format!("http://{}{path}", self.entries[index].admin_addr))
+            .header(AUTHORIZATION, format!("Bearer {token}"))
+            .body(Full::new(Bytes::from(body)))?;
+        Ok(self.client.send_whole(request, Duration::from_secs(15)).await?)
+    }
+
+    /// Stores a preset and puts it in force; the reply tells its revision.
+    pub async fn force(
+        &self,
+        name: &str,
+        content: &serde_json::Value,
+        change: &str,
+    ) -> anyhow::Result<serde_json::Value> {
+        let path = format!("/v1/presets/{name}");
+        let body = serde_json::to_vec(content)?;
+        let stored = self.admin(0, OPERATOR_TOKEN, Method::PUT, &path, body).await?;
+        anyhow::ensure!(stored.status() == StatusCode::OK, "put: {:?}", stored.body());
+        let call = serde_json::json!({ "preset": name, "change": change });
+        let body = serde_json::to_vec(&call)?;
+        let forced = self.admin(0, OPERATOR_TOKEN, Method::POST, "/v1/force", body).await?;
+        anyhow::ensure!(forced.status() == StatusCode::OK, "force: {:?}", forced.body());
+        Ok(serde_json::from_slice(forced.body())?)
+    }
+
+    /// The status that the entry `index` tells.
+    pub async fn status(&self, index: usize) -> anyhow::Result<serde_json::Value> {
+        let reply = self.admin(index, VIEWER_TOKEN, Method::GET, "/v1/status", Vec::new()).await?;
+        Ok(serde_json::from_slice(reply.body())?)
+    }
+
+    /// Waits until the status of entry `index` satisfies `holds`.
+    pub async fn wait_status(
+        &self,
+        index: usize,
+        span: Duration,
+        holds: impl Fn(&serde_json::Value) -> bool,
+    ) -> anyhow::Result<serde_json::Value> {
+        let end = Instant::now() + span;
+        let mut last = None;
+        while Instant::now() < end {
+            match self.status(index).await {
+                Ok(status) if holds(&status) => return Ok(status),
+                other => last = Some(other),
+            }
+            smol::Timer::after(Duration::from_millis(20)).await;
+        }
+        anyhow::bail!("the status did not come about within {span:?}; last: {last:?}")
+    }
+
+    /// Waits until `count` engines answer from `version`.
+    pub async fn wait_engines(
+        &self,
+        version: &str,
+        count: usize,
+        span: Duration,
+    ) -> anyhow::Result<()> {
+        let end = Instant::now() + span;
+        while Instant::now() < end {
+            if self.engines_with(version) >= count {
+                return Ok(());
+            }
+            smol::Timer::after(Duration::from_millis(5)).await;
+        }
+        let have = self.engines_with(version);
+        anyhow::bail!("{have} of {count} engines answer from {version} after {span:?}")
+    }
+
+    /// Engines that answer from `version`.
+    pub fn engines_with(&self, version: &str) -> usize {
+        let engines = self.endpoints.iter().filter_map(|endpoint| endpoint.engine.as_ref());
+        engines.filter(|engine| engine.version().is_some_and(|v| v.as_str() == version)).count()
+    }
+
+    /// Starts the agent of endpoint `index` again.
+    pub fn restart_agent(&mut self, index: usize) -> anyhow::Result<()> {
+        let endpoint = &mut self.endpoints[index];
+        endpoint.agent = Some(start_process(
+            self.folder.path(),
+            endpoint.instance.as_str(),
+            "cassiawheel-agent",
+            &endpoint.config,
+        )?);
+        Ok(())
+    }
+
+    /// Starts the entry `index` again.
+    pub fn restart_entry(&mut self, index: usize) -> anyhow::Result<()> {
+        let entry = &mut self.entries[index];
+        entry.process = Some(start_process(
+            self.folder.path(),
+            entry.instance.as_str(),
+            "cassiawheel",
+            &entry.config,
+        )?);
+        Ok(())
+    }
+
+    /// Keeps settings and logs after the end and tells where they are.
+    pub fn keep_logs(&mut self) -> &Path {
+        self.folder.disable_cleanup(true);
+        self.folder.path()
+    }
+}
+
+/// A /24 of loopback addresses.
+#[derive(Debug, Clone, Copy)]
+struct LoopbackNet {
+    second: u8,
+    third: u8,
+}
+
+impl LoopbackNet {
+    fn host(self, last: u8) -> Ipv4Addr {
+        Ipv4Addr::new(127, self.second, self.third, last)
+    }
+}
+
+/// Finds a network that no other deployment uses, by listening in it.
+async fn claim_net(
+    table: &Arc<TableRows>,
+    switches: &Arc<FaultSwitches>,
+) -> anyhow::Result<(LoopbackNet, RunningStandIn)> {
+    for _ in 0..100 {
+        let net = LoopbackNet {
+            second: rand::rng().random_range(1..=250),
+            third: rand::rng().random_range(1..=250),
+        };
+        let addr = SocketAddr::new(IpAddr::V4(net.host(PLATFORM_HOST)), TABLE_PORT);
+        if let Ok(stand_in) = table.serve(addr, switches.clone()).await {
+            return Ok((net, stand_in));
+        }
+    }
+    anyhow::bail!("no free loopback network was found")
+}
+
+struct DeploymentLayout<'a> {
+    plan: &'a DeploymentPlan,
+    net: LoopbackNet,
+    platform: PlatformSettings,
+    folder: &'a Path,
+}
+
+impl DeploymentLayout<'_> {
+    fn addr(&self, host: u8, port: u16) -> SocketAddr {
+        SocketAddr::new(IpAddr::V4(self.net.host(host)), port)
+    }
+
+    fn place(&self, name: String, index: usize) -> anyhow::Result<PlaceSettings> {
+        let domain = index % self.plan.failure_domains.max(1);
+        Ok(PlaceSettings {
+            instance: InstanceId::new(&name)?,
+            region: RegionName::new("region-1")?,
+            failure_domain: FailureDomain::new(&format!("domain-{domain}"))?,
+        })
+    }
+
+    fn log(&self) -> LogSettings {
+        LogSettings { level: self.plan.log_level.clone(), ..LogSettings::default() }
+    }
+
+    fn entry_inner_addrs(&self) -> impl Iterator<Item = SocketAddr> {
+        (0..self.plan.entries).map(|index| self.addr(FIRST_ENTRY + index as u8, INNER_PORT))
+    }
+
+    fn start_entry(&self, index: usize) -> anyhow::Result<TestEntry> {
+        let host = FIRST_ENTRY + index as u8;
+        let listen = EntryListen {
+            caller: self.addr(host, CALLER_PORT),
+            admin: self.addr(host, ADMIN_PORT),
+            inner: self.addr(host, INNER_PORT),
+            metrics: self.addr(host, METRICS_PORT),
+        };
+        let token = |name: &str, token: &str, role| -> anyhow::Result<OperatorToken> {
+            Ok(OperatorToken { name: OperatorName::new(name)?, token: token.to_owned(), role })
+        };
+        let settings = EntrySettings {
+            place: self.place(format!("entry-{index}"), index)?,
+            peers: self.entry_inner_addrs().filter(|addr| *addr != listen.inner).collect(),
+            platform: self.platform.clone(),
+            inner_key: INNER_KEY.to_owned(),
+            operators: vec![
+                token("operator", OPERATOR_TOKEN, OperatorRole::Operate)?,
+                token("viewer", VIEWER_TOKEN, OperatorRole::View)?,
+            ],
+            caller: self.plan.caller.clone(),
+            control: self.plan.control.clone(),
+            log: self.log(),
+            listen,
+        };
+        let instance = settings.place.instance.clone();
+        let config = self.write_config(instance.as_str(), &settings)?;
+        let process = start_process(self.folder, instance.as_str(), "cassiawheel", &config)?;
+        Ok(TestEntry {
+            instance,
+            process: Some(process),
+            config,
+            caller_addr: settings.listen.caller,
+            admin_addr: settings.listen.admin,
+            inner_addr: settings.listen.inner,
+        })
+    }
+
+    async fn start_endpoint(&self, index: usize) -> anyhow::Result<TestEndpoint> {
+        let host = FIRST_AGENT + index as u8;
+        let engine_addr = self.addr(host, ENGINE_PORT);
+        let switches = Arc::new(FaultSwitches::default());
+        let is_model = index < self.plan.model_agents;
+        let (role, service, engine, ledger, stand_in) = if is_model {
+            let engine = Arc::new(EngineState::new(self.plan.checks_fencing));
+            let stand_in = engine.serve(engine_addr, switches.clone()).await?;
+            (EndpointRole::Model, MODEL_SERVICE, Some(engine), None, stand_in)
+        } else {
+            let ledger = Arc::new(PlainLedger::new(self.plan.plain_work));
+            let stand_in = ledger.serve(engine_addr, switches.clone()).await?;
+            (EndpointRole::Plain, PLAIN_SERVICE, None, Some(ledger), stand_in)
+        };
+        let settings = AgentSettings {
+            place: self.place(format!("endpoint-{index}"), index)?,
+            listen_inner: self.addr(host, INNER_PORT),
+            listen_metrics: self.addr(host, METRICS_PORT),
+            entries: self.entry_inner_addrs().collect(),
+            entry_links: self.plan.entries,
+            platform: self.platform.clone(),
+            inner_key: INNER_KEY.to_owned(),
+            engine: EngineSettings {
+                addr: engine_addr,
+                role,
+                service: ServiceName::new(service)?,
+                checks_fencing: self.plan.checks_fencing,
+                max_in_flight: self.plan.max_in_flight,
+            },
+            transfer: self.plan.transfer.clone(),
+            heartbeat_ms: 200,
+            drain_ms: 10_000,
+            log: self.log(),
+        };
+        let instance = settings.place.instance.clone();
+        let config = self.write_config(instance.as_str(), &settings)?;
+        let agent = start_process(self.folder, instance.as_str(), "cassiawheel-agent", &config)?;
+        Ok(TestEndpoint {
+            instance,
+            engine,
+            ledger,
+            switches,
+            agent: Some(agent),
+            config,
+            inner_addr: settings.listen_inner,
+            _stand_in: stand_in,
+        })
+    }
+
+    fn write_config(
+        &self,
+        name: &str,
+        settings: &impl serde::Serialize,
+    ) -> anyhow::Result<PathBuf> {
+        let path = self.folder.join(format!("{name}.json"));
+        std::fs::write(&path, serde_json::to_vec_pretty(settings)?)
+            .with_context(|| format!("{}: cannot be written", path.display()))?;
+        Ok(path)
+    }
+}
+
+fn start_process(
+    folder: &Path,
+    name: &str,
+    binary: &str,
+    config: &Path,
+) -> anyhow::Result<ChildProcess> {
+    let log = folder.join(format!("{name}.log"));
+    Ok(ChildProcess::start(name, &binary_path(binary)?, config, &log)?)
+}
--- /dev/null
+++ b/crates/testkit/src/lib.rs
@@ -0,0 +1,16 @@
+//! Stand-ins for the platform and the endpoints, and what drives them.
+//!
+//! Each stand-in speaks the same HTTP as the real thing over loopback TCP and
+//! has switches for its faults. Nothing here ships.
+
+pub mod caller;
+pub mod deployment;
+pub mod fault;
+pub mod processes;
+pub mod stand_in;
+pub mod weights;
+
+pub use caller::{CallVerdict, TestCaller};
+pub use deployment::{Deployment, DeploymentPlan};
+pub use fault::FaultSwitches;
+pub use processes::ChildProcess;
--- /dev/null
+++ b/crates/testkit/src/stand_in.rs
@@ -0,0 +1,86 @@
+//! The stand-ins.
+
+pub mod engine;
+pub mod instances;
+pub mod origin;
+pub mod plain;
+
+pub mod table;
+
+use std::{future::Future, net::SocketAddr, sync::Arc};
+
+use cassiawheel_runtime::{
+    ShutdownSignal, ShutdownTrigger,
+    http::{ListenerLimits, ReplyBody, serve},
+    spawn,
+};
+use hyper::{Request, Response, StatusCode, body::Incoming};
+use smol::net::TcpListener;
+
+use crate::FaultSwitches;
+
+/// A stand-in that listens; dropping the handle stops it.
+#[derive(Debug)]
+pub struct RunningStandIn {
+    /// Where it listens.
+    pub addr: SocketAddr,
+    trigger: ShutdownTrigger,
+}
+
+impl Drop for RunningStandIn {
+    fn drop(&mut self) {
+        self.trigger.fire();
+    }
+}
+
+/// Serves `handler` at `addr` under the faults in `switches`.
+async fn start<H, F>(
+    addr: SocketAddr,
+    switches: Arc<FaultSwitches>,
+    handler: H,
+) -> std::io::Result<RunningStandIn>
+where
+    H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
+    F: Future<Output = Response<ReplyBody>> + Send + 'static,
+{
+    let listener = TcpListener::bind(addr).await?;
+    let addr = listener.local_addr()?;
+    let (trigger, shutdown): (ShutdownTrigger, ShutdownSignal) = ShutdownTrigger::new();
+    let limits = ListenerLimits { connections: 4_096, ..ListenerLimits::default() };
+    let handler = Arc::new(handler);
+    spawn(serve(listener, limits, shutdown, move |request, _| {
+        let (switches, handler) = (switches.clone(), handler.clone());
+        async move {
+            let delay = switches.delay();
+            if !delay.is_zero() {
+                smol::Timer::after(delay).await;
+            }
+            if switches.is_down() {
+                return empty_reply(StatusCode::SERVICE_UNAVAILABLE);
+            }
+            let reply = handler(request).await;
+            if switches.loses_answers() {
+                // The call took effect, but its caller learns nothing of it.
+                return broken_reply();
+            }
+            reply
+        }
+    }))
+    .detach();
+    Ok(RunningStandIn { addr, trigger })
+}
+
+/// A reply without a body.
+fn empty_reply(status: StatusCode) -> Response<ReplyBody> {
+    let mut reply = Response::new(cassiawheel_runtime::http::full_body(""));
+    *reply.status_mut() = status;
+    reply
+}
+
+/// A reply whose body fails at once, which closes the connection.
+fn broken_reply() -> Response<ReplyBody> {
+    use futures_util::stream;
+    use http_body_util::{BodyExt, StreamBody};
+    let cut = stream::once(async { Err(std::io::Error::other("answer lost")) });
+    Response::new(BodyExt::boxed(StreamBody::new(cut)))
+}
--- /dev/null
+++ b/crates/testkit/src/stand_in/plain.rs
@@ -0,0 +1,85 @@
+//! Stand-in of a plain service, such as a booth ledger.
+//!
+//! It carries out every call it receives and keeps no keys, as a service
+//! without idempotency does: a call that arrives twice is carried out twice.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use cassiawheel_platform::engine_http::{KEY_HEADER, REQUEST_HEADER};
+use cassiawheel_runtime::http::{ReplyBody, error_reply, full_body, read_body};
+use hyper::{Request, Response, StatusCode, body::Incoming};
+
+use super::{RunningStandIn, start};
+use crate::FaultSwitches;
+
+/// Largest call, in bytes.
+const MAX_BODY_BYTES: usize = 1 << 20;
+
+/// One call that was carried out.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CarriedCall {
+    /// The request id that came with it.
+    pub request: String,
+    /// The idempotency key, if one came with it.
+    pub key: Option<String>,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+/// Calls that a plain service has carried out.
+#[derive(Debug, Default)]
+pub struct PlainLedger {
+    calls: Mutex<Vec<CarriedCall>>,
+    work: Duration,
+}
+
+impl PlainLedger {
+    /// A service that works `work` long on each call.
+    pub fn new(work: Duration) -> Self {
+        Self { work, ..Self::default() }
+    }
+
+    /// Serves at `addr`.
+    pub async fn serve(
+        self: &Arc<Self>,
+        addr: SocketAddr,
+        switches: Arc<FaultSwitches>,
+    ) -> std::io::Result<RunningStandIn> {
+        let ledger = self.clone();
+        start(addr, switches, move |request| {
+            let ledger = ledger.clone();
+            async move { ledger.handle(request).await }
+        })
+        .await
+    }
+
+    /// What has been carried out, in order.
+    pub fn calls(&self) -> Vec<CarriedCall> {
+        self.calls.lock().unwrap_or_else(|poison| poison.into_inner()).clone()
+    }
+
+    async fn handle(&self, request: Request<Incoming>) -> Response<ReplyBody> {
+        let (head, body) = request.into_parts();
+        let Ok(body) = read_body(body, MAX_BODY_BYTES).await else {
+            return error_reply(StatusCode::BAD_REQUEST, "body", "the body cannot be read");
+        };
+        let text = |name: &str| {
+            head.headers.get(name).and_then(|value| value.to_str().ok()).map(str::to_owned)
+        };
+        let call = CarriedCall {
+            request: text(REQUEST_HEADER).unwrap_or_default(),
+            key: text(KEY_HEADER),
+            body: body.to_vec(),
+        };
+        let answer = format!("done {} ", String::from_utf8_lossy(&call.body));
+        self.calls.lock().unwrap_or_else(|poison| poison.into_inner()).push(call);
+        if !self.work.is_zero() {
+            smol::Timer::after(self.work).await;
+        }
+        Response::new(full_body(answer))
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/stand_in/table.rs
@@ -0,0 +1,126 @@
+//! Stand-in of the table service: rows in memory, guarded writes.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU64, Ordering},
+    },
+};
+
+use cassiawheel_platform::{
+    TableGuard, TableRow, WriteResult, WriteVerdict,
+    table_http::{ReadCall, ScanCall, WriteCall},
+};
+use cassiawheel_runtime::http::{ReplyBody, error_reply, json_reply, read_body};
+use hyper::{Request, Response, StatusCode, body::Incoming};
+
+use super::{RunningStandIn, start};
+use crate::FaultSwitches;
+
+/// Largest call, in bytes.
+const MAX_CALL_BYTES: usize = 8 << 20;
+
+/// Rows and counters of the stand-in.
+#[derive(Debug, Default)]
+pub struct TableRows {
+    rows: Mutex<BTreeMap<String, TableRow>>,
+    reads: AtomicU64,
+    writes: AtomicU64,
+}
+
+impl TableRows {
+    /// Serves the rows at `addr`.
+    pub async fn serve(
+        self: &Arc<Self>,
+        addr: SocketAddr,
+        switches: Arc<FaultSwitches>,
+    ) -> std::io::Result<RunningStandIn> {
+        let rows = self.clone();
+        start(addr, switches, move |request| {
+            let rows = rows.clone();
+            async move { rows.handle(request).await }
+        })
+        .await
+    }
+
+    /// Calls that read.
+    pub fn reads(&self) -> u64 {
+        self.reads.load(Ordering::Relaxed)
+    }
+
+    /// Calls that write.
+    pub fn writes(&self) -> u64 {
+        self.writes.load(Ordering::Relaxed)
+    }
+
+    /// All rows whose keys begin with `prefix`.
+    pub fn scan(&self, prefix: &str) -> Vec<TableRow> {
+        let rows = self.rows.lock().unwrap_or_else(|poison| poison.into_inner());
+        let matching = rows.range(prefix.to_owned()..);
+        matching
+            .take_while(|(key, _)| key.starts_with(prefix))
+            .map(|(_, row)| row.clone())
+            .collect()
+    }
+
+    /// One row.
+    pub fn read(&self, key: &str) -> Option<TableRow> {
+        let rows = self.rows.lock().unwrap_or_else(|poison| poison.into_inner());
+        rows.get(key).cloned()
+    }
+
+    /// Applies a batch.
+    pub fn apply(&self, call: WriteCall) -> WriteResult {
+        let mut rows = self.rows.lock().unwrap_or_else(|poison| poison.into_inner());
+        let conflicts = |rows: &BTreeMap<String, TableRow>, key: &str, guard| {
+            let revision = rows.get(key).map(|row| row.revision);
+            match guard {
+                TableGuard::Absent => revision.is_some(),
+                TableGuard::Revision(wanted) => revision != Some(wanted),
+            }
+        };
+        let any_conflict =
+            call.writes.iter().any(|write| conflicts(&rows, &write.key, write.guard));
+        let mut verdicts = Vec::with_capacity(call.writes.len());
+        for write in call.writes {
+            let verdict = if conflicts(&rows, &write.key, write.guard) {
+                WriteVerdict::Conflict(rows.get(&write.key).cloned())
+            } else if call.atomic && any_conflict {
+                WriteVerdict::Aborted
+            } else {
+                let revision = rows.get(&write.key).map_or(1, |row| row.revision + 1);
+                let row = TableRow { key: write.key.clone(), value: write.value, revision };
+                rows.insert(write.key, row);
+                WriteVerdict::Written(revision)
+            };
+            verdicts.push(verdict);
+        }
+        verdicts
+    }
+
+    async fn handle(&self, request: Request<Incoming>) -> Response<ReplyBody> {
+        let path = request.uri().path().to_owned();
+        let Ok(body) = read_body(request.into_body(), MAX_CALL_BYTES).await else {
+            return error_reply(StatusCode::BAD_REQUEST, "body", "the body cannot be read");
+        };
+        let reply = match path.as_str() {
+            "/v1/table/read" => serde_json::from_slice::<ReadCall>(&body).map(|call| {
+                self.reads.fetch_add(1, Ordering::Relaxed);
+                json_reply(StatusCode::OK, &self.read(&call.key))
+            }),
+            "/v1/table/scan" => serde_json::from_slice::<ScanCall>(&body).map(|call| {
+                self.reads.fetch_add(1, Ordering::Relaxed);
+                json_reply(StatusCode::OK, &self.scan(&call.prefix))
+            }),
+            "/v1/table/write" => serde_json::from_slice::<WriteCall>(&body).map(|call| {
+                self.writes.fetch_add(1, Ordering::Relaxed);
+                json_reply(StatusCode::OK, &self.apply(call))
+            }),
+            _ => return error_reply(StatusCode::NOT_FOUND, "not-found", path),
+        };
+        reply
+            .unwrap_or_else(|error| error_reply(StatusCode::BAD_REQUEST, "body", error.to_string()))
+    }
+}
--- /dev/null
+++ b/crates/wire/src/message/control.rs
@@ -0,0 +1,67 @@
+//! Presets, plans and membership.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use cassiawheel_model::{
+    EndpointReport, FailureDomain, ForcedPreset, InstanceId, ManifestDigest, ModelVersion,
+    PresetRevision, record,
+};
+use macro_rules_attribute::apply;
+
+/// Control traffic between entries and agents.
+#[apply(record!)]
+#[serde(rename_all = "kebab-case")]
+pub enum ControlMessage {
+    /// Agent to entry: a heartbeat with the endpoint's state.
+    Report(Box<EndpointReport>),
+    /// Agent or entry to entry: no new work from now on.
+    Leaving {
+        /// Who leaves.
+        instance: InstanceId,
+    },
+    /// Entry to entry or agent: the preset in force, as far as the sender knows.
+    Force(Arc<ForcedPreset>),
+    /// Entry to entry: the sender's heartbeat.
+    EntryBeat {
+        /// The entry.
+        instance: InstanceId,
+        /// Where callers reach it.
+        caller_addr: SocketAddr,
+        /// Where it stands.
+        failure_domain: FailureDomain,
+        /// The highest revision that it has adopted.
+        revision: PresetRevision,
+        /// Requests in progress there.
+        in_flight: u32,
+    },
+    /// Entry to agent: which weights to hold and to serve.
+    Order(WeightOrder),
+    /// Entry to agent: agents that stage or hold the same weights.
+    Peers(Vec<EndpointAddress>),
+}
+
+/// Which weights an endpoint has to hold.
+#[apply(record!)]
+#[derive(Eq)]
+pub struct WeightOrder {
+    /// The version.
+    pub version: ModelVersion,
+    /// Pins its bytes.
+    pub manifest: ManifestDigest,
+    /// Rises with each newer order; an older one is refused.
+    pub fencing: u64,
+    /// Whether to serve the version once it is staged, or only to stage it.
+    pub serve: bool,
+}
+
+/// Where an agent is reached by other agents.
+#[apply(record!)]
+#[derive(Eq)]
+pub struct EndpointAddress {
+    /// The instance.
+    pub instance: InstanceId,
+    /// Its inner address.
+    pub inner_addr: SocketAddr,
+    /// Where it stands.
+    pub failure_domain: FailureDomain,
+}
--- /dev/null
+++ b/crates/wire/src/socket.rs
@@ -0,0 +1,233 @@
+//! Connections that carry messages.
+//!
+//! [`connect`] and [`accept`] give a sender, which any number of tasks may
+//! clone, and a receiver. A task of its own writes the queued messages and
+//! flushes when the queue is empty, so that a burst shares system calls.
+
+use std::{
+    net::{IpAddr, SocketAddr},
+    time::Duration,
+};
+
+use async_compat::{Compat, CompatExt};
+use cassiawheel_runtime::{spawn, timeout};
+use futures_util::{
+    SinkExt, StreamExt,
+    stream::{SplitSink, SplitStream},
+};
+use smol::{
+    Async,
+    channel::{Receiver, Sender, TrySendError, bounded},
+    net::TcpStream,
+};
+use socket2::{Domain, Protocol, Socket, Type};
+use subtle::ConstantTimeEq;
+use tokio_tungstenite::{
+    WebSocketStream, accept_hdr_async_with_config, client_async_with_config,
+    tungstenite::{
+        Message,
+        client::IntoClientRequest,
+        handshake::server::{ErrorResponse, Request, Response},
+        http::{HeaderValue, StatusCode, header::AUTHORIZATION},
+        protocol::WebSocketConfig,
+    },
+};
+
+use crate::{
+    WireMessage,
+    codec::{MAX_MESSAGE_BYTES, decode, encode},
+};
+
+/// Messages that may wait to be written before senders wait.
+const QUEUE_LENGTH: usize = 1_024;
+
+/// Longest time for a connection and its handshake.
+const HANDSHAKE_TIME: Duration = Duration::from_secs(3);
+
+type Stream = WebSocketStream<Compat<TcpStream>>;
+
+/// Why a connection cannot be used.
+#[derive(Debug, thiserror::Error)]
+pub enum WireError {
+    /// The connection could not be made.
+    #[error("cannot connect: {0}")]
+    Connect(#[from] std::io::Error),
+    /// The other end did not speak the protocol or refused our key.
+    #[error("handshake failed: {0}")]
+    Handshake(String),
+    /// The connection was closed.
+    #[error("the connection is closed")]
+    Closed,
+    /// The other end sent something that is not a message.
+    #[error("bad frame: {0}")]
+    Frame(String),
+}
+
+/// Sends messages over a connection.
+#[derive(Debug, Clone)]
+pub struct WireSender {
+    queue: Sender<WireMessage>,
+}
+
+/// Receives the messages of a connection.
+pub struct WireReceiver {
+    stream: SplitStream<Stream>,
+}
+
+impl WireSender {
+    /// Queues `message`; waits while the queue is full.
+    pub async fn send(&self, message: impl Into<WireMessage>) -> Result<(), WireError> {
+        self.queue.send(message.into()).await.map_err(|_| WireError::Closed)
+    }
+
+    /// Queues `message` unless the queue is full or closed.
+    ///
+    /// For traffic that a newer message replaces, such as heartbeats.
+    pub fn try_send(&self, message: impl Into<WireMessage>) -> Result<bool, WireError> {
+        match self.queue.try_send(message.into()) {
+            Ok(()) => Ok(true),
+            Err(TrySendError::Full(_)) => Ok(false),
+            Err(TrySendError::Closed(_)) => Err(WireError::Closed),
+        }
+    }
+
+    /// Whether the connection is known to be closed.
+    pub fn is_closed(&self) -> bool {
+        self.queue.is_closed()
+    }
+
+    /// Closes the connection once the queued messages are written.
+    pub fn close(&self) {
+        self.queue.close();
+    }
+}
+
+impl WireReceiver {
+    /// The next message.
+    pub async fn recv(&mut self) -> Result<WireMessage, WireError> {
+        loop {
+            let frame = self.stream.next().await.ok_or(WireError::Closed)?;
+            let frame = frame.map_err(|error| WireError::Frame(error.to_string()))?;
+            match frame {
+                Message::Binary(bytes) => {
+                    return decode(&bytes).map_err(|error| WireError::Frame(error.to_string()));
+                }
+                Message::Text(_) => {
+                    return Err(WireError::Frame("text is not spoken here".to_owned()));
+                }
+                Message::Close(_) => return Err(WireError::Closed),
+                Message::Ping(_) | Message::Pong(_) | Message::Frame(_) => {}
+            }
+        }
+    }
+}
+
+/// Connects to `addr`, from `local` if given, and presents `key`.
+pub async fn connect(
+    addr: SocketAddr,
+    key: &str,
+    local: Option<IpAddr>,
+) -> Result<(WireSender, WireReceiver), WireError> {
+    let attempt = async {
+        let stream = connect_tcp(addr, local).await?;
+        let mut request = format!("ws://{addr}/")
+            .into_client_request()
+            .map_err(|error| WireError::Handshake(error.to_string()))?;
+        let value = HeaderValue::from_str(&format!("Bearer {key}"))
+            .map_err(|error| WireError::Handshake(error.to_string()))?;
+        request.headers_mut().insert(AUTHORIZATION, value);
+        let (socket, _) = client_async_with_config(request, stream.compat(), Some(frame_limits()))
+            .await
+            .map_err(|error| WireError::Handshake(error.to_string()))?;
+        Ok(split(socket))
+    };
+    timeout(HANDSHAKE_TIME, attempt)
+        .await
+        .unwrap_or_else(|| Err(WireError::Handshake("timed out".to_owned())))
+}
+
+/// Accepts a connection whose other end presents `key`.
+pub async fn accept(stream: TcpStream, key: &str) -> Result<(WireSender, WireReceiver), WireError> {
+    let _ = stream.set_nodelay(true);
+    let check = |request: &Request, response: Response| check_key(request, response, key);
+    let attempt = accept_hdr_async_with_config(stream.compat(), check, Some(frame_limits()));
+    let socket = timeout(HANDSHAKE_TIME, attempt)
+        .await
+        .ok_or_else(|| WireError::Handshake("timed out".to_owned()))?
+        .map_err(|error| WireError::Handshake(error.to_string()))?;
+    Ok(split(socket))
+}
+
+#[expect(clippy::result_large_err, reason = "the signature is tungstenite's")]
+fn check_key(request: &Request, response: Response, key: &str) -> Result<Response, ErrorResponse> {
+    let given = request.headers().get(AUTHORIZATION).map(HeaderValue::as_bytes).unwrap_or_default();
+    let wanted = format!("Bearer {key}");
+    if bool::from(given.ct_eq(wanted.as_bytes())) {
+        return Ok(response);
+    }
+    let mut refusal = ErrorResponse::new(Some("wrong key".to_owned()));
+    *refusal.status_mut() = StatusCode::UNAUTHORIZED;
+    Err(refusal)
+}
+
+async fn connect_tcp(addr: SocketAddr, local: Option<IpAddr>) -> Result<TcpStream, WireError> {
+    let socket = Socket::new(Domain::for_address(addr), Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_nonblocking(true)?;
+    socket.set_tcp_nodelay(true)?;
+    if let Some(local) = local {
+        socket.bind(&SocketAddr::new(local, 0).into())?;
+    }
+    match socket.connect(&addr.into()) {
+        Err(error) if error.raw_os_error() != Some(EINPROGRESS) => return Err(error.into()),
+        _ => {}
+    }
+    let stream = Async::new_nonblocking(std::net::TcpStream::from(socket))?;
+    stream.writable().await?;
+    if let Some(error) = stream.get_ref().take_error()? {
+        return Err(error.into());
+    }
+    Ok(TcpStream::from(stream))
+}
+
+/// `connect` goes on in the background.
+const EINPROGRESS: i32 = 115;
+
+fn frame_limits() -> WebSocketConfig {
+    WebSocketConfig::default()
+        .max_message_size(Some(MAX_MESSAGE_BYTES))
+        .max_frame_size(Some(MAX_MESSAGE_BYTES))
+}
+
+fn split(socket: Stream) -> (WireSender, WireReceiver) {
+    let (sink, stream) = socket.split();
+    let (queue, waiting) = bounded(QUEUE_LENGTH);
+    spawn(write_queue(sink, waiting)).detach();
+    (WireSender { queue }, WireReceiver { stream })
+}
+
+async fn write_queue(mut sink: SplitSink<Stream, Message>, waiting: Receiver<WireMessage>) {
+    while let Ok(message) = waiting.recv().await {
+        if write_burst(&mut sink, &waiting, message).await.is_none() {
+            break;
+        }
+    }
+    // Senders must see the end at once, or they would queue into nothing.
+    waiting.close();
+    let _ = timeout(HANDSHAKE_TIME, sink.close()).await;
+}
+
+async fn write_burst(
+    sink: &mut SplitSink<Stream, Message>,
+    waiting: &Receiver<WireMessage>,
+    first: WireMessage,
+) -> Option<()> {
+    let mut next = Some(first);
+    while let Some(message) = next {
+        // A message that is left out would leave its receiver waiting, so an
+        // encoding fault ends the connection instead.
+        let bytes = encode(&message).ok()?;
+        sink.feed(Message::Binary(bytes.into())).await.ok()?;
+        next = waiting.try_recv().ok();
+    }
+    sink.flush().await.ok()
+}
