--- a/crates/decide/src/select.rs
+++ b/crates/decide/src/select.rs
@@ -160,7 +160,8 @@
 
     /// The next fetch, if one may start now.
     pub fn next(&mut self, now: Timestamp, rng: &mut impl Rng) -> Option<FetchOrder> {
-        let index = self.rarest_from_peers(now, rng).or_else(|| self.from_origin(now, rng))?;
+        let index =
+            self.rarest_from_peers(now, rng).or_else(|| self.allowed_at_origin(now, rng))?;
         let source = match self.holder_of(index, now, rng) {
             Some(peer) => ChunkSource::Peer(peer),
             None => ChunkSource::Origin,
@@ -206,7 +207,7 @@
         pick_least(offered, |index| self.holders[index], rng)
     }
 
-    fn from_origin(&self, now: Timestamp, rng: &mut impl Rng) -> Option<usize> {
+    fn allowed_at_origin(&self, now: Timestamp, rng: &mut impl Rng) -> Option<usize> {
         if !self.origin_avoided_until.is_past(now) {
             return None;
         }
--- /dev/null
+++ b/crates/decide/tests/gate.rs
@@ -0,0 +1,40 @@
+//! The gate of an endpoint.
+
+use cassiawheel_decide::{GateState, SwitchError};
+use cassiawheel_model::{ModelVersion, NotRunReason, PresetRevision};
+
+fn version(name: &str) -> Option<ModelVersion> {
+    Some(ModelVersion::new(name).expect("a valid name"))
+}
+
+fn serving(name: &str) -> GateState {
+    let mut gate = GateState::new(2);
+    gate.begin_switch().expect("the gate is open to switches");
+    gate.commit_switch(version(name)).expect("nothing is in progress");
+    gate
+}
+
+/// An operator rolls a version out while a call is answered. Were the weights
+/// exchanged at once, the rest of the answer would come from the new version.
+#[test]
+fn a_switch_waits_for_requests_in_progress() {
+    let mut gate = serving("v1");
+    gate.enter(PresetRevision(1), version("v1").as_ref()).expect("admitted");
+    gate.begin_switch().expect("the switch begins");
+    assert!(!gate.may_exchange());
+    assert_eq!(gate.commit_switch(version("v2")), Err(SwitchError::Busy));
+    let refused = gate.enter(PresetRevision(1), version("v1").as_ref());
+    assert_eq!(refused, Err(NotRunReason::Switching));
+    gate.leave();
+    assert!(gate.may_exchange());
+}
+
+/// An entry that has not heard of a change still routes by the old preset. Its
+/// request must not run once the endpoint knows the new one.
+#[test]
+fn a_request_of_an_older_preset_is_refused() {
+    let mut gate = serving("v1");
+    gate.raise_revision(PresetRevision(5));
+    let refused = gate.enter(PresetRevision(4), version("v1").as_ref());
+    assert_eq!(refused, Err(NotRunReason::StaleRevision));
+}
--- a/crates/entry/src/admin.rs
+++ b/crates/entry/src/admin.rs
@@ -49,7 +49,7 @@
 ) -> Response<ReplyBody> {
     let operator = match auth::authenticate(&shared.settings.operators, request.headers()) {
         Ok(operator) => operator.clone(),
-        Err(reply) => return *reply,
+        Err(reply) => return reply,
     };
     let (parts, body) = request.into_parts();
     let needed = match parts.method {
--- a/crates/entry/src/admin/auth.rs
+++ b/crates/entry/src/admin/auth.rs
@@ -12,7 +12,7 @@
 pub(super) fn authenticate<'a>(
     operators: &'a [OperatorToken],
     headers: &HeaderMap,
-) -> Result<&'a OperatorToken, Box<Response<ReplyBody>>> {
+) -> Result<&'a OperatorToken, Response<ReplyBody>> {
     let given = headers
         .get(AUTHORIZATION)
         .and_then(|value| value.as_bytes().strip_prefix(b"Bearer "))
@@ -25,6 +25,6 @@
     }
     found.ok_or_else(|| {
         let message = "a bearer token of the settings is needed";
-        Box::new(error_reply(StatusCode::UNAUTHORIZED, "unauthorized", message))
+        error_reply(StatusCode::UNAUTHORIZED, "unauthorized", message)
     })
 }
--- a/crates/testkit/examples/quickstart.rs
+++ b/crates/testkit/examples/quickstart.rs
@@ -30,6 +30,9 @@
     /// end with one line of JSON
     #[argh(switch)]
     json: bool,
+    /// keep settings and logs of the processes and tell where they are
+    #[argh(switch)]
+    keep_logs: bool,
 }
 
 /// Bytes of each version.
@@ -85,6 +88,9 @@
     for image in images.values() {
         deployment.origin.add(image.clone());
     }
+    if args.keep_logs {
+        println!("settings and logs are kept in {}", deployment.keep_logs().display());
+    }
     println!("started 3 entries and {AGENTS} agents");
     deployment
         .wait_status(0, Duration::from_secs(10), |status| {
@@ -166,7 +172,7 @@
     deployment.wait_engines("v2", AGENTS, Duration::from_secs(40)).await?;
     let mut leaving = deployment.endpoints[0].agent.take().context("the agent is gone")?;
     leaving.terminate()?;
-    let ended = leaving.wait(Duration::from_secs(15))?;
+    let ended = leaving.wait(Duration::from_secs(15)).await?;
     anyhow::ensure!(ended.is_some_and(|status| status.success()), "the agent did not stop well");
     stop.store(true, Ordering::SeqCst);
     let mut total = CallCounts::default();
--- a/crates/testkit/src/processes.rs
+++ b/crates/testkit/src/processes.rs
@@ -7,6 +7,8 @@
     time::{Duration, Instant},
 };
 
+use smol::Timer;
+
 /// One process that the test kit started; killed when dropped.
 #[derive(Debug)]
 pub struct ChildProcess {
@@ -60,8 +62,8 @@
         self.signal("CONT")
     }
 
-    /// Waits at most `span` for its end.
-    pub fn wait(&mut self, span: Duration) -> io::Result<Option<ExitStatus>> {
+    /// Waits at most `span` for its end, without blocking the executor's thread.
+    pub async fn wait(&mut self, span: Duration) -> io::Result<Option<ExitStatus>> {
         let end = Instant::now() + span;
         loop {
             if let Some(status) = self.child.try_wait()? {
@@ -70,7 +72,7 @@
             if Instant::now() >= end {
                 return Ok(None);
             }
-            std::thread::sleep(Duration::from_millis(10));
+            Timer::after(Duration::from_millis(10)).await;
         }
     }
 
--- a/crates/wire/src/socket.rs
+++ b/crates/wire/src/socket.rs
@@ -158,7 +158,6 @@
     Ok(split(socket))
 }
 
-#[expect(clippy::result_large_err, reason = "the signature is tungstenite's")]
 fn check_key(request: &Request, response: Response, key: &str) -> Result<Response, ErrorResponse> {
     let given = request.headers().get(AUTHORIZATION).map(HeaderValue::as_bytes).unwrap_or_default();
     let wanted = format!("Bearer {key}");
