Agents follow orders instead of deriving weights from the preset

Cause: a planner that switches in waves has to say who exchanges weights and when; an agent that derives its weights from the preset exchanges at once. Change: entries send orders with a fencing token (for now one per preset revision); agents report the newest order they know and ignore older ones.

--- a/crates/agent/src/endpoint.rs
+++ b/crates/agent/src/endpoint.rs
@@ -12,7 +12,7 @@
 use cassiawheel_model::{LoadReport, Timestamp, settings::AgentSettings};
 use cassiawheel_platform::{ModelEngine, TableStore, WeightSource};
 use cassiawheel_runtime::timeout;
-use cassiawheel_wire::WireSender;
+use cassiawheel_wire::{WireSender, message::WeightOrder};
 use smol::channel::{Receiver, Sender, bounded};
 
 use crate::{metrics::AgentMetrics, transfer::TransferState};
@@ -38,6 +38,7 @@
     pub(crate) metrics: AgentMetrics,
     gate: Mutex<GateState>,
     holder: Mutex<PresetHolder>,
+    order: Mutex<Option<WeightOrder>>,
     load: Mutex<LoadReport>,
     entries: Mutex<Vec<WireSender>>,
     attempts: AtomicU64,
@@ -58,6 +59,7 @@
             incarnation: now.0,
             gate: Mutex::new(GateState::new(settings.engine.max_in_flight)),
             holder: Mutex::default(),
+            order: Mutex::default(),
             load: Mutex::new(LoadReport { in_flight: 0, queued: 0, measured_at: now }),
             entries: Mutex::default(),
             attempts: AtomicU64::new(0),
@@ -81,6 +83,11 @@
         self.holder.lock().unwrap_or_else(|poison| poison.into_inner())
     }
 
+    /// The newest order.
+    pub(crate) fn order(&self) -> MutexGuard<'_, Option<WeightOrder>> {
+        self.order.lock().unwrap_or_else(|poison| poison.into_inner())
+    }
+
     /// The engine's last load report.
     pub(crate) fn load(&self) -> MutexGuard<'_, LoadReport> {
         self.load.lock().unwrap_or_else(|poison| poison.into_inner())
--- a/crates/agent/src/entry_link.rs
+++ b/crates/agent/src/entry_link.rs
@@ -89,8 +89,8 @@
     match message {
         ControlMessage::Force(preset) => exchange::offer_preset(shared, preset),
         ControlMessage::Peers(peers) => transfer::offer_peers(shared, peers),
-        ControlMessage::Order(_)
-        | ControlMessage::Report(_)
+        ControlMessage::Order(order) => exchange::offer_order(shared, order),
+        ControlMessage::Report(_)
         | ControlMessage::Leaving { .. }
         | ControlMessage::EntryBeat { .. } => {}
     }
--- a/crates/agent/src/exchange.rs
+++ b/crates/agent/src/exchange.rs
@@ -1,4 +1,7 @@
-//! Following the preset in force: fetch, stage, exchange.
+//! Following orders: fetch, stage, exchange.
+//!
+//! An order names the weights to hold; only one with `serve` set exchanges
+//! them. An order with an older fencing token than the newest is ignored.
 //!
 //! The old version serves until the new one is staged as a whole. The exchange
 //! waits for the requests in progress and trusts only the engine's own word of
@@ -7,10 +10,9 @@
 use std::{sync::Arc, time::Duration};
 
 use cassiawheel_decide::Adoption;
-use cassiawheel_model::{
-    EndpointRole, EndpointState, ForcedPreset, ManifestDigest, ModelVersion, ServiceTarget,
-};
+use cassiawheel_model::{EndpointRole, EndpointState, ForcedPreset};
 use cassiawheel_platform::LoadOrder;
+use cassiawheel_wire::message::WeightOrder;
 use smol::Timer;
 
 use crate::{endpoint::EndpointShared, report, transfer};
@@ -18,17 +20,6 @@
 /// Wait before a failed step is tried again.
 const TRY_AGAIN: Duration = Duration::from_millis(200);
 
-/// The weights that the preset in force wants here.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub(crate) struct WeightTarget {
-    /// The version.
-    pub(crate) version: ModelVersion,
-    /// Pins its bytes.
-    pub(crate) manifest: ManifestDigest,
-    /// Fencing token of the order to load it.
-    pub(crate) fencing: u64,
-}
-
 /// Considers a preset that an entry sent.
 pub(crate) fn offer_preset(shared: &Arc<EndpointShared>, preset: Arc<ForcedPreset>) {
     let revision = preset.revision;
@@ -36,7 +27,6 @@
         Adoption::Adopted => {
             shared.gate().raise_revision(revision);
             log::info!(target: "preset", revision = revision.0; "A preset is in force.");
-            shared.transfer.wake();
             report::send_report(shared);
         }
         Adoption::Conflicting => {
@@ -46,8 +36,21 @@
     }
 }
 
-/// Brings the endpoint to what the preset in force wants, for ever.
-pub(crate) async fn follow_preset(shared: Arc<EndpointShared>) {
+/// Considers an order that an entry sent.
+pub(crate) fn offer_order(shared: &EndpointShared, order: WeightOrder) {
+    let mut newest = shared.order();
+    // A planner that was paused may send what a later one has replaced.
+    if newest.as_ref().is_some_and(|known| known.fencing >= order.fencing) {
+        return;
+    }
+    log::info!(target: "order", version:% = order.version, fencing = order.fencing, serve = order.serve; "A new order.");
+    *newest = Some(order);
+    drop(newest);
+    shared.transfer.wake();
+}
+
+/// Brings the endpoint to what the newest order wants, for ever.
+pub(crate) async fn follow_orders(shared: Arc<EndpointShared>) {
     match shared.settings.engine.role {
         EndpointRole::Plain => serve_plain(&shared).await,
         EndpointRole::Model => follow_weights(&shared).await,
@@ -67,18 +70,15 @@
     resume_engine(shared).await;
     let mut reached = None;
     loop {
-        let target = wanted(shared);
-        if target.is_none() || target == reached {
+        let newest = shared.order().clone();
+        let Some(order) = newest.filter(|order| reached.as_ref() != Some(order)) else {
             shared.transfer.woken().await;
             continue;
-        }
-        let Some(wanted_now) = target else {
-            continue;
         };
-        match reach(shared, &wanted_now).await {
-            Ok(()) => reached = Some(wanted_now),
+        match reach(shared, &order).await {
+            Ok(()) => reached = Some(order),
             Err(error) => {
-                log::warn!(target: "switch", version:% = wanted_now.version, cause:% = format!("{error:#}"); "Weights are not in place yet.");
+                log::warn!(target: "switch", version:% = order.version, cause:% = format!("{error:#}"); "Weights are not in place yet.");
                 Timer::after(TRY_AGAIN).await;
             }
         }
@@ -87,9 +87,6 @@
 
 /// Takes up what the engine already answers from, as after a restart of the agent.
 async fn resume_engine(shared: &EndpointShared) {
-    while shared.holder().current().is_none() {
-        shared.transfer.woken().await;
-    }
     let Ok(status) = shared.engine.status().await else {
         return;
     };
@@ -104,61 +101,52 @@
     }
 }
 
-fn wanted(shared: &EndpointShared) -> Option<WeightTarget> {
-    let preset = shared.holder().current().cloned()?;
-    let ServiceTarget { version, manifest, .. } =
-        preset.content.services.get(&shared.settings.engine.service)?;
-    Some(WeightTarget {
-        version: version.clone()?,
-        manifest: (*manifest)?,
-        fencing: preset.revision.0,
-    })
-}
-
-async fn reach(shared: &Arc<EndpointShared>, target: &WeightTarget) -> anyhow::Result<()> {
+async fn reach(shared: &Arc<EndpointShared>, order: &WeightOrder) -> anyhow::Result<()> {
     let status = shared.engine.status().await?;
     let serving = matches!(
         shared.gate().state(),
-        EndpointState::Serving { version, .. } if version.as_ref() == Some(&target.version)
+        EndpointState::Serving { version, .. } if version.as_ref() == Some(&order.version)
     );
-    if serving && status.manifest == Some(target.manifest) {
+    if serving && status.manifest == Some(order.manifest) {
         return Ok(());
     }
-    if !transfer::stage(shared, target).await? {
-        anyhow::bail!("a newer preset came in force during the transfer");
+    if !transfer::stage(shared, order).await? {
+        anyhow::bail!("a newer order came during the transfer");
+    }
+    if order.serve {
+        exchange(shared, order).await?;
     }
-    exchange(shared, target).await
+    Ok(())
 }
 
-async fn exchange(shared: &EndpointShared, target: &WeightTarget) -> anyhow::Result<()> {
+async fn exchange(shared: &EndpointShared, order: &WeightOrder) -> anyhow::Result<()> {
     shared.gate().begin_switch()?;
     while !shared.gate().may_exchange() {
         shared.permit_released().await;
     }
-    let loaded = load(shared, target).await;
+    let loaded = load(shared, order).await;
     if let Err(error) = loaded {
         shared.gate().abandon_switch();
         return Err(error);
     }
-    let generation = shared.gate().commit_switch(Some(target.version.clone()))?;
-    log::info!(target: "switch", version:% = target.version, generation = generation; "A new version serves.");
+    let generation = shared.gate().commit_switch(Some(order.version.clone()))?;
+    log::info!(target: "switch", version:% = order.version, generation = generation; "A new version serves.");
     report::send_report(shared);
     Ok(())
 }
 
-async fn load(shared: &EndpointShared, target: &WeightTarget) -> anyhow::Result<()> {
-    let order = LoadOrder {
-        version: target.version.clone(),
-        manifest: target.manifest,
-        fencing: target.fencing,
+async fn load(shared: &EndpointShared, order: &WeightOrder) -> anyhow::Result<()> {
+    let load = LoadOrder {
+        version: order.version.clone(),
+        manifest: order.manifest,
+        fencing: order.fencing,
     };
-    shared.engine.load(&order).await?;
+    shared.engine.load(&load).await?;
     let status = shared.engine.status().await?;
     // The answer to an order tells what was asked, not what is loaded; another
     // process may have given an order in between.
     anyhow::ensure!(
-        status.manifest == Some(target.manifest)
-            && status.version.as_ref() == Some(&target.version),
+        status.manifest == Some(order.manifest) && status.version.as_ref() == Some(&order.version),
         "the engine answers from other weights than ordered"
     );
     Ok(())
--- a/crates/agent/src/report.rs
+++ b/crates/agent/src/report.rs
@@ -28,6 +28,7 @@
         staged: shared.transfer.staged(),
         load,
         revision: gate.revision(),
+        order: shared.order().as_ref().map_or(0, |order| order.fencing),
         limit: gate.limit(),
     }
 }
--- a/crates/agent/src/serve.rs
+++ b/crates/agent/src/serve.rs
@@ -36,7 +36,7 @@
     for addr in chosen_entries(&shared.settings) {
         spawn(entry_link::keep_connected(shared.clone(), addr)).detach();
     }
-    spawn(exchange::follow_preset(shared.clone())).detach();
+    spawn(exchange::follow_orders(shared.clone())).detach();
     spawn(report::report_regularly(shared.clone())).detach();
     log::info!(target: "process", instance:% = shared.settings.place.instance, inner:% = shared.settings.listen_inner; "The agent runs.");
 
--- a/crates/agent/src/transfer/stage.rs
+++ b/crates/agent/src/transfer/stage.rs
@@ -10,6 +10,7 @@
 use cassiawheel_decide::{ChunkPicker, ChunkSource, FetchOrder, PickerSettings};
 use cassiawheel_model::{InstanceId, ManifestError, Timestamp, WeightManifest};
 use cassiawheel_runtime::{spawn, timeout};
+use cassiawheel_wire::message::WeightOrder;
 use smol::{
     Task,
     channel::{Receiver, Sender, unbounded},
@@ -21,7 +22,7 @@
     peer::{PeerClient, follow_peer},
     state::set_positions,
 };
-use crate::{endpoint::EndpointShared, exchange::WeightTarget};
+use crate::endpoint::EndpointShared;
 
 /// Wait for events before the picker is asked again.
 const TICK: Duration = Duration::from_millis(20);
@@ -52,12 +53,12 @@
     events: Receiver<TransferEvent>,
 }
 
-/// Stages `target`; false if another version became wanted meanwhile.
+/// Stages what `order` names; false if another version became wanted meanwhile.
 pub(crate) async fn stage(
     shared: &Arc<EndpointShared>,
-    target: &WeightTarget,
+    order: &WeightOrder,
 ) -> anyhow::Result<bool> {
-    let manifest = Arc::new(pinned_manifest(shared, target).await?);
+    let manifest = Arc::new(pinned_manifest(shared, order).await?);
     let staged = shared.engine.stage(&manifest).await.context("staging cannot be opened")?;
     let bits = hex::decode(&staged.bits).context("the engine's list of chunks is damaged")?;
     let mut held = vec![false; manifest.chunks.len()];
@@ -66,22 +67,22 @@
     }
     shared.transfer.open(manifest.clone(), held.clone());
     let mut task = StagingTask::new(shared.clone(), manifest, &held);
-    let whole = task.run(target).await;
-    log::info!(target: "transfer", version:% = target.version, whole = whole; "A transfer ended.");
+    let whole = task.run(order).await;
+    log::info!(target: "transfer", version:% = order.version, whole = whole; "A transfer ended.");
     Ok(whole)
 }
 
 async fn pinned_manifest(
     shared: &EndpointShared,
-    target: &WeightTarget,
+    order: &WeightOrder,
 ) -> anyhow::Result<WeightManifest> {
-    if let Some(known) = shared.transfer.manifest(target.manifest) {
+    if let Some(known) = shared.transfer.manifest(order.manifest) {
         return Ok(known.as_ref().clone());
     }
-    let manifest = shared.origin.manifest(&target.version).await?;
+    let manifest = shared.origin.manifest(&order.version).await?;
     // The origin may have replaced the version since it was pinned; chunks of
     // both would then be staged together.
-    anyhow::ensure!(manifest.digest == target.manifest, ManifestError::NotPinned);
+    anyhow::ensure!(manifest.digest == order.manifest, ManifestError::NotPinned);
     Ok(manifest)
 }
 
@@ -110,10 +111,10 @@
         }
     }
 
-    async fn run(&mut self, target: &WeightTarget) -> bool {
+    async fn run(&mut self, order: &WeightOrder) -> bool {
         self.follow_peers();
         while self.picker.missing() > 0 {
-            if !self.still_wanted(target) {
+            if !self.still_wanted(order) {
                 return false;
             }
             self.start_fetches();
@@ -124,13 +125,8 @@
         true
     }
 
-    fn still_wanted(&self, target: &WeightTarget) -> bool {
-        let holder = self.shared.holder();
-        let wanted = holder
-            .current()
-            .and_then(|preset| preset.content.services.get(&self.shared.settings.engine.service))
-            .and_then(|service| service.manifest);
-        wanted == Some(target.manifest)
+    fn still_wanted(&self, order: &WeightOrder) -> bool {
+        self.shared.order().as_ref().map(|newest| newest.manifest) == Some(order.manifest)
     }
 
     async fn wait_and_handle(&mut self) {
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod gate;
 pub mod holder;
 pub mod identity;
+pub mod plan;
 pub mod rank;
 pub mod retry;
 pub mod roster;
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -2,5 +2,6 @@
 
 pub(crate) mod change;
 pub(crate) mod membership;
+pub(crate) mod orders;
 pub(crate) mod poll;
 pub(crate) mod spread;
--- a/crates/entry/src/inner.rs
+++ b/crates/entry/src/inner.rs
@@ -10,7 +10,11 @@
 use futures_util::future::{Either, select};
 use smol::net::{TcpListener, TcpStream};
 
-use crate::{control::spread, link::AgentLink, shared::EntryShared};
+use crate::{
+    control::{orders, spread},
+    link::AgentLink,
+    shared::EntryShared,
+};
 
 /// Accepts connections until `shutdown`.
 pub(crate) async fn serve_inner(
@@ -82,13 +86,9 @@
 fn handle_agent_control(shared: &Arc<EntryShared>, link: &AgentLink, message: ControlMessage) {
     match message {
         ControlMessage::Report(report) if report.instance == link.instance => {
-            let known = report.revision;
+            orders::send_missing(shared, link, &report);
             shared.roster().hear(*report, Timestamp::now());
             shared.rebuild_routes();
-            // Heals a lost push without waiting for the next change.
-            if let Some(preset) = shared.force.load_full().filter(|p| p.revision > known) {
-                let _ = link.sender.try_send(ControlMessage::Force(preset));
-            }
         }
         ControlMessage::Leaving { instance } if instance == link.instance => {
             shared.roster().leave(&instance);
--- a/crates/model/src/endpoint.rs
+++ b/crates/model/src/endpoint.rs
@@ -76,6 +76,8 @@
     pub load: LoadReport,
     /// The highest preset revision that it knows.
     pub revision: PresetRevision,
+    /// Fencing token of the newest order that it knows; zero if none.
+    pub order: u64,
     /// Requests that its gate admits at a time.
     pub limit: u32,
 }
