--- a/crates/agent/src/endpoint.rs
+++ b/crates/agent/src/endpoint.rs
@@ -8,18 +8,21 @@
     time::Duration,
 };
 
-use cassiawheel_decide::{GateState, PresetHolder};
+use cassiawheel_decide::{GateState, PresetHolder, StartHold};
 use cassiawheel_model::{LoadReport, Timestamp, settings::AgentSettings};
 use cassiawheel_platform::{ModelEngine, TableStore, WeightSource};
 use cassiawheel_runtime::timeout;
 use cassiawheel_wire::{WireSender, message::WeightOrder};
 use smol::channel::{Receiver, Sender, bounded};
 
-use crate::{metrics::AgentMetrics, transfer::TransferState};
+use crate::{metrics::AgentMetrics, serve::chosen_entries, transfer::TransferState};
 
 /// Longest wait before a waiter looks at the gate again.
 const LOOK_AGAIN: Duration = Duration::from_millis(20);
 
+/// Longest time for which an agent that starts waits for every entry that it dials.
+const START_TIME: Duration = Duration::from_millis(500);
+
 /// Everything that the parts of an agent share.
 pub(crate) struct EndpointShared {
     /// The settings.
@@ -38,6 +41,7 @@
     pub(crate) metrics: AgentMetrics,
     gate: Mutex<GateState>,
     holder: Mutex<PresetHolder>,
+    start_hold: Mutex<StartHold>,
     order: Mutex<Option<WeightOrder>>,
     load: Mutex<LoadReport>,
     entries: Mutex<Vec<WireSender>>,
@@ -55,10 +59,12 @@
         metrics: AgentMetrics,
     ) -> Self {
         let now = Timestamp::now();
+        let sources = chosen_entries(&settings);
         Self {
             incarnation: now.0,
             gate: Mutex::new(GateState::new(settings.engine.max_in_flight)),
             holder: Mutex::default(),
+            start_hold: Mutex::new(StartHold::new(sources, now.deadline_after(START_TIME))),
             order: Mutex::default(),
             load: Mutex::new(LoadReport { in_flight: 0, queued: 0, measured_at: now }),
             entries: Mutex::default(),
@@ -83,6 +89,11 @@
         self.holder.lock().unwrap_or_else(|poison| poison.into_inner())
     }
 
+    /// What this agent waits for before it runs requests.
+    pub(crate) fn start_hold(&self) -> MutexGuard<'_, StartHold> {
+        self.start_hold.lock().unwrap_or_else(|poison| poison.into_inner())
+    }
+
     /// The newest order.
     pub(crate) fn order(&self) -> MutexGuard<'_, Option<WeightOrder>> {
         self.order.lock().unwrap_or_else(|poison| poison.into_inner())
--- a/crates/agent/src/entry_link.rs
+++ b/crates/agent/src/entry_link.rs
@@ -7,7 +7,9 @@
 use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use cassiawheel_model::{Repeatability, RequestHead};
+use cassiawheel_model::{
+    EndpointState, NotRunReason, PresetRevision, Repeatability, RequestHead, Timestamp,
+};
 use cassiawheel_runtime::spawn;
 use cassiawheel_wire::{
     ControlMessage, HelloMessage, ProcessKind, RequestMessage, WireError, WireMessage,
@@ -31,10 +33,11 @@
         match connect(addr, &shared.settings.inner_key, None).await {
             Ok((sender, receiver)) => {
                 backoff = MIN_BACKOFF_MS;
-                let ended = converse(&shared, sender, receiver).await;
+                let ended = converse(&shared, addr, sender, receiver).await;
                 log::info!(target: "link", entry:% = addr, cause:% = ended; "Connection to an entry ended.");
             }
             Err(error) => {
+                shared.start_hold().heard(addr);
                 log::debug!(target: "link", entry:% = addr, cause:% = error; "Cannot reach an entry.");
             }
         }
@@ -58,6 +61,7 @@
 
 async fn converse(
     shared: &Arc<EndpointShared>,
+    addr: SocketAddr,
     sender: WireSender,
     mut receiver: WireReceiver,
 ) -> WireError {
@@ -70,11 +74,21 @@
         return error;
     }
     shared.entries().push(sender.clone());
+    // An entry that restarted with the table service down may know no preset.
+    if let Some(preset) = shared.holder().current().cloned() {
+        let _ = sender.try_send(ControlMessage::Force(preset));
+    }
     report::send_report(shared);
     let mut attempts = LinkAttempts::default();
     let ended = loop {
         match receiver.recv().await {
-            Ok(WireMessage::Control(message)) => handle_control(shared, message),
+            Ok(WireMessage::Control(message)) => {
+                let told = matches!(message, ControlMessage::Force(_));
+                handle_control(shared, &sender, message);
+                if told {
+                    shared.start_hold().heard(addr);
+                }
+            }
             Ok(WireMessage::Request(message)) => attempts.handle(shared, &sender, message),
             Ok(WireMessage::Hello(_) | WireMessage::Chunk(_)) => {}
             Err(error) => break error,
@@ -85,17 +99,72 @@
     ended
 }
 
-fn handle_control(shared: &Arc<EndpointShared>, message: ControlMessage) {
+fn handle_control(shared: &Arc<EndpointShared>, sender: &WireSender, message: ControlMessage) {
     match message {
-        ControlMessage::Force(preset) => exchange::offer_preset(shared, preset),
+        ControlMessage::Force(preset) => {
+            let revision = preset.revision;
+            exchange::offer_preset(shared, preset);
+            answer_older(shared, sender, revision);
+        }
         ControlMessage::Peers(peers) => transfer::offer_peers(shared, peers),
         ControlMessage::Order(order) => exchange::offer_order(shared, order),
+        ControlMessage::Drain { instance } if instance == shared.settings.place.instance => {
+            leave(shared);
+        }
         ControlMessage::Report(_)
         | ControlMessage::Leaving { .. }
+        | ControlMessage::Drain { .. }
         | ControlMessage::EntryBeat { .. } => {}
     }
 }
 
+/// Sends the preset in force to an entry that works under `revision`, if that is older.
+///
+/// An entry that was paused, or that started while the table service and its
+/// peers did not answer, would go on being refused here until a peer tells it.
+fn answer_older(shared: &EndpointShared, sender: &WireSender, revision: PresetRevision) {
+    let newer = shared.holder().current().filter(|known| known.revision > revision).cloned();
+    if let Some(newer) = newer {
+        let _ = sender.try_send(ControlMessage::Force(newer));
+    }
+}
+
+/// Whether a request must not run, judged by the preset in force.
+///
+/// An agent that has just started knows no preset yet. An entry that was paused
+/// may reach it first and route under a preset that others have replaced; its
+/// caller would be answered by rules that are no longer in force.
+fn refuse_early(
+    shared: &EndpointShared,
+    sender: &WireSender,
+    head: &RequestHead,
+) -> Option<NotRunReason> {
+    let known = shared.holder().revision();
+    if known == PresetRevision::default() || !shared.start_hold().is_over(Timestamp::now()) {
+        return Some(NotRunReason::StaleRevision);
+    }
+    if head.revision < known {
+        answer_older(shared, sender, head.revision);
+        return Some(NotRunReason::StaleRevision);
+    }
+    None
+}
+
+/// Admits nothing from now on and tells every entry so.
+pub(crate) fn leave(shared: &EndpointShared) {
+    let mut gate = shared.gate();
+    if *gate.state() == EndpointState::Draining {
+        return;
+    }
+    gate.drain();
+    log::info!(target: "drain", in_progress = gate.in_progress(); "The agent leaves.");
+    drop(gate);
+    let instance = shared.settings.place.instance.clone();
+    let message = ControlMessage::Leaving { instance, incarnation: shared.incarnation };
+    shared.entries().retain(|entry| entry.try_send(message.clone()).is_ok());
+    report::send_report(shared);
+}
+
 impl LinkAttempts {
     fn handle(
         &mut self,
@@ -130,6 +199,10 @@
         head: RequestHead,
         body: Bytes,
     ) {
+        if let Some(reason) = refuse_early(shared, sender, &head) {
+            let _ = sender.try_send(RequestMessage::Refused { attempt, reason });
+            return;
+        }
         let (credits, granted) = smol::channel::unbounded();
         let repeat = head.repeat;
         let link = run::AttemptLink { sender: sender.clone(), attempt, granted };
--- a/crates/agent/src/serve.rs
+++ b/crates/agent/src/serve.rs
@@ -9,7 +9,6 @@
 use cassiawheel_runtime::{
     ShutdownTrigger, probes::serve_probes, shutdown::termination, spawn, timeout,
 };
-use cassiawheel_wire::ControlMessage;
 use prometheus::Registry;
 use smol::net::TcpListener;
 
@@ -62,7 +61,7 @@
 }
 
 /// The entries to dial: the same choice after every restart, spread over the agents.
-fn chosen_entries(settings: &AgentSettings) -> Vec<std::net::SocketAddr> {
+pub(crate) fn chosen_entries(settings: &AgentSettings) -> Vec<std::net::SocketAddr> {
     let names: Vec<_> = settings.entries.iter().map(ToString::to_string).collect();
     let subject = subject_of(settings.place.instance.as_str());
     first_ranked(subject, names.iter().map(String::as_str), settings.entry_links)
@@ -74,14 +73,7 @@
 /// Admits nothing more, tells the entries, and finishes the requests in progress.
 async fn drain(shared: &EndpointShared) {
     let deadline = Timestamp::now().deadline_after(Duration::from_millis(shared.settings.drain_ms));
-    shared.gate().drain();
-    let instance = shared.settings.place.instance.clone();
-    log::info!(target: "drain", in_progress = shared.gate().in_progress(); "The agent leaves.");
-    let entries = shared.entries().clone();
-    for entry in &entries {
-        let _ = entry.try_send(ControlMessage::Leaving { instance: instance.clone() });
-    }
-    report::send_report(shared);
+    entry_link::leave(shared);
     while shared.gate().in_progress() > 0 && !deadline.is_past(Timestamp::now()) {
         timeout(deadline.remaining(Timestamp::now()), shared.permit_released()).await;
     }
--- a/crates/decide/src/holder.rs
+++ b/crates/decide/src/holder.rs
@@ -4,9 +4,9 @@
 //! from the store, or a peer that lags, would bring an old preset back; an
 //! operator would notice a change that took effect and then reverted.
 
-use std::sync::Arc;
+use std::{collections::BTreeSet, net::SocketAddr, sync::Arc};
 
-use cassiawheel_model::{ForcedPreset, PresetRevision};
+use cassiawheel_model::{Deadline, ForcedPreset, PresetRevision, Timestamp};
 
 /// What became of an offered preset.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -58,3 +58,32 @@
         self.current.as_ref().map(|preset| preset.revision).unwrap_or_default()
     }
 }
+
+/// Keeps a process that has just started from using the first preset it hears of.
+///
+/// The table service may answer from an earlier state, and a peer may lag. The
+/// process would serve under a preset that is no longer in force, which callers
+/// see as a change that reverted. So it first hears every source, or waits
+/// until a deadline if one does not answer.
+#[derive(Debug, Clone)]
+pub struct StartHold {
+    silent: BTreeSet<SocketAddr>,
+    until: Deadline,
+}
+
+impl StartHold {
+    /// Waits for `sources`, at the longest until `until`.
+    pub fn new(sources: impl IntoIterator<Item = SocketAddr>, until: Deadline) -> Self {
+        Self { silent: sources.into_iter().collect(), until }
+    }
+
+    /// Notes that a source told what it knows or cannot be reached.
+    pub fn heard(&mut self, source: SocketAddr) {
+        self.silent.remove(&source);
+    }
+
+    /// Whether the highest preset heard of may be used.
+    pub fn is_over(&self, now: Timestamp) -> bool {
+        self.silent.is_empty() || self.until.is_past(now)
+    }
+}
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -5,6 +5,7 @@
 //! runs in the processes, in seeded histories and in benches.
 
 pub mod advice;
+pub mod change;
 pub mod claim;
 pub mod gate;
 pub mod holder;
@@ -17,10 +18,13 @@
 pub mod select;
 
 pub use advice::{AdviceInput, EntryAdvice, advise};
+pub use change::{
+    ChangeAnswer, ChangeRecord, ChangeRequest, ChangeStep, ChangeVerdict, ChangeWriter, ForceRow,
+};
 pub use claim::{ClaimRecord, ClaimStep, ClaimView};
 pub use gate::{GateState, SwitchError};
-pub use holder::{Adoption, PresetHolder};
+pub use holder::{Adoption, PresetHolder, StartHold};
 pub use retry::{AttemptEnd, RetryStep, RetryTracker};
-pub use roster::EndpointRoster;
+pub use roster::{EndpointRoster, EntryRoster, PeerEntry};
 pub use route::{RouteCandidate, RouteChoice, RouteSnapshot};
 pub use select::{ChunkPicker, ChunkSource, FetchOrder, PickerSettings};
--- a/crates/decide/src/roster.rs
+++ b/crates/decide/src/roster.rs
@@ -1,18 +1,27 @@
-//! Which endpoints exist, as far as one entry knows.
+//! Which endpoints and entries exist, as far as one entry knows.
 //!
 //! Soft state: built from heartbeats, dropped when they stop. A word of leaving
-//! wins at once, whoever gives it, so that a leaving endpoint gets no new work.
+//! wins at once, whoever gives it, so that a leaving process gets no new work.
+//! It holds for one incarnation: a process that starts later at the same
+//! instance is a member like any other.
 
 use std::collections::{BTreeMap, HashSet};
 
-use cassiawheel_model::{EndpointReport, InstanceId, Timestamp};
+use cassiawheel_model::{EndpointReport, InstanceId, PresetRevision, Timestamp};
+
+use crate::advice::AdviceInput;
+
+/// Time for which a word of leaving is kept after its process was last heard, in milliseconds.
+///
+/// Longer than any message can be delayed between our processes, so that a
+/// heartbeat that was overtaken cannot bring a process back.
+const MARK_MS: u64 = 60_000;
 
 /// The endpoints that one entry knows.
 #[derive(Debug, Clone, Default)]
 pub struct EndpointRoster {
     members: BTreeMap<InstanceId, RosterMember>,
-    leaving: HashSet<(InstanceId, u64)>,
-    listed_leaving: HashSet<InstanceId>,
+    marks: LeavingMarks,
 }
 
 /// One endpoint.
@@ -24,6 +33,62 @@
     pub heard_at: Timestamp,
 }
 
+/// The other entries that one entry knows.
+#[derive(Debug, Clone, Default)]
+pub struct EntryRoster {
+    peers: BTreeMap<InstanceId, PeerEntry>,
+    marks: LeavingMarks,
+}
+
+/// Another entry, as its heartbeats tell.
+#[derive(Debug, Clone)]
+pub struct PeerEntry {
+    /// What callers may be advised.
+    pub advice: AdviceInput,
+    /// Distinguishes processes that run one after another at the same instance.
+    pub incarnation: u64,
+    /// The highest revision that it has adopted.
+    pub revision: PresetRevision,
+    /// When it was last heard.
+    pub heard_at: Timestamp,
+}
+
+/// Who leaves, by its own word or the platform's.
+#[derive(Debug, Clone, Default)]
+struct LeavingMarks {
+    told: BTreeMap<InstanceId, LeavingMark>,
+    listed: HashSet<InstanceId>,
+}
+
+/// A process' own word that it leaves.
+#[derive(Debug, Clone, Copy)]
+struct LeavingMark {
+    incarnation: u64,
+    noted_at: Timestamp,
+}
+
+impl LeavingMarks {
+    /// Notes a process' own word, which may come before its first heartbeat.
+    fn note(&mut self, instance: &InstanceId, incarnation: u64, now: Timestamp) {
+        let mark = LeavingMark { incarnation, noted_at: now };
+        let known = self.told.entry(instance.clone()).or_insert(mark);
+        if known.incarnation <= incarnation {
+            *known = mark;
+        }
+    }
+
+    fn has(&self, instance: &InstanceId, incarnation: u64) -> bool {
+        let told = self.told.get(instance).is_some_and(|mark| mark.incarnation >= incarnation);
+        told || self.listed.contains(instance)
+    }
+
+    /// Forgets words that are old, of processes for which `is_member` does not hold.
+    fn expire(&mut self, now: Timestamp, is_member: impl Fn(&InstanceId) -> bool) {
+        let oldest = Timestamp(now.0.saturating_sub(MARK_MS));
+        self.told.retain(|instance, mark| mark.noted_at >= oldest || is_member(instance));
+    }
+}
+
 impl EndpointRoster {
     /// Takes a heartbeat; false if a later process at the instance is known.
     pub fn hear(&mut self, report: EndpointReport, now: Timestamp) -> bool {
@@ -37,28 +102,30 @@
     }
 
     /// Notes an endpoint's own word that it leaves.
-    pub fn leave(&mut self, instance: &InstanceId) {
-        if let Some(member) = self.members.get(instance) {
-            self.leaving.insert((instance.clone(), member.report.incarnation));
-        }
+    pub fn leave(&mut self, instance: &InstanceId, incarnation: u64, now: Timestamp) {
+        self.marks.note(instance, incarnation, now);
     }
 
-    /// Takes the platform's list of leaving instances.
-    pub fn list_leaving(&mut self, instances: HashSet<InstanceId>) {
-        self.listed_leaving = instances;
+    /// Takes the platform's list of leaving instances; true if it changed.
+    pub fn list_leaving(&mut self, instances: HashSet<InstanceId>) -> bool {
+        let changed = self.marks.listed != instances;
+        self.marks.listed = instances;
+        changed
     }
 
     /// Forgets an endpoint whose connection ended, unless a newer process reported since.
+    ///
+    /// Its word of leaving stays: the same process may report over another
+    /// connection a moment later.
     pub fn forget(&mut self, instance: &InstanceId, incarnation: u64) {
         let known = self.members.get(instance).map(|member| member.report.incarnation);
         if known == Some(incarnation) {
             self.members.remove(instance);
-            self.leaving.remove(&(instance.clone(), incarnation));
         }
     }
 
     /// Forgets endpoints that have not been heard since `oldest`.
-    pub fn expire(&mut self, oldest: Timestamp) -> Vec<InstanceId> {
+    pub fn expire(&mut self, oldest: Timestamp, now: Timestamp) -> Vec<InstanceId> {
         let silent: Vec<_> = self
             .members
             .iter()
@@ -68,14 +135,19 @@
         for instance in &silent {
             self.members.remove(instance);
         }
+        let members = &self.members;
+        self.marks.expire(now, |instance| members.contains_key(instance));
         silent
     }
 
     /// Whether the endpoint leaves, by its own word or the platform's.
     pub fn is_leaving(&self, member: &RosterMember) -> bool {
-        let report = &member.report;
-        self.listed_leaving.contains(&report.instance)
-            || self.leaving.contains(&(report.instance.clone(), report.incarnation))
+        self.marks.has(&member.report.instance, member.report.incarnation)
+    }
+
+    /// One endpoint.
+    pub fn member(&self, instance: &InstanceId) -> Option<&RosterMember> {
+        self.members.get(instance)
     }
 
     /// All endpoints in the order of their names.
@@ -83,3 +155,53 @@
         self.members.values()
     }
 }
+
+impl EntryRoster {
+    /// Takes a heartbeat; one of an earlier process at the instance is ignored.
+    pub fn hear(&mut self, instance: &InstanceId, mut peer: PeerEntry) {
+        let known = self.peers.get(instance).map(|known| known.incarnation);
+        if known.is_some_and(|incarnation| incarnation > peer.incarnation) {
+            return;
+        }
+        if peer.advice.leaving {
+            self.marks.note(instance, peer.incarnation, peer.heard_at);
+        }
+        peer.advice.leaving = self.marks.has(instance, peer.incarnation);
+        self.peers.insert(instance.clone(), peer);
+    }
+
+    /// Notes an entry's own word that it leaves.
+    pub fn leave(&mut self, instance: &InstanceId, incarnation: u64, now: Timestamp) {
+        self.marks.note(instance, incarnation, now);
+        self.refresh();
+    }
+
+    /// Takes the platform's list of leaving instances.
+    pub fn list_leaving(&mut self, instances: HashSet<InstanceId>) {
+        self.marks.listed = instances;
+        self.refresh();
+    }
+
+    /// Forgets entries that have not been heard since `oldest`.
+    pub fn expire(&mut self, oldest: Timestamp, now: Timestamp) {
+        self.peers.retain(|_, peer| peer.heard_at >= oldest);
+        let peers = &self.peers;
+        self.marks.expire(now, |instance| peers.contains_key(instance));
+    }
+
+    /// All entries by name.
+    pub fn iter(&self) -> impl Iterator<Item = (&InstanceId, &PeerEntry)> {
+        self.peers.iter()
+    }
+
+    /// All entries in the order of their names.
+    pub fn values(&self) -> impl Iterator<Item = &PeerEntry> {
+        self.peers.values()
+    }
+
+    fn refresh(&mut self) {
+        for (instance, peer) in &mut self.peers {
+            peer.advice.leaving = self.marks.has(instance, peer.incarnation);
+        }
+    }
+}
--- a/crates/entry/src/admin.rs
+++ b/crates/entry/src/admin.rs
@@ -5,8 +5,9 @@
 
 use std::sync::Arc;
 
+use cassiawheel_decide::ChangeRequest;
 use cassiawheel_model::{
-    ChangeId, OperatorName, PresetContent, PresetName, record, settings::OperatorRole,
+    ChangeId, InstanceId, OperatorName, PresetContent, PresetName, record, settings::OperatorRole,
 };
 use cassiawheel_runtime::http::{BodyError, ReplyBody, error_reply, json_reply, read_body};
 use hyper::{Method, Request, Response, StatusCode, body::Incoming};
@@ -14,7 +15,10 @@
 use serde::de::DeserializeOwned;
 
 use crate::{
-    control::change::{self, ChangeReply, PresetError},
+    control::{
+        change::{self, ChangeReply, PresetError},
+        drains,
+    },
     shared::EntryShared,
 };
 
@@ -29,6 +33,12 @@
     pub(crate) preset: PresetName,
     /// Names the change; asking again with the same id never makes a second one.
     pub(crate) change: ChangeId,
+    /// Whether the operator promises that nobody asked by this id before.
+    ///
+    /// A failure can then be known to be one; otherwise an earlier ask by the
+    /// id may still take effect.
+    #[serde(default)]
+    pub(crate) fresh: bool,
 }
 
 /// Reply to a stored preset.
@@ -42,6 +52,13 @@
     pub(crate) content: PresetContent,
 }
 
+/// Reply to `POST /v1/drain/<instance>`: the instance's process was asked to leave.
+#[apply(record!)]
+pub(crate) struct DrainReply {
+    /// Who has to leave.
+    pub(crate) instance: InstanceId,
+}
+
 /// Answers one call of an operator.
 pub(crate) async fn accept(
     shared: Arc<EntryShared>,
@@ -70,6 +87,7 @@
         (&Method::PUT, ["v1", "presets", name]) => put_preset(&shared, name, body).await,
         (&Method::GET, ["v1", "history"]) => history(&shared).await,
         (&Method::POST, ["v1", "force"]) => force(&shared, &operator.name, body).await,
+        (&Method::POST, ["v1", "drain", instance]) => drain(&shared, instance),
         _ => Err(error_reply(StatusCode::NOT_FOUND, "not-found", parts.uri.path())),
     };
     reply.unwrap_or_else(|error| error)
@@ -109,8 +127,14 @@
 
 async fn force(shared: &EntryShared, operator: &OperatorName, body: Incoming) -> AdminReply {
     let call: ForceCall = read_json(body).await?;
-    let reply =
-        change::force_preset(shared, &call.preset, &call.change, operator).await.map_err(failed)?;
+    let request = ChangeRequest {
+        preset: call.preset,
+        change: call.change,
+        operator: operator.clone(),
+        fresh: call.fresh,
+        known: shared.known_revision(),
+    };
+    let reply = change::force_preset(shared, request).await.map_err(failed)?;
     let status = match &reply {
         ChangeReply::Accepted { .. } => StatusCode::OK,
         ChangeReply::Conflict { .. } => StatusCode::CONFLICT,
@@ -120,6 +144,14 @@
     Ok(json_reply(status, &reply))
 }
 
+fn drain(shared: &EntryShared, instance: &str) -> AdminReply {
+    let instance = InstanceId::new(instance).map_err(|error| {
+        error_reply(StatusCode::BAD_REQUEST, "bad-request", format!("the instance {error}"))
+    })?;
+    drains::drain_anywhere(shared, &instance);
+    Ok(json_reply(StatusCode::ACCEPTED, &DrainReply { instance }))
+}
+
 fn preset_name(name: &str) -> Result<PresetName, Response<ReplyBody>> {
     PresetName::new(name).map_err(|error| {
         error_reply(StatusCode::BAD_REQUEST, "bad-request", format!("the preset name {error}"))
--- a/crates/entry/src/cli/operate.rs
+++ b/crates/entry/src/cli/operate.rs
@@ -107,13 +107,14 @@
         PresetCommand::List(_) => show(&client, Method::GET, "/v1/presets", Vec::new()),
         PresetCommand::History(_) => show(&client, Method::GET, "/v1/history", Vec::new()),
         PresetCommand::Force(force) => {
+            let fresh = force.change.is_none();
             let change = match force.change {
                 Some(change) => change,
                 None => {
                     ChangeId::new(&format!("cli-{}-{}", Timestamp::now().0, std::process::id()))?
                 }
             };
-            let call = ForceCall { preset: force.name, change };
+            let call = ForceCall { preset: force.name, change, fresh };
             show(&client, Method::POST, "/v1/force", serde_json::to_vec(&call)?)
         }
     }
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -1,6 +1,7 @@
 //! Presets, heartbeats and membership at an entry.
 
 pub(crate) mod change;
+pub(crate) mod drains;
 pub(crate) mod membership;
 pub(crate) mod orders;
 pub(crate) mod poll;
--- a/crates/entry/src/control/change.rs
+++ b/crates/entry/src/control/change.rs
@@ -3,13 +3,16 @@
 //! Putting a preset in force writes three rows in one transaction: `force`,
 //! guarded by the revision that was read; `change/<revision>`, the history;
 //! and `change-id/<id>`, by which a change whose answer was lost is found
-//! again and never made twice.
+//! again and never made twice. What follows from each answer of the table
+//! service is decided by `ChangeWriter`.
 
 use std::sync::Arc;
 
+use cassiawheel_decide::{
+    ChangeAnswer, ChangeRecord, ChangeRequest, ChangeStep, ChangeVerdict, ChangeWriter,
+};
 use cassiawheel_model::{
-    ChangeId, ForcedPreset, OperatorName, PresetContent, PresetName, PresetRevision, Timestamp,
-    record,
+    ChangeId, ForcedPreset, PresetContent, PresetName, PresetRevision, Timestamp, record,
 };
 use cassiawheel_platform::{
     StoreError, TableGuard, TableRow, TableStore, TableWrite, WeightError, WriteVerdict,
@@ -22,6 +25,9 @@
 };
 use crate::shared::EntryShared;
 
+/// What the keys of the records of changes begin with.
+const CHANGE_ID_PREFIX: &str = "change-id/";
+
 /// What became of a change.
 #[apply(record!)]
 #[serde(rename_all = "kebab-case", tag = "result")]
@@ -60,7 +66,7 @@
 }
 
 fn change_id_row(change: &ChangeId) -> String {
-    format!("change-id/{change}")
+    format!("{CHANGE_ID_PREFIX}{change}")
 }
 
 /// Why a preset could not be stored or read.
@@ -146,96 +152,139 @@
         .map_err(|error| PresetError::Damaged(error.to_string()))
 }
 
-/// Puts the stored preset `name` in force.
+/// Puts a stored preset in force, as its writer decides step by step.
 pub(crate) async fn force_preset(
     shared: &EntryShared,
-    name: &PresetName,
-    change: &ChangeId,
-    operator: &OperatorName,
+    request: ChangeRequest,
 ) -> Result<ChangeReply, PresetError> {
-    let table = shared.table.as_ref();
-    if let Some(done) = find_change(table, change).await? {
-        return Ok(ChangeReply::Accepted { preset: done });
-    }
-    let content = get_preset(table, name).await?;
-    let current = read_force(table).await?;
-    let (revision, guard) = match &current {
-        Some((preset, row)) => (preset.revision.0 + 1, TableGuard::Revision(*row)),
-        None => (1, TableGuard::Absent),
+    let change = request.change.clone();
+    let preset = request.preset.clone();
+    let (mut writer, mut step) = ChangeWriter::start(request);
+    let verdict = loop {
+        let answer = match step {
+            ChangeStep::Done(verdict) => break verdict,
+            ChangeStep::FindRecord => find_record(shared, &change).await?,
+            ChangeStep::ReadPreset => read_preset(shared, &preset).await?,
+            ChangeStep::ReadForce => find_force(shared).await,
+            ChangeStep::Write { preset, guard } => write_change(shared, &preset, guard).await?,
+            ChangeStep::Refuse(record) => write_refusal(shared, &change, &record).await?,
+        };
+        step = writer.next(answer, Timestamp::now());
     };
-    let preset = Arc::new(ForcedPreset {
-        revision: PresetRevision(revision),
-        preset: name.clone(),
-        content,
-        change: change.clone(),
-        operator: operator.clone(),
-        changed_at: Timestamp::now(),
-    });
-    let reply = write_change(table, &preset, guard).await?;
-    if let ChangeReply::Accepted { preset } = &reply {
-        spread::adopt(shared, preset);
+    log::info!(target: "preset", change:% = change, verdict:? = verdict; "A change was decided.");
+    Ok(reply_of(shared, change, verdict))
+}
+
+fn reply_of(shared: &EntryShared, change: ChangeId, verdict: ChangeVerdict) -> ChangeReply {
+    match verdict {
+        ChangeVerdict::Accepted(preset) => {
+            spread::adopt(shared, &preset);
+            ChangeReply::Accepted { preset }
+        }
+        ChangeVerdict::Conflict(winner) => ChangeReply::Conflict { winner },
+        ChangeVerdict::NotAccepted(detail) => ChangeReply::NotAccepted { detail },
+        ChangeVerdict::Unknown(detail) => ChangeReply::Unknown { change, detail },
+    }
+}
+
+fn failed(error: StoreError) -> ChangeAnswer {
+    match error {
+        StoreError::Unknown(_) => ChangeAnswer::Lost(error.to_string()),
+        StoreError::NoEffect(_) | StoreError::RateLimited { .. } => {
+            ChangeAnswer::NoEffect(error.to_string())
+        }
+    }
+}
+
+async fn find_record(shared: &EntryShared, change: &ChangeId) -> Result<ChangeAnswer, PresetError> {
+    shared.metrics.store_reads.inc();
+    match shared.table.read(&change_id_row(change)).await {
+        Ok(row) => Ok(ChangeAnswer::Record(row.map(parse_record).transpose()?)),
+        Err(error) => Ok(failed(error)),
+    }
+}
+
+async fn read_preset(shared: &EntryShared, name: &PresetName) -> Result<ChangeAnswer, PresetError> {
+    shared.metrics.store_reads.inc();
+    match get_preset(shared.table.as_ref(), name).await {
+        Ok(content) => Ok(ChangeAnswer::Preset(content)),
+        Err(PresetError::Store(error)) => Ok(failed(error)),
+        Err(error) => Err(error),
+    }
+}
+
+async fn find_force(shared: &EntryShared) -> ChangeAnswer {
+    shared.metrics.store_reads.inc();
+    match read_force(shared.table.as_ref()).await {
+        Ok(row) => ChangeAnswer::Force(row),
+        Err(error) => failed(error),
     }
-    Ok(reply)
 }
 
 async fn write_change(
-    table: &dyn TableStore,
+    shared: &EntryShared,
     preset: &Arc<ForcedPreset>,
-    guard: TableGuard,
-) -> Result<ChangeReply, PresetError> {
+    guard: Option<u64>,
+) -> Result<ChangeAnswer, PresetError> {
     let value = to_value(preset.as_ref())?;
-    let new_row = |key| TableWrite { key, guard: TableGuard::Absent, value: value.clone() };
+    let record = to_value(&ChangeRecord::Made(preset.clone()))?;
+    let guard = guard.map_or(TableGuard::Absent, TableGuard::Revision);
+    let new_row = |key, value| TableWrite { key, guard: TableGuard::Absent, value };
     let writes = [
         TableWrite { key: FORCE_ROW.to_owned(), guard, value: value.clone() },
-        new_row(change_row(preset.revision)),
-        new_row(change_id_row(&preset.change)),
+        new_row(change_id_row(&preset.change), record),
+        new_row(change_row(preset.revision), value),
     ];
-    match table.write(&writes, true).await {
-        Ok(verdicts) if verdicts.iter().all(|v| matches!(v, WriteVerdict::Written(_))) => {
-            Ok(ChangeReply::Accepted { preset: preset.clone() })
-        }
-        Ok(_) => conflict_reply(table, preset).await,
-        Err(StoreError::Unknown(detail)) => Ok(lost_answer_reply(table, preset, detail).await),
-        Err(error) => Ok(ChangeReply::NotAccepted { detail: error.to_string() }),
+    shared.metrics.store_writes.inc();
+    match shared.table.write(&writes, true).await {
+        Ok(verdicts) => verdict_answer(&verdicts),
+        Err(error) => Ok(failed(error)),
     }
 }
 
-async fn conflict_reply(
-    table: &dyn TableStore,
-    preset: &ForcedPreset,
-) -> Result<ChangeReply, PresetError> {
-    if let Some(done) = find_change(table, &preset.change).await? {
-        return Ok(ChangeReply::Accepted { preset: done });
+async fn write_refusal(
+    shared: &EntryShared,
+    change: &ChangeId,
+    record: &ChangeRecord,
+) -> Result<ChangeAnswer, PresetError> {
+    let key = change_id_row(change);
+    let write = TableWrite { key, guard: TableGuard::Absent, value: to_value(record)? };
+    shared.metrics.store_writes.inc();
+    match shared.table.write(&[write], true).await {
+        Ok(verdicts) => verdict_answer(&verdicts),
+        Err(error) => Ok(failed(error)),
     }
-    let winner = read_force(table).await?.map(|(winner, _)| Arc::new(winner));
-    Ok(ChangeReply::Conflict { winner })
 }
 
-/// Looks for a change whose answer was lost.
+/// Reads the rows that stood in the way out of the answer itself.
 ///
-/// Finding it proves that it took effect. Not finding it proves nothing, since
-/// the write may still be on its way; the operator asks again by the id.
-async fn lost_answer_reply(
-    table: &dyn TableStore,
-    preset: &ForcedPreset,
-    detail: String,
-) -> ChangeReply {
-    match find_change(table, &preset.change).await {
-        Ok(Some(done)) => ChangeReply::Accepted { preset: done },
-        Ok(None) | Err(_) => ChangeReply::Unknown { change: preset.change.clone(), detail },
+/// A read after the write could be answered from an earlier state and miss them.
+fn verdict_answer(verdicts: &[WriteVerdict]) -> Result<ChangeAnswer, PresetError> {
+    if verdicts.iter().all(|verdict| matches!(verdict, WriteVerdict::Written(_))) {
+        return Ok(ChangeAnswer::Written);
     }
+    let mut record = None;
+    let mut winner = None;
+    for verdict in verdicts {
+        let WriteVerdict::Conflict(Some(row)) = verdict else {
+            continue;
+        };
+        if row.key.starts_with(CHANGE_ID_PREFIX) {
+            record = Some(parse_record(row.clone())?);
+        } else {
+            winner = Some(parse_preset(row)?);
+        }
+    }
+    Ok(ChangeAnswer::Blocked { record, winner })
 }
 
-async fn find_change(
-    table: &dyn TableStore,
-    change: &ChangeId,
-) -> Result<Option<Arc<ForcedPreset>>, PresetError> {
-    let Some(row) = table.read(&change_id_row(change)).await? else {
-        return Ok(None);
-    };
-    let preset = serde_json::from_value(row.value)
-        .map_err(|error| PresetError::Damaged(error.to_string()))?;
-    Ok(Some(Arc::new(preset)))
+fn parse_record(row: TableRow) -> Result<ChangeRecord, PresetError> {
+    serde_json::from_value(row.value).map_err(|error| PresetError::Damaged(error.to_string()))
+}
+
+fn parse_preset(row: &TableRow) -> Result<Arc<ForcedPreset>, PresetError> {
+    let preset = serde_json::from_value(row.value.clone());
+    preset.map(Arc::new).map_err(|error| PresetError::Damaged(error.to_string()))
 }
 
 fn to_value(value: &impl serde::Serialize) -> Result<serde_json::Value, PresetError> {
--- a/crates/entry/src/control/membership.rs
+++ b/crates/entry/src/control/membership.rs
@@ -1,9 +1,13 @@
 //! Keeping the roster: silent endpoints, the platform's list, peers of agents.
 
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use std::{
+    collections::{HashMap, HashSet},
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use cassiawheel_model::{EndpointRole, ServiceName, Timestamp};
-use cassiawheel_platform::{InstanceList, ListedState};
+use cassiawheel_platform::{InstanceList, ListedInstance, ListedState};
 use cassiawheel_wire::{ControlMessage, message::EndpointAddress};
 use rand::seq::IndexedRandom;
 use smol::Timer;
@@ -13,6 +17,9 @@
 /// Time between looks for silent endpoints.
 const EXPIRE_TIME: Duration = Duration::from_millis(100);
 
+/// Time between rebuilds of the routes from heartbeats.
+const REFRESH_TIME: Duration = Duration::from_millis(25);
+
 /// Time between reads of the platform's list.
 const LIST_TIME: Duration = Duration::from_secs(1);
 
@@ -27,15 +34,26 @@
     let timeout = shared.settings.control.heartbeat_timeout_ms;
     loop {
         Timer::after(EXPIRE_TIME).await;
-        let oldest = Timestamp(Timestamp::now().0.saturating_sub(timeout));
-        let silent = shared.roster().expire(oldest);
+        let now = Timestamp::now();
+        let oldest = Timestamp(now.0.saturating_sub(timeout));
+        let silent = shared.roster().expire(oldest, now);
         for instance in &silent {
             log::warn!(target: "roster", instance:% = instance; "An endpoint is silent.");
         }
         if !silent.is_empty() {
             shared.rebuild_routes();
         }
-        shared.peers().retain(|_, peer| peer.heard_at >= oldest);
+        shared.peers().expire(oldest, now);
+    }
+}
+
+/// Brings the routes up to date with the heartbeats of the last moments.
+pub(crate) async fn refresh_routes(shared: Arc<EntryShared>) {
+    loop {
+        Timer::after(REFRESH_TIME).await;
+        if shared.routes_stale.swap(false, Ordering::AcqRel) {
+            shared.rebuild_routes();
+        }
     }
 }
 
@@ -43,15 +61,7 @@
 pub(crate) async fn follow_list(shared: Arc<EntryShared>, list: Arc<dyn InstanceList>) {
     loop {
         match list.list().await {
-            Ok(listed) => {
-                let leaving = listed
-                    .into_iter()
-                    .filter(|listed| listed.state == ListedState::Leaving)
-                    .map(|listed| listed.instance)
-                    .collect();
-                shared.roster().list_leaving(leaving);
-                shared.rebuild_routes();
-            }
+            Ok(listed) => take_list(&shared, listed),
             Err(error) => {
                 log::warn!(target: "roster", cause:% = error; "The list of instances cannot be read.");
             }
@@ -60,6 +70,18 @@
     }
 }
 
+fn take_list(shared: &EntryShared, listed: Vec<ListedInstance>) {
+    let leaving: HashSet<_> = listed
+        .into_iter()
+        .filter(|listed| listed.state == ListedState::Leaving)
+        .map(|listed| listed.instance)
+        .collect();
+    shared.peers().list_leaving(leaving.clone());
+    if shared.roster().list_leaving(leaving) {
+        shared.rebuild_routes();
+    }
+}
+
 /// Tells agents whom they may swap chunks with.
 pub(crate) async fn introduce_agents(shared: Arc<EntryShared>) {
     loop {
--- a/crates/entry/src/control/poll.rs
+++ b/crates/entry/src/control/poll.rs
@@ -5,7 +5,8 @@
     time::Duration,
 };
 
-use cassiawheel_model::{ForcedPreset, PresetRevision, Timestamp};
+use cassiawheel_decide::ForceRow;
+use cassiawheel_model::{PresetRevision, Timestamp};
 use cassiawheel_platform::{StoreError, TableStore};
 use rand::Rng;
 use smol::Timer;
@@ -16,16 +17,14 @@
 /// The row of the preset in force.
 pub(crate) const FORCE_ROW: &str = "force";
 
-/// The preset in force and the revision of its row.
-pub(crate) async fn read_force(
-    table: &dyn TableStore,
-) -> Result<Option<(ForcedPreset, u64)>, StoreError> {
+/// The row of the preset in force.
+pub(crate) async fn read_force(table: &dyn TableStore) -> Result<Option<ForceRow>, StoreError> {
     let Some(row) = table.read(FORCE_ROW).await? else {
         return Ok(None);
     };
     let preset = serde_json::from_value(row.value)
         .map_err(|error| StoreError::Unknown(format!("the row {FORCE_ROW} is damaged: {error}")))?;
-    Ok(Some((preset, row.revision)))
+    Ok(Some(ForceRow { preset: Arc::new(preset), row_revision: row.revision }))
 }
 
 /// Reads the preset in force again and again.
@@ -35,8 +34,9 @@
         match read_force(shared.table.as_ref()).await {
             Ok(found) => {
                 shared.store_read_at.store(Timestamp::now().0, Ordering::Relaxed);
-                if let Some((preset, _)) = found {
-                    spread::adopt(&shared, &Arc::new(preset));
+                if let Some(row) = found {
+                    warn_of_older(&shared, row.preset.revision);
+                    spread::adopt(&shared, &row.preset);
                 }
             }
             Err(error) => {
@@ -46,10 +46,19 @@
                 log::warn!(target: "preset", revision = revision, cause:% = error; "The table service cannot be read.");
             }
         }
+        shared.start_hold().heard(shared.settings.platform.table);
         Timer::after(jittered(shared.settings.control.poll_ms)).await;
     }
 }
 
+/// Tells operators that the table service answers from an earlier state.
+fn warn_of_older(shared: &EntryShared, stored: PresetRevision) {
+    let known = shared.known_revision();
+    if stored < known {
+        log::warn!(target: "preset", stored = stored.0, known = known.0; "The table service has an older preset than this entry.");
+    }
+}
+
 /// `base_ms` less or more a quarter, so that entries do not poll in step.
 fn jittered(base_ms: u64) -> Duration {
     let quarter = base_ms / 4;
--- a/crates/entry/src/control/spread.rs
+++ b/crates/entry/src/control/spread.rs
@@ -1,4 +1,7 @@
 //! Spreading the preset in force and heartbeats between entries and to agents.
+//!
+//! A preset is pushed once to everyone; a push that was lost, for example to a
+//! full queue, is made up for by heartbeats, which tell the receiver's revision.
 
 use std::{
     net::SocketAddr,
@@ -6,14 +9,21 @@
     time::Duration,
 };
 
-use cassiawheel_decide::advice::AdviceInput;
-use cassiawheel_model::{ForcedPreset, Timestamp};
+use cassiawheel_decide::{
+    PeerEntry,
+    advice::AdviceInput,
+    rank::{first_ranked, subject_of},
+};
+use cassiawheel_model::{
+    ForcedPreset, InstanceId, PresetRevision, Timestamp, settings::EntrySettings,
+};
 use cassiawheel_wire::{
     ControlMessage, HelloMessage, ProcessKind, WireMessage, WireReceiver, WireSender, connect,
 };
 use smol::Timer;
 
-use crate::shared::{EntryShared, PeerEntry};
+use super::drains;
+use crate::shared::EntryShared;
 
 /// Time between heartbeats of an entry.
 const BEAT_TIME: Duration = Duration::from_millis(250);
@@ -21,69 +31,132 @@
 /// Wait before another entry is dialled again.
 const DIAL_AGAIN: Duration = Duration::from_millis(250);
 
+/// Most entries that an entry dials.
+///
+/// With as many links in from others, a preset reaches hundreds of entries in
+/// three hops; a few links more than one cost little and keep the graph
+/// connected while a third of them is cut.
+const MAX_DIALLED: usize = 12;
+
+/// Time between looks whether the start hold is over.
+const SETTLE_STEP: Duration = Duration::from_millis(20);
+
 /// Considers a preset and passes it on if it is new here.
 pub(crate) fn adopt(shared: &EntryShared, preset: &Arc<ForcedPreset>) {
-    if !shared.offer_preset(preset) {
-        return;
+    if shared.offer_preset(preset) {
+        push_everywhere(shared, preset);
+    }
+}
+
+/// Waits until every source was heard at the start, then uses the highest preset.
+pub(crate) async fn settle(shared: Arc<EntryShared>) {
+    while !shared.start_hold().is_over(Timestamp::now()) {
+        Timer::after(SETTLE_STEP).await;
+    }
+    if let Some(preset) = shared.publish_held() {
+        push_everywhere(&shared, &preset);
     }
+}
+
+fn push_everywhere(shared: &EntryShared, preset: &Arc<ForcedPreset>) {
     let message = ControlMessage::Force(preset.clone());
     for link in shared.links.load().values() {
         let _ = link.sender.try_send(message.clone());
     }
+    send_to_peers(shared, &message);
+}
+
+/// Sends to every connected entry, whichever end dialled.
+pub(crate) fn send_to_peers(shared: &EntryShared, message: &ControlMessage) {
     shared.peer_links().retain(|peer| peer.try_send(message.clone()).is_ok());
 }
 
-/// Handles what another entry tells.
-pub(crate) fn handle_peer(shared: &EntryShared, message: ControlMessage) {
+/// Handles what another entry tells over the connection of `sender`.
+pub(crate) fn handle_peer(shared: &EntryShared, sender: &WireSender, message: ControlMessage) {
     match message {
         ControlMessage::Force(preset) => adopt(shared, &preset),
         ControlMessage::EntryBeat {
             instance,
+            incarnation,
             caller_addr,
             failure_domain,
             revision,
             in_flight,
+            leaving,
         } => {
-            let advice = AdviceInput { caller_addr, failure_domain, in_flight, leaving: false };
+            let advice = AdviceInput { caller_addr, failure_domain, in_flight, leaving };
             let heard_at = Timestamp::now();
-            let mut peers = shared.peers();
-            let leaving = peers.get(&instance).is_some_and(|peer| peer.advice.leaving);
-            let advice = AdviceInput { leaving, ..advice };
-            peers.insert(instance, PeerEntry { advice, revision, heard_at });
+            let peer = PeerEntry { advice, incarnation, revision, heard_at };
+            shared.peers().hear(&instance, peer);
+            heal(shared, sender, revision);
         }
-        ControlMessage::Leaving { instance } => {
-            if let Some(peer) = shared.peers().get_mut(&instance) {
-                peer.advice.leaving = true;
-            }
+        ControlMessage::Leaving { instance, incarnation } => {
+            shared.peers().leave(&instance, incarnation, Timestamp::now());
+            log::info!(target: "roster", instance:% = instance; "An entry leaves.");
         }
+        ControlMessage::Drain { instance } => drains::drain_here(shared, &instance),
         ControlMessage::Report(_) | ControlMessage::Order(_) | ControlMessage::Peers(_) => {}
     }
 }
 
+/// Sends the preset in force to an entry whose heartbeat shows an older one.
+fn heal(shared: &EntryShared, sender: &WireSender, revision: PresetRevision) {
+    if let Some(preset) = shared.force.load_full().filter(|preset| preset.revision > revision) {
+        let _ = sender.try_send(ControlMessage::Force(preset));
+    }
+}
+
+/// The entries that this one dials: the same choice after every restart.
+pub(crate) fn chosen_peers(settings: &EntrySettings) -> Vec<SocketAddr> {
+    let names: Vec<_> = settings.peers.iter().map(ToString::to_string).collect();
+    let subject = subject_of(settings.place.instance.as_str());
+    first_ranked(subject, names.iter().map(String::as_str), MAX_DIALLED)
+        .into_iter()
+        .filter_map(|name| name.parse().ok())
+        .collect()
+}
+
 /// Keeps a connection to the entry at `addr`.
 pub(crate) async fn keep_peer(shared: Arc<EntryShared>, addr: SocketAddr) {
     loop {
-        if let Ok((sender, receiver)) = connect(addr, &shared.settings.inner_key, None).await {
-            let hello = HelloMessage {
-                kind: ProcessKind::Entry,
-                instance: shared.settings.place.instance.clone(),
-                incarnation: shared.incarnation,
-            };
-            let _ = sender.try_send(hello);
-            converse(&shared, sender, receiver).await;
+        match connect(addr, &shared.settings.inner_key, None).await {
+            Ok((sender, receiver)) => {
+                let hello = HelloMessage {
+                    kind: ProcessKind::Entry,
+                    instance: shared.settings.place.instance.clone(),
+                    incarnation: shared.incarnation,
+                };
+                let _ = sender.try_send(hello);
+                converse(&shared, sender, receiver, Some(addr)).await;
+            }
+            Err(_) => shared.start_hold().heard(addr),
         }
         Timer::after(DIAL_AGAIN).await;
     }
 }
 
-async fn converse(shared: &EntryShared, sender: WireSender, mut receiver: WireReceiver) {
+/// Talks with another entry until the connection ends; `dialled` if this end made it.
+pub(crate) async fn converse(
+    shared: &EntryShared,
+    sender: WireSender,
+    mut receiver: WireReceiver,
+    dialled: Option<SocketAddr>,
+) {
+    // The preset goes before the heartbeat, so that the other end has it once
+    // it takes this entry as heard.
     if let Some(preset) = shared.force.load_full() {
         let _ = sender.try_send(ControlMessage::Force(preset));
     }
+    let _ = sender.try_send(beat_message(shared));
     shared.peer_links().push(sender.clone());
     while let Ok(message) = receiver.recv().await {
-        if let WireMessage::Control(message) = message {
-            handle_peer(shared, message);
+        let WireMessage::Control(message) = message else {
+            continue;
+        };
+        let is_beat = matches!(message, ControlMessage::EntryBeat { .. });
+        handle_peer(shared, &sender, message);
+        if let Some(addr) = dialled.filter(|_| is_beat) {
+            shared.start_hold().heard(addr);
         }
     }
     sender.close();
@@ -92,27 +165,28 @@
 /// Sends heartbeats to the other entries.
 pub(crate) async fn beat(shared: Arc<EntryShared>) {
     loop {
-        send_beat(&shared);
+        send_to_peers(&shared, &beat_message(&shared));
         Timer::after(BEAT_TIME).await;
     }
 }
 
-fn send_beat(shared: &EntryShared) {
+fn beat_message(shared: &EntryShared) -> ControlMessage {
     let settings = &shared.settings;
-    let message = ControlMessage::EntryBeat {
+    ControlMessage::EntryBeat {
         instance: settings.place.instance.clone(),
+        incarnation: shared.incarnation,
         caller_addr: settings.listen.caller,
         failure_domain: settings.place.failure_domain.clone(),
         revision: shared.force.load().as_ref().map(|p| p.revision).unwrap_or_default(),
         in_flight: shared.in_flight.load(Ordering::Relaxed),
-    };
-    shared.peer_links().retain(|peer| peer.try_send(message.clone()).is_ok());
+        leaving: shared.leaving.load(Ordering::Acquire),
+    }
 }
 
 /// Tells the other entries that this one leaves.
 pub(crate) fn announce_leaving(shared: &EntryShared) {
     shared.leaving.store(true, Ordering::Release);
-    let instance = shared.settings.place.instance.clone();
-    let message = ControlMessage::Leaving { instance };
-    shared.peer_links().retain(|peer| peer.try_send(message.clone()).is_ok());
+    let instance: InstanceId = shared.settings.place.instance.clone();
+    let incarnation = shared.incarnation;
+    send_to_peers(shared, &ControlMessage::Leaving { instance, incarnation });
 }
--- a/crates/entry/src/inner.rs
+++ b/crates/entry/src/inner.rs
@@ -1,8 +1,11 @@
 //! The inner listener: agents and other entries connect here.
 
-use std::{pin::pin, sync::Arc};
+use std::{
+    pin::pin,
+    sync::{Arc, atomic::Ordering},
+};
 
-use cassiawheel_model::Timestamp;
+use cassiawheel_model::{EndpointReport, Timestamp};
 use cassiawheel_runtime::{ShutdownSignal, spawn};
 use cassiawheel_wire::{
     ControlMessage, HelloMessage, ProcessKind, WireMessage, WireReceiver, WireSender, accept,
@@ -53,7 +56,7 @@
     };
     match hello.kind {
         ProcessKind::Agent => serve_agent(&shared, hello, sender, receiver).await,
-        ProcessKind::Entry => serve_entry(&shared, sender, receiver).await,
+        ProcessKind::Entry => spread::converse(&shared, sender, receiver, None).await,
     }
 }
 
@@ -87,28 +90,40 @@
     match message {
         ControlMessage::Report(report) if report.instance == link.instance => {
             orders::send_missing(shared, link, &report);
-            shared.roster().hear(*report, Timestamp::now());
-            shared.rebuild_routes();
+            take_report(shared, *report);
         }
-        ControlMessage::Leaving { instance } if instance == link.instance => {
-            shared.roster().leave(&instance);
+        ControlMessage::Leaving { instance, incarnation } if instance == link.instance => {
+            shared.roster().leave(&instance, incarnation, Timestamp::now());
             shared.rebuild_routes();
             log::info!(target: "roster", instance:% = instance; "An endpoint leaves.");
         }
         ControlMessage::Force(preset) => spread::adopt(shared, &preset),
         ControlMessage::Report(_)
         | ControlMessage::Leaving { .. }
+        | ControlMessage::Drain { .. }
         | ControlMessage::EntryBeat { .. }
         | ControlMessage::Order(_)
         | ControlMessage::Peers(_) => {}
     }
 }
 
-async fn serve_entry(shared: &Arc<EntryShared>, sender: WireSender, mut receiver: WireReceiver) {
-    while let Ok(message) = receiver.recv().await {
-        if let WireMessage::Control(message) = message {
-            spread::handle_peer(shared, message);
-        }
+/// Takes a heartbeat.
+///
+/// A rebuild of the routes costs time in proportion to the endpoints, so one
+/// for each heartbeat would cost its square. A changed state counts at once;
+/// new loads wait for the next batch.
+fn take_report(shared: &EntryShared, report: EndpointReport) {
+    let instance = report.instance.clone();
+    let mut roster = shared.roster();
+    let known = roster.member(&instance).map(|member| member.report.state.clone());
+    let changed = known.as_ref() != Some(&report.state);
+    if !roster.hear(report, Timestamp::now()) {
+        return;
+    }
+    drop(roster);
+    if changed {
+        shared.rebuild_routes();
+    } else {
+        shared.routes_stale.store(true, Ordering::Release);
     }
-    sender.close();
 }
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -14,6 +14,8 @@
     pub(crate) revision: IntGauge,
     /// Reads of the table service.
     pub(crate) store_reads: IntCounter,
+    /// Writes to the table service.
+    pub(crate) store_writes: IntCounter,
     /// Reads of the table service that failed.
     pub(crate) store_failures: IntCounter,
 }
@@ -31,6 +33,10 @@
             in_flight: IntGauge::new(name("in_flight"), "Requests in progress")?,
             revision: IntGauge::new(name("revision"), "Revision of the preset in force")?,
             store_reads: IntCounter::new(name("store_reads_total"), "Reads of the table service")?,
+            store_writes: IntCounter::new(
+                name("store_writes_total"),
+                "Writes to the table service",
+            )?,
             store_failures: IntCounter::new(
                 name("store_failures_total"),
                 "Reads of the table service that failed",
@@ -41,6 +47,7 @@
         registry.register(Box::new(metrics.in_flight.clone()))?;
         registry.register(Box::new(metrics.revision.clone()))?;
         registry.register(Box::new(metrics.store_reads.clone()))?;
+        registry.register(Box::new(metrics.store_writes.clone()))?;
         registry.register(Box::new(metrics.store_failures.clone()))?;
         Ok(metrics)
     }
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -57,7 +57,9 @@
     spawn(membership::expire_silent(shared.clone())).detach();
     spawn(membership::follow_list(shared.clone(), list)).detach();
     spawn(membership::introduce_agents(shared.clone())).detach();
-    for peer in shared.settings.peers.clone() {
+    spawn(membership::refresh_routes(shared.clone())).detach();
+    spawn(spread::settle(shared.clone())).detach();
+    for peer in spread::chosen_peers(&shared.settings) {
         spawn(spread::keep_peer(shared.clone(), peer)).detach();
     }
 
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -1,16 +1,17 @@
 //! State that the parts of an entry share.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::HashMap,
     sync::{
         Arc, Mutex, MutexGuard,
         atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
     },
+    time::Duration,
 };
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use cassiawheel_decide::{
-    Adoption, EndpointRoster, PresetHolder, RouteCandidate, RouteSnapshot, advice::AdviceInput,
+    Adoption, EndpointRoster, EntryRoster, PresetHolder, RouteCandidate, RouteSnapshot, StartHold,
 };
 use cassiawheel_model::{
     EndpointState, ForcedPreset, InstanceId, PresetRevision, RequestId, ServiceName, Timestamp,
@@ -19,18 +20,10 @@
 use cassiawheel_platform::{TableStore, WeightSource};
 use cassiawheel_wire::WireSender;
 
-use crate::{link::AgentLink, metrics::EntryMetrics};
-
-/// Another entry, as its heartbeats tell.
-#[derive(Debug, Clone)]
-pub(crate) struct PeerEntry {
-    /// What callers may be advised.
-    pub(crate) advice: AdviceInput,
-    /// The highest revision that it has adopted.
-    pub(crate) revision: PresetRevision,
-    /// When it was last heard.
-    pub(crate) heard_at: Timestamp,
-}
+use crate::{control::spread, link::AgentLink, metrics::EntryMetrics};
+
+/// Longest time for which an entry that starts waits for every source of presets.
+const START_TIME: Duration = Duration::from_millis(500);
 
 /// Everything that the parts of an entry share.
 pub(crate) struct EntryShared {
@@ -56,10 +49,14 @@
     pub(crate) in_flight: AtomicU32,
     /// Whether this entry leaves.
     pub(crate) leaving: AtomicBool,
+    /// Whether the snapshot for routing lags behind the roster.
+    pub(crate) routes_stale: AtomicBool,
     holder: Mutex<PresetHolder>,
+    settled: AtomicBool,
+    start_hold: Mutex<StartHold>,
     roster: Mutex<EndpointRoster>,
     counters: Mutex<HashMap<InstanceId, Arc<AtomicU32>>>,
-    peers: Mutex<BTreeMap<InstanceId, PeerEntry>>,
+    peers: Mutex<EntryRoster>,
     peer_links: Mutex<Vec<WireSender>>,
     requests: AtomicU64,
 }
@@ -72,9 +69,12 @@
         origin: Arc<dyn WeightSource>,
         metrics: EntryMetrics,
     ) -> Self {
+        let now = Timestamp::now();
+        let mut sources = spread::chosen_peers(&settings);
+        sources.push(settings.platform.table);
         Self {
             settings,
-            incarnation: Timestamp::now().0,
+            incarnation: now.0,
             table,
             origin,
             metrics,
@@ -84,7 +84,10 @@
             store_read_at: AtomicU64::new(0),
             in_flight: AtomicU32::new(0),
             leaving: AtomicBool::new(false),
+            routes_stale: AtomicBool::new(false),
             holder: Mutex::default(),
+            settled: AtomicBool::new(false),
+            start_hold: Mutex::new(StartHold::new(sources, now.deadline_after(START_TIME))),
             roster: Mutex::default(),
             counters: Mutex::default(),
             peers: Mutex::default(),
@@ -99,11 +102,16 @@
     }
 
     /// The other entries that this entry knows.
-    pub(crate) fn peers(&self) -> MutexGuard<'_, BTreeMap<InstanceId, PeerEntry>> {
+    pub(crate) fn peers(&self) -> MutexGuard<'_, EntryRoster> {
         self.peers.lock().unwrap_or_else(|poison| poison.into_inner())
     }
 
-    /// Connections that this entry dialled to other entries.
+    /// What this entry waits for before it uses a preset.
+    pub(crate) fn start_hold(&self) -> MutexGuard<'_, StartHold> {
+        self.start_hold.lock().unwrap_or_else(|poison| poison.into_inner())
+    }
+
+    /// Connections to other entries, whichever end dialled.
     pub(crate) fn peer_links(&self) -> MutexGuard<'_, Vec<WireSender>> {
         self.peer_links.lock().unwrap_or_else(|poison| poison.into_inner())
     }
@@ -117,25 +125,48 @@
 
     /// Considers a preset; true if it is in force from now on.
     pub(crate) fn offer_preset(&self, preset: &Arc<ForcedPreset>) -> bool {
-        let revision = preset.revision.0;
-        let mut holder = self.holder.lock().unwrap_or_else(|poison| poison.into_inner());
+        let mut holder = self.holder();
         match holder.offer(preset.clone()) {
-            Adoption::Adopted => {
-                // Stored under the holder's lock, so that two offers cannot
-                // publish in the reverse of the order of their revisions.
-                self.force.store(Some(preset.clone()));
-                self.metrics.revision.set(revision as i64);
-                log::info!(target: "preset", revision = revision, preset:% = preset.preset, change:% = preset.change; "A preset is in force.");
+            Adoption::Adopted if self.settled.load(Ordering::Acquire) => {
+                self.publish(preset);
                 true
             }
             Adoption::Conflicting => {
+                let revision = preset.revision.0;
                 log::error!(target: "preset", revision = revision; "Two presets have the same revision.");
                 false
             }
-            Adoption::Known | Adoption::Older => false,
+            Adoption::Adopted | Adoption::Known | Adoption::Older => false,
         }
     }
 
+    /// Ends the hold of the start; the preset that is in force from now on, if one is known.
+    pub(crate) fn publish_held(&self) -> Option<Arc<ForcedPreset>> {
+        let holder = self.holder();
+        self.settled.store(true, Ordering::Release);
+        let preset = holder.current()?.clone();
+        self.publish(&preset);
+        Some(preset)
+    }
+
+    /// The highest revision heard of, even if it is not used yet.
+    pub(crate) fn known_revision(&self) -> PresetRevision {
+        self.holder().revision()
+    }
+
+    fn holder(&self) -> MutexGuard<'_, PresetHolder> {
+        self.holder.lock().unwrap_or_else(|poison| poison.into_inner())
+    }
+
+    /// Called under the holder's lock, so that two offers cannot publish in the
+    /// reverse of the order of their revisions.
+    fn publish(&self, preset: &Arc<ForcedPreset>) {
+        let revision = preset.revision.0;
+        self.force.store(Some(preset.clone()));
+        self.metrics.revision.set(revision as i64);
+        log::info!(target: "preset", revision = revision, preset:% = preset.preset, change:% = preset.change; "A preset is in force.");
+    }
+
     /// Adds the connection to an agent.
     pub(crate) fn add_link(&self, link: Arc<AgentLink>) {
         self.links.rcu(|links| {
@@ -154,8 +185,12 @@
             }
             links
         });
-        self.roster().forget(&link.instance, link.incarnation);
-        self.rebuild_routes();
+        // The agent may have connected again before the old connection's end
+        // was noticed; without this look it would vanish until its next report.
+        if !self.links.load().contains_key(&link.instance) {
+            self.roster().forget(&link.instance, link.incarnation);
+            self.rebuild_routes();
+        }
     }
 
     /// Publishes which endpoints requests may be routed to.
--- a/crates/wire/src/message/control.rs
+++ b/crates/wire/src/message/control.rs
@@ -18,6 +18,13 @@
     Leaving {
         /// Who leaves.
         instance: InstanceId,
+        /// Which process there; one that starts later does not leave.
+        incarnation: u64,
+    },
+    /// Entry to entry or agent: an operator wants this instance's process to leave.
+    Drain {
+        /// Who has to leave.
+        instance: InstanceId,
     },
     /// Entry to entry or agent: the preset in force, as far as the sender knows.
     Force(Arc<ForcedPreset>),
@@ -25,6 +32,8 @@
     EntryBeat {
         /// The entry.
         instance: InstanceId,
+        /// Distinguishes processes that run one after another at the instance.
+        incarnation: u64,
         /// Where callers reach it.
         caller_addr: SocketAddr,
         /// Where it stands.
@@ -33,6 +42,8 @@
         revision: PresetRevision,
         /// Requests in progress there.
         in_flight: u32,
+        /// Whether it leaves; repeats a word of leaving that was lost.
+        leaving: bool,
     },
     /// Entry to agent: which weights to hold and to serve.
     Order(WeightOrder),
