Count the bytes between our processes by conversation

Cause: control traffic has an allowance of 12 KB/s a daemon and could not be measured. Change: counters of control, request and chunk bytes sent and received, as metrics.

--- a/crates/agent/src/serve.rs
+++ b/crates/agent/src/serve.rs
@@ -9,7 +9,7 @@
 use cassiawheel_runtime::{
     ShutdownTrigger, probes::serve_probes, shutdown::termination, spawn, timeout,
 };
-use cassiawheel_wire::ControlMessage;
+use cassiawheel_wire::{ControlMessage, traffic::TRAFFIC};
 use prometheus::Registry;
 use smol::net::TcpListener;
 
@@ -26,6 +26,7 @@
     let metrics_listener = bind(settings.listen_metrics, "listen_metrics").await?;
     let registry = Registry::new();
     let metrics = AgentMetrics::register(&registry)?;
+    TRAFFIC.register(&registry)?;
     let shared = Arc::new(build_shared(settings, metrics));
     let (trigger, shutdown) = ShutdownTrigger::new();
 
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -16,6 +16,7 @@
     shutdown::termination,
     spawn, timeout,
 };
+use cassiawheel_wire::traffic::TRAFFIC;
 use prometheus::Registry;
 use smol::{Timer, net::TcpListener};
 
@@ -39,6 +40,7 @@
     let metrics_listener = bind(listen.metrics, "listen.metrics").await?;
     let registry = Registry::new();
     let metrics = EntryMetrics::register(&registry)?;
+    TRAFFIC.register(&registry)?;
 
     let client = HttpClient::default();
     let span = Duration::from_millis(settings.platform.timeout_ms);
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod codec;
 pub mod message;
 pub mod socket;
+pub mod traffic;
 
 pub use codec::CodecError;
 pub use message::{
--- a/crates/wire/src/socket.rs
+++ b/crates/wire/src/socket.rs
@@ -36,6 +36,7 @@
 use crate::{
     WireMessage,
     codec::{MAX_MESSAGE_BYTES, decode, encode},
+    traffic::TRAFFIC,
 };
 
 /// Messages that may wait to be written before senders wait.
@@ -110,7 +111,10 @@
             let frame = frame.map_err(|error| WireError::Frame(error.to_string()))?;
             match frame {
                 Message::Binary(bytes) => {
-                    return decode(&bytes).map_err(|error| WireError::Frame(error.to_string()));
+                    let message =
+                        decode(&bytes).map_err(|error| WireError::Frame(error.to_string()))?;
+                    TRAFFIC.count_received(&message, bytes.len());
+                    return Ok(message);
                 }
                 Message::Text(_) => {
                     return Err(WireError::Frame("text is not spoken here".to_owned()));
@@ -225,6 +229,7 @@
         // A message that is left out would leave its receiver waiting, so an
         // encoding fault ends the connection instead.
         let bytes = encode(&message).ok()?;
+        TRAFFIC.count_sent(&message, bytes.len());
         sink.feed(Message::Binary(bytes.into())).await.ok()?;
         next = waiting.try_recv().ok();
     }
