Introduce agents to each other once, not twice a second

Cause: each entry sent every agent a new random list of 24 peers every 500 ms; that was most of the control traffic and changed the agents' connections in mid-transfer. Change: the peers of an agent follow from rendezvous ranks and are sent on change.

--- a/crates/entry/src/control/membership.rs
+++ b/crates/entry/src/control/membership.rs
@@ -2,13 +2,13 @@
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
-use cassiawheel_model::{EndpointRole, ServiceName, Timestamp};
+use cassiawheel_decide::rank::{first_ranked, subject_of};
+use cassiawheel_model::{EndpointRole, InstanceId, ServiceName, Timestamp};
 use cassiawheel_platform::{InstanceList, ListedState};
 use cassiawheel_wire::{ControlMessage, message::EndpointAddress};
-use rand::seq::IndexedRandom;
 use smol::Timer;
 
-use crate::shared::EntryShared;
+use crate::{link::AgentLink, shared::EntryShared};
 
 /// Time between looks for silent endpoints.
 const EXPIRE_TIME: Duration = Duration::from_millis(100);
@@ -16,10 +16,10 @@
 /// Time between reads of the platform's list.
 const LIST_TIME: Duration = Duration::from_secs(1);
 
-/// Time between lists of peers to agents.
+/// Time between looks for new peers of agents.
 const PEERS_TIME: Duration = Duration::from_millis(500);
 
-/// Most peers that an agent is told at a time.
+/// Most peers that an agent is told.
 const MAX_PEERS: usize = 24;
 
 /// Drops endpoints and entries whose heartbeats stopped.
@@ -60,31 +60,61 @@
     }
 }
 
-/// Tells agents whom they may swap chunks with.
+/// What an agent was told last, and over which connection.
+struct ToldPeers {
+    link: Arc<AgentLink>,
+    peers: Vec<EndpointAddress>,
+}
+
+/// Tells agents whom they may swap chunks with, whenever that has changed.
+///
+/// Each agent has the same peers for as long as they live: a new random choice
+/// at every look would cost control traffic and make agents dial each other
+/// again and again in the middle of a transfer.
 pub(crate) async fn introduce_agents(shared: Arc<EntryShared>) {
+    let mut told: HashMap<InstanceId, ToldPeers> = HashMap::new();
     loop {
         Timer::after(PEERS_TIME).await;
-        let mut by_service: HashMap<ServiceName, Vec<EndpointAddress>> = HashMap::new();
-        for member in shared.roster().members() {
-            let report = &member.report;
-            if report.role == EndpointRole::Model {
-                by_service.entry(report.service.clone()).or_default().push(EndpointAddress {
-                    instance: report.instance.clone(),
-                    inner_addr: report.inner_addr,
-                    failure_domain: report.failure_domain.clone(),
-                });
-            }
-        }
-        let links = shared.links.load();
-        for agents in by_service.values() {
+        let links = shared.links.load_full();
+        told.retain(|instance, last| {
+            links.get(instance).is_some_and(|link| Arc::ptr_eq(link, &last.link))
+        });
+        for agents in agents_by_service(&shared).values() {
             for agent in agents {
                 let Some(link) = links.get(&agent.instance) else {
                     continue;
                 };
-                let peers: Vec<_> =
-                    agents.choose_multiple(&mut rand::rng(), MAX_PEERS).cloned().collect();
-                let _ = link.sender.try_send(ControlMessage::Peers(peers));
+                let peers = chosen_peers(agent, agents);
+                if told.get(&agent.instance).is_some_and(|last| last.peers == peers) {
+                    continue;
+                }
+                if let Ok(true) = link.sender.try_send(ControlMessage::Peers(peers.clone())) {
+                    let last = ToldPeers { link: link.clone(), peers };
+                    told.insert(agent.instance.clone(), last);
+                }
             }
         }
     }
 }
+
+fn agents_by_service(shared: &EntryShared) -> HashMap<ServiceName, Vec<EndpointAddress>> {
+    let mut by_service: HashMap<ServiceName, Vec<EndpointAddress>> = HashMap::new();
+    for member in shared.roster().members() {
+        let report = &member.report;
+        if report.role == EndpointRole::Model {
+            by_service.entry(report.service.clone()).or_default().push(EndpointAddress {
+                instance: report.instance.clone(),
+                inner_addr: report.inner_addr,
+                failure_domain: report.failure_domain.clone(),
+            });
+        }
+    }
+    by_service
+}
+
+fn chosen_peers(agent: &EndpointAddress, agents: &[EndpointAddress]) -> Vec<EndpointAddress> {
+    let others = agents.iter().filter(|other| other.instance != agent.instance);
+    let names = others.map(|other| other.instance.as_str());
+    let chosen = first_ranked(subject_of(agent.instance.as_str()), names, MAX_PEERS);
+    agents.iter().filter(|other| chosen.contains(&other.instance.as_str())).cloned().collect()
+}
--- a/crates/testkit/src/deployment.rs
+++ b/crates/testkit/src/deployment.rs
@@ -125,6 +125,8 @@
     pub config: PathBuf,
     /// Where the agent listens for other agents.
     pub inner_addr: SocketAddr,
+    /// Where the agent tells its metrics.
+    pub metrics_addr: SocketAddr,
     _stand_in: RunningStandIn,
 }
 
@@ -142,6 +144,8 @@
     pub admin_addr: SocketAddr,
     /// Where our own processes reach it.
     pub inner_addr: SocketAddr,
+    /// Where it tells its metrics.
+    pub metrics_addr: SocketAddr,
 }
 
 /// A running deployment; everything ends when it is dropped.
@@ -421,6 +425,7 @@
             caller_addr: settings.listen.caller,
             admin_addr: settings.listen.admin,
             inner_addr: settings.listen.inner,
+            metrics_addr: settings.listen.metrics,
         })
     }
 
@@ -469,6 +474,7 @@
             agent: Some(agent),
             config,
             inner_addr: settings.listen_inner,
+            metrics_addr: settings.listen_metrics,
             _stand_in: stand_in,
         })
     }
