--- a/crates/agent/src/exchange.rs
+++ b/crates/agent/src/exchange.rs
@@ -11,14 +11,17 @@
 
 use cassiawheel_decide::Adoption;
 use cassiawheel_model::{EndpointRole, EndpointState, ForcedPreset};
-use cassiawheel_platform::LoadOrder;
+use cassiawheel_platform::{EngineError, EngineStatus, LoadOrder};
+use cassiawheel_runtime::timeout;
 use cassiawheel_wire::message::WeightOrder;
-use smol::Timer;
 
 use crate::{endpoint::EndpointShared, report, transfer};
 
-/// Wait before a failed step is tried again.
-const TRY_AGAIN: Duration = Duration::from_millis(200);
+/// Wait before a failed step is tried again; doubles with every further failure.
+const TRY_AGAIN: Duration = Duration::from_millis(100);
+
+/// Longest wait before a failed step is tried again.
+const LONGEST_TRY_AGAIN: Duration = Duration::from_secs(2);
 
 /// Considers a preset that an entry sent.
 pub(crate) fn offer_preset(shared: &Arc<EndpointShared>, preset: Arc<ForcedPreset>) {
@@ -69,22 +72,59 @@
 async fn follow_weights(shared: &Arc<EndpointShared>) {
     resume_engine(shared).await;
     let mut reached = None;
+    let mut wait = TRY_AGAIN;
     loop {
         let newest = shared.order().clone();
-        let Some(order) = newest.filter(|order| reached.as_ref() != Some(order)) else {
+        let Some(order) = newest.filter(|order| !is_reached(shared, order, reached.as_ref()))
+        else {
             shared.transfer.woken().await;
             continue;
         };
         match reach(shared, &order).await {
-            Ok(()) => reached = Some(order),
+            Ok(()) => {
+                reached = Some(order);
+                wait = TRY_AGAIN;
+            }
             Err(error) => {
                 log::warn!(target: "switch", version:% = order.version, cause:% = format!("{error:#}"); "Weights are not in place yet.");
-                Timer::after(TRY_AGAIN).await;
+                timeout(wait, shared.transfer.woken()).await;
+                wait = (wait * 2).min(LONGEST_TRY_AGAIN);
             }
         }
     }
 }
 
+/// Whether `order` was carried out and still holds.
+fn is_reached(shared: &EndpointShared, order: &WeightOrder, reached: Option<&WeightOrder>) -> bool {
+    // An engine that lost its weights empties the gate; the order must then be
+    // carried out again, or the endpoint would stay out of service.
+    let lost = order.serve && *shared.gate().state() == EndpointState::Empty;
+    reached == Some(order) && !lost
+}
+
+/// Compares the engine's word with what the gate lets callers believe.
+///
+/// An engine that restarts loses its weights, and one that ignores fencing
+/// tokens may be given an old version by an agent that was paused. Callers
+/// would be routed here and get nothing, or an answer of another version.
+/// `before` is the gate's state before the engine was asked.
+pub(crate) fn check_engine(shared: &EndpointShared, before: &EndpointState, status: &EngineStatus) {
+    let EndpointState::Serving { version: Some(version), .. } = before else {
+        return;
+    };
+    if status.version.as_ref() == Some(version) {
+        return;
+    }
+    let mut gate = shared.gate();
+    if gate.state() != before || gate.begin_switch().is_err() {
+        return;
+    }
+    gate.abandon_switch();
+    drop(gate);
+    log::warn!(target: "switch", wanted:% = version, told:? = status.version; "The engine lost its weights.");
+    shared.transfer.wake();
+}
+
 /// Takes up what the engine already answers from, as after a restart of the agent.
 async fn resume_engine(shared: &EndpointShared) {
     let Ok(status) = shared.engine.status().await else {
@@ -103,11 +143,15 @@
 
 async fn reach(shared: &Arc<EndpointShared>, order: &WeightOrder) -> anyhow::Result<()> {
     let status = shared.engine.status().await?;
+    ensure_current(order, &status)?;
     let serving = matches!(
         shared.gate().state(),
         EndpointState::Serving { version, .. } if version.as_ref() == Some(&order.version)
     );
     if serving && status.manifest == Some(order.manifest) {
+        if let Err(error) = transfer::resume(shared, order).await {
+            log::info!(target: "transfer", cause:% = error; "Cannot offer the served weights.");
+        }
         return Ok(());
     }
     if !transfer::stage(shared, order).await? {
@@ -119,28 +163,61 @@
     Ok(())
 }
 
+/// Refuses an order that is older than what the engine has carried out.
+///
+/// Some engines ignore fencing tokens. A new agent, which knows no order yet,
+/// would make such an engine go back to an old version.
+fn ensure_current(order: &WeightOrder, status: &EngineStatus) -> anyhow::Result<()> {
+    anyhow::ensure!(
+        order.fencing >= status.fencing,
+        "the engine has carried out order {}, which is newer than {}",
+        status.fencing,
+        order.fencing
+    );
+    Ok(())
+}
+
 async fn exchange(shared: &EndpointShared, order: &WeightOrder) -> anyhow::Result<()> {
+    let before = shared.gate().state().clone();
     shared.gate().begin_switch()?;
     while !shared.gate().may_exchange() {
         shared.permit_released().await;
     }
-    let loaded = load(shared, order).await;
-    if let Err(error) = loaded {
-        shared.gate().abandon_switch();
+    if let Err(error) = load(shared, order).await {
+        settle_failed_load(shared, before, &error).await;
         return Err(error);
     }
     let generation = shared.gate().commit_switch(Some(order.version.clone()))?;
     log::info!(target: "switch", version:% = order.version, generation = generation; "A new version serves.");
     report::send_report(shared);
+    transfer::release_others(shared, &[order.manifest]).await;
     Ok(())
 }
 
+/// Serves the old version again, if it is certain that the engine kept it.
+async fn settle_failed_load(shared: &EndpointShared, before: EndpointState, error: &anyhow::Error) {
+    let refused = matches!(error.downcast_ref(), Some(EngineError::Refused(_)));
+    let told = shared.engine.status().await.ok().and_then(|status| status.version);
+    let mut gate = shared.gate();
+    // After an order without an answer the engine may still change its weights;
+    // requests let in now could be answered from both versions.
+    if let EndpointState::Serving { version: Some(version), .. } = before
+        && refused
+        && told.as_ref() == Some(&version)
+        && gate.commit_switch(Some(version)).is_ok()
+    {
+        return;
+    }
+    gate.abandon_switch();
+}
+
 async fn load(shared: &EndpointShared, order: &WeightOrder) -> anyhow::Result<()> {
     let load = LoadOrder {
         version: order.version.clone(),
         manifest: order.manifest,
         fencing: order.fencing,
     };
+    ensure_current(order, &shared.engine.status().await?)?;
     shared.engine.load(&load).await?;
     let status = shared.engine.status().await?;
     // The answer to an order tells what was asked, not what is loaded; another
--- a/crates/agent/src/metrics.rs
+++ b/crates/agent/src/metrics.rs
@@ -16,6 +16,8 @@
     pub(crate) sent_bytes: IntCounter,
     /// Chunks that arrived corrupt.
     pub(crate) corrupt_chunks: IntCounter,
+    /// Chunks taken over from another version that is held.
+    pub(crate) reused_chunks: IntCounter,
     /// Chunks still missing of the weights being fetched.
     pub(crate) missing_chunks: IntGauge,
 }
@@ -40,6 +42,10 @@
             origin_bytes: counter("origin_bytes_total", "Chunk bytes fetched from the origin")?,
             sent_bytes: counter("sent_bytes_total", "Chunk bytes sent to other agents")?,
             corrupt_chunks: counter("corrupt_chunks_total", "Chunks that arrived corrupt")?,
+            reused_chunks: counter(
+                "reused_chunks_total",
+                "Chunks taken over from another version",
+            )?,
             missing_chunks,
         })
     }
--- a/crates/agent/src/report.rs
+++ b/crates/agent/src/report.rs
@@ -6,7 +6,7 @@
 use cassiawheel_wire::ControlMessage;
 use smol::Timer;
 
-use crate::endpoint::EndpointShared;
+use crate::{endpoint::EndpointShared, exchange};
 
 /// The endpoint's present report.
 pub(crate) fn build_report(shared: &EndpointShared) -> EndpointReport {
@@ -44,7 +44,9 @@
 /// Reports at every heartbeat, after asking the engine for its load.
 pub(crate) async fn report_regularly(shared: Arc<EndpointShared>) {
     loop {
+        let before = shared.gate().state().clone();
         if let Ok(status) = shared.engine.status().await {
+            exchange::check_engine(&shared, &before, &status);
             *shared.load() = status.load;
         }
         send_report(&shared);
--- a/crates/agent/src/serve.rs
+++ b/crates/agent/src/serve.rs
@@ -20,6 +20,9 @@
 /// Time for the last answers to leave the sockets.
 const LINGER: Duration = Duration::from_millis(200);
 
+/// Longest wait for an answer of the origin.
+const ORIGIN_TIME: Duration = Duration::from_secs(60);
+
 /// Runs until the process is asked to stop; then drains.
 pub(crate) async fn serve(settings: AgentSettings) -> anyhow::Result<()> {
     let inner = bind(settings.listen_inner, "listen_inner").await?;
@@ -52,8 +55,8 @@
     let span = Duration::from_millis(platform.timeout_ms);
     let engine = Arc::new(HttpEngine::new(client.clone(), settings.engine.addr));
     let table = Arc::new(HttpTable::new(client.clone(), platform.table, span));
-    let stall = Duration::from_millis(settings.transfer.stall_ms).max(span);
-    let origin = Arc::new(HttpWeights::new(client, platform.origin, stall));
+    // Every fetch has a deadline of its own, which grows with the origin's queue.
+    let origin = Arc::new(HttpWeights::new(client, platform.origin, ORIGIN_TIME));
     EndpointShared::new(settings, engine, table, origin, metrics)
 }
 
--- a/crates/agent/src/transfer.rs
+++ b/crates/agent/src/transfer.rs
@@ -7,7 +7,7 @@
 mod state;
 
 pub(crate) use serve::serve_peers;
-pub(crate) use stage::stage;
+pub(crate) use stage::{release_others, resume, stage};
 pub(crate) use state::TransferState;
 
 use std::sync::Arc;
--- a/crates/agent/src/transfer/fetch.rs
+++ b/crates/agent/src/transfer/fetch.rs
@@ -31,10 +31,6 @@
     order: &FetchOrder,
     client: Option<Arc<PeerClient>>,
 ) -> FetchEnd {
-    let Some(entry) = manifest.chunks.get(order.index) else {
-        return FetchEnd::Failed;
-    };
-    shared.transfer.download.pass(entry.bytes as usize).await;
     let span = order.deadline.remaining(Timestamp::now());
     let received = match (&order.source, client) {
         (ChunkSource::Origin, _) => timeout(span, from_origin(shared, manifest, order)).await,
@@ -48,6 +44,10 @@
         Some(Err(end)) => return end,
         None => return FetchEnd::Failed,
     };
+    // The slot stays taken until the link's share has been paid for, so that
+    // the transfer never takes what is kept free for live requests. Paying
+    // before the ask would leave the link idle while sources answer.
+    shared.transfer.download.pass(bytes.len()).await;
     verify_and_stage(shared, manifest, order, bytes).await
 }
 
--- a/crates/agent/src/transfer/peer.rs
+++ b/crates/agent/src/transfer/peer.rs
@@ -9,7 +9,8 @@
     time::Duration,
 };
 
-use cassiawheel_model::{InstanceId, ManifestDigest};
+use cassiawheel_model::{InstanceId, ManifestDigest, WeightManifest};
+use cassiawheel_runtime::timeout;
 use cassiawheel_wire::{
     ChunkMessage, HelloMessage, ProcessKind, WireMessage, WireReceiver, WireSender, connect,
     message::{ChunkRefusal, EndpointAddress},
@@ -25,6 +26,9 @@
 /// Wait before a peer is dialled again.
 const DIAL_AGAIN: Duration = Duration::from_millis(300);
 
+/// Longest wait for a manifest from a peer.
+const MANIFEST_TIME: Duration = Duration::from_millis(500);
+
 type ChunkReply = Result<Vec<u8>, ChunkRefusal>;
 
 /// A connection to another agent from which chunks are fetched.
@@ -110,27 +114,58 @@
     events: &Sender<TransferEvent>,
 ) {
     while let Ok(message) = receiver.recv().await {
-        let held = match message {
-            WireMessage::Chunk(ChunkMessage::Held { manifest: told, bits }) if told == manifest => {
-                set_positions(&bits, chunks).collect()
+        let WireMessage::Chunk(message) = message else {
+            continue;
+        };
+        let peer = peer.clone();
+        let event = match message {
+            ChunkMessage::Held { manifest: told, bits } if told == manifest => {
+                TransferEvent::PeerHolds(peer, set_positions(&bits, chunks).collect())
             }
-            WireMessage::Chunk(ChunkMessage::Gained { manifest: told, index })
-                if told == manifest =>
-            {
-                vec![index as usize]
+            ChunkMessage::Gained { manifest: told, index } if told == manifest => {
+                TransferEvent::PeerHolds(peer, vec![index as usize])
             }
-            WireMessage::Chunk(ChunkMessage::Bytes { call, bytes }) => {
+            ChunkMessage::Drawing { manifest: told, indices } if told == manifest => {
+                let indices = indices.into_iter().map(|index| index as usize).collect();
+                TransferEvent::PeerDraws(peer, indices)
+            }
+            ChunkMessage::ToldAll => TransferEvent::PeerToldAll(peer),
+            ChunkMessage::Bytes { call, bytes } => {
                 client.answer(call, Ok(bytes));
                 continue;
             }
-            WireMessage::Chunk(ChunkMessage::Refused { call, reason }) => {
+            ChunkMessage::Refused { call, reason } => {
                 client.answer(call, Err(reason));
                 continue;
             }
             _ => continue,
         };
-        if events.send(TransferEvent::PeerHolds(peer.clone(), held)).await.is_err() {
+        if events.send(event).await.is_err() {
             return;
         }
     }
 }
+
+/// Asks `peer` for the manifest with `digest`.
+pub(super) async fn ask_manifest(
+    shared: &EndpointShared,
+    peer: &EndpointAddress,
+    digest: ManifestDigest,
+) -> Option<WeightManifest> {
+    let local = Some(shared.settings.listen_inner.ip());
+    let key = &shared.settings.inner_key;
+    let (sender, mut receiver) = connect(peer.inner_addr, key, local).await.ok()?;
+    sender.send(ChunkMessage::ManifestWanted { manifest: digest }).await.ok()?;
+    let answer = async {
+        while let Ok(message) = receiver.recv().await {
+            if let WireMessage::Chunk(ChunkMessage::Manifest(manifest)) = message {
+                return Some(*manifest);
+            }
+        }
+        None
+    };
+    let manifest = timeout(MANIFEST_TIME, answer).await.flatten();
+    sender.close();
+    // A peer may lie; only the list that the plan pins is taken.
+    manifest.filter(|manifest| manifest.digest == digest && manifest.verify().is_ok())
+}
--- a/crates/agent/src/transfer/serve.rs
+++ b/crates/agent/src/transfer/serve.rs
@@ -73,6 +73,8 @@
         }
         ChunkMessage::Held { .. }
         | ChunkMessage::Gained { .. }
+        | ChunkMessage::Drawing { .. }
+        | ChunkMessage::ToldAll
         | ChunkMessage::Manifest(_)
         | ChunkMessage::Bytes { .. }
         | ChunkMessage::Refused { .. } => {}
@@ -87,14 +89,23 @@
     let Some(_slot) = shared.transfer.upload_slots.try_acquire() else {
         return Err(ChunkRefusal::Busy);
     };
-    let cached = shared.transfer.find(manifest, index).ok_or(ChunkRefusal::NotHeld)?;
-    let bytes = match cached {
-        Some(bytes) => bytes,
-        None => {
-            shared.engine.read_chunk(manifest, index).await.map_err(|_| ChunkRefusal::NotHeld)?
-        }
-    };
-    shared.transfer.upload.pass(bytes.len()).await;
+    let length = shared.transfer.held_bytes(manifest, index).ok_or(ChunkRefusal::NotHeld)?;
+    // The bytes are read only once the link is free, so that waiting requests
+    // hold no memory.
+    shared.transfer.upload.pass(length).await;
+    let bytes = read_held(shared, manifest, index).await.ok_or(ChunkRefusal::NotHeld)?;
     shared.metrics.sent_bytes.inc_by(bytes.len() as u64);
     Ok(bytes)
 }
+
+/// The bytes of a held chunk, from memory or read back from the engine's staging.
+pub(super) async fn read_held(
+    shared: &EndpointShared,
+    manifest: ManifestDigest,
+    index: usize,
+) -> Option<Bytes> {
+    match shared.transfer.find(manifest, index)? {
+        Some(bytes) => Some(bytes),
+        None => shared.engine.read_chunk(manifest, index).await.ok(),
+    }
+}
--- a/crates/agent/src/transfer/stage.rs
+++ b/crates/agent/src/transfer/stage.rs
@@ -8,18 +8,22 @@
 
 use anyhow::Context;
 use cassiawheel_decide::{ChunkPicker, ChunkSource, FetchOrder, PickerSettings};
-use cassiawheel_model::{InstanceId, ManifestError, Timestamp, WeightManifest};
+use cassiawheel_model::{
+    InstanceId, ManifestDigest, ManifestError, Timestamp, WeightManifest, settings::TransferMode,
+};
+use cassiawheel_platform::WeightError;
 use cassiawheel_runtime::{spawn, timeout};
 use cassiawheel_wire::message::WeightOrder;
 use smol::{
-    Task,
+    Task, Timer,
     channel::{Receiver, Sender, unbounded},
     future::FutureExt,
 };
 
 use super::{
     fetch::{FetchEnd, fetch},
-    peer::{PeerClient, follow_peer},
+    peer::{PeerClient, ask_manifest, follow_peer},
+    serve::read_held,
     state::set_positions,
 };
 use crate::endpoint::EndpointShared;
@@ -30,6 +34,9 @@
 /// Fetches at one peer at a time.
 const PER_PEER: usize = 2;
 
+/// Longest wait that the origin's rate limit imposes on a manifest.
+const LONGEST_RATE_WAIT: Duration = Duration::from_secs(10);
+
 /// What the staging task learns.
 pub(super) enum TransferEvent {
     /// A connection to a peer is up.
@@ -38,6 +45,10 @@
     PeerDown(InstanceId),
     /// A peer says that it holds these chunks.
     PeerHolds(InstanceId, Vec<usize>),
+    /// A peer says that it draws these chunks from the origin.
+    PeerDraws(InstanceId, Vec<usize>),
+    /// A peer has told all that it holds.
+    PeerToldAll(InstanceId),
     /// A fetch ended.
     Fetched(FetchOrder, FetchEnd),
 }
@@ -48,7 +59,6 @@
     picker: ChunkPicker,
     clients: HashMap<InstanceId, Arc<PeerClient>>,
     followers: HashMap<InstanceId, Task<()>>,
-    fetches: usize,
     sender: Sender<TransferEvent>,
     events: Receiver<TransferEvent>,
 }
@@ -66,12 +76,74 @@
         held[index] = true;
     }
     shared.transfer.open(manifest.clone(), held.clone());
+    copy_shared_chunks(shared, &manifest, &mut held).await;
+    let serving = shared.engine.status().await.ok().and_then(|status| status.manifest);
+    let keep: Vec<_> = serving.into_iter().chain([order.manifest]).collect();
+    release_others(shared, &keep).await;
     let mut task = StagingTask::new(shared.clone(), manifest, &held);
     let whole = task.run(order).await;
     log::info!(target: "transfer", version:% = order.version, whole = whole; "A transfer ended.");
     Ok(whole)
 }
 
+/// Stages the chunks that are held under another manifest already.
+async fn copy_shared_chunks(shared: &EndpointShared, manifest: &WeightManifest, held: &mut [bool]) {
+    for chunk in shared.transfer.held_elsewhere(manifest) {
+        if held[chunk.index] {
+            continue;
+        }
+        let Some(bytes) = read_held(shared, chunk.manifest, chunk.held_index).await else {
+            continue;
+        };
+        // The engine's memory is not ours; what it reads back is verified again.
+        if manifest.verify_chunk(chunk.index, &bytes).is_err() {
+            continue;
+        }
+        let staged = shared.engine.stage_chunk(manifest.digest, chunk.index, bytes.clone()).await;
+        if staged.is_ok() {
+            held[chunk.index] = true;
+            shared.metrics.reused_chunks.inc();
+            shared.transfer.gain(manifest.digest, chunk.index, bytes);
+        }
+    }
+}
+
+/// Gives up what the engine and this process hold of manifests not in `keep`.
+///
+/// Staging lies in the engine's memory; versions that nobody wants any more
+/// would fill it until a load fails.
+pub(crate) async fn release_others(shared: &EndpointShared, keep: &[ManifestDigest]) {
+    shared.transfer.keep_only(keep);
+    let Ok(status) = shared.engine.status().await else {
+        return;
+    };
+    for manifest in status.staged.into_iter().filter(|manifest| !keep.contains(manifest)) {
+        if let Err(error) = shared.engine.drop_staging(manifest).await {
+            log::warn!(target: "transfer", manifest:% = manifest, cause:% = error; "Staging was not released.");
+        }
+    }
+}
+
+/// Opens what `order` names for other agents, if all of it is staged.
+///
+/// An agent that restarts beside an engine that serves already would else not
+/// tell the others what it holds, and they would turn to the origin.
+pub(crate) async fn resume(shared: &EndpointShared, order: &WeightOrder) -> anyhow::Result<()> {
+    if shared.transfer.manifest(order.manifest).is_some() {
+        return Ok(());
+    }
+    let manifest = Arc::new(pinned_manifest(shared, order).await?);
+    let staged = shared.engine.stage(&manifest).await.context("staging cannot be opened")?;
+    let bits = hex::decode(&staged.bits).context("the engine's list of chunks is damaged")?;
+    let whole = set_positions(&bits, manifest.chunks.len()).count() == manifest.chunks.len();
+    if whole {
+        let held = vec![true; manifest.chunks.len()];
+        shared.transfer.open(manifest, held);
+    }
+    Ok(())
+}
+
+/// The manifest that `order` pins: known here, from the origin, or from a peer.
 async fn pinned_manifest(
     shared: &EndpointShared,
     order: &WeightOrder,
@@ -79,11 +151,24 @@
     if let Some(known) = shared.transfer.manifest(order.manifest) {
         return Ok(known.as_ref().clone());
     }
-    let manifest = shared.origin.manifest(&order.version).await?;
-    // The origin may have replaced the version since it was pinned; chunks of
-    // both would then be staged together.
-    anyhow::ensure!(manifest.digest == order.manifest, ManifestError::NotPinned);
-    Ok(manifest)
+    let stall = Duration::from_millis(shared.settings.transfer.stall_ms);
+    let refused = match timeout(stall, shared.origin.manifest(&order.version)).await {
+        Some(Ok(manifest)) if manifest.digest == order.manifest => return Ok(manifest),
+        // The origin may have replaced the version since it was pinned; chunks
+        // of both would then be staged together.
+        Some(Ok(_)) => WeightError::from(ManifestError::NotPinned),
+        Some(Err(error)) => error,
+        None => WeightError::Failed("timed out".to_owned()),
+    };
+    for peer in shared.transfer.peers() {
+        if let Some(manifest) = ask_manifest(shared, &peer, order.manifest).await {
+            return Ok(manifest);
+        }
+    }
+    if let WeightError::RateLimited { retry_after } = &refused {
+        Timer::after((*retry_after).min(LONGEST_RATE_WAIT)).await;
+    }
+    Err(refused.into())
 }
 
 impl StagingTask {
@@ -93,6 +178,11 @@
             stall_ms: shared.settings.transfer.stall_ms,
             origin_step_ms: shared.settings.transfer.origin_step_ms,
             per_peer: PER_PEER,
+            peer_slots: shared.settings.transfer.download_slots,
+            extra_copies: match shared.settings.transfer.mode {
+                TransferMode::Time => shared.settings.transfer.origin_copies - 1.0,
+                TransferMode::Bytes => 0.0,
+            },
         };
         let mut picker = ChunkPicker::new(settings, held.len(), Timestamp::now());
         for (index, _) in held.iter().enumerate().filter(|(_, held)| **held) {
@@ -105,7 +195,6 @@
             picker,
             clients: HashMap::new(),
             followers: HashMap::new(),
-            fetches: 0,
             sender,
             events,
         }
@@ -147,13 +236,19 @@
 
     fn follow_peers(&mut self) {
         let peers = self.shared.transfer.peers();
-        self.followers.retain(|instance, _| peers.iter().any(|peer| peer.instance == *instance));
+        let listed = |instance: &InstanceId| peers.iter().any(|peer| peer.instance == *instance);
+        let gone: Vec<_> = self.followers.keys().filter(|name| !listed(name)).cloned().collect();
+        for instance in gone {
+            self.followers.remove(&instance);
+            self.clients.remove(&instance);
+            self.picker.remove_peer(&instance);
+        }
         for peer in peers {
             let instance = peer.instance.clone();
             if self.followers.contains_key(&instance) {
                 continue;
             }
-            self.picker.add_peer(&instance);
+            self.picker.expect_peer(&instance, Timestamp::now());
             let (manifest, chunks) = (self.manifest.digest, self.manifest.chunks.len());
             let follower =
                 follow_peer(self.shared.clone(), peer, manifest, chunks, self.sender.clone());
@@ -165,7 +260,7 @@
         let now = Timestamp::now();
         match event {
             TransferEvent::PeerUp(instance, client) => {
-                self.picker.add_peer(&instance);
+                self.picker.peer_connected(&instance, now);
                 self.clients.insert(instance, client);
             }
             TransferEvent::PeerDown(instance) => {
@@ -173,12 +268,13 @@
                 self.clients.remove(&instance);
             }
             TransferEvent::PeerHolds(instance, indices) => {
-                for index in indices {
-                    self.picker.peer_holds(&instance, index);
-                }
+                self.picker.peer_holds(&instance, indices, now);
+            }
+            TransferEvent::PeerDraws(instance, indices) => {
+                self.picker.peer_draws(&instance, indices, now);
             }
+            TransferEvent::PeerToldAll(instance) => self.picker.peer_told_all(&instance),
             TransferEvent::Fetched(order, end) => {
-                self.fetches -= 1;
                 self.fetch_ended(&order, end, now);
             }
         }
@@ -187,12 +283,12 @@
     fn fetch_ended(&mut self, order: &FetchOrder, end: FetchEnd, now: Timestamp) {
         match end {
             FetchEnd::Staged(bytes) => {
-                self.picker.mark_held(order.index);
+                self.picker.fetch_succeeded(order, now);
                 self.shared.transfer.gain(self.manifest.digest, order.index, bytes);
             }
-            FetchEnd::Deferred => self.picker.fetch_deferred(order),
+            FetchEnd::Deferred => self.picker.fetch_deferred(order, now),
             FetchEnd::RateLimited(wait) => {
-                self.picker.fetch_deferred(order);
+                self.picker.fetch_deferred(order, now);
                 self.picker.avoid_origin(now.deadline_after(wait));
             }
             FetchEnd::Failed => self.picker.fetch_failed(order, now),
@@ -200,16 +296,12 @@
     }
 
     fn start_fetches(&mut self) {
-        while self.fetches < self.shared.settings.transfer.download_slots {
-            let Some(order) = self.picker.next(Timestamp::now(), &mut rand::rng()) else {
-                return;
-            };
+        while let Some(order) = self.picker.next(Timestamp::now(), &mut rand::rng()) {
             log::info!(target: "transfer", chunk = order.index, source:? = order.source, missing = self.picker.missing(); "Fetches a chunk.");
             let client = match &order.source {
                 ChunkSource::Peer(peer) => self.clients.get(peer).cloned(),
                 ChunkSource::Origin => None,
             };
-            self.fetches += 1;
             let (shared, manifest) = (self.shared.clone(), self.manifest.clone());
             let sender = self.sender.clone();
             spawn(async move {
@@ -218,5 +310,6 @@
             })
             .detach();
         }
+        self.shared.transfer.draw(self.manifest.digest, self.picker.drawing());
     }
 }
--- a/crates/agent/src/transfer/state.rs
+++ b/crates/agent/src/transfer/state.rs
@@ -40,6 +40,18 @@
 struct HeldImage {
     manifest: Arc<WeightManifest>,
     held: Vec<bool>,
+    drawing: Vec<u32>,
+}
+
+impl HeldImage {
+    /// All that another agent has to know of this image.
+    fn messages(&self) -> [ChunkMessage; 2] {
+        let manifest = self.manifest.digest;
+        [
+            ChunkMessage::Held { manifest, bits: pack_bits(&self.held) },
+            ChunkMessage::Drawing { manifest, indices: self.drawing.clone() },
+        ]
+    }
 }
 
 /// Verified chunks kept in memory, the oldest dropped first.
@@ -105,7 +117,7 @@
     pub(crate) fn open(&self, manifest: Arc<WeightManifest>, held: Vec<bool>) {
         let mut inner = self.lock();
         inner.current = Some(manifest.digest);
-        inner.images.insert(manifest.digest, HeldImage { manifest, held });
+        inner.images.insert(manifest.digest, HeldImage { manifest, held, drawing: Vec::new() });
         drop(inner);
         self.announce_held();
     }
@@ -121,6 +133,21 @@
         inner.watchers.retain(|watcher| watcher.try_send(gained.clone()).is_ok());
     }
 
+    /// Tells the watchers which chunks are drawn from the origin, if that changed.
+    pub(crate) fn draw(&self, manifest: ManifestDigest, drawing: Vec<usize>) {
+        let indices: Vec<_> = drawing.into_iter().map(|index| index as u32).collect();
+        let mut inner = self.lock();
+        let Some(image) = inner.images.get_mut(&manifest) else {
+            return;
+        };
+        if image.drawing == indices {
+            return;
+        }
+        image.drawing.clone_from(&indices);
+        let message = ChunkMessage::Drawing { manifest, indices };
+        inner.watchers.retain(|watcher| watcher.try_send(message.clone()).is_ok());
+    }
+
     /// Whether a chunk is held, and its bytes if they are in memory.
     pub(crate) fn find(&self, manifest: ManifestDigest, index: usize) -> Option<Option<Bytes>> {
         let inner = self.lock();
@@ -128,6 +155,40 @@
         held.then(|| inner.cache.chunks.get(&(manifest, index)).cloned())
     }
 
+    /// Length of a chunk that is held.
+    pub(crate) fn held_bytes(&self, manifest: ManifestDigest, index: usize) -> Option<usize> {
+        let inner = self.lock();
+        let image = inner.images.get(&manifest)?;
+        let held = image.held.get(index).copied()?;
+        held.then(|| image.manifest.chunks[index].bytes as usize)
+    }
+
+    /// Where chunks with the digests of `wanted` are held under other manifests.
+    pub(crate) fn held_elsewhere(&self, wanted: &WeightManifest) -> Vec<SharedChunk> {
+        let inner = self.lock();
+        let others = inner.images.values().filter(|image| image.manifest.digest != wanted.digest);
+        let places: HashMap<_, _> = others
+            .flat_map(|image| {
+                let held = image.manifest.chunks.iter().enumerate();
+                let held = held.filter(|(index, _)| image.held[*index]);
+                held.map(|(index, chunk)| (chunk.digest, (image.manifest.digest, index)))
+            })
+            .collect();
+        let chunks = wanted.chunks.iter().enumerate();
+        let shared = chunks.filter_map(|(index, chunk)| {
+            let (manifest, held_index) = places.get(&chunk.digest).copied()?;
+            Some(SharedChunk { index, manifest, held_index })
+        });
+        shared.collect()
+    }
+
+    /// Forgets the images that `keep` does not name, with their chunks in memory.
+    pub(crate) fn keep_only(&self, keep: &[ManifestDigest]) {
+        let mut inner = self.lock();
+        inner.images.retain(|digest, _| keep.contains(digest));
+        inner.cache.keep_only(keep);
+    }
+
     /// A manifest that is known here.
     pub(crate) fn manifest(&self, digest: ManifestDigest) -> Option<Arc<WeightManifest>> {
         self.lock().images.get(&digest).map(|image| image.manifest.clone())
@@ -135,21 +196,19 @@
 
     /// Adds a connection that is told what is held here.
     pub(crate) fn add_watcher(&self, watcher: WireSender) {
-        self.lock().watchers.push(watcher);
-        self.announce_held();
+        let mut inner = self.lock();
+        let told = inner.images.values().flat_map(HeldImage::messages);
+        let told = told.chain([ChunkMessage::ToldAll]);
+        let open = told.map(|message| watcher.try_send(message)).all(|sent| sent.is_ok());
+        if open {
+            inner.watchers.push(watcher);
+        }
     }
 
     /// Tells all watchers what is held; repeats what a full queue swallowed.
     pub(crate) fn announce_held(&self) {
         let mut inner = self.lock();
-        let messages: Vec<_> = inner
-            .images
-            .iter()
-            .map(|(digest, image)| ChunkMessage::Held {
-                manifest: *digest,
-                bits: pack_bits(&image.held),
-            })
-            .collect();
+        let messages: Vec<_> = inner.images.values().flat_map(HeldImage::messages).collect();
         inner.watchers.retain(|watcher| {
             messages.iter().all(|message| watcher.try_send(message.clone()).is_ok())
         });
@@ -168,6 +227,16 @@
     }
 }
 
+/// A wanted chunk that is held under another manifest.
+pub(crate) struct SharedChunk {
+    /// Its position in the wanted manifest.
+    pub(crate) index: usize,
+    /// The manifest under which it is held.
+    pub(crate) manifest: ManifestDigest,
+    /// Its position there.
+    pub(crate) held_index: usize,
+}
+
 impl ChunkCache {
     fn new(capacity: u64) -> Self {
         Self { capacity, used: 0, chunks: HashMap::new(), order: VecDeque::new() }
@@ -180,6 +249,17 @@
         } else {
             self.order.push_back(key);
         }
+        self.shrink();
+    }
+
+    fn keep_only(&mut self, keep: &[ManifestDigest]) {
+        let chunks = &mut self.chunks;
+        self.order.retain(|key| keep.contains(&key.0));
+        chunks.retain(|key, _| keep.contains(&key.0));
+        self.used = chunks.values().map(|bytes| bytes.len() as u64).sum();
+    }
+
+    fn shrink(&mut self) {
         while self.used > self.capacity {
             let Some(oldest) = self.order.pop_front() else {
                 return;
--- /dev/null
+++ b/crates/decide/examples/distribution.rs
@@ -0,0 +1,65 @@
+//! Prints rounds and origin copies of chunk selection alone, beside the lower
+//! bound and two baselines: every agent from the origin, and a fixed tree.
+
+#[path = "../tests/support/rounds.rs"]
+mod rounds;
+
+use rounds::{RoundFault, RoundPlan, RoundResult, all_from_origin, fixed_tree, run_rounds};
+
+/// Agents of a run; the first argument limits them.
+const SIZES: [usize; 4] = [16, 64, 230, 1_000];
+/// Chunks of a version unless the second argument says otherwise.
+const CHUNKS: usize = 2_048;
+
+fn main() {
+    let mut args = std::env::args().skip(1).filter_map(|arg| arg.parse::<usize>().ok());
+    let most = args.next().unwrap_or(1_000);
+    let chunks = args.next().unwrap_or(CHUNKS);
+    println!("agents chunks case            rounds  x bound  copies  most draws  ns/selection");
+    for agents in SIZES.into_iter().filter(|agents| *agents <= most) {
+        let plan = RoundPlan::new(agents, chunks, 1);
+        let swarm = run_rounds(&plan);
+        print(agents, "bytes mode", &swarm);
+        let time_mode = RoundPlan { extra_copies: 3.0, ..plan.clone() };
+        print(agents, "time mode", &run_rounds(&time_mode));
+        if agents <= 230 {
+            print(agents, "faults", &run_rounds(&faulty(&plan)));
+        }
+        for (case, rounds, copies) in [
+            ("all from origin", all_from_origin(agents, chunks), agents),
+            ("fixed tree", fixed_tree(agents, chunks), rounds::ORIGIN_RATE),
+        ] {
+            let ratio = rounds as f64 / swarm.bound;
+            println!("{agents:6} {chunks:6} {case:15} {rounds:6} {ratio:8.3} {copies:7}.000");
+        }
+    }
+}
+
+/// Two agents die, one link stalls, one lies, one joins late and one chunk in a hundred is corrupt.
+fn faulty(plan: &RoundPlan) -> RoundPlan {
+    let early = plan.chunks / 4;
+    RoundPlan {
+        corrupt: 0.01,
+        faults: vec![
+            RoundFault::Dies { agent: 1, round: early },
+            RoundFault::Dies { agent: 2, round: 2 * early },
+            RoundFault::Stalls { agent: 3, round: early },
+            RoundFault::Lies { agent: 4 },
+            RoundFault::Joins { agent: 5, round: 2 * early },
+        ],
+        ..plan.clone()
+    }
+}
+
+fn print(agents: usize, case: &str, result: &RoundResult) {
+    let per_selection = result.selection_ns / result.selections.max(1);
+    println!(
+        "{agents:6} {:6} {case:15} {:6} {:8.3} {:7.3} {:11} {per_selection:13}{}",
+        result.chunks,
+        result.rounds,
+        result.time_ratio(),
+        result.origin_copies(),
+        result.most_draws,
+        if result.complete { "" } else { "  NOT COMPLETE" },
+    );
+}
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -23,4 +23,4 @@
 pub use retry::{AttemptEnd, RetryStep, RetryTracker};
 pub use roster::EndpointRoster;
 pub use route::{RouteCandidate, RouteChoice, RouteSnapshot};
-pub use select::{ChunkPicker, ChunkSource, FetchOrder, PickerSettings};
+pub use select::{ChunkBits, ChunkPicker, ChunkSource, FetchOrder, PickerSettings};
--- a/crates/decide/src/rank.rs
+++ b/crates/decide/src/rank.rs
@@ -21,10 +21,22 @@
     value ^ (value >> 31)
 }
 
-/// How many of `others` come before `own` for `subject`.
-pub fn rank_among<'a>(subject: u64, own: &str, others: impl Iterator<Item = &'a str>) -> usize {
-    let weight = (rendezvous_weight(subject, own), own);
-    others.filter(|other| (rendezvous_weight(subject, other), *other) > weight).count()
+/// Part of a chunk's weight that depends on the chunk alone.
+pub(crate) fn chunk_salt(index: u64) -> u64 {
+    mix(index)
+}
+
+/// Part of a chunk's weight that depends on the agent's name alone.
+pub(crate) fn name_salt(name: &str) -> u64 {
+    rendezvous_weight(0, name)
+}
+
+/// Weight of an agent for a chunk, from the salts of both.
+///
+/// The same choice as [`rendezvous_weight`] makes, but without reading the
+/// name for every chunk: a join would else cost milliseconds.
+pub(crate) fn salted_weight(chunk_salt: u64, name_salt: u64) -> u64 {
+    mix(chunk_salt ^ name_salt)
 }
 
 /// The `count` first of `names` for `subject`.
--- a/crates/decide/src/select.rs
+++ b/crates/decide/src/select.rs
@@ -1,16 +1,24 @@
 //! Which chunk to fetch next, and from whom.
 //!
-//! Rarest first with random ties, from a peer that holds it; the origin only
-//! for chunks that no peer holds, and there only by rank: the agent that ranks
-//! first for a chunk may go at once, the next one step later, and so on. One
-//! copy so suffices without any talk, and a dead first agent costs one step.
+//! From peers: one of the least asked, and of its chunks the rarest, with
+//! random ties. From the origin: only chunks that no reachable peer holds, and
+//! only those that this agent owns (see [`shares`]). One copy from the origin
+//! so suffices, however long the transfer takes. An owner loses its chunks when
+//! it falls silent, cannot be fetched from, or brings nothing while the others
+//! do; the agents that rank next then own them.
+
+mod bits;
+mod peers;
+mod shares;
 
 use std::collections::HashMap;
 
 use cassiawheel_model::{Deadline, InstanceId, Timestamp};
-use rand::{Rng, seq::IndexedRandom};
+use rand::Rng;
 
-use crate::rank::rank_among;
+pub use bits::ChunkBits;
+use peers::{PeerView, SourceBackoff};
+use shares::{AgentSlot, OWN_SLOT, OriginShares};
 
 /// Where a chunk is fetched.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
@@ -28,6 +36,8 @@
     pub index: usize,
     /// Where.
     pub source: ChunkSource,
+    /// When it was given.
+    pub started_at: Timestamp,
     /// When to give up on the source.
     pub deadline: Deadline,
 }
@@ -37,144 +47,265 @@
 pub struct PickerSettings {
     /// This agent.
     pub instance: InstanceId,
-    /// Wait before a chunk is asked of another source, in milliseconds.
+    /// Longest wait before a chunk is asked of another source, in milliseconds.
     pub stall_ms: u64,
-    /// One step of the wait for the origin, in milliseconds.
+    /// Shortest time before an owner that brings nothing loses its chunks, in milliseconds.
     pub origin_step_ms: u64,
     /// Fetches at one peer at a time.
     pub per_peer: usize,
-}
-
-#[derive(Debug, Clone)]
-struct PeerView {
-    held: Vec<bool>,
-    fetching: usize,
-    avoided_until: Deadline,
+    /// Fetches from peers at a time.
+    pub peer_slots: usize,
+    /// Copies that all agents together may draw beyond the first to save time.
+    pub extra_copies: f64,
 }
 
 /// Chooses fetches for one manifest at one agent.
 #[derive(Debug, Clone)]
 pub struct ChunkPicker {
     settings: PickerSettings,
-    started_at: Timestamp,
-    held: Vec<bool>,
+    /// Chunks that are neither held nor being fetched.
+    wanted: ChunkBits,
+    held: ChunkBits,
     missing: usize,
     fetching: HashMap<usize, FetchOrder>,
-    peers: HashMap<InstanceId, PeerView>,
-    holders: Vec<u32>,
-    origin_avoided_until: Deadline,
+    origin_fetches: usize,
+    slots: HashMap<InstanceId, AgentSlot>,
+    peers: Vec<PeerView>,
+    /// Reachable peers that hold each chunk.
+    holders: Vec<u16>,
+    /// Chunks not held here that no reachable peer holds.
+    unseeded: ChunkBits,
+    shares: OriginShares,
+    origin: SourceBackoff,
+    extra_draws: usize,
+    seeds: usize,
+    progress_at: Timestamp,
+    next_review: Deadline,
+    peer_latency_ms: u64,
+    origin_latency_ms: u64,
 }
 
-/// How long a source is avoided after it failed, in milliseconds.
-const AVOID_MS: u64 = 1_000;
+/// Time between looks for peers that fell behind, in milliseconds.
+const REVIEW_MS: u64 = 20;
+
+/// Longest wait for the list of chunks of a peer, in milliseconds.
+const INVENTORY_MS: u64 = 1_000;
+
+/// Wait after a peer had no free slot, in milliseconds.
+const BUSY_MS: u64 = 10;
+
+/// A fetch may take this many times the usual time.
+const LATE_FACTOR: u64 = 8;
+
+/// Agents up to which each may keep two fetches at the origin.
+const SMALL_GROUP: usize = 64;
+
+/// Rounds of all owners that one may bring nothing.
+const OWING_ROUNDS: usize = 3;
+
+/// Chunks that others must have drawn at least before an owner counts as behind.
+const OWING_SEEDS: usize = 8;
+
+/// Steps without any chunk from the origin before one owner is replaced.
+const IDLE_STEPS: u64 = 4;
 
 impl ChunkPicker {
     /// A picker for `chunks` chunks, none of which is held.
     pub fn new(settings: PickerSettings, chunks: usize, now: Timestamp) -> Self {
         Self {
+            shares: OriginShares::new(settings.instance.as_str(), chunks),
             settings,
-            started_at: now,
-            held: vec![false; chunks],
+            wanted: ChunkBits::full(chunks),
+            held: ChunkBits::empty(chunks),
             missing: chunks,
             fetching: HashMap::new(),
-            peers: HashMap::new(),
+            origin_fetches: 0,
+            slots: HashMap::new(),
+            peers: Vec::new(),
             holders: vec![0; chunks],
-            origin_avoided_until: Deadline(0),
+            unseeded: ChunkBits::full(chunks),
+            origin: SourceBackoff::default(),
+            extra_draws: 0,
+            seeds: 0,
+            progress_at: now,
+            next_review: Deadline(0),
+            peer_latency_ms: 0,
+            origin_latency_ms: 0,
         }
     }
 
     /// Notes that a verified chunk is held here.
     pub fn mark_held(&mut self, index: usize) {
-        self.fetching_ends(index);
-        if let Some(held) = self.held.get_mut(index).filter(|held| !**held) {
-            *held = true;
+        if self.held.insert(index) {
+            self.wanted.remove(index);
+            self.unseeded.remove(index);
             self.missing -= 1;
         }
     }
 
-    /// Adds a peer that holds nothing as far as is known.
-    pub fn add_peer(&mut self, peer: &InstanceId) {
-        let held = vec![false; self.held.len()];
-        self.peers.entry(peer.clone()).or_insert(PeerView {
-            held,
-            fetching: 0,
-            avoided_until: Deadline(0),
-        });
+    /// Expects to hear soon what `peer` holds.
+    ///
+    /// Until it tells, or takes too long, nothing is drawn from the origin: an
+    /// agent that joins late would else draw what all the others hold.
+    pub fn expect_peer(&mut self, peer: &InstanceId, now: Timestamp) {
+        self.slot_of(peer, now);
     }
 
-    /// Forgets a peer; fetches from it are free to go elsewhere.
+    /// Notes that a connection to `peer` is up.
+    pub fn peer_connected(&mut self, peer: &InstanceId, now: Timestamp) {
+        let slot = self.slot_of(peer, now);
+        let view = &mut self.peers[slot - 1];
+        view.connected = true;
+        view.heard_at = now;
+        view.awaited_until = Deadline(now.0 + INVENTORY_MS);
+        self.count_chunks(slot);
+    }
+
+    /// Notes that `peer` has told all it holds.
+    pub fn peer_told_all(&mut self, peer: &InstanceId) {
+        if let Some(slot) = self.slots.get(peer) {
+            self.peers[slot - 1].awaited_until = Deadline(0);
+        }
+    }
+
+    /// Forgets what a peer holds; fetches from it are free to go elsewhere.
     pub fn remove_peer(&mut self, peer: &InstanceId) {
-        let Some(view) = self.peers.remove(peer) else {
+        let Some(slot) = self.slots.get(peer).copied() else {
             return;
         };
-        for (index, _) in view.held.iter().enumerate().filter(|(_, held)| **held) {
-            self.holders[index] -= 1;
+        self.discount_chunks(slot);
+        self.shares.leave(slot);
+        let view = &mut self.peers[slot - 1];
+        view.held = ChunkBits::empty(self.holders.len());
+        view.drawing.clear();
+        view.connected = false;
+        view.behind = false;
+        view.awaited_until = Deadline(0);
+        let source = ChunkSource::Peer(peer.clone());
+        let lost: Vec<_> =
+            self.fetching.values().filter(|order| order.source == source).cloned().collect();
+        for order in &lost {
+            self.fetching_ends(order);
         }
-        self.fetching.retain(|_, order| order.source != ChunkSource::Peer(peer.clone()));
     }
 
-    /// Notes that `peer` says it holds the chunk.
-    pub fn peer_holds(&mut self, peer: &InstanceId, index: usize) {
-        let Some(view) = self.peers.get_mut(peer) else {
+    /// Notes that `peer` says it holds these chunks.
+    pub fn peer_holds(
+        &mut self,
+        peer: &InstanceId,
+        indices: impl IntoIterator<Item = usize>,
+        now: Timestamp,
+    ) {
+        let Some(slot) = self.slots.get(peer).copied() else {
             return;
         };
-        if let Some(held) = view.held.get_mut(index).filter(|held| !**held) {
-            *held = true;
+        let view = &mut self.peers[slot - 1];
+        if !view.connected {
+            return;
+        }
+        view.heard_at = now;
+        let counted = view.counted;
+        let mut seeded = false;
+        for index in indices {
+            if !self.peers[slot - 1].held.insert(index) || !counted {
+                continue;
+            }
             self.holders[index] += 1;
+            seeded |= self.unseeded.remove(index);
         }
+        if seeded {
+            self.note_seed(now);
+            self.clear_debt(slot, now);
+            self.peers[slot - 1].behind = false;
+        }
+        self.count_chunks(slot);
+        self.join_shares(slot, now);
     }
 
-    /// Notes that a fetch failed; the source is avoided for a while.
-    pub fn fetch_failed(&mut self, order: &FetchOrder, now: Timestamp) {
-        if self.fetching.get(&order.index) == Some(order) {
-            self.fetching_ends(order.index);
+    /// Notes which chunks `peer` draws from the origin at present.
+    pub fn peer_draws(&mut self, peer: &InstanceId, indices: Vec<usize>, now: Timestamp) {
+        if let Some(slot) = self.slots.get(peer).copied() {
+            let view = &mut self.peers[slot - 1];
+            view.heard_at = now;
+            view.drawing = indices;
         }
-        let until = Deadline(now.0 + AVOID_MS);
+    }
+
+    /// Notes that a fetch brought a verified chunk.
+    pub fn fetch_succeeded(&mut self, order: &FetchOrder, now: Timestamp) {
+        self.fetching_ends(order);
+        let latency = now.0.saturating_sub(order.started_at.0);
         match &order.source {
-            ChunkSource::Origin => self.origin_avoided_until = until,
+            ChunkSource::Origin => {
+                self.origin.succeeded();
+                self.origin_latency_ms = smoothed(self.origin_latency_ms, latency);
+                if self.unseeded.contains(order.index) {
+                    self.note_seed(now);
+                }
+            }
             ChunkSource::Peer(peer) => {
-                let Some(view) = self.peers.get_mut(peer) else {
-                    return;
-                };
-                view.avoided_until = until;
-                // A peer that lied or sent corrupt bytes is not asked again
-                // for this chunk, or the chunk might never arrive.
-                if std::mem::take(&mut view.held[order.index]) {
-                    self.holders[order.index] -= 1;
+                self.peer_latency_ms = smoothed(self.peer_latency_ms, latency);
+                if let Some(slot) = self.slots.get(peer).copied() {
+                    self.peers[slot - 1].backoff.succeeded();
+                    self.count_chunks(slot);
                 }
             }
         }
+        self.mark_held(order.index);
+    }
+
+    /// Notes that a fetch failed; the source is avoided for a while.
+    pub fn fetch_failed(&mut self, order: &FetchOrder, now: Timestamp) {
+        self.fetching_ends(order);
+        let ChunkSource::Peer(peer) = &order.source else {
+            self.origin.failed(now);
+            return;
+        };
+        let Some(slot) = self.slots.get(peer).copied() else {
+            return;
+        };
+        self.peers[slot - 1].backoff.failed(now);
+        // A peer that lied or sent corrupt bytes is not asked for this chunk
+        // again before it repeats that it holds it.
+        self.forget_chunk(slot, order.index);
+        // The only copy of a chunk at a peer that cannot be fetched from would
+        // hold everybody up; without that peer the chunk gets a new owner.
+        if self.peers[slot - 1].backoff.is_distrusted() {
+            self.discount_chunks(slot);
+            self.shares.leave(slot);
+        }
     }
 
     /// Notes that the source was busy; nothing is held against it.
-    pub fn fetch_deferred(&mut self, order: &FetchOrder) {
-        if self.fetching.get(&order.index) == Some(order) {
-            self.fetching_ends(order.index);
+    pub fn fetch_deferred(&mut self, order: &FetchOrder, now: Timestamp) {
+        self.fetching_ends(order);
+        if let ChunkSource::Peer(peer) = &order.source
+            && let Some(slot) = self.slots.get(peer)
+        {
+            self.peers[slot - 1].backoff.avoid(Deadline(now.0 + BUSY_MS));
         }
     }
 
     /// Notes that the origin asks to come back later.
     pub fn avoid_origin(&mut self, until: Deadline) {
-        self.origin_avoided_until = self.origin_avoided_until.max(until);
+        self.origin.avoid(until);
     }
 
     /// The next fetch, if one may start now.
     pub fn next(&mut self, now: Timestamp, rng: &mut impl Rng) -> Option<FetchOrder> {
-        let index =
-            self.rarest_from_peers(now, rng).or_else(|| self.allowed_at_origin(now, rng))?;
-        let source = match self.holder_of(index, now, rng) {
-            Some(peer) => ChunkSource::Peer(peer),
-            None => ChunkSource::Origin,
-        };
-        let deadline = Deadline(now.0 + self.settings.stall_ms);
-        if let ChunkSource::Peer(peer) = &source
-            && let Some(view) = self.peers.get_mut(peer)
-        {
+        self.review_peers(now);
+        if let Some(index) = self.owned_chunk(now, rng) {
+            return Some(self.start(index, ChunkSource::Origin, now));
+        }
+        if let Some((slot, index)) = self.chunk_of_peer(now, rng) {
+            let view = &mut self.peers[slot - 1];
             view.fetching += 1;
+            let source = ChunkSource::Peer(view.instance.clone());
+            return Some(self.start(index, source, now));
         }
-        let order = FetchOrder { index, source, deadline };
-        self.fetching.insert(index, order.clone());
-        Some(order)
+        let index = self.extra_chunk(now, rng)?;
+        self.extra_draws += 1;
+        Some(self.start(index, ChunkSource::Origin, now))
     }
 
     /// Chunks still missing.
@@ -183,93 +314,276 @@
     }
 
     /// Which chunks are held.
-    pub fn held(&self) -> &[bool] {
+    pub fn held(&self) -> &ChunkBits {
         &self.held
     }
 
-    fn wanted(&self) -> impl Iterator<Item = usize> {
-        (0..self.held.len())
-            .filter(|index| !self.held[*index] && !self.fetching.contains_key(index))
+    /// Chunks that are being drawn from the origin.
+    pub fn drawing(&self) -> Vec<usize> {
+        let orders = self.fetching.values();
+        let drawn = orders.filter(|order| order.source == ChunkSource::Origin);
+        drawn.map(|order| order.index).collect()
+    }
+
+    fn slot_of(&mut self, peer: &InstanceId, now: Timestamp) -> AgentSlot {
+        if let Some(slot) = self.slots.get(peer) {
+            return *slot;
+        }
+        let slot = self.shares.add(peer.as_str());
+        let awaited_until = Deadline(now.0 + INVENTORY_MS);
+        self.peers.push(PeerView::new(peer, self.holders.len(), now, awaited_until));
+        self.slots.insert(peer.clone(), slot);
+        slot
+    }
+
+    fn start(&mut self, index: usize, source: ChunkSource, now: Timestamp) -> FetchOrder {
+        let wait = match source {
+            ChunkSource::Origin => self.origin_wait_ms(),
+            ChunkSource::Peer(_) => self.peer_wait_ms(),
+        };
+        self.origin_fetches += usize::from(source == ChunkSource::Origin);
+        self.wanted.remove(index);
+        let order = FetchOrder { index, source, started_at: now, deadline: Deadline(now.0 + wait) };
+        self.fetching.insert(index, order.clone());
+        order
+    }
+
+    fn fetching_ends(&mut self, order: &FetchOrder) {
+        if self.fetching.get(&order.index) != Some(order) {
+            return;
+        }
+        self.fetching.remove(&order.index);
+        if !self.held.contains(order.index) {
+            self.wanted.insert(order.index);
+        }
+        match &order.source {
+            ChunkSource::Origin => self.origin_fetches -= 1,
+            ChunkSource::Peer(peer) => {
+                if let Some(slot) = self.slots.get(peer) {
+                    let view = &mut self.peers[slot - 1];
+                    view.fetching = view.fetching.saturating_sub(1);
+                }
+            }
+        }
+    }
+
+    fn peer_wait_ms(&self) -> u64 {
+        let stall = self.settings.stall_ms;
+        match self.peer_latency_ms {
+            0 => stall,
+            latency => (latency * LATE_FACTOR).clamp(stall / 2, stall),
+        }
+    }
+
+    /// Every agent may have a fetch in the origin's queue, so the wait grows with their number.
+    fn origin_wait_ms(&self) -> u64 {
+        let queue = self.settings.stall_ms * (1 + self.shares.participants() as u64 / 16);
+        queue.max(self.origin_latency_ms * LATE_FACTOR)
+    }
+
+    fn owned_chunk(&self, now: Timestamp, rng: &mut impl Rng) -> Option<usize> {
+        if !self.may_draw(now) {
+            return None;
+        }
+        let mut unclaimed = self.unseeded.clone();
+        for (position, view) in self.peers.iter().enumerate() {
+            if self.shares.takes_part(position + 1) {
+                for index in &view.drawing {
+                    unclaimed.remove(*index);
+                }
+            }
+        }
+        let owned = unclaimed
+            .iter_common(&self.wanted)
+            .filter(|index| self.shares.owner(*index) == OWN_SLOT);
+        pick_least(owned.map(|index| (index, 0)), rng)
     }
 
-    fn usable_peers(&self, now: Timestamp) -> impl Iterator<Item = (&InstanceId, &PeerView)> {
-        let per_peer = self.settings.per_peer;
-        self.peers
-            .iter()
-            .filter(move |(_, view)| view.avoided_until.is_past(now) && view.fetching < per_peer)
+    fn may_draw(&self, now: Timestamp) -> bool {
+        let most = if self.shares.participants() > SMALL_GROUP { 1 } else { 2 };
+        self.origin_fetches < most
+            && self.origin.is_over(now)
+            && self.peers.iter().all(|view| view.awaited_until.is_past(now))
     }
 
-    fn rarest_from_peers(&self, now: Timestamp, rng: &mut impl Rng) -> Option<usize> {
-        let peers: Vec<_> = self.usable_peers(now).map(|(_, view)| view).collect();
-        let offered = self
-            .wanted()
-            .filter(|index| self.holders[*index] > 0 && peers.iter().any(|view| view.held[*index]));
-        pick_least(offered, |index| self.holders[index], rng)
+    fn extra_chunk(&self, now: Timestamp, rng: &mut impl Rng) -> Option<usize> {
+        let total = self.settings.extra_copies * self.holders.len() as f64;
+        let own_part = total / self.shares.participants().max(1) as f64;
+        let allowed = self.unseeded.is_empty() && (self.extra_draws as f64) < own_part;
+        // Among many agents the origin's queue is long; a chunk that waits
+        // there until peers have sent all others would be the last to arrive.
+        let peers_take =
+            self.missing as u64 * self.peer_latency_ms / self.settings.peer_slots.max(1) as u64;
+        if peers_take < 2 * self.origin_latency_ms {
+            return None;
+        }
+        if !allowed || !self.may_draw(now) {
+            return None;
+        }
+        pick_least(self.wanted.iter().map(|index| (index, self.holders[index])), rng)
     }
 
-    fn allowed_at_origin(&self, now: Timestamp, rng: &mut impl Rng) -> Option<usize> {
-        if !self.origin_avoided_until.is_past(now) {
+    fn chunk_of_peer(&self, now: Timestamp, rng: &mut impl Rng) -> Option<(AgentSlot, usize)> {
+        if self.fetching.len() - self.origin_fetches >= self.settings.peer_slots {
             return None;
         }
-        let waited = now.since(self.started_at).as_millis() as u64;
-        let allowed_rank = (waited / self.settings.origin_step_ms.max(1)) as usize;
-        let unheld = self.wanted().filter(|index| self.holders[*index] == 0);
-        let allowed: Vec<_> = unheld
-            .map(|index| (index, self.rank_of(index)))
-            .filter(|(_, rank)| *rank <= allowed_rank)
-            .collect();
-        pick_least(
-            allowed.iter().map(|(index, _)| *index),
-            |index| {
-                allowed
-                    .iter()
-                    .find(|(other, _)| *other == index)
-                    .map_or(u32::MAX, |(_, r)| *r as u32)
-            },
-            rng,
-        )
-    }
-
-    fn rank_of(&self, index: usize) -> usize {
-        let others = self.peers.keys().map(InstanceId::as_str);
-        rank_among(index as u64, self.settings.instance.as_str(), others)
-    }
-
-    fn holder_of(&self, index: usize, now: Timestamp, rng: &mut impl Rng) -> Option<InstanceId> {
-        let holders: Vec<_> = self.usable_peers(now).filter(|(_, view)| view.held[index]).collect();
-        let least = holders.iter().map(|(_, view)| view.fetching).min()?;
-        let idle: Vec<_> = holders.iter().filter(|(_, view)| view.fetching == least).collect();
-        idle.choose(rng).map(|(peer, _)| (*peer).clone())
-    }
-
-    fn fetching_ends(&mut self, index: usize) {
-        let Some(order) = self.fetching.remove(&index) else {
+        let usable = self.peers.iter().enumerate().filter(|(_, view)| {
+            view.is_usable(now, self.settings.per_peer) && view.held.intersects(&self.wanted)
+        });
+        let position =
+            pick_least(usable.map(|(position, view)| (position, view.fetching as u16)), rng)?;
+        let offered = self.peers[position].held.iter_common(&self.wanted);
+        let index = pick_least(offered.map(|index| (index, self.holders[index])), rng)?;
+        Some((position + 1, index))
+    }
+
+    fn forget_chunk(&mut self, slot: AgentSlot, index: usize) {
+        let view = &mut self.peers[slot - 1];
+        if view.held.remove(index) && view.counted {
+            self.release_holder(index);
+        }
+    }
+
+    fn release_holder(&mut self, index: usize) {
+        self.holders[index] -= 1;
+        if self.holders[index] == 0 && !self.held.contains(index) {
+            self.unseeded.insert(index);
+        }
+    }
+
+    /// Counts a peer's chunks as available, if it can be fetched from.
+    fn count_chunks(&mut self, slot: AgentSlot) {
+        let view = &mut self.peers[slot - 1];
+        if view.counted || !view.connected || view.backoff.is_distrusted() {
             return;
-        };
-        if let ChunkSource::Peer(peer) = &order.source
-            && let Some(view) = self.peers.get_mut(peer)
+        }
+        view.counted = true;
+        for index in view.held.iter() {
+            self.holders[index] += 1;
+            self.unseeded.remove(index);
+        }
+    }
+
+    /// Counts a peer's chunks as not available.
+    fn discount_chunks(&mut self, slot: AgentSlot) {
+        if !std::mem::replace(&mut self.peers[slot - 1].counted, false) {
+            return;
+        }
+        let held = std::mem::take(&mut self.peers[slot - 1].held);
+        for index in held.iter() {
+            self.release_holder(index);
+        }
+        self.peers[slot - 1].held = held;
+    }
+
+    fn join_shares(&mut self, slot: AgentSlot, now: Timestamp) {
+        let view = &self.peers[slot - 1];
+        if view.counted && !view.behind && !self.shares.takes_part(slot) {
+            self.clear_debt(slot, now);
+            self.shares.join(slot);
+        }
+    }
+
+    fn note_seed(&mut self, now: Timestamp) {
+        self.seeds += 1;
+        self.progress_at = now;
+    }
+
+    fn clear_debt(&mut self, slot: AgentSlot, now: Timestamp) {
+        let view = &mut self.peers[slot - 1];
+        view.owing_since = now;
+        view.seeds_then = self.seeds;
+    }
+
+    /// Takes agents that fell silent or behind out of the shares.
+    ///
+    /// Without this, a paused agent or one whose link to the origin stalls
+    /// would keep its chunks from everybody for ever.
+    fn review_peers(&mut self, now: Timestamp) {
+        if !self.next_review.is_past(now) {
+            return;
+        }
+        self.next_review = Deadline(now.0 + REVIEW_MS);
+        for slot in 1..=self.peers.len() {
+            let view = &self.peers[slot - 1];
+            if view.counted && view.is_silent(now, self.settings.stall_ms) {
+                self.discount_chunks(slot);
+                self.shares.leave(slot);
+            }
+        }
+        self.review_debts(now);
+    }
+
+    fn review_debts(&mut self, now: Timestamp) {
+        let mut owed = vec![0_usize; self.peers.len() + 1];
+        for index in self.unseeded.iter() {
+            owed[self.shares.owner(index)] += 1;
+        }
+        let owners = owed.iter().filter(|owed| **owed > 0).count();
+        let mut longest: Option<AgentSlot> = None;
+        for (slot, owed) in owed.iter().enumerate().skip(1) {
+            if !self.shares.takes_part(slot) {
+                continue;
+            }
+            if *owed == 0 {
+                self.clear_debt(slot, now);
+                continue;
+            }
+            if self.owes_too_long(slot, owners, now) {
+                self.leave_behind(slot);
+                continue;
+            }
+            let since = |slot: AgentSlot| self.peers[slot - 1].owing_since;
+            if longest.is_none_or(|other| since(slot) < since(other)) {
+                longest = Some(slot);
+            }
+        }
+        // With the origin failing here too, the fault is not the owner's.
+        let idle_since = |slot: AgentSlot| self.peers[slot - 1].owing_since.max(self.progress_at);
+        let patience = self.settings.origin_step_ms * IDLE_STEPS;
+        if let Some(slot) = longest
+            && !self.origin.is_failing()
+            && now.0.saturating_sub(idle_since(slot).0) > patience
         {
-            view.fetching = view.fetching.saturating_sub(1);
+            self.leave_behind(slot);
+            // One owner at a time: if the origin itself is slow, all of them
+            // look alike, and replacing all at once would draw many copies.
+            self.progress_at = now;
         }
     }
+
+    fn owes_too_long(&self, slot: AgentSlot, owners: usize, now: Timestamp) -> bool {
+        let view = &self.peers[slot - 1];
+        let others = self.seeds - view.seeds_then;
+        others >= OWING_SEEDS + OWING_ROUNDS * owners
+            && now.0.saturating_sub(view.owing_since.0) > self.settings.origin_step_ms
+    }
+
+    fn leave_behind(&mut self, slot: AgentSlot) {
+        self.peers[slot - 1].behind = true;
+        self.shares.leave(slot);
+    }
 }
 
-fn pick_least(
-    candidates: impl Iterator<Item = usize>,
-    cost: impl Fn(usize) -> u32,
-    rng: &mut impl Rng,
-) -> Option<usize> {
-    let mut least = u32::MAX;
-    let mut ties = Vec::new();
-    for index in candidates {
-        let value = cost(index);
-        if value < least {
-            least = value;
-            ties.clear();
+fn smoothed(average: u64, latest: u64) -> u64 {
+    if average == 0 { latest } else { (average * 7 + latest) / 8 }
+}
+
+fn pick_least(candidates: impl Iterator<Item = (usize, u16)>, rng: &mut impl Rng) -> Option<usize> {
+    let mut least = u16::MAX;
+    let mut chosen = None;
+    let mut ties = 0_u32;
+    for (candidate, cost) in candidates {
+        if cost < least || chosen.is_none() {
+            (least, chosen, ties) = (cost, Some(candidate), 1);
+            continue;
         }
-        if value == least {
-            ties.push(index);
+        if cost == least {
+            ties += 1;
+            if rng.random_range(0..ties) == 0 {
+                chosen = Some(candidate);
+            }
         }
     }
-    ties.choose(rng).copied()
+    chosen
 }
--- /dev/null
+++ b/crates/decide/src/select/peers.rs
@@ -0,0 +1,117 @@
+//! What a picker knows of one other agent.
+
+use cassiawheel_model::{Deadline, InstanceId, Timestamp};
+
+use super::bits::ChunkBits;
+
+/// Wait after a first failure, in milliseconds; doubles with every further one.
+const FIRST_BACKOFF_MS: u64 = 100;
+
+/// Longest wait after a failure, in milliseconds.
+const LONGEST_BACKOFF_MS: u64 = 5_000;
+
+/// Failures in a row after which a peer's chunks no longer count as available.
+const DISTRUSTED_FAILURES: u32 = 2;
+
+/// Back-off of one source.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct SourceBackoff {
+    failures: u32,
+    avoided_until: Deadline,
+}
+
+impl Default for SourceBackoff {
+    fn default() -> Self {
+        Self { failures: 0, avoided_until: Deadline(0) }
+    }
+}
+
+impl SourceBackoff {
+    /// Fetches that fail together count as one failure.
+    pub(super) fn failed(&mut self, now: Timestamp) {
+        if !self.is_over(now) {
+            return;
+        }
+        let doublings = self.failures.min(16);
+        self.failures += 1;
+        let wait = (FIRST_BACKOFF_MS << doublings).min(LONGEST_BACKOFF_MS);
+        self.avoid(Deadline(now.0 + wait));
+    }
+
+    pub(super) fn succeeded(&mut self) {
+        self.failures = 0;
+    }
+
+    pub(super) fn avoid(&mut self, until: Deadline) {
+        self.avoided_until = self.avoided_until.max(until);
+    }
+
+    pub(super) fn is_over(&self, now: Timestamp) -> bool {
+        self.avoided_until.is_past(now)
+    }
+
+    pub(super) fn is_failing(&self) -> bool {
+        self.failures > 0
+    }
+
+    pub(super) fn is_distrusted(&self) -> bool {
+        self.failures >= DISTRUSTED_FAILURES
+    }
+}
+
+/// One other agent as far as it is known.
+#[derive(Debug, Clone)]
+pub(super) struct PeerView {
+    pub(super) instance: InstanceId,
+    /// Chunks that it says it holds.
+    pub(super) held: ChunkBits,
+    /// Chunks that it says it draws from the origin.
+    pub(super) drawing: Vec<usize>,
+    /// Fetches from it in progress.
+    pub(super) fetching: usize,
+    pub(super) connected: bool,
+    /// Until when its list of chunks is waited for.
+    pub(super) awaited_until: Deadline,
+    /// Whether its chunks count as available.
+    pub(super) counted: bool,
+    pub(super) backoff: SourceBackoff,
+    /// Whether it lost its chunks because it brought none of them.
+    pub(super) behind: bool,
+    pub(super) heard_at: Timestamp,
+    /// Since when it has owed chunks without bringing one.
+    pub(super) owing_since: Timestamp,
+    /// Chunks that all agents had drawn at that time.
+    pub(super) seeds_then: usize,
+}
+
+impl PeerView {
+    pub(super) fn new(
+        instance: &InstanceId,
+        chunks: usize,
+        now: Timestamp,
+        awaited_until: Deadline,
+    ) -> Self {
+        Self {
+            instance: instance.clone(),
+            held: ChunkBits::empty(chunks),
+            drawing: Vec::new(),
+            fetching: 0,
+            connected: false,
+            awaited_until,
+            counted: false,
+            backoff: SourceBackoff::default(),
+            behind: false,
+            heard_at: now,
+            owing_since: now,
+            seeds_then: 0,
+        }
+    }
+
+    pub(super) fn is_usable(&self, now: Timestamp, per_peer: usize) -> bool {
+        self.connected && self.fetching < per_peer && self.backoff.is_over(now)
+    }
+
+    pub(super) fn is_silent(&self, now: Timestamp, silence_ms: u64) -> bool {
+        now.0.saturating_sub(self.heard_at.0) > silence_ms
+    }
+}
--- /dev/null
+++ b/crates/decide/tests/distribution.rs
@@ -0,0 +1,251 @@
+//! Rounds and origin copies of chunk selection, with and without faults.
+//!
+//! All verdicts are counts of seeded runs, so they are the same every time.
+//! `cargo run --release -p cassiawheel-decide --example distribution` prints
+//! the figures at full size.
+
+#[path = "support/rounds.rs"]
+mod rounds;
+
+use cassiawheel_decide::{ChunkPicker, ChunkSource, PickerSettings};
+use cassiawheel_model::{InstanceId, Timestamp};
+use proptest::{prelude::*, test_runner::RngSeed};
+use rand::{SeedableRng, rngs::SmallRng};
+use rounds::{RoundFault, RoundPlan, RoundResult, all_from_origin, fixed_tree, run_rounds};
+use rstest::rstest;
+
+fn completed(plan: &RoundPlan) -> RoundResult {
+    let result = run_rounds(plan);
+    assert!(result.complete, "the run ends: {result:?}");
+    result
+}
+
+#[rstest]
+#[case(16, 2_048, 1.15)]
+#[case(64, 2_048, 1.15)]
+#[case(230, 512, 1.25)]
+fn one_copy_reaches_everyone_near_the_bound(
+    #[case] agents: usize,
+    #[case] chunks: usize,
+    #[case] most_ratio: f64,
+) {
+    let result = completed(&RoundPlan::new(agents, chunks, 1));
+    assert!(result.time_ratio() <= most_ratio, "{result:?}");
+    assert!(result.origin_copies() <= 1.05, "{result:?}");
+    assert!(result.rounds < fixed_tree(agents, chunks), "{result:?}");
+    assert!(result.rounds < all_from_origin(agents, chunks), "{result:?}");
+}
+
+#[rstest]
+fn time_mode_stays_within_its_copies() {
+    let plan = RoundPlan { extra_copies: 3.0, ..RoundPlan::new(16, 1_024, 2) };
+    let result = completed(&plan);
+    assert!(result.time_ratio() <= 1.15, "{result:?}");
+    assert!(result.origin_copies() <= 4.0, "{result:?}");
+}
+
+/// An agent dies after it has begun to draw its share of the chunks. Without a
+/// new owner for them, no replica would ever have the whole version.
+#[rstest]
+#[case::early(&[RoundFault::Dies { agent: 1, round: 20 }])]
+#[case::two(&[
+    RoundFault::Dies { agent: 1, round: 60 },
+    RoundFault::Dies { agent: 2, round: 200 },
+])]
+/// A link stalls while its connections stay open, so that nobody is told; the
+/// version would arrive minutes late or never.
+#[case::stalled(&[RoundFault::Stalls { agent: 3, round: 60 }])]
+#[case::two_stalled(&[
+    RoundFault::Stalls { agent: 3, round: 10 },
+    RoundFault::Stalls { agent: 4, round: 100 },
+])]
+/// An agent says that it holds everything and has nothing to send, so that
+/// nobody would draw the chunks from the origin.
+#[case::lying(&[RoundFault::Lies { agent: 5 }])]
+/// An agent joins when the others hold half; what they hold must not be drawn
+/// from the origin again.
+#[case::joining(&[RoundFault::Joins { agent: 6, round: 300 }])]
+#[case::dead_and_stalled(&[
+    RoundFault::Dies { agent: 1, round: 100 },
+    RoundFault::Stalls { agent: 3, round: 100 },
+])]
+#[case::dead_and_lying(&[
+    RoundFault::Dies { agent: 1, round: 100 },
+    RoundFault::Lies { agent: 5 },
+])]
+#[case::stalled_and_joining(&[
+    RoundFault::Stalls { agent: 3, round: 100 },
+    RoundFault::Joins { agent: 6, round: 300 },
+])]
+fn faulty_agents_cost_little(
+    #[case] faults: &[RoundFault],
+    #[values(0.0, 0.01)] corrupt: f64,
+    #[values(1, 2, 3)] seed: u64,
+) {
+    let plan = RoundPlan { faults: faults.to_vec(), corrupt, ..RoundPlan::new(16, 512, seed) };
+    let result = completed(&plan);
+    let joined = faults.iter().any(|fault| matches!(fault, RoundFault::Joins { .. }));
+    // One that joins after 300 rounds needs 512 more for its own link alone.
+    let most = if joined { (300.0 + 512.0 * 1.3) / 512.0 } else { 1.5 };
+    assert!(result.time_ratio() <= most, "{result:?}");
+    assert!(result.origin_copies() <= 1.25, "{result:?}");
+}
+
+/// The origin is down while one agent holds the whole version. The others must
+/// get it from that agent, and the origin sends nothing at all.
+#[rstest]
+fn peers_serve_while_the_origin_is_down() {
+    let plan =
+        RoundPlan { full_holders: 1, origin_down: 0..usize::MAX, ..RoundPlan::new(16, 512, 4) };
+    let result = completed(&plan);
+    assert_eq!(result.origin_chunks, 0);
+    assert!(result.time_ratio() <= 1.5, "{result:?}");
+}
+
+/// The origin sends nothing for a while in the midst of a transfer. When it is
+/// back, the agents must not all draw the same chunks.
+#[rstest]
+fn an_origin_that_returns_is_not_drawn_twice() {
+    let plan = RoundPlan { origin_down: 50..400, ..RoundPlan::new(16, 512, 5) };
+    let result = completed(&plan);
+    assert!(result.origin_copies() <= 1.25, "{result:?}");
+}
+
+fn instance(number: usize) -> InstanceId {
+    InstanceId::new(&format!("endpoint-{number}")).expect("a valid name")
+}
+
+fn picker(own: usize, chunks: usize) -> ChunkPicker {
+    let settings = PickerSettings {
+        instance: instance(own),
+        stall_ms: 2_000,
+        origin_step_ms: 500,
+        per_peer: 2,
+        peer_slots: 8,
+        extra_copies: 0.0,
+    };
+    ChunkPicker::new(settings, chunks, Timestamp(0))
+}
+
+/// An agent restarts late in a transfer, and the others hold all that it
+/// misses. Until they have told so, it must not turn to the origin.
+#[rstest]
+fn a_late_joiner_waits_for_the_lists_of_its_peers() {
+    let mut rng = SmallRng::seed_from_u64(6);
+    let mut picker = picker(0, 8);
+    picker.expect_peer(&instance(1), Timestamp(0));
+    assert_eq!(picker.next(Timestamp(10), &mut rng), None);
+    picker.peer_connected(&instance(1), Timestamp(20));
+    assert_eq!(picker.next(Timestamp(30), &mut rng), None);
+    picker.peer_holds(&instance(1), 0..8, Timestamp(40));
+    picker.peer_told_all(&instance(1));
+    let order = picker.next(Timestamp(50), &mut rng).expect("a fetch");
+    assert_eq!(order.source, ChunkSource::Peer(instance(1)));
+}
+
+/// A listed agent never answers. The version must come from the origin all the
+/// same, soon after.
+#[rstest]
+fn a_peer_that_never_answers_does_not_block_the_origin() {
+    let mut rng = SmallRng::seed_from_u64(7);
+    let mut picker = picker(0, 8);
+    picker.expect_peer(&instance(1), Timestamp(0));
+    let order = picker.next(Timestamp(1_100), &mut rng).expect("a fetch");
+    assert_eq!(order.source, ChunkSource::Origin);
+}
+
+/// Another agent is drawing a chunk when this one joins and ranks before it.
+/// The origin would send that chunk twice.
+#[rstest]
+fn a_chunk_that_another_draws_is_left_to_it() {
+    let mut rng = SmallRng::seed_from_u64(8);
+    let mut picker = picker(0, 1);
+    picker.peer_connected(&instance(1), Timestamp(0));
+    picker.peer_holds(&instance(1), [], Timestamp(0));
+    picker.peer_draws(&instance(1), vec![0], Timestamp(0));
+    picker.peer_told_all(&instance(1));
+    assert_eq!(picker.next(Timestamp(10), &mut rng), None);
+}
+
+fn any_fault(agents: usize, rounds: usize) -> impl Strategy<Value = RoundFault> {
+    let place = (1..agents, 0..rounds);
+    prop_oneof![
+        place.clone().prop_map(|(agent, round)| RoundFault::Dies { agent, round }),
+        place.clone().prop_map(|(agent, round)| RoundFault::Stalls { agent, round }),
+        place.prop_map(|(agent, round)| RoundFault::Joins { agent, round: round + 1 }),
+        (1..agents).prop_map(|agent| RoundFault::Lies { agent }),
+    ]
+}
+
+proptest! {
+    // A fixed seed gives the same verdict every time; PROPTEST_RNG_SEED and
+    // PROPTEST_CASES search elsewhere.
+    #![proptest_config(ProptestConfig {
+        cases: 64,
+        rng_seed: RngSeed::Fixed(1),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Without faults no chunk is drawn twice, whatever the sizes.
+    #[test]
+    fn no_chunk_is_drawn_twice_without_faults(
+        agents in 2_usize..24,
+        chunks in 1_usize..200,
+        seed: u64,
+    ) {
+        let result = run_rounds(&RoundPlan::new(agents, chunks, seed));
+        prop_assert!(result.complete, "{:?}", result);
+        prop_assert_eq!(result.most_draws, 1);
+    }
+
+    /// Extra draws of all agents together stay within the copies allowed.
+    #[test]
+    fn extra_draws_stay_within_the_budget(
+        agents in 2_usize..24,
+        chunks in 16_usize..200,
+        extra in 0_u32..4,
+        seed: u64,
+    ) {
+        let extra_copies = f64::from(extra);
+        let plan = RoundPlan { extra_copies, ..RoundPlan::new(agents, chunks, seed) };
+        let result = run_rounds(&plan);
+        prop_assert!(result.complete, "{:?}", result);
+        // Each agent may round its part up to one more chunk.
+        let most = chunks as f64 * (1.0 + extra_copies) + agents as f64;
+        prop_assert!(result.origin_chunks as f64 <= most, "{:?}", result);
+    }
+
+    /// Whoever lives gets everything while the origin lives, whatever else fails.
+    #[test]
+    fn a_living_origin_suffices(
+        agents in 4_usize..16,
+        faults in prop::collection::vec(any_fault(4, 60), 0..4),
+        corrupt in 0.0_f64..0.3,
+        seed: u64,
+    ) {
+        let plan = RoundPlan { faults, corrupt, ..RoundPlan::new(agents, 64, seed) };
+        let result = run_rounds(&plan);
+        prop_assert!(result.complete, "{:?}", result);
+    }
+
+    /// Whoever lives gets everything while one whole copy lives at a peer.
+    #[test]
+    fn a_living_full_holder_suffices(
+        agents in 4_usize..16,
+        faults in prop::collection::vec(any_fault(4, 60), 0..4),
+        corrupt in 0.0_f64..0.3,
+        seed: u64,
+    ) {
+        let plan = RoundPlan {
+            faults,
+            corrupt,
+            full_holders: 1,
+            origin_down: 0..usize::MAX,
+            ..RoundPlan::new(agents, 64, seed)
+        };
+        let result = run_rounds(&plan);
+        prop_assert!(result.complete, "{:?}", result);
+        prop_assert_eq!(result.origin_chunks, 0);
+    }
+}
--- /dev/null
+++ b/crates/decide/tests/support/rounds.rs
@@ -0,0 +1,437 @@
+//! A round-based bench of chunk selection alone: no network, no processes.
+//!
+//! In one round each agent's link carries one chunk in and one out, and the
+//! origin's link carries two out. Sources keep queues; what agents announce is
+//! known to the others one round later. Everything follows from the seed.
+
+use std::collections::{HashMap, VecDeque};
+
+use cassiawheel_decide::{ChunkPicker, ChunkSource, FetchOrder, PickerSettings};
+use cassiawheel_model::{InstanceId, Timestamp};
+use rand::{Rng, SeedableRng, rngs::SmallRng, seq::SliceRandom};
+
+/// Length of a round, in milliseconds of the pickers' clock.
+pub const ROUND_MS: u64 = 20;
+/// Chunks that the origin sends in a round.
+pub const ORIGIN_RATE: usize = 2;
+/// Rounds between two repetitions of all that an agent holds.
+const REPEAT_ROUNDS: usize = 12;
+/// Rounds after which a run that does not end is given up.
+const LONGEST_FACTOR: usize = 20;
+
+/// One run of the bench.
+#[derive(Debug, Clone)]
+pub struct RoundPlan {
+    pub agents: usize,
+    pub chunks: usize,
+    pub seed: u64,
+    /// Copies that may be drawn beyond the first.
+    pub extra_copies: f64,
+    /// Chance that a chunk arrives corrupt.
+    pub corrupt: f64,
+    pub faults: Vec<RoundFault>,
+    /// Agents that hold everything at the start.
+    pub full_holders: usize,
+    /// Rounds in which the origin sends nothing.
+    pub origin_down: std::ops::Range<usize>,
+}
+
+impl RoundPlan {
+    pub fn new(agents: usize, chunks: usize, seed: u64) -> Self {
+        Self {
+            agents,
+            chunks,
+            seed,
+            extra_copies: 0.0,
+            corrupt: 0.0,
+            faults: Vec::new(),
+            full_holders: 0,
+            origin_down: 0..0,
+        }
+    }
+}
+
+/// A fault of one agent.
+#[derive(Debug, Clone, Copy)]
+pub enum RoundFault {
+    /// It ends at this round, and its connections close.
+    Dies { agent: usize, round: usize },
+    /// Its link carries nothing from this round on, but stays open.
+    Stalls { agent: usize, round: usize },
+    /// It says that it holds everything and sends nothing.
+    Lies { agent: usize },
+    /// It starts at this round only.
+    Joins { agent: usize, round: usize },
+}
+
+/// What a run cost.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RoundResult {
+    pub rounds: usize,
+    pub bound: f64,
+    pub origin_chunks: usize,
+    pub chunks: usize,
+    /// Largest number of times that one chunk was drawn from the origin.
+    pub most_draws: usize,
+    pub complete: bool,
+    pub selections: u64,
+    pub selection_ns: u64,
+}
+
+impl RoundResult {
+    pub fn time_ratio(&self) -> f64 {
+        self.rounds as f64 / self.bound
+    }
+
+    pub fn origin_copies(&self) -> f64 {
+        self.origin_chunks as f64 / self.chunks as f64
+    }
+}
+
+/// Least rounds in which all agents can have all chunks.
+pub fn lower_bound(agents: usize, chunks: usize) -> f64 {
+    let (agents, chunks, origin) = (agents as f64, chunks as f64, ORIGIN_RATE as f64);
+    chunks.max(chunks / origin).max(agents * chunks / (agents + origin))
+}
+
+/// Rounds if every agent draws everything from the origin.
+pub fn all_from_origin(agents: usize, chunks: usize) -> usize {
+    (agents * chunks).div_ceil(ORIGIN_RATE)
+}
+
+/// Rounds of a fixed tree: the origin feeds `ORIGIN_RATE` roots, every agent two others.
+///
+/// An agent with two children sends each chunk twice, so a level passes one
+/// chunk on in two rounds.
+pub fn fixed_tree(agents: usize, chunks: usize) -> usize {
+    let (mut reached, mut width, mut levels) = (0, ORIGIN_RATE, 0);
+    while reached < agents {
+        reached += width;
+        width *= 2;
+        levels += 1;
+    }
+    2 * chunks + 2 * levels
+}
+
+#[derive(Debug, Clone)]
+struct QueuedFetch {
+    agent: usize,
+    order: FetchOrder,
+}
+
+struct RoundAgent {
+    picker: ChunkPicker,
+    name: InstanceId,
+    running: bool,
+    stalled: bool,
+    lies: bool,
+    upload: VecDeque<QueuedFetch>,
+    gained: Vec<usize>,
+    drawing: Vec<usize>,
+    waiting: HashMap<usize, FetchOrder>,
+}
+
+struct RoundBench {
+    plan: RoundPlan,
+    rng: SmallRng,
+    agents: Vec<RoundAgent>,
+    origin: VecDeque<QueuedFetch>,
+    draws: Vec<usize>,
+    round: usize,
+    selections: u64,
+    selection_ns: u64,
+}
+
+/// Uploads that may wait at one agent.
+const UPLOAD_QUEUE: usize = 32;
+/// Fetches from peers that an agent keeps in progress.
+const PEER_SLOTS: usize = 8;
+
+/// Runs `plan` to its end.
+pub fn run_rounds(plan: &RoundPlan) -> RoundResult {
+    let mut bench = RoundBench::new(plan.clone());
+    let bound = lower_bound(plan.agents, plan.chunks);
+    let longest = plan.chunks * LONGEST_FACTOR;
+    while !bench.is_complete() && bench.round < longest {
+        bench.run_round();
+    }
+    RoundResult {
+        rounds: bench.round,
+        bound,
+        origin_chunks: bench.draws.iter().sum(),
+        chunks: plan.chunks,
+        most_draws: bench.draws.iter().copied().max().unwrap_or(0),
+        complete: bench.is_complete(),
+        selections: bench.selections,
+        selection_ns: bench.selection_ns,
+    }
+}
+
+impl RoundBench {
+    fn new(plan: RoundPlan) -> Self {
+        let agents = (0..plan.agents).map(|agent| RoundAgent::new(&plan, agent)).collect();
+        let mut bench = Self {
+            rng: SmallRng::seed_from_u64(plan.seed),
+            agents,
+            origin: VecDeque::new(),
+            draws: vec![0; plan.chunks],
+            round: 0,
+            selections: 0,
+            selection_ns: 0,
+            plan,
+        };
+        for agent in 0..bench.agents.len() {
+            if bench.agents[agent].running {
+                bench.introduce(agent);
+            }
+        }
+        bench
+    }
+
+    fn now(&self) -> Timestamp {
+        Timestamp(1_000 + self.round as u64 * ROUND_MS)
+    }
+
+    fn is_complete(&self) -> bool {
+        let joins_later =
+            self.plan.faults.iter().any(
+                |fault| matches!(fault, RoundFault::Joins { round, .. } if *round > self.round),
+            );
+        let busy = self.agents.iter().any(RoundAgent::is_waiting);
+        !joins_later && !busy
+    }
+
+    fn run_round(&mut self) {
+        self.start_faults();
+        let mut order: Vec<_> = (0..self.agents.len()).collect();
+        order.shuffle(&mut self.rng);
+        for agent in &order {
+            self.time_out(*agent);
+            self.ask(*agent);
+        }
+        self.deliver(&order);
+        self.round += 1;
+        self.announce();
+    }
+
+    fn start_faults(&mut self) {
+        for fault in self.plan.faults.clone() {
+            match fault {
+                RoundFault::Dies { agent, round } if round == self.round => self.end_agent(agent),
+                RoundFault::Stalls { agent, round } if round == self.round => {
+                    self.agents[agent].stalled = true;
+                }
+                RoundFault::Joins { agent, round } if round == self.round => {
+                    self.agents[agent].running = true;
+                    self.introduce(agent);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn introduce(&mut self, joining: usize) {
+        let now = self.now();
+        for other in 0..self.agents.len() {
+            if other == joining || !self.agents[other].running {
+                continue;
+            }
+            for (to, about) in [(joining, other), (other, joining)] {
+                let name = self.agents[about].name.clone();
+                let told = self.agents[about].told_chunks();
+                let picker = &mut self.agents[to].picker;
+                picker.expect_peer(&name, now);
+                picker.peer_connected(&name, now);
+                picker.peer_holds(&name, told, now);
+                picker.peer_told_all(&name);
+            }
+        }
+    }
+
+    fn end_agent(&mut self, agent: usize) {
+        self.agents[agent].running = false;
+        self.agents[agent].upload.clear();
+        self.origin.retain(|fetch| fetch.agent != agent);
+        let name = self.agents[agent].name.clone();
+        for other in &mut self.agents {
+            other.upload.retain(|fetch| fetch.agent != agent);
+            other.picker.remove_peer(&name);
+            let source = ChunkSource::Peer(name.clone());
+            other.waiting.retain(|_, order| order.source != source);
+        }
+    }
+
+    fn time_out(&mut self, agent: usize) {
+        let now = self.now();
+        let agent = &mut self.agents[agent];
+        let mut late: Vec<_> =
+            agent.waiting.values().filter(|order| order.deadline.is_past(now)).cloned().collect();
+        late.sort_by_key(|order| order.index);
+        for order in late {
+            agent.waiting.remove(&order.index);
+            agent.picker.fetch_failed(&order, now);
+        }
+    }
+
+    fn ask(&mut self, agent: usize) {
+        if !self.agents[agent].running || self.agents[agent].lies {
+            return;
+        }
+        let now = self.now();
+        // Refusals come back within a fraction of a round; a few are tried again.
+        for _ in 0..4 * PEER_SLOTS {
+            let begun = std::time::Instant::now();
+            let order = self.agents[agent].picker.next(now, &mut self.rng);
+            self.selection_ns += begun.elapsed().as_nanos() as u64;
+            self.selections += 1;
+            let Some(order) = order else {
+                return;
+            };
+            self.place(agent, order, now);
+        }
+    }
+
+    fn place(&mut self, agent: usize, order: FetchOrder, now: Timestamp) {
+        let fetch = QueuedFetch { agent, order: order.clone() };
+        let ChunkSource::Peer(peer) = &order.source else {
+            self.origin.push_back(fetch);
+            self.agents[agent].waiting.insert(order.index, order);
+            return;
+        };
+        let position = self.agents.iter().position(|other| other.name == *peer);
+        let Some(source) = position else {
+            return;
+        };
+        let source = &mut self.agents[source];
+        if source.lies {
+            self.agents[agent].picker.fetch_failed(&order, now);
+        } else if source.upload.len() >= UPLOAD_QUEUE {
+            self.agents[agent].picker.fetch_deferred(&order, now);
+        } else {
+            source.upload.push_back(fetch);
+            self.agents[agent].waiting.insert(order.index, order);
+        }
+    }
+
+    fn deliver(&mut self, order: &[usize]) {
+        let mut room: Vec<_> =
+            self.agents.iter().map(|agent| agent.running && !agent.stalled).collect();
+        if !self.plan.origin_down.contains(&self.round) {
+            for _ in 0..ORIGIN_RATE {
+                let Some(fetch) = take_deliverable(&mut self.origin, &room, &self.agents) else {
+                    break;
+                };
+                room[fetch.agent] = false;
+                self.draws[fetch.order.index] += 1;
+                self.hand_over(fetch);
+            }
+        }
+        for source in order {
+            if !self.agents[*source].running || self.agents[*source].stalled {
+                continue;
+            }
+            let mut queue = std::mem::take(&mut self.agents[*source].upload);
+            let fetch = take_deliverable(&mut queue, &room, &self.agents);
+            self.agents[*source].upload = queue;
+            if let Some(fetch) = fetch {
+                room[fetch.agent] = false;
+                self.hand_over(fetch);
+            }
+        }
+    }
+
+    fn hand_over(&mut self, fetch: QueuedFetch) {
+        let corrupt = self.plan.corrupt > 0.0 && self.rng.random_bool(self.plan.corrupt);
+        let now = Timestamp(self.now().0 + ROUND_MS);
+        let agent = &mut self.agents[fetch.agent];
+        agent.waiting.remove(&fetch.order.index);
+        if corrupt {
+            agent.picker.fetch_failed(&fetch.order, now);
+        } else {
+            agent.picker.fetch_succeeded(&fetch.order, now);
+            agent.gained.push(fetch.order.index);
+        }
+    }
+
+    fn announce(&mut self) {
+        let now = self.now();
+        let repeat = self.round.is_multiple_of(REPEAT_ROUNDS);
+        for about in 0..self.agents.len() {
+            if !self.agents[about].running || self.agents[about].stalled {
+                continue;
+            }
+            let gained = std::mem::take(&mut self.agents[about].gained);
+            let told = if repeat { self.agents[about].told_chunks() } else { gained };
+            let drawing = self.agents[about].picker.drawing();
+            let draws_differ = drawing != self.agents[about].drawing;
+            self.agents[about].drawing.clone_from(&drawing);
+            if told.is_empty() && !draws_differ && !repeat {
+                continue;
+            }
+            let name = self.agents[about].name.clone();
+            for (_, other) in self.agents.iter_mut().enumerate().filter(|(o, _)| *o != about) {
+                if !other.running || other.stalled {
+                    continue;
+                }
+                other.picker.peer_holds(&name, told.iter().copied(), now);
+                if draws_differ || repeat {
+                    other.picker.peer_draws(&name, drawing.clone(), now);
+                }
+            }
+        }
+    }
+}
+
+impl RoundAgent {
+    fn new(plan: &RoundPlan, agent: usize) -> Self {
+        let name = InstanceId::new(&format!("endpoint-{agent}")).expect("a valid name");
+        let settings = PickerSettings {
+            instance: name.clone(),
+            stall_ms: 2_000,
+            origin_step_ms: 500,
+            per_peer: 2,
+            peer_slots: PEER_SLOTS,
+            extra_copies: plan.extra_copies,
+        };
+        let mut picker = ChunkPicker::new(settings, plan.chunks, Timestamp(1_000));
+        if agent < plan.full_holders {
+            (0..plan.chunks).for_each(|index| picker.mark_held(index));
+        }
+        let joins_later = |fault: &RoundFault| matches!(fault, RoundFault::Joins { agent: joining, .. } if *joining == agent);
+        let lies = |fault: &RoundFault| matches!(fault, RoundFault::Lies { agent: liar } if *liar == agent);
+        Self {
+            picker,
+            name,
+            running: !plan.faults.iter().any(joins_later),
+            stalled: false,
+            lies: plan.faults.iter().any(lies),
+            upload: VecDeque::new(),
+            gained: Vec::new(),
+            drawing: Vec::new(),
+            waiting: HashMap::new(),
+        }
+    }
+
+    /// Whether it works and still misses chunks.
+    fn is_waiting(&self) -> bool {
+        self.running && !self.stalled && !self.lies && self.picker.missing() > 0
+    }
+
+    fn told_chunks(&self) -> Vec<usize> {
+        if self.lies {
+            return (0..self.picker.missing()).collect();
+        }
+        self.picker.held().iter().collect()
+    }
+}
+
+/// The first fetch in `queue` whose agent still waits for it and has room in this round.
+fn take_deliverable(
+    queue: &mut VecDeque<QueuedFetch>,
+    room: &[bool],
+    agents: &[RoundAgent],
+) -> Option<QueuedFetch> {
+    queue.retain(|fetch| agents[fetch.agent].waiting.get(&fetch.order.index) == Some(&fetch.order));
+    let position = queue.iter().position(|fetch| room[fetch.agent])?;
+    queue.remove(position)
+}
--- a/crates/entry/src/control/membership.rs
+++ b/crates/entry/src/control/membership.rs
@@ -20,7 +20,7 @@
 const PEERS_TIME: Duration = Duration::from_millis(500);
 
 /// Most peers that an agent is told at a time.
-const MAX_PEERS: usize = 24;
+const MAX_PEERS: usize = 256;
 
 /// Drops endpoints and entries whose heartbeats stopped.
 pub(crate) async fn expire_silent(shared: Arc<EntryShared>) {
--- a/crates/model/src/settings/agent.rs
+++ b/crates/model/src/settings/agent.rs
@@ -101,13 +101,14 @@
     pub link_bytes_per_s: u64,
     /// Part of the link kept free for live requests, from 0 to 0.9.
     pub live_share: f64,
-    /// Chunks sent to other agents at a time.
+    /// Chunks that other agents may have asked for at a time; further ones are refused as busy.
     pub upload_slots: usize,
-    /// Chunks fetched at a time.
+    /// Chunks fetched from other agents at a time.
     pub download_slots: usize,
-    /// Wait before a chunk is asked of another source, in milliseconds.
+    /// Longest wait before a chunk is asked of another source, in milliseconds.
     pub stall_ms: u64,
-    /// One step of the wait before an agent of a lower rank goes to the origin, in milliseconds.
+    /// Shortest time before an agent that brings none of its chunks from the origin loses them to
+    /// others, in milliseconds.
     pub origin_step_ms: u64,
     /// Verified chunks kept in memory for other agents, in bytes.
     pub cache_bytes: u64,
@@ -120,7 +121,7 @@
             origin_copies: 1.0,
             link_bytes_per_s: 0,
             live_share: 0.2,
-            upload_slots: 4,
+            upload_slots: 32,
             download_slots: 8,
             stall_ms: 2_000,
             origin_step_ms: 500,
--- a/crates/platform/src/engine.rs
+++ b/crates/platform/src/engine.rs
@@ -18,6 +18,9 @@
     pub manifest: Option<ManifestDigest>,
     /// Highest fencing token of an order that it has carried out.
     pub fencing: u64,
+    /// Manifests of which it holds chunks in staging.
+    #[serde(default)]
+    pub staged: Vec<ManifestDigest>,
     /// Its load.
     pub load: LoadReport,
 }
@@ -104,6 +107,9 @@
         index: usize,
     ) -> EdgeFuture<'_, Result<Bytes, EngineError>>;
 
+    /// Gives up what is staged of `manifest`; the weights it answers from stay.
+    fn drop_staging(&self, manifest: ManifestDigest) -> EdgeFuture<'_, Result<(), EngineError>>;
+
     /// Answers from the staged weights from now on.
     fn load<'a>(&'a self, order: &'a LoadOrder) -> EdgeFuture<'a, Result<(), EngineError>>;
 
--- a/crates/platform/src/engine_http.rs
+++ b/crates/platform/src/engine_http.rs
@@ -112,6 +112,14 @@
         })
     }
 
+    fn drop_staging(&self, manifest: ManifestDigest) -> EdgeFuture<'_, Result<(), EngineError>> {
+        Box::pin(async move {
+            let path = format!("/v1/engine/staging/{manifest}");
+            self.order(Method::DELETE, &path, Bytes::new()).await?;
+            Ok(())
+        })
+    }
+
     fn load<'a>(&'a self, order: &'a LoadOrder) -> EdgeFuture<'a, Result<(), EngineError>> {
         Box::pin(async move {
             self.order(Method::POST, "/v1/engine/load", encode(order)?).await?;
--- a/crates/testkit/src/stand_in/engine.rs
+++ b/crates/testkit/src/stand_in/engine.rs
@@ -103,6 +103,32 @@
         self.lock().runs.clone()
     }
 
+    /// Manifests of which it holds chunks in staging.
+    pub fn staged(&self) -> Vec<ManifestDigest> {
+        self.lock().staging.keys().copied().collect()
+    }
+
+    /// Chunks of `manifest` that it holds in staging.
+    pub fn staged_chunks(&self, manifest: ManifestDigest) -> usize {
+        let inner = self.lock();
+        inner.staging.get(&manifest).map_or(0, |chunks| chunks.iter().flatten().count())
+    }
+
+    /// Digest of the bytes that it answers from.
+    pub fn answer_digest(&self) -> Option<[u8; 32]> {
+        self.lock().loaded.as_ref().map(|image| image.digest)
+    }
+
+    /// Highest fencing token of an order that it has carried out.
+    pub fn fencing(&self) -> u64 {
+        self.lock().fencing
+    }
+
+    /// Loses its weights and all that is staged, as a restart of the engine does.
+    pub fn restart(&self) {
+        *self.lock() = EngineInner::default();
+    }
+
     fn lock(&self) -> MutexGuard<'_, EngineInner> {
         self.inner.lock().unwrap_or_else(|poison| poison.into_inner())
     }
@@ -118,6 +144,7 @@
                 json_reply(StatusCode::OK, &self.status())
             }
             (&Method::PUT, ["v1", "engine", "staging", digest]) => self.stage(digest, &body),
+            (&Method::DELETE, ["v1", "engine", "staging", digest]) => self.drop_staging(digest),
             (&Method::PUT, ["v1", "engine", "staging", digest, index]) => {
                 self.stage_chunk(digest, index, body)
             }
@@ -139,6 +166,7 @@
             version: inner.loaded.as_ref().map(|image| image.version.clone()),
             manifest: inner.loaded.as_ref().map(|image| image.manifest),
             fencing: inner.fencing,
+            staged: inner.staging.keys().copied().collect(),
             load: LoadReport {
                 in_flight: self.in_flight.load(Ordering::Relaxed),
                 queued: 0,
@@ -175,6 +203,13 @@
         full_reply("")
     }
 
+    fn drop_staging(&self, digest: &str) -> Response<ReplyBody> {
+        if let Ok(digest) = digest.parse::<ManifestDigest>() {
+            self.lock().staging.remove(&digest);
+        }
+        full_reply("")
+    }
+
     fn read_chunk(&self, digest: &str, index: &str) -> Response<ReplyBody> {
         let mut inner = self.lock();
         let chunk = staged(&mut inner, digest)
--- a/crates/wire/src/message/chunk.rs
+++ b/crates/wire/src/message/chunk.rs
@@ -25,6 +25,15 @@
         /// The chunk.
         index: u32,
     },
+    /// Which chunks the sender draws from the origin at present.
+    Drawing {
+        /// The manifest.
+        manifest: ManifestDigest,
+        /// The chunks.
+        indices: Vec<u32>,
+    },
+    /// The sender has told a new connection all that it holds.
+    ToldAll,
     /// Asks for the manifest itself.
     ManifestWanted {
         /// The manifest.
