--- a/crates/agent/src/endpoint.rs
+++ b/crates/agent/src/endpoint.rs
@@ -3,7 +3,7 @@
 use std::{
     sync::{
         Arc, Mutex, MutexGuard,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicU32, AtomicU64, Ordering},
     },
     time::Duration,
 };
@@ -15,7 +15,7 @@
 use cassiawheel_wire::{WireSender, message::WeightOrder};
 use smol::channel::{Receiver, Sender, bounded};
 
-use crate::{metrics::AgentMetrics, transfer::TransferState};
+use crate::{keyed::ClaimWriter, metrics::AgentMetrics, transfer::TransferState};
 
 /// Longest wait before a waiter looks at the gate again.
 const LOOK_AGAIN: Duration = Duration::from_millis(20);
@@ -30,6 +30,8 @@
     pub(crate) engine: Arc<dyn ModelEngine>,
     /// The table service.
     pub(crate) table: Arc<dyn TableStore>,
+    /// Writes the rows of keyed requests.
+    pub(crate) claims: ClaimWriter,
     /// The origin of weights.
     pub(crate) origin: Arc<dyn WeightSource>,
     /// Weights held and being fetched.
@@ -42,6 +44,7 @@
     load: Mutex<LoadReport>,
     entries: Mutex<Vec<WireSender>>,
     attempts: AtomicU64,
+    open: AtomicU32,
     released: (Sender<()>, Receiver<()>),
 }
 
@@ -63,7 +66,9 @@
             load: Mutex::new(LoadReport { in_flight: 0, queued: 0, measured_at: now }),
             entries: Mutex::default(),
             attempts: AtomicU64::new(0),
+            open: AtomicU32::new(0),
             released: bounded(1),
+            claims: ClaimWriter::start(table.clone()),
             transfer: TransferState::new(&settings.transfer),
             settings,
             engine,
@@ -103,6 +108,20 @@
         self.attempts.fetch_add(1, Ordering::Relaxed)
     }
 
+    /// Counts an attempt, or the record of one, as open until the guard is dropped.
+    pub(crate) fn open_attempt(self: &Arc<Self>) -> OpenAttempt {
+        self.open.fetch_add(1, Ordering::Relaxed);
+        OpenAttempt { shared: self.clone() }
+    }
+
+    /// Attempts that are neither answered nor recorded yet.
+    ///
+    /// More than the gate counts: one that waits for the outcome of another
+    /// attempt has no permit, but a shutdown must not cut it off either.
+    pub(crate) fn open_attempts(&self) -> u32 {
+        self.open.load(Ordering::Relaxed)
+    }
+
     /// Gives a permit of the gate back.
     pub(crate) fn leave_gate(&self) {
         self.gate().leave();
@@ -116,3 +135,15 @@
         timeout(LOOK_AGAIN, self.released.1.recv()).await;
     }
 }
+
+/// An attempt that a graceful shutdown waits for.
+pub(crate) struct OpenAttempt {
+    shared: Arc<EndpointShared>,
+}
+
+impl Drop for OpenAttempt {
+    fn drop(&mut self) {
+        self.shared.open.fetch_sub(1, Ordering::Relaxed);
+        let _ = self.shared.released.0.try_send(());
+    }
+}
--- a/crates/agent/src/entry_link.rs
+++ b/crates/agent/src/entry_link.rs
@@ -7,6 +7,7 @@
 use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
+use cassiawheel_decide::RunLatch;
 use cassiawheel_model::{Repeatability, RequestHead};
 use cassiawheel_runtime::spawn;
 use cassiawheel_wire::{
@@ -53,6 +54,7 @@
 struct RunningAttempt {
     credits: Sender<u32>,
     repeat: Repeatability,
+    latch: Arc<RunLatch>,
     task: Task<()>,
 }
 
@@ -103,7 +105,6 @@
         sender: &WireSender,
         message: RequestMessage,
     ) {
-        self.running.retain(|_, running| !running.task.is_finished());
         match message {
             RequestMessage::Dispatch { attempt, head, body } => {
                 self.start(shared, sender, attempt, *head, Bytes::from(body));
@@ -130,24 +131,31 @@
         head: RequestHead,
         body: Bytes,
     ) {
+        self.running.retain(|_, running| !running.task.is_finished());
         let (credits, granted) = smol::channel::unbounded();
         let repeat = head.repeat;
-        let link = run::AttemptLink { sender: sender.clone(), attempt, granted };
+        let latch = Arc::new(RunLatch::default());
+        let link =
+            run::AttemptLink { sender: sender.clone(), attempt, granted, latch: latch.clone() };
         let task = spawn(run::run_attempt(shared.clone(), link, head, body));
-        self.running.insert(attempt, RunningAttempt { credits, repeat, task });
+        self.running.insert(attempt, RunningAttempt { credits, repeat, latch, task });
     }
 
     /// Ends an attempt whose answer nobody waits for.
     ///
-    /// A request that runs at most once goes on: its effect may be under way,
-    /// and its outcome must be recorded for whoever asks again with its key.
+    /// A request that runs at most once and has begun goes on: its effect may be
+    /// under way, and its outcome must be recorded for whoever asks again with
+    /// its key. One that has not begun never does, and releases its claim.
     fn cancel(&mut self, attempt: u64) {
         let Some(running) = self.running.remove(&attempt) else {
             return;
         };
         match running.repeat {
             Repeatability::Idempotent => drop(running.task),
-            Repeatability::AtMostOnce => running.task.detach(),
+            Repeatability::AtMostOnce => {
+                running.latch.cancel();
+                running.task.detach();
+            }
         }
     }
 
--- a/crates/agent/src/keyed.rs
+++ b/crates/agent/src/keyed.rs
@@ -1,163 +1,223 @@
 //! Keyed requests that run at most once: claim, run, record.
 
+mod row;
+mod writer;
+
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use cassiawheel_decide::claim::{
-    ClaimRecord, ClaimStep, ClaimView, RecordedAnswer, claim_row, next_step,
+    ClaimGuard, ClaimState, ClaimStep, ClaimTracker, RecordedAnswer, claim_row,
 };
-use cassiawheel_model::{AttemptNonce, NotRunReason, Repeatability, RequestHead, Timestamp};
-use cassiawheel_platform::{StoreError, TableGuard, TableRow, TableWrite, WriteVerdict};
+use cassiawheel_model::{AttemptNonce, Deadline, NotRunReason, RequestHead, Timestamp};
+use cassiawheel_runtime::timeout;
 use http_body_util::BodyExt;
 use smol::Timer;
 
+pub(crate) use writer::ClaimWriter;
+
 use crate::{
     endpoint::EndpointShared,
-    run::{AttemptLink, RunFailure, call_engine, send_whole},
+    run::{AttemptLink, GatePermit, RunFailure, call_engine, send_whole},
 };
 
 /// Wait before the row is looked at again.
 const LOOK_AGAIN: Duration = Duration::from_millis(50);
 
-/// Whether the request has to be claimed before it runs.
-pub(crate) fn needs_claim(head: &RequestHead) -> bool {
-    head.repeat == Repeatability::AtMostOnce && head.key.is_some()
-}
+/// Longest wait for a claim, or for the outcome of the attempt that holds it.
+///
+/// A caller that is given up on gets its answer now, with when to come back,
+/// and not just before its deadline.
+const CLAIM_TIME: Duration = Duration::from_secs(2);
+
+/// Longest wait of an answer for the record of its outcome.
+const RECORD_WAIT: Duration = Duration::from_millis(250);
+
+/// Longest answer that is recorded, in bytes.
+const MAX_RECORDED_BYTES: usize = 64 << 10;
 
 /// Claims, runs and records a keyed request, or gives its recorded answer.
 pub(crate) async fn run_claimed(
     shared: &Arc<EndpointShared>,
-    link: AttemptLink,
+    link: &AttemptLink,
     head: &RequestHead,
     body: Bytes,
+    permit: GatePermit,
 ) -> Result<(), RunFailure> {
-    let Some(key) = &head.key else {
-        return Err(RunFailure::NotRun(NotRunReason::KeyConflict));
-    };
-    let row = claim_row(&head.workspace, &head.service, key);
-    let own = ClaimRecord {
-        nonce: new_nonce(shared, head)?,
-        fingerprint: fingerprint(head, &body),
-        answer: None,
-    };
-    match claim(shared, &row, &own, head).await? {
-        ClaimStep::Replay(answer) => replay(link, head, answer).await,
-        ClaimStep::Conflict => Err(RunFailure::NotRun(NotRunReason::KeyConflict)),
-        ClaimStep::Wait | ClaimStep::Insert => {
-            Err(RunFailure::Unknown("another attempt with this key has no outcome yet".to_owned()))
+    let mut attempt = KeyedAttempt::new(shared, link, head, &body, permit)?;
+    let step = attempt.claim().await;
+    if attempt.tracker.is_uncertain() {
+        row::release_late(shared, &attempt.row, &attempt.tracker);
+    }
+    match step? {
+        ClaimStep::Run(revision) => attempt.run(body, revision).await,
+        ClaimStep::Replay(answer) => {
+            let body = hex::decode(&answer.body)
+                .map_err(|_| RunFailure::Unknown("the recorded answer is damaged".to_owned()))?;
+            send_whole(link, head, &answer, &body, true).await
         }
-        ClaimStep::Run => {
-            let answer = run_whole(shared, head, body).await?;
-            record(shared, &row, own, &answer).await;
-            replay(link, head, answer).await
+        ClaimStep::Conflict => Err(RunFailure::NotRun(NotRunReason::KeyConflict)),
+        ClaimStep::Unknown(detail) => Err(RunFailure::Unknown(detail)),
+        ClaimStep::GiveUp | ClaimStep::Look | ClaimStep::Write(_) => {
+            Err(RunFailure::NotRun(NotRunReason::StoreUnavailable))
         }
     }
 }
 
-/// Looks at the row until the request may run, is answered, or its deadline is reached.
-async fn claim(
-    shared: &EndpointShared,
-    row: &str,
-    own: &ClaimRecord,
-    head: &RequestHead,
-) -> Result<ClaimStep, RunFailure> {
-    let mut view = insert(shared, row, own).await;
-    let mut uncertain = matches!(view, Err(StoreError::Unknown(_)));
-    loop {
-        let step = match view {
-            Ok(view) => next_step(&own.nonce, &own.fingerprint, view),
-            Err(_) => ClaimStep::Insert,
+/// One attempt at a keyed request.
+struct KeyedAttempt<'a> {
+    shared: &'a Arc<EndpointShared>,
+    link: &'a AttemptLink,
+    head: &'a RequestHead,
+    row: String,
+    tracker: ClaimTracker,
+    give_up_at: Deadline,
+    permit: Option<GatePermit>,
+}
+
+impl<'a> KeyedAttempt<'a> {
+    fn new(
+        shared: &'a Arc<EndpointShared>,
+        link: &'a AttemptLink,
+        head: &'a RequestHead,
+        body: &[u8],
+        permit: GatePermit,
+    ) -> Result<Self, RunFailure> {
+        let Some(key) = &head.key else {
+            return Err(RunFailure::NotRun(NotRunReason::KeyConflict));
         };
-        match step {
-            ClaimStep::Wait | ClaimStep::Insert if head.deadline.is_past(Timestamp::now()) => {
-                // A claim without a run is never run later: this attempt ends
-                // here, and a claim is never taken over.
-                return match step {
-                    ClaimStep::Wait => Ok(ClaimStep::Wait),
-                    _ => Err(RunFailure::NotRun(NotRunReason::StoreUnavailable)),
-                };
-            }
-            ClaimStep::Wait => {
-                Timer::after(LOOK_AGAIN).await;
-                view = look(shared, row).await;
+        let claim_until = Timestamp::now().deadline_after(CLAIM_TIME);
+        let give_up_at = claim_until.min(head.deadline);
+        let nonce = new_nonce(shared, head)?;
+        Ok(Self {
+            shared,
+            link,
+            head,
+            row: claim_row(&head.workspace, &head.service, key),
+            tracker: ClaimTracker::new(nonce, fingerprint(head, body), give_up_at),
+            give_up_at,
+            permit: Some(permit),
+        })
+    }
+
+    /// Writes and looks until the request may run, is answered, or is given up.
+    async fn claim(&mut self) -> Result<ClaimStep, RunFailure> {
+        let mut step = ClaimStep::Write(ClaimGuard::Absent);
+        let mut first = true;
+        loop {
+            if self.link.latch.is_cancelled() {
+                return Err(RunFailure::NotRun(NotRunReason::Cancelled));
             }
-            ClaimStep::Insert => {
-                Timer::after(LOOK_AGAIN).await;
-                view = if uncertain { look(shared, row).await } else { Ok(ClaimView::Absent) };
-                if matches!(view, Ok(ClaimView::Absent)) {
-                    view = insert(shared, row, own).await;
-                    uncertain |= matches!(view, Err(StoreError::Unknown(_)));
+            let view = match step {
+                ClaimStep::Write(guard) => {
+                    if !first {
+                        Timer::after(LOOK_AGAIN).await;
+                    }
+                    self.take_permit()?;
+                    self.tracker.begin_write();
+                    let record = self.tracker.record();
+                    row::write_claim(self.shared, &self.row, record, guard, self.give_up_at).await
                 }
-            }
-            ClaimStep::Run | ClaimStep::Replay(_) | ClaimStep::Conflict => return Ok(step),
+                ClaimStep::Look => {
+                    // Waiters would fill the gate, and the run that they wait
+                    // for might be the one that is refused.
+                    if self.tracker.waits_for_other() {
+                        self.permit = None;
+                    }
+                    Timer::after(LOOK_AGAIN).await;
+                    row::look(self.shared, &self.row).await
+                }
+                settled => return Ok(settled),
+            };
+            first = false;
+            step = self.tracker.next(view, Timestamp::now());
         }
     }
-}
 
-async fn insert(
-    shared: &EndpointShared,
-    row: &str,
-    own: &ClaimRecord,
-) -> Result<ClaimView, StoreError> {
-    let write = TableWrite {
-        key: row.to_owned(),
-        guard: TableGuard::Absent,
-        value: serde_json::to_value(own).map_err(|e| StoreError::NoEffect(e.to_string()))?,
-    };
-    match shared.table.write(&[write], true).await?.pop() {
-        Some(WriteVerdict::Written(_)) => Ok(ClaimView::Inserted),
-        Some(WriteVerdict::Conflict(Some(found))) => view_of(found),
-        _ => Ok(ClaimView::Absent),
+    fn take_permit(&mut self) -> Result<(), RunFailure> {
+        if self.permit.is_none() {
+            self.permit = Some(GatePermit::enter(self.shared, self.head)?);
+        }
+        Ok(())
     }
-}
 
-async fn look(shared: &EndpointShared, row: &str) -> Result<ClaimView, StoreError> {
-    match shared.table.read(row).await? {
-        Some(found) => view_of(found),
-        None => Ok(ClaimView::Absent),
+    /// Runs the claimed request, whose row has `revision`, and records its outcome.
+    async fn run(mut self, body: Bytes, revision: u64) -> Result<(), RunFailure> {
+        if let Err(reason) = self.begin_run() {
+            self.settle(ClaimState::Released, revision).await;
+            return Err(RunFailure::NotRun(reason));
+        }
+        let ran = run_whole(self.shared, self.head, body).await;
+        self.permit = None;
+        match ran {
+            Ok((answer, body)) => {
+                self.settle(recorded(&answer, &body), revision).await;
+                send_whole(self.link, self.head, &answer, &body, false).await
+            }
+            Err(RunFailure::NotRun(reason)) => {
+                // Without the release the key would stay bound to an attempt
+                // that never ran, and its caller could never buy with it.
+                self.settle(ClaimState::Released, revision).await;
+                Err(RunFailure::NotRun(reason))
+            }
+            Err(RunFailure::Unknown(detail)) => {
+                self.settle(ClaimState::Unanswered { detail: detail.clone() }, revision).await;
+                Err(RunFailure::Unknown(detail))
+            }
+        }
     }
-}
 
-fn view_of(row: TableRow) -> Result<ClaimView, StoreError> {
-    let record = serde_json::from_value(row.value);
-    record.map(ClaimView::Found).map_err(|error| StoreError::Unknown(error.to_string()))
+    /// Checks for the last time before the run.
+    ///
+    /// This process may have been paused while the claim was under way. Its
+    /// caller has been told "unknown" at the deadline and must not see a sale
+    /// appear minutes later.
+    fn begin_run(&self) -> Result<(), NotRunReason> {
+        if self.head.deadline.is_past(Timestamp::now()) {
+            return Err(NotRunReason::DeadlineTooClose);
+        }
+        if !self.link.latch.begin() {
+            return Err(NotRunReason::Cancelled);
+        }
+        Ok(())
+    }
+
+    /// Writes the claim's final state; goes on in the background while the store is slow.
+    async fn settle(&self, state: ClaimState, revision: u64) {
+        let record = self.tracker.record_as(state);
+        let mut task = row::settle(self.shared, &self.row, record, revision);
+        if timeout(RECORD_WAIT, &mut task).await.is_none() {
+            log::info!(target: "claim", request:% = self.head.id; "An outcome is recorded later.");
+            task.detach();
+        }
+    }
 }
 
 async fn run_whole(
     shared: &EndpointShared,
     head: &RequestHead,
     body: Bytes,
-) -> Result<RecordedAnswer, RunFailure> {
+) -> Result<(RecordedAnswer, Bytes), RunFailure> {
     let answer = call_engine(shared, head, body).await?;
     let whole = answer.body.collect().await;
     let whole = whole.map_err(|error| RunFailure::Unknown(format!("answer cut: {error}")))?;
-    Ok(RecordedAnswer {
+    let body = whole.to_bytes();
+    let answer = RecordedAnswer {
         status: answer.status,
         content_type: answer.content_type,
-        body: hex::encode(whole.to_bytes()),
-    })
-}
-
-/// Records the answer; without it later arrivals of the key learn "unknown".
-async fn record(shared: &EndpointShared, row: &str, own: ClaimRecord, answer: &RecordedAnswer) {
-    let recorded = ClaimRecord { answer: Some(answer.clone()), ..own };
-    let Ok(value) = serde_json::to_value(&recorded) else {
-        return;
+        version: answer.version,
+        revision: head.revision,
+        body: String::new(),
     };
-    let write = TableWrite { key: row.to_owned(), guard: TableGuard::Revision(1), value };
-    if let Err(error) = shared.table.write(&[write], true).await {
-        log::warn!(target: "claim", row = row, cause:% = error; "An outcome was not recorded.");
-    }
+    Ok((answer, body))
 }
 
-async fn replay(
-    link: AttemptLink,
-    head: &RequestHead,
-    answer: RecordedAnswer,
-) -> Result<(), RunFailure> {
-    let body = hex::decode(&answer.body)
-        .map_err(|_| RunFailure::Unknown("the recorded answer is damaged".to_owned()))?;
-    send_whole(link, head, answer.status, answer.content_type, body).await
+fn recorded(answer: &RecordedAnswer, body: &[u8]) -> ClaimState {
+    if body.len() > MAX_RECORDED_BYTES {
+        let detail = format!("it ran, but its answer of {} bytes was not kept", body.len());
+        return ClaimState::Unanswered { detail };
+    }
+    ClaimState::Answered(RecordedAnswer { body: hex::encode(body), ..answer.clone() })
 }
 
 fn new_nonce(shared: &EndpointShared, head: &RequestHead) -> Result<AttemptNonce, RunFailure> {
--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -3,9 +3,10 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use cassiawheel_decide::{RepeatGuard, RunLatch, claim::RecordedAnswer};
 use cassiawheel_model::{NotRunReason, RequestHead, Timestamp};
 use cassiawheel_platform::{EngineAnswer, EngineError};
-use cassiawheel_wire::{RequestMessage, WireError, WireSender};
+use cassiawheel_wire::{ControlMessage, RequestMessage, WireError, WireSender};
 use http_body_util::BodyExt;
 use smol::channel::Receiver;
 
@@ -22,6 +23,8 @@
     pub(crate) attempt: u64,
     /// Further bytes that may be sent.
     pub(crate) granted: Receiver<u32>,
+    /// Whether the run has begun or was cancelled before.
+    pub(crate) latch: Arc<RunLatch>,
 }
 
 /// How an attempt failed.
@@ -34,10 +37,22 @@
 }
 
 /// A permit of the gate; given back when dropped, however the attempt ends.
-struct GatePermit {
+pub(crate) struct GatePermit {
     shared: Arc<EndpointShared>,
 }
 
+impl GatePermit {
+    /// Takes a permit for the request.
+    pub(crate) fn enter(
+        shared: &Arc<EndpointShared>,
+        head: &RequestHead,
+    ) -> Result<Self, RunFailure> {
+        let entered = shared.gate().enter(head.revision, head.version.as_ref());
+        entered.map_err(RunFailure::NotRun)?;
+        Ok(Self { shared: shared.clone() })
+    }
+}
+
 impl Drop for GatePermit {
     fn drop(&mut self) {
         self.shared.leave_gate();
@@ -51,15 +66,18 @@
     head: RequestHead,
     body: Bytes,
 ) {
-    let attempt = link.attempt;
-    let sender = link.sender.clone();
-    let Err(failure) = gated_run(&shared, link, &head, body).await else {
+    let _open = shared.open_attempt();
+    let Err(failure) = gated_run(&shared, &link, &head, body).await else {
         return;
     };
+    let attempt = link.attempt;
     let message = match failure {
         RunFailure::NotRun(reason) => {
             shared.metrics.refused.inc();
             log::info!(target: "gate", request:% = head.id, reason:% = reason; "Refused a request.");
+            if reason == NotRunReason::StaleRevision {
+                send_preset(&shared, &link.sender).await;
+            }
             RequestMessage::Refused { attempt, reason }
         }
         RunFailure::Unknown(detail) => {
@@ -67,12 +85,23 @@
             RequestMessage::Failed { attempt, detail }
         }
     };
-    let _ = sender.send(message).await;
+    let _ = link.sender.send(message).await;
+}
+
+/// Tells an entry of the newer preset before the refusal that names it.
+///
+/// The entry would otherwise route by the old one again until its next poll,
+/// and its caller would be refused by every endpoint in turn.
+async fn send_preset(shared: &EndpointShared, sender: &WireSender) {
+    let preset = shared.holder().current().cloned();
+    if let Some(preset) = preset {
+        let _ = sender.send(ControlMessage::Force(preset)).await;
+    }
 }
 
 async fn gated_run(
     shared: &Arc<EndpointShared>,
-    link: AttemptLink,
+    link: &AttemptLink,
     head: &RequestHead,
     body: Bytes,
 ) -> Result<(), RunFailure> {
@@ -81,15 +110,37 @@
     if head.deadline.is_past(Timestamp::now()) {
         return Err(RunFailure::NotRun(NotRunReason::DeadlineTooClose));
     }
-    let entered = shared.gate().enter(head.revision, head.version.as_ref());
-    entered.map_err(RunFailure::NotRun)?;
-    let _permit = GatePermit { shared: shared.clone() };
+    let permit = GatePermit::enter(shared, head)?;
     shared.metrics.admitted.inc();
-    if keyed::needs_claim(head) {
-        return keyed::run_claimed(shared, link, head, body).await;
+    match RepeatGuard::of(head) {
+        RepeatGuard::Claimed => keyed::run_claimed(shared, link, head, body, permit).await,
+        RepeatGuard::Idempotent => {
+            let mut answer = call_engine(shared, head, body).await?;
+            relay(link, head, &mut answer).await
+        }
+        RepeatGuard::Nothing => run_once(shared, link, head, body).await,
     }
-    let answer = call_engine(shared, head, body).await?;
-    relay(link, head, answer).await
+}
+
+/// Runs a request that nothing but its single dispatch protects from a second run.
+async fn run_once(
+    shared: &EndpointShared,
+    link: &AttemptLink,
+    head: &RequestHead,
+    body: Bytes,
+) -> Result<(), RunFailure> {
+    if !link.latch.begin() {
+        return Err(RunFailure::NotRun(NotRunReason::Cancelled));
+    }
+    let mut answer = call_engine(shared, head, body).await?;
+    let relayed = relay(link, head, &mut answer).await;
+    if relayed.is_err() {
+        // Dropping the answer would cancel the run at the endpoint in the middle
+        // of its effect: a charge without its receipt. Nobody reads the rest,
+        // but the permit is held until the run is over.
+        while let Some(Ok(_)) = answer.body.frame().await {}
+    }
+    relayed
 }
 
 /// Calls the engine and checks the version that it answers from.
@@ -111,17 +162,20 @@
 }
 
 async fn relay(
-    link: AttemptLink,
+    link: &AttemptLink,
     head: &RequestHead,
-    mut answer: EngineAnswer,
+    answer: &mut EngineAnswer,
 ) -> Result<(), RunFailure> {
-    let AttemptLink { sender, attempt, granted } = link;
+    let AttemptLink { sender, attempt, granted, .. } = link;
+    let attempt = *attempt;
     let first = RequestMessage::Head {
         attempt,
         request: head.id.clone(),
         status: answer.status,
-        content_type: answer.content_type,
-        version: answer.version,
+        content_type: answer.content_type.clone(),
+        version: answer.version.clone(),
+        revision: head.revision,
+        replayed: false,
     };
     sender.send(first).await.map_err(gone)?;
     let mut credit = INITIAL_CREDIT;
@@ -143,22 +197,34 @@
     sender.send(RequestMessage::End { attempt, bytes: sent }).await.map_err(gone)
 }
 
+/// Largest part of an answer that is known as a whole.
+const PART_BYTES: usize = 64 << 10;
+
 /// Sends an answer that is known as a whole.
 pub(crate) async fn send_whole(
-    link: AttemptLink,
+    link: &AttemptLink,
     head: &RequestHead,
-    status: u16,
-    content_type: Option<String>,
-    body: Vec<u8>,
+    answer: &RecordedAnswer,
+    body: &[u8],
+    replayed: bool,
 ) -> Result<(), RunFailure> {
     let AttemptLink { sender, attempt, .. } = link;
-    let (request, version) = (head.id.clone(), head.version.clone());
-    let first = RequestMessage::Head { attempt, request, status, content_type, version };
+    let attempt = *attempt;
+    let first = RequestMessage::Head {
+        attempt,
+        request: head.id.clone(),
+        status: answer.status,
+        content_type: answer.content_type.clone(),
+        version: answer.version.clone(),
+        revision: answer.revision,
+        replayed,
+    };
     sender.send(first).await.map_err(gone)?;
-    let bytes = body.len() as u64;
-    if bytes > 0 {
-        sender.send(RequestMessage::Data { attempt, bytes: body }).await.map_err(gone)?;
+    for part in body.chunks(PART_BYTES) {
+        let message = RequestMessage::Data { attempt, bytes: part.to_vec() };
+        sender.send(message).await.map_err(gone)?;
     }
+    let bytes = body.len() as u64;
     sender.send(RequestMessage::End { attempt, bytes }).await.map_err(gone)
 }
 
--- a/crates/agent/src/serve.rs
+++ b/crates/agent/src/serve.rs
@@ -82,10 +82,10 @@
         let _ = entry.try_send(ControlMessage::Leaving { instance: instance.clone() });
     }
     report::send_report(shared);
-    while shared.gate().in_progress() > 0 && !deadline.is_past(Timestamp::now()) {
+    while shared.open_attempts() > 0 && !deadline.is_past(Timestamp::now()) {
         timeout(deadline.remaining(Timestamp::now()), shared.permit_released()).await;
     }
     smol::Timer::after(LINGER).await;
-    let left = shared.gate().in_progress();
+    let left = shared.open_attempts();
     log::info!(target: "drain", in_progress = left; "The agent ends.");
 }
--- a/crates/decide/src/retry.rs
+++ b/crates/decide/src/retry.rs
@@ -1,6 +1,12 @@
 //! Whether a failed attempt may be followed by another.
 
-use cassiawheel_model::{Deadline, NotRunReason, Repeatability, Timestamp};
+use std::{
+    sync::atomic::{AtomicU32, Ordering},
+    time::Duration,
+};
+
+use cassiawheel_model::{Deadline, NotRunReason, Repeatability, RequestHead, Timestamp};
+use rand::Rng;
 
 /// How an attempt ended without a whole answer.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -14,26 +20,57 @@
 /// What to do next.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum RetryStep {
-    /// Try another endpoint.
-    Again,
+    /// Try another endpoint at this moment.
+    Again(Deadline),
+    /// Try again under the newer preset; the endpoint itself is fine.
+    Reroute(Deadline),
     /// Tell the caller how the attempt ended.
     Stop(AttemptEnd),
 }
 
+/// What protects a request from a second run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RepeatGuard {
+    /// It may run any number of times.
+    Idempotent,
+    /// The claim on its key lets one attempt run, whoever sends others.
+    Claimed,
+    /// Nothing does: it is not sent again after a possible run.
+    Nothing,
+}
+
+impl RepeatGuard {
+    /// The guard of a request.
+    pub fn of(head: &RequestHead) -> Self {
+        match (head.repeat, &head.key) {
+            (Repeatability::Idempotent, _) => Self::Idempotent,
+            (Repeatability::AtMostOnce, Some(_)) => Self::Claimed,
+            (Repeatability::AtMostOnce, None) => Self::Nothing,
+        }
+    }
+}
+
+/// First wait before another attempt, in milliseconds; doubled each time.
+const MIN_BACKOFF_MS: u64 = 10;
+
+/// Longest wait before another attempt, in milliseconds.
+const MAX_BACKOFF_MS: u64 = 200;
+
 /// The attempts of one request.
 #[derive(Debug, Clone)]
 pub struct RetryTracker {
-    repeat: Repeatability,
+    guard: RepeatGuard,
     deadline: Deadline,
     attempts: u32,
     max_attempts: u32,
     unknown: Option<String>,
+    refused: Option<NotRunReason>,
 }
 
 impl RetryTracker {
     /// A request that has not been tried yet.
-    pub fn new(repeat: Repeatability, deadline: Deadline, max_attempts: u32) -> Self {
-        Self { repeat, deadline, attempts: 0, max_attempts, unknown: None }
+    pub fn new(guard: RepeatGuard, deadline: Deadline, max_attempts: u32) -> Self {
+        Self { guard, deadline, attempts: 0, max_attempts, unknown: None, refused: None }
     }
 
     /// Notes that an attempt starts.
@@ -47,31 +84,95 @@
     }
 
     /// Decides after an attempt that gave no whole answer.
-    ///
-    /// `answer_begun` tells that the caller has already received a part, after
-    /// which another endpoint's answer must not be mixed in.
-    pub fn after(&mut self, end: AttemptEnd, answer_begun: bool, now: Timestamp) -> RetryStep {
+    pub fn after(
+        &mut self,
+        end: AttemptEnd,
+        budget: &RetryBudget,
+        now: Timestamp,
+        rng: &mut impl Rng,
+    ) -> RetryStep {
         let may_repeat = match &end {
             AttemptEnd::NotRun(reason) => reason.is_retryable(),
-            AttemptEnd::Unknown(detail) => {
-                self.unknown = Some(detail.clone());
-                self.repeat == Repeatability::Idempotent
-            }
+            AttemptEnd::Unknown(_) => self.guard != RepeatGuard::Nothing,
         };
-        let exhausted = self.attempts >= self.max_attempts || self.deadline.is_past(now);
-        if may_repeat && !answer_begun && !exhausted {
-            return RetryStep::Again;
+        let stale = end == AttemptEnd::NotRun(NotRunReason::StaleRevision);
+        self.note(end.clone());
+        let next_at = self.next_at(now, rng);
+        let exhausted = self.attempts >= self.max_attempts || next_at >= self.deadline;
+        if !may_repeat || exhausted || !budget.withdraw() {
+            return self.stop(end);
+        }
+        if stale { RetryStep::Reroute(next_at) } else { RetryStep::Again(next_at) }
+    }
+
+    fn note(&mut self, end: AttemptEnd) {
+        match end {
+            AttemptEnd::Unknown(detail) => self.unknown = Some(detail),
+            // That no other endpoint is left says less than why the last one
+            // refused, which is what its caller can act on.
+            AttemptEnd::NotRun(NotRunReason::NoEndpoint) => {}
+            AttemptEnd::NotRun(reason) => self.refused = Some(reason),
         }
-        self.stop(end)
     }
 
-    /// The final word when no further attempt is possible.
-    pub fn stop(&self, end: AttemptEnd) -> RetryStep {
+    fn next_at(&self, now: Timestamp, rng: &mut impl Rng) -> Deadline {
+        let doublings = self.attempts.saturating_sub(1).min(8);
+        let longest = (MIN_BACKOFF_MS << doublings).min(MAX_BACKOFF_MS);
+        // Full jitter: entries that were refused together do not come back together.
+        now.deadline_after(Duration::from_millis(rng.random_range(0..=longest)))
+    }
+
+    fn stop(&self, end: AttemptEnd) -> RetryStep {
         // An earlier attempt may have run, so "not run" would be a lie even if
         // the last attempt was refused.
-        RetryStep::Stop(match &self.unknown {
-            Some(detail) => AttemptEnd::Unknown(detail.clone()),
-            None => end,
-        })
+        if let Some(detail) = &self.unknown {
+            return RetryStep::Stop(AttemptEnd::Unknown(detail.clone()));
+        }
+        let end = match (end, self.refused) {
+            (AttemptEnd::NotRun(NotRunReason::NoEndpoint), Some(reason)) => {
+                AttemptEnd::NotRun(reason)
+            }
+            (end, _) => end,
+        };
+        RetryStep::Stop(end)
+    }
+}
+
+/// Share of a retry that each request earns, in thousandths.
+const EARNED: u32 = 100;
+
+/// Price of a retry, in thousandths.
+const PRICE: u32 = 1_000;
+
+/// Retries that an idle entry may make at once, in thousandths.
+const SAVINGS: u32 = 100 * PRICE;
+
+/// Retries that one entry may make: a tenth of its requests, and a few at once.
+///
+/// When most endpoints refuse, retries would multiply the load that made them
+/// refuse. One would notice attempts at a multiple of the requests; a budget
+/// that requests earn bounds them.
+#[derive(Debug)]
+pub struct RetryBudget {
+    balance: AtomicU32,
+}
+
+impl Default for RetryBudget {
+    fn default() -> Self {
+        Self { balance: AtomicU32::new(SAVINGS) }
+    }
+}
+
+impl RetryBudget {
+    /// Notes a request.
+    pub fn earn(&self) {
+        let earned = |balance: u32| (balance < SAVINGS).then(|| (balance + EARNED).min(SAVINGS));
+        let _ = self.balance.fetch_update(Ordering::Relaxed, Ordering::Relaxed, earned);
+    }
+
+    /// Takes one retry; false if there is none.
+    pub fn withdraw(&self) -> bool {
+        let pay = |balance: u32| balance.checked_sub(PRICE);
+        self.balance.fetch_update(Ordering::Relaxed, Ordering::Relaxed, pay).is_ok()
     }
 }
--- /dev/null
+++ b/crates/decide/tests/keyed_history.rs
@@ -0,0 +1,193 @@
+//! Seeded histories of keyed requests under faults in pairs.
+
+#[path = "keyed_history/world.rs"]
+mod world;
+
+use cassiawheel_model::NotRunReason;
+use todc_utils::{
+    Specification,
+    linearizability::{
+        WGLChecker,
+        history::{Action, History},
+    },
+};
+use world::{AGENTS, Fault, KEYS, MissingGuard, Told, World, expected_answer};
+
+const SEEDS: u64 = 8_000;
+
+/// What a set of histories showed.
+#[derive(Debug, Default, PartialEq, Eq)]
+struct Violations {
+    second_runs: u32,
+    ran_though_told_not: u32,
+    wrong_answers: u32,
+    late_runs: u32,
+    not_linearizable: u32,
+    stuck_keys: u32,
+    permits_kept: u32,
+    unsettled: u32,
+}
+
+/// Every pair of faults in turn, then none.
+fn faults(seed: u64) -> Vec<Fault> {
+    let agent = (seed / 64) as usize % AGENTS;
+    let kinds = [
+        None,
+        Some(Fault::KillAgent(agent)),
+        Some(Fault::PauseAgent((agent + 1) % AGENTS)),
+        Some(Fault::DrainAgent((agent + 2) % AGENTS)),
+        Some(Fault::StoreDown),
+        Some(Fault::StoreSlow),
+        Some(Fault::AnswersLost),
+        Some(Fault::EntryGone(seed as usize / 7)),
+    ];
+    let pair = [kinds[seed as usize % 8], kinds[seed as usize / 8 % 8]];
+    pair.into_iter().flatten().collect()
+}
+
+fn observe(missing: MissingGuard) -> Violations {
+    let mut seen = Violations::default();
+    for seed in 0..SEEDS {
+        let mut world = World::new(seed, missing, &faults(seed));
+        seen.unsettled += u32::from(!world.run());
+        count_runs(&world, &mut seen);
+        count_linear(&world, &mut seen);
+        seen.permits_kept += world.permits_left();
+        if !world.killed {
+            count_stuck_keys(&mut world, &mut seen);
+        }
+    }
+    seen
+}
+
+fn count_runs(world: &World, seen: &mut Violations) {
+    for key in 0..KEYS {
+        let of_key = world.attempts.iter().filter(|a| world.requests[a.request].key == key);
+        let runs: u32 = of_key.map(|attempt| attempt.effects).sum();
+        seen.second_runs += runs.saturating_sub(1);
+    }
+    for request in &world.requests {
+        let (told, _) = request.told.as_ref().expect("every caller is told something");
+        let mut attempts = request.attempts.iter().map(|index| &world.attempts[*index]);
+        if let Told::NotRun(_) = told {
+            seen.ran_though_told_not += u32::from(attempts.any(|attempt| attempt.effects > 0));
+        }
+        if let Told::Complete(answer) = told {
+            let is_own = |(index, attempt): (usize, &world::Attempt)| {
+                attempt.effects == 1
+                    && world.requests[attempt.request].key == request.key
+                    && expected_answer(request.key, index) == *answer
+            };
+            let own = world.attempts.iter().enumerate().any(is_own);
+            seen.wrong_answers += u32::from(!own);
+        }
+    }
+    for attempt in &world.attempts {
+        let request = &world.requests[attempt.request];
+        let deadline = request.called_at + 400;
+        seen.late_runs += u32::from(attempt.began_at.is_some_and(|at| at >= deadline));
+    }
+}
+
+/// A caller that asks once more after all faults have ended buys or is told
+/// what was bought: a key must not be lost to an attempt that never ran.
+fn count_stuck_keys(world: &mut World, seen: &mut Violations) {
+    for key in 0..KEYS {
+        let was_run = world
+            .attempts
+            .iter()
+            .any(|a| a.began_at.is_some() && world.requests[a.request].key == key);
+        if was_run {
+            continue;
+        }
+        let last = world.arrive(key, world.now + 10_000);
+        seen.unsettled += u32::from(!world.run());
+        let (told, _) = world.requests[last].told.clone().expect("an answer");
+        let began = world.attempts.iter().any(|a| a.request == last && a.began_at.is_some());
+        let refused = told == Told::NotRun(NotRunReason::ConnectFailed);
+        seen.stuck_keys += u32::from(!began && !refused);
+    }
+}
+
+/// The sale behind one key: the first to run decides the answer of all.
+#[derive(Debug, Clone)]
+struct SaleSpec;
+
+/// What one caller's request did, by the service's log and the caller's word.
+#[derive(Debug, Clone)]
+struct Sale {
+    ran: Option<String>,
+    told: Option<String>,
+}
+
+impl Specification for SaleSpec {
+    type State = Option<String>;
+    type Operation = Sale;
+
+    fn init() -> Option<String> {
+        None
+    }
+
+    fn apply(sale: &Sale, state: &Option<String>) -> (bool, Option<String>) {
+        let next = match (state, &sale.ran) {
+            (Some(_), Some(_)) => return (false, state.clone()),
+            (None, Some(answer)) => Some(answer.clone()),
+            (state, None) => state.clone(),
+        };
+        let honest = sale.told.is_none() || sale.told == next;
+        (honest, if honest { next } else { state.clone() })
+    }
+}
+
+fn count_linear(world: &World, seen: &mut Violations) {
+    for key in 0..KEYS {
+        let mut actions = Vec::new();
+        let requests = world.requests.iter().enumerate().filter(|(_, r)| r.key == key);
+        for (process, (index, request)) in requests.enumerate() {
+            let (told, told_at) = request.told.clone().expect("an answer");
+            let ran = world.attempts.iter().position(|a| a.request == index && a.effects > 0);
+            let ran = ran.map(|attempt| expected_answer(key, attempt));
+            // A run whose caller was told "unknown" may take effect any time after.
+            let (answer, end) = match told {
+                Told::Complete(answer) => (Some(answer), told_at),
+                Told::NotRun(_) => (None, told_at),
+                Told::Unknown | Told::Gone => (None, u64::MAX),
+            };
+            let sale = Sale { ran, told: answer };
+            actions.push((request.called_at, 0, (process, Action::Call(sale.clone()))));
+            actions.push((end, 1, (process, Action::Response(sale))));
+        }
+        actions.sort_by_key(|(at, order, _)| (*at, *order));
+        let actions: Vec<_> = actions.into_iter().map(|(_, _, action)| action).collect();
+        if !actions.is_empty() {
+            let linear = WGLChecker::<SaleSpec>::is_linearizable(History::from_actions(actions));
+            seen.not_linearizable += u32::from(!linear);
+        }
+    }
+}
+
+/// Agents die before, during and after a run, are paused and drained, the table
+/// service is away, slow, or loses answers, and callers go away, two of these at
+/// a time. A visitor would be charged twice, be told that nothing happened
+/// though it did, get another's ticket, or be unable to buy with a key at all.
+#[test]
+fn keyed_requests_run_at_most_once_and_answers_are_honest() {
+    assert_eq!(observe(MissingGuard::None), Violations::default());
+}
+
+/// A checker that never fails proves nothing. Each guard is switched off in
+/// turn, and what it prevents must be counted.
+#[test]
+fn a_missing_guard_is_noticed() {
+    let claim = observe(MissingGuard::Claim);
+    assert!(claim.second_runs > 100 && claim.not_linearizable > 100, "{claim:?}");
+    let held = observe(MissingGuard::HeldClaimStays);
+    assert!(held.second_runs > 100, "{held:?}");
+    let late = observe(MissingGuard::DeadlineBeforeRun);
+    assert!(late.late_runs > 10, "{late:?}");
+    let unknown = observe(MissingGuard::UnknownStays);
+    assert!(unknown.ran_though_told_not > 5, "{unknown:?}");
+    let release = observe(MissingGuard::LateRelease);
+    assert!(release.stuck_keys > 5, "{release:?}");
+    println!("{claim:?}\n{held:?}\n{late:?}\n{unknown:?}\n{release:?}");
+}
--- /dev/null
+++ b/crates/decide/tests/retry.rs
@@ -0,0 +1,100 @@
+//! Whether a failed attempt is followed by another, and what its caller is told.
+
+use cassiawheel_decide::{AttemptEnd, RepeatGuard, RetryBudget, RetryStep, RetryTracker};
+use cassiawheel_model::{Deadline, NotRunReason, Timestamp};
+use rand::{SeedableRng, rngs::SmallRng};
+use rstest::rstest;
+
+const NOW: Timestamp = Timestamp(1_000);
+const DEADLINE: Deadline = Deadline(9_000);
+
+struct Tries {
+    tracker: RetryTracker,
+    budget: RetryBudget,
+    rng: SmallRng,
+}
+
+impl Tries {
+    fn new(guard: RepeatGuard) -> Self {
+        let rng = SmallRng::seed_from_u64(1);
+        Self { tracker: RetryTracker::new(guard, DEADLINE, 3), budget: RetryBudget::default(), rng }
+    }
+
+    fn after(&mut self, end: AttemptEnd) -> RetryStep {
+        self.tracker.begin();
+        self.tracker.after(end, &self.budget, NOW, &mut self.rng)
+    }
+}
+
+fn unknown() -> AttemptEnd {
+    AttemptEnd::Unknown("the connection was lost".to_owned())
+}
+
+fn refused(reason: NotRunReason) -> AttemptEnd {
+    AttemptEnd::NotRun(reason)
+}
+
+/// A card charge is sent, the connection breaks, and nothing tells whether the
+/// card was charged. A second attempt could charge it twice.
+#[test]
+fn a_request_without_key_is_not_sent_again_after_a_possible_run() {
+    let mut tries = Tries::new(RepeatGuard::Nothing);
+    assert_eq!(tries.after(unknown()), RetryStep::Stop(unknown()));
+}
+
+/// The first attempt may have run; the second was refused. Were the caller told
+/// the last word, "not run", it would order again what it already has.
+#[rstest]
+#[case(NotRunReason::Draining)]
+#[case(NotRunReason::NoEndpoint)]
+#[case(NotRunReason::StoreUnavailable)]
+fn a_refusal_after_a_possible_run_stays_unknown(#[case] reason: NotRunReason) {
+    let mut tries = Tries::new(RepeatGuard::Claimed);
+    assert!(matches!(tries.after(unknown()), RetryStep::Again(_)));
+    let mut step = tries.after(refused(reason));
+    while let RetryStep::Again(_) = step {
+        step = tries.after(refused(reason));
+    }
+    assert_eq!(step, RetryStep::Stop(unknown()));
+}
+
+/// The only endpoint is full. "No endpoint" would send the operator to look for
+/// a dead process.
+#[test]
+fn the_last_refusal_is_told_and_not_that_no_other_endpoint_is_left() {
+    let mut tries = Tries::new(RepeatGuard::Idempotent);
+    assert!(matches!(tries.after(refused(NotRunReason::Overloaded)), RetryStep::Again(_)));
+    let step = tries.after(refused(NotRunReason::NoEndpoint));
+    assert_eq!(step, RetryStep::Stop(refused(NotRunReason::Overloaded)));
+}
+
+/// An entry lags behind a change of the preset. The endpoint that refuses is
+/// healthy and may be the only one; it is asked again under the newer preset.
+#[test]
+fn a_stale_revision_is_routed_anew() {
+    let mut tries = Tries::new(RepeatGuard::Nothing);
+    let step = tries.after(refused(NotRunReason::StaleRevision));
+    assert!(matches!(step, RetryStep::Reroute(_)));
+}
+
+/// Every endpoint refuses under overload. Unbounded retries would multiply the
+/// load; here 10,000 requests make at most 1,100 of them.
+#[test]
+fn retries_stay_within_a_tenth_of_the_requests() {
+    let budget = RetryBudget::default();
+    let mut rng = SmallRng::seed_from_u64(2);
+    let mut attempts = 0;
+    for _ in 0..10_000 {
+        let mut tracker = RetryTracker::new(RepeatGuard::Idempotent, DEADLINE, 3);
+        budget.earn();
+        loop {
+            tracker.begin();
+            attempts += 1;
+            let end = refused(NotRunReason::Overloaded);
+            if let RetryStep::Stop(_) = tracker.after(end, &budget, NOW, &mut rng) {
+                break;
+            }
+        }
+    }
+    assert!((10_500..=11_100).contains(&attempts), "{attempts} attempts");
+}
--- a/crates/entry/src/caller/attempts.rs
+++ b/crates/entry/src/caller/attempts.rs
@@ -6,13 +6,14 @@
 };
 
 use bytes::Bytes;
-use cassiawheel_decide::{AttemptEnd, RetryStep, RetryTracker};
+use cassiawheel_decide::{AttemptEnd, RepeatGuard, RetryStep, RetryTracker};
 use cassiawheel_model::{
     Deadline, ForcedPreset, InstanceId, ModelVersion, NotRunReason, PresetRevision, RequestHead,
     RequestOutcome, Timestamp,
 };
 use cassiawheel_runtime::timeout;
 use cassiawheel_wire::RequestMessage;
+use smol::Timer;
 
 use crate::{link::AttemptStream, shared::EntryShared};
 
@@ -29,8 +30,10 @@
     pub(crate) content_type: Option<String>,
     /// The version that answers.
     pub(crate) version: Option<ModelVersion>,
-    /// The preset under which it was routed.
+    /// The preset under which it ran.
     pub(crate) revision: PresetRevision,
+    /// Whether it repeats the recorded answer of an earlier run.
+    pub(crate) replayed: bool,
     /// Attempts that it took.
     pub(crate) attempts: u32,
     /// Counts the request at its endpoint until the answer ends.
@@ -72,9 +75,10 @@
     body: &Bytes,
 ) -> Result<BegunAnswer, FailedRequest> {
     let max_attempts = shared.settings.caller.max_attempts;
-    let mut tracker = RetryTracker::new(head.repeat, head.deadline, max_attempts);
+    let mut tracker = RetryTracker::new(RepeatGuard::of(head), head.deadline, max_attempts);
     let mut excluded = Vec::new();
     let mut revision = PresetRevision::default();
+    shared.retries.earn();
     loop {
         let end = match preset_in_force(shared, head) {
             Ok(preset) => {
@@ -87,13 +91,19 @@
             Ok(begun) => return Ok(begun),
             Err(end) => end,
         };
-        match tracker.after(end, false, Timestamp::now()) {
-            RetryStep::Again => {}
+        let step = tracker.after(end, &shared.retries, Timestamp::now(), &mut rand::rng());
+        let next_at = match step {
+            RetryStep::Again(next_at) => next_at,
+            RetryStep::Reroute(next_at) => {
+                excluded.pop();
+                next_at
+            }
             RetryStep::Stop(end) => {
                 let (outcome, attempts) = (final_outcome(end), tracker.attempts());
                 return Err(FailedRequest { outcome, revision, attempts });
             }
-        }
+        };
+        Timer::after(next_at.remaining(Timestamp::now())).await;
     }
 }
 
@@ -135,20 +145,17 @@
     tracker.begin();
     shared.metrics.attempts.inc();
     let routed = RequestHead { revision: preset.revision, version, ..head.clone() };
-    let sent = match link {
-        Some(link) => link.dispatch(routed.clone(), body).await,
-        None => None,
-    };
-    let Some(stream) = sent else {
-        return Err(AttemptEnd::NotRun(NotRunReason::ConnectFailed));
-    };
+    let link = link.ok_or(AttemptEnd::NotRun(NotRunReason::ConnectFailed))?;
+    let sent = link.dispatch(routed.clone(), body).await;
+    let stream = sent.map_err(AttemptEnd::NotRun)?;
     let begun = await_head(stream, &routed).await?;
     Ok(BegunAnswer {
         stream: begun.stream,
         status: begun.status,
         content_type: begun.content_type,
-        version: routed.version,
-        revision: routed.revision,
+        version: begun.version,
+        revision: begun.revision,
+        replayed: begun.replayed,
         attempts: tracker.attempts(),
         _load: load,
     })
@@ -159,6 +166,9 @@
     stream: AttemptStream,
     status: u16,
     content_type: Option<String>,
+    version: Option<ModelVersion>,
+    revision: PresetRevision,
+    replayed: bool,
 }
 
 async fn await_head(
@@ -170,13 +180,22 @@
         return Err(AttemptEnd::Unknown("no answer before the deadline".to_owned()));
     };
     match message {
-        Some(RequestMessage::Head { request, status, content_type, version, .. }) => {
+        Some(RequestMessage::Head {
+            request,
+            status,
+            content_type,
+            version,
+            revision,
+            replayed,
+            ..
+        }) => {
             // Answers can arrive crossed; one that names another request or
-            // version would give its caller somebody else's answer.
-            if request != routed.id || version != routed.version {
+            // version would give its caller somebody else's answer. A recorded
+            // answer names the version that gave it, which may have left since.
+            if request != routed.id || (!replayed && version != routed.version) {
                 return Err(AttemptEnd::Unknown("the answer belongs elsewhere".to_owned()));
             }
-            Ok(AnswerHead { stream, status, content_type })
+            Ok(AnswerHead { stream, status, content_type, version, revision, replayed })
         }
         Some(RequestMessage::Refused { reason, .. }) => Err(AttemptEnd::NotRun(reason)),
         Some(RequestMessage::Failed { detail, .. }) => Err(AttemptEnd::Unknown(detail)),
--- a/crates/entry/src/caller/identify.rs
+++ b/crates/entry/src/caller/identify.rs
@@ -8,7 +8,10 @@
     Deadline, PresetRevision, PriorityClass, RequestHead, RequestKey, ServiceName, Timestamp,
     WorkspaceId,
 };
-use cassiawheel_runtime::http::{BodyError, ReplyBody, error_reply, read_body};
+use cassiawheel_runtime::{
+    http::{BodyError, ReplyBody, error_reply, read_body},
+    timeout,
+};
 use hyper::{HeaderMap, Request, Response, StatusCode, body::Incoming, header::CONTENT_TYPE};
 
 use super::SERVICE_PATH;
@@ -84,7 +87,11 @@
         revision: PresetRevision::default(),
         version: None,
     };
-    let body = read_body(body, settings.max_body_bytes).await.map_err(|error| match error {
+    // A caller that stalls in the middle of its body would hold its connection
+    // for as long as it likes.
+    let span = head.deadline.remaining(Timestamp::now());
+    let body = timeout(span, read_body(body, settings.max_body_bytes)).await;
+    let body = body.unwrap_or(Err(BodyError::Cut)).map_err(|error| match error {
         BodyError::TooLong => BadRequest {
             status: StatusCode::PAYLOAD_TOO_LARGE,
             message: format!("body: longer than {} bytes", settings.max_body_bytes),
--- a/crates/entry/src/caller/outcome.rs
+++ b/crates/entry/src/caller/outcome.rs
@@ -1,5 +1,6 @@
 //! The words and headers in which callers learn an outcome.
 
+use cassiawheel_decide::RepeatGuard;
 use cassiawheel_model::{
     ModelVersion, NotRunReason, OutcomeKind, PresetRevision, RequestHead, RequestOutcome,
     Timestamp, record,
@@ -15,11 +16,16 @@
 
 /// Header or trailer with the outcome: `complete`, `not-run` or `unknown`.
 pub(crate) const OUTCOME_HEADER: &str = "cassiawheel-outcome";
+/// Header of an answer that repeats the recorded answer of an earlier run.
+pub(crate) const REPLAYED_HEADER: &str = "cassiawheel-replayed";
 const REQUEST_HEADER: &str = "cassiawheel-request";
 const VERSION_HEADER: &str = "cassiawheel-version";
 const REVISION_HEADER: &str = "cassiawheel-revision";
 const ATTEMPTS_HEADER: &str = "cassiawheel-attempts";
 
+/// When a caller may ask again for an outcome that is unknown, in milliseconds.
+const UNKNOWN_RETRY_MS: u64 = 1_000;
+
 /// Body of a failed request.
 #[apply(record!)]
 struct FailureBody {
@@ -63,7 +69,11 @@
 /// The answer to a request that failed before any part of an answer was sent.
 pub(crate) fn failure_reply(head: &RequestHead, failed: &FailedRequest) -> Response<ReplyBody> {
     let kind = failed.outcome.kind();
-    let (status, error, message, wait_ms) = describe(&failed.outcome);
+    let (status, error, message, mut wait_ms) = describe(&failed.outcome);
+    if kind == OutcomeKind::Unknown && RepeatGuard::of(head) != RepeatGuard::Nothing {
+        // Asking again does no harm: the request is idempotent or has a key.
+        wait_ms = Some(UNKNOWN_RETRY_MS);
+    }
     log::info!(target: "outcome", request:% = head.id, outcome = outcome_text(kind), error = error, attempts = failed.attempts; "A request failed.");
     let mut reply = json_reply(
         status,
--- a/crates/entry/src/caller/relay.rs
+++ b/crates/entry/src/caller/relay.rs
@@ -25,7 +25,7 @@
 use super::{
     InFlight,
     attempts::{BegunAnswer, FailedRequest},
-    outcome::{OUTCOME_HEADER, add_headers, failure_reply, outcome_text},
+    outcome::{OUTCOME_HEADER, REPLAYED_HEADER, add_headers, failure_reply, outcome_text},
 };
 
 /// One step of an answer.
@@ -62,7 +62,7 @@
         match timeout(span, self.begun.stream.next()).await {
             Some(Some(RequestMessage::Data { bytes, .. })) => {
                 self.received += bytes.len() as u64;
-                self.begun.stream.grant(bytes.len());
+                self.begun.stream.grant(bytes.len()).await;
                 AnswerStep::Data(Bytes::from(bytes))
             }
             Some(Some(RequestMessage::End { bytes, .. })) if bytes == self.received => {
@@ -84,6 +84,9 @@
         *reply.status_mut() = StatusCode::from_u16(begun.status).unwrap_or(StatusCode::OK);
         let headers = reply.headers_mut();
         add_headers(headers, &self.head, begun.version.as_ref(), begun.revision, begun.attempts);
+        if begun.replayed {
+            headers.insert(REPLAYED_HEADER, HeaderValue::from_static("true"));
+        }
         let kind = begun.content_type.as_deref().map(HeaderValue::from_str);
         if let Some(Ok(kind)) = kind {
             headers.insert(CONTENT_TYPE, kind);
--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -6,13 +6,18 @@
         Arc, Mutex, MutexGuard,
         atomic::{AtomicU64, Ordering},
     },
+    time::Duration,
 };
 
 use bytes::Bytes;
-use cassiawheel_model::{InstanceId, RequestHead};
+use cassiawheel_model::{InstanceId, NotRunReason, RequestHead, Timestamp};
+use cassiawheel_runtime::{spawn, timeout};
 use cassiawheel_wire::{RequestMessage, WireSender};
 use smol::channel::{Receiver, Sender, unbounded};
 
+/// Longest wait for room in the queue to an agent.
+const MAX_QUEUE_TIME: Duration = Duration::from_millis(250);
+
 /// A connection to an agent.
 pub(crate) struct AgentLink {
     /// The agent's instance.
@@ -45,22 +50,27 @@
         }
     }
 
-    /// Sends a request; `None` if nothing was sent.
+    /// Sends a request; the error tells why nothing was sent and never will be.
     pub(crate) async fn dispatch(
         self: &Arc<Self>,
         head: RequestHead,
         body: &Bytes,
-    ) -> Option<AttemptStream> {
+    ) -> Result<AttemptStream, NotRunReason> {
+        let span = head.deadline.remaining(Timestamp::now()).min(MAX_QUEUE_TIME);
         let attempt = self.attempts.fetch_add(1, Ordering::Relaxed);
         let (sender, messages) = unbounded();
         self.waiting().insert(attempt, sender);
         let stream = AttemptStream { link: self.clone(), attempt, messages, ended: false };
         let message =
             RequestMessage::Dispatch { attempt, head: Box::new(head), body: body.to_vec() };
-        match self.sender.send(message).await {
-            Ok(()) => Some(stream),
-            Err(_) => None,
+        // The queue is full when the agent is paused or its link stalls. Giving
+        // up the send takes the message out of the queue, so it never leaves.
+        let sent = timeout(span, self.sender.send(message)).await;
+        match sent {
+            Some(Ok(())) => return Ok(stream),
+            Some(Err(_)) | None => stream.abandon(),
         }
+        Err(NotRunReason::ConnectFailed)
     }
 
     /// Hands a message of the agent to the attempt that it belongs to.
@@ -97,17 +107,35 @@
     }
 
     /// Lets the agent send `bytes` more.
-    pub(crate) fn grant(&self, bytes: usize) {
+    ///
+    /// Waits for room in the queue: a credit that is lost would stall the rest
+    /// of the answer until its deadline.
+    pub(crate) async fn grant(&self, bytes: usize) {
         let message = RequestMessage::Credit { attempt: self.attempt, bytes: bytes as u32 };
-        let _ = self.link.sender.try_send(message);
+        let _ = self.link.sender.send(message).await;
+    }
+
+    /// Forgets an attempt of which nothing was sent.
+    fn abandon(mut self) {
+        self.ended = true;
     }
 }
 
 impl Drop for AttemptStream {
     fn drop(&mut self) {
         self.link.waiting().remove(&self.attempt);
-        if !self.ended {
-            let _ = self.link.sender.try_send(RequestMessage::Cancel { attempt: self.attempt });
+        if self.ended {
+            return;
+        }
+        let cancel = RequestMessage::Cancel { attempt: self.attempt };
+        if let Ok(false) = self.link.sender.try_send(cancel.clone()) {
+            // The queue is full. Without the cancel an engine would go on with
+            // a run that nobody waits for.
+            let sender = self.link.sender.clone();
+            spawn(async move {
+                let _ = sender.send(cancel).await;
+            })
+            .detach();
         }
     }
 }
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -10,7 +10,8 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use cassiawheel_decide::{
-    Adoption, EndpointRoster, PresetHolder, RouteCandidate, RouteSnapshot, advice::AdviceInput,
+    Adoption, EndpointRoster, PresetHolder, RetryBudget, RouteCandidate, RouteSnapshot,
+    advice::AdviceInput,
 };
 use cassiawheel_model::{
     EndpointState, ForcedPreset, InstanceId, PresetRevision, RequestId, ServiceName, Timestamp,
@@ -52,6 +53,8 @@
     pub(crate) force: ArcSwapOption<ForcedPreset>,
     /// When the table service last answered, as a timestamp's number.
     pub(crate) store_read_at: AtomicU64,
+    /// Retries that this entry may make.
+    pub(crate) retries: RetryBudget,
     /// Requests of callers in progress.
     pub(crate) in_flight: AtomicU32,
     /// Whether this entry leaves.
@@ -82,6 +85,7 @@
             links: ArcSwap::default(),
             force: ArcSwapOption::empty(),
             store_read_at: AtomicU64::new(0),
+            retries: RetryBudget::default(),
             in_flight: AtomicU32::new(0),
             leaving: AtomicBool::new(false),
             holder: Mutex::default(),
--- a/crates/wire/src/message/request.rs
+++ b/crates/wire/src/message/request.rs
@@ -3,7 +3,7 @@
 //! Each attempt has a number that is unique per connection. An answer is
 //! `Head`, any number of `Data`, then `End`; only `End` makes it whole.
 
-use cassiawheel_model::{ModelVersion, NotRunReason, RequestHead, record};
+use cassiawheel_model::{ModelVersion, NotRunReason, PresetRevision, RequestHead, record};
 use macro_rules_attribute::apply;
 
 /// Traffic of one request attempt between an entry and an agent.
@@ -51,6 +51,11 @@
         content_type: Option<String>,
         /// The version that the endpoint says it answers from.
         version: Option<ModelVersion>,
+        /// The preset under which it ran.
+        revision: PresetRevision,
+        /// Whether this is the recorded answer of an earlier run of the same key,
+        /// which may come from an earlier version than the one routed to.
+        replayed: bool,
     },
     /// Agent to entry: a part of the answer.
     Data {
