Requests under faults over TCP; the plain stand-in tells its load

Cause: nothing checked the request path with real processes. The plain stand-in took its agent's questions for its load as calls to carry out.

Change: six tests: a store answer lost after the claim, an agent killed in a run, a store outage, an agent paused past the deadline, a caller that hangs up, planned stops of agents and an entry under load.

--- a/crates/testkit/src/stand_in/plain.rs
+++ b/crates/testkit/src/stand_in/plain.rs
@@ -5,12 +5,19 @@
 
 use std::{
     net::SocketAddr,
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU32, Ordering},
+    },
     time::Duration,
 };
 
-use cassiawheel_platform::engine_http::{KEY_HEADER, REQUEST_HEADER};
-use cassiawheel_runtime::http::{ReplyBody, error_reply, full_body, read_body};
+use cassiawheel_model::{LoadReport, Timestamp};
+use cassiawheel_platform::{
+    EngineStatus,
+    engine_http::{KEY_HEADER, REQUEST_HEADER},
+};
+use cassiawheel_runtime::http::{ReplyBody, error_reply, full_body, json_reply, read_body};
 use hyper::{Request, Response, StatusCode, body::Incoming};
 
 use super::{RunningStandIn, start};
@@ -19,6 +26,9 @@
 /// Largest call, in bytes.
 const MAX_BODY_BYTES: usize = 1 << 20;
 
+/// Path at which agents ask for the load.
+const STATUS_PATH: &str = "/v1/engine/status";
+
 /// One call that was carried out.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct CarriedCall {
@@ -34,6 +44,7 @@
 #[derive(Debug, Default)]
 pub struct PlainLedger {
     calls: Mutex<Vec<CarriedCall>>,
+    in_flight: AtomicU32,
     work: Duration,
 }
 
@@ -62,8 +73,21 @@
         self.calls.lock().unwrap_or_else(|poison| poison.into_inner()).clone()
     }
 
+    /// Its load, which it tells like a model engine but without a version.
+    fn status(&self) -> EngineStatus {
+        let load = LoadReport {
+            in_flight: self.in_flight.load(Ordering::Relaxed),
+            queued: 0,
+            measured_at: Timestamp::now(),
+        };
+        EngineStatus { version: None, manifest: None, fencing: 0, load }
+    }
+
     async fn handle(&self, request: Request<Incoming>) -> Response<ReplyBody> {
         let (head, body) = request.into_parts();
+        if head.uri.path() == STATUS_PATH {
+            return json_reply(StatusCode::OK, &self.status());
+        }
         let Ok(body) = read_body(body, MAX_BODY_BYTES).await else {
             return error_reply(StatusCode::BAD_REQUEST, "body", "the body cannot be read");
         };
@@ -77,9 +101,28 @@
         };
         let answer = format!("done {} ", String::from_utf8_lossy(&call.body));
         self.calls.lock().unwrap_or_else(|poison| poison.into_inner()).push(call);
+        let _running = RunningCall::begin(&self.in_flight);
         if !self.work.is_zero() {
             smol::Timer::after(self.work).await;
         }
         Response::new(full_body(answer))
     }
 }
+
+/// A call in progress; counts as load until it is dropped.
+struct RunningCall<'a> {
+    in_flight: &'a AtomicU32,
+}
+
+impl<'a> RunningCall<'a> {
+    fn begin(in_flight: &'a AtomicU32) -> Self {
+        in_flight.fetch_add(1, Ordering::Relaxed);
+        Self { in_flight }
+    }
+}
+
+impl Drop for RunningCall<'_> {
+    fn drop(&mut self) {
+        self.in_flight.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/testkit/tests/requests.rs
@@ -0,0 +1,261 @@
+//! Requests over real TCP under faults, with every entry and agent a process of its own.
+
+use std::{net::SocketAddr, time::Duration};
+
+use cassiawheel_model::{Timestamp, settings::CallerSettings};
+use cassiawheel_runtime::spawn;
+use cassiawheel_testkit::{
+    CallVerdict, Deployment, DeploymentPlan, TestCaller, caller::TestCall,
+    deployment::PLAIN_SERVICE, stand_in::plain::CarriedCall,
+};
+use serde_json::json;
+use smol::Timer;
+
+const CALL_TIME: Duration = Duration::from_secs(20);
+const START_TIME: Duration = Duration::from_secs(20);
+
+fn run<T>(test: impl Future<Output = anyhow::Result<T>>) -> T {
+    cassiawheel_runtime::run(4, test).expect("the executor runs").expect("the test passes")
+}
+
+async fn ledgers(count: usize, entries: usize, work: Duration) -> anyhow::Result<Deployment> {
+    let plan = DeploymentPlan {
+        entries,
+        model_agents: 0,
+        plain_agents: count,
+        plain_work: work,
+        caller: CallerSettings { advice_ms: 3_000, ..CallerSettings::default() },
+        ..DeploymentPlan::default()
+    };
+    let deployment = Deployment::start(&plan).await?;
+    for index in 0..entries {
+        deployment.wait_status(index, START_TIME, |_| true).await?;
+    }
+    let content = json!({ "services": { PLAIN_SERVICE: { "kind": "plain", "replicas": count } } });
+    deployment.force("ordinary", &content, "change-1").await?;
+    for index in 0..entries {
+        let ready = |status: &serde_json::Value| {
+            status["services"][PLAIN_SERVICE]["replicas_ready"] == count
+        };
+        deployment.wait_status(index, START_TIME, ready).await?;
+    }
+    Ok(deployment)
+}
+
+/// A sale with a key.
+fn sale(entry: SocketAddr, key: &str, deadline: Duration) -> TestCall {
+    let deadline = Timestamp::now().deadline_after(deadline);
+    TestCall {
+        entry,
+        path: format!("{PLAIN_SERVICE}/sell"),
+        headers: vec![
+            ("idempotency-key", key.to_owned()),
+            ("cassiawheel-deadline", deadline.0.to_string()),
+        ],
+        body: format!("seat of {key}").into_bytes(),
+    }
+}
+
+/// A question that may be repeated.
+fn question(entry: SocketAddr, text: &str) -> TestCall {
+    TestCall {
+        entry,
+        path: format!("{PLAIN_SERVICE}/ask"),
+        headers: vec![("cassiawheel-idempotent", "true".to_owned())],
+        body: text.as_bytes().to_vec(),
+    }
+}
+
+async fn send(call: TestCall) -> CallVerdict {
+    let expected = format!("done {} ", String::from_utf8_lossy(&call.body));
+    TestCaller::default().call(call, CALL_TIME, |_| Some(expected.clone())).await
+}
+
+fn is_complete(verdict: &CallVerdict) -> bool {
+    matches!(verdict, CallVerdict::Complete { .. })
+}
+
+/// What all ledgers together carried out.
+fn carried(deployment: &Deployment) -> Vec<CarriedCall> {
+    deployment.endpoints.iter().filter_map(|e| e.ledger.as_ref()).flat_map(|l| l.calls()).collect()
+}
+
+fn runs_of(deployment: &Deployment, key: &str) -> usize {
+    carried(deployment).iter().filter(|call| call.key.as_deref() == Some(key)).count()
+}
+
+async fn wait_for(what: &str, mut holds: impl FnMut() -> bool) -> anyhow::Result<()> {
+    for _ in 0..2_000 {
+        if holds() {
+            return Ok(());
+        }
+        Timer::after(Duration::from_millis(5)).await;
+    }
+    anyhow::bail!("did not come about: {what}")
+}
+
+/// The table service carries a claim out and its answer is lost on the way. The
+/// agent cannot tell whether it may run. The seat is sold once all the same, and
+/// who asks again with the key is told the same answer.
+#[test]
+fn a_sale_whose_store_answer_is_lost_runs_once() {
+    run(async {
+        let deployment = ledgers(2, 1, Duration::from_millis(5)).await?;
+        let entry = deployment.entries[0].caller_addr;
+        deployment.table_switches.set_lose_answers(true);
+        let first = spawn(send(sale(entry, "lift-1", Duration::from_secs(10))));
+        wait_for("the claim", || !deployment.table.scan("request/").is_empty()).await?;
+        deployment.table_switches.set_lose_answers(false);
+        let verdict = first.await;
+        assert!(is_complete(&verdict), "{verdict:?}");
+        let verdict = send(sale(entry, "lift-1", Duration::from_secs(10))).await;
+        assert!(is_complete(&verdict), "{verdict:?}");
+        assert_eq!(runs_of(&deployment, "lift-1"), 1);
+        Ok(())
+    });
+}
+
+/// An agent dies while a card is charged. Whether the charge went through is not
+/// known, so nobody may be told that it did not, and nobody may charge again,
+/// also not a caller that asks again with the same key.
+#[test]
+fn a_sale_whose_agent_dies_is_unknown_and_never_doubled() {
+    run(async {
+        let mut deployment = ledgers(2, 1, Duration::from_millis(700)).await?;
+        let entry = deployment.entries[0].caller_addr;
+        let first = spawn(send(sale(entry, "card-1", Duration::from_secs(10))));
+        wait_for("the run", || runs_of(&deployment, "card-1") == 1).await?;
+        let ran = |e: &cassiawheel_testkit::deployment::TestEndpoint| {
+            e.ledger.as_ref().is_some_and(|ledger| !ledger.calls().is_empty())
+        };
+        let index = deployment.endpoints.iter().position(ran).expect("one of them runs it");
+        deployment.endpoints[index].agent.as_mut().expect("it runs").kill()?;
+        let verdict = first.await;
+        assert!(matches!(verdict, CallVerdict::Unknown(_)), "{verdict:?}");
+        let verdict = send(sale(entry, "card-1", Duration::from_secs(10))).await;
+        assert!(matches!(verdict, CallVerdict::Unknown(_)), "{verdict:?}");
+        assert_eq!(runs_of(&deployment, "card-1"), 1);
+        Ok(())
+    });
+}
+
+/// The table service is away. Questions do not need it and are answered as ever.
+/// Sales are refused within seconds as not run, are not run, and the same key
+/// can buy once the service is back.
+#[test]
+fn an_outage_of_the_store_refuses_sales_and_nothing_else() {
+    run(async {
+        let deployment = ledgers(2, 1, Duration::from_millis(5)).await?;
+        let entry = deployment.entries[0].caller_addr;
+        deployment.table_switches.set_down(true);
+        let sales: Vec<_> = (0..4)
+            .map(|n| spawn(send(sale(entry, &format!("seat-{n}"), Duration::from_secs(10)))))
+            .collect();
+        for number in 0..50 {
+            let verdict = send(question(entry, &format!("question {number}"))).await;
+            assert!(is_complete(&verdict), "{verdict:?}");
+        }
+        for sale in sales {
+            let verdict = sale.await;
+            assert!(matches!(&verdict, CallVerdict::NotRun(_)), "{verdict:?}");
+        }
+        assert!(carried(&deployment).iter().all(|call| call.key.is_none()));
+        deployment.table_switches.set_down(false);
+        for number in 0..4 {
+            let key = format!("seat-{number}");
+            let verdict = send(sale(entry, &key, Duration::from_secs(10))).await;
+            assert!(is_complete(&verdict), "{verdict:?}");
+            assert_eq!(runs_of(&deployment, &key), 1);
+        }
+        Ok(())
+    });
+}
+
+/// An agent is frozen with a sale in its socket and wakes after the caller was
+/// told that the outcome is unknown. A seat that is sold now would surprise a
+/// visitor who has gone home.
+#[test]
+fn a_paused_agent_runs_nothing_after_the_deadline() {
+    run(async {
+        let deployment = ledgers(1, 1, Duration::from_millis(5)).await?;
+        let entry = deployment.entries[0].caller_addr;
+        let agent = deployment.endpoints[0].agent.as_ref().expect("it runs");
+        agent.pause()?;
+        let call = sale(entry, "late-1", Duration::from_millis(800));
+        let mut unkeyed = call.clone();
+        unkeyed.headers.remove(0);
+        let (first, second) = (spawn(send(call)), spawn(send(unkeyed)));
+        let verdicts = [first.await, second.await];
+        assert!(verdicts.iter().all(|v| matches!(v, CallVerdict::Unknown(_))), "{verdicts:?}");
+        agent.resume()?;
+        Timer::after(Duration::from_millis(800)).await;
+        assert_eq!(carried(&deployment), []);
+        Ok(())
+    });
+}
+
+/// A caller hangs up while its sale runs. The run must not be cut in the middle
+/// of its effect: it ends, and its outcome is there for who asks with the key.
+#[test]
+fn a_sale_whose_caller_goes_away_is_finished_and_recorded() {
+    run(async {
+        let deployment = ledgers(1, 1, Duration::from_millis(400)).await?;
+        let entry = deployment.entries[0].caller_addr;
+        let caller = spawn(send(sale(entry, "gone-1", Duration::from_secs(10))));
+        wait_for("the run", || runs_of(&deployment, "gone-1") == 1).await?;
+        drop(caller);
+        let verdict = send(sale(entry, "gone-1", Duration::from_secs(10))).await;
+        assert!(is_complete(&verdict), "{verdict:?}");
+        assert_eq!(runs_of(&deployment, "gone-1"), 1);
+        Ok(())
+    });
+}
+
+/// Agents and entries are replaced one after another while visitors ask and buy.
+/// A planned stop finishes what is in progress: nobody may be cut off, and
+/// nothing may run twice.
+#[test]
+fn planned_stops_cut_off_no_request() {
+    run(async {
+        let mut deployment = ledgers(3, 2, Duration::from_millis(60)).await?;
+        let steady = deployment.entries[0].caller_addr;
+        let leaving = deployment.entries[1].caller_addr;
+        let callers: Vec<_> = (0..12)
+            .map(|caller| spawn(call_for_a_while(caller, steady)))
+            .chain([spawn(call_for_a_while(100, leaving))])
+            .collect();
+        Timer::after(Duration::from_millis(300)).await;
+        deployment.endpoints[0].agent.as_ref().expect("it runs").terminate()?;
+        deployment.entries[1].process.as_ref().expect("it runs").terminate()?;
+        Timer::after(Duration::from_millis(400)).await;
+        deployment.endpoints[1].agent.as_ref().expect("it runs").terminate()?;
+        let mut verdicts = Vec::new();
+        for caller in callers {
+            verdicts.extend(caller.await);
+        }
+        let cut: Vec<_> = verdicts.iter().filter(|(_, verdict)| !is_complete(verdict)).collect();
+        assert!(cut.is_empty(), "{} of {}: {cut:?}", cut.len(), verdicts.len());
+        for (key, _) in verdicts.iter().filter(|(key, _)| key.starts_with("sale")) {
+            assert_eq!(runs_of(&deployment, key), 1, "{key}");
+        }
+        let process = deployment.entries[1].process.as_mut().expect("it was started");
+        assert!(process.wait(CALL_TIME).await?.is_some_and(|status| status.success()));
+        Ok(())
+    });
+}
+
+/// Asks and buys in turn; a caller of an entry that leaves stops well before
+/// its advice has run out.
+async fn call_for_a_while(caller: usize, entry: SocketAddr) -> Vec<(String, CallVerdict)> {
+    let rounds = if caller >= 100 { 3 } else { 12 };
+    let mut verdicts = Vec::new();
+    for round in 0..rounds {
+        let key = format!("sale-{caller}-{round}");
+        let sold = send(sale(entry, &key, Duration::from_secs(10))).await;
+        verdicts.push((key, sold));
+        let text = format!("question-{caller}-{round}");
+        let answered = send(question(entry, &text)).await;
+        verdicts.push((text, answered));
+    }
+    verdicts
+}
