--- a/crates/testkit/src/stand_in/plain.rs
+++ b/crates/testkit/src/stand_in/plain.rs
@@ -80,7 +80,7 @@
             queued: 0,
             measured_at: Timestamp::now(),
         };
-        EngineStatus { version: None, manifest: None, fencing: 0, load }
+        EngineStatus { version: None, manifest: None, fencing: 0, staged: Vec::new(), load }
     }
 
     async fn handle(&self, request: Request<Incoming>) -> Response<ReplyBody> {
