--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod gate;
 pub mod holder;
 pub mod identity;
+pub mod latch;
 pub mod plan;
 pub mod rank;
 pub mod retry;
@@ -21,10 +22,11 @@
 pub use change::{
     ChangeAnswer, ChangeRecord, ChangeRequest, ChangeStep, ChangeVerdict, ChangeWriter, ForceRow,
 };
-pub use claim::{ClaimRecord, ClaimStep, ClaimView};
+pub use claim::{ClaimRecord, ClaimState, ClaimStep, ClaimTracker, ClaimView};
 pub use gate::{GateState, SwitchError};
 pub use holder::{Adoption, PresetHolder, StartHold};
-pub use retry::{AttemptEnd, RetryStep, RetryTracker};
+pub use latch::RunLatch;
+pub use retry::{AttemptEnd, RepeatGuard, RetryBudget, RetryStep, RetryTracker};
 pub use roster::{EndpointRoster, EntryRoster, PeerEntry};
 pub use route::{RouteCandidate, RouteChoice, RouteSnapshot};
-pub use select::{ChunkPicker, ChunkSource, FetchOrder, PickerSettings};
+pub use select::{ChunkBits, ChunkPicker, ChunkSource, FetchOrder, PickerSettings};
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -11,7 +11,8 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use cassiawheel_decide::{
-    Adoption, EndpointRoster, EntryRoster, PresetHolder, RouteCandidate, RouteSnapshot, StartHold,
+    Adoption, EndpointRoster, EntryRoster, PresetHolder, RetryBudget, RouteCandidate,
+    RouteSnapshot, StartHold,
 };
 use cassiawheel_model::{
     EndpointState, ForcedPreset, InstanceId, PresetRevision, RequestId, ServiceName, Timestamp,
@@ -45,6 +46,8 @@
     pub(crate) force: ArcSwapOption<ForcedPreset>,
     /// When the table service last answered, as a timestamp's number.
     pub(crate) store_read_at: AtomicU64,
+    /// Retries that this entry may make.
+    pub(crate) retries: RetryBudget,
     /// Requests of callers in progress.
     pub(crate) in_flight: AtomicU32,
     /// Whether this entry leaves.
@@ -82,6 +85,7 @@
             links: ArcSwap::default(),
             force: ArcSwapOption::empty(),
             store_read_at: AtomicU64::new(0),
+            retries: RetryBudget::default(),
             in_flight: AtomicU32::new(0),
             leaving: AtomicBool::new(false),
             routes_stale: AtomicBool::new(false),
