Settings check names every fault of a file at once

Cause: serde stops at the first wrong type or unknown key, so an operator learned one fault per run; addresses were compared among listeners only. Change: the file is read into a tree (keys given twice are findings) and walked beside a valid example; each value is tried by itself in the example's place, so the check cannot drift from the types. New findings: peers, entries and platform against own listeners, wildcards, ports of 0, seconds written for milliseconds, secrets that cannot travel, double names and tokens, log levels.

--- a/crates/model/src/finding.rs
+++ b/crates/model/src/finding.rs
@@ -48,6 +48,12 @@
         }
     }
 
+    /// Adds those findings of `other` for whose path and message `holds`.
+    pub fn extend_where(&mut self, other: FindingList, holds: impl Fn(&str, &str) -> bool) {
+        let kept = other.places.into_iter().filter(|place| holds(&place.path, &place.message));
+        self.places.extend(kept);
+    }
+
     /// The findings in the order of their discovery.
     pub fn places(&self) -> &[FindingPlace] {
         &self.places
--- a/crates/model/src/ids.rs
+++ b/crates/model/src/ids.rs
@@ -51,6 +51,12 @@
                 Ok(Self(Arc::from(text)))
             }
 
+            /// An identifier of nothing, for examples of settings.
+            #[allow(dead_code)]
+            pub(crate) fn example() -> Self {
+                Self(Arc::from("example"))
+            }
+
             /// The text itself.
             pub fn as_str(&self) -> &str {
                 &self.0
--- a/crates/model/src/settings.rs
+++ b/crates/model/src/settings.rs
@@ -1,24 +1,41 @@
 //! Settings of both binaries.
 //!
 //! A settings file is JSON. Reading it collects every finding with its place;
-//! a process starts only when there is none.
+//! a process starts only when there is none. The steps:
+//!
+//! `text → tree (syntax, keys given twice) → walk (unknown and missing keys,
+//! wrong types) → check (limits, overlapping addresses)`
+//!
+//! A key `"//"` holds a note for people; it may stand in every object and is
+//! ignored. JSON has no comments, and a note beside the value that it explains
+//! is read more often than a file of its own.
 
 pub mod agent;
 pub mod common;
 pub mod entry;
+mod tree;
+mod walk;
 
 pub use agent::{AgentSettings, EngineSettings, TransferMode, TransferSettings};
 pub use common::{LogFormat, LogSettings, PlaceSettings, PlatformSettings};
 pub use entry::{
-    CallerSettings, ControlSettings, EntryListen, EntrySettings, OperatorRole, OperatorToken,
+    CallerSettings, ControlSettings, EntryListen, EntrySettings, ListenerSettings, OperatorRole,
+    OperatorToken,
 };
 
-use serde::de::DeserializeOwned;
+use serde::{Serialize, de::DeserializeOwned};
 
 use crate::FindingList;
 
 /// Settings that can be checked as a whole.
-pub trait CheckedSettings: DeserializeOwned {
+pub trait CheckedSettings: DeserializeOwned + Serialize {
+    /// Valid settings in which every key is present.
+    ///
+    /// The walk through a file takes the known keys from it and tries each
+    /// value of the file in its place, so that what is checked can never
+    /// differ from what is read.
+    fn example() -> Self;
+
     /// Adds everything that is wrong with the values.
     fn check(&self, findings: &mut FindingList);
 }
@@ -26,17 +43,15 @@
 /// Parses and checks the settings in `text`; `source` names the file.
 pub fn parse_settings<T: CheckedSettings>(source: &str, text: &str) -> Result<T, FindingList> {
     let mut findings = FindingList::new(source);
-    let mut parser = serde_json::Deserializer::from_str(text);
-    let settings: T = match serde_path_to_error::deserialize(&mut parser) {
-        Ok(settings) => settings,
-        Err(error) => {
-            findings.push(error.path().to_string(), error.inner());
-            return Err(findings);
-        }
+    let Some(tree) = tree::read_tree(text, &mut findings) else {
+        return Err(findings);
+    };
+    let Some(walked) = walk::walk::<T>(&tree, &mut findings) else {
+        return Err(findings);
     };
-    if let Err(error) = parser.end() {
-        findings.push(".", error);
-    }
-    settings.check(&mut findings);
-    findings.into_result(settings)
+    let mut checked = FindingList::new(source);
+    walked.settings.check(&mut checked);
+    let certain = |path: &str, message: &str| !walked.depends_on_example(path, message);
+    findings.extend_where(checked, certain);
+    findings.into_result(walked.settings)
 }
--- a/crates/model/src/settings/agent.rs
+++ b/crates/model/src/settings/agent.rs
@@ -6,7 +6,10 @@
 
 use super::{
     CheckedSettings, LogSettings, PlaceSettings, PlatformSettings,
-    common::{check_distinct, check_secret},
+    common::{
+        EXAMPLE_KEY, check_distinct, check_listeners, check_millis, check_reachable, check_secret,
+        check_target, example_addr, indexed,
+    },
 };
 use crate::{EndpointRole, FindingList, ServiceName};
 
@@ -20,6 +23,9 @@
     pub listen_inner: SocketAddr,
     /// Metrics and probes.
     pub listen_metrics: SocketAddr,
+    /// Most open connections of other agents.
+    #[serde(default = "default_inner_connections")]
+    pub inner_connections: usize,
     /// Inner addresses of the entries.
     pub entries: Vec<SocketAddr>,
     /// Entries that it keeps a connection to.
@@ -45,6 +51,10 @@
     pub log: LogSettings,
 }
 
+fn default_inner_connections() -> usize {
+    1_024
+}
+
 fn default_entry_links() -> usize {
     9
 }
@@ -130,26 +140,80 @@
 }
 
 impl CheckedSettings for AgentSettings {
+    fn example() -> Self {
+        Self {
+            place: PlaceSettings::example(),
+            listen_inner: example_addr(21),
+            listen_metrics: example_addr(22),
+            inner_connections: default_inner_connections(),
+            entries: vec![example_addr(23)],
+            entry_links: default_entry_links(),
+            platform: PlatformSettings::example(),
+            inner_key: EXAMPLE_KEY.to_owned(),
+            engine: EngineSettings {
+                addr: example_addr(24),
+                role: EndpointRole::Model,
+                service: ServiceName::example(),
+                checks_fencing: false,
+                max_in_flight: default_max_in_flight(),
+            },
+            transfer: TransferSettings::default(),
+            heartbeat_ms: default_heartbeat_ms(),
+            drain_ms: default_drain_ms(),
+            log: LogSettings::default(),
+        }
+    }
+
     fn check(&self, findings: &mut FindingList) {
-        check_distinct(
-            findings,
-            &[("listen_inner", self.listen_inner), ("listen_metrics", self.listen_metrics)],
-        );
+        self.check_addrs(findings);
         check_secret(findings, "inner_key", &self.inner_key);
         findings.require(!self.entries.is_empty(), "entries", "must name at least one entry");
-        findings.require(self.entry_links > 0, "entry_links", "must be at least 1");
-        findings.require(
-            (20..=60_000).contains(&self.heartbeat_ms),
-            "heartbeat_ms",
-            "must lie between 20 and 60000 milliseconds",
-        );
-        findings.require(self.drain_ms > 0, "drain_ms", "must be at least 1");
+        let positive = [
+            ("inner_connections", self.inner_connections),
+            ("entry_links", self.entry_links),
+            ("engine.max_in_flight", self.engine.max_in_flight as usize),
+        ];
+        for (path, value) in positive {
+            findings.require(value > 0, path, "must be at least 1");
+        }
+        check_millis(findings, "heartbeat_ms", self.heartbeat_ms, 20..=60_000);
+        check_millis(findings, "drain_ms", self.drain_ms, 100..=3_600_000);
+        self.platform.check(findings);
+        self.transfer.check(findings);
+        self.log.check(findings);
+    }
+}
+
+impl AgentSettings {
+    fn check_addrs(&self, findings: &mut FindingList) {
         findings.require(
-            self.engine.max_in_flight > 0,
-            "engine.max_in_flight",
-            "must be at least 1",
+            self.listen_metrics.port() != 0,
+            "listen_metrics",
+            format_args!("{} has no port", self.listen_metrics),
         );
-        self.transfer.check(findings);
+        // Other agents are told this address.
+        check_reachable(findings, "listen_inner", self.listen_inner);
+        check_reachable(findings, "engine.addr", self.engine.addr);
+        let entries = indexed("entries", &self.entries);
+        for (path, addr) in &entries {
+            check_reachable(findings, path, *addr);
+        }
+        let listeners = [
+            ("listen_inner".to_owned(), self.listen_inner),
+            ("listen_metrics".to_owned(), self.listen_metrics),
+        ];
+        let engine = ("engine.addr".to_owned(), self.engine.addr);
+        check_listeners(findings, &listeners);
+        check_distinct(findings, &entries);
+        let own: Vec<_> = listeners.into_iter().chain([engine.clone()]).collect();
+        check_target(findings, &own[..2], engine);
+        for entry in &entries {
+            check_target(findings, &own, entry.clone());
+        }
+        let own: Vec<_> = own.into_iter().chain(entries).collect();
+        for target in self.platform.addrs() {
+            check_target(findings, &own, target);
+        }
     }
 }
 
@@ -168,12 +232,12 @@
         let positive = [
             ("transfer.upload_slots", self.upload_slots as u64),
             ("transfer.download_slots", self.download_slots as u64),
-            ("transfer.stall_ms", self.stall_ms),
-            ("transfer.origin_step_ms", self.origin_step_ms),
             ("transfer.cache_bytes", self.cache_bytes),
         ];
         for (path, value) in positive {
             findings.require(value > 0, path, "must be at least 1");
         }
+        check_millis(findings, "transfer.stall_ms", self.stall_ms, 50..=600_000);
+        check_millis(findings, "transfer.origin_step_ms", self.origin_step_ms, 20..=600_000);
     }
 }
--- a/crates/model/src/settings/common.rs
+++ b/crates/model/src/settings/common.rs
@@ -1,6 +1,6 @@
 //! Settings that both binaries share.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, ops::RangeInclusive};
 
 use macro_rules_attribute::apply;
 
@@ -65,24 +65,164 @@
     }
 }
 
+/// Secrets of the examples, which protect nothing.
+pub(super) const EXAMPLE_KEY: &str = "example-key-of-our-processes";
+/// An operator's token of the examples.
+pub(super) const EXAMPLE_TOKEN: &str = "example-token-of-an-operator";
+
+/// An address that is reserved for documentation, so that no file names it by accident.
+pub(super) fn example_addr(host: u8) -> SocketAddr {
+    SocketAddr::from(([192, 0, 2, host], 7000))
+}
+
+impl PlaceSettings {
+    /// A place of nowhere.
+    pub(super) fn example() -> Self {
+        Self {
+            instance: InstanceId::example(),
+            region: RegionName::example(),
+            failure_domain: FailureDomain::example(),
+        }
+    }
+}
+
+impl PlatformSettings {
+    /// A platform of nowhere.
+    pub(super) fn example() -> Self {
+        Self {
+            table: example_addr(1),
+            origin: example_addr(2),
+            instances: example_addr(3),
+            timeout_ms: default_timeout_ms(),
+        }
+    }
+
+    /// The services' addresses with their paths.
+    pub(super) fn addrs(&self) -> [(String, SocketAddr); 3] {
+        [
+            ("platform.table".to_owned(), self.table),
+            ("platform.origin".to_owned(), self.origin),
+            ("platform.instances".to_owned(), self.instances),
+        ]
+    }
+
+    /// Adds everything that is wrong with the values.
+    pub(super) fn check(&self, findings: &mut FindingList) {
+        check_millis(findings, "platform.timeout_ms", self.timeout_ms, 50..=60_000);
+        for (path, addr) in self.addrs() {
+            check_reachable(findings, &path, addr);
+        }
+    }
+}
+
+/// Levels that a log specification may name.
+const LOG_LEVELS: [&str; 6] = ["off", "error", "warn", "info", "debug", "trace"];
+
+impl LogSettings {
+    /// Adds everything that is wrong with the values.
+    pub(super) fn check(&self, findings: &mut FindingList) {
+        for item in self.level.split(',') {
+            let level = item.rsplit('=').next().unwrap_or(item).trim();
+            findings.require(
+                LOG_LEVELS.contains(&level.to_ascii_lowercase().as_str()),
+                "log.level",
+                format_args!("{level:?} is not a level; levels are {}", LOG_LEVELS.join(", ")),
+            );
+        }
+        findings.require(
+            self.decisions_per_s > 0,
+            "log.decisions_per_s",
+            "must be at least 1; switch decision lines off with log.level, as in \"info, route=off\"",
+        );
+    }
+}
+
 /// Shortest accepted secret, in bytes.
 pub const MIN_SECRET_BYTES: usize = 16;
 
-/// Adds a finding for a secret that is too short to protect anything.
+/// Adds a finding for a secret that protects nothing or cannot be sent in a header.
 pub fn check_secret(findings: &mut FindingList, path: &str, secret: &str) {
     findings.require(
         secret.len() >= MIN_SECRET_BYTES,
         path,
         format_args!("must have at least {MIN_SECRET_BYTES} bytes, has {}", secret.len()),
     );
+    findings.require(
+        secret.chars().all(|c| c.is_ascii_graphic()),
+        path,
+        "must consist of visible ASCII characters without spaces, since it travels in a header",
+    );
 }
 
-/// Adds a finding for each address that is used twice.
-pub fn check_distinct(findings: &mut FindingList, addrs: &[(&str, SocketAddr)]) {
+/// Adds a finding for a time outside `range`.
+///
+/// Most wrong times are seconds written where milliseconds are read; they lie
+/// far below the range, so that the message can say so.
+pub fn check_millis(
+    findings: &mut FindingList,
+    path: &str,
+    value: u64,
+    range: RangeInclusive<u64>,
+) {
+    if range.contains(&value) {
+        return;
+    }
+    let (least, most) = range.into_inner();
+    let hint = if (1..least).contains(&value) { "; are these seconds?" } else { "" };
+    findings.push(
+        path,
+        format_args!("must lie between {least} and {most} milliseconds, is {value}{hint}"),
+    );
+}
+
+/// Adds a finding for an address that others cannot connect to.
+pub fn check_reachable(findings: &mut FindingList, path: &str, addr: SocketAddr) {
+    findings.require(addr.port() != 0, path, format_args!("{addr} has no port"));
+    findings.require(
+        !addr.ip().is_unspecified(),
+        path,
+        format_args!("{addr} is no address that others can connect to"),
+    );
+}
+
+/// Adds a finding for each listener that cannot listen beside an earlier one.
+pub fn check_listeners(findings: &mut FindingList, listeners: &[(String, SocketAddr)]) {
+    check_pairs(findings, listeners, |one, other| {
+        let any = one.ip().is_unspecified() || other.ip().is_unspecified();
+        one.port() == other.port() && one.port() != 0 && (any || one.ip() == other.ip())
+    });
+}
+
+/// Adds a finding for each address that is given to two different things.
+pub fn check_distinct(findings: &mut FindingList, addrs: &[(String, SocketAddr)]) {
+    check_pairs(findings, addrs, |one, other| one == other && one.port() != 0);
+}
+
+fn check_pairs(
+    findings: &mut FindingList,
+    addrs: &[(String, SocketAddr)],
+    clash: impl Fn(SocketAddr, SocketAddr) -> bool,
+) {
     for (index, (path, addr)) in addrs.iter().enumerate() {
-        let earlier = addrs[..index].iter().find(|(_, other)| other == addr && addr.port() != 0);
+        let earlier = addrs[..index].iter().find(|(_, other)| clash(*addr, *other));
         if let Some((other, _)) = earlier {
             findings.push(path, format_args!("{addr} is already used by {other}"));
         }
     }
 }
+
+/// Adds a finding for a target that is one of our own or our peers' addresses.
+pub(super) fn check_target(
+    findings: &mut FindingList,
+    own: &[(String, SocketAddr)],
+    (path, target): (String, SocketAddr),
+) {
+    if let Some((other, _)) = own.iter().find(|(_, addr)| target == *addr && target.port() != 0) {
+        findings.push(path, format_args!("{target} is already used by {other}"));
+    }
+}
+
+/// Paths for the items of a list.
+pub(super) fn indexed(path: &str, addrs: &[SocketAddr]) -> Vec<(String, SocketAddr)> {
+    addrs.iter().enumerate().map(|(index, addr)| (format!("{path}[{index}]"), *addr)).collect()
+}
--- a/crates/model/src/settings/entry.rs
+++ b/crates/model/src/settings/entry.rs
@@ -6,7 +6,10 @@
 
 use super::{
     CheckedSettings, LogSettings, PlaceSettings, PlatformSettings,
-    common::{check_distinct, check_secret},
+    common::{
+        EXAMPLE_KEY, EXAMPLE_TOKEN, check_distinct, check_listeners, check_millis, check_reachable,
+        check_secret, check_target, example_addr, indexed,
+    },
 };
 use crate::{FindingList, OperatorName};
 
@@ -18,6 +21,9 @@
     pub place: PlaceSettings,
     /// Where it listens.
     pub listen: EntryListen,
+    /// Limits of the listeners.
+    #[serde(default)]
+    pub limits: ListenerSettings,
     /// Inner addresses of the other entries.
     #[serde(default)]
     pub peers: Vec<SocketAddr>,
@@ -53,6 +59,44 @@
     pub metrics: SocketAddr,
 }
 
+/// Largest body of a caller that the settings may allow, in bytes.
+pub const MAX_BODY_BYTES: usize = 12 << 20;
+
+/// Limits of the listeners, so that a slow or greedy client costs one connection at most.
+#[apply(record!)]
+#[derive(Copy)]
+#[serde(deny_unknown_fields, default)]
+pub struct ListenerSettings {
+    /// Most open connections of operators.
+    pub admin_connections: usize,
+    /// Most open connections of our own processes.
+    pub inner_connections: usize,
+    /// Most open connections for metrics and probes.
+    pub metrics_connections: usize,
+    /// Largest head of a request, in bytes.
+    pub head_bytes: usize,
+    /// Longest time for a request's head, and for an idle connection, in milliseconds.
+    pub head_ms: u64,
+    /// Longest time for a request's body, in milliseconds.
+    pub body_ms: u64,
+    /// Longest time in which a client takes nothing of its answer, in milliseconds.
+    pub write_ms: u64,
+}
+
+impl Default for ListenerSettings {
+    fn default() -> Self {
+        Self {
+            admin_connections: 128,
+            inner_connections: 4_096,
+            metrics_connections: 32,
+            head_bytes: 32 << 10,
+            head_ms: 10_000,
+            body_ms: 10_000,
+            write_ms: 30_000,
+        }
+    }
+}
+
 /// What a token's holder may do.
 #[apply(label!)]
 #[serde(rename_all = "kebab-case")]
@@ -127,66 +171,148 @@
 }
 
 impl CheckedSettings for EntrySettings {
+    fn example() -> Self {
+        Self {
+            place: PlaceSettings::example(),
+            listen: EntryListen {
+                caller: example_addr(11),
+                admin: example_addr(12),
+                inner: example_addr(13),
+                metrics: example_addr(14),
+            },
+            limits: ListenerSettings::default(),
+            peers: vec![example_addr(15)],
+            platform: PlatformSettings::example(),
+            inner_key: EXAMPLE_KEY.to_owned(),
+            operators: vec![OperatorToken {
+                name: OperatorName::example(),
+                token: EXAMPLE_TOKEN.to_owned(),
+                role: OperatorRole::View,
+            }],
+            caller: CallerSettings::default(),
+            control: ControlSettings::default(),
+            log: LogSettings::default(),
+        }
+    }
+
     fn check(&self, findings: &mut FindingList) {
-        let listen = &self.listen;
-        check_distinct(
-            findings,
-            &[
-                ("listen.caller", listen.caller),
-                ("listen.admin", listen.admin),
-                ("listen.inner", listen.inner),
-                ("listen.metrics", listen.metrics),
-            ],
-        );
+        self.check_addrs(findings);
         check_secret(findings, "inner_key", &self.inner_key);
-        for (index, operator) in self.operators.iter().enumerate() {
-            check_secret(findings, &format!("operators[{index}].token"), &operator.token);
+        self.check_operators(findings);
+        self.platform.check(findings);
+        self.limits.check(findings);
+        self.caller.check(findings);
+        self.control.check(findings);
+        self.log.check(findings);
+    }
+}
+
+impl EntrySettings {
+    fn check_addrs(&self, findings: &mut FindingList) {
+        let listen = &self.listen;
+        let listeners = [
+            ("listen.caller".to_owned(), listen.caller),
+            ("listen.admin".to_owned(), listen.admin),
+            ("listen.inner".to_owned(), listen.inner),
+            ("listen.metrics".to_owned(), listen.metrics),
+        ];
+        for (path, addr) in &listeners {
+            findings.require(addr.port() != 0, path, format_args!("{addr} has no port"));
         }
-        for (index, peer) in self.peers.iter().enumerate() {
+        // Callers are told this address; the other listeners may take any.
+        check_reachable(findings, "listen.caller", listen.caller);
+        let peers = indexed("peers", &self.peers);
+        for (path, addr) in &peers {
+            check_reachable(findings, path, *addr);
+        }
+        // The platform may serve several of its services at one address, so
+        // each is compared with the listeners and peers only.
+        check_listeners(findings, &listeners);
+        check_distinct(findings, &peers);
+        for peer in &peers {
+            check_target(findings, &listeners, peer.clone());
+        }
+        let own: Vec<_> = listeners.into_iter().chain(peers).collect();
+        for target in self.platform.addrs() {
+            check_target(findings, &own, target);
+        }
+    }
+
+    fn check_operators(&self, findings: &mut FindingList) {
+        for (index, operator) in self.operators.iter().enumerate() {
+            let path = format!("operators[{index}].token");
+            check_secret(findings, &path, &operator.token);
             findings.require(
-                *peer != listen.inner,
-                format_args!("peers[{index}]"),
-                "an entry is not its own peer",
+                operator.token != self.inner_key,
+                &path,
+                "is the inner_key; an operator must not be able to act as one of our processes",
             );
+            let earlier = &self.operators[..index];
+            if let Some(other) = earlier.iter().position(|other| other.token == operator.token) {
+                findings.push(&path, format_args!("is already the token of operators[{other}]"));
+            }
+            if let Some(other) = earlier.iter().position(|other| other.name == operator.name) {
+                let path = format!("operators[{index}].name");
+                findings.push(path, format_args!("is already the name of operators[{other}]"));
+            }
         }
-        self.caller.check(findings);
-        self.control.check(findings);
+    }
+}
+
+impl ListenerSettings {
+    fn check(&self, findings: &mut FindingList) {
+        let positive = [
+            ("limits.admin_connections", self.admin_connections),
+            ("limits.inner_connections", self.inner_connections),
+            ("limits.metrics_connections", self.metrics_connections),
+        ];
+        for (path, value) in positive {
+            findings.require(value > 0, path, "must be at least 1");
+        }
+        findings.require(
+            (8 << 10..=1 << 20).contains(&self.head_bytes),
+            "limits.head_bytes",
+            format_args!("must lie between 8192 and 1048576 bytes, is {}", self.head_bytes),
+        );
+        check_millis(findings, "limits.head_ms", self.head_ms, 100..=300_000);
+        check_millis(findings, "limits.body_ms", self.body_ms, 100..=300_000);
+        check_millis(findings, "limits.write_ms", self.write_ms, 100..=600_000);
     }
 }
 
 impl CallerSettings {
     fn check(&self, findings: &mut FindingList) {
         let positive = [
-            ("caller.default_deadline_ms", self.default_deadline_ms),
             ("caller.max_body_bytes", self.max_body_bytes as u64),
             ("caller.max_connections", self.max_connections as u64),
-            ("caller.advice_ms", self.advice_ms),
             ("caller.advice_addresses", self.advice_addresses as u64),
             ("caller.max_attempts", u64::from(self.max_attempts)),
         ];
         for (path, value) in positive {
             findings.require(value > 0, path, "must be at least 1");
         }
+        // A body travels to an agent in one message, which has a largest size.
+        findings.require(
+            self.max_body_bytes <= MAX_BODY_BYTES,
+            "caller.max_body_bytes",
+            format_args!("must be at most {MAX_BODY_BYTES}, is {}", self.max_body_bytes),
+        );
+        let deadline = self.default_deadline_ms;
+        check_millis(findings, "caller.default_deadline_ms", deadline, 100..=3_600_000);
+        check_millis(findings, "caller.advice_ms", self.advice_ms, 100..=60_000);
     }
 }
 
 impl ControlSettings {
     fn check(&self, findings: &mut FindingList) {
-        findings.require(
-            (50..=10_000).contains(&self.poll_ms),
-            "control.poll_ms",
-            "must lie between 50 and 10000 milliseconds",
-        );
+        check_millis(findings, "control.poll_ms", self.poll_ms, 50..=10_000);
         findings.require(
             self.lease_ms >= 2 * self.poll_ms,
             "control.lease_ms",
             "must be at least twice control.poll_ms, or the planner loses its lease between renewals",
         );
-        findings.require(
-            self.heartbeat_timeout_ms >= 200,
-            "control.heartbeat_timeout_ms",
-            "must be at least 200 milliseconds",
-        );
-        findings.require(self.drain_ms > 0, "control.drain_ms", "must be at least 1");
+        let silence = self.heartbeat_timeout_ms;
+        check_millis(findings, "control.heartbeat_timeout_ms", silence, 200..=60_000);
+        check_millis(findings, "control.drain_ms", self.drain_ms, 100..=3_600_000);
     }
 }
--- a/crates/testkit/src/deployment.rs
+++ b/crates/testkit/src/deployment.rs
@@ -17,8 +17,8 @@
     EndpointRole, FailureDomain, InstanceId, OperatorName, RegionName, ServiceName,
     settings::{
         AgentSettings, CallerSettings, ControlSettings, EngineSettings, EntryListen, EntrySettings,
-        LogSettings, OperatorRole, OperatorToken, PlaceSettings, PlatformSettings,
-        TransferSettings,
+        ListenerSettings, LogSettings, OperatorRole, OperatorToken, PlaceSettings,
+        PlatformSettings, TransferSettings,
     },
 };
 use cassiawheel_platform::HttpClient;
@@ -399,6 +399,7 @@
         };
         let settings = EntrySettings {
             place: self.place(format!("entry-{index}"), index)?,
+            limits: ListenerSettings::default(),
             peers: self.entry_inner_addrs().filter(|addr| *addr != listen.inner).collect(),
             platform: self.platform.clone(),
             inner_key: INNER_KEY.to_owned(),
@@ -442,6 +443,7 @@
             place: self.place(format!("endpoint-{index}"), index)?,
             listen_inner: self.addr(host, INNER_PORT),
             listen_metrics: self.addr(host, METRICS_PORT),
+            inner_connections: 1_024,
             entries: self.entry_inner_addrs().collect(),
             entry_links: self.plan.entries,
             platform: self.platform.clone(),
