Limits, deadlines and logs that hold under abuse

Cause: bodies had no read deadline, a client that read nothing kept its connection and a stop's deadline for ever, the inner listeners took any number of connections and span on accept errors, a hello could be awaited for ever; log values were written as they came, so a newline in one forged a line, and log.decisions_per_s did nothing; a second SIGTERM was ignored and a stop that cut requests exited 0. Change: one accept loop with slots for all listeners; head, body and write deadlines from the settings; values are quoted where needed and JSON numbers stay numbers; decision lines are limited per second by one atomic, with a count of those left out; both binaries take all addresses first, stop by a deadline, end at once at a second SIGTERM, and exit 1 if requests were cut off. An entry's callers are drained once its advice has run out, without waiting for keep-alive connections to fall idle by themselves. The inner key and hello limits have TCP tests to follow.

--- a/crates/agent/src/serve.rs
+++ b/crates/agent/src/serve.rs
@@ -6,9 +6,7 @@
 use cassiawheel_decide::rank::{first_ranked, subject_of};
 use cassiawheel_model::{Timestamp, settings::AgentSettings};
 use cassiawheel_platform::{HttpClient, HttpEngine, HttpTable, HttpWeights};
-use cassiawheel_runtime::{
-    ShutdownTrigger, probes::serve_probes, shutdown::termination, spawn, timeout,
-};
+use cassiawheel_runtime::{ShutdownTrigger, TerminationSignals, probes::serve_probes, spawn};
 use cassiawheel_wire::{ControlMessage, traffic::TRAFFIC};
 use prometheus::Registry;
 use smol::net::TcpListener;
@@ -22,6 +20,9 @@
 
 /// Runs until the process is asked to stop; then drains.
 pub(crate) async fn serve(settings: AgentSettings) -> anyhow::Result<()> {
+    let mut signals = TerminationSignals::listen()?;
+    // Both addresses are taken before anything else begins: an agent that
+    // finds one in use ends without having spoken to an entry or its engine.
     let inner = bind(settings.listen_inner, "listen_inner").await?;
     let metrics_listener = bind(settings.listen_metrics, "listen_metrics").await?;
     let registry = Registry::new();
@@ -41,10 +42,13 @@
     spawn(report::report_regularly(shared.clone())).detach();
     log::info!(target: "process", instance:% = shared.settings.place.instance, inner:% = shared.settings.listen_inner; "The agent runs.");
 
-    termination().await?;
-    drain(&shared).await;
+    signals.asked().await;
+    let deadline = Timestamp::now().deadline_after(Duration::from_millis(shared.settings.drain_ms));
+    let end = signals.finish(deadline, drain(&shared)).await;
     trigger.fire();
-    Ok(())
+    let left = shared.gate().in_progress();
+    log::info!(target: "drain", in_progress = left; "The agent ends.");
+    end.into_result(left)
 }
 
 fn build_shared(settings: AgentSettings, metrics: AgentMetrics) -> EndpointShared {
@@ -74,7 +78,6 @@
 
 /// Admits nothing more, tells the entries, and finishes the requests in progress.
 async fn drain(shared: &EndpointShared) {
-    let deadline = Timestamp::now().deadline_after(Duration::from_millis(shared.settings.drain_ms));
     shared.gate().drain();
     let instance = shared.settings.place.instance.clone();
     log::info!(target: "drain", in_progress = shared.gate().in_progress(); "The agent leaves.");
@@ -83,10 +86,8 @@
         let _ = entry.try_send(ControlMessage::Leaving { instance: instance.clone() });
     }
     report::send_report(shared);
-    while shared.gate().in_progress() > 0 && !deadline.is_past(Timestamp::now()) {
-        timeout(deadline.remaining(Timestamp::now()), shared.permit_released()).await;
+    while shared.gate().in_progress() > 0 {
+        shared.permit_released().await;
     }
     smol::Timer::after(LINGER).await;
-    let left = shared.gate().in_progress();
-    log::info!(target: "drain", in_progress = left; "The agent ends.");
 }
--- a/crates/agent/src/transfer/serve.rs
+++ b/crates/agent/src/transfer/serve.rs
@@ -1,12 +1,11 @@
 //! Serving chunks to other agents.
 
-use std::{pin::pin, sync::Arc};
+use std::sync::Arc;
 
 use bytes::Bytes;
 use cassiawheel_model::ManifestDigest;
-use cassiawheel_runtime::{ShutdownSignal, spawn};
+use cassiawheel_runtime::{ShutdownSignal, listener::accept_connections, spawn};
 use cassiawheel_wire::{ChunkMessage, WireMessage, WireSender, accept, message::ChunkRefusal};
-use futures_util::future::{Either, select};
 use smol::net::{TcpListener, TcpStream};
 
 use crate::endpoint::EndpointShared;
@@ -17,17 +16,11 @@
     listener: TcpListener,
     shutdown: ShutdownSignal,
 ) {
-    loop {
-        match select(pin!(listener.accept()), pin!(shutdown.wait())).await {
-            Either::Left((Ok((stream, _)), _)) => {
-                spawn(serve_peer(shared.clone(), stream)).detach();
-            }
-            Either::Left((Err(error), _)) => {
-                log::warn!(target: "transfer", cause:% = error; "Cannot accept a peer.");
-            }
-            Either::Right(_) => return,
-        }
-    }
+    let connections = shared.settings.inner_connections;
+    accept_connections(listener, connections, shutdown, move |stream, _| {
+        serve_peer(shared.clone(), stream)
+    })
+    .await;
 }
 
 async fn serve_peer(shared: Arc<EndpointShared>, stream: TcpStream) {
--- a/crates/entry/src/admin.rs
+++ b/crates/entry/src/admin.rs
@@ -132,6 +132,9 @@
             error_reply(StatusCode::PAYLOAD_TOO_LARGE, "too-long", "the body is too long")
         }
         BodyError::Cut => error_reply(StatusCode::BAD_REQUEST, "cut", "the body ended early"),
+        BodyError::Slow => {
+            error_reply(StatusCode::REQUEST_TIMEOUT, "slow", "the body took too long")
+        }
     })?;
     serde_json::from_slice(&bytes)
         .map_err(|error| error_reply(StatusCode::BAD_REQUEST, "bad-request", error.to_string()))
--- a/crates/entry/src/caller/identify.rs
+++ b/crates/entry/src/caller/identify.rs
@@ -8,7 +8,7 @@
     Deadline, PresetRevision, PriorityClass, RequestHead, RequestKey, ServiceName, Timestamp,
     WorkspaceId,
 };
-use cassiawheel_runtime::http::{BodyError, ReplyBody, error_reply, read_body};
+use cassiawheel_runtime::http::{BodyError, ReplyBody, error_reply, read_body_within};
 use hyper::{HeaderMap, Request, Response, StatusCode, body::Incoming, header::CONTENT_TYPE};
 
 use super::SERVICE_PATH;
@@ -84,12 +84,18 @@
         revision: PresetRevision::default(),
         version: None,
     };
-    let body = read_body(body, settings.max_body_bytes).await.map_err(|error| match error {
+    let span = Duration::from_millis(shared.settings.limits.body_ms);
+    let body = read_body_within(body, settings.max_body_bytes, span).await;
+    let body = body.map_err(|error| match error {
         BodyError::TooLong => BadRequest {
             status: StatusCode::PAYLOAD_TOO_LARGE,
             message: format!("body: longer than {} bytes", settings.max_body_bytes),
         },
         BodyError::Cut => BadRequest::new("body", "ended early"),
+        BodyError::Slow => BadRequest {
+            status: StatusCode::REQUEST_TIMEOUT,
+            message: format!("body: did not arrive within {span:?}"),
+        },
     })?;
     Ok(IdentifiedRequest { head, body })
 }
--- a/crates/entry/src/inner.rs
+++ b/crates/entry/src/inner.rs
@@ -1,13 +1,12 @@
 //! The inner listener: agents and other entries connect here.
 
-use std::{pin::pin, sync::Arc};
+use std::{sync::Arc, time::Duration};
 
 use cassiawheel_model::Timestamp;
-use cassiawheel_runtime::{ShutdownSignal, spawn};
+use cassiawheel_runtime::{ShutdownSignal, listener::accept_connections, timeout};
 use cassiawheel_wire::{
     ControlMessage, HelloMessage, ProcessKind, WireMessage, WireReceiver, WireSender, accept,
 };
-use futures_util::future::{Either, select};
 use smol::net::{TcpListener, TcpStream};
 
 use crate::{
@@ -16,23 +15,20 @@
     shared::EntryShared,
 };
 
+/// Longest wait for the hello of a new connection.
+const HELLO_TIME: Duration = Duration::from_secs(3);
+
 /// Accepts connections until `shutdown`.
 pub(crate) async fn serve_inner(
     shared: Arc<EntryShared>,
     listener: TcpListener,
     shutdown: ShutdownSignal,
 ) {
-    loop {
-        match select(pin!(listener.accept()), pin!(shutdown.wait())).await {
-            Either::Left((Ok((stream, _)), _)) => {
-                spawn(serve_connection(shared.clone(), stream)).detach();
-            }
-            Either::Left((Err(error), _)) => {
-                log::warn!(target: "inner", cause:% = error; "Cannot accept a connection.");
-            }
-            Either::Right(_) => return,
-        }
-    }
+    let connections = shared.settings.limits.inner_connections;
+    accept_connections(listener, connections, shutdown, move |stream, _| {
+        serve_connection(shared.clone(), stream)
+    })
+    .await;
 }
 
 async fn serve_connection(shared: Arc<EntryShared>, stream: TcpStream) {
@@ -43,9 +39,9 @@
             return;
         }
     };
-    let hello = match receiver.recv().await {
-        Ok(WireMessage::Hello(hello)) => hello,
-        Ok(_) | Err(_) => {
+    let hello = match timeout(HELLO_TIME, receiver.recv()).await {
+        Some(Ok(WireMessage::Hello(hello))) => hello,
+        Some(Ok(_) | Err(_)) | None => {
             log::warn!(target: "inner", "A connection did not begin with a hello.");
             sender.close();
             return;
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -7,14 +7,16 @@
 };
 
 use anyhow::Context;
-use cassiawheel_model::{Timestamp, settings::EntrySettings};
+use cassiawheel_model::{
+    Timestamp,
+    settings::{EntrySettings, ListenerSettings},
+};
 use cassiawheel_platform::{HttpClient, HttpInstances, HttpTable, HttpWeights};
 use cassiawheel_runtime::{
-    ShutdownTrigger,
+    ShutdownTrigger, TerminationSignals,
     http::{ListenerLimits, serve as serve_http},
     probes::serve_probes,
-    shutdown::termination,
-    spawn, timeout,
+    spawn,
 };
 use cassiawheel_wire::traffic::TRAFFIC;
 use prometheus::Registry;
@@ -28,11 +30,11 @@
     shared::EntryShared,
 };
 
-/// Time between looks at the requests in progress during a shutdown.
-const DRAIN_STEP: Duration = Duration::from_millis(20);
-
 /// Runs until the process is asked to stop; then drains.
 pub(crate) async fn serve(settings: EntrySettings) -> anyhow::Result<()> {
+    let mut signals = TerminationSignals::listen()?;
+    // Every address is taken before anything else begins: an entry that finds
+    // one in use ends without having told anyone that it is there.
     let listen = settings.listen.clone();
     let caller_listener = bind(listen.caller, "listen.caller").await?;
     let admin_listener = bind(listen.admin, "listen.admin").await?;
@@ -49,6 +51,7 @@
     let list = Arc::new(HttpInstances::new(client, settings.platform.instances, span));
     let shared = Arc::new(EntryShared::new(settings, table, origin, metrics));
     let (trigger, shutdown) = ShutdownTrigger::new();
+    let (caller_trigger, caller_shutdown) = ShutdownTrigger::new();
 
     let ready = shared.clone();
     let is_ready = move || ready.force.load().is_some() && !ready.leaving.load(Ordering::Acquire);
@@ -64,26 +67,44 @@
     }
 
     let admin_shared = shared.clone();
-    let limits = ListenerLimits { connections: 128, ..ListenerLimits::default() };
-    let admin = serve_http(admin_listener, limits, shutdown.clone(), move |request, _| {
+    let limits = &shared.settings.limits;
+    let connections = shared.settings.caller.max_connections;
+    let caller_limits = listener_limits(limits, connections);
+    let admin_limits = listener_limits(limits, limits.admin_connections);
+    let admin = serve_http(admin_listener, admin_limits, shutdown.clone(), move |request, _| {
         admin::accept(admin_shared.clone(), request)
     });
     spawn(admin).detach();
     let caller_shared = shared.clone();
-    let connections = shared.settings.caller.max_connections;
-    let limits = ListenerLimits { connections, ..ListenerLimits::default() };
-    let callers = serve_http(caller_listener, limits, shutdown, move |request, remote| {
-        caller::accept(caller_shared.clone(), request, remote)
-    });
+    let callers =
+        serve_http(caller_listener, caller_limits, caller_shutdown, move |request, remote| {
+            caller::accept(caller_shared.clone(), request, remote)
+        });
     let callers = spawn(callers);
     log::info!(target: "process", instance:% = shared.settings.place.instance, caller:% = listen.caller; "The entry runs.");
 
-    termination().await?;
-    drain(&shared).await;
+    signals.asked().await;
+    let span = Duration::from_millis(shared.settings.control.drain_ms);
+    let deadline = Timestamp::now().deadline_after(span);
+    let drained = async {
+        leave(&shared).await;
+        caller_trigger.fire();
+        callers.await;
+    };
+    let end = signals.finish(deadline, drained).await;
     trigger.fire();
-    timeout(Duration::from_millis(shared.settings.control.drain_ms), callers).await;
-    log::info!(target: "drain", "The entry ends.");
-    Ok(())
+    let left = shared.in_flight.load(Ordering::Relaxed);
+    log::info!(target: "drain", in_flight = left; "The entry ends.");
+    end.into_result(left)
+}
+
+fn listener_limits(settings: &ListenerSettings, connections: usize) -> ListenerLimits {
+    ListenerLimits {
+        connections,
+        head_bytes: settings.head_bytes,
+        head_time: Duration::from_millis(settings.head_ms),
+        write_time: Duration::from_millis(settings.write_ms),
+    }
 }
 
 async fn bind(addr: SocketAddr, path: &str) -> anyhow::Result<TcpListener> {
@@ -91,14 +112,9 @@
 }
 
 /// Leaves the advice at once, and serves until the last answer that named this
-/// entry has run out and the last request is done.
-async fn drain(shared: &EntryShared) {
-    let control = &shared.settings.control;
-    let deadline = Timestamp::now().deadline_after(Duration::from_millis(control.drain_ms));
+/// entry has run out.
+async fn leave(shared: &EntryShared) {
     spread::announce_leaving(shared);
     log::info!(target: "drain", in_flight = shared.in_flight.load(Ordering::Relaxed); "The entry leaves.");
     Timer::after(Duration::from_millis(shared.settings.caller.advice_ms)).await;
-    while shared.in_flight.load(Ordering::Relaxed) > 0 && !deadline.is_past(Timestamp::now()) {
-        Timer::after(DRAIN_STEP).await;
-    }
 }
--- a/crates/model/src/settings/entry.rs
+++ b/crates/model/src/settings/entry.rs
@@ -203,6 +203,11 @@
         self.limits.check(findings);
         self.caller.check(findings);
         self.control.check(findings);
+        findings.require(
+            self.control.drain_ms > self.caller.advice_ms,
+            "control.drain_ms",
+            "must be more than caller.advice_ms, for which callers still come to a leaving entry",
+        );
         self.log.check(findings);
     }
 }
--- a/crates/runtime/src/http.rs
+++ b/crates/runtime/src/http.rs
@@ -1,8 +1,11 @@
 //! HTTP listeners with limits.
 //!
 //! Every listener bounds its open connections, the size of a request's head,
-//! and the time a client may take to send it; a slow or greedy client thus
-//! costs one connection at most. Bodies are bounded where they are read.
+//! the time a client may take to send it, and the time in which it may take
+//! nothing of its answer; a slow or greedy client thus costs one connection
+//! for a while. Size and time of bodies are bounded where they are read.
+
+mod stall;
 
 use std::{
     convert::Infallible, future::Future, net::SocketAddr, pin::pin, sync::Arc, time::Duration,
@@ -18,13 +21,11 @@
     service::service_fn,
 };
 use serde::Serialize;
-use smol::{
-    lock::Semaphore,
-    net::{TcpListener, TcpStream},
-};
+use smol::net::{TcpListener, TcpStream};
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 
-use crate::{ShutdownSignal, spawn};
+use crate::{ShutdownSignal, listener::accept_connections, timeout};
+use stall::StallSocket;
 
 /// Body of every response.
 pub type ReplyBody = BoxBody<Bytes, std::io::Error>;
@@ -36,13 +37,26 @@
     pub connections: usize,
     /// Largest request head, in bytes.
     pub head_bytes: usize,
-    /// Longest time to receive a request's head.
+    /// Longest time to receive a request's head; also ends idle connections.
     pub head_time: Duration,
+    /// Longest time in which a client takes nothing of its answer.
+    pub write_time: Duration,
 }
 
+/// Longest time to receive a body, unless the caller of [`read_body_within`] says otherwise.
+pub const BODY_TIME: Duration = Duration::from_secs(10);
+
+/// Smallest head that the HTTP library can be limited to, in bytes.
+const MIN_HEAD_BYTES: usize = 8 << 10;
+
 impl Default for ListenerLimits {
     fn default() -> Self {
-        Self { connections: 1_024, head_bytes: 32 << 10, head_time: Duration::from_secs(10) }
+        Self {
+            connections: 1_024,
+            head_bytes: 32 << 10,
+            head_time: Duration::from_secs(10),
+            write_time: Duration::from_secs(30),
+        }
     }
 }
 
@@ -57,35 +71,11 @@
     F: Future<Output = Response<ReplyBody>> + Send + 'static,
 {
     let handler = Arc::new(handler);
-    let slots = Arc::new(Semaphore::new(limits.connections));
-    loop {
-        let accepted = async {
-            let slot = slots.acquire_arc().await;
-            (listener.accept().await, slot)
-        };
-        let (accepted, slot) = match select(pin!(accepted), pin!(shutdown.wait())).await {
-            Either::Left((accepted, _)) => accepted,
-            Either::Right(_) => break,
-        };
-        let Ok((stream, remote)) = accepted else {
-            // Out of file descriptors, most likely; a short pause keeps the
-            // accept loop from spinning until some are free again.
-            smol::Timer::after(Duration::from_millis(20)).await;
-            continue;
-        };
-        let handler = handler.clone();
-        let shutdown = shutdown.clone();
-        spawn(async move {
-            serve_connection(stream, remote, limits, shutdown, handler).await;
-            drop(slot);
-        })
-        .detach();
-    }
-    drop(listener);
-    // All slots free again means that every connection has ended.
-    for _ in 0..limits.connections {
-        slots.acquire_arc().await.forget();
-    }
+    let closing = shutdown.clone();
+    accept_connections(listener, limits.connections, shutdown, move |stream, remote| {
+        serve_connection(stream, remote, limits, closing.clone(), handler.clone())
+    })
+    .await;
 }
 
 async fn serve_connection<H, F>(
@@ -98,17 +88,17 @@
     H: Fn(Request<Incoming>, SocketAddr) -> F + Send + Sync + 'static,
     F: Future<Output = Response<ReplyBody>> + Send + 'static,
 {
-    let _ = stream.set_nodelay(true);
     let service = service_fn(move |request| {
         let reply = handler(request, remote);
         async move { Ok::<_, Infallible>(reply.await) }
     });
+    let socket = StallSocket::new(stream, limits.write_time);
     let mut connection = pin!(
         hyper::server::conn::http1::Builder::new()
             .timer(SmolTimer::new())
             .header_read_timeout(limits.head_time)
-            .max_buf_size(limits.head_bytes.max(8 << 10))
-            .serve_connection(FuturesIo::new(stream), service)
+            .max_buf_size(limits.head_bytes.max(MIN_HEAD_BYTES))
+            .serve_connection(FuturesIo::new(socket), service)
     );
     match select(connection.as_mut(), pin!(shutdown.wait())).await {
         Either::Left(_) => {}
@@ -126,14 +116,26 @@
     TooLong,
     /// The client stopped sending.
     Cut,
+    /// The client took too long.
+    Slow,
 }
 
-/// Reads a whole body of at most `limit` bytes.
+/// Reads a whole body of at most `limit` bytes within [`BODY_TIME`].
 pub async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, BodyError> {
-    match Limited::new(body, limit).collect().await {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(BodyError::TooLong),
-        Err(_) => Err(BodyError::Cut),
+    read_body_within(body, limit, BODY_TIME).await
+}
+
+/// Reads a whole body of at most `limit` bytes within `span`.
+pub async fn read_body_within(
+    body: Incoming,
+    limit: usize,
+    span: Duration,
+) -> Result<Bytes, BodyError> {
+    match timeout(span, Limited::new(body, limit).collect()).await {
+        None => Err(BodyError::Slow),
+        Some(Ok(collected)) => Ok(collected.to_bytes()),
+        Some(Err(error)) if error.is::<LengthLimitError>() => Err(BodyError::TooLong),
+        Some(Err(_)) => Err(BodyError::Cut),
     }
 }
 
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -5,10 +5,11 @@
 
 pub mod executor;
 pub mod http;
+pub mod listener;
 pub mod logging;
 pub mod pacer;
 pub mod probes;
 pub mod shutdown;
 
 pub use executor::{run, spawn, timeout};
-pub use shutdown::{ShutdownSignal, ShutdownTrigger};
+pub use shutdown::{ShutdownEnd, ShutdownSignal, ShutdownTrigger, TerminationSignals};
--- a/crates/runtime/src/logging.rs
+++ b/crates/runtime/src/logging.rs
@@ -3,15 +3,20 @@
 //! A line is a short sentence under the fixed prefix of its part (the log
 //! target), followed by its keys and values. Set up once per process.
 
+pub mod format;
+pub mod sampler;
+
 use std::io::Write;
 
 use anyhow::Context;
 use cassiawheel_model::settings::{LogFormat, LogSettings};
 use flexi_logger::{DeferredNow, FormatFunction, Logger, LoggerHandle, WriteMode};
-use log::{
-    Record,
-    kv::{Error, Key, Value, VisitSource},
-};
+use log::Record;
+
+use sampler::DecisionSampler;
+
+/// Layout of a line's time, in the instance's time zone.
+const TIME_LAYOUT: &str = "%Y-%m-%dT%H:%M:%S%.3f%:z";
 
 /// Starts logging to standard error; keep the handle until the process ends.
 pub fn start(settings: &LogSettings) -> anyhow::Result<LoggerHandle> {
@@ -23,6 +28,7 @@
         .with_context(|| format!("log.level {:?} is not understood", settings.level))?
         .log_to_stderr()
         .format(format)
+        .filter(Box::new(DecisionSampler::new(settings.decisions_per_s)))
         .write_mode(WriteMode::Async)
         .start()
         .context("cannot start the log")
@@ -33,21 +39,7 @@
     now: &mut DeferredNow,
     record: &Record<'_>,
 ) -> std::io::Result<()> {
-    let time = now.format("%Y-%m-%dT%H:%M:%S%.3f%:z");
-    write!(out, "{time} {} {}: {}", record.level(), record.target(), record.args())?;
-    let mut visitor = KeyValueWriter { out };
-    record.key_values().visit(&mut visitor).map_err(std::io::Error::other)
-}
-
-struct KeyValueWriter<'a> {
-    out: &'a mut dyn Write,
-}
-
-impl<'kvs> VisitSource<'kvs> for KeyValueWriter<'_> {
-    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
-        write!(self.out, " {key}={value}")?;
-        Ok(())
-    }
+    format::write_key_value(out, now.format(TIME_LAYOUT), record)
 }
 
 fn write_json(
@@ -55,28 +47,5 @@
     now: &mut DeferredNow,
     record: &Record<'_>,
 ) -> std::io::Result<()> {
-    let mut line = serde_json::Map::new();
-    line.insert("time".into(), now.format("%Y-%m-%dT%H:%M:%S%.3f%:z").to_string().into());
-    line.insert("level".into(), record.level().as_str().into());
-    line.insert("part".into(), record.target().into());
-    line.insert("message".into(), record.args().to_string().into());
-    let mut visitor = JsonCollector { line: &mut line };
-    record.key_values().visit(&mut visitor).map_err(std::io::Error::other)?;
-    serde_json::to_writer(out, &line).map_err(std::io::Error::other)
-}
-
-struct JsonCollector<'a> {
-    line: &'a mut serde_json::Map<String, serde_json::Value>,
-}
-
-impl<'kvs> VisitSource<'kvs> for JsonCollector<'_> {
-    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
-        let value = match (value.to_u64(), value.to_bool()) {
-            (Some(number), _) => number.into(),
-            (None, Some(flag)) => flag.into(),
-            (None, None) => value.to_string().into(),
-        };
-        self.line.insert(key.as_str().to_owned(), value);
-        Ok(())
-    }
+    format::write_json(out, now.format(TIME_LAYOUT), record)
 }
--- a/crates/runtime/src/shutdown.rs
+++ b/crates/runtime/src/shutdown.rs
@@ -1,10 +1,18 @@
-//! Graceful shutdown: one trigger, many waiting tasks.
+//! Graceful shutdown: one trigger, many waiting tasks, one deadline.
+
+use std::{future::Future, pin::pin};
 
 use anyhow::Context;
 use async_signal::{Signal, Signals};
-use futures_util::StreamExt;
+use cassiawheel_model::{Deadline, Timestamp};
+use futures_util::{
+    StreamExt,
+    future::{Either, select},
+};
 use smol::channel::{Receiver, Sender, bounded};
 
+use crate::timeout;
+
 /// Starts the shutdown of a process.
 #[derive(Debug, Clone)]
 pub struct ShutdownTrigger {
@@ -42,10 +50,59 @@
     }
 }
 
-/// Completes when the process is asked to stop by SIGTERM or SIGINT.
-pub async fn termination() -> anyhow::Result<()> {
-    let mut signals =
-        Signals::new([Signal::Term, Signal::Int]).context("cannot listen for signals")?;
-    signals.next().await;
-    Ok(())
+/// SIGTERM and SIGINT, which ask a process to stop.
+#[derive(Debug)]
+pub struct TerminationSignals {
+    signals: Signals,
+}
+
+/// How a graceful shutdown ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ShutdownEnd {
+    /// Nothing was left to finish.
+    Finished,
+    /// The deadline came first.
+    DeadlinePassed,
+    /// The process was asked to stop a second time and did not wait any longer.
+    AskedAgain,
+}
+
+impl TerminationSignals {
+    /// Takes the signals over; from now on they no longer end the process by themselves.
+    pub fn listen() -> anyhow::Result<Self> {
+        let signals =
+            Signals::new([Signal::Term, Signal::Int]).context("cannot listen for signals")?;
+        Ok(Self { signals })
+    }
+
+    /// Completes when the process is asked to stop.
+    pub async fn asked(&mut self) {
+        self.signals.next().await;
+    }
+
+    /// Runs `drain` to its end, to `deadline`, or until the process is asked again.
+    pub async fn finish(
+        &mut self,
+        deadline: Deadline,
+        drain: impl Future<Output = ()>,
+    ) -> ShutdownEnd {
+        let drained = timeout(deadline.remaining(Timestamp::now()), drain);
+        match select(pin!(drained), pin!(self.asked())).await {
+            Either::Left((Some(()), _)) => ShutdownEnd::Finished,
+            Either::Left((None, _)) => ShutdownEnd::DeadlinePassed,
+            Either::Right(_) => ShutdownEnd::AskedAgain,
+        }
+    }
+}
+
+impl ShutdownEnd {
+    /// An error if requests were cut off; it tells how many.
+    pub fn into_result(self, in_progress: u32) -> anyhow::Result<()> {
+        let cause = match self {
+            Self::Finished => return Ok(()),
+            Self::DeadlinePassed => "the deadline of the shutdown passed",
+            Self::AskedAgain => "the process was asked to stop a second time",
+        };
+        anyhow::bail!("{cause}; {in_progress} requests in progress were cut off")
+    }
 }
--- /dev/null
+++ b/crates/runtime/tests/http.rs
@@ -0,0 +1,138 @@
+//! Limits of HTTP listeners, over real sockets.
+
+use std::{net::SocketAddr, time::Duration};
+
+use cassiawheel_runtime::{
+    ShutdownTrigger,
+    http::{BodyError, ListenerLimits, error_reply, full_body, read_body_within, serve},
+    spawn, timeout,
+};
+use hyper::{Response, StatusCode};
+use rstest::rstest;
+use smol::{
+    Task,
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+};
+
+/// Far beyond every limit under test.
+const LONG: Duration = Duration::from_secs(20);
+
+const LIMITS: ListenerLimits = ListenerLimits {
+    connections: 2,
+    head_bytes: 8 << 10,
+    head_time: Duration::from_millis(300),
+    write_time: Duration::from_millis(300),
+};
+
+struct TestServer {
+    addr: SocketAddr,
+    trigger: ShutdownTrigger,
+    served: Task<()>,
+}
+
+async fn start() -> TestServer {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("listens");
+    let addr = listener.local_addr().expect("an address");
+    let (trigger, shutdown) = ShutdownTrigger::new();
+    let served = spawn(serve(listener, LIMITS, shutdown, |request, _| async move {
+        if request.uri().path() == "/large" {
+            return Response::new(full_body(vec![b'x'; 64 << 20]));
+        }
+        match read_body_within(request.into_body(), 16, Duration::from_millis(300)).await {
+            Ok(body) => Response::new(full_body(body)),
+            Err(BodyError::TooLong) => error_reply(StatusCode::PAYLOAD_TOO_LARGE, "too-long", ""),
+            Err(BodyError::Slow) => error_reply(StatusCode::REQUEST_TIMEOUT, "slow", ""),
+            Err(BodyError::Cut) => error_reply(StatusCode::BAD_REQUEST, "cut", ""),
+        }
+    }));
+    TestServer { addr, trigger, served }
+}
+
+async fn send(addr: SocketAddr, text: &str) -> TcpStream {
+    let mut stream = TcpStream::connect(addr).await.expect("connects");
+    stream.write_all(text.as_bytes()).await.expect("sends");
+    stream
+}
+
+/// Everything until the server closes the connection.
+async fn read_to_close(mut stream: TcpStream) -> String {
+    let mut bytes = Vec::new();
+    let _ = timeout(LONG, stream.read_to_end(&mut bytes)).await.expect("the server closes");
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
+async fn is_served(addr: SocketAddr) -> bool {
+    let request = "POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 2\r\nconnection: close\r\n\r\nok";
+    read_to_close(send(addr, request).await).await.ends_with("ok")
+}
+
+fn run(test: impl Future<Output = ()>) {
+    cassiawheel_runtime::run(2, test).expect("the executor runs");
+}
+
+/// Clients open every connection that the listener grants and then send their
+/// request one byte at a time or not at all. Without deadlines nobody else
+/// would be served again until they go away by themselves.
+#[rstest]
+#[case::no_head("")]
+#[case::half_a_head("POST / HTTP/1.1\r\nhost:")]
+#[case::half_a_body("POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 9\r\n\r\nhalf")]
+#[case::idle_after_an_answer("POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 2\r\n\r\nok")]
+fn slow_clients_lose_their_connection(#[case] sent: &str) {
+    run(async {
+        let server = start().await;
+        let held = [send(server.addr, sent).await, send(server.addr, sent).await];
+        assert!(is_served(server.addr).await);
+        for stream in held {
+            let answer = read_to_close(stream).await;
+            assert_eq!(answer.contains("408"), sent.ends_with("half"), "{answer}");
+        }
+    });
+}
+
+/// A client asks for a long answer and takes nothing of it. Its connection
+/// would stay for ever, and so would the request that a shutdown waits for.
+#[test]
+fn a_client_that_reads_nothing_loses_its_connection() {
+    run(async {
+        let server = start().await;
+        let request = "GET /large HTTP/1.1\r\nhost: x\r\n\r\n";
+        let held = [send(server.addr, request).await, send(server.addr, request).await];
+        assert!(is_served(server.addr).await);
+        drop(held);
+    });
+}
+
+#[test]
+fn a_head_or_body_beyond_the_limit_is_refused() {
+    run(async {
+        let server = start().await;
+        let head = format!("GET / HTTP/1.1\r\nhost: x\r\nlong: {}\r\n\r\n", "x".repeat(64 << 10));
+        let mut stream = TcpStream::connect(server.addr).await.expect("connects");
+        // The server may close before everything is sent.
+        let _ = stream.write_all(head.as_bytes()).await;
+        let answer = read_to_close(stream).await;
+        assert!(!answer.contains("200"), "{answer}");
+        let body = "POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 17\r\nconnection: close\r\n\r\n\
+                    more than 16 byte";
+        assert!(read_to_close(send(server.addr, body).await).await.contains("413"));
+        assert!(is_served(server.addr).await);
+    });
+}
+
+/// An operator stops an entry whose listener is full of idle connections. The
+/// stop has to come through, or the process would be killed with requests in
+/// progress.
+#[test]
+fn a_full_listener_shuts_down() {
+    run(async {
+        let server = start().await;
+        let sent = "POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 2\r\n\r\nok";
+        let held = [send(server.addr, sent).await, send(server.addr, sent).await];
+        let waiting = TcpStream::connect(server.addr).await;
+        server.trigger.fire();
+        assert!(timeout(LONG, server.served).await.is_some());
+        drop((held, waiting));
+    });
+}
