--- a/crates/agent/src/serve.rs
+++ b/crates/agent/src/serve.rs
@@ -6,9 +6,7 @@
 use cassiawheel_decide::rank::{first_ranked, subject_of};
 use cassiawheel_model::{Timestamp, settings::AgentSettings};
 use cassiawheel_platform::{HttpClient, HttpEngine, HttpTable, HttpWeights};
-use cassiawheel_runtime::{
-    ShutdownTrigger, probes::serve_probes, shutdown::termination, spawn, timeout,
-};
+use cassiawheel_runtime::{ShutdownTrigger, TerminationSignals, probes::serve_probes, spawn};
 use cassiawheel_wire::traffic::TRAFFIC;
 use prometheus::Registry;
 use smol::net::TcpListener;
@@ -25,6 +23,9 @@
 
 /// Runs until the process is asked to stop; then drains.
 pub(crate) async fn serve(settings: AgentSettings) -> anyhow::Result<()> {
+    let mut signals = TerminationSignals::listen()?;
+    // Both addresses are taken before anything else begins: an agent that
+    // finds one in use ends without having spoken to an entry or its engine.
     let inner = bind(settings.listen_inner, "listen_inner").await?;
     let metrics_listener = bind(settings.listen_metrics, "listen_metrics").await?;
     let registry = Registry::new();
@@ -44,10 +45,13 @@
     spawn(report::report_regularly(shared.clone())).detach();
     log::info!(target: "process", instance:% = shared.settings.place.instance, inner:% = shared.settings.listen_inner; "The agent runs.");
 
-    termination().await?;
-    drain(&shared).await;
+    signals.asked().await;
+    let deadline = Timestamp::now().deadline_after(Duration::from_millis(shared.settings.drain_ms));
+    let end = signals.finish(deadline, drain(&shared)).await;
     trigger.fire();
-    Ok(())
+    let left = shared.open_attempts();
+    log::info!(target: "drain", in_progress = left; "The agent ends.");
+    end.into_result(left)
 }
 
 fn build_shared(settings: AgentSettings, metrics: AgentMetrics) -> EndpointShared {
@@ -77,12 +81,9 @@
 
 /// Admits nothing more, tells the entries, and finishes the requests in progress.
 async fn drain(shared: &EndpointShared) {
-    let deadline = Timestamp::now().deadline_after(Duration::from_millis(shared.settings.drain_ms));
     entry_link::leave(shared);
-    while shared.open_attempts() > 0 && !deadline.is_past(Timestamp::now()) {
-        timeout(deadline.remaining(Timestamp::now()), shared.permit_released()).await;
+    while shared.open_attempts() > 0 {
+        shared.permit_released().await;
     }
     smol::Timer::after(LINGER).await;
-    let left = shared.open_attempts();
-    log::info!(target: "drain", in_progress = left; "The agent ends.");
 }
