--- a/crates/entry/src/caller/identify.rs
+++ b/crates/entry/src/caller/identify.rs
@@ -8,10 +8,7 @@
     Deadline, PresetRevision, PriorityClass, RequestHead, RequestKey, ServiceName, Timestamp,
     WorkspaceId,
 };
-use cassiawheel_runtime::{
-    http::{BodyError, ReplyBody, error_reply, read_body},
-    timeout,
-};
+use cassiawheel_runtime::http::{BodyError, ReplyBody, error_reply, read_body_within};
 use hyper::{HeaderMap, Request, Response, StatusCode, body::Incoming, header::CONTENT_TYPE};
 
 use super::SERVICE_PATH;
@@ -89,14 +86,19 @@
     };
     // A caller that stalls in the middle of its body would hold its connection
     // for as long as it likes.
-    let span = head.deadline.remaining(Timestamp::now());
-    let body = timeout(span, read_body(body, settings.max_body_bytes)).await;
-    let body = body.unwrap_or(Err(BodyError::Cut)).map_err(|error| match error {
+    let limit = Duration::from_millis(shared.settings.limits.body_ms);
+    let span = limit.min(head.deadline.remaining(Timestamp::now()));
+    let body = read_body_within(body, settings.max_body_bytes, span).await;
+    let body = body.map_err(|error| match error {
         BodyError::TooLong => BadRequest {
             status: StatusCode::PAYLOAD_TOO_LARGE,
             message: format!("body: longer than {} bytes", settings.max_body_bytes),
         },
         BodyError::Cut => BadRequest::new("body", "ended early"),
+        BodyError::Slow => BadRequest {
+            status: StatusCode::REQUEST_TIMEOUT,
+            message: format!("body: did not arrive within {span:?}"),
+        },
     })?;
     Ok(IdentifiedRequest { head, body })
 }
