Roll versions out in waves that every entry derives; stage presets ahead

Cause: one order per preset revision went to every endpoint at once, so a change of version took a service away while all engines loaded, and nothing could be staged before a preset came in force.

Change: every entry derives the due orders from the preset in force and the reports, fifty milliseconds at a time. A new version is staged while the old one serves; endpoints then switch in the order of rendezvous ranks, so many at a time that serving_percent of them serve. Tokens hold revision, count and whether to serve, and go on from the highest that the endpoint or its engine reports. POST /v1/stage/NAME stages a stored preset ahead. Spares may be limited; choice by what endpoints hold, then by failure domain.

A planner with a lease and stored plan rows was weighed against this: it would need two writes after a change was accepted, so a store that goes down right after acceptance would leave the preset in force and the old version serving.

--- a/crates/agent/src/endpoint.rs
+++ b/crates/agent/src/endpoint.rs
@@ -39,6 +39,8 @@
     pub(crate) claims: ClaimWriter,
     /// The origin of weights.
     pub(crate) origin: Arc<dyn WeightSource>,
+    /// Highest fencing token that the engine has carried out, as it told last.
+    pub(crate) engine_fencing: AtomicU64,
     /// Weights held and being fetched.
     pub(crate) transfer: TransferState,
     /// Metrics.
@@ -73,6 +75,7 @@
             order: Mutex::default(),
             load: Mutex::new(LoadReport { in_flight: 0, queued: 0, measured_at: now }),
             entries: Mutex::default(),
+            engine_fencing: AtomicU64::new(0),
             attempts: AtomicU64::new(0),
             open: AtomicU32::new(0),
             released: bounded(1),
--- a/crates/agent/src/exchange.rs
+++ b/crates/agent/src/exchange.rs
@@ -7,7 +7,10 @@
 //! waits for the requests in progress and trusts only the engine's own word of
 //! what it loaded.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use cassiawheel_decide::Adoption;
 use cassiawheel_model::{EndpointRole, EndpointState, ForcedPreset};
@@ -23,6 +26,9 @@
 /// Longest wait before a failed step is tried again.
 const LONGEST_TRY_AGAIN: Duration = Duration::from_secs(2);
 
+/// Longest wait for the engine's word before the agent reports.
+const RESUME_TIME: Duration = Duration::from_secs(1);
+
 /// Considers a preset that an entry sent.
 pub(crate) fn offer_preset(shared: &Arc<EndpointShared>, preset: Arc<ForcedPreset>) {
     let revision = preset.revision;
@@ -70,7 +76,6 @@
 }
 
 async fn follow_weights(shared: &Arc<EndpointShared>) {
-    resume_engine(shared).await;
     let mut reached = None;
     let mut wait = TRY_AGAIN;
     loop {
@@ -126,10 +131,14 @@
 }
 
 /// Takes up what the engine already answers from, as after a restart of the agent.
-async fn resume_engine(shared: &EndpointShared) {
-    let Ok(status) = shared.engine.status().await else {
+///
+/// Done before the first report: one that calls the endpoint empty would make
+/// an entry order it to switch out of its turn.
+pub(crate) async fn resume_engine(shared: &EndpointShared) {
+    let Some(Ok(status)) = timeout(RESUME_TIME, shared.engine.status()).await else {
         return;
     };
+    shared.engine_fencing.fetch_max(status.fencing, Ordering::Relaxed);
     let Some(version) = status.version else {
         return;
     };
--- a/crates/agent/src/report.rs
+++ b/crates/agent/src/report.rs
@@ -1,6 +1,9 @@
 //! Heartbeats to the entries.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use cassiawheel_model::EndpointReport;
 use cassiawheel_wire::ControlMessage;
@@ -12,6 +15,7 @@
 pub(crate) fn build_report(shared: &EndpointShared) -> EndpointReport {
     let settings = &shared.settings;
     let gate = shared.gate().clone();
+    let order = shared.order().clone();
     let mut load = *shared.load();
     // The gate counts exactly what passes it; the engine's own number lags and
     // may hold work of an earlier process.
@@ -28,7 +32,9 @@
         staged: shared.transfer.staged(),
         load,
         revision: gate.revision(),
-        order: shared.order().as_ref().map_or(0, |order| order.fencing),
+        order: order.as_ref().map_or(0, |order| order.fencing),
+        ordered: order.map(|order| order.manifest),
+        engine_fencing: shared.engine_fencing.load(Ordering::Relaxed),
         limit: gate.limit(),
     }
 }
@@ -47,6 +53,7 @@
         let before = shared.gate().state().clone();
         if let Ok(status) = shared.engine.status().await {
             exchange::check_engine(&shared, &before, &status);
+            shared.engine_fencing.fetch_max(status.fencing, Ordering::Relaxed);
             *shared.load() = status.load;
         }
         send_report(&shared);
--- a/crates/agent/src/serve.rs
+++ b/crates/agent/src/serve.rs
@@ -4,7 +4,7 @@
 
 use anyhow::Context;
 use cassiawheel_decide::rank::{first_ranked, subject_of};
-use cassiawheel_model::{Timestamp, settings::AgentSettings};
+use cassiawheel_model::{EndpointRole, Timestamp, settings::AgentSettings};
 use cassiawheel_platform::{HttpClient, HttpEngine, HttpTable, HttpWeights};
 use cassiawheel_runtime::{ShutdownTrigger, TerminationSignals, probes::serve_probes, spawn};
 use cassiawheel_wire::traffic::TRAFFIC;
@@ -38,6 +38,9 @@
     let is_ready = move || ready.holder().current().is_some();
     spawn(serve_probes(metrics_listener, registry, is_ready, shutdown.clone())).detach();
     spawn(transfer::serve_peers(shared.clone(), inner, shutdown.clone())).detach();
+    if shared.settings.engine.role == EndpointRole::Model {
+        exchange::resume_engine(&shared).await;
+    }
     for addr in chosen_entries(&shared.settings) {
         spawn(entry_link::keep_connected(shared.clone(), addr)).detach();
     }
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod advice;
 pub mod change;
 pub mod claim;
+pub mod fencing;
 pub mod gate;
 pub mod holder;
 pub mod identity;
--- a/crates/decide/src/plan.rs
+++ b/crates/decide/src/plan.rs
@@ -1,26 +1,304 @@
-//! Which weights each endpoint has to hold.
+//! Which weights each endpoint has to stage and to serve.
+//!
+//! Every entry derives the plan from the preset in force and the endpoints'
+//! reports; nothing is agreed or stored for it. So a change that was accepted
+//! just before the table service went down still rolls out, and no process has
+//! to live for it.
+//!
+//! A new version is staged everywhere at once while the old one serves. Then
+//! the endpoints switch in the order of their rendezvous ranks, so many at a
+//! time that the promised share goes on serving. An entry whose reports lag
+//! takes fewer endpoints for finished and so releases fewer, never others:
+//! several entries together keep the share that each of them keeps.
 
-use cassiawheel_model::{EndpointReport, ForcedPreset, ManifestDigest, ModelVersion};
+use std::{cmp::Reverse, collections::BTreeMap};
 
-/// Weights that an endpoint has to serve.
+use cassiawheel_model::{
+    EndpointReport, EndpointState, FailureDomain, ForcedPreset, InstanceId, ManifestDigest,
+    ModelVersion, PresetContent, PresetRevision, ServiceName, ServiceTarget, label,
+};
+use macro_rules_attribute::apply;
+
+use crate::{
+    fencing::{OrderToken, next_token},
+    rank::{rendezvous_weight, subject_of},
+};
+
+/// What the plan follows from.
+#[derive(Debug, Clone, Copy)]
+pub struct PlanInput<'a> {
+    /// The preset in force.
+    pub preset: &'a ForcedPreset,
+    /// A preset to stage ahead, if there is one.
+    pub ahead: Option<&'a PresetContent>,
+    /// Reports of the endpoints that do not leave.
+    pub reports: &'a [&'a EndpointReport],
+}
+
+/// An order that an endpoint has to get.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct PlannedWeights {
+pub struct PlannedOrder {
+    /// The endpoint.
+    pub instance: InstanceId,
     /// The version.
     pub version: ModelVersion,
     /// Pins its bytes.
     pub manifest: ManifestDigest,
     /// Fencing token of the order.
     pub fencing: u64,
+    /// Whether to serve the version, or only to stage it.
+    pub serve: bool,
+    /// Why.
+    pub reason: PlanReason,
+}
+
+/// Why an endpoint gets an order.
+#[apply(label!)]
+#[serde(rename_all = "kebab-case")]
+pub enum PlanReason {
+    /// It serves nothing, so it serves the version as soon as it has it.
+    ServesNothing,
+    /// It serves another version and stages this one meanwhile.
+    StageWhileServing,
+    /// It has the version staged and its turn to switch has come.
+    TurnToSwitch,
+    /// It serves what is in force and stages what comes next.
+    StageAhead,
+}
+
+/// The weights that a service has to serve.
+#[derive(Debug, Clone, Copy)]
+struct WantedWeights<'a> {
+    version: &'a ModelVersion,
+    manifest: ManifestDigest,
+}
+
+impl<'a> WantedWeights<'a> {
+    fn of(target: &'a ServiceTarget) -> Option<Self> {
+        Some(Self { version: target.version.as_ref()?, manifest: target.manifest? })
+    }
 }
 
-/// What the preset in force wants at the endpoint that sent `report`.
+/// The orders that are due now.
+pub fn plan_orders(input: PlanInput<'_>) -> Vec<PlannedOrder> {
+    let mut orders = Vec::new();
+    for (service, target) in &input.preset.content.services {
+        let Some(wanted) = WantedWeights::of(target) else {
+            continue;
+        };
+        let chosen = choose_endpoints(service, target, wanted, input.reports);
+        let ahead = input.ahead.and_then(|content| content.services.get(service));
+        let ahead = ahead.and_then(WantedWeights::of);
+        let service = ServicePlan {
+            revision: input.preset.revision,
+            wanted,
+            ahead: ahead.filter(|ahead| ahead.manifest != wanted.manifest),
+            at_a_time: switches_at_a_time(target, chosen.len()),
+            chosen,
+        };
+        orders.extend(service.orders());
+    }
+    orders
+}
+
+/// How many of `count` endpoints may be without service at a time.
+fn switches_at_a_time(target: &ServiceTarget, count: usize) -> usize {
+    let kept = (count as u64 * u64::from(target.serving_percent)).div_ceil(100);
+    (count - kept as usize).max(1)
+}
+
+/// The endpoints that have to hold the version.
 ///
-/// Every endpoint of a service holds the service's version.
-pub fn planned_weights(preset: &ForcedPreset, report: &EndpointReport) -> Option<PlannedWeights> {
-    let target = preset.content.services.get(&report.service)?;
-    Some(PlannedWeights {
-        version: target.version.clone()?,
-        manifest: target.manifest?,
-        fencing: preset.revision.0,
+/// All of the service's, unless the preset limits the spares. Then those that
+/// hold the version already come first, so that few have to move, and the rest
+/// is taken from the failure domain with the fewest.
+fn choose_endpoints<'a>(
+    service: &ServiceName,
+    target: &ServiceTarget,
+    wanted: WantedWeights<'_>,
+    reports: &[&'a EndpointReport],
+) -> Vec<&'a EndpointReport> {
+    let mut left: Vec<_> =
+        reports.iter().copied().filter(|report| report.service == *service).collect();
+    let limit = match target.spares {
+        Some(spares) => target.replicas.saturating_add(spares) as usize,
+        None => left.len(),
+    };
+    let subject = subject_of(service.as_str());
+    left.sort_by_key(|report| {
+        let rank = rendezvous_weight(subject, report.instance.as_str());
+        (held_share(report, wanted), rank)
+    });
+    let mut taken: BTreeMap<&FailureDomain, usize> = BTreeMap::new();
+    let mut chosen = Vec::new();
+    while chosen.len() < limit {
+        // The last one is the best; a stable minimum over the domains then
+        // keeps the domains level.
+        let best = (0..left.len()).rev().min_by_key(|index| {
+            let report = left[*index];
+            let taken = taken.get(&report.failure_domain).copied().unwrap_or_default();
+            (held_share(report, wanted) < HELD_WHOLE, taken)
+        });
+        let Some(best) = best else {
+            break;
+        };
+        let report = left.remove(best);
+        *taken.entry(&report.failure_domain).or_default() += 1;
+        chosen.push(report);
+    }
+    chosen
+}
+
+/// Share of a version that an endpoint holds when it has all of it.
+const HELD_WHOLE: u32 = 100;
+
+/// How much of the wanted version an endpoint holds, in percent.
+fn held_share(report: &EndpointReport, wanted: WantedWeights<'_>) -> u32 {
+    if serves(report, wanted) {
+        return HELD_WHOLE;
+    }
+    let staged = report.staged.as_ref().filter(|staged| staged.manifest == wanted.manifest);
+    staged.map_or(0, |staged| staged.chunks_ready * HELD_WHOLE / staged.chunks_total.max(1))
+}
+
+/// Whether the endpoint serves the wanted weights.
+///
+/// The origin may give a version's name to other bytes later. An endpoint that
+/// was ordered to serve another manifest of the name does not serve this one.
+fn serves(report: &EndpointReport, wanted: WantedWeights<'_>) -> bool {
+    let EndpointState::Serving { version, .. } = &report.state else {
+        return false;
+    };
+    let ordered = report.ordered.filter(|_| OrderToken::read(report.order).serve);
+    let other = ordered.is_some_and(|manifest| manifest != wanted.manifest);
+    version.as_ref() == Some(wanted.version) && !other
+}
+
+fn has_staged(report: &EndpointReport, manifest: ManifestDigest) -> bool {
+    report.staged.as_ref().is_some_and(|staged| {
+        staged.manifest == manifest && staged.chunks_ready == staged.chunks_total
     })
 }
+
+/// Whether the endpoint's newest order is to serve or to stage these weights.
+///
+/// An order below the engine's token does not count: the agent has started
+/// again, got it before it knew the engine's token, and cannot carry it out.
+fn is_ordered(report: &EndpointReport, manifest: ManifestDigest, serve: bool) -> bool {
+    let current = report.order >= report.engine_fencing;
+    current && report.ordered == Some(manifest) && OrderToken::read(report.order).serve == serve
+}
+
+struct ServicePlan<'a> {
+    revision: PresetRevision,
+    wanted: WantedWeights<'a>,
+    ahead: Option<WantedWeights<'a>>,
+    at_a_time: usize,
+    chosen: Vec<&'a EndpointReport>,
+}
+
+impl ServicePlan<'_> {
+    fn orders(mut self) -> Vec<PlannedOrder> {
+        let subject = subject_of(&self.wanted.manifest.to_string());
+        self.chosen
+            .sort_by_key(|report| Reverse(rendezvous_weight(subject, report.instance.as_str())));
+        let mut window = SwitchWindow::new(&self.chosen, self.at_a_time);
+        let mut orders = Vec::new();
+        for report in &self.chosen {
+            orders.extend(self.order_for(report, window.may_switch()));
+            window.pass(report, serves(report, self.wanted));
+        }
+        orders
+    }
+
+    fn order_for(&self, report: &EndpointReport, may_switch: bool) -> Option<PlannedOrder> {
+        let (weights, serve, reason) = match &report.state {
+            EndpointState::Switching | EndpointState::Draining => return None,
+            EndpointState::Empty => (self.wanted, true, PlanReason::ServesNothing),
+            EndpointState::Serving { .. } if serves(report, self.wanted) => {
+                (self.ahead?, false, PlanReason::StageAhead)
+            }
+            EndpointState::Serving { .. } if is_ordered(report, self.wanted.manifest, true) => {
+                return None;
+            }
+            EndpointState::Serving { .. } if !has_staged(report, self.wanted.manifest) => {
+                (self.wanted, false, PlanReason::StageWhileServing)
+            }
+            EndpointState::Serving { .. } if may_switch => {
+                (self.wanted, true, PlanReason::TurnToSwitch)
+            }
+            EndpointState::Serving { .. } => return None,
+        };
+        if is_ordered(report, weights.manifest, serve) {
+            return None;
+        }
+        Some(self.order(report, weights, serve, reason))
+    }
+
+    fn order(
+        &self,
+        report: &EndpointReport,
+        weights: WantedWeights<'_>,
+        serve: bool,
+        reason: PlanReason,
+    ) -> PlannedOrder {
+        PlannedOrder {
+            instance: report.instance.clone(),
+            version: weights.version.clone(),
+            manifest: weights.manifest,
+            fencing: next_token(self.revision, report, serve),
+            serve,
+            reason,
+        }
+    }
+}
+
+/// Which endpoints may switch, in the order of their ranks.
+struct SwitchWindow {
+    at_a_time: usize,
+    /// Endpoints that serve nothing and have not been passed yet.
+    out_later: usize,
+    /// Whether any endpoint exchanges its weights right now.
+    any_switching: bool,
+    /// Passed endpoints that do not serve the wanted version.
+    unfinished: usize,
+    /// Passed endpoints that serve another version.
+    old: usize,
+}
+
+impl SwitchWindow {
+    fn new(chosen: &[&EndpointReport], at_a_time: usize) -> Self {
+        let out =
+            |report: &&&EndpointReport| !matches!(report.state, EndpointState::Serving { .. });
+        Self {
+            at_a_time,
+            out_later: chosen.iter().filter(out).count(),
+            any_switching: chosen.iter().any(|report| report.state == EndpointState::Switching),
+            unfinished: 0,
+            old: 0,
+        }
+    }
+
+    /// Whether the next endpoint may switch, if it serves another version.
+    ///
+    /// Endpoints that serve nothing take up their share of the places. If none
+    /// is left, one endpoint at a time goes on, or some broken engines would
+    /// hold up the others for ever.
+    fn may_switch(&self) -> bool {
+        let alone = self.old == 0 && !self.any_switching;
+        alone || self.unfinished + self.out_later < self.at_a_time
+    }
+
+    fn pass(&mut self, report: &EndpointReport, serves_wanted: bool) {
+        if serves_wanted {
+            return;
+        }
+        self.unfinished += 1;
+        match report.state {
+            EndpointState::Serving { .. } => self.old += 1,
+            EndpointState::Empty | EndpointState::Switching | EndpointState::Draining => {
+                self.out_later -= 1;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/decide/tests/plan.rs
@@ -0,0 +1,319 @@
+//! Orders to endpoints, derived by several entries whose reports lag.
+
+use std::collections::BTreeMap;
+
+use cassiawheel_decide::{
+    fencing::{OrderToken, next_token},
+    plan::{PlanInput, PlanReason, PlannedOrder, plan_orders},
+};
+use cassiawheel_model::{
+    ChangeId, EndpointReport, EndpointRole, EndpointState, FailureDomain, ForcedPreset, InstanceId,
+    LoadReport, ManifestDigest, ModelVersion, OperatorName, PresetContent, PresetName,
+    PresetRevision, RegionName, ServiceKind, ServiceName, ServiceTarget, StagedWeights, Timestamp,
+};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use rstest::rstest;
+
+const CHUNKS: u32 = 10;
+
+fn version(name: &str) -> ModelVersion {
+    ModelVersion::new(name).expect("valid")
+}
+
+fn manifest(name: &str) -> ManifestDigest {
+    ManifestDigest::of(name.as_bytes())
+}
+
+fn content(name: &str, serving_percent: u32, spares: Option<u32>) -> PresetContent {
+    let target = ServiceTarget {
+        kind: ServiceKind::Model,
+        version: Some(version(name)),
+        manifest: Some(manifest(name)),
+        replicas: 2,
+        ready_by: None,
+        max_in_flight: 8,
+        spares,
+        serving_percent,
+    };
+    let service = ServiceName::new("desk").expect("valid");
+    PresetContent { services: BTreeMap::from([(service, target)]) }
+}
+
+fn preset(revision: u64, content: PresetContent) -> ForcedPreset {
+    ForcedPreset {
+        revision: PresetRevision(revision),
+        preset: PresetName::new("peak").expect("valid"),
+        content,
+        change: ChangeId::new(&format!("change-{revision}")).expect("valid"),
+        operator: OperatorName::new("operator").expect("valid"),
+        changed_at: Timestamp(0),
+    }
+}
+
+fn report(index: usize, state: EndpointState) -> EndpointReport {
+    EndpointReport {
+        instance: InstanceId::new(&format!("endpoint-{index}")).expect("valid"),
+        incarnation: 1,
+        region: RegionName::new("region").expect("valid"),
+        failure_domain: FailureDomain::new(&format!("domain-{}", index % 3)).expect("valid"),
+        service: ServiceName::new("desk").expect("valid"),
+        role: EndpointRole::Model,
+        inner_addr: "127.0.0.1:7003".parse().expect("valid"),
+        state,
+        staged: None,
+        load: LoadReport { in_flight: 0, queued: 0, measured_at: Timestamp(0) },
+        revision: PresetRevision(1),
+        order: 0,
+        ordered: None,
+        engine_fencing: 0,
+        limit: 8,
+    }
+}
+
+fn serving(name: &str) -> EndpointState {
+    EndpointState::Serving { version: Some(version(name)), generation: 1 }
+}
+
+fn staged(name: &str, chunks_ready: u32) -> Option<StagedWeights> {
+    let (version, manifest) = (version(name), manifest(name));
+    Some(StagedWeights { version, manifest, chunks_ready, chunks_total: CHUNKS })
+}
+
+fn plan(preset: &ForcedPreset, reports: &[EndpointReport]) -> Vec<PlannedOrder> {
+    let reports: Vec<_> = reports.iter().collect();
+    plan_orders(PlanInput { preset, ahead: None, reports: &reports })
+}
+
+/// An endpoint with its agent and engine, reduced to what orders do to it.
+struct ModelEndpoint {
+    report: EndpointReport,
+    newest: Option<PlannedOrder>,
+    switch_ends_at: u64,
+}
+
+impl ModelEndpoint {
+    /// Follows an order as the agent does: only one with a higher token.
+    fn offer(&mut self, order: PlannedOrder) {
+        if self.newest.as_ref().is_some_and(|known| known.fencing >= order.fencing) {
+            return;
+        }
+        self.report.order = order.fencing;
+        self.report.ordered = Some(order.manifest);
+        self.newest = Some(order);
+    }
+
+    /// Stages a little more, and switches once it is staged as a whole.
+    fn step(&mut self, now: u64, rng: &mut SmallRng) {
+        let Some(order) = self.newest.clone() else {
+            return;
+        };
+        let report = &mut self.report;
+        if report.state == EndpointState::Switching {
+            if now >= self.switch_ends_at {
+                let version = Some(order.version.clone());
+                report.state = EndpointState::Serving { version, generation: 2 };
+                report.engine_fencing = order.fencing;
+            }
+            return;
+        }
+        let serves = matches!(&report.state, EndpointState::Serving { version, .. } if version.as_ref() == Some(&order.version));
+        let known = report.staged.as_ref().filter(|staged| staged.manifest == order.manifest);
+        let ready = known.map_or(0, |staged| staged.chunks_ready);
+        let ready = (ready + u32::from(rng.random_bool(0.3))).min(CHUNKS);
+        report.staged = staged(order.version.as_str(), ready);
+        if order.serve && ready == CHUNKS && !serves {
+            report.state = EndpointState::Switching;
+            self.switch_ends_at = now + rng.random_range(20..200);
+        }
+    }
+
+    fn is_serving(&self) -> bool {
+        matches!(self.report.state, EndpointState::Serving { .. })
+    }
+
+    fn restart_agent(&mut self) {
+        self.report.order = 0;
+        self.report.ordered = None;
+        self.newest = None;
+        if self.report.state == EndpointState::Switching {
+            self.report.state = EndpointState::Empty;
+        }
+    }
+}
+
+/// What an entry does to keep track of endpoints.
+struct ModelEntry {
+    seen: Vec<EndpointReport>,
+    paused_until: u64,
+}
+
+struct RolloutResult {
+    least_serving: usize,
+    finished: bool,
+}
+
+/// Rolls a version out over `count` endpoints with three entries whose reports
+/// and orders are delayed; one entry pauses with orders in its queue.
+fn roll_out(seed: u64, count: usize, serving_percent: u32, restarts: bool) -> RolloutResult {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let preset = preset(2, content("v2", serving_percent, None));
+    let mut endpoints: Vec<_> = (0..count)
+        .map(|index| ModelEndpoint {
+            report: report(index, serving("v1")),
+            newest: None,
+            switch_ends_at: 0,
+        })
+        .collect();
+    let seen: Vec<_> = endpoints.iter().map(|endpoint| endpoint.report.clone()).collect();
+    let mut entries: Vec<_> =
+        (0..3).map(|_| ModelEntry { seen: seen.clone(), paused_until: 0 }).collect();
+    let mut under_way: Vec<(u64, PlannedOrder)> = Vec::new();
+    let mut result = RolloutResult { least_serving: count, finished: false };
+    for now in (0..60_000).step_by(20) {
+        for endpoint in &mut endpoints {
+            endpoint.step(now, &mut rng);
+        }
+        if restarts && now < 5_000 && rng.random_bool(0.01) {
+            let victim = rng.random_range(0..count);
+            endpoints[victim].restart_agent();
+        }
+        for entry in &mut entries {
+            if rng.random_bool(0.005) {
+                entry.paused_until = now + rng.random_range(200..3_000);
+            }
+            for (seen, endpoint) in entry.seen.iter_mut().zip(&endpoints) {
+                if now >= entry.paused_until && rng.random_bool(0.1) {
+                    *seen = endpoint.report.clone();
+                }
+            }
+            // Orders planned before a pause leave the process after it.
+            for order in plan(&preset, &entry.seen) {
+                let at = entry.paused_until.max(now) + rng.random_range(1..300);
+                under_way.push((at, order));
+            }
+        }
+        let (due, later) = under_way.into_iter().partition(|(at, _)| *at <= now);
+        under_way = later;
+        let due: Vec<(u64, PlannedOrder)> = due;
+        for (_, order) in due {
+            let endpoint = endpoints.iter_mut().find(|e| e.report.instance == order.instance);
+            endpoint.expect("the endpoint exists").offer(order);
+        }
+        let serving = endpoints.iter().filter(|endpoint| endpoint.is_serving()).count();
+        result.least_serving = result.least_serving.min(serving);
+        let wanted = EndpointState::Serving { version: Some(version("v2")), generation: 2 };
+        if endpoints.iter().all(|endpoint| endpoint.report.state == wanted) {
+            result.finished = true;
+            return result;
+        }
+    }
+    result
+}
+
+/// A version is rolled out while callers are served, by entries whose view of
+/// the endpoints lags and which pause with orders in their queues. Were too many
+/// endpoints switched at once, callers would be refused in the middle of a burst.
+#[rstest]
+#[case(16, 50)]
+#[case(16, 75)]
+#[case(5, 50)]
+#[case(3, 100)]
+fn a_rollout_keeps_the_promised_share(#[case] count: usize, #[case] serving_percent: u32) {
+    let promised = (count * serving_percent as usize).div_ceil(100).min(count - 1);
+    let mut least = count;
+    for seed in 0..250 {
+        let result = roll_out(seed, count, serving_percent, false);
+        assert!(result.finished, "seed {seed} did not finish");
+        assert!(result.least_serving >= promised, "seed {seed}: {}", result.least_serving);
+        least = least.min(result.least_serving);
+    }
+    println!("{count} endpoints, {serving_percent} %: least serving {least}, promised {promised}");
+}
+
+/// Agents are replaced in the middle of a rollout and know no order any more.
+/// Entries order anew above the engine's token, or the endpoint would stay with
+/// the old version, or empty, for ever.
+#[test]
+fn a_rollout_finishes_though_agents_restart() {
+    for seed in 0..250 {
+        assert!(roll_out(seed, 8, 50, true).finished, "seed {seed} did not finish");
+    }
+}
+
+/// An entry that was paused sends an order that it planned under the preset
+/// before. Its token is lower than that of any order under the newer preset.
+#[test]
+fn a_late_order_of_an_older_preset_has_a_lower_token() {
+    let mut endpoint = report(0, serving("v1"));
+    let mut tokens = Vec::new();
+    for revision in 1..50 {
+        for serve in [false, true, true, false] {
+            let token = next_token(PresetRevision(revision), &endpoint, serve);
+            assert_eq!(
+                OrderToken::read(token),
+                OrderToken { revision: PresetRevision(revision), serve }
+            );
+            endpoint.order = token;
+            tokens.push(token);
+        }
+    }
+    assert!(tokens.is_sorted_by(|earlier, later| earlier < later));
+}
+
+/// Only some endpoints are needed. Those that hold the version already are
+/// kept, and the others come from the failure domains with the fewest; a poor
+/// choice moves weights for nothing or loses a service with one domain.
+#[test]
+fn chosen_endpoints_hold_the_version_and_spread() {
+    let preset = preset(2, content("v2", 50, Some(1)));
+    let mut reports: Vec<_> = (0..9).map(|index| report(index, EndpointState::Empty)).collect();
+    reports[4].state = serving("v2");
+    let orders = plan(&preset, &reports);
+    let domains: Vec<_> = orders
+        .iter()
+        .map(|order| {
+            let chosen = reports.iter().find(|report| report.instance == order.instance);
+            chosen.expect("it exists").failure_domain.clone()
+        })
+        .collect();
+    assert_eq!(orders.len(), 2, "two replicas and one spare, of which one serves already");
+    assert_ne!(domains[0], domains[1]);
+    assert!(!domains.contains(&reports[4].failure_domain), "the third domain has one");
+}
+
+/// An endpoint dies. The others keep their orders, and one more takes its
+/// place; replanning everything would move weights in the middle of a burst.
+#[test]
+fn a_dead_endpoint_moves_no_other() {
+    let preset = preset(2, content("v2", 50, Some(0)));
+    let mut reports: Vec<_> = (0..9).map(|index| report(index, EndpointState::Empty)).collect();
+    reports[0].state = serving("v2");
+    reports[1].state = serving("v2");
+    assert_eq!(plan(&preset, &reports), Vec::new());
+    reports.remove(0);
+    let orders = plan(&preset, &reports);
+    assert_eq!(orders.len(), 1);
+    assert_eq!(orders[0].reason, PlanReason::ServesNothing);
+}
+
+/// The next preset is staged ahead while this one is served, once.
+#[test]
+fn a_preset_is_staged_ahead_while_another_serves() {
+    let preset = preset(2, content("v2", 50, None));
+    let ahead = content("v3", 50, None);
+    let mut endpoint = report(0, serving("v2"));
+    let plan = |endpoint: &EndpointReport| {
+        plan_orders(PlanInput { preset: &preset, ahead: Some(&ahead), reports: &[endpoint] })
+    };
+    let orders = plan(&endpoint);
+    assert_eq!(orders.len(), 1);
+    assert!(!orders[0].serve);
+    assert_eq!(orders[0].version, version("v3"));
+    endpoint.order = orders[0].fencing;
+    endpoint.ordered = Some(orders[0].manifest);
+    assert_eq!(plan(&endpoint), Vec::new());
+    endpoint.state = EndpointState::Empty;
+    let orders = plan(&endpoint);
+    assert!(orders[0].serve, "an engine that lost its weights serves the preset in force again");
+    assert_eq!(orders[0].version, version("v2"));
+}
--- a/crates/decide/tests/roster.rs
+++ b/crates/decide/tests/roster.rs
@@ -38,6 +38,8 @@
         load: LoadReport { in_flight: 0, queued: 0, measured_at: Timestamp(0) },
         revision: PresetRevision(1),
         order: 0,
+        ordered: None,
+        engine_fencing: 0,
         limit: 8,
     }
 }
--- a/crates/entry/src/admin.rs
+++ b/crates/entry/src/admin.rs
@@ -16,6 +16,7 @@
 
 use crate::{
     control::{
+        ahead,
         change::{self, ChangeReply, PresetError},
         drains,
     },
@@ -87,6 +88,7 @@
         (&Method::PUT, ["v1", "presets", name]) => put_preset(&shared, name, body).await,
         (&Method::GET, ["v1", "history"]) => history(&shared).await,
         (&Method::POST, ["v1", "force"]) => force(&shared, &operator.name, body).await,
+        (&Method::POST, ["v1", "stage", name]) => stage(&shared, &operator.name, name).await,
         (&Method::POST, ["v1", "drain", instance]) => drain(&shared, instance),
         _ => Err(error_reply(StatusCode::NOT_FOUND, "not-found", parts.uri.path())),
     };
@@ -144,6 +146,12 @@
     Ok(json_reply(status, &reply))
 }
 
+async fn stage(shared: &EntryShared, operator: &OperatorName, name: &str) -> AdminReply {
+    let name = preset_name(name)?;
+    let staged = ahead::stage_preset(shared, &name, operator).await.map_err(failed)?;
+    Ok(json_reply(StatusCode::OK, staged.as_ref()))
+}
+
 fn drain(shared: &EntryShared, instance: &str) -> AdminReply {
     let instance = InstanceId::new(instance).map_err(|error| {
         error_reply(StatusCode::BAD_REQUEST, "bad-request", format!("the instance {error}"))
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -1,5 +1,6 @@
 //! Presets, heartbeats and membership at an entry.
 
+pub(crate) mod ahead;
 pub(crate) mod change;
 pub(crate) mod drains;
 pub(crate) mod membership;
--- a/crates/entry/src/control/change.rs
+++ b/crates/entry/src/control/change.rs
@@ -287,6 +287,6 @@
     preset.map(Arc::new).map_err(|error| PresetError::Damaged(error.to_string()))
 }
 
-fn to_value(value: &impl serde::Serialize) -> Result<serde_json::Value, PresetError> {
+pub(super) fn to_value(value: &impl serde::Serialize) -> Result<serde_json::Value, PresetError> {
     serde_json::to_value(value).map_err(|error| PresetError::Damaged(error.to_string()))
 }
--- a/crates/entry/src/control/orders.rs
+++ b/crates/entry/src/control/orders.rs
@@ -1,30 +1,66 @@
-//! Orders to agents: which weights to hold and to serve.
+//! Orders to agents: which weights to stage and to serve.
+//!
+//! `reports → plan → orders`, a batch at a time. Each order that is due is sent
+//! to every agent that is connected here, and again with the next batch until
+//! its report shows it, so that a lost push heals by itself.
 
-use cassiawheel_decide::plan::planned_weights;
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+
+use cassiawheel_decide::plan::{PlanInput, PlannedOrder, plan_orders};
 use cassiawheel_model::EndpointReport;
 use cassiawheel_wire::{ControlMessage, message::WeightOrder};
+use smol::Timer;
 
 use crate::{link::AgentLink, shared::EntryShared};
 
-/// Sends an agent the preset and the order that its report does not know yet.
-///
-/// Driven by heartbeats, so that a lost push heals by itself.
-pub(crate) fn send_missing(shared: &EntryShared, link: &AgentLink, report: &EndpointReport) {
-    let Some(preset) = shared.force.load_full() else {
-        return;
-    };
-    let planned = planned_weights(&preset, report);
-    if preset.revision > report.revision {
+/// Time between two plans.
+const PLAN_TIME: Duration = Duration::from_millis(50);
+
+/// Sends an agent the preset in force if its report does not know it yet.
+pub(crate) fn send_preset(shared: &EntryShared, link: &AgentLink, report: &EndpointReport) {
+    let force = shared.force.load_full();
+    if let Some(preset) = force.filter(|preset| preset.revision > report.revision) {
         let _ = link.sender.try_send(ControlMessage::Force(preset));
     }
-    let Some(planned) = planned.filter(|planned| planned.fencing > report.order) else {
-        return;
+}
+
+/// Plans again whenever a report or the preset changed.
+pub(crate) async fn plan_regularly(shared: Arc<EntryShared>) {
+    loop {
+        Timer::after(PLAN_TIME).await;
+        if shared.plan_stale.swap(false, Ordering::AcqRel) {
+            for order in due_orders(&shared) {
+                send_order(&shared, order);
+            }
+        }
+    }
+}
+
+fn due_orders(shared: &EntryShared) -> Vec<PlannedOrder> {
+    let Some(preset) = shared.force.load_full() else {
+        return Vec::new();
     };
-    let order = WeightOrder {
-        version: planned.version,
-        manifest: planned.manifest,
-        fencing: planned.fencing,
-        serve: true,
+    let ahead = shared.ahead.load_full();
+    let roster = shared.roster();
+    let reports: Vec<_> = roster
+        .members()
+        .filter(|member| !roster.is_leaving(member))
+        .map(|member| &member.report)
+        .collect();
+    let ahead = ahead.as_ref().map(|ahead| &ahead.content);
+    plan_orders(PlanInput { preset: &preset, ahead, reports: &reports })
+}
+
+fn send_order(shared: &EntryShared, planned: PlannedOrder) {
+    let links = shared.links.load();
+    let Some(link) = links.get(&planned.instance) else {
+        return;
     };
+    let PlannedOrder { instance, version, manifest, fencing, serve, reason } = planned;
+    log::info!(target: "place", instance:% = instance, version:% = version, fencing = fencing, serve = serve, reason:? = reason; "Orders an endpoint.");
+    let order = WeightOrder { version, manifest, fencing, serve };
     let _ = link.sender.try_send(ControlMessage::Order(order));
 }
--- a/crates/entry/src/control/poll.rs
+++ b/crates/entry/src/control/poll.rs
@@ -7,11 +7,14 @@
 
 use cassiawheel_decide::ForceRow;
 use cassiawheel_model::{PresetRevision, Timestamp};
-use cassiawheel_platform::{StoreError, TableStore};
+use cassiawheel_platform::{StoreError, TableRow, TableStore};
 use rand::Rng;
 use smol::Timer;
 
-use super::spread;
+use super::{
+    ahead::{self, AHEAD_ROW},
+    spread,
+};
 use crate::shared::EntryShared;
 
 /// The row of the preset in force.
@@ -19,22 +22,42 @@
 
 /// The row of the preset in force.
 pub(crate) async fn read_force(table: &dyn TableStore) -> Result<Option<ForceRow>, StoreError> {
-    let Some(row) = table.read(FORCE_ROW).await? else {
-        return Ok(None);
-    };
+    table.read(FORCE_ROW).await?.map(parse_force).transpose()
+}
+
+fn parse_force(row: TableRow) -> Result<ForceRow, StoreError> {
     let preset = serde_json::from_value(row.value)
         .map_err(|error| StoreError::Unknown(format!("the row {FORCE_ROW} is damaged: {error}")))?;
-    Ok(Some(ForceRow { preset: Arc::new(preset), row_revision: row.revision }))
+    Ok(ForceRow { preset: Arc::new(preset), row_revision: row.revision })
+}
+
+/// The rows that a poll reads at once.
+struct PolledRows {
+    force: Option<ForceRow>,
+    ahead: Option<TableRow>,
+}
+
+async fn read_rows(table: &dyn TableStore) -> Result<PolledRows, StoreError> {
+    let mut rows = PolledRows { force: None, ahead: None };
+    for row in table.scan(FORCE_ROW).await? {
+        match row.key.as_str() {
+            FORCE_ROW => rows.force = Some(parse_force(row)?),
+            AHEAD_ROW => rows.ahead = Some(row),
+            _ => {}
+        }
+    }
+    Ok(rows)
 }
 
 /// Reads the preset in force again and again.
 pub(crate) async fn poll_force(shared: Arc<EntryShared>) {
     loop {
         shared.metrics.store_reads.inc();
-        match read_force(shared.table.as_ref()).await {
+        match read_rows(shared.table.as_ref()).await {
             Ok(found) => {
                 shared.store_read_at.store(Timestamp::now().0, Ordering::Relaxed);
-                if let Some(row) = found {
+                ahead::take_row(&shared, found.ahead);
+                if let Some(row) = found.force {
                     warn_of_older(&shared, row.preset.revision);
                     spread::adopt(&shared, &row.preset);
                 }
--- a/crates/entry/src/inner.rs
+++ b/crates/entry/src/inner.rs
@@ -85,7 +85,7 @@
 fn handle_agent_control(shared: &Arc<EntryShared>, link: &AgentLink, message: ControlMessage) {
     match message {
         ControlMessage::Report(report) if report.instance == link.instance => {
-            orders::send_missing(shared, link, &report);
+            orders::send_preset(shared, link, &report);
             take_report(shared, *report);
         }
         ControlMessage::Leaving { instance, incarnation } if instance == link.instance => {
@@ -117,6 +117,7 @@
         return;
     }
     drop(roster);
+    shared.plan_stale.store(true, Ordering::Release);
     if changed {
         shared.rebuild_routes();
     } else {
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -24,7 +24,7 @@
 
 use crate::{
     admin, caller,
-    control::{membership, poll, spread},
+    control::{membership, orders, poll, spread},
     inner::serve_inner,
     metrics::EntryMetrics,
     shared::EntryShared,
@@ -62,6 +62,7 @@
     spawn(membership::expire_silent(shared.clone())).detach();
     spawn(membership::follow_list(shared.clone(), list)).detach();
     spawn(membership::introduce_agents(shared.clone())).detach();
+    spawn(orders::plan_regularly(shared.clone())).detach();
     spawn(membership::refresh_routes(shared.clone())).detach();
     spawn(spread::settle(shared.clone())).detach();
     for peer in spread::chosen_peers(&shared.settings) {
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -21,7 +21,11 @@
 use cassiawheel_platform::{TableStore, WeightSource};
 use cassiawheel_wire::WireSender;
 
-use crate::{control::spread, link::AgentLink, metrics::EntryMetrics};
+use crate::{
+    control::{ahead::StagedPreset, spread},
+    link::AgentLink,
+    metrics::EntryMetrics,
+};
 
 /// Longest time for which an entry that starts waits for every source of presets.
 const START_TIME: Duration = Duration::from_secs(1);
@@ -44,6 +48,10 @@
     pub(crate) links: ArcSwap<HashMap<InstanceId, Arc<AgentLink>>>,
     /// The preset in force; read without a lock.
     pub(crate) force: ArcSwapOption<ForcedPreset>,
+    /// The preset to stage ahead.
+    pub(crate) ahead: ArcSwapOption<StagedPreset>,
+    /// Whether the plan lags behind the reports or the preset.
+    pub(crate) plan_stale: AtomicBool,
     /// When the table service last answered, as a timestamp's number.
     pub(crate) store_read_at: AtomicU64,
     /// Retries that this entry may make.
@@ -84,6 +92,8 @@
             routes: ArcSwap::default(),
             links: ArcSwap::default(),
             force: ArcSwapOption::empty(),
+            ahead: ArcSwapOption::empty(),
+            plan_stale: AtomicBool::new(false),
             store_read_at: AtomicU64::new(0),
             retries: RetryBudget::default(),
             in_flight: AtomicU32::new(0),
@@ -167,6 +177,7 @@
     fn publish(&self, preset: &Arc<ForcedPreset>) {
         let revision = preset.revision.0;
         self.force.store(Some(preset.clone()));
+        self.plan_stale.store(true, Ordering::Release);
         self.metrics.revision.set(revision as i64);
         log::info!(target: "preset", revision = revision, preset:% = preset.preset, change:% = preset.change; "A preset is in force.");
     }
--- a/crates/model/src/endpoint.rs
+++ b/crates/model/src/endpoint.rs
@@ -78,6 +78,12 @@
     pub revision: PresetRevision,
     /// Fencing token of the newest order that it knows; zero if none.
     pub order: u64,
+    /// The manifest that this order names.
+    #[serde(default)]
+    pub ordered: Option<ManifestDigest>,
+    /// Highest fencing token that its engine has carried out.
+    #[serde(default)]
+    pub engine_fencing: u64,
     /// Requests that its gate admits at a time.
     pub limit: u32,
 }
--- a/crates/model/src/preset.rs
+++ b/crates/model/src/preset.rs
@@ -48,6 +48,17 @@
     /// Requests that may be in progress at one replica.
     #[serde(default = "default_limit")]
     pub max_in_flight: u32,
+    /// Endpoints beyond the replicas that hold the version too; all of the
+    /// service's endpoints if left out.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub spares: Option<u32>,
+    /// Share of the endpoints, in percent, that goes on serving during a switch of versions.
+    #[serde(default = "default_serving_percent")]
+    pub serving_percent: u32,
+}
+
+fn default_serving_percent() -> u32 {
+    50
 }
 
 fn default_limit() -> u32 {
@@ -94,6 +105,11 @@
             format_args!("{path}.replicas"),
             format_args!("must lie between 1 and {MAX_REPLICAS}, is {}", self.replicas),
         );
+        findings.require(
+            self.serving_percent <= 100,
+            format_args!("{path}.serving_percent"),
+            format_args!("must be at most 100, is {}", self.serving_percent),
+        );
         findings.require(
             self.max_in_flight >= 1,
             format_args!("{path}.max_in_flight"),
--- /dev/null
+++ b/crates/testkit/tests/control_plan.rs
@@ -0,0 +1,153 @@
+//! Versions rolled out over real TCP: orders, waves, staging ahead.
+
+use std::{sync::Arc, time::Duration};
+
+use cassiawheel_model::ModelVersion;
+use cassiawheel_testkit::{
+    CallVerdict, Deployment, DeploymentPlan, TestCaller,
+    deployment::{MODEL_SERVICE, OPERATOR_TOKEN},
+    weights::WeightImage,
+};
+use hyper::Method;
+use rstest::rstest;
+use serde_json::{Value, json};
+
+/// Longest wait for anything that has to come about.
+const WAIT: Duration = Duration::from_secs(30);
+
+const ENDPOINTS: usize = 4;
+
+fn run<T>(test: impl Future<Output = anyhow::Result<T>>) -> T {
+    cassiawheel_runtime::run(4, test).expect("the executor runs").expect("the test passes")
+}
+
+fn content(version: &str, replicas: usize) -> Value {
+    json!({ "services": {
+        MODEL_SERVICE: { "kind": "model", "version": version, "replicas": replicas }
+    } })
+}
+
+fn image(version: &str, seed: u64) -> anyhow::Result<Arc<WeightImage>> {
+    Ok(Arc::new(WeightImage::generate(ModelVersion::new(version)?, seed, 4 << 20, 256 << 10)))
+}
+
+/// A deployment whose endpoints serve `v1`, with `v2` at the origin.
+async fn start() -> anyhow::Result<(Deployment, [Arc<WeightImage>; 2])> {
+    let plan = DeploymentPlan { model_agents: ENDPOINTS, ..DeploymentPlan::default() };
+    let deployment = Deployment::start(&plan).await?;
+    let images = [image("v1", 1)?, image("v2", 2)?];
+    for image in &images {
+        deployment.origin.add(image.clone());
+    }
+    deployment.wait_status(0, WAIT, |_| true).await?;
+    deployment.force("ordinary", &content("v1", ENDPOINTS), "first").await?;
+    deployment.wait_engines("v1", ENDPOINTS, WAIT).await?;
+    Ok((deployment, images))
+}
+
+async fn put(deployment: &Deployment, name: &str, content: &Value) -> anyhow::Result<()> {
+    let body = serde_json::to_vec(content)?;
+    let path = format!("/v1/presets/{name}");
+    let reply = deployment.admin(0, OPERATOR_TOKEN, Method::PUT, &path, body).await?;
+    anyhow::ensure!(reply.status().is_success(), "put: {:?}", reply.body());
+    Ok(())
+}
+
+async fn post(deployment: &Deployment, path: &str, body: &Value) -> anyhow::Result<Value> {
+    let body = serde_json::to_vec(body)?;
+    let reply = deployment.admin(0, OPERATOR_TOKEN, Method::POST, path, body).await?;
+    anyhow::ensure!(reply.status().is_success(), "{path}: {:?}", reply.body());
+    Ok(serde_json::from_slice(reply.body())?)
+}
+
+/// Calls until every engine answers from `v2`; every call must be answered whole.
+async fn call_until_switched(
+    deployment: &Deployment,
+    images: &[Arc<WeightImage>; 2],
+) -> anyhow::Result<usize> {
+    let digest = |version: &str| {
+        let image = images.iter().find(|image| image.manifest.version.as_str() == version);
+        image.map(|image| image.answer_digest())
+    };
+    let caller = TestCaller::default();
+    let mut calls = 0;
+    while deployment.engines_with("v2") < ENDPOINTS {
+        let entry = deployment.entries[calls % deployment.entries.len()].caller_addr;
+        let verdict = caller.generate(entry, MODEL_SERVICE, "when", 4, 1, digest).await;
+        assert!(matches!(verdict, CallVerdict::Complete { .. }), "{verdict:?}");
+        calls += 1;
+        anyhow::ensure!(calls < 100_000, "the switch did not come about");
+    }
+    Ok(calls)
+}
+
+/// A version is rolled out while callers are answered. Each endpoint switches
+/// in its turn; a caller would be refused if all were without service at once.
+#[rstest]
+fn callers_are_answered_during_a_rollout() {
+    run(async {
+        let (deployment, images) = start().await?;
+        deployment.force("peak", &content("v2", ENDPOINTS), "second").await?;
+        let calls = call_until_switched(&deployment, &images).await?;
+        println!("{calls} calls, all complete");
+        Ok(())
+    });
+}
+
+/// The table service goes down right after it accepted the new version. The
+/// rollout needs nothing more of it; otherwise the preset would be in force and
+/// the old version answer for as long as the outage lasts.
+#[rstest]
+fn a_rollout_goes_on_though_the_store_is_down() {
+    run(async {
+        let (deployment, images) = start().await?;
+        deployment.force("peak", &content("v2", ENDPOINTS), "second").await?;
+        deployment.table_switches.set_down(true);
+        call_until_switched(&deployment, &images).await?;
+        Ok(())
+    });
+}
+
+/// A preset is staged ahead and the origin is down when it is put in force. The
+/// endpoints have the weights already and only switch; a burst would otherwise
+/// begin with nobody ready.
+#[rstest]
+fn a_staged_preset_needs_no_origin_when_it_comes_in_force() {
+    run(async {
+        let (deployment, images) = start().await?;
+        put(&deployment, "peak", &content("v2", ENDPOINTS)).await?;
+        post(&deployment, "/v1/stage/peak", &json!({})).await?;
+        let staged = |status: &Value| {
+            let rows = status["endpoints"].as_array().cloned().unwrap_or_default();
+            let whole = rows.iter().filter(|row| {
+                let staged = &row["report"]["staged"];
+                staged["version"] == "v2" && staged["chunks_ready"] == staged["chunks_total"]
+            });
+            whole.count() == ENDPOINTS
+        };
+        deployment.wait_status(1, WAIT, staged).await?;
+        assert_eq!(deployment.engines_with("v1"), ENDPOINTS, "staging must not switch");
+        deployment.origin_switches.set_down(true);
+        post(&deployment, "/v1/force", &json!({ "preset": "peak", "change": "second" })).await?;
+        call_until_switched(&deployment, &images).await?;
+        Ok(())
+    });
+}
+
+/// An endpoint is killed in the middle of a rollout and its agent comes back
+/// without memory. It is ordered anew and serves the version in the end.
+#[rstest]
+fn a_killed_agent_joins_the_rollout_again() {
+    run(async {
+        let (mut deployment, _) = start().await?;
+        deployment.force("peak", &content("v2", ENDPOINTS), "second").await?;
+        deployment.endpoints[2].agent.as_mut().expect("it runs").kill()?;
+        deployment.restart_agent(2)?;
+        deployment.wait_engines("v2", ENDPOINTS, WAIT).await?;
+        let ready = |status: &Value| {
+            status["services"][MODEL_SERVICE]["replicas_ready"] == ENDPOINTS as u64
+        };
+        deployment.wait_status(0, WAIT, ready).await?;
+        Ok(())
+    });
+}
