Add burst: load, faults and a checker of the invariants

Change: scripts/burst runs a checked scenario (arrivals fixed by the seed, presets, faults) against entries and agents as processes of their own; a pure checker turns records of callers, operators and stand-ins into counts. Relays before the inner addresses sever links: agents may advertise another inner address than they listen on, and agents and entries dial from their own instance's address.

--- a/crates/agent/src/entry_link.rs
+++ b/crates/agent/src/entry_link.rs
@@ -27,8 +27,9 @@
 /// Keeps a connection to the entry at `addr`.
 pub(crate) async fn keep_connected(shared: Arc<EndpointShared>, addr: SocketAddr) {
     let mut backoff = MIN_BACKOFF_MS;
+    let local = Some(shared.settings.listen_inner.ip());
     loop {
-        match connect(addr, &shared.settings.inner_key, None).await {
+        match connect(addr, &shared.settings.inner_key, local).await {
             Ok((sender, receiver)) => {
                 backoff = MIN_BACKOFF_MS;
                 let ended = converse(&shared, sender, receiver).await;
--- a/crates/agent/src/report.rs
+++ b/crates/agent/src/report.rs
@@ -23,7 +23,7 @@
         failure_domain: settings.place.failure_domain.clone(),
         service: settings.engine.service.clone(),
         role: settings.engine.role,
-        inner_addr: settings.listen_inner,
+        inner_addr: settings.advertise_inner.unwrap_or(settings.listen_inner),
         state: gate.state().clone(),
         staged: shared.transfer.staged(),
         load,
--- a/crates/entry/src/control/spread.rs
+++ b/crates/entry/src/control/spread.rs
@@ -62,8 +62,9 @@
 
 /// Keeps a connection to the entry at `addr`.
 pub(crate) async fn keep_peer(shared: Arc<EntryShared>, addr: SocketAddr) {
+    let local = Some(shared.settings.listen.inner.ip());
     loop {
-        if let Ok((sender, receiver)) = connect(addr, &shared.settings.inner_key, None).await {
+        if let Ok((sender, receiver)) = connect(addr, &shared.settings.inner_key, local).await {
             let hello = HelloMessage {
                 kind: ProcessKind::Entry,
                 instance: shared.settings.place.instance.clone(),
--- a/crates/model/src/settings/agent.rs
+++ b/crates/model/src/settings/agent.rs
@@ -18,6 +18,9 @@
     pub place: PlaceSettings,
     /// Where other agents reach it.
     pub listen_inner: SocketAddr,
+    /// Address told to other agents, where it differs from `listen_inner`.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub advertise_inner: Option<SocketAddr>,
     /// Metrics and probes.
     pub listen_metrics: SocketAddr,
     /// Inner addresses of the entries.
--- /dev/null
+++ b/crates/testkit/examples/burst.rs
@@ -0,0 +1,53 @@
+//! Load and experiments on a whole deployment; `docs/burst.md` tells how.
+
+use std::path::PathBuf;
+
+use anyhow::Context;
+use argh::FromArgs;
+use cassiawheel_model::settings::parse_settings;
+use cassiawheel_testkit::burst::{BurstOptions, BurstScenario, run_burst};
+
+/// Drives a whole deployment by a scenario and judges what it did.
+#[derive(FromArgs)]
+struct BurstArgs {
+    /// the scenario, a JSON file
+    #[argh(option)]
+    scenario: PathBuf,
+    /// seed of arrivals and weights; default 1
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// end with one line of JSON
+    #[argh(switch)]
+    json: bool,
+    /// draw replicas, latency and outcomes over time to this SVG file
+    #[argh(option)]
+    plot: Option<PathBuf>,
+    /// keep settings and logs of the processes and tell where they are
+    #[argh(switch)]
+    keep_logs: bool,
+}
+
+/// Threads of the stand-ins and callers.
+const THREADS: usize = 4;
+
+fn main() -> anyhow::Result<()> {
+    let args: BurstArgs = argh::from_env();
+    let source = args.scenario.display().to_string();
+    let text = std::fs::read_to_string(&args.scenario)
+        .with_context(|| format!("{source}: cannot be read"))?;
+    let scenario: BurstScenario = parse_settings(&source, &text)?;
+    let options = BurstOptions {
+        seed: args.seed,
+        keep_logs: args.keep_logs,
+        progress: true,
+        plot: args.plot,
+    };
+    let report = cassiawheel_runtime::run(THREADS, run_burst(&scenario, &options))??;
+    print!("{report}");
+    if args.json {
+        println!("{}", serde_json::to_string(&report)?);
+    }
+    let broken = report.counts.broken();
+    anyhow::ensure!(broken.is_empty(), "invariants are broken: {broken:?}");
+    Ok(())
+}
--- /dev/null
+++ b/crates/testkit/src/burst.rs
@@ -0,0 +1,26 @@
+//! Load and experiments on a whole deployment.
+//!
+//! `scenario → schedule → drive, operate, faults → records → verdicts, figures`
+//!
+//! Arrivals are open-loop: their times are fixed before the run, and latency
+//! counts from the scheduled arrival, so that a queue in the system shows.
+//! Whatever is counted comes from what callers and operators were told and
+//! from what the stand-ins did, never from the system's own word.
+
+pub mod drive;
+pub mod faults;
+pub mod figures;
+pub mod operate;
+pub mod plot;
+pub mod records;
+pub mod report;
+pub mod run;
+pub mod scenario;
+pub mod schedule;
+pub mod verdicts;
+
+pub use records::RunRecords;
+pub use report::BurstReport;
+pub use run::{BurstOptions, run_burst};
+pub use scenario::BurstScenario;
+pub use verdicts::{VerdictCounts, VerdictLimits, judge};
--- /dev/null
+++ b/crates/testkit/src/burst/faults.rs
@@ -0,0 +1,216 @@
+//! Faults at their times: switches of stand-ins, real signals, severed links.
+
+use std::{
+    collections::BTreeSet,
+    net::IpAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use anyhow::Context;
+use cassiawheel_model::Timestamp;
+use cassiawheel_platform::ListedState;
+use smol::{Timer, lock::Mutex};
+
+use super::{
+    records::{FaultRecord, LeaveRecord},
+    scenario::{FaultKind, FaultPlan, numbered},
+};
+use crate::{ChildProcess, Deployment};
+
+/// Wait of the table service before each answer while it is slow.
+pub const SLOW_STORE: Duration = Duration::from_millis(400);
+/// Longest graceful stop.
+const STOP_TIME: Duration = Duration::from_secs(40);
+
+/// The deployment as the faults share it.
+pub type SharedDeployment = Arc<Mutex<Deployment>>;
+
+/// What a fault left behind.
+pub struct FaultEnd {
+    /// The fault.
+    pub fault: FaultRecord,
+    /// The planned stop of an endpoint, if it was one.
+    pub leave: Option<LeaveRecord>,
+}
+
+/// A process of the deployment.
+#[derive(Debug, Clone, Copy)]
+enum ProcessSlot {
+    Entry(usize),
+    Endpoint(usize),
+}
+
+impl ProcessSlot {
+    fn parse(target: &str) -> anyhow::Result<Self> {
+        let entry = numbered(target, "entry-").map(Self::Entry);
+        let endpoint = || numbered(target, "endpoint-").map(Self::Endpoint);
+        entry.or_else(endpoint).with_context(|| format!("{target} is no process"))
+    }
+
+    fn process(self, deployment: &mut Deployment) -> &mut Option<ChildProcess> {
+        match self {
+            Self::Entry(index) => &mut deployment.entries[index].process,
+            Self::Endpoint(index) => &mut deployment.endpoints[index].agent,
+        }
+    }
+
+    /// Starts the process unless another fault has done so.
+    fn start(self, deployment: &mut Deployment) -> anyhow::Result<()> {
+        if self.process(deployment).is_some() {
+            return Ok(());
+        }
+        match self {
+            Self::Entry(index) => deployment.restart_entry(index),
+            Self::Endpoint(index) => deployment.restart_agent(index),
+        }
+    }
+
+    fn ip(self, deployment: &Deployment) -> IpAddr {
+        match self {
+            Self::Entry(index) => deployment.entries[index].inner_addr.ip(),
+            Self::Endpoint(index) => deployment.endpoints[index].inner_addr.ip(),
+        }
+    }
+}
+
+/// Waits for the fault's time, applies it and takes it back at its end.
+pub async fn apply(
+    deployment: SharedDeployment,
+    plan: FaultPlan,
+    id: usize,
+    started: Instant,
+    failure_domains: usize,
+) -> anyhow::Result<FaultEnd> {
+    Timer::at(started + Duration::from_secs_f64(plan.at_s)).await;
+    let from = Timestamp::now();
+    let mut touched = Vec::new();
+    let mut leave = None;
+    match plan.kind {
+        FaultKind::Kill | FaultKind::Pause => {
+            touched.push(plan.target.clone());
+            stop_hard(&deployment, &plan).await?;
+        }
+        FaultKind::Restart | FaultKind::Drain => {
+            leave = stop_gracefully(&deployment, &plan).await?;
+        }
+        FaultKind::StallLink => {
+            touched.push(plan.target.clone());
+            let slot = ProcessSlot::parse(&plan.target)?;
+            let deployment = deployment.lock().await;
+            deployment.cuts.sever(id, BTreeSet::from([slot.ip(&deployment)]));
+            drop(deployment);
+        }
+        FaultKind::Partition => {
+            let domain = numbered(&plan.target, "domain-").context("no failure domain")?;
+            let deployment = deployment.lock().await;
+            let side = domain_processes(&deployment, domain, failure_domains);
+            deployment.cuts.sever(id, side.iter().map(|slot| slot.ip(&deployment)).collect());
+            // Requests that cross the border may be cut on either side of it.
+            touched = all_names(&deployment);
+            drop(deployment);
+        }
+        FaultKind::VersionChange => {}
+        switch => {
+            set_switch(&*deployment.lock().await, switch, true);
+            Timer::after(Duration::from_secs_f64(plan.for_s)).await;
+            set_switch(&*deployment.lock().await, switch, false);
+        }
+    }
+    if matches!(plan.kind, FaultKind::StallLink | FaultKind::Partition) {
+        Timer::after(Duration::from_secs_f64(plan.for_s)).await;
+        deployment.lock().await.cuts.restore(id);
+    }
+    let fault = FaultRecord { kind: plan.kind, touched, from, until: Timestamp::now() };
+    Ok(FaultEnd { fault, leave })
+}
+
+async fn stop_hard(deployment: &SharedDeployment, plan: &FaultPlan) -> anyhow::Result<()> {
+    let slot = ProcessSlot::parse(&plan.target)?;
+    let mut locked = deployment.lock().await;
+    match (plan.kind, slot.process(&mut locked)) {
+        (FaultKind::Pause, Some(process)) => process.pause()?,
+        (_, process) => drop(process.take()),
+    }
+    drop(locked);
+    Timer::after(Duration::from_secs_f64(plan.for_s)).await;
+    let mut locked = deployment.lock().await;
+    match (plan.kind, slot.process(&mut locked)) {
+        (FaultKind::Pause, Some(process)) => process.resume()?,
+        (FaultKind::Pause, None) => {}
+        _ => slot.start(&mut locked)?,
+    }
+    Ok(())
+}
+
+async fn stop_gracefully(
+    deployment: &SharedDeployment,
+    plan: &FaultPlan,
+) -> anyhow::Result<Option<LeaveRecord>> {
+    let slot = ProcessSlot::parse(&plan.target)?;
+    let from = Timestamp::now();
+    let is_drain = plan.kind == FaultKind::Drain;
+    if is_drain {
+        list(&*deployment.lock().await, slot, Some(ListedState::Leaving));
+    }
+    let process = slot.process(&mut *deployment.lock().await).take();
+    let Some(mut process) = process else {
+        return Ok(None);
+    };
+    process.terminate()?;
+    let ended = process.wait(STOP_TIME).await?;
+    anyhow::ensure!(ended.is_some(), "{} did not stop within {STOP_TIME:?}", plan.target);
+    if is_drain {
+        Timer::after(Duration::from_secs_f64(plan.for_s)).await;
+        list(&*deployment.lock().await, slot, None);
+    }
+    let until = Some(Timestamp::now());
+    slot.start(&mut *deployment.lock().await)?;
+    Ok(match slot {
+        ProcessSlot::Entry(_) => None,
+        ProcessSlot::Endpoint(_) => {
+            Some(LeaveRecord { endpoint: plan.target.clone(), from, until })
+        }
+    })
+}
+
+fn list(deployment: &Deployment, slot: ProcessSlot, state: Option<ListedState>) {
+    if let ProcessSlot::Endpoint(index) = slot {
+        deployment.instances.set(&deployment.endpoints[index].instance, state);
+    }
+}
+
+fn set_switch(deployment: &Deployment, kind: FaultKind, on: bool) {
+    let (table, origin) = (&deployment.table_switches, &deployment.origin_switches);
+    match kind {
+        FaultKind::StoreDown => table.set_down(on),
+        FaultKind::StoreLostAnswer => table.set_lose_answers(on),
+        FaultKind::StoreSlow => table.set_delay(if on { SLOW_STORE } else { Duration::ZERO }),
+        FaultKind::CorruptChunks => origin.set_corrupt(on),
+        FaultKind::OriginDown => origin.set_down(on),
+        FaultKind::Kill
+        | FaultKind::Restart
+        | FaultKind::Pause
+        | FaultKind::Drain
+        | FaultKind::StallLink
+        | FaultKind::VersionChange
+        | FaultKind::Partition => {}
+    }
+}
+
+fn domain_processes(
+    deployment: &Deployment,
+    domain: usize,
+    failure_domains: usize,
+) -> Vec<ProcessSlot> {
+    let in_domain = |index: &usize| index % failure_domains == domain;
+    let entries = (0..deployment.entries.len()).filter(in_domain).map(ProcessSlot::Entry);
+    let endpoints = (0..deployment.endpoints.len()).filter(in_domain).map(ProcessSlot::Endpoint);
+    entries.chain(endpoints).collect()
+}
+
+fn all_names(deployment: &Deployment) -> Vec<String> {
+    let entries = deployment.entries.iter().map(|entry| entry.instance.to_string());
+    let endpoints = deployment.endpoints.iter().map(|endpoint| endpoint.instance.to_string());
+    entries.chain(endpoints).collect()
+}
--- a/crates/testkit/src/deployment.rs
+++ b/crates/testkit/src/deployment.rs
@@ -25,14 +25,20 @@
 use http_body_util::Full;
 use hyper::{Method, Request, Response, StatusCode, header::AUTHORIZATION};
 use rand::Rng;
+use smol::Task;
 use tempfile::TempDir;
 
 use crate::{
     ChildProcess, FaultSwitches,
     processes::binary_path,
     stand_in::{
-        RunningStandIn, engine::EngineState, instances::InstanceRows, origin::OriginImages,
-        plain::PlainLedger, table::TableRows,
+        RunningStandIn,
+        engine::EngineState,
+        instances::InstanceRows,
+        link::{self, LinkCuts},
+        origin::OriginImages,
+        plain::PlainLedger,
+        table::TableRows,
     },
 };
 
@@ -46,6 +52,8 @@
 pub const MODEL_SERVICE: &str = "desk";
 /// Name of the plain service.
 pub const PLAIN_SERVICE: &str = "ledger";
+/// Name of the other web service.
+pub const WEB_SERVICE: &str = "site";
 
 const CALLER_PORT: u16 = 7001;
 const ADMIN_PORT: u16 = 7002;
@@ -55,6 +63,7 @@
 const TABLE_PORT: u16 = 7006;
 const ORIGIN_PORT: u16 = 7007;
 const LIST_PORT: u16 = 7008;
+const RELAY_PORT: u16 = 7009;
 
 /// Last octet of the platform's address, of the first entry's and of the first agent's.
 const PLATFORM_HOST: u8 = 1;
@@ -70,8 +79,12 @@
     pub model_agents: usize,
     /// Plain services with their agents.
     pub plain_agents: usize,
+    /// Further plain services of another name, with their agents.
+    pub web_agents: usize,
     /// Failure domains over which instances are spread.
     pub failure_domains: usize,
+    /// Whether a relay before each inner address can sever links.
+    pub severable_links: bool,
     /// The origin's link, in bytes per second; zero is unlimited.
     pub origin_bytes_per_s: u64,
     /// Transfer settings of the agents.
@@ -96,7 +109,9 @@
             entries: 3,
             model_agents: 4,
             plain_agents: 0,
+            web_agents: 0,
             failure_domains: 2,
+            severable_links: false,
             origin_bytes_per_s: 0,
             transfer: TransferSettings::default(),
             control: ControlSettings { poll_ms: 200, ..ControlSettings::default() },
@@ -109,6 +124,13 @@
     }
 }
 
+impl DeploymentPlan {
+    /// Endpoints of all kinds.
+    pub fn endpoints(&self) -> usize {
+        self.model_agents + self.plain_agents + self.web_agents
+    }
+}
+
 /// One endpoint with its agent.
 pub struct TestEndpoint {
     /// Its instance.
@@ -125,6 +147,8 @@
     pub config: PathBuf,
     /// Where the agent listens for other agents.
     pub inner_addr: SocketAddr,
+    /// Where its metrics are.
+    pub metrics_addr: SocketAddr,
     _stand_in: RunningStandIn,
 }
 
@@ -142,6 +166,8 @@
     pub admin_addr: SocketAddr,
     /// Where our own processes reach it.
     pub inner_addr: SocketAddr,
+    /// Where its metrics are.
+    pub metrics_addr: SocketAddr,
 }
 
 /// A running deployment; everything ends when it is dropped.
@@ -160,9 +186,12 @@
     pub endpoints: Vec<TestEndpoint>,
     /// The entries.
     pub entries: Vec<TestEntry>,
+    /// Links that carry nothing; of use only with severable links.
+    pub cuts: Arc<LinkCuts>,
     client: HttpClient,
     folder: TempDir,
     _stand_ins: Vec<RunningStandIn>,
+    _relays: Vec<Task<()>>,
 }
 
 impl Deployment {
@@ -188,12 +217,14 @@
             instances.serve(platform.instances, Arc::default()).await?,
         ];
         let layout = DeploymentLayout { plan, net, platform, folder: folder.path() };
+        let cuts = Arc::new(LinkCuts::default());
+        let relays = layout.start_relays(&cuts).await?;
         let mut entries = Vec::new();
         for index in 0..plan.entries {
             entries.push(layout.start_entry(index)?);
         }
         let mut endpoints = Vec::new();
-        for index in 0..plan.model_agents + plan.plain_agents {
+        for index in 0..plan.endpoints() {
             endpoints.push(layout.start_endpoint(index).await?);
         }
         let client = HttpClient::default();
@@ -205,9 +236,11 @@
             instances,
             endpoints,
             entries,
+            cuts,
             client,
             folder,
             _stand_ins: stand_ins,
+            _relays: relays,
         })
     }
 
@@ -382,8 +415,28 @@
         LogSettings { level: self.plan.log_level.clone(), ..LogSettings::default() }
     }
 
+    /// Port at which others reach an inner address.
+    fn dialled_port(&self) -> u16 {
+        if self.plan.severable_links { RELAY_PORT } else { INNER_PORT }
+    }
+
     fn entry_inner_addrs(&self) -> impl Iterator<Item = SocketAddr> {
-        (0..self.plan.entries).map(|index| self.addr(FIRST_ENTRY + index as u8, INNER_PORT))
+        let port = self.dialled_port();
+        (0..self.plan.entries).map(move |index| self.addr(FIRST_ENTRY + index as u8, port))
+    }
+
+    async fn start_relays(&self, cuts: &Arc<LinkCuts>) -> anyhow::Result<Vec<Task<()>>> {
+        let mut relays = Vec::new();
+        if !self.plan.severable_links {
+            return Ok(relays);
+        }
+        let entries = (0..self.plan.entries).map(|index| FIRST_ENTRY + index as u8);
+        let agents = (0..self.plan.endpoints()).map(|index| FIRST_AGENT + index as u8);
+        for host in entries.chain(agents) {
+            let (listen, target) = (self.addr(host, RELAY_PORT), self.addr(host, INNER_PORT));
+            relays.push(link::relay(listen, target, cuts.clone()).await?);
+        }
+        Ok(relays)
     }
 
     fn start_entry(&self, index: usize) -> anyhow::Result<TestEntry> {
@@ -399,7 +452,7 @@
         };
         let settings = EntrySettings {
             place: self.place(format!("entry-{index}"), index)?,
-            peers: self.entry_inner_addrs().filter(|addr| *addr != listen.inner).collect(),
+            peers: self.entry_inner_addrs().filter(|addr| addr.ip() != listen.inner.ip()).collect(),
             platform: self.platform.clone(),
             inner_key: INNER_KEY.to_owned(),
             operators: vec![
@@ -421,6 +474,7 @@
             caller_addr: settings.listen.caller,
             admin_addr: settings.listen.admin,
             inner_addr: settings.listen.inner,
+            metrics_addr: settings.listen.metrics,
         })
     }
 
@@ -436,11 +490,14 @@
         } else {
             let ledger = Arc::new(PlainLedger::new(self.plan.plain_work));
             let stand_in = ledger.serve(engine_addr, switches.clone()).await?;
-            (EndpointRole::Plain, PLAIN_SERVICE, None, Some(ledger), stand_in)
+            let is_app = index < self.plan.model_agents + self.plan.plain_agents;
+            let service = if is_app { PLAIN_SERVICE } else { WEB_SERVICE };
+            (EndpointRole::Plain, service, None, Some(ledger), stand_in)
         };
         let settings = AgentSettings {
             place: self.place(format!("endpoint-{index}"), index)?,
             listen_inner: self.addr(host, INNER_PORT),
+            advertise_inner: self.plan.severable_links.then(|| self.addr(host, RELAY_PORT)),
             listen_metrics: self.addr(host, METRICS_PORT),
             entries: self.entry_inner_addrs().collect(),
             entry_links: self.plan.entries,
@@ -469,6 +526,7 @@
             agent: Some(agent),
             config,
             inner_addr: settings.listen_inner,
+            metrics_addr: settings.listen_metrics,
             _stand_in: stand_in,
         })
     }
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -3,11 +3,13 @@
 //! Each stand-in speaks the same HTTP as the real thing over loopback TCP and
 //! has switches for its faults. Nothing here ships.
 
+pub mod burst;
 pub mod caller;
 pub mod deployment;
 pub mod fault;
 pub mod processes;
 pub mod stand_in;
+pub mod traffic;
 pub mod weights;
 
 pub use caller::{CallVerdict, TestCaller};
--- a/crates/testkit/src/stand_in.rs
+++ b/crates/testkit/src/stand_in.rs
@@ -2,6 +2,7 @@
 
 pub mod engine;
 pub mod instances;
+pub mod link;
 pub mod origin;
 pub mod plain;
 
--- a/crates/testkit/src/stand_in/engine.rs
+++ b/crates/testkit/src/stand_in/engine.rs
@@ -63,7 +63,16 @@
     staging: HashMap<ManifestDigest, Vec<Option<Bytes>>>,
     loaded: Option<LoadedImage>,
     fencing: u64,
-    runs: Vec<String>,
+    runs: Vec<BegunRun>,
+}
+
+/// One run that the engine began.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct BegunRun {
+    /// The request id that came with it.
+    pub request: String,
+    /// When it began.
+    pub begun_at: Timestamp,
 }
 
 #[derive(Debug, Clone)]
@@ -100,6 +109,11 @@
 
     /// Ids of the requests that it has begun to run, in order.
     pub fn runs(&self) -> Vec<String> {
+        self.lock().runs.iter().map(|run| run.request.clone()).collect()
+    }
+
+    /// The requests that it has begun to run with their times, in order.
+    pub fn begun_runs(&self) -> Vec<BegunRun> {
         self.lock().runs.clone()
     }
 
@@ -214,7 +228,7 @@
             return error_reply(StatusCode::BAD_REQUEST, "prompt", "not a generation");
         };
         let mut inner = self.lock();
-        inner.runs.push(id.to_owned());
+        inner.runs.push(BegunRun { request: id.to_owned(), begun_at: Timestamp::now() });
         let Some(image) = inner.loaded.clone() else {
             return error_reply(StatusCode::INTERNAL_SERVER_ERROR, "empty", "no weights");
         };
--- a/crates/testkit/src/stand_in/plain.rs
+++ b/crates/testkit/src/stand_in/plain.rs
@@ -9,6 +9,7 @@
     time::Duration,
 };
 
+use cassiawheel_model::Timestamp;
 use cassiawheel_platform::engine_http::{KEY_HEADER, REQUEST_HEADER};
 use cassiawheel_runtime::http::{ReplyBody, error_reply, full_body, read_body};
 use hyper::{Request, Response, StatusCode, body::Incoming};
@@ -19,6 +20,9 @@
 /// Largest call, in bytes.
 const MAX_BODY_BYTES: usize = 1 << 20;
 
+/// Where a model engine tells its load; a plain service has no such page.
+const STATUS_PATH: &str = "/v1/engine/status";
+
 /// One call that was carried out.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct CarriedCall {
@@ -28,6 +32,8 @@
     pub key: Option<String>,
     /// The body.
     pub body: Vec<u8>,
+    /// When it began.
+    pub begun_at: Timestamp,
 }
 
 /// Calls that a plain service has carried out.
@@ -64,6 +70,10 @@
 
     async fn handle(&self, request: Request<Incoming>) -> Response<ReplyBody> {
         let (head, body) = request.into_parts();
+        // The agent's look at the load is no call of a caller.
+        if head.uri.path() == STATUS_PATH {
+            return error_reply(StatusCode::NOT_FOUND, "not-found", STATUS_PATH);
+        }
         let Ok(body) = read_body(body, MAX_BODY_BYTES).await else {
             return error_reply(StatusCode::BAD_REQUEST, "body", "the body cannot be read");
         };
@@ -74,6 +84,7 @@
             request: text(REQUEST_HEADER).unwrap_or_default(),
             key: text(KEY_HEADER),
             body: body.to_vec(),
+            begun_at: Timestamp::now(),
         };
         let answer = format!("done {} ", String::from_utf8_lossy(&call.body));
         self.calls.lock().unwrap_or_else(|poison| poison.into_inner()).push(call);
