--- a/crates/testkit/src/burst/run.rs
+++ b/crates/testkit/src/burst/run.rs
@@ -203,7 +203,7 @@
         forced: samples.forced.clone(),
         leaves: fault_ends.iter().filter_map(|end| end.leave.clone()).collect(),
         faults: fault_ends.into_iter().map(|end| end.fault).collect(),
-        ..collect_stand_ins(&deployment, scenario)
+        ..collect_stand_ins(&deployment, scenario.model_replicas, scenario.app_replicas)
     };
     if let Some(path) = &options.plot {
         plot::draw(path, scenario, run.started_at, &records, &samples.ready)?;
@@ -330,10 +330,14 @@
 }
 
 /// What the stand-ins know at the end.
-pub fn collect_stand_ins(deployment: &Deployment, scenario: &BurstScenario) -> RunRecords {
+pub fn collect_stand_ins(
+    deployment: &Deployment,
+    model_replicas: usize,
+    app_replicas: usize,
+) -> RunRecords {
     let names: Vec<_> = deployment.endpoints.iter().map(|e| e.instance.to_string()).collect();
-    let (model, plain) = names.split_at(scenario.model_replicas);
-    let (app, web) = plain.split_at(scenario.app_replicas);
+    let (model, plain) = names.split_at(model_replicas);
+    let (app, web) = plain.split_at(app_replicas);
     let mut runs = Vec::new();
     for endpoint in &deployment.endpoints {
         let name = endpoint.instance.to_string();
--- a/crates/testkit/src/deployment.rs
+++ b/crates/testkit/src/deployment.rs
@@ -149,6 +149,8 @@
     pub inner_addr: SocketAddr,
     /// Where its metrics are.
     pub metrics_addr: SocketAddr,
+    /// Where the engine or plain service listens.
+    pub stand_in_addr: SocketAddr,
     _stand_in: RunningStandIn,
 }
 
@@ -527,6 +529,7 @@
             config,
             inner_addr: settings.listen_inner,
             metrics_addr: settings.listen_metrics,
+            stand_in_addr: engine_addr,
             _stand_in: stand_in,
         })
     }
--- a/crates/testkit/src/stand_in/engine.rs
+++ b/crates/testkit/src/stand_in/engine.rs
@@ -8,7 +8,7 @@
     net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard,
-        atomic::{AtomicU32, Ordering},
+        atomic::{AtomicBool, AtomicU32, Ordering},
     },
     time::Duration,
 };
@@ -56,6 +56,7 @@
     inner: Mutex<EngineInner>,
     in_flight: AtomicU32,
     checks_fencing: bool,
+    skips_chunk_check: AtomicBool,
 }
 
 #[derive(Debug, Default)]
@@ -88,6 +89,11 @@
         Self { checks_fencing, ..Self::default() }
     }
 
+    /// Stages the first chunk corrupt, as if nobody had checked it.
+    pub fn skip_chunk_check(&self, on: bool) {
+        self.skips_chunk_check.store(on, Ordering::SeqCst);
+    }
+
     /// Serves the engine at `addr`.
     pub async fn serve(
         self: &Arc<Self>,
@@ -185,7 +191,8 @@
         let Some(slot) = slot else {
             return error_reply(StatusCode::NOT_FOUND, "staging", "no such chunk");
         };
-        *slot = Some(body);
+        let is_corrupt = index == "0" && self.skips_chunk_check.load(Ordering::SeqCst);
+        *slot = Some(if is_corrupt { Bytes::from(vec![0; body.len()]) } else { body });
         full_reply("")
     }
 
--- a/crates/testkit/src/stand_in/table.rs
+++ b/crates/testkit/src/stand_in/table.rs
@@ -5,7 +5,7 @@
     net::SocketAddr,
     sync::{
         Arc, Mutex,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
 };
 
@@ -28,6 +28,7 @@
     rows: Mutex<BTreeMap<String, TableRow>>,
     reads: AtomicU64,
     writes: AtomicU64,
+    ignores_guards: AtomicBool,
 }
 
 impl TableRows {
@@ -45,6 +46,17 @@
         .await
     }
 
+    /// Writes every row whatever its guard says, as a table without them would.
+    pub fn ignore_guards(&self, on: bool) {
+        self.ignores_guards.store(on, Ordering::SeqCst);
+    }
+
+    /// Puts back an old row, as a restore from a backup would.
+    pub fn roll_back(&self, row: TableRow) {
+        let mut rows = self.rows.lock().unwrap_or_else(|poison| poison.into_inner());
+        rows.insert(row.key.clone(), row);
+    }
+
     /// Calls that read.
     pub fn reads(&self) -> u64 {
         self.reads.load(Ordering::Relaxed)
@@ -74,7 +86,11 @@
     /// Applies a batch.
     pub fn apply(&self, call: WriteCall) -> WriteResult {
         let mut rows = self.rows.lock().unwrap_or_else(|poison| poison.into_inner());
+        let ignores_guards = self.ignores_guards.load(Ordering::SeqCst);
         let conflicts = |rows: &BTreeMap<String, TableRow>, key: &str, guard| {
+            if ignores_guards {
+                return false;
+            }
             let revision = rows.get(key).map(|row| row.revision);
             match guard {
                 TableGuard::Absent => revision.is_some(),
