--- a/crates/testkit/examples/burst.rs
+++ b/crates/testkit/examples/burst.rs
@@ -1,11 +1,13 @@
 //! Load and experiments on a whole deployment; `docs/burst.md` tells how.
 
-use std::path::PathBuf;
+use std::{path::PathBuf, pin::pin};
 
 use anyhow::Context;
 use argh::FromArgs;
 use cassiawheel_model::settings::parse_settings;
-use cassiawheel_testkit::burst::{BurstOptions, BurstScenario, run_burst};
+use cassiawheel_runtime::shutdown::termination;
+use cassiawheel_testkit::burst::{BurstOptions, BurstReport, BurstScenario, run_burst};
+use futures_util::future::{Either, select};
 
 /// Drives a whole deployment by a scenario and judges what it did.
 #[derive(FromArgs)]
@@ -42,7 +44,7 @@
         progress: true,
         plot: args.plot,
     };
-    let report = cassiawheel_runtime::run(THREADS, run_burst(&scenario, &options))??;
+    let report = cassiawheel_runtime::run(THREADS, until_stopped(&scenario, &options))??;
     print!("{report}");
     if args.json {
         println!("{}", serde_json::to_string(&report)?);
@@ -51,3 +53,16 @@
     anyhow::ensure!(broken.is_empty(), "invariants are broken: {broken:?}");
     Ok(())
 }
+
+/// Runs the scenario. When this process is asked to stop, the run is dropped,
+/// and with it the processes that it started; otherwise they would live on.
+async fn until_stopped(
+    scenario: &BurstScenario,
+    options: &BurstOptions,
+) -> anyhow::Result<BurstReport> {
+    let run = pin!(run_burst(scenario, options));
+    match select(run, pin!(termination())).await {
+        Either::Left((report, _)) => report,
+        Either::Right(_) => anyhow::bail!("stopped before the end"),
+    }
+}
--- a/crates/testkit/tests/burst_guards.rs
+++ b/crates/testkit/tests/burst_guards.rs
@@ -133,6 +133,8 @@
         bench.force().await?;
         let guarded =
             [bench.request(0, CallKind::Keyed).await?, bench.request(1, CallKind::Keyed).await?];
+        let told = guarded.iter().filter_map(|sale| sale.asks.last()?.revision);
+        assert_eq!(told.collect::<Vec<_>>(), [1, 1], "answers name the preset in force");
         assert_eq!(bench.judge(guarded.to_vec(), Vec::new()).doubles, 0);
         bench.deployment.table.ignore_guards(true);
         let sale = bench.request(0, CallKind::Keyed).await?;
