--- a/crates/entry/src/control/spread.rs
+++ b/crates/entry/src/control/spread.rs
@@ -118,8 +118,9 @@
 
 /// Keeps a connection to the entry at `addr`.
 pub(crate) async fn keep_peer(shared: Arc<EntryShared>, addr: SocketAddr) {
+    let local = Some(shared.settings.listen.inner.ip());
     loop {
-        match connect(addr, &shared.settings.inner_key, None).await {
+        match connect(addr, &shared.settings.inner_key, local).await {
             Ok((sender, receiver)) => {
                 let hello = HelloMessage {
                     kind: ProcessKind::Entry,
--- a/crates/model/src/settings/agent.rs
+++ b/crates/model/src/settings/agent.rs
@@ -21,6 +21,9 @@
     pub place: PlaceSettings,
     /// Where other agents reach it.
     pub listen_inner: SocketAddr,
+    /// Address told to other agents, where it differs from `listen_inner`.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub advertise_inner: Option<SocketAddr>,
     /// Metrics and probes.
     pub listen_metrics: SocketAddr,
     /// Most open connections of other agents.
@@ -145,6 +148,7 @@
         Self {
             place: PlaceSettings::example(),
             listen_inner: example_addr(21),
+            advertise_inner: Some(example_addr(25)),
             listen_metrics: example_addr(22),
             inner_connections: default_inner_connections(),
             entries: vec![example_addr(23)],
