--- /dev/null
+++ b/crates/decide/src/affinity.rs
@@ -0,0 +1,74 @@
+//! Which endpoint has probably cached a prompt's prefix.
+//!
+//! Endpoints stand on a ring at several points each; a prefix belongs to the
+//! first point after its digest, on every entry alike and without any word
+//! from the engines, whose cache events come late and with gaps. The load is
+//! bounded: a popular prefix spills over to the next endpoints on the ring.
+
+use crate::rank::rendezvous_weight;
+
+/// Points on the ring that all endpoints share.
+const TOTAL_POINTS: usize = 2_048;
+
+/// Points of one endpoint.
+const MIN_POINTS: usize = 4;
+const MAX_POINTS: usize = 128;
+
+/// Endpoints that are looked at for one prefix.
+const MAX_STEPS: usize = 24;
+
+/// The ring of one service.
+#[derive(Debug, Clone, Default)]
+pub struct PrefixRing {
+    points: Vec<RingPoint>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct RingPoint {
+    place: u64,
+    position: u32,
+}
+
+impl PrefixRing {
+    /// A ring of the endpoints with these names, in the order of their positions.
+    pub fn new<'a>(names: impl ExactSizeIterator<Item = &'a str>) -> Self {
+        let each = (TOTAL_POINTS / names.len().max(1)).clamp(MIN_POINTS, MAX_POINTS);
+        let mut points = Vec::with_capacity(names.len() * each);
+        for (position, name) in names.enumerate() {
+            points.extend((0..each).map(|number| RingPoint {
+                place: rendezvous_weight(number as u64 + 1, name),
+                position: position as u32,
+            }));
+        }
+        points.sort_unstable();
+        Self { points }
+    }
+
+    /// Positions of the endpoints for `prefix`, the best first; some come twice.
+    pub fn positions(&self, prefix: u64) -> impl Iterator<Item = usize> {
+        let start = self.points.partition_point(|point| point.place < prefix);
+        let (before, after) = self.points.split_at(start);
+        after.iter().chain(before).take(MAX_STEPS).map(|point| point.position as usize)
+    }
+}
+
+/// Requests that one of `endpoints` endpoints may have in progress to get
+/// another for the sake of its cache, while `total` are in progress at all.
+pub fn bounded_load(total: u32, endpoints: usize) -> u32 {
+    // A quarter above the mean, and one for the request itself.
+    (u64::from(total) * 5 / (4 * endpoints.max(1) as u64)) as u32 + 1
+}
+
+/// Digest of the leading part of a prompt; none if it is shorter than `length`.
+pub fn prefix_of(prompt: &[u8], length: usize) -> Option<u64> {
+    if length == 0 || prompt.len() < length {
+        return None;
+    }
+    let words = prompt[..length].chunks(8);
+    let digest = words.fold(0_u64, |digest, word| {
+        let mut bytes = [0; 8];
+        bytes[..word.len()].copy_from_slice(word);
+        (digest ^ u64::from_le_bytes(bytes)).wrapping_mul(0x9e37_79b9_7f4a_7c15).rotate_left(29)
+    });
+    Some(rendezvous_weight(digest, ""))
+}
--- /dev/null
+++ b/crates/decide/src/cell.rs
@@ -0,0 +1,131 @@
+//! What one entry knows of one endpoint's load and health, in atomics.
+//!
+//! Requests read and change it without a lock; it outlives the snapshots that
+//! point to it, so that a change of the roster loses nothing.
+
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+
+use cassiawheel_model::{LoadReport, Timestamp};
+
+/// Age at which a load report no longer counts, in milliseconds.
+const REPORT_LIFE_MS: u64 = 2_000;
+
+/// Sixteenths of a request, in which the adaptive limit is kept.
+const UNIT: u32 = 16;
+
+/// Time in which refusals lower the limit only once, in milliseconds.
+///
+/// A full endpoint refuses all that is on its way; one overload counts once.
+const CUT_MS: u64 = 50;
+
+/// Failures in a row after which an endpoint is ejected.
+const EJECT_FAILURES: u32 = 3;
+
+/// First time of an ejection, in milliseconds; doubled each time.
+const MIN_EJECT_MS: u64 = 1_000;
+
+/// Longest time of an ejection, in milliseconds.
+const MAX_EJECT_MS: u64 = 30_000;
+
+/// Bits of a packed report that hold its moment.
+const MOMENT_BITS: u32 = 48;
+
+/// Load and health of one endpoint.
+#[derive(Debug, Default)]
+pub struct EndpointCell {
+    in_flight: AtomicU32,
+    report: AtomicU64,
+    hard_limit: AtomicU32,
+    limit: AtomicU32,
+    cut_at: AtomicU64,
+    failures: AtomicU32,
+    ejected_until: AtomicU64,
+}
+
+impl EndpointCell {
+    /// Requests that this entry has in progress there.
+    pub fn in_flight(&self) -> u32 {
+        self.in_flight.load(Ordering::Relaxed)
+    }
+
+    /// Counts a request.
+    pub fn begin(&self) {
+        self.in_flight.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Counts a request no more.
+    pub fn end(&self) {
+        self.in_flight.fetch_sub(1, Ordering::Relaxed);
+    }
+
+    /// Takes the endpoint's own report of its load and the limit of its gate.
+    pub fn hear(&self, load: &LoadReport, limit: u32) {
+        // The report counts our own requests too; what is left is the others'.
+        let others = (load.in_flight + load.queued).saturating_sub(self.in_flight());
+        let moment = load.measured_at.0 & ((1 << MOMENT_BITS) - 1);
+        let others = u64::from(others.min(u32::from(u16::MAX)));
+        self.report.store(others << MOMENT_BITS | moment, Ordering::Relaxed);
+        if self.hard_limit.swap(limit, Ordering::Relaxed) != limit {
+            self.limit.store(limit.saturating_mul(UNIT), Ordering::Relaxed);
+        }
+    }
+
+    /// Requests that this entry may have in progress there.
+    pub fn limit(&self) -> u32 {
+        self.limit.load(Ordering::Relaxed) / UNIT
+    }
+
+    /// Own requests, and others' by the last report, discounted by its age.
+    pub fn load(&self, now: Timestamp) -> u32 {
+        let report = self.report.load(Ordering::Relaxed);
+        let measured_at = Timestamp(report & ((1 << MOMENT_BITS) - 1));
+        let age = now.0.saturating_sub(measured_at.0);
+        let weight = REPORT_LIFE_MS.saturating_sub(age);
+        let others = (report >> MOMENT_BITS) * weight / REPORT_LIFE_MS;
+        self.in_flight() + others as u32
+    }
+
+    /// Notes an answer: raises the limit by one per round of full use.
+    pub fn succeed(&self) {
+        if self.failures.load(Ordering::Relaxed) != 0 {
+            self.failures.store(0, Ordering::Relaxed);
+        }
+        let limit = self.limit.load(Ordering::Relaxed);
+        let most = self.hard_limit.load(Ordering::Relaxed).saturating_mul(UNIT);
+        let is_used = self.in_flight() * UNIT * 2 >= limit;
+        if is_used && limit < most {
+            let step = (UNIT * UNIT / limit.max(1)).max(1);
+            self.limit.store((limit + step).min(most), Ordering::Relaxed);
+        }
+    }
+
+    /// Notes a refusal for overload: lowers the limit by an eighth.
+    pub fn refuse(&self, now: Timestamp) {
+        let cut_at = self.cut_at.load(Ordering::Relaxed);
+        if now.0 < cut_at + CUT_MS {
+            return;
+        }
+        let cut = self.cut_at.compare_exchange(cut_at, now.0, Ordering::Relaxed, Ordering::Relaxed);
+        if cut.is_ok() {
+            let limit = self.limit.load(Ordering::Relaxed);
+            self.limit.store((limit - limit / 8).max(UNIT), Ordering::Relaxed);
+        }
+    }
+
+    /// Notes a failure; true if there were enough in a row for an ejection.
+    pub fn fail(&self) -> bool {
+        self.failures.fetch_add(1, Ordering::Relaxed) + 1 >= EJECT_FAILURES
+    }
+
+    /// Keeps requests away for a while that doubles with each further failure.
+    pub fn eject(&self, now: Timestamp) {
+        let over = self.failures.load(Ordering::Relaxed).saturating_sub(EJECT_FAILURES);
+        let span = (MIN_EJECT_MS << over.min(5)).min(MAX_EJECT_MS);
+        self.ejected_until.store(now.0 + span, Ordering::Relaxed);
+    }
+
+    /// Whether requests are kept away.
+    pub fn is_ejected(&self, now: Timestamp) -> bool {
+        now.0 < self.ejected_until.load(Ordering::Relaxed)
+    }
+}
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -5,6 +5,8 @@
 //! runs in the processes, in seeded histories and in benches.
 
 pub mod advice;
+pub mod affinity;
+pub mod cell;
 pub mod claim;
 pub mod gate;
 pub mod holder;
@@ -18,11 +20,12 @@
 pub mod select;
 
 pub use advice::{AdviceInput, EntryAdvice, advise};
+pub use cell::EndpointCell;
 pub use claim::{ClaimRecord, ClaimState, ClaimStep, ClaimTracker, ClaimView};
 pub use gate::{GateState, SwitchError};
 pub use holder::{Adoption, PresetHolder};
 pub use latch::RunLatch;
 pub use retry::{AttemptEnd, RepeatGuard, RetryBudget, RetryStep, RetryTracker};
 pub use roster::EndpointRoster;
-pub use route::{RouteCandidate, RouteChoice, RouteSnapshot};
+pub use route::{RouteCandidate, RouteChoice, RouteQuery, RouteSnapshot, ServiceRoutes};
 pub use select::{ChunkPicker, ChunkSource, FetchOrder, PickerSettings};
--- a/crates/decide/src/route.rs
+++ b/crates/decide/src/route.rs
@@ -1,9 +1,14 @@
 //! Which endpoint gets a request.
 //!
-//! Two candidates are drawn at random and the one with the lower cost wins.
-//! The cost counts requests that this entry has in progress at the endpoint
-//! and the endpoint's own report, the latter discounted by its age, since it
-//! lags and every entry sees the same number.
+//! Two endpoints are drawn at random, one of them from the entry's own failure
+//! domain, and the one with the lower cost wins. The cost counts requests that
+//! this entry has in progress there and the others' by the endpoint's last
+//! report, discounted by its age, since it lags and every entry sees the same
+//! number. A prompt whose prefix an endpoint has probably cached goes there,
+//! as long as that endpoint's load stays near the mean. Endpoints that fail
+//! are passed over for a while.
+//!
+//! A choice reads one snapshot and atomics; it takes no lock and allocates nothing.
 
 use std::{
     collections::HashMap,
@@ -13,33 +18,69 @@
     },
 };
 
-use cassiawheel_model::{FailureDomain, InstanceId, ModelVersion, ServiceName, Timestamp};
+use cassiawheel_model::{InstanceId, ModelVersion, ServiceName, Timestamp};
 use rand::Rng;
 
+use crate::{
+    affinity::{PrefixRing, bounded_load},
+    cell::EndpointCell,
+};
+
 /// An endpoint that may be chosen.
 #[derive(Debug, Clone)]
 pub struct RouteCandidate {
     /// The instance.
     pub instance: InstanceId,
-    /// Where it stands.
-    pub failure_domain: FailureDomain,
     /// The version it serves; none for plain services.
     pub version: Option<ModelVersion>,
-    /// Requests that it admits at a time.
-    pub limit: u32,
-    /// Requests in progress by its own report.
-    pub reported: u32,
-    /// When it measured that.
-    pub measured_at: Timestamp,
-    /// Requests that this entry has in progress there.
-    pub in_flight: Arc<AtomicU32>,
+    /// Whether it stands in the entry's failure domain.
+    pub is_near: bool,
+    /// Its load and health.
+    pub cell: Arc<EndpointCell>,
+}
+
+/// The endpoints of one service.
+#[derive(Debug, Clone, Default)]
+pub struct ServiceRoutes {
+    candidates: Vec<RouteCandidate>,
+    near: Vec<u32>,
+    positions: HashMap<InstanceId, usize>,
+    ring: PrefixRing,
+    in_flight: Arc<AtomicU32>,
 }
 
 /// Endpoints by service; replaced as a whole, never changed.
 #[derive(Debug, Clone, Default)]
 pub struct RouteSnapshot {
-    /// Endpoints that serve, by service.
-    pub services: HashMap<ServiceName, Vec<RouteCandidate>>,
+    services: HashMap<ServiceName, ServiceRoutes>,
+}
+
+/// What is asked for.
+#[derive(Debug, Clone, Copy)]
+pub struct RouteQuery<'a> {
+    /// The service.
+    pub service: &'a ServiceName,
+    /// Endpoints that have been tried.
+    pub excluded: &'a [InstanceId],
+    /// Digest of the prompt's prefix.
+    pub prefix: Option<u64>,
+    /// Requests at one endpoint by the preset in force.
+    pub max_in_flight: u32,
+    /// The present moment.
+    pub now: Timestamp,
+}
+
+/// Why an endpoint was chosen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RouteReason {
+    /// It has probably cached the prompt's prefix.
+    PrefixAffinity,
+    /// It has the lowest cost of those drawn.
+    LeastCost,
+    /// None of those drawn had room.
+    FirstWithRoom,
+    /// Every other endpoint is full or was ejected.
+    LastResort,
 }
 
 /// A choice and what it was made from, for the decision log.
@@ -47,47 +88,185 @@
 pub struct RouteChoice<'a> {
     /// The chosen endpoint.
     pub candidate: &'a RouteCandidate,
+    /// Why.
+    pub reason: RouteReason,
     /// Its cost.
     pub cost: u32,
     /// Endpoints that serve the service.
     pub candidates: usize,
 }
 
-/// Age at which a load report no longer counts, in milliseconds.
-const REPORT_LIFE_MS: u64 = 2_000;
+/// Draws from all endpoints before each is looked at in turn.
+const MORE_DRAWS: usize = 6;
+
+/// Cost of one request in progress.
+const LOAD_COST: u32 = 4;
+
+/// Cost of another failure domain: decides between equals, never against load.
+const FAR_COST: u32 = 2;
+
+impl RouteReason {
+    /// The word in the decision log.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::PrefixAffinity => "prefix-affinity",
+            Self::LeastCost => "least-cost",
+            Self::FirstWithRoom => "first-with-room",
+            Self::LastResort => "last-resort",
+        }
+    }
+}
+
+impl RouteCandidate {
+    fn cost(&self, now: Timestamp) -> u32 {
+        let distance = if self.is_near { 0 } else { FAR_COST };
+        self.cell.load(now) * LOAD_COST + distance
+    }
+
+    fn has_room(&self, query: &RouteQuery<'_>) -> bool {
+        let limit = self.cell.limit().min(query.max_in_flight);
+        self.cell.in_flight() < limit && !query.excluded.contains(&self.instance)
+    }
+
+    fn is_usable(&self, query: &RouteQuery<'_>) -> bool {
+        self.has_room(query) && !self.cell.is_ejected(query.now)
+    }
+}
+
+impl ServiceRoutes {
+    /// The endpoints, and the count of this entry's requests at all of them.
+    pub fn new(candidates: Vec<RouteCandidate>, in_flight: Arc<AtomicU32>) -> Self {
+        let near = candidates.iter().enumerate().filter(|(_, c)| c.is_near);
+        let near = near.map(|(position, _)| position as u32).collect();
+        let positions =
+            candidates.iter().enumerate().map(|(p, c)| (c.instance.clone(), p)).collect();
+        let ring = PrefixRing::new(candidates.iter().map(|c| c.instance.as_str()));
+        Self { candidates, near, positions, ring, in_flight }
+    }
+
+    /// Counts this entry's requests at all endpoints.
+    pub fn in_flight(&self) -> &Arc<AtomicU32> {
+        &self.in_flight
+    }
+
+    /// Requests that this entry may have in progress at all endpoints.
+    pub fn capacity(&self, max_in_flight: u32, now: Timestamp) -> u32 {
+        let usable = self.candidates.iter().filter(|c| !c.cell.is_ejected(now));
+        usable.map(|c| c.cell.limit().min(max_in_flight)).sum()
+    }
+
+    /// Notes a failed attempt at `instance`; true if it was ejected.
+    pub fn fail(&self, instance: &InstanceId, now: Timestamp) -> bool {
+        let Some(position) = self.positions.get(instance) else {
+            return false;
+        };
+        let cell = &self.candidates[*position].cell;
+        if !cell.fail() || cell.is_ejected(now) {
+            return false;
+        }
+        // When most endpoints fail, the cause is elsewhere, and to send all
+        // requests to the few that are left would take these down as well.
+        let ejected = self.candidates.iter().filter(|c| c.cell.is_ejected(now)).count();
+        if (ejected + 1) * 2 > self.candidates.len() {
+            return false;
+        }
+        cell.eject(now);
+        true
+    }
+
+    fn choose(&self, query: &RouteQuery<'_>, rng: &mut impl Rng) -> Option<RouteChoice<'_>> {
+        if self.candidates.is_empty() {
+            return None;
+        }
+        if let Some(candidate) = query.prefix.and_then(|prefix| self.cached(prefix, query)) {
+            return Some(self.choice(candidate, RouteReason::PrefixAffinity, query));
+        }
+        let drawn = [self.draw_near(rng), Some(self.draw(rng))];
+        let drawn = drawn.into_iter().flatten().filter(|c| c.is_usable(query));
+        if let Some(candidate) = drawn.min_by_key(|c| c.cost(query.now)) {
+            return Some(self.choice(candidate, RouteReason::LeastCost, query));
+        }
+        let more = (0..MORE_DRAWS).map(|_| self.draw(rng)).find(|c| c.is_usable(query));
+        if let Some(candidate) = more.or_else(|| self.in_turn(rng, |c| c.is_usable(query))) {
+            return Some(self.choice(candidate, RouteReason::FirstWithRoom, query));
+        }
+        let candidate = self.in_turn(rng, |c| c.has_room(query))?;
+        Some(self.choice(candidate, RouteReason::LastResort, query))
+    }
+
+    fn cached(&self, prefix: u64, query: &RouteQuery<'_>) -> Option<&RouteCandidate> {
+        let total = self.in_flight.load(Ordering::Relaxed);
+        let bound = bounded_load(total, self.candidates.len());
+        let mut owners = self.ring.positions(prefix).map(|position| &self.candidates[position]);
+        owners.find(|c| c.cell.in_flight() < bound && c.is_usable(query))
+    }
+
+    fn draw_near(&self, rng: &mut impl Rng) -> Option<&RouteCandidate> {
+        if self.near.is_empty() {
+            return Some(self.draw(rng));
+        }
+        let position = self.near[rng.random_range(0..self.near.len())];
+        self.candidates.get(position as usize)
+    }
+
+    fn draw(&self, rng: &mut impl Rng) -> &RouteCandidate {
+        &self.candidates[rng.random_range(0..self.candidates.len())]
+    }
+
+    /// The first that fits, from a random one on, so that no endpoint is the
+    /// first of all entries.
+    fn in_turn(
+        &self,
+        rng: &mut impl Rng,
+        fits: impl Fn(&RouteCandidate) -> bool,
+    ) -> Option<&RouteCandidate> {
+        let start = rng.random_range(0..self.candidates.len());
+        let (before, after) = self.candidates.split_at(start);
+        after.iter().chain(before).find(|c| fits(c))
+    }
 
-/// Random draws before every candidate is looked at.
-const DRAWS: usize = 2;
+    fn choice<'a>(
+        &self,
+        candidate: &'a RouteCandidate,
+        reason: RouteReason,
+        query: &RouteQuery<'_>,
+    ) -> RouteChoice<'a> {
+        let cost = candidate.cost(query.now);
+        RouteChoice { candidate, reason, cost, candidates: self.candidates.len() }
+    }
+}
 
 impl RouteSnapshot {
-    /// Chooses an endpoint of `service` that is not `excluded`.
+    /// The services with their endpoints.
+    pub fn new(services: HashMap<ServiceName, ServiceRoutes>) -> Self {
+        Self { services }
+    }
+
+    /// The endpoints of one service.
+    pub fn service(&self, service: &ServiceName) -> Option<&ServiceRoutes> {
+        self.services.get(service)
+    }
+
+    /// Whether `instance` is routed to for `service` as one that serves `version`.
+    pub fn serves(
+        &self,
+        service: &ServiceName,
+        instance: &InstanceId,
+        version: Option<&ModelVersion>,
+    ) -> bool {
+        let Some(routes) = self.services.get(service) else {
+            return false;
+        };
+        let position = routes.positions.get(instance);
+        position.is_some_and(|p| routes.candidates[*p].version.as_ref() == version)
+    }
+
+    /// Chooses an endpoint.
     pub fn choose<'a>(
         &'a self,
-        service: &ServiceName,
-        excluded: &[InstanceId],
-        now: Timestamp,
+        query: &RouteQuery<'_>,
         rng: &mut impl Rng,
     ) -> Option<RouteChoice<'a>> {
-        let candidates = self.services.get(service)?;
-        let usable = |c: &&RouteCandidate| has_room(c) && !excluded.contains(&c.instance);
-        let drawn = (0..DRAWS)
-            .filter_map(|_| candidates.get(rng.random_range(0..candidates.len().max(1))))
-            .filter(usable)
-            .min_by_key(|c| cost(c, now));
-        let candidate =
-            drawn.or_else(|| candidates.iter().filter(usable).min_by_key(|c| cost(c, now)))?;
-        Some(RouteChoice { candidate, cost: cost(candidate, now), candidates: candidates.len() })
+        self.services.get(query.service)?.choose(query, rng)
     }
 }
-
-fn has_room(candidate: &RouteCandidate) -> bool {
-    candidate.in_flight.load(Ordering::Relaxed) < candidate.limit
-}
-
-fn cost(candidate: &RouteCandidate, now: Timestamp) -> u32 {
-    let own = candidate.in_flight.load(Ordering::Relaxed);
-    let age = now.since(candidate.measured_at).as_millis() as u64;
-    let weight = REPORT_LIFE_MS.saturating_sub(age);
-    let reported = u64::from(candidate.reported) * weight / REPORT_LIFE_MS;
-    own.max(reported as u32)
-}
--- a/crates/entry/src/caller/attempts.rs
+++ b/crates/entry/src/caller/attempts.rs
@@ -6,16 +6,21 @@
 };
 
 use bytes::Bytes;
-use cassiawheel_decide::{AttemptEnd, RepeatGuard, RetryStep, RetryTracker};
+use cassiawheel_decide::{
+    AttemptEnd, EndpointCell, RepeatGuard, RetryStep, RetryTracker, RouteQuery, RouteSnapshot,
+};
 use cassiawheel_model::{
     Deadline, ForcedPreset, InstanceId, ModelVersion, NotRunReason, PresetRevision, RequestHead,
-    RequestOutcome, Timestamp,
+    RequestOutcome, ServiceKind, Timestamp,
 };
 use cassiawheel_runtime::timeout;
 use cassiawheel_wire::RequestMessage;
 use smol::Timer;
 
-use crate::{link::AttemptStream, shared::EntryShared};
+use crate::{
+    link::{AgentLink, AttemptStream},
+    shared::EntryShared,
+};
 
 /// When a refused caller should come back, in milliseconds.
 const RETRY_AFTER_MS: u64 = 1_000;
@@ -50,21 +55,24 @@
     pub(crate) attempts: u32,
 }
 
-/// Counts one request at its endpoint.
+/// Counts one request at its endpoint and its service.
 pub(crate) struct EndpointLoad {
-    in_flight: Arc<AtomicU32>,
+    cell: Arc<EndpointCell>,
+    service: Arc<AtomicU32>,
 }
 
 impl EndpointLoad {
-    fn begin(in_flight: Arc<AtomicU32>) -> Self {
-        in_flight.fetch_add(1, Ordering::Relaxed);
-        Self { in_flight }
+    fn begin(cell: Arc<EndpointCell>, service: Arc<AtomicU32>) -> Self {
+        cell.begin();
+        service.fetch_add(1, Ordering::Relaxed);
+        Self { cell, service }
     }
 }
 
 impl Drop for EndpointLoad {
     fn drop(&mut self) {
-        self.in_flight.fetch_sub(1, Ordering::Relaxed);
+        self.cell.end();
+        self.service.fetch_sub(1, Ordering::Relaxed);
     }
 }
 
@@ -130,14 +138,23 @@
     excluded: &mut Vec<InstanceId>,
 ) -> Result<BegunAnswer, AttemptEnd> {
     let routes = shared.routes.load();
-    let choice = routes.choose(&head.service, excluded, Timestamp::now(), &mut rand::rng());
-    let Some(choice) = choice else {
+    let target = preset.content.services.get(&head.service);
+    let has_cache = target.is_some_and(|target| target.kind == ServiceKind::Model);
+    let query = RouteQuery {
+        service: &head.service,
+        excluded,
+        prefix: head.prefix.filter(|_| has_cache),
+        max_in_flight: target.map_or(0, |target| target.max_in_flight),
+        now: Timestamp::now(),
+    };
+    let choice = routes.choose(&query, &mut rand::rng());
+    let (Some(choice), Some(service)) = (choice, routes.service(&head.service)) else {
         log::info!(target: "route", request:% = head.id, workspace:% = head.workspace, service:% = head.service, revision = preset.revision.0, excluded = excluded.len(); "No endpoint for a request.");
-        return Err(AttemptEnd::NotRun(NotRunReason::NoEndpoint));
+        return Err(AttemptEnd::NotRun(no_endpoint(&routes, head)));
     };
     let candidate = choice.candidate;
-    log::info!(target: "route", request:% = head.id, workspace:% = head.workspace, endpoint:% = candidate.instance, reason = "least-cost", cost = choice.cost, candidates = choice.candidates, revision = preset.revision.0, attempt = tracker.attempts() + 1; "Chose an endpoint.");
-    let load = EndpointLoad::begin(candidate.in_flight.clone());
+    log::info!(target: "route", request:% = head.id, workspace:% = head.workspace, endpoint:% = candidate.instance, reason = choice.reason.as_str(), cost = choice.cost, candidates = choice.candidates, revision = preset.revision.0, attempt = tracker.attempts() + 1; "Chose an endpoint.");
+    let load = EndpointLoad::begin(candidate.cell.clone(), service.in_flight().clone());
     let (instance, version) = (candidate.instance.clone(), candidate.version.clone());
     drop(routes);
     let link = shared.links.load().get(&instance).cloned();
@@ -145,10 +162,14 @@
     tracker.begin();
     shared.metrics.attempts.inc();
     let routed = RequestHead { revision: preset.revision, version, ..head.clone() };
-    let link = link.ok_or(AttemptEnd::NotRun(NotRunReason::ConnectFailed))?;
-    let sent = link.dispatch(routed.clone(), body).await;
-    let stream = sent.map_err(AttemptEnd::NotRun)?;
-    let begun = await_head(stream, &routed).await?;
+    let begun = match dispatch(link, &routed, body).await {
+        Ok(begun) => begun,
+        Err(end) => {
+            note_end(shared, &routed, excluded.last(), &load.cell, &end);
+            return Err(end);
+        }
+    };
+    load.cell.succeed();
     Ok(BegunAnswer {
         stream: begun.stream,
         status: begun.status,
@@ -161,6 +182,54 @@
     })
 }
 
+async fn dispatch(
+    link: Option<Arc<AgentLink>>,
+    routed: &RequestHead,
+    body: &Bytes,
+) -> Result<AnswerHead, AttemptEnd> {
+    let link = link.ok_or(AttemptEnd::NotRun(NotRunReason::ConnectFailed))?;
+    let sent = link.dispatch(routed.clone(), body).await;
+    let stream = sent.map_err(AttemptEnd::NotRun)?;
+    await_head(stream, routed).await
+}
+
+/// Why no endpoint was found: none serves, or each is at its limit.
+fn no_endpoint(routes: &RouteSnapshot, head: &RequestHead) -> NotRunReason {
+    match routes.service(&head.service) {
+        Some(service) if service.in_flight().load(Ordering::Relaxed) > 0 => {
+            NotRunReason::Overloaded
+        }
+        Some(_) | None => NotRunReason::NoEndpoint,
+    }
+}
+
+/// Learns from an attempt that gave no answer.
+fn note_end(
+    shared: &EntryShared,
+    head: &RequestHead,
+    instance: Option<&InstanceId>,
+    cell: &EndpointCell,
+    end: &AttemptEnd,
+) {
+    let now = Timestamp::now();
+    // A keyed request can be unknown because of another attempt, which says
+    // nothing of this endpoint.
+    let is_claimed = RepeatGuard::of(head) == RepeatGuard::Claimed;
+    match end {
+        AttemptEnd::Unknown(_) if is_claimed => {}
+        AttemptEnd::NotRun(NotRunReason::Overloaded) => cell.refuse(now),
+        AttemptEnd::NotRun(NotRunReason::ConnectFailed) | AttemptEnd::Unknown(_) => {
+            let routes = shared.routes.load();
+            let ejected =
+                routes.service(&head.service).zip(instance).is_some_and(|(s, i)| s.fail(i, now));
+            if let (true, Some(instance)) = (ejected, instance) {
+                log::warn!(target: "route", endpoint:% = instance; "Ejected an endpoint that fails.");
+            }
+        }
+        AttemptEnd::NotRun(_) => {}
+    }
+}
+
 /// The head of an answer and the stream of its rest.
 struct AnswerHead {
     stream: AttemptStream,
--- a/crates/entry/src/caller/identify.rs
+++ b/crates/entry/src/caller/identify.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use cassiawheel_decide::identity::repeatability;
+use cassiawheel_decide::{affinity::prefix_of, identity::repeatability};
 use cassiawheel_model::{
     Deadline, PresetRevision, PriorityClass, RequestHead, RequestKey, ServiceName, Timestamp,
     WorkspaceId,
@@ -72,7 +72,7 @@
         None => WorkspaceId::new(DEFAULT_WORKSPACE)
             .map_err(|error| BadRequest::new(WORKSPACE_HEADER, error))?,
     };
-    let head = RequestHead {
+    let mut head = RequestHead {
         id: shared.next_request().map_err(|error| BadRequest::new("request", error))?,
         workspace,
         service,
@@ -98,6 +98,7 @@
         },
         BodyError::Cut => BadRequest::new("body", "ended early"),
     })?;
+    head.prefix = prefix_of(&body, settings.prefix_bytes);
     Ok(IdentifiedRequest { head, body })
 }
 
--- a/crates/entry/src/inner.rs
+++ b/crates/entry/src/inner.rs
@@ -2,7 +2,6 @@
 
 use std::{pin::pin, sync::Arc};
 
-use cassiawheel_model::Timestamp;
 use cassiawheel_runtime::{ShutdownSignal, spawn};
 use cassiawheel_wire::{
     ControlMessage, HelloMessage, ProcessKind, WireMessage, WireReceiver, WireSender, accept,
@@ -87,8 +86,7 @@
     match message {
         ControlMessage::Report(report) if report.instance == link.instance => {
             orders::send_missing(shared, link, &report);
-            shared.roster().hear(*report, Timestamp::now());
-            shared.rebuild_routes();
+            shared.hear_report(*report);
         }
         ControlMessage::Leaving { instance } if instance == link.instance => {
             shared.roster().leave(&instance);
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -10,12 +10,12 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use cassiawheel_decide::{
-    Adoption, EndpointRoster, PresetHolder, RetryBudget, RouteCandidate, RouteSnapshot,
-    advice::AdviceInput,
+    Adoption, EndpointCell, EndpointRoster, PresetHolder, RetryBudget, RouteCandidate,
+    RouteSnapshot, ServiceRoutes, advice::AdviceInput,
 };
 use cassiawheel_model::{
-    EndpointState, ForcedPreset, InstanceId, PresetRevision, RequestId, ServiceName, Timestamp,
-    settings::EntrySettings,
+    EndpointReport, EndpointState, ForcedPreset, InstanceId, PresetRevision, RequestId,
+    ServiceName, Timestamp, settings::EntrySettings,
 };
 use cassiawheel_platform::{TableStore, WeightSource};
 use cassiawheel_wire::WireSender;
@@ -61,7 +61,7 @@
     pub(crate) leaving: AtomicBool,
     holder: Mutex<PresetHolder>,
     roster: Mutex<EndpointRoster>,
-    counters: Mutex<HashMap<InstanceId, Arc<AtomicU32>>>,
+    cells: Mutex<EndpointCells>,
     peers: Mutex<BTreeMap<InstanceId, PeerEntry>>,
     peer_links: Mutex<Vec<WireSender>>,
     requests: AtomicU64,
@@ -90,7 +90,7 @@
             leaving: AtomicBool::new(false),
             holder: Mutex::default(),
             roster: Mutex::default(),
-            counters: Mutex::default(),
+            cells: Mutex::default(),
             peers: Mutex::default(),
             peer_links: Mutex::default(),
             requests: AtomicU64::new(0),
@@ -162,29 +162,81 @@
         self.rebuild_routes();
     }
 
+    /// Takes an endpoint's report.
+    ///
+    /// Most reports change nothing but the load, which the snapshot's cells
+    /// take; only another state is worth a new snapshot.
+    pub(crate) fn hear_report(&self, report: EndpointReport) {
+        let is_routed = match &report.state {
+            EndpointState::Serving { version, .. } => {
+                let routes = self.routes.load();
+                routes.serves(&report.service, &report.instance, version.as_ref())
+            }
+            EndpointState::Empty | EndpointState::Switching | EndpointState::Draining => false,
+        };
+        let instance = report.instance.clone();
+        let (load, limit) = (report.load, report.limit);
+        let is_newest = self.roster().hear(report, Timestamp::now());
+        if is_newest {
+            self.cells().of(&instance).hear(&load, limit);
+        }
+        if !is_routed {
+            self.rebuild_routes();
+        }
+    }
+
     /// Publishes which endpoints requests may be routed to.
     pub(crate) fn rebuild_routes(&self) {
         let roster = self.roster();
-        let mut counters = self.counters.lock().unwrap_or_else(|poison| poison.into_inner());
+        let mut cells = self.cells();
+        let own_domain = &self.settings.place.failure_domain;
         let mut services: HashMap<ServiceName, Vec<RouteCandidate>> = HashMap::new();
         for member in roster.members().filter(|member| !roster.is_leaving(member)) {
             let report = &member.report;
             let EndpointState::Serving { version, .. } = &report.state else {
                 continue;
             };
-            let in_flight = counters.entry(report.instance.clone()).or_default().clone();
             services.entry(report.service.clone()).or_default().push(RouteCandidate {
                 instance: report.instance.clone(),
-                failure_domain: report.failure_domain.clone(),
                 version: version.clone(),
-                limit: report.limit,
-                reported: report.load.in_flight + report.load.queued,
-                measured_at: report.load.measured_at,
-                in_flight,
+                is_near: report.failure_domain == *own_domain,
+                cell: cells.of(&report.instance),
             });
         }
+        cells.forget_unused();
+        let routed = services.into_iter().map(|(service, candidates)| {
+            let in_flight = cells.service(&service);
+            (service, ServiceRoutes::new(candidates, in_flight))
+        });
+        let snapshot = RouteSnapshot::new(routed.collect());
         // Stored under the roster's lock: a snapshot from before a word of
         // leaving must not replace one from after it.
-        self.routes.store(Arc::new(RouteSnapshot { services }));
+        self.routes.store(Arc::new(snapshot));
+    }
+
+    fn cells(&self) -> MutexGuard<'_, EndpointCells> {
+        self.cells.lock().unwrap_or_else(|poison| poison.into_inner())
+    }
+}
+
+/// Counts that outlive the snapshots which point to them.
+#[derive(Debug, Default)]
+struct EndpointCells {
+    endpoints: HashMap<InstanceId, Arc<EndpointCell>>,
+    services: HashMap<ServiceName, Arc<AtomicU32>>,
+}
+
+impl EndpointCells {
+    fn of(&mut self, instance: &InstanceId) -> Arc<EndpointCell> {
+        self.endpoints.entry(instance.clone()).or_default().clone()
+    }
+
+    fn service(&mut self, service: &ServiceName) -> Arc<AtomicU32> {
+        self.services.entry(service.clone()).or_default().clone()
+    }
+
+    /// Drops the cells of endpoints that neither a snapshot nor a request uses.
+    fn forget_unused(&mut self) {
+        self.endpoints.retain(|_, cell| Arc::strong_count(cell) > 1);
     }
 }
--- a/crates/model/src/settings/entry.rs
+++ b/crates/model/src/settings/entry.rs
@@ -91,6 +91,9 @@
     pub advice_addresses: usize,
     /// Most attempts of one request.
     pub max_attempts: u32,
+    /// Leading bytes of a body by which requests with a common prefix are told,
+    /// to be sent where an engine has probably cached it; zero turns it off.
+    pub prefix_bytes: usize,
 }
 
 impl Default for CallerSettings {
@@ -102,6 +105,7 @@
             advice_ms: 2_000,
             advice_addresses: 3,
             max_attempts: 3,
+            prefix_bytes: 256,
         }
     }
 }
