--- a/crates/decide/benches/route.rs
+++ b/crates/decide/benches/route.rs
@@ -5,7 +5,7 @@
 
 use cassiawheel_decide::{EndpointCell, RouteCandidate, RouteQuery, RouteSnapshot, ServiceRoutes};
 use cassiawheel_model::{InstanceId, LoadReport, ModelVersion, ServiceName, Timestamp};
-use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use criterion::{BenchmarkId, Criterion};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
 const SIZES: [usize; 3] = [16, 400, 7_300];
@@ -77,5 +77,8 @@
     group.finish();
 }
 
-criterion_group!(benches, decide);
-criterion_main!(benches);
+fn main() {
+    let mut criterion = Criterion::default().configure_from_args();
+    decide(&mut criterion);
+    criterion.final_summary();
+}
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod advice;
 pub mod affinity;
 pub mod cell;
+pub mod change;
 pub mod claim;
 pub mod gate;
 pub mod holder;
@@ -21,11 +22,14 @@
 
 pub use advice::{AdviceInput, EntryAdvice, advise};
 pub use cell::EndpointCell;
+pub use change::{
+    ChangeAnswer, ChangeRecord, ChangeRequest, ChangeStep, ChangeVerdict, ChangeWriter, ForceRow,
+};
 pub use claim::{ClaimRecord, ClaimState, ClaimStep, ClaimTracker, ClaimView};
 pub use gate::{GateState, SwitchError};
-pub use holder::{Adoption, PresetHolder};
+pub use holder::{Adoption, PresetHolder, StartHold};
 pub use latch::RunLatch;
 pub use retry::{AttemptEnd, RepeatGuard, RetryBudget, RetryStep, RetryTracker};
-pub use roster::EndpointRoster;
+pub use roster::{EndpointRoster, EntryRoster, PeerEntry};
 pub use route::{RouteCandidate, RouteChoice, RouteQuery, RouteSnapshot, ServiceRoutes};
-pub use select::{ChunkPicker, ChunkSource, FetchOrder, PickerSettings};
+pub use select::{ChunkBits, ChunkPicker, ChunkSource, FetchOrder, PickerSettings};
--- a/crates/decide/tests/routing.rs
+++ b/crates/decide/tests/routing.rs
@@ -150,20 +150,20 @@
             }
             *end > tick
         });
-        for entry in 0..entries.len() {
+        for (index, entry) in entries.iter_mut().enumerate() {
             // A square makes low ranks popular: the first tenth gets a third.
             let rank = (rng.random::<f64>().powi(2) * 240.0) as u64;
             let prompt = format!("{rank:>64}");
             let prefix = prefix_of(prompt.as_bytes(), 64);
-            let Some(endpoint) = entries[entry].choose(policy, prefix, &[], now) else {
+            let Some(endpoint) = entry.choose(policy, prefix, &[], now) else {
                 continue;
             };
             let hit = caches[endpoint].touch(rank);
             hits += u32::from(hit);
             served[endpoint] += 1;
-            entries[entry].begin(endpoint);
+            entry.begin(endpoint);
             let work = if hit { 30 } else { 60 } + rng.random_range(0..20);
-            running.push((tick + work, entry, endpoint));
+            running.push((tick + work, index, endpoint));
         }
     }
     let total: u32 = served.iter().sum();
@@ -221,12 +221,12 @@
     let (mut attempts, mut failed, mut done) = (0_u32, 0_u32, 0_usize);
     for tick in 0_u64.. {
         let now = Timestamp(START + tick);
-        for entry in 0..entries.len() {
+        for (entry, budget) in budgets.iter().enumerate() {
             if requests.len() < REQUESTS {
                 let tracker =
                     RetryTracker::new(RepeatGuard::Idempotent, Deadline(now.0 + 5_000), 3);
                 requests.push(Request { entry, tracker, excluded: Vec::new() });
-                budgets[entry].earn();
+                budget.earn();
                 waiting.push_back((tick, requests.len() - 1));
             }
         }
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -1,37 +1,30 @@
 //! State that the parts of an entry share.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::HashMap,
     sync::{
         Arc, Mutex, MutexGuard,
         atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
     },
+    time::Duration,
 };
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use cassiawheel_decide::{
-    Adoption, EndpointCell, EndpointRoster, PresetHolder, RetryBudget, RouteCandidate,
-    RouteSnapshot, ServiceRoutes, advice::AdviceInput,
+    Adoption, EndpointCell, EndpointRoster, EntryRoster, PresetHolder, RetryBudget, RouteCandidate,
+    RouteSnapshot, ServiceRoutes, StartHold,
 };
 use cassiawheel_model::{
-    EndpointReport, EndpointState, ForcedPreset, InstanceId, PresetRevision, RequestId,
-    ServiceName, Timestamp, settings::EntrySettings,
+    EndpointState, ForcedPreset, InstanceId, LoadReport, PresetRevision, RequestId, ServiceName,
+    Timestamp, settings::EntrySettings,
 };
 use cassiawheel_platform::{TableStore, WeightSource};
 use cassiawheel_wire::WireSender;
 
-use crate::{link::AgentLink, metrics::EntryMetrics};
-
-/// Another entry, as its heartbeats tell.
-#[derive(Debug, Clone)]
-pub(crate) struct PeerEntry {
-    /// What callers may be advised.
-    pub(crate) advice: AdviceInput,
-    /// The highest revision that it has adopted.
-    pub(crate) revision: PresetRevision,
-    /// When it was last heard.
-    pub(crate) heard_at: Timestamp,
-}
+use crate::{control::spread, link::AgentLink, metrics::EntryMetrics};
+
+/// Longest time for which an entry that starts waits for every source of presets.
+const START_TIME: Duration = Duration::from_millis(500);
 
 /// Everything that the parts of an entry share.
 pub(crate) struct EntryShared {
@@ -60,9 +53,11 @@
     /// Whether this entry leaves.
     pub(crate) leaving: AtomicBool,
     holder: Mutex<PresetHolder>,
+    settled: AtomicBool,
+    start_hold: Mutex<StartHold>,
     roster: Mutex<EndpointRoster>,
     cells: Mutex<EndpointCells>,
-    peers: Mutex<BTreeMap<InstanceId, PeerEntry>>,
+    peers: Mutex<EntryRoster>,
     peer_links: Mutex<Vec<WireSender>>,
     requests: AtomicU64,
 }
@@ -75,9 +70,12 @@
         origin: Arc<dyn WeightSource>,
         metrics: EntryMetrics,
     ) -> Self {
+        let now = Timestamp::now();
+        let mut sources = spread::chosen_peers(&settings);
+        sources.push(settings.platform.table);
         Self {
             settings,
-            incarnation: Timestamp::now().0,
+            incarnation: now.0,
             table,
             origin,
             metrics,
@@ -89,6 +87,8 @@
             in_flight: AtomicU32::new(0),
             leaving: AtomicBool::new(false),
             holder: Mutex::default(),
+            settled: AtomicBool::new(false),
+            start_hold: Mutex::new(StartHold::new(sources, now.deadline_after(START_TIME))),
             roster: Mutex::default(),
             cells: Mutex::default(),
             peers: Mutex::default(),
@@ -103,11 +103,16 @@
     }
 
     /// The other entries that this entry knows.
-    pub(crate) fn peers(&self) -> MutexGuard<'_, BTreeMap<InstanceId, PeerEntry>> {
+    pub(crate) fn peers(&self) -> MutexGuard<'_, EntryRoster> {
         self.peers.lock().unwrap_or_else(|poison| poison.into_inner())
     }
 
-    /// Connections that this entry dialled to other entries.
+    /// What this entry waits for before it uses a preset.
+    pub(crate) fn start_hold(&self) -> MutexGuard<'_, StartHold> {
+        self.start_hold.lock().unwrap_or_else(|poison| poison.into_inner())
+    }
+
+    /// Connections to other entries, whichever end dialled.
     pub(crate) fn peer_links(&self) -> MutexGuard<'_, Vec<WireSender>> {
         self.peer_links.lock().unwrap_or_else(|poison| poison.into_inner())
     }
@@ -121,25 +126,48 @@
 
     /// Considers a preset; true if it is in force from now on.
     pub(crate) fn offer_preset(&self, preset: &Arc<ForcedPreset>) -> bool {
-        let revision = preset.revision.0;
-        let mut holder = self.holder.lock().unwrap_or_else(|poison| poison.into_inner());
+        let mut holder = self.holder();
         match holder.offer(preset.clone()) {
-            Adoption::Adopted => {
-                // Stored under the holder's lock, so that two offers cannot
-                // publish in the reverse of the order of their revisions.
-                self.force.store(Some(preset.clone()));
-                self.metrics.revision.set(revision as i64);
-                log::info!(target: "preset", revision = revision, preset:% = preset.preset, change:% = preset.change; "A preset is in force.");
+            Adoption::Adopted if self.settled.load(Ordering::Acquire) => {
+                self.publish(preset);
                 true
             }
             Adoption::Conflicting => {
+                let revision = preset.revision.0;
                 log::error!(target: "preset", revision = revision; "Two presets have the same revision.");
                 false
             }
-            Adoption::Known | Adoption::Older => false,
+            Adoption::Adopted | Adoption::Known | Adoption::Older => false,
         }
     }
 
+    /// Ends the hold of the start; the preset that is in force from now on, if one is known.
+    pub(crate) fn publish_held(&self) -> Option<Arc<ForcedPreset>> {
+        let holder = self.holder();
+        self.settled.store(true, Ordering::Release);
+        let preset = holder.current()?.clone();
+        self.publish(&preset);
+        Some(preset)
+    }
+
+    /// The highest revision heard of, even if it is not used yet.
+    pub(crate) fn known_revision(&self) -> PresetRevision {
+        self.holder().revision()
+    }
+
+    fn holder(&self) -> MutexGuard<'_, PresetHolder> {
+        self.holder.lock().unwrap_or_else(|poison| poison.into_inner())
+    }
+
+    /// Called under the holder's lock, so that two offers cannot publish in the
+    /// reverse of the order of their revisions.
+    fn publish(&self, preset: &Arc<ForcedPreset>) {
+        let revision = preset.revision.0;
+        self.force.store(Some(preset.clone()));
+        self.metrics.revision.set(revision as i64);
+        log::info!(target: "preset", revision = revision, preset:% = preset.preset, change:% = preset.change; "A preset is in force.");
+    }
+
     /// Adds the connection to an agent.
     pub(crate) fn add_link(&self, link: Arc<AgentLink>) {
         self.links.rcu(|links| {
@@ -158,33 +186,19 @@
             }
             links
         });
-        self.roster().forget(&link.instance, link.incarnation);
-        self.rebuild_routes();
-    }
-
-    /// Takes an endpoint's report.
-    ///
-    /// Most reports change nothing but the load, which the snapshot's cells
-    /// take; only another state is worth a new snapshot.
-    pub(crate) fn hear_report(&self, report: EndpointReport) {
-        let is_routed = match &report.state {
-            EndpointState::Serving { version, .. } => {
-                let routes = self.routes.load();
-                routes.serves(&report.service, &report.instance, version.as_ref())
-            }
-            EndpointState::Empty | EndpointState::Switching | EndpointState::Draining => false,
-        };
-        let instance = report.instance.clone();
-        let (load, limit) = (report.load, report.limit);
-        let is_newest = self.roster().hear(report, Timestamp::now());
-        if is_newest {
-            self.cells().of(&instance).hear(&load, limit);
-        }
-        if !is_routed {
+        // The agent may have connected again before the old connection's end
+        // was noticed; without this look it would vanish until its next report.
+        if !self.links.load().contains_key(&link.instance) {
+            self.roster().forget(&link.instance, link.incarnation);
             self.rebuild_routes();
         }
     }
 
+    /// Takes an endpoint's word of its load.
+    pub(crate) fn hear_load(&self, instance: &InstanceId, load: &LoadReport, limit: u32) {
+        self.cells().of(instance).hear(load, limit);
+    }
+
     /// Publishes which endpoints requests may be routed to.
     pub(crate) fn rebuild_routes(&self) {
         let roster = self.roster();
@@ -196,11 +210,15 @@
             let EndpointState::Serving { version, .. } = &report.state else {
                 continue;
             };
+            let cell = cells.of(&report.instance);
+            if cell.limit() == 0 {
+                cell.hear(&report.load, report.limit);
+            }
             services.entry(report.service.clone()).or_default().push(RouteCandidate {
                 instance: report.instance.clone(),
                 version: version.clone(),
                 is_near: report.failure_domain == *own_domain,
-                cell: cells.of(&report.instance),
+                cell,
             });
         }
         cells.forget_unused();
