--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -11,12 +11,12 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use cassiawheel_decide::{
-    Adoption, EndpointRoster, EntryRoster, PresetHolder, RetryBudget, RouteCandidate,
-    RouteSnapshot, StartHold,
+    Adoption, EndpointCell, EndpointRoster, EntryRoster, PresetHolder, RetryBudget, RouteCandidate,
+    RouteSnapshot, ServiceRoutes, StartHold,
 };
 use cassiawheel_model::{
-    EndpointState, ForcedPreset, InstanceId, PresetRevision, RequestId, ServiceName, Timestamp,
-    settings::EntrySettings,
+    EndpointState, ForcedPreset, InstanceId, LoadReport, PresetRevision, RequestId, ServiceName,
+    Timestamp, settings::EntrySettings,
 };
 use cassiawheel_platform::{TableStore, WeightSource};
 use cassiawheel_wire::WireSender;
@@ -52,13 +52,11 @@
     pub(crate) in_flight: AtomicU32,
     /// Whether this entry leaves.
     pub(crate) leaving: AtomicBool,
-    /// Whether the snapshot for routing lags behind the roster.
-    pub(crate) routes_stale: AtomicBool,
     holder: Mutex<PresetHolder>,
     settled: AtomicBool,
     start_hold: Mutex<StartHold>,
     roster: Mutex<EndpointRoster>,
-    counters: Mutex<HashMap<InstanceId, Arc<AtomicU32>>>,
+    cells: Mutex<EndpointCells>,
     peers: Mutex<EntryRoster>,
     peer_links: Mutex<Vec<WireSender>>,
     requests: AtomicU64,
@@ -88,12 +86,11 @@
             retries: RetryBudget::default(),
             in_flight: AtomicU32::new(0),
             leaving: AtomicBool::new(false),
-            routes_stale: AtomicBool::new(false),
             holder: Mutex::default(),
             settled: AtomicBool::new(false),
             start_hold: Mutex::new(StartHold::new(sources, now.deadline_after(START_TIME))),
             roster: Mutex::default(),
-            counters: Mutex::default(),
+            cells: Mutex::default(),
             peers: Mutex::default(),
             peer_links: Mutex::default(),
             requests: AtomicU64::new(0),
@@ -197,29 +194,67 @@
         }
     }
 
+    /// Takes an endpoint's word of its load.
+    pub(crate) fn hear_load(&self, instance: &InstanceId, load: &LoadReport, limit: u32) {
+        self.cells().of(instance).hear(load, limit);
+    }
+
     /// Publishes which endpoints requests may be routed to.
     pub(crate) fn rebuild_routes(&self) {
         let roster = self.roster();
-        let mut counters = self.counters.lock().unwrap_or_else(|poison| poison.into_inner());
+        let mut cells = self.cells();
+        let own_domain = &self.settings.place.failure_domain;
         let mut services: HashMap<ServiceName, Vec<RouteCandidate>> = HashMap::new();
         for member in roster.members().filter(|member| !roster.is_leaving(member)) {
             let report = &member.report;
             let EndpointState::Serving { version, .. } = &report.state else {
                 continue;
             };
-            let in_flight = counters.entry(report.instance.clone()).or_default().clone();
+            let cell = cells.of(&report.instance);
+            if cell.limit() == 0 {
+                cell.hear(&report.load, report.limit);
+            }
             services.entry(report.service.clone()).or_default().push(RouteCandidate {
                 instance: report.instance.clone(),
-                failure_domain: report.failure_domain.clone(),
                 version: version.clone(),
-                limit: report.limit,
-                reported: report.load.in_flight + report.load.queued,
-                measured_at: report.load.measured_at,
-                in_flight,
+                is_near: report.failure_domain == *own_domain,
+                cell,
             });
         }
+        cells.forget_unused();
+        let routed = services.into_iter().map(|(service, candidates)| {
+            let in_flight = cells.service(&service);
+            (service, ServiceRoutes::new(candidates, in_flight))
+        });
+        let snapshot = RouteSnapshot::new(routed.collect());
         // Stored under the roster's lock: a snapshot from before a word of
         // leaving must not replace one from after it.
-        self.routes.store(Arc::new(RouteSnapshot { services }));
+        self.routes.store(Arc::new(snapshot));
+    }
+
+    fn cells(&self) -> MutexGuard<'_, EndpointCells> {
+        self.cells.lock().unwrap_or_else(|poison| poison.into_inner())
+    }
+}
+
+/// Counts that outlive the snapshots which point to them.
+#[derive(Debug, Default)]
+struct EndpointCells {
+    endpoints: HashMap<InstanceId, Arc<EndpointCell>>,
+    services: HashMap<ServiceName, Arc<AtomicU32>>,
+}
+
+impl EndpointCells {
+    fn of(&mut self, instance: &InstanceId) -> Arc<EndpointCell> {
+        self.endpoints.entry(instance.clone()).or_default().clone()
+    }
+
+    fn service(&mut self, service: &ServiceName) -> Arc<AtomicU32> {
+        self.services.entry(service.clone()).or_default().clone()
+    }
+
+    /// Drops the cells of endpoints that neither a snapshot nor a request uses.
+    fn forget_unused(&mut self) {
+        self.endpoints.retain(|_, cell| Arc::strong_count(cell) > 1);
     }
 }
