--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -24,7 +24,7 @@
 use crate::{control::spread, link::AgentLink, metrics::EntryMetrics};
 
 /// Longest time for which an entry that starts waits for every source of presets.
-const START_TIME: Duration = Duration::from_millis(500);
+const START_TIME: Duration = Duration::from_secs(1);
 
 /// Everything that the parts of an entry share.
 pub(crate) struct EntryShared {
