--- a/crates/entry/src/caller/identify.rs
+++ b/crates/entry/src/caller/identify.rs
@@ -84,7 +84,10 @@
         revision: PresetRevision::default(),
         version: None,
     };
-    let span = Duration::from_millis(shared.settings.limits.body_ms);
+    // A caller that stalls in the middle of its body would hold its connection
+    // for as long as it likes.
+    let span = Duration::from_millis(shared.settings.limits.body_ms)
+        .min(head.deadline.remaining(Timestamp::now()));
     let body = read_body_within(body, settings.max_body_bytes, span).await;
     let body = body.map_err(|error| match error {
         BodyError::TooLong => BadRequest {
