Operator's commands with tables, exit codes and tokens off the command line

Cause: commands printed raw JSON, exited 1 for everything, took the token in argv, and showed neither rollouts nor differences; the API told a wrong value without its place, compared tokens in a time that told their length, and had no call for the preset in force. Admin routes are a closed set with the role that each needs; refusals are typed and counted; token digests are compared in constant time.

--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -1,8 +1,10 @@
 //! The process at an endpoint instance.
 
-use std::{path::PathBuf, process::ExitCode};
+use std::{
+    path::{Path, PathBuf},
+    process::ExitCode,
+};
 
-use anyhow::Context;
 use argh::FromArgs;
 use cassiawheel_model::settings::{AgentSettings, parse_settings};
 
@@ -22,10 +24,13 @@
 }
 
 /// Runs the agent until SIGTERM; then drains and ends.
+///
+/// Exits 0 if every request was finished, 1 if the deadline drain_ms or a second
+/// SIGTERM cut some off, 2 if the settings have findings.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "serve")]
 struct ServeArgs {
-    /// settings file (JSON)
+    /// settings file (JSON); see samples/agent.json
     #[argh(option)]
     config: PathBuf,
 }
@@ -39,15 +44,46 @@
     file: PathBuf,
 }
 
+/// The exit codes, for `--help`.
+const EXIT_CODES: &str = "\
+Exit codes: 0 done, every request was finished; 1 failed, or a stop cut requests
+off; 2 wrong usage, or findings in the settings.";
+
+/// Exit code of wrong usage and of settings with findings.
+const FINDINGS_CODE: u8 = 2;
+
 fn main() -> ExitCode {
-    let args: AgentArgs = argh::from_env();
-    let done = match args.command {
-        AgentCommand::Serve(args) => read_settings(&args.config).and_then(cassiawheel_agent::run),
-        AgentCommand::CheckConfig(args) => read_settings(&args.file).map(|_| {
+    let args = match parse_args() {
+        Ok(args) => args,
+        Err(code) => return code,
+    };
+    match args.command {
+        AgentCommand::Serve(args) => with_settings(&args.config, serve),
+        AgentCommand::CheckConfig(args) => with_settings(&args.file, |_| {
             println!("{}: no findings", args.file.display());
+            ExitCode::SUCCESS
         }),
-    };
-    match done {
+    }
+}
+
+/// The arguments, or the exit code after help or a wrong usage was printed.
+fn parse_args() -> Result<AgentArgs, ExitCode> {
+    let given: Vec<String> = std::env::args().collect();
+    let given: Vec<&str> = given.iter().skip(1).map(String::as_str).collect();
+    AgentArgs::from_args(&["cassiawheel-agent"], &given).map_err(|exit| match exit.status {
+        Ok(()) => {
+            println!("{}\n\n{EXIT_CODES}", exit.output.trim_end());
+            ExitCode::SUCCESS
+        }
+        Err(()) => {
+            eprintln!("{}\nRun cassiawheel-agent --help for more.", exit.output.trim_end());
+            ExitCode::from(FINDINGS_CODE)
+        }
+    })
+}
+
+fn serve(settings: AgentSettings) -> ExitCode {
+    match cassiawheel_agent::run(settings) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("{error:#}");
@@ -56,8 +92,17 @@
     }
 }
 
-fn read_settings(path: &std::path::Path) -> anyhow::Result<AgentSettings> {
-    let text = std::fs::read_to_string(path)
-        .with_context(|| format!("{}: cannot be read", path.display()))?;
-    Ok(parse_settings(&path.display().to_string(), &text)?)
+/// Goes on with the settings in `file`, unless they have findings.
+fn with_settings(file: &Path, go_on: impl FnOnce(AgentSettings) -> ExitCode) -> ExitCode {
+    let source = file.display().to_string();
+    let read = std::fs::read_to_string(file)
+        .map_err(|error| format!("{source}: cannot be read: {error}"))
+        .and_then(|text| parse_settings(&source, &text).map_err(|found| found.to_string()));
+    match read {
+        Ok(settings) => go_on(settings),
+        Err(findings) => {
+            eprintln!("{findings}");
+            ExitCode::from(FINDINGS_CODE)
+        }
+    }
 }
--- a/crates/entry/src/admin.rs
+++ b/crates/entry/src/admin.rs
@@ -1,29 +1,33 @@
 //! The operators' API: versioned JSON over HTTP with bearer tokens.
+//!
+//! `authenticate → route → authorize → answer`. A stranger learns nothing, not
+//! even which paths there are.
 
 mod auth;
+mod reply;
 mod status;
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use cassiawheel_decide::ChangeRequest;
 use cassiawheel_model::{
-    ChangeId, InstanceId, OperatorName, PresetContent, PresetName, record, settings::OperatorRole,
+    ChangeId, ForcedPreset, InstanceId, OperatorName, PresetContent, PresetName, record,
+    settings::OperatorRole,
 };
-use cassiawheel_runtime::http::{BodyError, ReplyBody, error_reply, json_reply, read_body};
+use cassiawheel_runtime::http::{ReplyBody, error_reply, json_reply};
 use hyper::{Method, Request, Response, StatusCode, body::Incoming};
 use macro_rules_attribute::apply;
-use serde::de::DeserializeOwned;
 
 use crate::{
     control::{
-        change::{self, ChangeReply, PresetError},
+        change::{self, ChangeReply},
         drains,
     },
     shared::EntryShared,
 };
+use reply::{AdminReply, failed, findings_reply, read_json, text_id};
 
-/// Largest body of an operator's call, in bytes.
-const MAX_BODY_BYTES: usize = 1 << 20;
+pub(crate) use status::{EndpointStatus, ServiceStatus, StatusReply};
 
 /// Body of `POST /v1/force`.
 #[apply(record!)]
@@ -59,41 +63,89 @@
     pub(crate) instance: InstanceId,
 }
 
+/// What a call asks for.
+enum AdminRoute<'a> {
+    Status,
+    InForce,
+    History,
+    ListPresets,
+    GetPreset(&'a str),
+    PutPreset(&'a str),
+    Force,
+    Drain(&'a str),
+}
+
+impl<'a> AdminRoute<'a> {
+    /// The route of a path, if there is one for `method`.
+    fn find(method: &Method, path: &'a str) -> Option<Self> {
+        let parts: Vec<_> = path.trim_start_matches('/').split('/').collect();
+        let ["v1", rest @ ..] = parts.as_slice() else {
+            return None;
+        };
+        Some(match (method, rest) {
+            (&Method::GET, ["status"]) => Self::Status,
+            (&Method::GET, ["force"]) => Self::InForce,
+            (&Method::GET, ["history"]) => Self::History,
+            (&Method::GET, ["presets"]) => Self::ListPresets,
+            (&Method::GET, ["presets", name]) => Self::GetPreset(name),
+            (&Method::PUT, ["presets", name]) => Self::PutPreset(name),
+            (&Method::POST, ["force"]) => Self::Force,
+            (&Method::POST, ["drain", instance]) => Self::Drain(instance),
+            _ => return None,
+        })
+    }
+
+    fn needed_role(&self) -> OperatorRole {
+        match self {
+            Self::Status
+            | Self::InForce
+            | Self::History
+            | Self::ListPresets
+            | Self::GetPreset(_) => OperatorRole::View,
+            Self::PutPreset(_) | Self::Force | Self::Drain(_) => OperatorRole::Operate,
+        }
+    }
+}
+
 /// Answers one call of an operator.
 pub(crate) async fn accept(
     shared: Arc<EntryShared>,
     request: Request<Incoming>,
 ) -> Response<ReplyBody> {
-    let operator = match auth::authenticate(&shared.settings.operators, request.headers()) {
-        Ok(operator) => operator.clone(),
-        Err(reply) => return reply,
-    };
+    let answered = answer(&shared, request).await;
+    answered.unwrap_or_else(|refusal| refusal)
+}
+
+async fn answer(shared: &EntryShared, request: Request<Incoming>) -> AdminReply {
+    let operators = &shared.settings.operators;
+    let operator = auth::authenticate(operators, request.headers())
+        .inspect_err(|_| shared.metrics.admin_refused.inc())?;
     let (parts, body) = request.into_parts();
-    let needed = match parts.method {
-        Method::GET => OperatorRole::View,
-        _ => OperatorRole::Operate,
-    };
-    if operator.role < needed {
+    let route = AdminRoute::find(&parts.method, parts.uri.path()).ok_or_else(|| {
+        let message = format!("there is no {} {}", parts.method, parts.uri.path());
+        error_reply(StatusCode::NOT_FOUND, "not-found", message)
+    })?;
+    if operator.role < route.needed_role() {
+        shared.metrics.admin_refused.inc();
         let message = format!("{} may only view", operator.name);
-        return error_reply(StatusCode::FORBIDDEN, "forbidden", message);
+        return Err(error_reply(StatusCode::FORBIDDEN, "forbidden", message));
+    }
+    match route {
+        AdminRoute::Status => Ok(json_reply(StatusCode::OK, &status::build_status(shared))),
+        AdminRoute::InForce => Ok(in_force(shared)),
+        AdminRoute::History => history(shared).await,
+        AdminRoute::ListPresets => list_presets(shared).await,
+        AdminRoute::GetPreset(name) => get_preset(shared, name).await,
+        AdminRoute::PutPreset(name) => put_preset(shared, name, body).await,
+        AdminRoute::Force => force(shared, &operator.name, body).await,
+        AdminRoute::Drain(instance) => drain(shared, instance),
     }
-    let path: Vec<_> = parts.uri.path().trim_start_matches('/').split('/').collect();
-    let reply = match (&parts.method, path.as_slice()) {
-        (&Method::GET, ["v1", "status"]) => {
-            Ok(json_reply(StatusCode::OK, &status::build_status(&shared)))
-        }
-        (&Method::GET, ["v1", "presets"]) => list_presets(&shared).await,
-        (&Method::GET, ["v1", "presets", name]) => get_preset(&shared, name).await,
-        (&Method::PUT, ["v1", "presets", name]) => put_preset(&shared, name, body).await,
-        (&Method::GET, ["v1", "history"]) => history(&shared).await,
-        (&Method::POST, ["v1", "force"]) => force(&shared, &operator.name, body).await,
-        (&Method::POST, ["v1", "drain", instance]) => drain(&shared, instance),
-        _ => Err(error_reply(StatusCode::NOT_FOUND, "not-found", parts.uri.path())),
-    };
-    reply.unwrap_or_else(|error| error)
 }
 
-type AdminReply = Result<Response<ReplyBody>, Response<ReplyBody>>;
+fn in_force(shared: &EntryShared) -> Response<ReplyBody> {
+    let preset: Option<Arc<ForcedPreset>> = shared.force.load_full();
+    json_reply(StatusCode::OK, &preset)
+}
 
 async fn list_presets(shared: &EntryShared) -> AdminReply {
     let rows = shared.table.scan("preset/").await.map_err(|error| failed(error.into()))?;
@@ -102,17 +154,17 @@
 }
 
 async fn get_preset(shared: &EntryShared, name: &str) -> AdminReply {
-    let name = preset_name(name)?;
+    let name: PresetName = text_id("the preset name", name)?;
     let content = change::get_preset(shared.table.as_ref(), &name).await.map_err(failed)?;
     Ok(json_reply(StatusCode::OK, &content))
 }
 
 async fn put_preset(shared: &EntryShared, name: &str, body: Incoming) -> AdminReply {
-    let name = preset_name(name)?;
-    let mut content: PresetContent = read_json(body).await?;
+    let name: PresetName = text_id("the preset name", name)?;
+    let mut content: PresetContent = read_json(body, body_time(shared)).await?;
     let findings = content.check(name.as_str());
     if !findings.is_empty() {
-        return Err(json_reply(StatusCode::UNPROCESSABLE_ENTITY, &findings));
+        return Err(findings_reply(&findings));
     }
     change::pin_manifests(shared, &mut content).await.map_err(failed)?;
     let row_revision =
@@ -126,7 +178,7 @@
 }
 
 async fn force(shared: &EntryShared, operator: &OperatorName, body: Incoming) -> AdminReply {
-    let call: ForceCall = read_json(body).await?;
+    let call: ForceCall = read_json(body, body_time(shared)).await?;
     let request = ChangeRequest {
         preset: call.preset,
         change: call.change,
@@ -145,40 +197,11 @@
 }
 
 fn drain(shared: &EntryShared, instance: &str) -> AdminReply {
-    let instance = InstanceId::new(instance).map_err(|error| {
-        error_reply(StatusCode::BAD_REQUEST, "bad-request", format!("the instance {error}"))
-    })?;
+    let instance: InstanceId = text_id("the instance", instance)?;
     drains::drain_anywhere(shared, &instance);
     Ok(json_reply(StatusCode::ACCEPTED, &DrainReply { instance }))
 }
 
-fn preset_name(name: &str) -> Result<PresetName, Response<ReplyBody>> {
-    PresetName::new(name).map_err(|error| {
-        error_reply(StatusCode::BAD_REQUEST, "bad-request", format!("the preset name {error}"))
-    })
-}
-
-async fn read_json<T: DeserializeOwned>(body: Incoming) -> Result<T, Response<ReplyBody>> {
-    let bytes = read_body(body, MAX_BODY_BYTES).await.map_err(|error| match error {
-        BodyError::TooLong => {
-            error_reply(StatusCode::PAYLOAD_TOO_LARGE, "too-long", "the body is too long")
-        }
-        BodyError::Cut => error_reply(StatusCode::BAD_REQUEST, "cut", "the body ended early"),
-        BodyError::Slow => {
-            error_reply(StatusCode::REQUEST_TIMEOUT, "slow", "the body took too long")
-        }
-    })?;
-    serde_json::from_slice(&bytes)
-        .map_err(|error| error_reply(StatusCode::BAD_REQUEST, "bad-request", error.to_string()))
-}
-
-fn failed(error: PresetError) -> Response<ReplyBody> {
-    let (status, code) = match &error {
-        PresetError::Store(_) => (StatusCode::SERVICE_UNAVAILABLE, "store"),
-        PresetError::Manifest { .. } => (StatusCode::UNPROCESSABLE_ENTITY, "manifest"),
-        PresetError::Damaged(_) => (StatusCode::INTERNAL_SERVER_ERROR, "damaged"),
-        PresetError::Missing(_) => (StatusCode::NOT_FOUND, "missing"),
-        PresetError::Conflict => (StatusCode::CONFLICT, "conflict"),
-    };
-    error_reply(status, code, error.to_string())
+fn body_time(shared: &EntryShared) -> Duration {
+    Duration::from_millis(shared.settings.limits.body_ms)
 }
--- a/crates/entry/src/admin/auth.rs
+++ b/crates/entry/src/admin/auth.rs
@@ -2,13 +2,17 @@
 
 use cassiawheel_model::settings::OperatorToken;
 use cassiawheel_runtime::http::{ReplyBody, error_reply};
-use hyper::{HeaderMap, Response, StatusCode, header::AUTHORIZATION};
+use hyper::{
+    HeaderMap, Response, StatusCode,
+    header::{AUTHORIZATION, HeaderValue, WWW_AUTHENTICATE},
+};
 use subtle::ConstantTimeEq;
 
 /// The operator whose token the call presents.
 ///
-/// Every token is compared, each in constant time, so that the time of a
-/// refusal tells nothing about any of them.
+/// The digests of the tokens are compared, all of them, each in constant time:
+/// the time of a refusal tells neither how many bytes of a token were right
+/// nor how long it is.
 pub(super) fn authenticate<'a>(
     operators: &'a [OperatorToken],
     headers: &HeaderMap,
@@ -17,14 +21,20 @@
         .get(AUTHORIZATION)
         .and_then(|value| value.as_bytes().strip_prefix(b"Bearer "))
         .unwrap_or_default();
+    let given = blake3::hash(given);
     let mut found = None;
     for operator in operators {
-        if bool::from(given.ct_eq(operator.token.as_bytes())) {
+        let wanted = blake3::hash(operator.token.as_bytes());
+        if bool::from(given.as_bytes().ct_eq(wanted.as_bytes())) {
             found = Some(operator);
         }
     }
-    found.ok_or_else(|| {
-        let message = "a bearer token of the settings is needed";
-        error_reply(StatusCode::UNAUTHORIZED, "unauthorized", message)
-    })
+    found.ok_or_else(refusal)
+}
+
+fn refusal() -> Response<ReplyBody> {
+    let message = "a bearer token of the entry's settings is needed";
+    let mut reply = error_reply(StatusCode::UNAUTHORIZED, "unauthorized", message);
+    reply.headers_mut().insert(WWW_AUTHENTICATE, HeaderValue::from_static("Bearer"));
+    reply
 }
--- /dev/null
+++ b/crates/entry/src/admin/reply.rs
@@ -0,0 +1,83 @@
+//! Reading the bodies of operators' calls, and the refusals they may get.
+
+use std::time::Duration;
+
+use cassiawheel_model::{FindingList, FindingPlace, record};
+use cassiawheel_runtime::http::{BodyError, ReplyBody, error_reply, json_reply, read_body_within};
+use hyper::{Response, StatusCode, body::Incoming};
+use macro_rules_attribute::apply;
+use serde::de::DeserializeOwned;
+
+use crate::control::change::PresetError;
+
+/// Largest body of an operator's call, in bytes.
+const MAX_BODY_BYTES: usize = 1 << 20;
+
+/// The answer to a call; a refusal is a response as well.
+pub(super) type AdminReply = Result<Response<ReplyBody>, Response<ReplyBody>>;
+
+/// A refusal that names every fault of a body.
+#[apply(record!)]
+struct FindingsReply {
+    error: String,
+    message: String,
+    findings: Vec<FindingPlace>,
+}
+
+/// The refusal of a body with findings.
+pub(super) fn findings_reply(findings: &FindingList) -> Response<ReplyBody> {
+    let reply = FindingsReply {
+        error: "findings".to_owned(),
+        message: format!("nothing was stored; the body has {} findings", findings.places().len()),
+        findings: findings.places().to_vec(),
+    };
+    json_reply(StatusCode::UNPROCESSABLE_ENTITY, &reply)
+}
+
+/// Reads a whole JSON body; a refusal names the place of a wrong value.
+pub(super) async fn read_json<T: DeserializeOwned>(
+    body: Incoming,
+    span: Duration,
+) -> Result<T, Response<ReplyBody>> {
+    let read = read_body_within(body, MAX_BODY_BYTES, span).await;
+    let bytes = read.map_err(|error| match error {
+        BodyError::TooLong => {
+            let message = format!("the body is longer than {MAX_BODY_BYTES} bytes");
+            error_reply(StatusCode::PAYLOAD_TOO_LARGE, "too-long", message)
+        }
+        BodyError::Cut => error_reply(StatusCode::BAD_REQUEST, "cut", "the body ended early"),
+        BodyError::Slow => {
+            let message = format!("the body did not arrive within {span:?}");
+            error_reply(StatusCode::REQUEST_TIMEOUT, "slow", message)
+        }
+    })?;
+    let mut parser = serde_json::Deserializer::from_slice(&bytes);
+    let value = serde_path_to_error::deserialize(&mut parser)
+        .map_err(|error| bad_request(format!("{}: {}", error.path(), error.inner())))?;
+    parser.end().map_err(|error| bad_request(error.to_string()))?;
+    Ok(value)
+}
+
+/// Reads an identifier of the path.
+pub(super) fn text_id<T>(what: &str, text: &str) -> Result<T, Response<ReplyBody>>
+where
+    T: std::str::FromStr<Err: std::fmt::Display>,
+{
+    text.parse().map_err(|error| bad_request(format!("{what} {error}")))
+}
+
+/// The refusal that an error about presets leads to.
+pub(super) fn failed(error: PresetError) -> Response<ReplyBody> {
+    let (status, code) = match &error {
+        PresetError::Store(_) => (StatusCode::SERVICE_UNAVAILABLE, "store"),
+        PresetError::Manifest { .. } => (StatusCode::UNPROCESSABLE_ENTITY, "manifest"),
+        PresetError::Damaged(_) => (StatusCode::INTERNAL_SERVER_ERROR, "damaged"),
+        PresetError::Missing(_) => (StatusCode::NOT_FOUND, "missing"),
+        PresetError::Conflict => (StatusCode::CONFLICT, "conflict"),
+    };
+    error_reply(status, code, error.to_string())
+}
+
+fn bad_request(message: String) -> Response<ReplyBody> {
+    error_reply(StatusCode::BAD_REQUEST, "bad-request", message)
+}
--- a/crates/entry/src/cli.rs
+++ b/crates/entry/src/cli.rs
@@ -1,18 +1,32 @@
 //! The command line: `serve`, `check-config` and the operator's commands.
 
 mod client;
-mod operate;
+mod diff;
+mod exit;
+mod preset;
+mod table;
+mod watch;
 
 use std::{
     path::{Path, PathBuf},
     process::ExitCode,
 };
 
-use anyhow::Context;
 use argh::FromArgs;
 use cassiawheel_model::settings::{EntrySettings, parse_settings};
 
-/// cassiawheel: the entry process and the operator's commands.
+use exit::{CommandError, EXIT_CODES};
+
+/// What a newcomer does first; `argh` would run its lines together in a doc comment.
+const FIRST_SESSION: &str = "\
+A first session, with an entry's operator address and a token of its settings:
+  export CASSIAWHEEL_ADMIN=10.0.0.11:7002 CASSIAWHEEL_TOKEN=...
+  cassiawheel preset put peak peak.json    store what each service serves
+  cassiawheel preset diff peak             compare it with what is in force
+  cassiawheel preset force peak            put it in force everywhere
+  cassiawheel rollout                      watch the new version arrive";
+
+/// The entry process and the operator's commands.
 #[derive(FromArgs)]
 struct EntryArgs {
     #[argh(subcommand)]
@@ -24,15 +38,20 @@
 enum EntryCommand {
     Serve(ServeArgs),
     CheckConfig(CheckArgs),
-    Preset(operate::PresetArgs),
-    Status(operate::StatusArgs),
+    Preset(preset::PresetArgs),
+    Rollout(watch::RolloutArgs),
+    Status(watch::StatusArgs),
+    Drain(watch::DrainArgs),
 }
 
 /// Runs an entry until SIGTERM; then drains and ends.
+///
+/// Exits 0 if every request was finished, 1 if the deadline control.drain_ms or a
+/// second SIGTERM cut some off, 2 if the settings have findings.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "serve")]
 struct ServeArgs {
-    /// settings file (JSON)
+    /// settings file (JSON); see samples/entry.json
     #[argh(option)]
     config: PathBuf,
 }
@@ -46,28 +65,58 @@
     file: PathBuf,
 }
 
-/// Runs the command line; exit code 0 is success, 1 a failure.
+/// Runs the command line.
 pub fn main() -> ExitCode {
-    let args: EntryArgs = argh::from_env();
+    let args = match parse_args() {
+        Ok(args) => args,
+        Err(code) => return code,
+    };
     let done = match args.command {
-        EntryCommand::Serve(args) => read_settings(&args.config).and_then(crate::run),
-        EntryCommand::CheckConfig(args) => read_settings(&args.file).map(|_| {
-            println!("{}: no findings", args.file.display());
-        }),
-        EntryCommand::Preset(args) => operate::preset(args),
-        EntryCommand::Status(args) => operate::status(args),
+        EntryCommand::Serve(args) => serve(&args.config),
+        EntryCommand::CheckConfig(args) => check(&args.file),
+        EntryCommand::Preset(args) => preset::run(args),
+        EntryCommand::Rollout(args) => watch::rollout(args),
+        EntryCommand::Status(args) => watch::status(args),
+        EntryCommand::Drain(args) => watch::drain(args),
     };
     match done {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("{error:#}");
-            ExitCode::FAILURE
+            eprintln!("{}", error.message());
+            error.exit_code()
         }
     }
 }
 
-fn read_settings(path: &Path) -> anyhow::Result<EntrySettings> {
+/// The arguments, or the exit code after help or a wrong usage was printed.
+fn parse_args() -> Result<EntryArgs, ExitCode> {
+    let given: Vec<String> = std::env::args().collect();
+    let given: Vec<&str> = given.iter().skip(1).map(String::as_str).collect();
+    EntryArgs::from_args(&["cassiawheel"], &given).map_err(|exit| match exit.status {
+        Ok(()) => {
+            println!("{}\n\n{FIRST_SESSION}\n\n{EXIT_CODES}", exit.output.trim_end());
+            ExitCode::SUCCESS
+        }
+        Err(()) => {
+            eprintln!("{}\nRun cassiawheel --help for more.", exit.output.trim_end());
+            CommandError::Findings(String::new()).exit_code()
+        }
+    })
+}
+
+fn serve(config: &Path) -> Result<(), CommandError> {
+    Ok(crate::run(read_settings(config)?)?)
+}
+
+fn check(file: &Path) -> Result<(), CommandError> {
+    read_settings(file)?;
+    println!("{}: no findings", file.display());
+    Ok(())
+}
+
+fn read_settings(path: &Path) -> Result<EntrySettings, CommandError> {
+    let source = path.display().to_string();
     let text = std::fs::read_to_string(path)
-        .with_context(|| format!("{}: cannot be read", path.display()))?;
-    Ok(parse_settings(&path.display().to_string(), &text)?)
+        .map_err(|error| CommandError::Findings(format!("{source}: cannot be read: {error}")))?;
+    parse_settings(&source, &text).map_err(|findings| CommandError::Findings(findings.to_string()))
 }
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -18,6 +18,8 @@
     pub(crate) store_writes: IntCounter,
     /// Reads of the table service that failed.
     pub(crate) store_failures: IntCounter,
+    /// Calls of the operators' API that were refused for want of a token or role.
+    pub(crate) admin_refused: IntCounter,
 }
 
 impl EntryMetrics {
@@ -37,11 +39,16 @@
                 name("store_writes_total"),
                 "Writes to the table service",
             )?,
+            admin_refused: IntCounter::new(
+                name("admin_refused_total"),
+                "Calls of the operators' API refused for want of a token or role",
+            )?,
             store_failures: IntCounter::new(
                 name("store_failures_total"),
                 "Reads of the table service that failed",
             )?,
         };
+        registry.register(Box::new(metrics.admin_refused.clone()))?;
         registry.register(Box::new(metrics.outcomes.clone()))?;
         registry.register(Box::new(metrics.attempts.clone()))?;
         registry.register(Box::new(metrics.in_flight.clone()))?;
--- a/crates/model/src/finding.rs
+++ b/crates/model/src/finding.rs
@@ -70,13 +70,19 @@
     }
 }
 
+impl fmt::Display for FindingPlace {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}: {}", self.source, self.path, self.message)
+    }
+}
+
 impl fmt::Display for FindingList {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         for (index, place) in self.places.iter().enumerate() {
             if index > 0 {
                 writeln!(f)?;
             }
-            write!(f, "{}: {}: {}", place.source, place.path, place.message)?;
+            write!(f, "{place}")?;
         }
         Ok(())
     }
