--- a/crates/entry/src/caller/identify.rs
+++ b/crates/entry/src/caller/identify.rs
@@ -86,8 +86,8 @@
     };
     // A caller that stalls in the middle of its body would hold its connection
     // for as long as it likes.
-    let span = Duration::from_millis(shared.settings.limits.body_ms)
-        .min(head.deadline.remaining(Timestamp::now()));
+    let limit = Duration::from_millis(shared.settings.limits.body_ms);
+    let span = limit.min(head.deadline.remaining(Timestamp::now()));
     let body = read_body_within(body, settings.max_body_bytes, span).await;
     let body = body.map_err(|error| match error {
         BodyError::TooLong => BadRequest {
