--- a/crates/entry/src/control/membership.rs
+++ b/crates/entry/src/control/membership.rs
@@ -2,7 +2,7 @@
 
 use std::{
     collections::{HashMap, HashSet},
-    sync::{Arc, atomic::Ordering},
+    sync::Arc,
     time::Duration,
 };
 
@@ -17,9 +17,6 @@
 /// Time between looks for silent endpoints.
 const EXPIRE_TIME: Duration = Duration::from_millis(100);
 
-/// Time between rebuilds of the routes from heartbeats.
-const REFRESH_TIME: Duration = Duration::from_millis(25);
-
 /// Time between reads of the platform's list.
 const LIST_TIME: Duration = Duration::from_secs(1);
 
@@ -47,16 +44,6 @@
     }
 }
 
-/// Brings the routes up to date with the heartbeats of the last moments.
-pub(crate) async fn refresh_routes(shared: Arc<EntryShared>) {
-    loop {
-        Timer::after(REFRESH_TIME).await;
-        if shared.routes_stale.swap(false, Ordering::AcqRel) {
-            shared.rebuild_routes();
-        }
-    }
-}
-
 /// Follows the platform's list of leaving instances.
 pub(crate) async fn follow_list(shared: Arc<EntryShared>, list: Arc<dyn InstanceList>) {
     loop {
--- a/crates/entry/src/inner.rs
+++ b/crates/entry/src/inner.rs
@@ -106,9 +106,10 @@
 /// Takes a heartbeat.
 ///
 /// A rebuild of the routes costs time in proportion to the endpoints, so one
-/// for each heartbeat would cost its square. A changed state counts at once;
-/// new loads wait for the next batch.
+/// for each heartbeat would cost its square. Only a changed state needs one;
+/// the load goes into the cell that all snapshots share.
 fn take_report(shared: &EntryShared, report: EndpointReport) {
+    let (load, limit) = (report.load, report.limit);
     let instance = report.instance.clone();
     let mut roster = shared.roster();
     let known = roster.member(&instance).map(|member| member.report.state.clone());
@@ -118,9 +119,8 @@
     }
     drop(roster);
     shared.plan_stale.store(true, Ordering::Release);
+    shared.hear_load(&instance, &load, limit);
     if changed {
         shared.rebuild_routes();
-    } else {
-        shared.routes_stale.store(true, Ordering::Release);
     }
 }
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -63,7 +63,6 @@
     spawn(membership::follow_list(shared.clone(), list)).detach();
     spawn(membership::introduce_agents(shared.clone())).detach();
     spawn(orders::plan_regularly(shared.clone())).detach();
-    spawn(membership::refresh_routes(shared.clone())).detach();
     spawn(spread::settle(shared.clone())).detach();
     for peer in spread::chosen_peers(&shared.settings) {
         spawn(spread::keep_peer(shared.clone(), peer)).detach();
--- /dev/null
+++ b/crates/testkit/examples/burst.rs
@@ -0,0 +1,69 @@
+//! Load and experiments on a whole deployment; `docs/burst.md` tells how.
+
+use std::{path::PathBuf, pin::pin};
+
+use anyhow::Context;
+use argh::FromArgs;
+use cassiawheel_model::settings::parse_settings;
+use cassiawheel_runtime::TerminationSignals;
+use cassiawheel_testkit::burst::{BurstOptions, BurstReport, BurstScenario, run_burst};
+use futures_util::future::{Either, select};
+
+/// Drives a whole deployment by a scenario and judges what it did.
+#[derive(FromArgs)]
+struct BurstArgs {
+    /// the scenario, a JSON file
+    #[argh(option)]
+    scenario: PathBuf,
+    /// seed of arrivals and weights; default 1
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// end with one line of JSON
+    #[argh(switch)]
+    json: bool,
+    /// draw replicas, latency and outcomes over time to this SVG file
+    #[argh(option)]
+    plot: Option<PathBuf>,
+    /// keep settings and logs of the processes and tell where they are
+    #[argh(switch)]
+    keep_logs: bool,
+}
+
+/// Threads of the stand-ins and callers.
+const THREADS: usize = 4;
+
+fn main() -> anyhow::Result<()> {
+    let args: BurstArgs = argh::from_env();
+    let source = args.scenario.display().to_string();
+    let text = std::fs::read_to_string(&args.scenario)
+        .with_context(|| format!("{source}: cannot be read"))?;
+    let scenario: BurstScenario = parse_settings(&source, &text)?;
+    let options = BurstOptions {
+        seed: args.seed,
+        keep_logs: args.keep_logs,
+        progress: true,
+        plot: args.plot,
+    };
+    let report = cassiawheel_runtime::run(THREADS, until_stopped(&scenario, &options))??;
+    print!("{report}");
+    if args.json {
+        println!("{}", serde_json::to_string(&report)?);
+    }
+    let broken = report.counts.broken();
+    anyhow::ensure!(broken.is_empty(), "invariants are broken: {broken:?}");
+    Ok(())
+}
+
+/// Runs the scenario. When this process is asked to stop, the run is dropped,
+/// and with it the processes that it started; otherwise they would live on.
+async fn until_stopped(
+    scenario: &BurstScenario,
+    options: &BurstOptions,
+) -> anyhow::Result<BurstReport> {
+    let mut signals = TerminationSignals::listen()?;
+    let run = pin!(run_burst(scenario, options));
+    match select(run, pin!(signals.asked())).await {
+        Either::Left((report, _)) => report,
+        Either::Right(_) => anyhow::bail!("stopped before the end"),
+    }
+}
