Hold each entry to a budget of table calls; show health, progress and who is behind

Cause: a loop in one entry could use up the table service's rate for all, polls went on at full rate through an outage, and operators saw neither how a staging went nor who had not adopted a change.

Change: the table service behind a budget of reads and of writes that counts every call; polls wait up to eight times their interval while calls fail. Status names the processes that are behind, the preset staged ahead, progress and forecast against ready_by, and the store's health.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -6,10 +6,12 @@
 
 pub mod advice;
 pub mod affinity;
+pub mod budget;
 pub mod cell;
 pub mod change;
 pub mod claim;
 pub mod fencing;
+pub mod forecast;
 pub mod gate;
 pub mod holder;
 pub mod identity;
--- a/crates/entry/src/admin.rs
+++ b/crates/entry/src/admin.rs
@@ -4,6 +4,7 @@
 //! even which paths there are.
 
 mod auth;
+pub(crate) mod progress;
 mod reply;
 mod status;
 
--- a/crates/entry/src/admin/status.rs
+++ b/crates/entry/src/admin/status.rs
@@ -1,14 +1,15 @@
 //! What operators see.
 
-use std::{collections::BTreeMap, sync::atomic::Ordering};
+use std::collections::BTreeMap;
 
 use cassiawheel_model::{
     EndpointReport, EndpointState, InstanceId, ModelVersion, PresetName, PresetRevision,
-    ServiceName, Timestamp, record,
+    ServiceName, ServiceTarget, Timestamp, record,
 };
 use macro_rules_attribute::apply;
 
-use crate::shared::EntryShared;
+use super::progress::{StageProgress, stage_progress};
+use crate::{control::store::StoreHealth, shared::EntryShared};
 
 /// Reply to `GET /v1/status`.
 #[apply(record!)]
@@ -23,8 +24,25 @@
     pub(crate) services: BTreeMap<ServiceName, ServiceStatus>,
     /// Endpoints that this entry knows.
     pub(crate) endpoints: Vec<EndpointStatus>,
+    /// Entries and endpoints that have not adopted the revision yet.
+    pub(crate) behind: Vec<InstanceId>,
+    /// The preset that is staged ahead, if there is one.
+    pub(crate) ahead: Option<AheadStatus>,
     /// Milliseconds since the table service last answered; none if it never did.
     pub(crate) store_age_ms: Option<u64>,
+    /// How the table service has answered lately.
+    pub(crate) store: StoreHealth,
+}
+
+/// A preset that is staged ahead.
+#[apply(record!)]
+pub(crate) struct AheadStatus {
+    /// The preset.
+    pub(crate) preset: PresetName,
+    /// When it was staged.
+    pub(crate) staged_at: Timestamp,
+    /// Progress of its model services.
+    pub(crate) services: BTreeMap<ServiceName, StageProgress>,
 }
 
 /// One service.
@@ -36,6 +54,8 @@
     pub(crate) replicas_wanted: u32,
     /// Replicas that serve the wanted version.
     pub(crate) replicas_ready: u32,
+    /// Progress towards the version; none for plain services.
+    pub(crate) progress: Option<StageProgress>,
 }
 
 /// One endpoint.
@@ -59,27 +79,69 @@
                 && !endpoint.leaving
                 && serves(&endpoint.report, target.version.as_ref())
         });
+        let replicas_ready = ready.count() as u32;
         let status = ServiceStatus {
             version: target.version.clone(),
             replicas_wanted: target.replicas,
-            replicas_ready: ready.count() as u32,
+            replicas_ready,
+            progress: progress_of(shared, name, target, &endpoints),
         };
         services.insert(name.clone(), status);
     }
     let mut entries: BTreeMap<_, _> =
         shared.peers().iter().map(|(name, peer)| (name.clone(), peer.revision)).collect();
     entries.insert(shared.settings.place.instance.clone(), revision);
-    let read_at = shared.store_read_at.load(Ordering::Relaxed);
+    let store = shared.store.health().clone();
+    let answered_at = store.answered_at;
     StatusReply {
         preset: force.map(|preset| preset.preset.clone()),
         revision,
+        behind: behind(revision, &entries, &endpoints),
+        ahead: ahead_status(shared, &endpoints),
         entries,
         services,
         endpoints,
-        store_age_ms: (read_at > 0).then(|| Timestamp::now().0.saturating_sub(read_at)),
+        store_age_ms: answered_at.map(|at| Timestamp::now().0.saturating_sub(at.0)),
+        store,
     }
 }
 
+fn behind(
+    revision: PresetRevision,
+    entries: &BTreeMap<InstanceId, PresetRevision>,
+    endpoints: &[EndpointStatus],
+) -> Vec<InstanceId> {
+    let entries = entries.iter().map(|(instance, known)| (instance, *known));
+    let endpoints =
+        endpoints.iter().map(|endpoint| (&endpoint.report.instance, endpoint.report.revision));
+    let older = entries.chain(endpoints).filter(|(_, known)| *known < revision);
+    older.map(|(instance, _)| instance.clone()).collect()
+}
+
+fn ahead_status(shared: &EntryShared, endpoints: &[EndpointStatus]) -> Option<AheadStatus> {
+    let ahead = shared.ahead.load_full()?;
+    let services = ahead.content.services.iter().filter_map(|(name, target)| {
+        Some((name.clone(), progress_of(shared, name, target, endpoints)?))
+    });
+    let (preset, staged_at) = (ahead.preset.clone(), ahead.staged_at);
+    Some(AheadStatus { preset, staged_at, services: services.collect() })
+}
+
+fn progress_of(
+    shared: &EntryShared,
+    service: &ServiceName,
+    target: &ServiceTarget,
+    endpoints: &[EndpointStatus],
+) -> Option<StageProgress> {
+    let reports: Vec<_> = endpoints
+        .iter()
+        .filter(|endpoint| endpoint.report.service == *service && !endpoint.leaving)
+        .map(|endpoint| &endpoint.report)
+        .collect();
+    let mut marks = shared.progress.lock().unwrap_or_else(|poison| poison.into_inner());
+    stage_progress(&mut marks, service, target, &reports, Timestamp::now())
+}
+
 fn endpoint_statuses(shared: &EntryShared) -> Vec<EndpointStatus> {
     let roster = shared.roster();
     roster
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -7,3 +7,4 @@
 pub(crate) mod orders;
 pub(crate) mod poll;
 pub(crate) mod spread;
+pub(crate) mod store;
--- a/crates/entry/src/control/ahead.rs
+++ b/crates/entry/src/control/ahead.rs
@@ -35,7 +35,6 @@
     operator: &OperatorName,
 ) -> Result<Arc<StagedPreset>, PresetError> {
     let table = shared.table.as_ref();
-    shared.metrics.store_reads.inc_by(2);
     let content = get_preset(table, name).await?;
     let staged = Arc::new(StagedPreset {
         preset: name.clone(),
@@ -43,23 +42,18 @@
         operator: operator.clone(),
         staged_at: Timestamp::now(),
     });
-    write_row(shared, table, &staged).await?;
+    write_row(table, &staged).await?;
     log::info!(target: "preset", preset:% = name, operator:% = operator; "A preset is to be staged.");
     take(shared, Some(staged.clone()));
     Ok(staged)
 }
 
-async fn write_row(
-    shared: &EntryShared,
-    table: &dyn TableStore,
-    staged: &StagedPreset,
-) -> Result<(), PresetError> {
+async fn write_row(table: &dyn TableStore, staged: &StagedPreset) -> Result<(), PresetError> {
     let guard = match table.read(AHEAD_ROW).await? {
         Some(row) => TableGuard::Revision(row.revision),
         None => TableGuard::Absent,
     };
     let write = TableWrite { key: AHEAD_ROW.to_owned(), guard, value: to_value(staged)? };
-    shared.metrics.store_writes.inc();
     match table.write(&[write], true).await?.pop() {
         Some(WriteVerdict::Written(_)) => Ok(()),
         _ => Err(PresetError::Conflict),
--- a/crates/entry/src/control/change.rs
+++ b/crates/entry/src/control/change.rs
@@ -197,7 +197,6 @@
 }
 
 async fn find_record(shared: &EntryShared, change: &ChangeId) -> Result<ChangeAnswer, PresetError> {
-    shared.metrics.store_reads.inc();
     match shared.table.read(&change_id_row(change)).await {
         Ok(row) => Ok(ChangeAnswer::Record(row.map(parse_record).transpose()?)),
         Err(error) => Ok(failed(error)),
@@ -205,7 +204,6 @@
 }
 
 async fn read_preset(shared: &EntryShared, name: &PresetName) -> Result<ChangeAnswer, PresetError> {
-    shared.metrics.store_reads.inc();
     match get_preset(shared.table.as_ref(), name).await {
         Ok(content) => Ok(ChangeAnswer::Preset(content)),
         Err(PresetError::Store(error)) => Ok(failed(error)),
@@ -214,7 +212,6 @@
 }
 
 async fn find_force(shared: &EntryShared) -> ChangeAnswer {
-    shared.metrics.store_reads.inc();
     match read_force(shared.table.as_ref()).await {
         Ok(row) => ChangeAnswer::Force(row),
         Err(error) => failed(error),
@@ -235,7 +232,6 @@
         new_row(change_id_row(&preset.change), record),
         new_row(change_row(preset.revision), value),
     ];
-    shared.metrics.store_writes.inc();
     match shared.table.write(&writes, true).await {
         Ok(verdicts) => verdict_answer(&verdicts),
         Err(error) => Ok(failed(error)),
@@ -249,7 +245,6 @@
 ) -> Result<ChangeAnswer, PresetError> {
     let key = change_id_row(change);
     let write = TableWrite { key, guard: TableGuard::Absent, value: to_value(record)? };
-    shared.metrics.store_writes.inc();
     match shared.table.write(&[write], true).await {
         Ok(verdicts) => verdict_answer(&verdicts),
         Err(error) => Ok(failed(error)),
--- a/crates/entry/src/control/poll.rs
+++ b/crates/entry/src/control/poll.rs
@@ -1,12 +1,9 @@
 //! Reading the preset in force from the table service.
 
-use std::{
-    sync::{Arc, atomic::Ordering},
-    time::Duration,
-};
+use std::{sync::Arc, time::Duration};
 
-use cassiawheel_decide::ForceRow;
-use cassiawheel_model::{PresetRevision, Timestamp};
+use cassiawheel_decide::{ForceRow, budget::poll_wait_ms};
+use cassiawheel_model::PresetRevision;
 use cassiawheel_platform::{StoreError, TableRow, TableStore};
 use rand::Rng;
 use smol::Timer;
@@ -51,11 +48,11 @@
 
 /// Reads the preset in force again and again.
 pub(crate) async fn poll_force(shared: Arc<EntryShared>) {
+    let mut failures = 0;
     loop {
-        shared.metrics.store_reads.inc();
         match read_rows(shared.table.as_ref()).await {
             Ok(found) => {
-                shared.store_read_at.store(Timestamp::now().0, Ordering::Relaxed);
+                failures = 0;
                 ahead::take_row(&shared, found.ahead);
                 if let Some(row) = found.force {
                     warn_of_older(&shared, row.preset.revision);
@@ -63,14 +60,15 @@
                 }
             }
             Err(error) => {
-                shared.metrics.store_failures.inc();
+                failures += 1;
                 let revision = shared.force.load().as_ref().map(|p| p.revision).unwrap_or_default();
                 let PresetRevision(revision) = revision;
                 log::warn!(target: "preset", revision = revision, cause:% = error; "The table service cannot be read.");
             }
         }
         shared.start_hold().heard(shared.settings.platform.table);
-        Timer::after(jittered(shared.settings.control.poll_ms)).await;
+        let wait_ms = poll_wait_ms(shared.settings.control.poll_ms, failures);
+        Timer::after(jittered(wait_ms)).await;
     }
 }
 
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -22,7 +22,8 @@
 use cassiawheel_wire::WireSender;
 
 use crate::{
-    control::{ahead::StagedPreset, spread},
+    admin::progress::ProgressMarks,
+    control::{ahead::StagedPreset, spread, store::BudgetedTable},
     link::AgentLink,
     metrics::EntryMetrics,
 };
@@ -52,8 +53,10 @@
     pub(crate) ahead: ArcSwapOption<StagedPreset>,
     /// Whether the plan lags behind the reports or the preset.
     pub(crate) plan_stale: AtomicBool,
-    /// When the table service last answered, as a timestamp's number.
-    pub(crate) store_read_at: AtomicU64,
+    /// The table service with its health; the same as `table`.
+    pub(crate) store: Arc<BudgetedTable>,
+    /// Progress of services towards their versions, for forecasts.
+    pub(crate) progress: Mutex<ProgressMarks>,
     /// Retries that this entry may make.
     pub(crate) retries: RetryBudget,
     /// Requests of callers in progress.
@@ -81,10 +84,11 @@
         let now = Timestamp::now();
         let mut sources = spread::chosen_peers(&settings);
         sources.push(settings.platform.table);
+        let store = Arc::new(BudgetedTable::new(table, &settings.control, &metrics));
         Self {
             settings,
             incarnation: now.0,
-            table,
+            table: store.clone(),
             origin,
             metrics,
             routes: ArcSwap::default(),
@@ -92,7 +96,8 @@
             force: ArcSwapOption::empty(),
             ahead: ArcSwapOption::empty(),
             plan_stale: AtomicBool::new(false),
-            store_read_at: AtomicU64::new(0),
+            store,
+            progress: Mutex::default(),
             retries: RetryBudget::default(),
             in_flight: AtomicU32::new(0),
             leaving: AtomicBool::new(false),
--- a/crates/model/src/settings/entry.rs
+++ b/crates/model/src/settings/entry.rs
@@ -166,11 +166,22 @@
     pub lease_ms: u64,
     /// Longest graceful shutdown, in milliseconds.
     pub drain_ms: u64,
+    /// Most reads of the table service in a second, polls included.
+    pub store_reads_per_s: u32,
+    /// Most writes to the table service in a second.
+    pub store_writes_per_s: u32,
 }
 
 impl Default for ControlSettings {
     fn default() -> Self {
-        Self { poll_ms: 1_000, heartbeat_timeout_ms: 1_500, lease_ms: 3_000, drain_ms: 30_000 }
+        Self {
+            poll_ms: 1_000,
+            heartbeat_timeout_ms: 1_500,
+            lease_ms: 3_000,
+            drain_ms: 30_000,
+            store_reads_per_s: 50,
+            store_writes_per_s: 20,
+        }
     }
 }
 
@@ -315,6 +326,16 @@
 impl ControlSettings {
     fn check(&self, findings: &mut FindingList) {
         check_millis(findings, "control.poll_ms", self.poll_ms, 50..=10_000);
+        findings.require(
+            self.store_reads_per_s > 0,
+            "control.store_reads_per_s",
+            "must be at least 1",
+        );
+        findings.require(
+            self.store_writes_per_s > 0,
+            "control.store_writes_per_s",
+            "must be at least 1",
+        );
         findings.require(
             self.lease_ms >= 2 * self.poll_ms,
             "control.lease_ms",
