--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod deployment;
 pub mod fault;
 pub mod processes;
+pub mod samples;
 pub mod stand_in;
 pub mod traffic;
 pub mod weights;
