--- a/crates/testkit/src/burst/report.rs
+++ b/crates/testkit/src/burst/report.rs
@@ -7,7 +7,7 @@
 
 use super::{
     figures::{CallFigures, LatencyFigures},
-    verdicts::VerdictCounts,
+    verdicts::{KindCounts, VerdictCounts},
 };
 
 /// Everything that a run tells.
@@ -73,6 +73,14 @@
         ] {
             writeln!(f, "  {name:<24}{value:>10}")?;
         }
+        for (kind, last) in &counts.by_kind {
+            let KindCounts { requests, complete, not_run, unknown } = last;
+            let name = format!("{kind:?} requests").to_lowercase();
+            writeln!(
+                f,
+                "  {name:<24}{requests:>10}: {complete} complete, {not_run} not run, {unknown} unknown"
+            )?;
+        }
         writeln!(f, "  {:<24}{:>7}/{}", "replicas", self.replicas_ready, self.replicas_wanted)?;
         let optional = |value: Option<f64>| value.map_or("-".to_owned(), |v| format!("{v:.2}"));
         for (name, value) in [
--- a/crates/testkit/src/burst/verdicts.rs
+++ b/crates/testkit/src/burst/verdicts.rs
@@ -29,6 +29,20 @@
     pub converge: Duration,
 }
 
+/// Last words to the requests of one kind.
+#[apply(record!)]
+#[derive(Default)]
+pub struct KindCounts {
+    /// Requests that arrived.
+    pub requests: u64,
+    /// Those with a whole answer.
+    pub complete: u64,
+    /// Those told that they were not run.
+    pub not_run: u64,
+    /// Those told that they may have run.
+    pub unknown: u64,
+}
+
 /// What was counted.
 #[apply(record!)]
 #[derive(Default)]
@@ -67,6 +81,8 @@
     pub deadline_cuts: u64,
     /// Keyed asks told not-run after an earlier ask with the key had run; no invariant.
     pub refused_after_run: u64,
+    /// Last words by kind.
+    pub by_kind: BTreeMap<CallKind, KindCounts>,
 }
 
 impl VerdictCounts {
@@ -99,6 +115,11 @@
             count_ask(&mut counts, records, &index, request, ask);
         }
     }
+    let sum = |of: fn(&KindCounts) -> u64| counts.by_kind.values().map(of).sum();
+    counts.requests = sum(|kind| kind.requests);
+    counts.complete = sum(|kind| kind.complete);
+    counts.not_run = sum(|kind| kind.not_run);
+    counts.unknown = sum(|kind| kind.unknown);
     counts.doubles = count_doubles(records, &index);
     counts.late_after_leave = count_late(records, limits.leave);
     counts.reverts = count_reverts(records);
@@ -138,11 +159,12 @@
 }
 
 fn count_outcome(counts: &mut VerdictCounts, request: &RequestRecord) {
-    counts.requests += 1;
+    let kind = counts.by_kind.entry(request.kind).or_default();
+    kind.requests += 1;
     match request.asks.last().map(|ask| ask.told) {
-        Some(ToldOutcome::Complete) => counts.complete += 1,
-        Some(ToldOutcome::NotRun | ToldOutcome::NotSent) | None => counts.not_run += 1,
-        Some(ToldOutcome::Unknown | ToldOutcome::Cut) => counts.unknown += 1,
+        Some(ToldOutcome::Complete) => kind.complete += 1,
+        Some(ToldOutcome::NotRun | ToldOutcome::NotSent) | None => kind.not_run += 1,
+        Some(ToldOutcome::Unknown | ToldOutcome::Cut) => kind.unknown += 1,
     }
 }
 
