--- a/crates/agent/src/serve.rs
+++ b/crates/agent/src/serve.rs
@@ -6,10 +6,8 @@
 use cassiawheel_decide::rank::{first_ranked, subject_of};
 use cassiawheel_model::{Timestamp, settings::AgentSettings};
 use cassiawheel_platform::{HttpClient, HttpEngine, HttpTable, HttpWeights};
-use cassiawheel_runtime::{
-    ShutdownTrigger, probes::serve_probes, shutdown::termination, spawn, timeout,
-};
-use cassiawheel_wire::{ControlMessage, traffic::TRAFFIC};
+use cassiawheel_runtime::{ShutdownTrigger, TerminationSignals, probes::serve_probes, spawn};
+use cassiawheel_wire::traffic::TRAFFIC;
 use prometheus::Registry;
 use smol::net::TcpListener;
 
@@ -20,8 +18,14 @@
 /// Time for the last answers to leave the sockets.
 const LINGER: Duration = Duration::from_millis(200);
 
+/// Longest wait for an answer of the origin.
+const ORIGIN_TIME: Duration = Duration::from_secs(60);
+
 /// Runs until the process is asked to stop; then drains.
 pub(crate) async fn serve(settings: AgentSettings) -> anyhow::Result<()> {
+    let mut signals = TerminationSignals::listen()?;
+    // Both addresses are taken before anything else begins: an agent that
+    // finds one in use ends without having spoken to an entry or its engine.
     let inner = bind(settings.listen_inner, "listen_inner").await?;
     let metrics_listener = bind(settings.listen_metrics, "listen_metrics").await?;
     let registry = Registry::new();
@@ -41,10 +45,13 @@
     spawn(report::report_regularly(shared.clone())).detach();
     log::info!(target: "process", instance:% = shared.settings.place.instance, inner:% = shared.settings.listen_inner; "The agent runs.");
 
-    termination().await?;
-    drain(&shared).await;
+    signals.asked().await;
+    let deadline = Timestamp::now().deadline_after(Duration::from_millis(shared.settings.drain_ms));
+    let end = signals.finish(deadline, drain(&shared)).await;
     trigger.fire();
-    Ok(())
+    let left = shared.open_attempts();
+    log::info!(target: "drain", in_progress = left; "The agent ends.");
+    end.into_result(left)
 }
 
 fn build_shared(settings: AgentSettings, metrics: AgentMetrics) -> EndpointShared {
@@ -53,8 +60,8 @@
     let span = Duration::from_millis(platform.timeout_ms);
     let engine = Arc::new(HttpEngine::new(client.clone(), settings.engine.addr));
     let table = Arc::new(HttpTable::new(client.clone(), platform.table, span));
-    let stall = Duration::from_millis(settings.transfer.stall_ms).max(span);
-    let origin = Arc::new(HttpWeights::new(client, platform.origin, stall));
+    // Every fetch has a deadline of its own, which grows with the origin's queue.
+    let origin = Arc::new(HttpWeights::new(client, platform.origin, ORIGIN_TIME));
     EndpointShared::new(settings, engine, table, origin, metrics)
 }
 
@@ -63,7 +70,7 @@
 }
 
 /// The entries to dial: the same choice after every restart, spread over the agents.
-fn chosen_entries(settings: &AgentSettings) -> Vec<std::net::SocketAddr> {
+pub(crate) fn chosen_entries(settings: &AgentSettings) -> Vec<std::net::SocketAddr> {
     let names: Vec<_> = settings.entries.iter().map(ToString::to_string).collect();
     let subject = subject_of(settings.place.instance.as_str());
     first_ranked(subject, names.iter().map(String::as_str), settings.entry_links)
@@ -74,19 +81,9 @@
 
 /// Admits nothing more, tells the entries, and finishes the requests in progress.
 async fn drain(shared: &EndpointShared) {
-    let deadline = Timestamp::now().deadline_after(Duration::from_millis(shared.settings.drain_ms));
-    shared.gate().drain();
-    let instance = shared.settings.place.instance.clone();
-    log::info!(target: "drain", in_progress = shared.gate().in_progress(); "The agent leaves.");
-    let entries = shared.entries().clone();
-    for entry in &entries {
-        let _ = entry.try_send(ControlMessage::Leaving { instance: instance.clone() });
-    }
-    report::send_report(shared);
-    while shared.gate().in_progress() > 0 && !deadline.is_past(Timestamp::now()) {
-        timeout(deadline.remaining(Timestamp::now()), shared.permit_released()).await;
+    entry_link::leave(shared);
+    while shared.open_attempts() > 0 {
+        shared.permit_released().await;
     }
     smol::Timer::after(LINGER).await;
-    let left = shared.gate().in_progress();
-    log::info!(target: "drain", in_progress = left; "The agent ends.");
 }
--- a/crates/agent/src/transfer/serve.rs
+++ b/crates/agent/src/transfer/serve.rs
@@ -1,12 +1,11 @@
 //! Serving chunks to other agents.
 
-use std::{pin::pin, sync::Arc};
+use std::sync::Arc;
 
 use bytes::Bytes;
 use cassiawheel_model::ManifestDigest;
-use cassiawheel_runtime::{ShutdownSignal, spawn};
+use cassiawheel_runtime::{ShutdownSignal, listener::accept_connections, spawn};
 use cassiawheel_wire::{ChunkMessage, WireMessage, WireSender, accept, message::ChunkRefusal};
-use futures_util::future::{Either, select};
 use smol::net::{TcpListener, TcpStream};
 
 use crate::endpoint::EndpointShared;
@@ -17,17 +16,11 @@
     listener: TcpListener,
     shutdown: ShutdownSignal,
 ) {
-    loop {
-        match select(pin!(listener.accept()), pin!(shutdown.wait())).await {
-            Either::Left((Ok((stream, _)), _)) => {
-                spawn(serve_peer(shared.clone(), stream)).detach();
-            }
-            Either::Left((Err(error), _)) => {
-                log::warn!(target: "transfer", cause:% = error; "Cannot accept a peer.");
-            }
-            Either::Right(_) => return,
-        }
-    }
+    let connections = shared.settings.inner_connections;
+    accept_connections(listener, connections, shutdown, move |stream, _| {
+        serve_peer(shared.clone(), stream)
+    })
+    .await;
 }
 
 async fn serve_peer(shared: Arc<EndpointShared>, stream: TcpStream) {
@@ -73,6 +66,8 @@
         }
         ChunkMessage::Held { .. }
         | ChunkMessage::Gained { .. }
+        | ChunkMessage::Drawing { .. }
+        | ChunkMessage::ToldAll
         | ChunkMessage::Manifest(_)
         | ChunkMessage::Bytes { .. }
         | ChunkMessage::Refused { .. } => {}
@@ -87,14 +82,23 @@
     let Some(_slot) = shared.transfer.upload_slots.try_acquire() else {
         return Err(ChunkRefusal::Busy);
     };
-    let cached = shared.transfer.find(manifest, index).ok_or(ChunkRefusal::NotHeld)?;
-    let bytes = match cached {
-        Some(bytes) => bytes,
-        None => {
-            shared.engine.read_chunk(manifest, index).await.map_err(|_| ChunkRefusal::NotHeld)?
-        }
-    };
-    shared.transfer.upload.pass(bytes.len()).await;
+    let length = shared.transfer.held_bytes(manifest, index).ok_or(ChunkRefusal::NotHeld)?;
+    // The bytes are read only once the link is free, so that waiting requests
+    // hold no memory.
+    shared.transfer.upload.pass(length).await;
+    let bytes = read_held(shared, manifest, index).await.ok_or(ChunkRefusal::NotHeld)?;
     shared.metrics.sent_bytes.inc_by(bytes.len() as u64);
     Ok(bytes)
 }
+
+/// The bytes of a held chunk, from memory or read back from the engine's staging.
+pub(super) async fn read_held(
+    shared: &EndpointShared,
+    manifest: ManifestDigest,
+    index: usize,
+) -> Option<Bytes> {
+    match shared.transfer.find(manifest, index)? {
+        Some(bytes) => Some(bytes),
+        None => shared.engine.read_chunk(manifest, index).await.ok(),
+    }
+}
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -5,10 +5,12 @@
 //! runs in the processes, in seeded histories and in benches.
 
 pub mod advice;
+pub mod change;
 pub mod claim;
 pub mod gate;
 pub mod holder;
 pub mod identity;
+pub mod latch;
 pub mod plan;
 pub mod rank;
 pub mod retry;
@@ -17,10 +19,14 @@
 pub mod select;
 
 pub use advice::{AdviceInput, EntryAdvice, advise};
-pub use claim::{ClaimRecord, ClaimStep, ClaimView};
+pub use change::{
+    ChangeAnswer, ChangeRecord, ChangeRequest, ChangeStep, ChangeVerdict, ChangeWriter, ForceRow,
+};
+pub use claim::{ClaimRecord, ClaimState, ClaimStep, ClaimTracker, ClaimView};
 pub use gate::{GateState, SwitchError};
-pub use holder::{Adoption, PresetHolder};
-pub use retry::{AttemptEnd, RetryStep, RetryTracker};
-pub use roster::EndpointRoster;
+pub use holder::{Adoption, PresetHolder, StartHold};
+pub use latch::RunLatch;
+pub use retry::{AttemptEnd, RepeatGuard, RetryBudget, RetryStep, RetryTracker};
+pub use roster::{EndpointRoster, EntryRoster, PeerEntry};
 pub use route::{RouteCandidate, RouteChoice, RouteSnapshot};
-pub use select::{ChunkPicker, ChunkSource, FetchOrder, PickerSettings};
+pub use select::{ChunkBits, ChunkPicker, ChunkSource, FetchOrder, PickerSettings};
--- a/crates/testkit/examples/burst.rs
+++ b/crates/testkit/examples/burst.rs
@@ -5,7 +5,7 @@
 use anyhow::Context;
 use argh::FromArgs;
 use cassiawheel_model::settings::parse_settings;
-use cassiawheel_runtime::shutdown::termination;
+use cassiawheel_runtime::shutdown::TerminationSignals;
 use cassiawheel_testkit::burst::{BurstOptions, BurstReport, BurstScenario, run_burst};
 use futures_util::future::{Either, select};
 
@@ -60,8 +60,9 @@
     scenario: &BurstScenario,
     options: &BurstOptions,
 ) -> anyhow::Result<BurstReport> {
+    let mut signals = TerminationSignals::listen()?;
     let run = pin!(run_burst(scenario, options));
-    match select(run, pin!(termination())).await {
+    match select(run, pin!(signals.asked())).await {
         Either::Left((report, _)) => report,
         Either::Right(_) => anyhow::bail!("stopped before the end"),
     }
--- a/crates/testkit/src/stand_in/plain.rs
+++ b/crates/testkit/src/stand_in/plain.rs
@@ -5,13 +5,19 @@
 
 use std::{
     net::SocketAddr,
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU32, Ordering},
+    },
     time::Duration,
 };
 
-use cassiawheel_model::Timestamp;
-use cassiawheel_platform::engine_http::{KEY_HEADER, REQUEST_HEADER};
-use cassiawheel_runtime::http::{ReplyBody, error_reply, full_body, read_body};
+use cassiawheel_model::{LoadReport, Timestamp};
+use cassiawheel_platform::{
+    EngineStatus,
+    engine_http::{KEY_HEADER, REQUEST_HEADER},
+};
+use cassiawheel_runtime::http::{ReplyBody, error_reply, full_body, json_reply, read_body};
 use hyper::{Request, Response, StatusCode, body::Incoming};
 
 use super::{RunningStandIn, start};
@@ -20,7 +26,7 @@
 /// Largest call, in bytes.
 const MAX_BODY_BYTES: usize = 1 << 20;
 
-/// Where a model engine tells its load; a plain service has no such page.
+/// Path at which agents ask for the load.
 const STATUS_PATH: &str = "/v1/engine/status";
 
 /// One call that was carried out.
@@ -40,6 +46,7 @@
 #[derive(Debug, Default)]
 pub struct PlainLedger {
     calls: Mutex<Vec<CarriedCall>>,
+    in_flight: AtomicU32,
     work: Duration,
 }
 
@@ -68,11 +75,20 @@
         self.calls.lock().unwrap_or_else(|poison| poison.into_inner()).clone()
     }
 
+    /// Its load, which it tells like a model engine but without a version.
+    fn status(&self) -> EngineStatus {
+        let load = LoadReport {
+            in_flight: self.in_flight.load(Ordering::Relaxed),
+            queued: 0,
+            measured_at: Timestamp::now(),
+        };
+        EngineStatus { version: None, manifest: None, fencing: 0, staged: Vec::new(), load }
+    }
+
     async fn handle(&self, request: Request<Incoming>) -> Response<ReplyBody> {
         let (head, body) = request.into_parts();
-        // The agent's look at the load is no call of a caller.
         if head.uri.path() == STATUS_PATH {
-            return error_reply(StatusCode::NOT_FOUND, "not-found", STATUS_PATH);
+            return json_reply(StatusCode::OK, &self.status());
         }
         let Ok(body) = read_body(body, MAX_BODY_BYTES).await else {
             return error_reply(StatusCode::BAD_REQUEST, "body", "the body cannot be read");
@@ -88,9 +104,28 @@
         };
         let answer = format!("done {} ", String::from_utf8_lossy(&call.body));
         self.calls.lock().unwrap_or_else(|poison| poison.into_inner()).push(call);
+        let _running = RunningCall::begin(&self.in_flight);
         if !self.work.is_zero() {
             smol::Timer::after(self.work).await;
         }
         Response::new(full_body(answer))
     }
 }
+
+/// A call in progress; counts as load until it is dropped.
+struct RunningCall<'a> {
+    in_flight: &'a AtomicU32,
+}
+
+impl<'a> RunningCall<'a> {
+    fn begin(in_flight: &'a AtomicU32) -> Self {
+        in_flight.fetch_add(1, Ordering::Relaxed);
+        Self { in_flight }
+    }
+}
+
+impl Drop for RunningCall<'_> {
+    fn drop(&mut self) {
+        self.in_flight.fetch_sub(1, Ordering::Relaxed);
+    }
+}
