--- a/crates/testkit/src/burst/scenario.rs
+++ b/crates/testkit/src/burst/scenario.rs
@@ -271,12 +271,39 @@
     }
 }
 
-/// A valid scenario in which every key is present.
-const EXAMPLE: &str = include_str!("example.json");
-
 impl CheckedSettings for BurstScenario {
     fn example() -> Self {
-        serde_json::from_str(EXAMPLE).expect("the example is valid")
+        Self {
+            name: "example".to_owned(),
+            entries: 1,
+            model_replicas: 1,
+            app_replicas: 1,
+            web_services: 1,
+            failure_domains: 1,
+            model_bytes: 1 << 20,
+            chunk_bytes: 1 << 16,
+            origin_copies_per_window: 4.0,
+            link_copies_per_window: 2.0,
+            window_s: 1.0,
+            transfer_mode: TransferMode::Bytes,
+            origin_copies: default_origin_copies(),
+            duration_s: 1.0,
+            arrivals: ArrivalPlan::example(),
+            presets: vec![PresetChange {
+                at_s: 0.0,
+                entry: 0,
+                name: PresetName::example(),
+                version: ModelVersion::example(),
+                replicas: 1,
+            }],
+            faults: vec![FaultPlan {
+                at_s: 0.0,
+                kind: FaultKind::Kill,
+                target: "entry-0".to_owned(),
+                for_s: 1.0,
+            }],
+            limits: LimitPlan::default(),
+        }
     }
 
     fn check(&self, findings: &mut FindingList) {
@@ -406,6 +433,19 @@
 }
 
 impl ArrivalPlan {
+    fn example() -> Self {
+        Self {
+            curve: vec![RateStep { from_s: 0.0, rps: 1.0 }],
+            burst: Some(RateBurst { at_s: 0.0, for_s: 1.0, rps: 1.0 }),
+            mix: CallMix { generate: 1.0, read: 0.0, keyed: 0.0, unkeyed: 0.0 },
+            workspaces: vec![WorkspaceShare { name: WorkspaceId::example(), share: 1.0 }],
+            tokens: 1,
+            token_ms: 1,
+            deadline_ms: 1_000,
+            callers: default_callers(),
+        }
+    }
+
     fn check(&self, duration_s: f64, findings: &mut FindingList) {
         findings.require(!self.curve.is_empty(), "arrivals.curve", "must have at least one step");
         let mut previous = None;
