--- a/crates/testkit/src/samples.rs
+++ b/crates/testkit/src/samples.rs
@@ -34,7 +34,9 @@
         }),
         load: LoadReport { in_flight: 17, queued: 3, measured_at: NOW },
         revision: PresetRevision(15_000),
-        order: 15_000,
+        order: 15_000 << 20,
+        ordered: Some(ManifestDigest::of(b"sample")),
+        engine_fencing: (14_999 << 20) + 1,
         limit: 32,
     };
     Ok(WireMessage::Control(ControlMessage::Report(Box::new(report))))
