--- a/crates/decide/src/roster.rs
+++ b/crates/decide/src/roster.rs
@@ -49,6 +49,8 @@
     pub incarnation: u64,
     /// The highest revision that it has adopted.
     pub revision: PresetRevision,
+    /// Whether it has what it needs to serve callers.
+    pub advised: bool,
     /// When it was last heard.
     pub heard_at: Timestamp,
 }
@@ -166,7 +168,7 @@
         if peer.advice.leaving {
             self.marks.note(instance, peer.incarnation, peer.heard_at);
         }
-        peer.advice.leaving = self.marks.has(instance, peer.incarnation);
+        peer.advice.leaving = !peer.advised || self.marks.has(instance, peer.incarnation);
         self.peers.insert(instance.clone(), peer);
     }
 
@@ -201,7 +203,7 @@
 
     fn refresh(&mut self) {
         for (instance, peer) in &mut self.peers {
-            peer.advice.leaving = self.marks.has(instance, peer.incarnation);
+            peer.advice.leaving = !peer.advised || self.marks.has(instance, peer.incarnation);
         }
     }
 }
--- a/crates/decide/tests/roster.rs
+++ b/crates/decide/tests/roster.rs
@@ -179,7 +179,7 @@
     let failure_domain = FailureDomain::new("domain").expect("valid");
     let advice = AdviceInput { caller_addr: addr(), failure_domain, in_flight: 0, leaving };
     let heard_at = Timestamp(heard_at);
-    PeerEntry { advice, incarnation, revision: PresetRevision(1), heard_at }
+    PeerEntry { advice, incarnation, revision: PresetRevision(1), advised: true, heard_at }
 }
 
 fn is_advised(roster: &EntryRoster) -> bool {
@@ -209,3 +209,14 @@
     roster.hear(&instance(0), peer(1, true, 10));
     assert!(!is_advised(&roster));
 }
+
+/// An entry has started and knows no preset yet. Callers that were sent there
+/// would be refused.
+#[test]
+fn an_entry_that_is_not_ready_is_not_advised() {
+    let mut roster = EntryRoster::default();
+    roster.hear(&instance(0), PeerEntry { advised: false, ..peer(1, false, 10) });
+    assert!(!is_advised(&roster));
+    roster.hear(&instance(0), peer(1, false, 20));
+    assert!(is_advised(&roster));
+}
--- a/crates/entry/src/caller.rs
+++ b/crates/entry/src/caller.rs
@@ -61,7 +61,7 @@
         caller_addr: settings.listen.caller,
         failure_domain: settings.place.failure_domain.clone(),
         in_flight: shared.in_flight.load(Ordering::Relaxed),
-        leaving: shared.leaving.load(Ordering::Acquire),
+        leaving: shared.leaving.load(Ordering::Acquire) || !shared.is_advised(),
     };
     let mut entries = vec![own];
     entries.extend(shared.peers().values().map(|peer| peer.advice.clone()));
--- a/crates/entry/src/control/spread.rs
+++ b/crates/entry/src/control/spread.rs
@@ -83,10 +83,11 @@
             revision,
             in_flight,
             leaving,
+            advised,
         } => {
             let advice = AdviceInput { caller_addr, failure_domain, in_flight, leaving };
             let heard_at = Timestamp::now();
-            let peer = PeerEntry { advice, incarnation, revision, heard_at };
+            let peer = PeerEntry { advice, incarnation, revision, advised, heard_at };
             shared.peers().hear(&instance, peer);
             heal(shared, sender, revision);
         }
@@ -181,6 +182,7 @@
         revision: shared.force.load().as_ref().map(|p| p.revision).unwrap_or_default(),
         in_flight: shared.in_flight.load(Ordering::Relaxed),
         leaving: shared.leaving.load(Ordering::Acquire),
+        advised: shared.is_advised(),
     }
 }
 
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -31,6 +31,9 @@
 /// Longest time for which an entry that starts waits for every source of presets.
 const START_TIME: Duration = Duration::from_secs(1);
 
+/// Time within which agents connect to an entry that has started.
+const CONNECT_TIME: Duration = Duration::from_secs(3);
+
 /// Everything that the parts of an entry share.
 pub(crate) struct EntryShared {
     /// The settings.
@@ -63,6 +66,7 @@
     pub(crate) in_flight: AtomicU32,
     /// Whether this entry leaves.
     pub(crate) leaving: AtomicBool,
+    advised: AtomicBool,
     holder: Mutex<PresetHolder>,
     settled: AtomicBool,
     start_hold: Mutex<StartHold>,
@@ -101,6 +105,7 @@
             retries: RetryBudget::default(),
             in_flight: AtomicU32::new(0),
             leaving: AtomicBool::new(false),
+            advised: AtomicBool::new(false),
             holder: Mutex::default(),
             settled: AtomicBool::new(false),
             start_hold: Mutex::new(StartHold::new(sources, now.deadline_after(START_TIME))),
@@ -165,6 +170,41 @@
         Some(preset)
     }
 
+    /// Whether callers may be sent here.
+    ///
+    /// An entry that has just started has no preset, and then no endpoints
+    /// until agents have connected again; it would refuse whoever came. Once
+    /// it has had them it stays advised: without an endpoint of some service
+    /// it does no worse than its peers.
+    pub(crate) fn is_advised(&self) -> bool {
+        if self.advised.load(Ordering::Relaxed) {
+            return true;
+        }
+        let advised = self.has_endpoints();
+        self.advised.store(advised, Ordering::Relaxed);
+        advised
+    }
+
+    /// Whether a preset is in force and each of its services has an endpoint here,
+    /// or the time for them to come has passed.
+    fn has_endpoints(&self) -> bool {
+        let force = self.force.load();
+        let Some(preset) = force.as_ref() else {
+            return false;
+        };
+        let started_at = Timestamp(self.incarnation);
+        if Timestamp::now().since(started_at) > CONNECT_TIME {
+            return true;
+        }
+        let roster = self.roster();
+        preset.content.services.keys().all(|service| {
+            roster.members().any(|member| {
+                member.report.service == *service
+                    && matches!(member.report.state, EndpointState::Serving { .. })
+            })
+        })
+    }
+
     /// The highest revision heard of, even if it is not used yet.
     pub(crate) fn known_revision(&self) -> PresetRevision {
         self.holder().revision()
--- a/crates/wire/src/message/control.rs
+++ b/crates/wire/src/message/control.rs
@@ -44,6 +44,8 @@
         in_flight: u32,
         /// Whether it leaves; repeats a word of leaving that was lost.
         leaving: bool,
+        /// Whether callers may be sent there.
+        advised: bool,
     },
     /// Entry to agent: which weights to hold and to serve.
     Order(WeightOrder),
