--- a/crates/testkit/tests/control_plan.rs
+++ b/crates/testkit/tests/control_plan.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use cassiawheel_model::ModelVersion;
+use cassiawheel_model::{ModelVersion, Timestamp};
 use cassiawheel_testkit::{
     CallVerdict, Deployment, DeploymentPlan, TestCaller,
     deployment::{MODEL_SERVICE, OPERATOR_TOKEN},
@@ -151,3 +151,42 @@
         Ok(())
     });
 }
+
+/// All agents are replaced at the same moment. They take up what their engines
+/// serve; reloading any of them would take the service away for nothing.
+#[rstest]
+fn agents_that_restart_together_move_no_weights() {
+    run(async {
+        let (mut deployment, _) = start().await?;
+        let ready = |status: &Value| {
+            status["services"][MODEL_SERVICE]["replicas_ready"] == ENDPOINTS as u64
+        };
+        deployment.wait_status(0, WAIT, ready).await?;
+        let tokens = |deployment: &Deployment| -> Vec<_> {
+            let engines = deployment.endpoints.iter().filter_map(|e| e.engine.as_ref());
+            engines.map(|engine| engine.fencing()).collect()
+        };
+        let before = tokens(&deployment);
+        for endpoint in &mut deployment.endpoints {
+            endpoint.agent.as_mut().expect("it runs").kill()?;
+        }
+        let restarted_at = Timestamp::now().0;
+        for index in 0..ENDPOINTS {
+            deployment.restart_agent(index)?;
+        }
+        for entry in 0..deployment.entries.len() {
+            let rejoined = |status: &Value| {
+                let rows = status["endpoints"].as_array().cloned().unwrap_or_default();
+                let newer = rows
+                    .iter()
+                    .filter(|row| row["report"]["incarnation"].as_u64() > Some(restarted_at));
+                newer.count() == ENDPOINTS && ready(status)
+            };
+            deployment.wait_status(entry, WAIT, rejoined).await?;
+        }
+        // Orders that the reports after the restart led to have been sent by now.
+        smol::Timer::after(Duration::from_millis(500)).await;
+        assert_eq!(before, tokens(&deployment), "an engine was loaded again");
+        Ok(())
+    });
+}
