End a staging with the next change; measure changes with a third of the links cut

Cause: a preset stayed staged after another came in force, so endpoints would have fetched what they had just moved on from; the newest staging was told by entries' clocks. The case of cut links was not measured over TCP.

Change: a staging names the revision in force and ends with it, and rows are ordered by the table's revision. The example restarts entries with lists of peers that leave a third of the links out.

Before: not measured.

--- a/crates/entry/src/admin.rs
+++ b/crates/entry/src/admin.rs
@@ -206,7 +206,7 @@
 async fn stage(shared: &EntryShared, operator: &OperatorName, name: &str) -> AdminReply {
     let name = text_id("the preset name", name)?;
     let staged = ahead::stage_preset(shared, &name, operator).await.map_err(failed)?;
-    Ok(json_reply(StatusCode::OK, staged.as_ref()))
+    Ok(json_reply(StatusCode::OK, &staged))
 }
 
 fn drain(shared: &EntryShared, instance: &str) -> AdminReply {
--- a/crates/entry/src/admin/status.rs
+++ b/crates/entry/src/admin/status.rs
@@ -9,7 +9,10 @@
 use macro_rules_attribute::apply;
 
 use super::progress::{StageProgress, stage_progress};
-use crate::{control::store::StoreHealth, shared::EntryShared};
+use crate::{
+    control::{ahead::staged_now, store::StoreHealth},
+    shared::EntryShared,
+};
 
 /// Reply to `GET /v1/status`.
 #[apply(record!)]
@@ -119,7 +122,7 @@
 }
 
 fn ahead_status(shared: &EntryShared, endpoints: &[EndpointStatus]) -> Option<AheadStatus> {
-    let ahead = shared.ahead.load_full()?;
+    let ahead = &staged_now(shared)?.staged;
     let services = ahead.content.services.iter().filter_map(|(name, target)| {
         Some((name.clone(), progress_of(shared, name, target, endpoints)?))
     });
--- a/crates/entry/src/control/ahead.rs
+++ b/crates/entry/src/control/ahead.rs
@@ -3,9 +3,11 @@
 //! One row names the preset to stage. Entries read it together with the preset
 //! in force; the endpoints stage its weights while they go on serving.
 
-use std::sync::Arc;
+use std::sync::{Arc, atomic::Ordering};
 
-use cassiawheel_model::{OperatorName, PresetContent, PresetName, Timestamp, record};
+use cassiawheel_model::{
+    OperatorName, PresetContent, PresetName, PresetRevision, Timestamp, record,
+};
 use cassiawheel_platform::{TableGuard, TableRow, TableStore, TableWrite, WriteVerdict};
 use macro_rules_attribute::apply;
 
@@ -22,40 +24,59 @@
     pub(crate) preset: PresetName,
     /// Its content when it was staged.
     pub(crate) content: PresetContent,
+    /// The revision in force when it was staged; with the next one it ends.
+    ///
+    /// Without it endpoints would fetch what they have just moved on from.
+    pub(crate) base: PresetRevision,
     /// Who staged it.
     pub(crate) operator: OperatorName,
     /// When.
     pub(crate) staged_at: Timestamp,
 }
 
+/// The row that names the preset to stage.
+pub(crate) struct AheadRow {
+    /// The row's revision; a stale read has a lower one.
+    row_revision: u64,
+    /// The preset.
+    pub(crate) staged: StagedPreset,
+}
+
+/// The preset that is staged ahead now, if there is one.
+pub(crate) fn staged_now(shared: &EntryShared) -> Option<Arc<AheadRow>> {
+    let revision = shared.force.load().as_ref().map(|preset| preset.revision);
+    shared.ahead.load_full().filter(|row| Some(row.staged.base) == revision)
+}
+
 /// Has the stored preset `name` staged by all endpoints of its services.
 pub(crate) async fn stage_preset(
     shared: &EntryShared,
     name: &PresetName,
     operator: &OperatorName,
-) -> Result<Arc<StagedPreset>, PresetError> {
+) -> Result<StagedPreset, PresetError> {
     let table = shared.table.as_ref();
     let content = get_preset(table, name).await?;
-    let staged = Arc::new(StagedPreset {
+    let staged = StagedPreset {
         preset: name.clone(),
         content,
+        base: shared.known_revision(),
         operator: operator.clone(),
         staged_at: Timestamp::now(),
-    });
-    write_row(table, &staged).await?;
+    };
+    let row_revision = write_row(table, &staged).await?;
     log::info!(target: "preset", preset:% = name, operator:% = operator; "A preset is to be staged.");
-    take(shared, Some(staged.clone()));
+    take(shared, AheadRow { row_revision, staged: staged.clone() });
     Ok(staged)
 }
 
-async fn write_row(table: &dyn TableStore, staged: &StagedPreset) -> Result<(), PresetError> {
+async fn write_row(table: &dyn TableStore, staged: &StagedPreset) -> Result<u64, PresetError> {
     let guard = match table.read(AHEAD_ROW).await? {
         Some(row) => TableGuard::Revision(row.revision),
         None => TableGuard::Absent,
     };
     let write = TableWrite { key: AHEAD_ROW.to_owned(), guard, value: to_value(staged)? };
     match table.write(&[write], true).await?.pop() {
-        Some(WriteVerdict::Written(_)) => Ok(()),
+        Some(WriteVerdict::Written(revision)) => Ok(revision),
         _ => Err(PresetError::Conflict),
     }
 }
@@ -65,8 +86,9 @@
     let Some(row) = row else {
         return;
     };
+    let row_revision = row.revision;
     match serde_json::from_value(row.value) {
-        Ok(staged) => take(shared, Some(Arc::new(staged))),
+        Ok(staged) => take(shared, AheadRow { row_revision, staged }),
         Err(error) => {
             log::error!(target: "preset", cause:% = error; "The preset to stage is damaged.");
         }
@@ -74,10 +96,11 @@
 }
 
 /// Keeps the newest; a stale read must not bring an earlier one back.
-fn take(shared: &EntryShared, staged: Option<Arc<StagedPreset>>) {
-    let known = shared.ahead.load_full().map(|known| known.staged_at);
-    if staged.as_ref().map(|staged| staged.staged_at) > known {
-        shared.ahead.store(staged);
-        shared.plan_stale.store(true, std::sync::atomic::Ordering::Release);
-    }
+fn take(shared: &EntryShared, row: AheadRow) {
+    let row = Arc::new(row);
+    shared.ahead.rcu(|known| match known {
+        Some(known) if known.row_revision >= row.row_revision => Some(known.clone()),
+        _ => Some(row.clone()),
+    });
+    shared.plan_stale.store(true, Ordering::Release);
 }
--- a/crates/entry/src/control/orders.rs
+++ b/crates/entry/src/control/orders.rs
@@ -14,6 +14,7 @@
 use cassiawheel_wire::{ControlMessage, message::WeightOrder};
 use smol::Timer;
 
+use super::ahead::staged_now;
 use crate::{link::AgentLink, shared::EntryShared};
 
 /// Time between two plans.
@@ -43,14 +44,14 @@
     let Some(preset) = shared.force.load_full() else {
         return Vec::new();
     };
-    let ahead = shared.ahead.load_full();
+    let ahead = staged_now(shared);
     let roster = shared.roster();
     let reports: Vec<_> = roster
         .members()
         .filter(|member| !roster.is_leaving(member))
         .map(|member| &member.report)
         .collect();
-    let ahead = ahead.as_ref().map(|ahead| &ahead.content);
+    let ahead = ahead.as_ref().map(|ahead| &ahead.staged.content);
     plan_orders(PlanInput { preset: &preset, ahead, reports: &reports })
 }
 
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -23,7 +23,7 @@
 
 use crate::{
     admin::progress::ProgressMarks,
-    control::{ahead::StagedPreset, spread, store::BudgetedTable},
+    control::{ahead::AheadRow, spread, store::BudgetedTable},
     link::AgentLink,
     metrics::EntryMetrics,
 };
@@ -53,7 +53,7 @@
     /// The preset in force; read without a lock.
     pub(crate) force: ArcSwapOption<ForcedPreset>,
     /// The preset to stage ahead.
-    pub(crate) ahead: ArcSwapOption<StagedPreset>,
+    pub(crate) ahead: ArcSwapOption<AheadRow>,
     /// Whether the plan lags behind the reports or the preset.
     pub(crate) plan_stale: AtomicBool,
     /// The table service with its health; the same as `table`.
--- a/crates/testkit/examples/control.rs
+++ b/crates/testkit/examples/control.rs
@@ -92,6 +92,7 @@
     }
     time_membership(&mut deployment).await?;
     drop(deployment);
+    time_with_cut_links(args.changes).await?;
     println!("cost per process and second; idle, then 1 change per 5 s");
     let sizes = if args.one_size { &SIZES[1..2] } else { &SIZES[..] };
     for size in sizes {
@@ -103,6 +104,34 @@
     Ok(())
 }
 
+/// Times changes while a third of the links between entries is missing.
+///
+/// The entries start again with lists of peers that leave those links out.
+async fn time_with_cut_links(changes: u64) -> anyhow::Result<()> {
+    let mut deployment = start(TODAY).await?;
+    let inner: Vec<_> =
+        deployment.entries.iter().map(|entry| entry.inner_addr.to_string()).collect();
+    for index in 0..TODAY.entries {
+        let entry = &mut deployment.entries[index];
+        entry.process.as_mut().context("it runs")?.kill()?;
+        let mut settings: Value = serde_json::from_slice(&fs::read(&entry.config)?)?;
+        let kept = (0..TODAY.entries).filter(|other| *other != index && (index + other) % 3 > 0);
+        settings["peers"] = kept.map(|other| inner[other].clone()).collect();
+        fs::write(&entry.config, serde_json::to_vec(&settings)?)?;
+        deployment.restart_entry(index)?;
+    }
+    for entry in 0..TODAY.entries {
+        wait_everywhere(&deployment, entry, 1).await?;
+    }
+    let mut times = Vec::new();
+    for revision in 2..changes + 2 {
+        times.push(time_change(&mut deployment, ChangeCase::StoreDown, revision).await?);
+        Timer::after(Duration::from_secs(2)).await;
+    }
+    print_times("a third of links between entries cut and StoreDown", times);
+    Ok(())
+}
+
 async fn start(size: Size) -> anyhow::Result<Deployment> {
     let plan = DeploymentPlan {
         entries: size.entries,
