--- /dev/null
+++ b/crates/decide/tests/history/check.rs
@@ -0,0 +1,113 @@
+//! What must hold in a history.
+
+use std::collections::BTreeMap;
+
+use cassiawheel_decide::ChangeVerdict;
+use todc_utils::{
+    linearizability::{WGLChecker, history::Action, history::History},
+    specifications::Specification,
+};
+
+use super::world::{OperationKind, World};
+
+/// Broken promises, counted.
+#[derive(Debug, Default, Clone)]
+pub struct Violations {
+    /// A process or an answer went back to an earlier revision.
+    pub reverts: u64,
+    /// Two presets with one revision were in force.
+    pub two_in_force: u64,
+    /// Accepted changes that are missing in the history or not in force everywhere in the end.
+    pub lost: u64,
+    /// Changes that were made although refused, or made twice.
+    pub false_answers: u64,
+    /// Requests that a restarted entry routed under an older preset than its
+    /// predecessor; agents refuse them, so callers wait a little longer.
+    pub stale_dispatches: u64,
+    /// Changes that operators were told are accepted.
+    pub accepted: u64,
+}
+
+impl Violations {
+    pub fn any(&self) -> bool {
+        self.reverts + self.two_in_force + self.lost + self.false_answers > 0
+    }
+
+    pub fn add(&mut self, other: &Self) {
+        self.reverts += other.reverts;
+        self.two_in_force += other.two_in_force;
+        self.lost += other.lost;
+        self.false_answers += other.false_answers;
+        self.stale_dispatches += other.stale_dispatches;
+        self.accepted += other.accepted;
+    }
+}
+
+/// Counts the broken promises of a history that has ended.
+pub fn violations(world: &World) -> Violations {
+    let mut found = Violations {
+        reverts: world.reverts,
+        two_in_force: world.two_in_force,
+        stale_dispatches: world.stale_dispatches,
+        ..Violations::default()
+    };
+    let mut made: BTreeMap<_, u64> = BTreeMap::new();
+    for preset in &world.store.effects {
+        *made.entry(preset.change.clone()).or_default() += 1;
+    }
+    found.false_answers += made.values().filter(|count| **count > 1).count() as u64;
+    for (change, verdict) in &world.verdicts {
+        match verdict {
+            ChangeVerdict::Accepted(preset) => {
+                found.accepted += 1;
+                let kept = world.store.changes.get(&preset.revision);
+                found.lost += u64::from(kept.map(|kept| &kept.change) != Some(change));
+            }
+            ChangeVerdict::Conflict(_) | ChangeVerdict::NotAccepted(_) => {
+                found.false_answers += u64::from(made.contains_key(change));
+            }
+            ChangeVerdict::Unknown(_) => {}
+        }
+    }
+    let last = world.store.force().map(|row| row.preset.revision).unwrap_or_default();
+    found.lost += world.revisions().filter(|revision| *revision != last).count() as u64;
+    found
+}
+
+/// The preset in force as one register: each change takes the next revision.
+struct PresetRegister;
+
+impl Specification for PresetRegister {
+    type State = u64;
+    type Operation = OperationKind;
+
+    fn init() -> u64 {
+        0
+    }
+
+    fn apply(operation: &OperationKind, state: &u64) -> (bool, u64) {
+        match operation {
+            OperationKind::Change(Some(revision)) => (*revision == state + 1, *revision),
+            OperationKind::Change(None) => (true, *state),
+            OperationKind::Read(revision) => (revision == state, *state),
+        }
+    }
+}
+
+/// Whether some order of the operations explains what operators and entries were told.
+pub fn is_linearizable(world: &World) -> bool {
+    let mut actions = Vec::new();
+    for (process, operation) in world.operations.iter().enumerate() {
+        // An operation whose end is unknown may take effect until the end.
+        let Some((ended_at, outcome)) = operation.outcome(&world.store) else {
+            continue;
+        };
+        actions.push((operation.began_at, 0, process, Action::Call(outcome)));
+        actions.push((ended_at, 1, process, Action::Response(outcome)));
+    }
+    actions.sort_by_key(|(at, order, process, _)| (*at, *order, *process));
+    let actions: Vec<_> =
+        actions.into_iter().map(|(_, _, process, action)| (process, action)).collect();
+    actions.is_empty()
+        || WGLChecker::<PresetRegister>::is_linearizable(History::from_actions(actions))
+}
