Samples and the settings page are held to the types and their defaults

Cause: two new keys were in neither the sample nor the page, and a changed default would have gone unnoticed.

--- a/crates/model/tests/settings.rs
+++ b/crates/model/tests/settings.rs
@@ -163,3 +163,70 @@
     assert_keys_are_known::<EntrySettings>("../../samples/entry.json");
     assert_keys_are_known::<AgentSettings>("../../samples/agent.json");
 }
+
+/// Keys whose default cannot be shown as a value.
+const DERIVED_DEFAULTS: [&str; 3] = ["peers", "operators", "advertise_inner"];
+
+/// An operator copies a line of an annotated sample, or trusts the default that
+/// the page tells, and gets another value than the process would have taken.
+#[rstest]
+#[case::entry(defaults::<EntrySettings>("../../samples/entry.json"))]
+#[case::agent(defaults::<AgentSettings>("../../samples/agent.json"))]
+fn samples_and_page_tell_the_defaults(#[case] defaults: Vec<(String, Value)>) {
+    let page = std::fs::read_to_string(folder("../../docs/operate/settings.md")).expect("the page");
+    assert!(defaults.len() > 10);
+    for (path, value) in defaults {
+        let value = match value {
+            Value::String(text) => format!("`{text}`"),
+            other => other.to_string(),
+        };
+        let row = format!("| `{path}` | {value} |");
+        assert!(page.contains(&row), "not in the page: {row}");
+    }
+}
+
+/// Every value of the sample that may be left out, checked to be the default.
+fn defaults<T: CheckedSettings + PartialEq>(sample: &str) -> Vec<(String, Value)> {
+    let text = std::fs::read_to_string(folder(sample)).expect("the sample is there");
+    let tree = strip_notes(serde_json::from_str(&text).expect("JSON"));
+    let whole: T = parse_settings(sample, &text).expect("no findings");
+    let mut found = Vec::new();
+    for path in keys("", &tree) {
+        let path = path.trim_start_matches('.');
+        let pointer = format!("/{}", path.replace('.', "/"));
+        let Some(value) = tree.pointer(&pointer).filter(|value| !value.is_object()) else {
+            continue;
+        };
+        let (parent, key) = pointer.rsplit_once('/').expect("a key");
+        let mut without = tree.clone();
+        let object = without.pointer_mut(parent).and_then(Value::as_object_mut);
+        object.expect("an object").remove(key);
+        if let Ok(read) = parse_settings::<T>(sample, &without.to_string())
+            && !DERIVED_DEFAULTS.contains(&path)
+        {
+            assert!(read == whole, "{path} in {sample} is not the default");
+            found.push((path.to_owned(), value.clone()));
+        }
+    }
+    found
+}
+
+/// An operator meets a key in a sample and looks it up. Each one has to be in
+/// the page, with its path, its default and its meaning.
+#[test]
+fn the_page_explains_every_key() {
+    let page = std::fs::read_to_string(folder("../../docs/operate/settings.md")).expect("the page");
+    let entry = serde_json::to_value(EntrySettings::example()).expect("serialises");
+    let agent = serde_json::to_value(AgentSettings::example()).expect("serialises");
+    let mut all = keys("", &entry);
+    all.extend(keys("", &agent));
+    let sections: Vec<_> =
+        all.iter().filter(|key| all.iter().any(|k| k.starts_with(&format!("{key}.")))).collect();
+    let missing: Vec<_> = all
+        .iter()
+        .filter(|key| !sections.contains(key) && !key.ends_with("operators"))
+        .map(|key| format!("| `{}` |", key.trim_start_matches('.')))
+        .filter(|row| !page.contains(row.as_str()))
+        .collect();
+    assert!(missing.is_empty(), "{missing:?}");
+}
