--- a/crates/model/src/ids.rs
+++ b/crates/model/src/ids.rs
@@ -52,8 +52,7 @@
             }
 
             /// An identifier of nothing, for examples of settings.
-            #[allow(dead_code)]
-            pub(crate) fn example() -> Self {
+            pub fn example() -> Self {
                 Self(Arc::from("example"))
             }
 
