--- a/crates/entry/src/admin.rs
+++ b/crates/entry/src/admin.rs
@@ -136,9 +136,9 @@
         AdminRoute::History => history(shared).await,
         AdminRoute::ListPresets => list_presets(shared).await,
         AdminRoute::GetPreset(name) => get_preset(shared, name).await,
-        AdminRoute::PutPreset(name) => put_preset(shared, name, body).await,
+        AdminRoute::PutPreset(name) => put_preset(shared, &operator.name, name, body).await,
         AdminRoute::Force => force(shared, &operator.name, body).await,
-        AdminRoute::Drain(instance) => drain(shared, instance),
+        AdminRoute::Drain(instance) => drain(shared, &operator.name, instance),
     }
 }
 
@@ -159,7 +159,12 @@
     Ok(json_reply(StatusCode::OK, &content))
 }
 
-async fn put_preset(shared: &EntryShared, name: &str, body: Incoming) -> AdminReply {
+async fn put_preset(
+    shared: &EntryShared,
+    operator: &OperatorName,
+    name: &str,
+    body: Incoming,
+) -> AdminReply {
     let name: PresetName = text_id("the preset name", name)?;
     let mut content: PresetContent = read_json(body, body_time(shared)).await?;
     let findings = content.check(name.as_str());
@@ -169,6 +174,7 @@
     change::pin_manifests(shared, &mut content).await.map_err(failed)?;
     let row_revision =
         change::put_preset(shared.table.as_ref(), &name, &content).await.map_err(failed)?;
+    log::info!(target: "admin", operator:% = operator, preset:% = name, row_revision = row_revision; "Stored a preset.");
     Ok(json_reply(StatusCode::OK, &StoredReply { preset: name, row_revision, content }))
 }
 
@@ -179,6 +185,7 @@
 
 async fn force(shared: &EntryShared, operator: &OperatorName, body: Incoming) -> AdminReply {
     let call: ForceCall = read_json(body, body_time(shared)).await?;
+    let change = call.change.clone();
     let request = ChangeRequest {
         preset: call.preset,
         change: call.change,
@@ -187,17 +194,19 @@
         known: shared.known_revision(),
     };
     let reply = change::force_preset(shared, request).await.map_err(failed)?;
-    let status = match &reply {
-        ChangeReply::Accepted { .. } => StatusCode::OK,
-        ChangeReply::Conflict { .. } => StatusCode::CONFLICT,
-        ChangeReply::NotAccepted { .. } => StatusCode::SERVICE_UNAVAILABLE,
-        ChangeReply::Unknown { .. } => StatusCode::GATEWAY_TIMEOUT,
+    let (status, result) = match &reply {
+        ChangeReply::Accepted { .. } => (StatusCode::OK, "accepted"),
+        ChangeReply::Conflict { .. } => (StatusCode::CONFLICT, "conflict"),
+        ChangeReply::NotAccepted { .. } => (StatusCode::SERVICE_UNAVAILABLE, "not-accepted"),
+        ChangeReply::Unknown { .. } => (StatusCode::GATEWAY_TIMEOUT, "unknown"),
     };
+    log::info!(target: "admin", operator:% = operator, change:% = change, result = result; "Answered a change.");
     Ok(json_reply(status, &reply))
 }
 
-fn drain(shared: &EntryShared, instance: &str) -> AdminReply {
+fn drain(shared: &EntryShared, operator: &OperatorName, instance: &str) -> AdminReply {
     let instance: InstanceId = text_id("the instance", instance)?;
+    log::info!(target: "admin", operator:% = operator, instance:% = instance; "Asked an instance to leave.");
     drains::drain_anywhere(shared, &instance);
     Ok(json_reply(StatusCode::ACCEPTED, &DrainReply { instance }))
 }
--- a/crates/model/tests/settings.rs
+++ b/crates/model/tests/settings.rs
@@ -6,6 +6,7 @@
     FindingList,
     settings::{AgentSettings, CheckedSettings, EntrySettings, parse_settings},
 };
+use proptest::prelude::*;
 use rstest::rstest;
 use serde_json::Value;
 
@@ -164,6 +165,43 @@
     assert_keys_are_known::<AgentSettings>("../../samples/agent.json");
 }
 
+fn any_json() -> impl Strategy<Value = Value> {
+    let leaf = prop_oneof![
+        Just(Value::Null),
+        any::<bool>().prop_map(Value::from),
+        any::<i64>().prop_map(Value::from),
+        any::<f64>().prop_map(Value::from),
+        ".{0,12}".prop_map(Value::from),
+    ];
+    leaf.prop_recursive(3, 12, 4, |inner| {
+        prop_oneof![
+            proptest::collection::vec(inner.clone(), 0..4).prop_map(Value::from),
+            proptest::collection::btree_map("[a-z/~.]{0,6}", inner, 0..4)
+                .prop_map(|map| map.into_iter().collect()),
+        ]
+    })
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(64))]
+
+    /// Someone writes anything at all in place of one value of a good file. The
+    /// check ends, and finds it or accepts what a process would read as well.
+    #[test]
+    fn any_value_in_any_place_is_judged(place in any::<prop::sample::Index>(), value in any_json()) {
+        let text = std::fs::read_to_string(folder("../../samples/entry.json")).expect("the sample");
+        let mut tree = strip_notes(serde_json::from_str(&text).expect("JSON"));
+        let paths: Vec<_> = keys("", &tree).into_iter().filter(|key| !key.contains('[')).collect();
+        let pointer = paths[place.index(paths.len())].replace('.', "/");
+        *tree.pointer_mut(&pointer).expect("the place") = value;
+        let read = parse_settings::<EntrySettings>("entry.json", &tree.to_string());
+        if serde_json::from_value::<EntrySettings>(tree).is_err() {
+            let findings = read.expect_err("a type that cannot be read is a finding");
+            prop_assert!(findings.places().iter().all(|place| !place.path.is_empty()));
+        }
+    }
+}
+
 /// Keys whose default cannot be shown as a value.
 const DERIVED_DEFAULTS: [&str; 3] = ["peers", "operators", "advertise_inner"];
 
--- a/crates/runtime/tests/logging.rs
+++ b/crates/runtime/tests/logging.rs
@@ -112,3 +112,35 @@
     let verdict = sampler.sample(Timestamp(6_000));
     assert_eq!(verdict, SampleVerdict::WrittenAfter { left_out: 3_900 });
 }
+
+/// What the check of settings accepts as a level has to be understood when the
+/// log starts; otherwise a file without findings would not start.
+#[rstest]
+#[case("info")]
+#[case("INFO")]
+#[case("warn, route=info")]
+#[case("info,route=off,transfer=debug")]
+#[case("off")]
+fn levels_are_understood(#[case] level: &str) {
+    use cassiawheel_model::{FindingList, settings::LogSettings};
+    let settings = LogSettings { level: level.to_owned(), ..LogSettings::default() };
+    let mut findings = FindingList::new("test");
+    settings.check(&mut findings);
+    assert!(findings.is_empty(), "{findings}");
+    assert!(flexi_logger::LogSpecification::parse(level).is_ok());
+}
+
+#[rstest]
+#[case("")]
+#[case("loud")]
+#[case("info; route=warn")]
+#[case("=info")]
+#[case("route=")]
+#[case("two parts=info")]
+fn wrong_levels_are_findings(#[case] level: &str) {
+    use cassiawheel_model::{FindingList, settings::LogSettings};
+    let settings = LogSettings { level: level.to_owned(), ..LogSettings::default() };
+    let mut findings = FindingList::new("test");
+    settings.check(&mut findings);
+    assert!(!findings.is_empty());
+}
