--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -9,11 +9,11 @@
 use anyhow::Context;
 use cassiawheel_model::{
     Timestamp,
-    settings::{EntrySettings, ListenerSettings},
+    settings::{EntryListen, EntrySettings, ListenerSettings},
 };
 use cassiawheel_platform::{HttpClient, HttpInstances, HttpTable, HttpWeights};
 use cassiawheel_runtime::{
-    ShutdownTrigger, TerminationSignals,
+    ShutdownSignal, ShutdownTrigger, TerminationSignals,
     http::{ListenerLimits, serve as serve_http},
     probes::serve_probes,
     spawn,
@@ -30,59 +30,36 @@
     shared::EntryShared,
 };
 
+/// The addresses of an entry, all taken.
+struct EntryListeners {
+    caller: TcpListener,
+    admin: TcpListener,
+    inner: TcpListener,
+    metrics: TcpListener,
+}
+
 /// Runs until the process is asked to stop; then drains.
 pub(crate) async fn serve(settings: EntrySettings) -> anyhow::Result<()> {
     let mut signals = TerminationSignals::listen()?;
     // Every address is taken before anything else begins: an entry that finds
     // one in use ends without having told anyone that it is there.
-    let listen = settings.listen.clone();
-    let caller_listener = bind(listen.caller, "listen.caller").await?;
-    let admin_listener = bind(listen.admin, "listen.admin").await?;
-    let inner_listener = bind(listen.inner, "listen.inner").await?;
-    let metrics_listener = bind(listen.metrics, "listen.metrics").await?;
+    let listeners = EntryListeners::bind(&settings.listen).await?;
     let registry = Registry::new();
     let metrics = EntryMetrics::register(&registry)?;
     TRAFFIC.register(&registry)?;
 
-    let client = HttpClient::default();
-    let span = Duration::from_millis(settings.platform.timeout_ms);
-    let table = Arc::new(HttpTable::new(client.clone(), settings.platform.table, span));
-    let origin = Arc::new(HttpWeights::new(client.clone(), settings.platform.origin, span));
-    let list = Arc::new(HttpInstances::new(client, settings.platform.instances, span));
-    let shared = Arc::new(EntryShared::new(settings, table, origin, metrics));
+    let shared = build_shared(settings, metrics);
     let (trigger, shutdown) = ShutdownTrigger::new();
     let (caller_trigger, caller_shutdown) = ShutdownTrigger::new();
-
     let ready = shared.clone();
     let is_ready = move || ready.force.load().is_some() && !ready.leaving.load(Ordering::Acquire);
-    spawn(serve_probes(metrics_listener, registry, is_ready, shutdown.clone())).detach();
-    spawn(serve_inner(shared.clone(), inner_listener, shutdown.clone())).detach();
-    spawn(poll::poll_force(shared.clone())).detach();
-    spawn(spread::beat(shared.clone())).detach();
-    spawn(membership::expire_silent(shared.clone())).detach();
-    spawn(membership::follow_list(shared.clone(), list)).detach();
-    spawn(membership::introduce_agents(shared.clone())).detach();
-    spawn(spread::settle(shared.clone())).detach();
-    for peer in spread::chosen_peers(&shared.settings) {
-        spawn(spread::keep_peer(shared.clone(), peer)).detach();
-    }
-
-    let admin_shared = shared.clone();
-    let limits = &shared.settings.limits;
-    let connections = shared.settings.caller.max_connections;
-    let caller_limits = listener_limits(limits, connections);
-    let admin_limits = listener_limits(limits, limits.admin_connections);
-    let admin = serve_http(admin_listener, admin_limits, shutdown.clone(), move |request, _| {
-        admin::accept(admin_shared.clone(), request)
-    });
-    spawn(admin).detach();
-    let caller_shared = shared.clone();
-    let callers =
-        serve_http(caller_listener, caller_limits, caller_shutdown, move |request, remote| {
-            caller::accept(caller_shared.clone(), request, remote)
-        });
-    let callers = spawn(callers);
-    log::info!(target: "process", instance:% = shared.settings.place.instance, caller:% = listen.caller; "The entry runs.");
+    spawn(serve_probes(listeners.metrics, registry, is_ready, shutdown.clone())).detach();
+    spawn(serve_inner(shared.clone(), listeners.inner, shutdown.clone())).detach();
+    start_control(&shared);
+    spawn(serve_operators(shared.clone(), listeners.admin, shutdown)).detach();
+    let callers = spawn(serve_callers(shared.clone(), listeners.caller, caller_shutdown));
+    let caller_addr = shared.settings.listen.caller;
+    log::info!(target: "process", instance:% = shared.settings.place.instance, caller:% = caller_addr; "The entry runs.");
 
     signals.asked().await;
     let span = Duration::from_millis(shared.settings.control.drain_ms);
@@ -99,6 +76,60 @@
     end.into_result(left)
 }
 
+impl EntryListeners {
+    async fn bind(listen: &EntryListen) -> anyhow::Result<Self> {
+        Ok(Self {
+            caller: bind(listen.caller, "listen.caller").await?,
+            admin: bind(listen.admin, "listen.admin").await?,
+            inner: bind(listen.inner, "listen.inner").await?,
+            metrics: bind(listen.metrics, "listen.metrics").await?,
+        })
+    }
+}
+
+fn build_shared(settings: EntrySettings, metrics: EntryMetrics) -> Arc<EntryShared> {
+    let client = HttpClient::default();
+    let platform = &settings.platform;
+    let span = Duration::from_millis(platform.timeout_ms);
+    let table = Arc::new(HttpTable::new(client.clone(), platform.table, span));
+    let origin = Arc::new(HttpWeights::new(client, platform.origin, span));
+    Arc::new(EntryShared::new(settings, table, origin, metrics))
+}
+
+/// Starts whatever keeps the preset in force and the membership up to date.
+fn start_control(shared: &Arc<EntryShared>) {
+    let platform = &shared.settings.platform;
+    let span = Duration::from_millis(platform.timeout_ms);
+    let list = Arc::new(HttpInstances::new(HttpClient::default(), platform.instances, span));
+    spawn(poll::poll_force(shared.clone())).detach();
+    spawn(spread::beat(shared.clone())).detach();
+    spawn(membership::expire_silent(shared.clone())).detach();
+    spawn(membership::follow_list(shared.clone(), list)).detach();
+    spawn(membership::introduce_agents(shared.clone())).detach();
+    spawn(spread::settle(shared.clone())).detach();
+    for peer in spread::chosen_peers(&shared.settings) {
+        spawn(spread::keep_peer(shared.clone(), peer)).detach();
+    }
+}
+
+async fn serve_operators(
+    shared: Arc<EntryShared>,
+    listener: TcpListener,
+    shutdown: ShutdownSignal,
+) {
+    let limits = &shared.settings.limits;
+    let limits = listener_limits(limits, limits.admin_connections);
+    let answer = move |request, _| admin::accept(shared.clone(), request);
+    serve_http(listener, limits, shutdown, answer).await;
+}
+
+async fn serve_callers(shared: Arc<EntryShared>, listener: TcpListener, shutdown: ShutdownSignal) {
+    let settings = &shared.settings;
+    let limits = listener_limits(&settings.limits, settings.caller.max_connections);
+    let answer = move |request, remote| caller::accept(shared.clone(), request, remote);
+    serve_http(listener, limits, shutdown, answer).await;
+}
+
 fn listener_limits(settings: &ListenerSettings, connections: usize) -> ListenerLimits {
     ListenerLimits {
         connections,
--- a/crates/model/src/settings.rs
+++ b/crates/model/src/settings.rs
@@ -13,15 +13,16 @@
 pub mod agent;
 pub mod common;
 pub mod entry;
+pub mod listener;
 mod tree;
 mod walk;
 
 pub use agent::{AgentSettings, EngineSettings, TransferMode, TransferSettings};
 pub use common::{LogFormat, LogSettings, PlaceSettings, PlatformSettings};
 pub use entry::{
-    CallerSettings, ControlSettings, EntryListen, EntrySettings, ListenerSettings, OperatorRole,
-    OperatorToken,
+    CallerSettings, ControlSettings, EntryListen, EntrySettings, OperatorRole, OperatorToken,
 };
+pub use listener::ListenerSettings;
 
 use serde::{Serialize, de::DeserializeOwned};
 
--- /dev/null
+++ b/crates/model/src/settings/listener.rs
@@ -0,0 +1,63 @@
+//! Limits of an entry's listeners.
+
+use macro_rules_attribute::apply;
+
+use super::common::check_millis;
+use crate::FindingList;
+
+/// Limits of the listeners, so that a slow or greedy client costs one connection at most.
+#[apply(record!)]
+#[derive(Copy)]
+#[serde(deny_unknown_fields, default)]
+pub struct ListenerSettings {
+    /// Most open connections of operators.
+    pub admin_connections: usize,
+    /// Most open connections of our own processes.
+    pub inner_connections: usize,
+    /// Most open connections for metrics and probes.
+    pub metrics_connections: usize,
+    /// Largest head of a request, in bytes.
+    pub head_bytes: usize,
+    /// Longest time for a request's head, and for an idle connection, in milliseconds.
+    pub head_ms: u64,
+    /// Longest time for a request's body, in milliseconds.
+    pub body_ms: u64,
+    /// Longest time in which a client takes nothing of its answer, in milliseconds.
+    pub write_ms: u64,
+}
+
+impl Default for ListenerSettings {
+    fn default() -> Self {
+        Self {
+            admin_connections: 128,
+            inner_connections: 4_096,
+            metrics_connections: 32,
+            head_bytes: 32 << 10,
+            head_ms: 10_000,
+            body_ms: 10_000,
+            write_ms: 30_000,
+        }
+    }
+}
+
+impl ListenerSettings {
+    /// Adds everything that is wrong with the values.
+    pub(super) fn check(&self, findings: &mut FindingList) {
+        let positive = [
+            ("limits.admin_connections", self.admin_connections),
+            ("limits.inner_connections", self.inner_connections),
+            ("limits.metrics_connections", self.metrics_connections),
+        ];
+        for (path, value) in positive {
+            findings.require(value > 0, path, "must be at least 1");
+        }
+        findings.require(
+            (8 << 10..=1 << 20).contains(&self.head_bytes),
+            "limits.head_bytes",
+            format_args!("must lie between 8192 and 1048576 bytes, is {}", self.head_bytes),
+        );
+        check_millis(findings, "limits.head_ms", self.head_ms, 100..=300_000);
+        check_millis(findings, "limits.body_ms", self.body_ms, 100..=300_000);
+        check_millis(findings, "limits.write_ms", self.write_ms, 100..=600_000);
+    }
+}
