--- a/crates/entry/src/admin.rs
+++ b/crates/entry/src/admin.rs
@@ -4,6 +4,7 @@
 //! even which paths there are.
 
 mod auth;
+pub(crate) mod progress;
 mod reply;
 mod status;
 
@@ -20,6 +21,7 @@
 
 use crate::{
     control::{
+        ahead,
         change::{self, ChangeReply},
         drains,
     },
@@ -72,6 +74,7 @@
     GetPreset(&'a str),
     PutPreset(&'a str),
     Force,
+    Stage(&'a str),
     Drain(&'a str),
 }
 
@@ -90,6 +93,7 @@
             (&Method::GET, ["presets", name]) => Self::GetPreset(name),
             (&Method::PUT, ["presets", name]) => Self::PutPreset(name),
             (&Method::POST, ["force"]) => Self::Force,
+            (&Method::POST, ["stage", name]) => Self::Stage(name),
             (&Method::POST, ["drain", instance]) => Self::Drain(instance),
             _ => return None,
         })
@@ -102,7 +106,9 @@
             | Self::History
             | Self::ListPresets
             | Self::GetPreset(_) => OperatorRole::View,
-            Self::PutPreset(_) | Self::Force | Self::Drain(_) => OperatorRole::Operate,
+            Self::PutPreset(_) | Self::Force | Self::Stage(_) | Self::Drain(_) => {
+                OperatorRole::Operate
+            }
         }
     }
 }
@@ -138,6 +144,7 @@
         AdminRoute::GetPreset(name) => get_preset(shared, name).await,
         AdminRoute::PutPreset(name) => put_preset(shared, &operator.name, name, body).await,
         AdminRoute::Force => force(shared, &operator.name, body).await,
+        AdminRoute::Stage(name) => stage(shared, &operator.name, name).await,
         AdminRoute::Drain(instance) => drain(shared, &operator.name, instance),
     }
 }
@@ -204,6 +211,12 @@
     Ok(json_reply(status, &reply))
 }
 
+async fn stage(shared: &EntryShared, operator: &OperatorName, name: &str) -> AdminReply {
+    let name = text_id("the preset name", name)?;
+    let staged = ahead::stage_preset(shared, &name, operator).await.map_err(failed)?;
+    Ok(json_reply(StatusCode::OK, staged.as_ref()))
+}
+
 fn drain(shared: &EntryShared, operator: &OperatorName, instance: &str) -> AdminReply {
     let instance: InstanceId = text_id("the instance", instance)?;
     log::info!(target: "admin", operator:% = operator, instance:% = instance; "Asked an instance to leave.");
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -21,11 +21,19 @@
 use cassiawheel_platform::{TableStore, WeightSource};
 use cassiawheel_wire::WireSender;
 
-use crate::{control::spread, link::AgentLink, metrics::EntryMetrics};
+use crate::{
+    admin::progress::ProgressMarks,
+    control::{ahead::StagedPreset, spread, store::BudgetedTable},
+    link::AgentLink,
+    metrics::EntryMetrics,
+};
 
 /// Longest time for which an entry that starts waits for every source of presets.
 const START_TIME: Duration = Duration::from_secs(1);
 
+/// Time within which agents connect to an entry that has started.
+const CONNECT_TIME: Duration = Duration::from_secs(3);
+
 /// Everything that the parts of an entry share.
 pub(crate) struct EntryShared {
     /// The settings.
@@ -44,14 +52,21 @@
     pub(crate) links: ArcSwap<HashMap<InstanceId, Arc<AgentLink>>>,
     /// The preset in force; read without a lock.
     pub(crate) force: ArcSwapOption<ForcedPreset>,
-    /// When the table service last answered, as a timestamp's number.
-    pub(crate) store_read_at: AtomicU64,
+    /// The preset to stage ahead.
+    pub(crate) ahead: ArcSwapOption<StagedPreset>,
+    /// Whether the plan lags behind the reports or the preset.
+    pub(crate) plan_stale: AtomicBool,
+    /// The table service with its health; the same as `table`.
+    pub(crate) store: Arc<BudgetedTable>,
+    /// Progress of services towards their versions, for forecasts.
+    pub(crate) progress: Mutex<ProgressMarks>,
     /// Retries that this entry may make.
     pub(crate) retries: RetryBudget,
     /// Requests of callers in progress.
     pub(crate) in_flight: AtomicU32,
     /// Whether this entry leaves.
     pub(crate) leaving: AtomicBool,
+    advised: AtomicBool,
     holder: Mutex<PresetHolder>,
     settled: AtomicBool,
     start_hold: Mutex<StartHold>,
@@ -73,19 +88,24 @@
         let now = Timestamp::now();
         let mut sources = spread::chosen_peers(&settings);
         sources.push(settings.platform.table);
+        let store = Arc::new(BudgetedTable::new(table, &settings.control, &metrics));
         Self {
             settings,
             incarnation: now.0,
-            table,
+            table: store.clone(),
             origin,
             metrics,
             routes: ArcSwap::default(),
             links: ArcSwap::default(),
             force: ArcSwapOption::empty(),
-            store_read_at: AtomicU64::new(0),
+            ahead: ArcSwapOption::empty(),
+            plan_stale: AtomicBool::new(false),
+            store,
+            progress: Mutex::default(),
             retries: RetryBudget::default(),
             in_flight: AtomicU32::new(0),
             leaving: AtomicBool::new(false),
+            advised: AtomicBool::new(false),
             holder: Mutex::default(),
             settled: AtomicBool::new(false),
             start_hold: Mutex::new(StartHold::new(sources, now.deadline_after(START_TIME))),
@@ -150,6 +170,41 @@
         Some(preset)
     }
 
+    /// Whether callers may be sent here.
+    ///
+    /// An entry that has just started has no preset, and then no endpoints
+    /// until agents have connected again; it would refuse whoever came. Once
+    /// it has had them it stays advised: without an endpoint of some service
+    /// it does no worse than its peers.
+    pub(crate) fn is_advised(&self) -> bool {
+        if self.advised.load(Ordering::Relaxed) {
+            return true;
+        }
+        let advised = self.has_endpoints();
+        self.advised.store(advised, Ordering::Relaxed);
+        advised
+    }
+
+    /// Whether a preset is in force and each of its services has an endpoint here,
+    /// or the time for them to come has passed.
+    fn has_endpoints(&self) -> bool {
+        let force = self.force.load();
+        let Some(preset) = force.as_ref() else {
+            return false;
+        };
+        let started_at = Timestamp(self.incarnation);
+        if Timestamp::now().since(started_at) > CONNECT_TIME {
+            return true;
+        }
+        let roster = self.roster();
+        preset.content.services.keys().all(|service| {
+            roster.members().any(|member| {
+                member.report.service == *service
+                    && matches!(member.report.state, EndpointState::Serving { .. })
+            })
+        })
+    }
+
     /// The highest revision heard of, even if it is not used yet.
     pub(crate) fn known_revision(&self) -> PresetRevision {
         self.holder().revision()
@@ -164,6 +219,7 @@
     fn publish(&self, preset: &Arc<ForcedPreset>) {
         let revision = preset.revision.0;
         self.force.store(Some(preset.clone()));
+        self.plan_stale.store(true, Ordering::Release);
         self.metrics.revision.set(revision as i64);
         log::info!(target: "preset", revision = revision, preset:% = preset.preset, change:% = preset.change; "A preset is in force.");
     }
