--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -5,6 +5,8 @@
 //! runs in the processes, in seeded histories and in benches.
 
 pub mod advice;
+pub mod affinity;
+pub mod cell;
 pub mod change;
 pub mod claim;
 pub mod gate;
@@ -19,6 +21,7 @@
 pub mod select;
 
 pub use advice::{AdviceInput, EntryAdvice, advise};
+pub use cell::EndpointCell;
 pub use change::{
     ChangeAnswer, ChangeRecord, ChangeRequest, ChangeStep, ChangeVerdict, ChangeWriter, ForceRow,
 };
@@ -28,5 +31,5 @@
 pub use latch::RunLatch;
 pub use retry::{AttemptEnd, RepeatGuard, RetryBudget, RetryStep, RetryTracker};
 pub use roster::{EndpointRoster, EntryRoster, PeerEntry};
-pub use route::{RouteCandidate, RouteChoice, RouteSnapshot};
+pub use route::{RouteCandidate, RouteChoice, RouteQuery, RouteSnapshot, ServiceRoutes};
 pub use select::{ChunkBits, ChunkPicker, ChunkSource, FetchOrder, PickerSettings};
--- a/crates/model/src/settings/entry.rs
+++ b/crates/model/src/settings/entry.rs
@@ -135,6 +135,9 @@
     pub advice_addresses: usize,
     /// Most attempts of one request.
     pub max_attempts: u32,
+    /// Leading bytes of a body by which requests with a common prefix are told,
+    /// to be sent where an engine has probably cached it; zero turns it off.
+    pub prefix_bytes: usize,
 }
 
 impl Default for CallerSettings {
@@ -146,6 +149,7 @@
             advice_ms: 2_000,
             advice_addresses: 3,
             max_attempts: 3,
+            prefix_bytes: 256,
         }
     }
 }
