--- a/crates/testkit/examples/burst.rs
+++ b/crates/testkit/examples/burst.rs
@@ -5,7 +5,7 @@
 use anyhow::Context;
 use argh::FromArgs;
 use cassiawheel_model::settings::parse_settings;
-use cassiawheel_runtime::TerminationSignals;
+use cassiawheel_runtime::shutdown::TerminationSignals;
 use cassiawheel_testkit::burst::{BurstOptions, BurstReport, BurstScenario, run_burst};
 use futures_util::future::{Either, select};
 
