Bound the reads of a claim's row, so that its refusal arrives in time

Cause: an attempt that waits for a row read it without a bound of its own; with a slow store the refusal left the agent after the caller's deadline, and the caller heard "unknown" of a request that never ran. Change: a read of the row ends with the claim. The tests of keyed requests pass. Conclusion: what stays unknown waits for an earlier attempt whose write was lost, or was cut by a fault.

--- a/crates/agent/src/keyed.rs
+++ b/crates/agent/src/keyed.rs
@@ -138,7 +138,7 @@
                         self.permit = None;
                     }
                     Timer::after(LOOK_AGAIN).await;
-                    row::look(self.shared, &self.row).await
+                    row::look_until(self.shared, &self.row, self.give_up_at).await
                 }
                 settled => return Ok(settled),
             };
--- a/crates/agent/src/keyed/row.rs
+++ b/crates/agent/src/keyed/row.rs
@@ -34,8 +34,20 @@
     timeout(span, write(shared, row, record, guard)).await.unwrap_or(ClaimView::Lost)
 }
 
-/// Reads the row.
-pub(crate) async fn look(shared: &EndpointShared, row: &str) -> ClaimView {
+/// Reads the row; a read without an answer by `give_up_at` tells nothing.
+///
+/// A slow store would otherwise hold the refusal back beyond the caller's
+/// deadline, and the caller would hear "unknown" of a request that never ran.
+pub(crate) async fn look_until(
+    shared: &EndpointShared,
+    row: &str,
+    give_up_at: Deadline,
+) -> ClaimView {
+    let span = give_up_at.remaining(Timestamp::now());
+    timeout(span, look(shared, row)).await.unwrap_or(ClaimView::Lost)
+}
+
+async fn look(shared: &EndpointShared, row: &str) -> ClaimView {
     match shared.table.read(row).await {
         Ok(Some(found)) => view_of(found),
         Ok(None) => ClaimView::Absent,
