--- a/crates/testkit/tests/burst_scenario.rs
+++ b/crates/testkit/tests/burst_scenario.rs
@@ -33,7 +33,9 @@
 #[rstest]
 fn all_findings_are_reported_together() {
     let findings = smoke_with(|scenario| {
-        scenario["entries"] = json!(0);
+        scenario["replicas"] = json!(3);
+        scenario["arrivals"]["tokens"] = json!("many");
+        scenario["app_replicas"] = json!(0);
         scenario["window_s"] = json!(-1);
         scenario["arrivals"]["mix"]["read"] = json!(0.9);
         scenario["presets"][1]["entry"] = json!(7);
@@ -43,7 +45,9 @@
     .expect_err("the scenario is wrong");
     let paths: Vec<_> = findings.places().iter().map(|place| place.path.as_str()).collect();
     let wanted = [
-        "entries",
+        "arrivals.tokens",
+        "replicas",
+        "app_replicas",
         "window_s",
         "arrivals.mix",
         "presets[0].entry",
