--- a/crates/testkit/tests/burst_scenario.rs
+++ b/crates/testkit/tests/burst_scenario.rs
@@ -35,6 +35,7 @@
     let findings = smoke_with(|scenario| {
         scenario["replicas"] = json!(3);
         scenario["arrivals"]["tokens"] = json!("many");
+        scenario["entries"] = json!(0);
         scenario["app_replicas"] = json!(0);
         scenario["window_s"] = json!(-1);
         scenario["arrivals"]["mix"]["read"] = json!(0.9);
@@ -47,6 +48,7 @@
     let wanted = [
         "arrivals.tokens",
         "replicas",
+        "entries",
         "app_replicas",
         "window_s",
         "arrivals.mix",
