Admission: fair shares, priorities, early refusal, a bounded queue

Cause: everything that arrived was sent on; under twice the capacity each answer would have come too late.

Change: a place per request the endpoints have room for, taken in one atomic step; beyond that a bounded queue by workspace share, then priority, then arrival; a request that would wait for more than half of its time is refused at once as not run. The endpoints' room follows their refusals (adaptive limit) and the preset's max_in_flight.

--- /dev/null
+++ b/crates/decide/src/admit.rs
@@ -0,0 +1,318 @@
+//! Which requests may go on to an endpoint when there are more than fit.
+//!
+//! While there is room, a request passes with one atomic step. Beyond that,
+//! requests wait in a bounded queue: by each workspace's fair share, then by
+//! priority, then by arrival. Priority before share would let one workspace that
+//! calls everything urgent starve the others. A request that would wait too long
+//! is refused at once, and a full queue sheds the lowest priority of the
+//! workspace that has the most waiting. What is refused here was not run.
+
+use std::{
+    collections::{BTreeMap, HashMap, VecDeque},
+    sync::{
+        Mutex, MutexGuard,
+        atomic::{AtomicU32, Ordering},
+    },
+};
+
+use cassiawheel_model::{Deadline, NotRunReason, PriorityClass, Timestamp, WorkspaceId};
+
+/// Longest time over which the rate of departures is measured, in milliseconds.
+const WINDOW_MS: u64 = 200;
+
+/// What admission needs to know of a request.
+#[derive(Debug, Clone)]
+pub struct AdmitTicket {
+    /// Whose share it uses.
+    pub workspace: WorkspaceId,
+    /// Order of shedding.
+    pub priority: PriorityClass,
+    /// When its answer is of no more use.
+    pub deadline: Deadline,
+}
+
+/// What became of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AdmitVerdict {
+    /// It may go on, and has to be released later.
+    Admitted,
+    /// It was not run.
+    Refused(NotRunReason),
+}
+
+/// Admission to one service at one entry; `T` is how a waiting request is reached.
+#[derive(Debug)]
+pub struct ServiceAdmission<T> {
+    active: AtomicU32,
+    waiting: AtomicU32,
+    queue: Mutex<AdmitQueue<T>>,
+}
+
+/// Requests that wait.
+#[derive(Debug)]
+struct AdmitQueue<T> {
+    workspaces: BTreeMap<WorkspaceId, WorkspaceQueue<T>>,
+    length: usize,
+    most: usize,
+    /// Requests that each workspace got since the queue was last empty.
+    shares: HashMap<WorkspaceId, u64>,
+    /// The share of the workspace that was served last.
+    floor: u64,
+    departures: DepartureRate,
+}
+
+/// The waiting requests of one workspace, by priority and arrival.
+#[derive(Debug)]
+struct WorkspaceQueue<T> {
+    classes: BTreeMap<PriorityClass, VecDeque<WaitingRequest<T>>>,
+    length: usize,
+}
+
+#[derive(Debug)]
+struct WaitingRequest<T> {
+    handle: T,
+    give_up_at: Deadline,
+}
+
+/// How many requests leave the queue in a millisecond.
+#[derive(Debug)]
+struct DepartureRate {
+    begun_at: Timestamp,
+    count: u32,
+    per_ms: Option<f64>,
+}
+
+impl<T> ServiceAdmission<T> {
+    /// An admission in which at most `most` requests wait.
+    pub fn new(most: usize) -> Self {
+        Self {
+            active: AtomicU32::new(0),
+            waiting: AtomicU32::new(0),
+            queue: Mutex::new(AdmitQueue::new(most)),
+        }
+    }
+
+    /// Requests that were admitted and not released yet.
+    pub fn active(&self) -> u32 {
+        self.active.load(Ordering::Relaxed)
+    }
+
+    /// Requests that wait.
+    pub fn waiting(&self) -> u32 {
+        self.waiting.load(Ordering::Relaxed)
+    }
+
+    /// Admits a request if there is room and nobody waits.
+    pub fn admit_now(&self, capacity: u32) -> bool {
+        self.waiting.load(Ordering::SeqCst) == 0 && self.take_place(capacity)
+    }
+
+    /// Lets a request wait; `notify` tells verdicts and whether they were heard.
+    pub fn wait(
+        &self,
+        ticket: &AdmitTicket,
+        handle: T,
+        capacity: u32,
+        now: Timestamp,
+        mut notify: impl FnMut(T, AdmitVerdict) -> bool,
+    ) {
+        let mut queue = self.lock();
+        if let Some((shed, reason)) = queue.offer(ticket, handle, now) {
+            notify(shed, AdmitVerdict::Refused(reason));
+        }
+        self.waiting.store(queue.length as u32, Ordering::SeqCst);
+        // A place that was given back before this request was seen to wait.
+        self.fill(&mut queue, capacity, now, &mut notify);
+    }
+
+    /// Gives a place back.
+    pub fn release(
+        &self,
+        capacity: u32,
+        now: Timestamp,
+        mut notify: impl FnMut(T, AdmitVerdict) -> bool,
+    ) {
+        self.active.fetch_sub(1, Ordering::SeqCst);
+        if self.waiting.load(Ordering::SeqCst) > 0 {
+            self.fill(&mut self.lock(), capacity, now, &mut notify);
+        }
+    }
+
+    fn fill(
+        &self,
+        queue: &mut AdmitQueue<T>,
+        capacity: u32,
+        now: Timestamp,
+        notify: &mut impl FnMut(T, AdmitVerdict) -> bool,
+    ) {
+        while queue.length > 0 && self.take_place(capacity) {
+            if !queue.admit_next(now, notify) {
+                self.active.fetch_sub(1, Ordering::SeqCst);
+            }
+        }
+        self.waiting.store(queue.length as u32, Ordering::SeqCst);
+    }
+
+    fn take_place(&self, capacity: u32) -> bool {
+        let next = |active: u32| (active < capacity).then_some(active + 1);
+        self.active.fetch_update(Ordering::SeqCst, Ordering::SeqCst, next).is_ok()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, AdmitQueue<T>> {
+        self.queue.lock().unwrap_or_else(|poison| poison.into_inner())
+    }
+}
+
+impl<T> AdmitQueue<T> {
+    fn new(most: usize) -> Self {
+        Self {
+            workspaces: BTreeMap::new(),
+            length: 0,
+            most,
+            shares: HashMap::new(),
+            floor: 0,
+            departures: DepartureRate { begun_at: Timestamp(0), count: 0, per_ms: None },
+        }
+    }
+
+    /// Takes a request in; gives back the one that is refused for it, if any.
+    fn offer(
+        &mut self,
+        ticket: &AdmitTicket,
+        handle: T,
+        now: Timestamp,
+    ) -> Option<(T, NotRunReason)> {
+        // A request that is given up on gets its answer early, when its caller
+        // can still go elsewhere: it waits for at most half of its time.
+        let half = ticket.deadline.remaining(now) / 2;
+        let give_up_at = now.deadline_after(half);
+        let wait_ms = self.departures.time_for(self.ahead_of(ticket));
+        if wait_ms >= half.as_millis() as f64 {
+            return Some((handle, NotRunReason::DeadlineTooClose));
+        }
+        self.push(ticket, WaitingRequest { handle, give_up_at });
+        if self.length > self.most {
+            return self.shed().map(|handle| (handle, NotRunReason::Overloaded));
+        }
+        None
+    }
+
+    /// Requests that go before this one: its workspace's of the same or a higher
+    /// priority, and as many of each other workspace.
+    fn ahead_of(&self, ticket: &AdmitTicket) -> usize {
+        let own = self.workspaces.get(&ticket.workspace);
+        let own = own.map_or(0, |queue| queue.ahead_of(ticket.priority));
+        let others = self.workspaces.iter().filter(|(name, _)| **name != ticket.workspace);
+        own + others.map(|(_, queue)| queue.length.min(own + 1)).sum::<usize>()
+    }
+
+    fn push(&mut self, ticket: &AdmitTicket, request: WaitingRequest<T>) {
+        // A workspace that was idle does not save its share up for a burst.
+        let share = self.shares.entry(ticket.workspace.clone()).or_insert(self.floor);
+        *share = (*share).max(self.floor);
+        let queue = self.workspaces.entry(ticket.workspace.clone()).or_default();
+        queue.classes.entry(ticket.priority).or_default().push_back(request);
+        queue.length += 1;
+        self.length += 1;
+    }
+
+    /// Takes out the newest request of the lowest priority of the workspace that
+    /// has the most waiting.
+    fn shed(&mut self) -> Option<T> {
+        let longest = self.workspaces.iter_mut().max_by_key(|(_, queue)| queue.length);
+        let (workspace, queue) = longest?;
+        let shed = queue.take_last()?;
+        let workspace = workspace.clone();
+        self.taken_from(&workspace);
+        Some(shed.handle)
+    }
+
+    fn taken_from(&mut self, workspace: &WorkspaceId) {
+        self.length -= 1;
+        if self.workspaces.get(workspace).is_some_and(|queue| queue.length == 0) {
+            self.workspaces.remove(workspace);
+        }
+    }
+
+    /// Admits the next request that still has time and is still waiting.
+    fn admit_next(
+        &mut self,
+        now: Timestamp,
+        notify: &mut impl FnMut(T, AdmitVerdict) -> bool,
+    ) -> bool {
+        while let Some(next) = self.pop() {
+            if next.give_up_at.is_past(now) {
+                notify(next.handle, AdmitVerdict::Refused(NotRunReason::DeadlineTooClose));
+            } else if notify(next.handle, AdmitVerdict::Admitted) {
+                self.departures.count(now);
+                return true;
+            }
+        }
+        false
+    }
+
+    fn pop(&mut self) -> Option<WaitingRequest<T>> {
+        let shares = &self.shares;
+        let share_of = |name: &WorkspaceId| shares.get(name).copied().unwrap_or_default();
+        let least = self.workspaces.iter_mut().min_by_key(|(name, _)| share_of(name));
+        let (workspace, queue) = least?;
+        let next = queue.take_first()?;
+        let workspace = workspace.clone();
+        self.taken_from(&workspace);
+        let share = self.shares.entry(workspace).or_default();
+        self.floor = self.floor.max(*share);
+        *share += 1;
+        if self.length == 0 {
+            self.shares.clear();
+            self.floor = 0;
+        }
+        Some(next)
+    }
+}
+
+impl<T> Default for WorkspaceQueue<T> {
+    fn default() -> Self {
+        Self { classes: BTreeMap::new(), length: 0 }
+    }
+}
+
+impl<T> WorkspaceQueue<T> {
+    fn ahead_of(&self, priority: PriorityClass) -> usize {
+        self.classes.range(priority..).map(|(_, waiting)| waiting.len()).sum()
+    }
+
+    /// The oldest of the highest priority.
+    fn take_first(&mut self) -> Option<WaitingRequest<T>> {
+        let taken = self.classes.values_mut().rev().find_map(VecDeque::pop_front);
+        self.length -= usize::from(taken.is_some());
+        taken
+    }
+
+    /// The newest of the lowest priority.
+    fn take_last(&mut self) -> Option<WaitingRequest<T>> {
+        let taken = self.classes.values_mut().find_map(VecDeque::pop_back);
+        self.length -= usize::from(taken.is_some());
+        taken
+    }
+}
+
+impl DepartureRate {
+    fn count(&mut self, now: Timestamp) {
+        self.count += 1;
+        let span = now.since(self.begun_at).as_millis() as u64;
+        if span < WINDOW_MS {
+            return;
+        }
+        // After an idle time the window says nothing of a busy queue.
+        if span < 2 * WINDOW_MS {
+            self.per_ms = Some(f64::from(self.count) / span as f64);
+        }
+        self.begun_at = now;
+        self.count = 0;
+    }
+
+    /// Milliseconds until `ahead` requests have left; nothing is known at first.
+    fn time_for(&self, ahead: usize) -> f64 {
+        self.per_ms.map_or(0.0, |per_ms| ahead as f64 / per_ms)
+    }
+}
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -4,6 +4,7 @@
 //! the present moment and a random generator are arguments. The same code so
 //! runs in the processes, in seeded histories and in benches.
 
+pub mod admit;
 pub mod advice;
 pub mod affinity;
 pub mod cell;
@@ -20,6 +21,7 @@
 pub mod route;
 pub mod select;
 
+pub use admit::{AdmitTicket, AdmitVerdict, ServiceAdmission};
 pub use advice::{AdviceInput, EntryAdvice, advise};
 pub use cell::EndpointCell;
 pub use change::{
--- /dev/null
+++ b/crates/decide/tests/overload.rs
@@ -0,0 +1,400 @@
+//! Admission in seeded simulations of three entries before sixteen endpoints,
+//! with an unlimited entry as baseline in the same run. Each tick is a millisecond.
+
+use std::{
+    cmp::Reverse,
+    collections::{BinaryHeap, HashMap, VecDeque},
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
+};
+
+use cassiawheel_decide::{
+    AdmitTicket, AdmitVerdict, AttemptEnd, EndpointCell, GateState, RepeatGuard, RetryBudget,
+    RetryStep, RetryTracker, RouteCandidate, RouteQuery, RouteSnapshot, ServiceAdmission,
+    ServiceRoutes,
+};
+use cassiawheel_model::{
+    Deadline, InstanceId, LoadReport, NotRunReason, PresetRevision, PriorityClass, ServiceName,
+    Timestamp, WorkspaceId,
+};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+
+const ENTRIES: usize = 3;
+const ENDPOINTS: usize = 16;
+const LIMIT: u32 = 32;
+const WORK_MS: u64 = 200;
+const DEADLINE_MS: u64 = 2_000;
+const START: u64 = 1_000_000;
+/// Before this, limits and rates are still being learned.
+const WARM_UP_MS: u64 = 4_000;
+const SPAN_MS: u64 = 14_000;
+/// Requests that all endpoints together finish in a millisecond.
+const CAPACITY: f64 = (ENDPOINTS as u64 * LIMIT as u64) as f64 / WORK_MS as f64;
+const WORKSPACES: usize = 10;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Admission {
+    Shipped,
+    Unlimited,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Load {
+    /// Requests offered, as a multiple of the capacity.
+    offered: f64,
+    /// Weight of the first workspace; the others have one each.
+    first_weight: f64,
+}
+
+#[derive(Debug, Default)]
+struct Counts {
+    arrived: f64,
+    in_time: f64,
+}
+
+#[derive(Debug, Default)]
+struct Outcome {
+    all: Counts,
+    high: Counts,
+    others: Counts,
+    attempts: u64,
+    requests: u64,
+}
+
+struct Request {
+    entry: usize,
+    workspace: usize,
+    priority: PriorityClass,
+    arrived: u64,
+    tracker: RetryTracker,
+    excluded: Vec<InstanceId>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Done { request: usize, endpoint: usize },
+    Try { request: usize },
+}
+
+struct Entry {
+    admission: ServiceAdmission<usize>,
+    budget: RetryBudget,
+    snapshot: RouteSnapshot,
+    cells: Vec<Arc<EndpointCell>>,
+    total: Arc<AtomicU32>,
+}
+
+struct World {
+    now: u64,
+    service: ServiceName,
+    names: Vec<InstanceId>,
+    entries: Vec<Entry>,
+    gates: Vec<GateState>,
+    requests: Vec<Request>,
+    events: BinaryHeap<Reverse<(u64, Event)>>,
+    admitted: VecDeque<usize>,
+    rng: SmallRng,
+    outcome: Outcome,
+}
+
+fn stamp(now: u64) -> Timestamp {
+    Timestamp(START + now)
+}
+
+impl Entry {
+    fn new(service: &ServiceName, names: &[InstanceId]) -> Self {
+        let cells: Vec<_> = names.iter().map(|_| Arc::new(EndpointCell::default())).collect();
+        let candidate = |(name, cell): (&InstanceId, &Arc<EndpointCell>)| RouteCandidate {
+            instance: name.clone(),
+            version: None,
+            is_near: false,
+            cell: cell.clone(),
+        };
+        let candidates = names.iter().zip(&cells).map(candidate).collect();
+        let total = Arc::new(AtomicU32::new(0));
+        let routes = ServiceRoutes::new(candidates, total.clone());
+        Self {
+            admission: ServiceAdmission::new(1_024),
+            budget: RetryBudget::default(),
+            snapshot: RouteSnapshot::new(HashMap::from([(service.clone(), routes)])),
+            cells,
+            total,
+        }
+    }
+
+    fn capacity(&self, service: &ServiceName, now: Timestamp) -> u32 {
+        self.snapshot.service(service).expect("the service").capacity(LIMIT, now)
+    }
+}
+
+impl World {
+    fn new(seed: u64) -> Self {
+        let service = ServiceName::new("desk").expect("a service");
+        let name = |index| InstanceId::new(&format!("endpoint-{index}")).expect("an instance");
+        let names: Vec<_> = (0..ENDPOINTS).map(name).collect();
+        let gate = |_| {
+            let mut gate = GateState::new(LIMIT);
+            gate.begin_switch().and_then(|()| gate.commit_switch(None)).expect("an open gate");
+            gate
+        };
+        Self {
+            now: 0,
+            entries: (0..ENTRIES).map(|_| Entry::new(&service, &names)).collect(),
+            gates: (0..ENDPOINTS).map(gate).collect(),
+            service,
+            names,
+            requests: Vec::new(),
+            events: BinaryHeap::new(),
+            admitted: VecDeque::new(),
+            rng: SmallRng::seed_from_u64(seed),
+            outcome: Outcome::default(),
+        }
+    }
+
+    fn run(mut self, load: Load) -> Outcome {
+        for now in 0..SPAN_MS {
+            self.now = now;
+            if now % 200 == 0 {
+                self.report();
+            }
+            while let Some(Reverse((_, event))) =
+                self.events.peek().copied().filter(|Reverse((at, _))| *at <= now)
+            {
+                self.events.pop();
+                match event {
+                    Event::Done { request, endpoint } => self.done(request, endpoint),
+                    Event::Try { request } => self.try_once(request),
+                }
+            }
+            let mean = load.offered * CAPACITY;
+            let count = self.rng.random_range(0.0..2.0 * mean) as usize
+                + usize::from(self.rng.random_bool(0.5));
+            for _ in 0..count {
+                self.arrive(load);
+            }
+            while let Some(request) = self.admitted.pop_front() {
+                self.try_once(request);
+            }
+        }
+        self.outcome
+    }
+
+    fn report(&mut self) {
+        for (endpoint, gate) in self.gates.iter().enumerate() {
+            let in_flight = gate.in_progress();
+            let load = LoadReport { in_flight, queued: 0, measured_at: stamp(self.now) };
+            for entry in &self.entries {
+                entry.cells[endpoint].hear(&load, LIMIT);
+            }
+        }
+    }
+
+    fn arrive(&mut self, load: Load) {
+        let point = self.rng.random_range(0.0..load.first_weight + (WORKSPACES - 1) as f64);
+        let workspace = (point - load.first_weight + 1.0).max(0.0) as usize;
+        let priority = match self.rng.random_range(0..10) {
+            0 => PriorityClass::High,
+            1..=6 => PriorityClass::Normal,
+            _ => PriorityClass::Low,
+        };
+        let deadline = Deadline(stamp(self.now).0 + DEADLINE_MS);
+        let entry = self.rng.random_range(0..ENTRIES);
+        self.requests.push(Request {
+            entry,
+            workspace,
+            priority,
+            arrived: self.now,
+            tracker: RetryTracker::new(RepeatGuard::Nothing, deadline, 3),
+            excluded: Vec::new(),
+        });
+        self.count(self.requests.len() - 1, |counts| counts.arrived += 1.0);
+        self.outcome.requests += 1;
+        let (request, now) = (self.requests.len() - 1, stamp(self.now));
+        let entry = &self.entries[entry];
+        entry.budget.earn();
+        let capacity = entry.capacity(&self.service, now);
+        if entry.admission.admit_now(capacity) {
+            self.admitted.push_back(request);
+            return;
+        }
+        let ticket = AdmitTicket {
+            workspace: WorkspaceId::new(&format!("workspace-{workspace}")).expect("a workspace"),
+            priority,
+            deadline,
+        };
+        let admitted = &mut self.admitted;
+        let notify = |request, verdict| {
+            if verdict == AdmitVerdict::Admitted {
+                admitted.push_back(request);
+            }
+            true
+        };
+        entry.admission.wait(&ticket, request, capacity, now, notify);
+    }
+
+    fn try_once(&mut self, number: usize) {
+        let request = &mut self.requests[number];
+        let entry = &self.entries[request.entry];
+        let query = RouteQuery {
+            service: &self.service,
+            excluded: &request.excluded,
+            prefix: None,
+            max_in_flight: LIMIT,
+            now: stamp(self.now),
+        };
+        let Some(choice) = entry.snapshot.choose(&query, &mut self.rng) else {
+            return self.after(number, NotRunReason::NoEndpoint);
+        };
+        let name = choice.candidate.instance.clone();
+        let endpoint = self.names.iter().position(|n| *n == name).expect("an endpoint");
+        request.excluded.push(name);
+        request.tracker.begin();
+        self.outcome.attempts += 1;
+        match self.gates[endpoint].enter(PresetRevision(1), None) {
+            Ok(_) => {
+                entry.cells[endpoint].begin();
+                entry.total.fetch_add(1, Ordering::Relaxed);
+                let work = self.rng.random_range(WORK_MS - 80..=WORK_MS + 80);
+                let done = Event::Done { request: number, endpoint };
+                self.events.push(Reverse((self.now + work, done)));
+            }
+            Err(reason) => {
+                entry.cells[endpoint].refuse(stamp(self.now));
+                self.after(number, reason);
+            }
+        }
+    }
+
+    fn after(&mut self, number: usize, reason: NotRunReason) {
+        let request = &mut self.requests[number];
+        let budget = &self.entries[request.entry].budget;
+        let end = AttemptEnd::NotRun(reason);
+        match request.tracker.after(end, budget, stamp(self.now), &mut self.rng) {
+            RetryStep::Again(at) | RetryStep::Reroute(at) => {
+                let at = (at.0 - START).max(self.now + 1);
+                self.events.push(Reverse((at, Event::Try { request: number })));
+            }
+            RetryStep::Stop(_) => self.release(number),
+        }
+    }
+
+    fn done(&mut self, number: usize, endpoint: usize) {
+        self.gates[endpoint].leave();
+        let entry = &self.entries[self.requests[number].entry];
+        entry.cells[endpoint].succeed();
+        entry.cells[endpoint].end();
+        entry.total.fetch_sub(1, Ordering::Relaxed);
+        if self.now <= self.requests[number].arrived + DEADLINE_MS {
+            self.count(number, |counts| counts.in_time += 1.0);
+        }
+        self.release(number);
+    }
+
+    fn release(&mut self, number: usize) {
+        let (entry, now) = (&self.entries[self.requests[number].entry], stamp(self.now));
+        let capacity = entry.capacity(&self.service, now);
+        let admitted = &mut self.admitted;
+        entry.admission.release(capacity, now, |request, verdict| {
+            if verdict == AdmitVerdict::Admitted {
+                admitted.push_back(request);
+            }
+            true
+        });
+        while let Some(request) = self.admitted.pop_front() {
+            self.try_once(request);
+        }
+    }
+
+    fn count(&mut self, number: usize, mut add: impl FnMut(&mut Counts)) {
+        let request = &self.requests[number];
+        let measured = WARM_UP_MS..SPAN_MS - DEADLINE_MS;
+        if !measured.contains(&request.arrived) {
+            return;
+        }
+        add(&mut self.outcome.all);
+        if request.priority == PriorityClass::High {
+            add(&mut self.outcome.high);
+        }
+        if request.workspace != 0 {
+            add(&mut self.outcome.others);
+        }
+    }
+}
+
+/// Endpoints that queue without limit, and entries that send all they get.
+fn run_unlimited(load: Load) -> Outcome {
+    let mut rng = SmallRng::seed_from_u64(5);
+    let mut outcome = Outcome::default();
+    let mut free_at = BinaryHeap::from(vec![Reverse(0.0_f64 as u64); (LIMIT as usize) * ENDPOINTS]);
+    for now in 0..SPAN_MS {
+        let count = rng.random_range(0.0..2.0 * load.offered * CAPACITY) as usize
+            + usize::from(rng.random_bool(0.5));
+        for _ in 0..count {
+            let Reverse(free) = free_at.pop().expect("servers");
+            let done = free.max(now) + rng.random_range(WORK_MS - 80..=WORK_MS + 80);
+            free_at.push(Reverse(done));
+            if (WARM_UP_MS..SPAN_MS - DEADLINE_MS).contains(&now) {
+                outcome.all.arrived += 1.0;
+                outcome.all.in_time += f64::from(u8::from(done <= now + DEADLINE_MS));
+            }
+        }
+    }
+    outcome
+}
+
+fn run(admission: Admission, load: Load) -> Outcome {
+    match admission {
+        Admission::Shipped => World::new(3).run(load),
+        Admission::Unlimited => run_unlimited(load),
+    }
+}
+
+/// Share of the capacity that was answered in time.
+fn goodput(outcome: &Outcome) -> f64 {
+    outcome.all.in_time / (CAPACITY * (SPAN_MS - DEADLINE_MS - WARM_UP_MS) as f64)
+}
+
+fn answered(counts: &Counts) -> f64 {
+    counts.in_time / counts.arrived
+}
+
+/// The phones go live and twice as many call as can be served. Without limits
+/// every answer comes too late and the engines work for nobody; with them, as
+/// many as can be served are, urgent calls first, and the rest learn at once
+/// that they were not run.
+#[test]
+fn twice_the_capacity_is_served_at_capacity() {
+    let load = Load { offered: 2.0, first_weight: 1.0 };
+    let shipped = run(Admission::Shipped, load);
+    let unlimited = run(Admission::Unlimited, load);
+    println!(
+        "shipped {:.4}, high {:.5}, attempts per request {:.3}; unlimited {:.4}",
+        goodput(&shipped),
+        answered(&shipped.high),
+        shipped.attempts as f64 / shipped.requests as f64,
+        goodput(&unlimited)
+    );
+    assert!(goodput(&shipped) >= 0.95, "goodput {}", goodput(&shipped));
+    assert!(answered(&shipped.high) >= 0.999, "high {}", answered(&shipped.high));
+    assert!(goodput(&unlimited) <= 0.2, "the baseline {}", goodput(&unlimited));
+}
+
+/// One workspace sends ten times its share, so that all together exceed the
+/// capacity. The callers of the nine others must not notice.
+#[test]
+fn a_greedy_workspace_takes_nothing_from_the_others() {
+    let others = 0.9 * (WORKSPACES - 1) as f64 / WORKSPACES as f64;
+    let calm = run(Admission::Shipped, Load { offered: 0.9, first_weight: 1.0 });
+    let greedy = Load { offered: others + 0.9, first_weight: 10.0 };
+    let burst = run(Admission::Shipped, greedy);
+    let unlimited = run(Admission::Unlimited, greedy);
+    let lost = 1.0 - answered(&burst.others) / answered(&calm.others);
+    println!(
+        "others lose {lost:.4}; all answered {:.4}, unlimited {:.4}",
+        answered(&burst.all),
+        answered(&unlimited.all)
+    );
+    assert!(lost <= 0.02, "others lose {lost}");
+}
--- a/crates/entry/src/caller.rs
+++ b/crates/entry/src/caller.rs
@@ -1,7 +1,8 @@
 //! Requests of callers.
 //!
-//! `accept → identify → attempts (route → dispatch) → relay → outcome`
+//! `accept → identify → admit → attempts (route → dispatch) → relay → outcome`
 
+mod admit;
 mod attempts;
 mod identify;
 mod outcome;
@@ -18,6 +19,9 @@
 use cassiawheel_runtime::http::{ReplyBody, error_reply, json_reply};
 use hyper::{Request, Response, StatusCode, body::Incoming};
 
+pub(crate) use admit::EntryAdmission;
+
+use self::{admit::AdmitPermit, attempts::FailedRequest};
 use crate::shared::EntryShared;
 
 /// Path at which callers ask which entries to use.
@@ -45,7 +49,15 @@
         Err(error) => return error.reply(),
     };
     let (head, body) = (identified.head, identified.body);
-    let guard = InFlight::begin(shared.clone());
+    let mut guard = InFlight::begin(shared.clone());
+    match admit::admit(&shared, &head).await {
+        Ok(permit) => guard.permit = permit,
+        Err(reason) => {
+            guard.count(OutcomeKind::NotRun);
+            let failed = FailedRequest::before_attempts(&shared, reason);
+            return outcome::failure_reply(&head, &failed);
+        }
+    }
     match attempts::run_attempts(&shared, &head, &body).await {
         Ok(begun) => relay::answer_reply(guard, head, begun).await,
         Err(failed) => {
@@ -75,13 +87,14 @@
 /// Counts a request as in progress until its answer is whole or given up.
 pub(crate) struct InFlight {
     shared: Arc<EntryShared>,
+    permit: Option<AdmitPermit>,
 }
 
 impl InFlight {
     fn begin(shared: Arc<EntryShared>) -> Self {
         shared.in_flight.fetch_add(1, Ordering::Relaxed);
         shared.metrics.in_flight.inc();
-        Self { shared }
+        Self { shared, permit: None }
     }
 
     /// Counts the request's outcome.
@@ -92,6 +105,7 @@
 
 impl Drop for InFlight {
     fn drop(&mut self) {
+        drop(self.permit.take());
         self.shared.in_flight.fetch_sub(1, Ordering::Relaxed);
         self.shared.metrics.in_flight.dec();
     }
--- /dev/null
+++ b/crates/entry/src/caller/admit.rs
@@ -0,0 +1,133 @@
+//! Admission: a request waits here, or is refused, when there are more than fit.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU32, AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use cassiawheel_decide::{AdmitTicket, AdmitVerdict, ServiceAdmission};
+use cassiawheel_model::{ForcedPreset, NotRunReason, RequestHead, ServiceName, Timestamp};
+use cassiawheel_runtime::timeout;
+use smol::channel::{Receiver, Sender, bounded};
+
+use crate::shared::EntryShared;
+
+/// Age at which the capacity is added up again, in milliseconds.
+const CAPACITY_MS: u64 = 20;
+
+/// Admission to one service.
+#[derive(Debug)]
+pub(crate) struct EntryAdmission {
+    places: ServiceAdmission<Sender<AdmitVerdict>>,
+    capacity: AtomicU32,
+    measured_at: AtomicU64,
+}
+
+/// A place that an admitted request holds; given back when dropped.
+pub(crate) struct AdmitPermit {
+    admission: Arc<EntryAdmission>,
+}
+
+/// A place in the queue.
+struct WaitingPlace {
+    admission: Arc<EntryAdmission>,
+    verdict: Receiver<AdmitVerdict>,
+}
+
+impl EntryAdmission {
+    /// An admission in which at most `most` requests wait.
+    pub(crate) fn new(most: usize) -> Self {
+        Self {
+            places: ServiceAdmission::new(most),
+            capacity: AtomicU32::new(0),
+            measured_at: AtomicU64::new(0),
+        }
+    }
+
+    /// Requests that this entry may have in progress at all endpoints; zero if
+    /// none serves, which routing tells better than a queue could.
+    fn refresh(&self, shared: &EntryShared, service: &ServiceName, now: Timestamp) -> u32 {
+        let measured_at = self.measured_at.load(Ordering::Relaxed);
+        if now.0 < measured_at + CAPACITY_MS {
+            return self.capacity.load(Ordering::Relaxed);
+        }
+        let preset = shared.force.load();
+        let target = preset.as_ref().and_then(|preset| preset.content.services.get(service));
+        let most = target.map_or(0, |target| target.max_in_flight);
+        let routes = shared.routes.load();
+        let capacity = routes.service(service).map_or(0, |routes| routes.capacity(most, now));
+        self.capacity.store(capacity, Ordering::Relaxed);
+        self.measured_at.store(now.0, Ordering::Relaxed);
+        capacity
+    }
+
+    fn release(&self) {
+        let capacity = self.capacity.load(Ordering::Relaxed);
+        self.places.release(capacity, Timestamp::now(), tell);
+    }
+}
+
+impl Drop for AdmitPermit {
+    fn drop(&mut self) {
+        self.admission.release();
+    }
+}
+
+impl Drop for WaitingPlace {
+    fn drop(&mut self) {
+        // The verdict may have come in the moment in which its caller hung up.
+        // Without this look the place would stay taken for ever.
+        self.verdict.close();
+        if let Ok(AdmitVerdict::Admitted) = self.verdict.try_recv() {
+            self.admission.release();
+        }
+    }
+}
+
+/// Tells a waiting request its verdict; false if its caller is gone.
+fn tell(waiting: Sender<AdmitVerdict>, verdict: AdmitVerdict) -> bool {
+    waiting.try_send(verdict).is_ok()
+}
+
+/// Waits until the request may go on; none if there is nothing to wait for.
+pub(crate) async fn admit(
+    shared: &EntryShared,
+    head: &RequestHead,
+) -> Result<Option<AdmitPermit>, NotRunReason> {
+    let now = Timestamp::now();
+    // Names that no preset has get no queue, or callers could fill the memory.
+    let is_known = |preset: &Arc<ForcedPreset>| preset.content.services.contains_key(&head.service);
+    if !shared.force.load().as_ref().is_some_and(is_known) {
+        return Ok(None);
+    }
+    let admission = shared.admission(&head.service);
+    let capacity = admission.refresh(shared, &head.service, now);
+    if capacity == 0 {
+        return Ok(None);
+    }
+    if admission.places.admit_now(capacity) {
+        return Ok(Some(AdmitPermit { admission }));
+    }
+    let ticket = AdmitTicket {
+        workspace: head.workspace.clone(),
+        priority: head.priority,
+        deadline: head.deadline,
+    };
+    let (sender, verdict) = bounded(1);
+    let place = WaitingPlace { admission: admission.clone(), verdict };
+    admission.places.wait(&ticket, sender, capacity, now, tell);
+    let half: Duration = head.deadline.remaining(now) / 2;
+    let verdict = timeout(half, place.verdict.recv()).await;
+    let refused = match verdict {
+        Some(Ok(AdmitVerdict::Admitted)) => return Ok(Some(AdmitPermit { admission })),
+        Some(Ok(AdmitVerdict::Refused(reason))) => reason,
+        Some(Err(_)) => NotRunReason::Overloaded,
+        None => NotRunReason::DeadlineTooClose,
+    };
+    let (active, waiting) = (admission.places.active(), admission.places.waiting());
+    log::info!(target: "admit", request:% = head.id, workspace:% = head.workspace, reason:% = refused, active = active, waiting = waiting, capacity = capacity; "Refused a request.");
+    Err(refused)
+}
--- a/crates/entry/src/caller/attempts.rs
+++ b/crates/entry/src/caller/attempts.rs
@@ -55,6 +55,15 @@
     pub(crate) attempts: u32,
 }
 
+impl FailedRequest {
+    /// A request that was refused before any attempt.
+    pub(crate) fn before_attempts(shared: &EntryShared, reason: NotRunReason) -> Self {
+        let revision = shared.force.load().as_ref().map(|preset| preset.revision);
+        let outcome = final_outcome(AttemptEnd::NotRun(reason));
+        Self { outcome, revision: revision.unwrap_or_default(), attempts: 0 }
+    }
+}
+
 /// Counts one request at its endpoint and its service.
 pub(crate) struct EndpointLoad {
     cell: Arc<EndpointCell>,
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -21,7 +21,7 @@
 use cassiawheel_platform::{TableStore, WeightSource};
 use cassiawheel_wire::WireSender;
 
-use crate::{control::spread, link::AgentLink, metrics::EntryMetrics};
+use crate::{caller::EntryAdmission, control::spread, link::AgentLink, metrics::EntryMetrics};
 
 /// Longest time for which an entry that starts waits for every source of presets.
 const START_TIME: Duration = Duration::from_millis(500);
@@ -40,6 +40,7 @@
     pub(crate) metrics: EntryMetrics,
     /// Endpoints that requests may be routed to; read without a lock.
     pub(crate) routes: ArcSwap<RouteSnapshot>,
+    admissions: ArcSwap<HashMap<ServiceName, Arc<EntryAdmission>>>,
     /// Connections to agents; read without a lock.
     pub(crate) links: ArcSwap<HashMap<InstanceId, Arc<AgentLink>>>,
     /// The preset in force; read without a lock.
@@ -80,6 +81,7 @@
             origin,
             metrics,
             routes: ArcSwap::default(),
+            admissions: ArcSwap::default(),
             links: ArcSwap::default(),
             force: ArcSwapOption::empty(),
             store_read_at: AtomicU64::new(0),
@@ -194,6 +196,20 @@
         }
     }
 
+    /// The admission to a service.
+    pub(crate) fn admission(&self, service: &ServiceName) -> Arc<EntryAdmission> {
+        if let Some(admission) = self.admissions.load().get(service) {
+            return admission.clone();
+        }
+        let fresh = Arc::new(EntryAdmission::new(self.settings.caller.queue_length));
+        self.admissions.rcu(|known| {
+            let mut known = HashMap::clone(known);
+            known.entry(service.clone()).or_insert_with(|| fresh.clone());
+            known
+        });
+        self.admissions.load().get(service).cloned().unwrap_or(fresh)
+    }
+
     /// Takes an endpoint's word of its load.
     pub(crate) fn hear_load(&self, instance: &InstanceId, load: &LoadReport, limit: u32) {
         self.cells().of(instance).hear(load, limit);
--- a/crates/model/src/settings/entry.rs
+++ b/crates/model/src/settings/entry.rs
@@ -135,6 +135,8 @@
     pub advice_addresses: usize,
     /// Most attempts of one request.
     pub max_attempts: u32,
+    /// Most requests that wait for room at the endpoints of one service.
+    pub queue_length: usize,
     /// Leading bytes of a body by which requests with a common prefix are told,
     /// to be sent where an engine has probably cached it; zero turns it off.
     pub prefix_bytes: usize,
@@ -149,6 +151,7 @@
             advice_ms: 2_000,
             advice_addresses: 3,
             max_attempts: 3,
+            queue_length: 1_024,
             prefix_bytes: 256,
         }
     }
@@ -295,6 +298,7 @@
             ("caller.max_body_bytes", self.max_body_bytes as u64),
             ("caller.max_connections", self.max_connections as u64),
             ("caller.advice_addresses", self.advice_addresses as u64),
+            ("caller.queue_length", self.queue_length as u64),
             ("caller.max_attempts", u64::from(self.max_attempts)),
         ];
         for (path, value) in positive {
--- a/crates/testkit/tests/requests.rs
+++ b/crates/testkit/tests/requests.rs
@@ -259,3 +259,46 @@
     }
     verdicts
 }
+
+/// Far more calls come at once than the services may work on. Each is either
+/// answered in whole, or told that it was not run and then was not; and no
+/// service is given more than its limit.
+#[test]
+fn an_overload_is_answered_or_refused_and_nothing_between() {
+    run(async {
+        let deployment = ledgers(2, 1, Duration::from_millis(100)).await?;
+        let entry = deployment.entries[0].caller_addr;
+        let calls: Vec<_> = (0..600)
+            .map(|number| {
+                let deadline = Timestamp::now().deadline_after(Duration::from_millis(1_500));
+                let text = format!("call-{number}");
+                let mut call = question(entry, &text);
+                call.headers = vec![("cassiawheel-deadline", deadline.0.to_string())];
+                (text, spawn(send(call)))
+            })
+            .collect();
+        let (mut complete, mut refused) = (0, 0);
+        let mut verdicts = Vec::new();
+        for (text, call) in calls {
+            verdicts.push((text, call.await));
+        }
+        let ran = carried(&deployment);
+        for (text, verdict) in &verdicts {
+            let runs = ran.iter().filter(|call| call.body == text.as_bytes()).count();
+            match verdict {
+                CallVerdict::Complete { .. } => {
+                    complete += 1;
+                    assert_eq!(runs, 1, "{text}");
+                }
+                CallVerdict::NotRun(_) => {
+                    refused += 1;
+                    assert_eq!(runs, 0, "{text}");
+                }
+                CallVerdict::Unknown(_) => assert!(runs <= 1, "{text}"),
+                CallVerdict::Wrong(answer) => panic!("{text}: {answer}"),
+            }
+        }
+        assert!(complete >= 64 && refused >= 1, "{complete} complete, {refused} refused");
+        Ok(())
+    });
+}
