--- a/crates/agent/src/endpoint.rs
+++ b/crates/agent/src/endpoint.rs
@@ -23,7 +23,7 @@
 const LOOK_AGAIN: Duration = Duration::from_millis(20);
 
 /// Longest time for which an agent that starts waits for every entry that it dials.
-const START_TIME: Duration = Duration::from_millis(500);
+const START_TIME: Duration = Duration::from_secs(2);
 
 /// Everything that the parts of an agent share.
 pub(crate) struct EndpointShared {
--- a/crates/testkit/src/stand_in/engine.rs
+++ b/crates/testkit/src/stand_in/engine.rs
@@ -8,7 +8,7 @@
     net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard,
-        atomic::{AtomicU32, Ordering},
+        atomic::{AtomicBool, AtomicU32, Ordering},
     },
     time::Duration,
 };
@@ -56,6 +56,7 @@
     inner: Mutex<EngineInner>,
     in_flight: AtomicU32,
     checks_fencing: bool,
+    skips_chunk_check: AtomicBool,
 }
 
 #[derive(Debug, Default)]
@@ -63,7 +64,16 @@
     staging: HashMap<ManifestDigest, Vec<Option<Bytes>>>,
     loaded: Option<LoadedImage>,
     fencing: u64,
-    runs: Vec<String>,
+    runs: Vec<BegunRun>,
+}
+
+/// One run that the engine began.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct BegunRun {
+    /// The request id that came with it.
+    pub request: String,
+    /// When it began.
+    pub begun_at: Timestamp,
 }
 
 #[derive(Debug, Clone)]
@@ -79,6 +89,11 @@
         Self { checks_fencing, ..Self::default() }
     }
 
+    /// Stages the first chunk corrupt, as if nobody had checked it.
+    pub fn skip_chunk_check(&self, on: bool) {
+        self.skips_chunk_check.store(on, Ordering::SeqCst);
+    }
+
     /// Serves the engine at `addr`.
     pub async fn serve(
         self: &Arc<Self>,
@@ -100,6 +115,11 @@
 
     /// Ids of the requests that it has begun to run, in order.
     pub fn runs(&self) -> Vec<String> {
+        self.lock().runs.iter().map(|run| run.request.clone()).collect()
+    }
+
+    /// The requests that it has begun to run with their times, in order.
+    pub fn begun_runs(&self) -> Vec<BegunRun> {
         self.lock().runs.clone()
     }
 
@@ -199,7 +219,8 @@
         let Some(slot) = slot else {
             return error_reply(StatusCode::NOT_FOUND, "staging", "no such chunk");
         };
-        *slot = Some(body);
+        let is_corrupt = index == "0" && self.skips_chunk_check.load(Ordering::SeqCst);
+        *slot = Some(if is_corrupt { Bytes::from(vec![0; body.len()]) } else { body });
         full_reply("")
     }
 
@@ -249,7 +270,7 @@
             return error_reply(StatusCode::BAD_REQUEST, "prompt", "not a generation");
         };
         let mut inner = self.lock();
-        inner.runs.push(id.to_owned());
+        inner.runs.push(BegunRun { request: id.to_owned(), begun_at: Timestamp::now() });
         let Some(image) = inner.loaded.clone() else {
             return error_reply(StatusCode::INTERNAL_SERVER_ERROR, "empty", "no weights");
         };
--- a/crates/testkit/src/stand_in/plain.rs
+++ b/crates/testkit/src/stand_in/plain.rs
@@ -38,6 +38,8 @@
     pub key: Option<String>,
     /// The body.
     pub body: Vec<u8>,
+    /// When it began.
+    pub begun_at: Timestamp,
 }
 
 /// Calls that a plain service has carried out.
@@ -98,6 +100,7 @@
             request: text(REQUEST_HEADER).unwrap_or_default(),
             key: text(KEY_HEADER),
             body: body.to_vec(),
+            begun_at: Timestamp::now(),
         };
         let answer = format!("done {} ", String::from_utf8_lossy(&call.body));
         self.calls.lock().unwrap_or_else(|poison| poison.into_inner()).push(call);
