An endpoint lost before the first part of an answer is replaced; hung runs end

Cause: an answer counted as begun with its head, so an engine that died while it computed a prompt cut its caller off though nothing had been sent. A run whose engine never answers kept its permit for ever, and with it the switch and the shutdown of its endpoint.

Change: the entry waits for the first part of a streamed answer before it commits to it; runs end at the deadline, those that must not be cut off 60 s later. A test counts the writes of many sales.

--- a/crates/agent/src/keyed.rs
+++ b/crates/agent/src/keyed.rs
@@ -18,7 +18,7 @@
 
 use crate::{
     endpoint::EndpointShared,
-    run::{AttemptLink, GatePermit, RunFailure, call_engine, send_whole},
+    run::{AttemptLink, GatePermit, RunFailure, call_engine, longest_run, send_whole, within},
 };
 
 /// Wait before the row is looked at again.
@@ -147,7 +147,8 @@
             self.settle(ClaimState::Released, revision).await;
             return Err(RunFailure::NotRun(reason));
         }
-        let ran = run_whole(self.shared, self.head, body).await;
+        let run = run_whole(self.shared, self.head, body);
+        let ran = within(longest_run(self.head), run).await;
         self.permit = None;
         match ran {
             Ok((answer, body)) => {
--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -1,11 +1,12 @@
 //! Running one attempt: gate, engine, relay.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use cassiawheel_decide::{RepeatGuard, RunLatch, claim::RecordedAnswer};
 use cassiawheel_model::{NotRunReason, RequestHead, Timestamp};
 use cassiawheel_platform::{EngineAnswer, EngineError};
+use cassiawheel_runtime::timeout;
 use cassiawheel_wire::{ControlMessage, RequestMessage, WireError, WireSender};
 use http_body_util::BodyExt;
 use smol::channel::Receiver;
@@ -115,13 +116,36 @@
     match RepeatGuard::of(head) {
         RepeatGuard::Claimed => keyed::run_claimed(shared, link, head, body, permit).await,
         RepeatGuard::Idempotent => {
-            let mut answer = call_engine(shared, head, body).await?;
-            relay(link, head, &mut answer).await
+            let run = async {
+                let mut answer = call_engine(shared, head, body).await?;
+                relay(link, head, &mut answer).await
+            };
+            within(head.deadline.remaining(Timestamp::now()), run).await
         }
-        RepeatGuard::Nothing => run_once(shared, link, head, body).await,
+        RepeatGuard::Nothing => within(longest_run(head), run_once(shared, link, head, body)).await,
     }
 }
 
+/// Time for which a run that must not be cut off may outlast its deadline.
+const RUN_GRACE: Duration = Duration::from_secs(60);
+
+/// The longest run of a request that must not be cut off.
+pub(crate) fn longest_run(head: &RequestHead) -> Duration {
+    head.deadline.remaining(Timestamp::now()) + RUN_GRACE
+}
+
+/// Ends a run that takes longer than `span`.
+///
+/// An engine that never answers would keep its permit for ever: the endpoint
+/// could neither exchange its weights nor end, and nobody would see why.
+pub(crate) async fn within<T>(
+    span: Duration,
+    run: impl Future<Output = Result<T, RunFailure>>,
+) -> Result<T, RunFailure> {
+    let late = || Err(RunFailure::Unknown("the endpoint did not answer in time".to_owned()));
+    timeout(span, run).await.unwrap_or_else(late)
+}
+
 /// Runs a request that nothing but its single dispatch protects from a second run.
 async fn run_once(
     shared: &EndpointShared,
--- a/crates/entry/src/caller/attempts.rs
+++ b/crates/entry/src/caller/attempts.rs
@@ -10,8 +10,8 @@
     AttemptEnd, EndpointCell, RepeatGuard, RetryStep, RetryTracker, RouteQuery, RouteSnapshot,
 };
 use cassiawheel_model::{
-    Deadline, ForcedPreset, InstanceId, ModelVersion, NotRunReason, PresetRevision, RequestHead,
-    RequestOutcome, ServiceKind, Timestamp,
+    Deadline, ForcedPreset, InstanceId, ModelVersion, NotRunReason, PresetRevision, Repeatability,
+    RequestHead, RequestOutcome, ServiceKind, Timestamp,
 };
 use cassiawheel_runtime::timeout;
 use cassiawheel_wire::RequestMessage;
@@ -199,7 +199,33 @@
     let link = link.ok_or(AttemptEnd::NotRun(NotRunReason::ConnectFailed))?;
     let sent = link.dispatch(routed.clone(), body).await;
     let stream = sent.map_err(AttemptEnd::NotRun)?;
-    await_head(stream, routed).await
+    let mut begun = await_head(stream, routed).await?;
+    if routed.repeat == Repeatability::Idempotent {
+        await_first_part(&mut begun.stream, routed).await?;
+    }
+    Ok(begun)
+}
+
+/// Waits for the first part of an answer that is streamed.
+///
+/// Once a part is on its way to the caller, no other endpoint's answer may
+/// follow it. An endpoint that dies after the head and before the first part,
+/// as when a prompt is long, is noticed here, and another one can still answer.
+async fn await_first_part(
+    stream: &mut AttemptStream,
+    routed: &RequestHead,
+) -> Result<(), AttemptEnd> {
+    let span = routed.deadline.remaining(Timestamp::now());
+    match timeout(span, stream.peek()).await {
+        Some(Some(RequestMessage::Failed { detail, .. })) => {
+            Err(AttemptEnd::Unknown(detail.clone()))
+        }
+        Some(Some(_)) => Ok(()),
+        Some(None) => {
+            Err(AttemptEnd::Unknown("the connection to the endpoint was lost".to_owned()))
+        }
+        None => Err(AttemptEnd::Unknown("no answer before the deadline".to_owned())),
+    }
 }
 
 /// Why no endpoint was found: none serves, or each is at its limit.
--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -35,6 +35,7 @@
     link: Arc<AgentLink>,
     attempt: u64,
     messages: Receiver<RequestMessage>,
+    peeked: Option<RequestMessage>,
     ended: bool,
 }
 
@@ -60,7 +61,8 @@
         let attempt = self.attempts.fetch_add(1, Ordering::Relaxed);
         let (sender, messages) = unbounded();
         self.waiting().insert(attempt, sender);
-        let stream = AttemptStream { link: self.clone(), attempt, messages, ended: false };
+        let stream =
+            AttemptStream { link: self.clone(), attempt, messages, peeked: None, ended: false };
         let message =
             RequestMessage::Dispatch { attempt, head: Box::new(head), body: body.to_vec() };
         // The queue is full when the agent is paused or its link stalls. Giving
@@ -96,6 +98,9 @@
 impl AttemptStream {
     /// The next message; `None` once the connection is gone.
     pub(crate) async fn next(&mut self) -> Option<RequestMessage> {
+        if let Some(message) = self.peeked.take() {
+            return Some(message);
+        }
         let message = self.messages.recv().await.ok()?;
         self.ended = matches!(
             message,
@@ -106,6 +111,14 @@
         Some(message)
     }
 
+    /// Looks at the next message without taking it.
+    pub(crate) async fn peek(&mut self) -> Option<&RequestMessage> {
+        if self.peeked.is_none() {
+            self.peeked = self.next().await;
+        }
+        self.peeked.as_ref()
+    }
+
     /// Lets the agent send `bytes` more.
     ///
     /// Waits for room in the queue: a credit that is lost would stall the rest
--- a/crates/testkit/tests/requests.rs
+++ b/crates/testkit/tests/requests.rs
@@ -1,12 +1,15 @@
 //! Requests over real TCP under faults, with every entry and agent a process of its own.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use cassiawheel_model::{Timestamp, settings::CallerSettings};
+use cassiawheel_model::{ModelVersion, Timestamp, settings::CallerSettings};
 use cassiawheel_runtime::spawn;
 use cassiawheel_testkit::{
-    CallVerdict, Deployment, DeploymentPlan, TestCaller, caller::TestCall,
-    deployment::PLAIN_SERVICE, stand_in::plain::CarriedCall,
+    CallVerdict, Deployment, DeploymentPlan, TestCaller,
+    caller::TestCall,
+    deployment::{MODEL_SERVICE, PLAIN_SERVICE, TestEndpoint},
+    stand_in::plain::CarriedCall,
+    weights::WeightImage,
 };
 use serde_json::json;
 use smol::Timer;
@@ -302,3 +305,62 @@
         Ok(())
     });
 }
+
+/// An engine's instance dies while it computes a long prompt, before the first
+/// token. The question may be repeated, so its caller gets a whole answer from
+/// another engine and sees no error.
+#[test]
+fn an_engine_that_dies_before_the_first_token_is_replaced() {
+    run(async {
+        let plan = DeploymentPlan { entries: 1, model_agents: 2, ..DeploymentPlan::default() };
+        let mut deployment = Deployment::start(&plan).await?;
+        deployment.wait_status(0, START_TIME, |_| true).await?;
+        let image = WeightImage::generate(ModelVersion::new("v1")?, 7, 1 << 20, 256 << 10);
+        let image = Arc::new(image);
+        deployment.origin.add(image.clone());
+        let service = json!({ "kind": "model", "version": "v1", "replicas": 2 });
+        let content = json!({ "services": { MODEL_SERVICE: service } });
+        deployment.force("ordinary", &content, "change-1").await?;
+        let ready =
+            |status: &serde_json::Value| status["services"][MODEL_SERVICE]["replicas_ready"] == 2;
+        deployment.wait_status(0, START_TIME, ready).await?;
+        let entry = deployment.entries[0].caller_addr;
+        let digest = image.answer_digest();
+        let answer = spawn(async move {
+            let weights = |version: &str| (version == "v1").then_some(digest);
+            let prompt = "when does the lift tour start";
+            TestCaller::default().generate(entry, MODEL_SERVICE, prompt, 2, 700, weights).await
+        });
+        let runs = |e: &TestEndpoint| e.engine.as_ref().is_some_and(|x| !x.runs().is_empty());
+        wait_for("the run", || deployment.endpoints.iter().any(runs)).await?;
+        let index = deployment.endpoints.iter().position(runs).expect("one of them runs it");
+        deployment.endpoints[index].agent.as_mut().expect("it runs").kill()?;
+        let verdict = answer.await;
+        assert!(is_complete(&verdict), "{verdict:?}");
+        Ok(())
+    });
+}
+
+/// The table service takes a few hundred writes a second and answers slowly, and
+/// three hundred visitors buy at the same moment. Each sale needs two rows; were
+/// each row a write of its own, most visitors would be refused.
+#[test]
+fn many_sales_share_the_writes_of_the_store() {
+    run(async {
+        let deployment = ledgers(2, 1, Duration::ZERO).await?;
+        let entry = deployment.entries[0].caller_addr;
+        deployment.table_switches.set_delay(Duration::from_millis(20));
+        let before = deployment.table.writes();
+        let sales: Vec<_> = (0..300)
+            .map(|n| spawn(send(sale(entry, &format!("seat-{n}"), Duration::from_secs(15)))))
+            .collect();
+        for sale in sales {
+            let verdict = sale.await;
+            assert!(is_complete(&verdict), "{verdict:?}");
+        }
+        let writes = deployment.table.writes() - before;
+        println!("600 rows in {writes} writes");
+        assert!(writes <= 200, "{writes} writes for 600 rows");
+        Ok(())
+    });
+}
