A key held elsewhere ends the attempts at once; waiters look less often

Cause: an entry sent a keyed request to the next agent although the first had said that another attempt holds the key; each made its caller wait for 2 s more. Waiters read the row every 50 ms, so a hundred of them took the table service's whole read rate. A request with a past deadline was called bad when its body came a moment later. The latch had no history that misses it.

Change: such an end is final; looks back off from 25 to 400 ms with jitter; bodies get a second at least; the histories count runs after their cancel.

--- a/crates/agent/src/keyed.rs
+++ b/crates/agent/src/keyed.rs
@@ -12,6 +12,7 @@
 use cassiawheel_model::{AttemptNonce, Deadline, NotRunReason, RequestHead, Timestamp};
 use cassiawheel_runtime::timeout;
 use http_body_util::BodyExt;
+use rand::Rng;
 use smol::Timer;
 
 pub(crate) use writer::ClaimWriter;
@@ -21,8 +22,12 @@
     run::{AttemptLink, GatePermit, RunFailure, call_engine, longest_run, send_whole, within},
 };
 
-/// Wait before the row is looked at again.
-const LOOK_AGAIN: Duration = Duration::from_millis(50);
+/// First and longest wait before the row is looked at again, in milliseconds.
+///
+/// Each look is a read of the table service, and those who wait for one key can
+/// be many.
+const MIN_LOOK_MS: u64 = 25;
+const MAX_LOOK_MS: u64 = 400;
 
 /// Longest wait for a claim, or for the outcome of the attempt that holds it.
 ///
@@ -103,16 +108,14 @@
     /// Writes and looks until the request may run, is answered, or is given up.
     async fn claim(&mut self) -> Result<ClaimStep, RunFailure> {
         let mut step = ClaimStep::Write(ClaimGuard::Absent);
-        let mut first = true;
+        let mut wait_ms = 0;
         loop {
             if self.link.latch.is_cancelled() {
                 return Err(RunFailure::NotRun(NotRunReason::Cancelled));
             }
             let view = match step {
                 ClaimStep::Write(guard) => {
-                    if !first {
-                        Timer::after(LOOK_AGAIN).await;
-                    }
+                    pause(wait_ms).await;
                     self.take_permit()?;
                     self.tracker.begin_write();
                     let record = self.tracker.record();
@@ -124,12 +127,12 @@
                     if self.tracker.waits_for_other() {
                         self.permit = None;
                     }
-                    Timer::after(LOOK_AGAIN).await;
+                    pause(wait_ms).await;
                     row::look(self.shared, &self.row).await
                 }
                 settled => return Ok(settled),
             };
-            first = false;
+            wait_ms = (wait_ms * 2).clamp(MIN_LOOK_MS, MAX_LOOK_MS);
             step = self.tracker.next(view, Timestamp::now());
         }
     }
@@ -194,6 +197,14 @@
     }
 }
 
+/// Waits for about `wait_ms`, so that those who wait for one key do not look together.
+async fn pause(wait_ms: u64) {
+    if wait_ms > 0 {
+        let wait_ms = rand::rng().random_range(wait_ms / 2..=wait_ms);
+        Timer::after(Duration::from_millis(wait_ms)).await;
+    }
+}
+
 async fn run_whole(
     shared: &EndpointShared,
     head: &RequestHead,
--- a/crates/decide/src/retry.rs
+++ b/crates/decide/src/retry.rs
@@ -15,6 +15,8 @@
     NotRun(NotRunReason),
     /// It may have run.
     Unknown(String),
+    /// It may have run, and the claim on its key lets no other attempt run.
+    Unanswered(String),
 }
 
 /// What to do next.
@@ -94,6 +96,7 @@
         let may_repeat = match &end {
             AttemptEnd::NotRun(reason) => reason.is_retryable(),
             AttemptEnd::Unknown(_) => self.guard != RepeatGuard::Nothing,
+            AttemptEnd::Unanswered(_) => false,
         };
         let stale = end == AttemptEnd::NotRun(NotRunReason::StaleRevision);
         self.note(end.clone());
@@ -107,7 +110,9 @@
 
     fn note(&mut self, end: AttemptEnd) {
         match end {
-            AttemptEnd::Unknown(detail) => self.unknown = Some(detail),
+            AttemptEnd::Unknown(detail) | AttemptEnd::Unanswered(detail) => {
+                self.unknown = Some(detail);
+            }
             // That no other endpoint is left says less than why the last one
             // refused, which is what its caller can act on.
             AttemptEnd::NotRun(NotRunReason::NoEndpoint) => {}
--- a/crates/decide/tests/keyed_history.rs
+++ b/crates/decide/tests/keyed_history.rs
@@ -22,6 +22,7 @@
     ran_though_told_not: u32,
     wrong_answers: u32,
     late_runs: u32,
+    ran_though_cancelled: u32,
     not_linearizable: u32,
     stuck_keys: u32,
     permits_kept: u32,
@@ -86,6 +87,8 @@
         let request = &world.requests[attempt.request];
         let deadline = request.called_at + 400;
         seen.late_runs += u32::from(attempt.began_at.is_some_and(|at| at >= deadline));
+        let cancelled = attempt.latch.is_cancelled() && attempt.began_at.is_some();
+        seen.ran_though_cancelled += u32::from(cancelled);
     }
 }
 
@@ -185,9 +188,11 @@
     assert!(held.second_runs > 100, "{held:?}");
     let late = observe(MissingGuard::DeadlineBeforeRun);
     assert!(late.late_runs > 10, "{late:?}");
+    let latch = observe(MissingGuard::LatchBeforeRun);
+    assert!(latch.ran_though_cancelled > 5, "{latch:?}");
     let unknown = observe(MissingGuard::UnknownStays);
     assert!(unknown.ran_though_told_not > 5, "{unknown:?}");
     let release = observe(MissingGuard::LateRelease);
     assert!(release.stuck_keys > 5, "{release:?}");
-    println!("{claim:?}\n{held:?}\n{late:?}\n{unknown:?}\n{release:?}");
+    println!("{claim:?}\n{held:?}\n{late:?}\n{latch:?}\n{unknown:?}\n{release:?}");
 }
--- a/crates/decide/tests/keyed_history/world.rs
+++ b/crates/decide/tests/keyed_history/world.rs
@@ -93,7 +93,7 @@
     agent: usize,
     incarnation: u32,
     tracker: ClaimTracker,
-    latch: RunLatch,
+    pub latch: RunLatch,
     permit: bool,
     revision: u64,
     ended: bool,
@@ -312,7 +312,7 @@
                 let end = if self.missing == MissingGuard::UnknownStays { last } else { end };
                 let told = match end {
                     AttemptEnd::NotRun(reason) => Told::NotRun(reason),
-                    AttemptEnd::Unknown(_) => Told::Unknown,
+                    AttemptEnd::Unknown(_) | AttemptEnd::Unanswered(_) => Told::Unknown,
                 };
                 self.tell(index, told);
             }
@@ -474,7 +474,7 @@
                 self.attempts[attempt].ended = true;
                 self.soon(Event::Word(attempt, Ok(answer.body)));
             }
-            ClaimStep::Unknown(detail) => self.give_up(attempt, AttemptEnd::Unknown(detail)),
+            ClaimStep::Unknown(detail) => self.give_up(attempt, AttemptEnd::Unanswered(detail)),
             ClaimStep::Conflict => self.refuse(attempt, NotRunReason::KeyConflict),
             ClaimStep::GiveUp => self.refuse(attempt, NotRunReason::StoreUnavailable),
         }
@@ -510,7 +510,7 @@
         if self.rng.random_bool(0.1) {
             let detail = "answer cut".to_owned();
             self.settle(attempt, ClaimState::Unanswered { detail: detail.clone() }, revision);
-            return self.soon(Event::Word(attempt, Err(AttemptEnd::Unknown(detail))));
+            return self.soon(Event::Word(attempt, Err(AttemptEnd::Unanswered(detail))));
         }
         let key = self.requests[self.attempts[attempt].request].key;
         let body = expected_answer(key, attempt);
--- a/crates/decide/tests/retry.rs
+++ b/crates/decide/tests/retry.rs
@@ -58,6 +58,15 @@
     assert_eq!(step, RetryStep::Stop(unknown()));
 }
 
+/// An agent says that another attempt holds the key. The next agent would find
+/// the same row and wait for it as long, and the caller would wait for all.
+#[test]
+fn a_claim_that_is_held_elsewhere_ends_the_attempts() {
+    let mut tries = Tries::new(RepeatGuard::Claimed);
+    let step = tries.after(AttemptEnd::Unanswered("held".to_owned()));
+    assert!(matches!(step, RetryStep::Stop(AttemptEnd::Unknown(_))));
+}
+
 /// The only endpoint is full. "No endpoint" would send the operator to look for
 /// a dead process.
 #[test]
--- a/crates/entry/src/caller/attempts.rs
+++ b/crates/entry/src/caller/attempts.rs
@@ -247,11 +247,9 @@
     end: &AttemptEnd,
 ) {
     let now = Timestamp::now();
-    // A keyed request can be unknown because of another attempt, which says
-    // nothing of this endpoint.
-    let is_claimed = RepeatGuard::of(head) == RepeatGuard::Claimed;
     match end {
-        AttemptEnd::Unknown(_) if is_claimed => {}
+        // Another attempt with the key may be the cause, and not this endpoint.
+        AttemptEnd::Unanswered(_) => {}
         AttemptEnd::NotRun(NotRunReason::Overloaded) => cell.refuse(now),
         AttemptEnd::NotRun(NotRunReason::ConnectFailed) | AttemptEnd::Unknown(_) => {
             let routes = shared.routes.load();
@@ -302,7 +300,11 @@
             Ok(AnswerHead { stream, status, content_type, version, revision, replayed })
         }
         Some(RequestMessage::Refused { reason, .. }) => Err(AttemptEnd::NotRun(reason)),
-        Some(RequestMessage::Failed { detail, .. }) => Err(AttemptEnd::Unknown(detail)),
+        Some(RequestMessage::Failed { detail, .. }) => Err(match RepeatGuard::of(routed) {
+            // Other agents would find the same claim and let its caller wait.
+            RepeatGuard::Claimed => AttemptEnd::Unanswered(detail),
+            RepeatGuard::Idempotent | RepeatGuard::Nothing => AttemptEnd::Unknown(detail),
+        }),
         Some(_) => Err(AttemptEnd::Unknown("the answer has no head".to_owned())),
         None => Err(AttemptEnd::Unknown("the connection to the endpoint was lost".to_owned())),
     }
@@ -314,6 +316,8 @@
             reason,
             retry_at: Deadline(Timestamp::now().0 + RETRY_AFTER_MS),
         },
-        AttemptEnd::Unknown(detail) => RequestOutcome::Unknown { detail },
+        AttemptEnd::Unknown(detail) | AttemptEnd::Unanswered(detail) => {
+            RequestOutcome::Unknown { detail }
+        }
     }
 }
--- a/crates/entry/src/caller/identify.rs
+++ b/crates/entry/src/caller/identify.rs
@@ -14,6 +14,9 @@
 use super::SERVICE_PATH;
 use crate::shared::EntryShared;
 
+/// Time for a body whose deadline is past or near; its caller is then told so.
+const MIN_BODY_TIME: Duration = Duration::from_secs(1);
+
 /// Header that names the caller's workspace.
 pub(crate) const WORKSPACE_HEADER: &str = "cassiawheel-workspace";
 /// Header with the priority: `low`, `normal` or `high`.
@@ -87,7 +90,7 @@
     // A caller that stalls in the middle of its body would hold its connection
     // for as long as it likes.
     let limit = Duration::from_millis(shared.settings.limits.body_ms);
-    let span = limit.min(head.deadline.remaining(Timestamp::now()));
+    let span = limit.min(head.deadline.remaining(Timestamp::now()).max(MIN_BODY_TIME));
     let body = read_body_within(body, settings.max_body_bytes, span).await;
     let body = body.map_err(|error| match error {
         BodyError::TooLong => BadRequest {
