--- a/crates/testkit/tests/requests.rs
+++ b/crates/testkit/tests/requests.rs
@@ -2,7 +2,11 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use cassiawheel_model::{ModelVersion, Timestamp, settings::CallerSettings};
+use cassiawheel_model::{
+    ModelVersion, Timestamp,
+    settings::{AgentSettings, CallerSettings},
+};
+use cassiawheel_platform::{HttpClient, HttpEngine, LoadOrder, ModelEngine};
 use cassiawheel_runtime::spawn;
 use cassiawheel_testkit::{
     CallVerdict, Deployment, DeploymentPlan, TestCaller,
@@ -308,6 +312,42 @@
     });
 }
 
+/// Two model engines that answer from the same version.
+async fn engines() -> anyhow::Result<(Deployment, Arc<WeightImage>)> {
+    let plan = DeploymentPlan { entries: 1, model_agents: 2, ..DeploymentPlan::default() };
+    let deployment = Deployment::start(&plan).await?;
+    deployment.wait_status(0, START_TIME, |_| true).await?;
+    let image = Arc::new(WeightImage::generate(ModelVersion::new("v1")?, 7, 1 << 20, 256 << 10));
+    deployment.origin.add(image.clone());
+    let service = json!({ "kind": "model", "version": "v1", "replicas": 2 });
+    let content = json!({ "services": { MODEL_SERVICE: service } });
+    deployment.force("ordinary", &content, "change-1").await?;
+    let ready =
+        |status: &serde_json::Value| status["services"][MODEL_SERVICE]["replicas_ready"] == 2;
+    deployment.wait_status(0, START_TIME, ready).await?;
+    Ok((deployment, image))
+}
+
+/// Asks for eight tokens, one each tenth of a second.
+fn ask_engine(deployment: &Deployment, image: &WeightImage) -> smol::Task<CallVerdict> {
+    let (entry, digest) = (deployment.entries[0].caller_addr, image.answer_digest());
+    spawn(async move {
+        let weights = |version: &str| (version == "v1").then_some(digest);
+        let prompt = "when does the lift tour start";
+        TestCaller::default().generate(entry, MODEL_SERVICE, prompt, 8, 100, weights).await
+    })
+}
+
+/// The endpoint whose engine began the only run.
+async fn running_engine(deployment: &Deployment) -> anyhow::Result<usize> {
+    wait_for("the run", || deployment.endpoints.iter().any(has_run)).await?;
+    Ok(deployment.endpoints.iter().position(has_run).expect("one of them runs it"))
+}
+
+fn has_run(endpoint: &TestEndpoint) -> bool {
+    endpoint.engine.as_ref().is_some_and(|engine| !engine.runs().is_empty())
+}
+
 /// An engine's instance dies while it computes a long prompt, or in the middle of
 /// its answer. The question may be repeated, so another engine of the same version
 /// answers it again, and its caller sees one whole answer and no error.
@@ -316,38 +356,56 @@
 #[case::in_the_middle(350)]
 fn an_engine_that_dies_is_replaced(#[case] killed_after_ms: u64) {
     run(async {
-        let plan = DeploymentPlan { entries: 1, model_agents: 2, ..DeploymentPlan::default() };
-        let mut deployment = Deployment::start(&plan).await?;
-        deployment.wait_status(0, START_TIME, |_| true).await?;
-        let image = WeightImage::generate(ModelVersion::new("v1")?, 7, 1 << 20, 256 << 10);
-        let image = Arc::new(image);
-        deployment.origin.add(image.clone());
-        let service = json!({ "kind": "model", "version": "v1", "replicas": 2 });
-        let content = json!({ "services": { MODEL_SERVICE: service } });
-        deployment.force("ordinary", &content, "change-1").await?;
-        let ready =
-            |status: &serde_json::Value| status["services"][MODEL_SERVICE]["replicas_ready"] == 2;
-        deployment.wait_status(0, START_TIME, ready).await?;
-        let entry = deployment.entries[0].caller_addr;
-        let digest = image.answer_digest();
-        let answer = spawn(async move {
-            let weights = |version: &str| (version == "v1").then_some(digest);
-            let prompt = "when does the lift tour start";
-            TestCaller::default().generate(entry, MODEL_SERVICE, prompt, 8, 100, weights).await
-        });
-        let runs = |e: &TestEndpoint| e.engine.as_ref().is_some_and(|x| !x.runs().is_empty());
-        wait_for("the run", || deployment.endpoints.iter().any(runs)).await?;
-        let index = deployment.endpoints.iter().position(runs).expect("one of them runs it");
+        let (mut deployment, image) = engines().await?;
+        let answer = ask_engine(&deployment, &image);
+        let index = running_engine(&deployment).await?;
         Timer::after(Duration::from_millis(killed_after_ms)).await;
         deployment.endpoints[index].agent.as_mut().expect("it runs").kill()?;
         let verdict = answer.await;
         assert!(is_complete(&verdict), "{verdict:?}");
-        let engines = deployment.endpoints.iter().filter(|endpoint| runs(endpoint)).count();
-        assert_eq!(engines, 2, "the other engine answered");
+        assert!(deployment.endpoints.iter().all(has_run), "the other engine answered");
         Ok(())
     });
 }
 
+/// An engine dies in the middle of its answer, and the other one answers
+/// otherwise, as an engine does that draws its tokens at random. Half of one
+/// answer and half of another must not look like a whole one.
+#[test]
+fn two_different_answers_are_not_joined() {
+    run(async {
+        let (mut deployment, image) = engines().await?;
+        let answer = ask_engine(&deployment, &image);
+        let index = running_engine(&deployment).await?;
+        let other = WeightImage::generate(ModelVersion::new("v1")?, 8, 1 << 20, 256 << 10);
+        load_behind_the_agent(&deployment.endpoints[1 - index], &other).await?;
+        Timer::after(Duration::from_millis(350)).await;
+        deployment.endpoints[index].agent.as_mut().expect("it runs").kill()?;
+        let verdict = answer.await;
+        assert!(matches!(verdict, CallVerdict::Unknown(_)), "{verdict:?}");
+        assert!(deployment.endpoints.iter().all(has_run), "the other engine was asked");
+        Ok(())
+    });
+}
+
+/// Makes an engine answer otherwise under the same version.
+async fn load_behind_the_agent(endpoint: &TestEndpoint, image: &WeightImage) -> anyhow::Result<()> {
+    let settings: AgentSettings = serde_json::from_slice(&std::fs::read(&endpoint.config)?)?;
+    let engine = HttpEngine::new(HttpClient::default(), settings.engine.addr);
+    let manifest = &image.manifest;
+    engine.stage(manifest).await?;
+    for index in 0..manifest.chunks.len() {
+        let chunk = image.chunk(index).expect("a chunk").to_vec();
+        engine.stage_chunk(manifest.digest, index, chunk.into()).await?;
+    }
+    let order = LoadOrder {
+        version: manifest.version.clone(),
+        manifest: manifest.digest,
+        fencing: u64::MAX,
+    };
+    Ok(engine.load(&order).await?)
+}
+
 /// The table service takes a few hundred writes a second and answers slowly, and
 /// three hundred visitors buy at the same moment. Each sale needs two rows; were
 /// each row a write of its own, most visitors would be refused.
