Prove distribution under faults over TCP

Cause: nothing showed that a lying peer, a corrupt origin, a restart in mid-transfer, a change of version or an old order end well over TCP.

Agents keep one list of peers per entry, since each entry knows a part of them, and wait for the first list before they draw from the origin. Entries tell changed lists within 100 ms.

--- a/crates/agent/src/entry_link.rs
+++ b/crates/agent/src/entry_link.rs
@@ -31,7 +31,7 @@
         match connect(addr, &shared.settings.inner_key, None).await {
             Ok((sender, receiver)) => {
                 backoff = MIN_BACKOFF_MS;
-                let ended = converse(&shared, sender, receiver).await;
+                let ended = converse(&shared, addr, sender, receiver).await;
                 log::info!(target: "link", entry:% = addr, cause:% = ended; "Connection to an entry ended.");
             }
             Err(error) => {
@@ -58,6 +58,7 @@
 
 async fn converse(
     shared: &Arc<EndpointShared>,
+    entry: SocketAddr,
     sender: WireSender,
     mut receiver: WireReceiver,
 ) -> WireError {
@@ -74,21 +75,22 @@
     let mut attempts = LinkAttempts::default();
     let ended = loop {
         match receiver.recv().await {
-            Ok(WireMessage::Control(message)) => handle_control(shared, message),
+            Ok(WireMessage::Control(message)) => handle_control(shared, entry, message),
             Ok(WireMessage::Request(message)) => attempts.handle(shared, &sender, message),
             Ok(WireMessage::Hello(_) | WireMessage::Chunk(_)) => {}
             Err(error) => break error,
         }
     };
     sender.close();
+    shared.transfer.forget_peers_of(entry);
     attempts.entry_is_gone();
     ended
 }
 
-fn handle_control(shared: &Arc<EndpointShared>, message: ControlMessage) {
+fn handle_control(shared: &Arc<EndpointShared>, entry: SocketAddr, message: ControlMessage) {
     match message {
         ControlMessage::Force(preset) => exchange::offer_preset(shared, preset),
-        ControlMessage::Peers(peers) => transfer::offer_peers(shared, peers),
+        ControlMessage::Peers(peers) => transfer::offer_peers(shared, entry, peers),
         ControlMessage::Order(order) => exchange::offer_order(shared, order),
         ControlMessage::Report(_)
         | ControlMessage::Leaving { .. }
--- a/crates/agent/src/transfer.rs
+++ b/crates/agent/src/transfer.rs
@@ -10,14 +10,19 @@
 pub(crate) use stage::{release_others, resume, stage};
 pub(crate) use state::TransferState;
 
-use std::sync::Arc;
+use std::{net::SocketAddr, sync::Arc};
 
 use cassiawheel_wire::message::EndpointAddress;
 
 use crate::endpoint::EndpointShared;
 
-/// Takes a new list of agents to swap chunks with.
-pub(crate) fn offer_peers(shared: &Arc<EndpointShared>, peers: Vec<EndpointAddress>) {
+/// Takes the list of agents to swap chunks with from the entry at `entry`.
+pub(crate) fn offer_peers(
+    shared: &Arc<EndpointShared>,
+    entry: SocketAddr,
+    peers: Vec<EndpointAddress>,
+) {
     let own = &shared.settings.place.instance;
-    shared.transfer.set_peers(peers.into_iter().filter(|peer| peer.instance != *own).collect());
+    let others = peers.into_iter().filter(|peer| peer.instance != *own).collect();
+    shared.transfer.set_peers(entry, others);
 }
--- a/crates/agent/src/transfer/peer.rs
+++ b/crates/agent/src/transfer/peer.rs
@@ -97,9 +97,10 @@
             }
             client.sender.close();
             client.waiting().clear();
-            if events.send(TransferEvent::PeerDown(peer.instance.clone())).await.is_err() {
-                return;
-            }
+        }
+        // Also after a failed dial, so that nobody waits for its list.
+        if events.send(TransferEvent::PeerDown(peer.instance.clone())).await.is_err() {
+            return;
         }
         Timer::after(DIAL_AGAIN).await;
     }
--- a/crates/agent/src/transfer/stage.rs
+++ b/crates/agent/src/transfer/stage.rs
@@ -31,6 +31,9 @@
 /// Wait for events before the picker is asked again.
 const TICK: Duration = Duration::from_millis(20);
 
+/// Longest wait for the first list of peers.
+const FIRST_LIST_TIME: Duration = Duration::from_millis(700);
+
 /// Fetches at one peer at a time.
 const PER_PEER: usize = 2;
 
@@ -80,12 +83,24 @@
     let serving = shared.engine.status().await.ok().and_then(|status| status.manifest);
     let keep: Vec<_> = serving.into_iter().chain([order.manifest]).collect();
     release_others(shared, &keep).await;
+    await_peers(shared).await;
     let mut task = StagingTask::new(shared.clone(), manifest, &held);
     let whole = task.run(order).await;
     log::info!(target: "transfer", version:% = order.version, whole = whole; "A transfer ended.");
     Ok(whole)
 }
 
+/// Waits a moment for the first list of peers.
+///
+/// An order may come before it. An agent that knows of nobody owns all chunks,
+/// and every agent of a new deployment would draw some of the same.
+async fn await_peers(shared: &EndpointShared) {
+    let deadline = Timestamp::now().deadline_after(FIRST_LIST_TIME);
+    while !shared.transfer.knows_peers() && !deadline.is_past(Timestamp::now()) {
+        timeout(TICK, shared.transfer.peers_changed()).await;
+    }
+}
+
 /// Stages the chunks that are held under another manifest already.
 async fn copy_shared_chunks(shared: &EndpointShared, manifest: &WeightManifest, held: &mut [bool]) {
     for chunk in shared.transfer.held_elsewhere(manifest) {
@@ -236,11 +251,14 @@
 
     fn follow_peers(&mut self) {
         let peers = self.shared.transfer.peers();
-        let listed = |instance: &InstanceId| peers.iter().any(|peer| peer.instance == *instance);
-        let gone: Vec<_> = self.followers.keys().filter(|name| !listed(name)).cloned().collect();
+        // A peer that answers is kept even if no entry lists it any more.
+        let kept = |instance: &InstanceId| {
+            self.clients.contains_key(instance)
+                || peers.iter().any(|peer| peer.instance == *instance)
+        };
+        let gone: Vec<_> = self.followers.keys().filter(|name| !kept(name)).cloned().collect();
         for instance in gone {
             self.followers.remove(&instance);
-            self.clients.remove(&instance);
             self.picker.remove_peer(&instance);
         }
         for peer in peers {
--- a/crates/agent/src/transfer/state.rs
+++ b/crates/agent/src/transfer/state.rs
@@ -1,7 +1,8 @@
 //! What an agent holds and whom it tells.
 
 use std::{
-    collections::{HashMap, VecDeque},
+    collections::{BTreeMap, HashMap, VecDeque},
+    net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard},
 };
 
@@ -34,7 +35,8 @@
     current: Option<ManifestDigest>,
     cache: ChunkCache,
     watchers: Vec<WireSender>,
-    peers: Vec<EndpointAddress>,
+    /// Lists of peers by the entry that sent them.
+    peers: HashMap<SocketAddr, Vec<EndpointAddress>>,
 }
 
 struct HeldImage {
@@ -76,7 +78,7 @@
                 current: None,
                 cache: ChunkCache::new(settings.cache_bytes),
                 watchers: Vec::new(),
-                peers: Vec::new(),
+                peers: HashMap::new(),
             }),
             wake: bounded(1),
             peers_changed: bounded(1),
@@ -97,15 +99,31 @@
         let _ = self.wake.1.recv().await;
     }
 
-    /// Replaces the list of peers.
-    pub(crate) fn set_peers(&self, peers: Vec<EndpointAddress>) {
-        self.lock().peers = peers;
+    /// Replaces the list of peers that `entry` sent.
+    pub(crate) fn set_peers(&self, entry: SocketAddr, peers: Vec<EndpointAddress>) {
+        self.lock().peers.insert(entry, peers);
         let _ = self.peers_changed.0.try_send(());
     }
 
-    /// The list of peers.
+    /// Forgets the list of an entry that is gone, unless it is the only one.
+    pub(crate) fn forget_peers_of(&self, entry: SocketAddr) {
+        let mut inner = self.lock();
+        if inner.peers.len() > 1 {
+            inner.peers.remove(&entry);
+        }
+    }
+
+    /// All peers that entries list; each entry knows a part of them.
     pub(crate) fn peers(&self) -> Vec<EndpointAddress> {
-        self.lock().peers.clone()
+        let inner = self.lock();
+        let listed = inner.peers.values().flatten();
+        let by_name: BTreeMap<_, _> = listed.map(|peer| (&peer.instance, peer)).collect();
+        by_name.into_values().cloned().collect()
+    }
+
+    /// Whether an entry has sent a list of peers.
+    pub(crate) fn knows_peers(&self) -> bool {
+        !self.lock().peers.is_empty()
     }
 
     /// Completes when the list of peers may have changed.
--- a/crates/decide/examples/distribution.rs
+++ b/crates/decide/examples/distribution.rs
@@ -24,6 +24,7 @@
         print(agents, "time mode", &run_rounds(&time_mode));
         if agents <= 230 {
             print(agents, "faults", &run_rounds(&faulty(&plan)));
+            print(agents, "late joiner", &run_rounds(&joined(&plan)));
         }
         for (case, rounds, copies) in [
             ("all from origin", all_from_origin(agents, chunks), agents),
@@ -35,7 +36,7 @@
     }
 }
 
-/// Two agents die, one link stalls, one lies, one joins late and one chunk in a hundred is corrupt.
+/// Two agents die, one link stalls, one lies and one chunk in a hundred is corrupt.
 fn faulty(plan: &RoundPlan) -> RoundPlan {
     let early = plan.chunks / 4;
     RoundPlan {
@@ -45,12 +46,17 @@
             RoundFault::Dies { agent: 2, round: 2 * early },
             RoundFault::Stalls { agent: 3, round: early },
             RoundFault::Lies { agent: 4 },
-            RoundFault::Joins { agent: 5, round: 2 * early },
         ],
         ..plan.clone()
     }
 }
 
+/// One agent joins when the others have a quarter; its own link alone needs the bound from then.
+fn joined(plan: &RoundPlan) -> RoundPlan {
+    let faults = vec![RoundFault::Joins { agent: 5, round: plan.chunks / 4 }];
+    RoundPlan { faults, ..plan.clone() }
+}
+
 fn print(agents: usize, case: &str, result: &RoundResult) {
     let per_selection = result.selection_ns / result.selections.max(1);
     println!(
--- a/crates/entry/src/control/membership.rs
+++ b/crates/entry/src/control/membership.rs
@@ -17,7 +17,7 @@
 const LIST_TIME: Duration = Duration::from_secs(1);
 
 /// Time between looks for new peers of agents.
-const PEERS_TIME: Duration = Duration::from_millis(500);
+const PEERS_TIME: Duration = Duration::from_millis(100);
 
 /// Most peers that an agent is told.
 const MAX_PEERS: usize = 256;
@@ -73,13 +73,20 @@
 /// again and again in the middle of a transfer.
 pub(crate) async fn introduce_agents(shared: Arc<EntryShared>) {
     let mut told: HashMap<InstanceId, ToldPeers> = HashMap::new();
+    let mut known = HashMap::new();
     loop {
         Timer::after(PEERS_TIME).await;
         let links = shared.links.load_full();
         told.retain(|instance, last| {
             links.get(instance).is_some_and(|link| Arc::ptr_eq(link, &last.link))
         });
-        for agents in agents_by_service(&shared).values() {
+        let by_service = agents_by_service(&shared);
+        let all_told = links.keys().all(|instance| told.contains_key(instance));
+        if all_told && by_service == known {
+            continue;
+        }
+        known = by_service;
+        for agents in known.values() {
             for agent in agents {
                 let Some(link) = links.get(&agent.instance) else {
                     continue;
--- a/crates/testkit/src/deployment.rs
+++ b/crates/testkit/src/deployment.rs
@@ -130,6 +130,13 @@
     _stand_in: RunningStandIn,
 }
 
+impl TestEndpoint {
+    /// Where its engine or plain service listens.
+    pub fn engine_addr(&self) -> SocketAddr {
+        self._stand_in.addr
+    }
+}
+
 /// One entry.
 pub struct TestEntry {
     /// Its instance.
--- a/crates/testkit/src/stand_in.rs
+++ b/crates/testkit/src/stand_in.rs
@@ -3,6 +3,7 @@
 pub mod engine;
 pub mod instances;
 pub mod origin;
+pub mod peer;
 pub mod plain;
 
 pub mod table;
--- a/crates/testkit/src/stand_in/origin.rs
+++ b/crates/testkit/src/stand_in/origin.rs
@@ -5,13 +5,16 @@
     net::SocketAddr,
     sync::{
         Arc, Mutex,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
 };
 
 use cassiawheel_model::{ManifestDigest, ModelVersion};
 use cassiawheel_runtime::http::{ReplyBody, full_body, json_reply};
-use hyper::{Response, StatusCode};
+use hyper::{
+    Response, StatusCode,
+    header::{HeaderValue, RETRY_AFTER},
+};
 
 use cassiawheel_runtime::pacer::RatePacer;
 
@@ -24,6 +27,50 @@
     images: Mutex<HashMap<ModelVersion, Arc<WeightImage>>>,
     pacer: RatePacer,
     drawn: AtomicU64,
+    calls: AtomicU64,
+    draws: Mutex<HashMap<ChunkPlace, u64>>,
+    faults: OriginFaults,
+}
+
+/// A chunk of a version.
+type ChunkPlace = (ManifestDigest, usize);
+
+/// Faults of an origin's answers.
+#[derive(Debug, Default)]
+struct OriginFaults {
+    corrupt_every: AtomicU64,
+    shorten_every: AtomicU64,
+    limit_every: AtomicU64,
+    limited: AtomicU64,
+    corrupt_manifests: AtomicBool,
+}
+
+/// What becomes of one answer.
+enum ChunkFault {
+    None,
+    Corrupt,
+    Short,
+}
+
+/// Seconds after which a limited client may come back.
+const RETRY_AFTER_S: u64 = 1;
+
+impl OriginFaults {
+    /// The fault of one call; it follows from the call's number, so that every
+    /// run has the same share of faults.
+    fn of_chunk(&self, number: u64) -> ChunkFault {
+        let hits = |every: &AtomicU64| {
+            let every = every.load(Ordering::Relaxed);
+            every > 0 && number.is_multiple_of(every)
+        };
+        if hits(&self.corrupt_every) {
+            ChunkFault::Corrupt
+        } else if hits(&self.shorten_every) {
+            ChunkFault::Short
+        } else {
+            ChunkFault::None
+        }
+    }
 }
 
 impl OriginImages {
@@ -33,9 +80,43 @@
             images: Mutex::default(),
             pacer: RatePacer::new(bytes_per_s),
             drawn: AtomicU64::new(0),
+            calls: AtomicU64::new(0),
+            draws: Mutex::default(),
+            faults: OriginFaults::default(),
         }
     }
 
+    /// Flips a bit in every `every`th chunk; zero in none.
+    pub fn corrupt_every(&self, every: u64) {
+        self.faults.corrupt_every.store(every, Ordering::Relaxed);
+    }
+
+    /// Cuts every `every`th chunk short; zero none.
+    pub fn shorten_every(&self, every: u64) {
+        self.faults.shorten_every.store(every, Ordering::Relaxed);
+    }
+
+    /// Refuses every `every`th call for a chunk with 429; zero none.
+    pub fn limit_every(&self, every: u64) {
+        self.faults.limit_every.store(every, Ordering::Relaxed);
+    }
+
+    /// Sends manifests whose digest does not match.
+    pub fn corrupt_manifests(&self, on: bool) {
+        self.faults.corrupt_manifests.store(on, Ordering::Relaxed);
+    }
+
+    /// Calls refused with 429 so far.
+    pub fn limited(&self) -> u64 {
+        self.faults.limited.load(Ordering::Relaxed)
+    }
+
+    /// How often the chunk at `index` of `manifest` was sent.
+    pub fn draws(&self, manifest: ManifestDigest, index: usize) -> u64 {
+        let draws = self.draws.lock().unwrap_or_else(|poison| poison.into_inner());
+        draws.get(&(manifest, index)).copied().unwrap_or(0)
+    }
+
     /// Adds a version.
     pub fn add(&self, image: Arc<WeightImage>) {
         let mut images = self.images.lock().unwrap_or_else(|poison| poison.into_inner());
@@ -74,6 +155,11 @@
     fn manifest(&self, version: &str) -> Response<ReplyBody> {
         let images = self.images.lock().unwrap_or_else(|poison| poison.into_inner());
         match images.get(version) {
+            Some(image) if self.faults.corrupt_manifests.load(Ordering::Relaxed) => {
+                let mut manifest = image.manifest.clone();
+                manifest.chunks.reverse();
+                json_reply(StatusCode::OK, &manifest)
+            }
             Some(image) => json_reply(StatusCode::OK, &image.manifest),
             None => empty_reply(StatusCode::NOT_FOUND),
         }
@@ -85,23 +171,45 @@
         index: &str,
         switches: &FaultSwitches,
     ) -> Response<ReplyBody> {
-        let image = digest.parse().ok().and_then(|digest| self.image(digest));
-        let chunk = image
-            .zip(index.parse().ok())
-            .and_then(|(image, index): (_, usize)| image.chunk(index).map(<[u8]>::to_vec));
-        let Some(mut bytes) = chunk else {
+        let place = digest.parse().ok().zip(index.parse().ok());
+        let chunk = place.and_then(|(digest, index): ChunkPlace| {
+            let image = self.image(digest)?;
+            image.chunk(index).map(|bytes| ((digest, index), bytes.to_vec()))
+        });
+        let Some((place, mut bytes)) = chunk else {
             return empty_reply(StatusCode::NOT_FOUND);
         };
+        let number = self.calls.fetch_add(1, Ordering::Relaxed) + 1;
+        let limit = self.faults.limit_every.load(Ordering::Relaxed);
+        if limit > 0 && number.is_multiple_of(limit) {
+            self.faults.limited.fetch_add(1, Ordering::Relaxed);
+            return limited_reply();
+        }
         self.pacer.pass(bytes.len()).await;
-        self.drawn.fetch_add(bytes.len() as u64, Ordering::Relaxed);
-        if switches.corrupts() {
-            bytes[0] ^= 1;
+        self.note_draw(place, bytes.len());
+        match self.faults.of_chunk(number) {
+            ChunkFault::Corrupt => bytes[0] ^= 1,
+            ChunkFault::Short => bytes.truncate(bytes.len() / 2),
+            ChunkFault::None if switches.corrupts() => bytes[0] ^= 1,
+            ChunkFault::None => {}
         }
         Response::new(full_body(bytes))
     }
 
+    fn note_draw(&self, place: ChunkPlace, bytes: usize) {
+        self.drawn.fetch_add(bytes as u64, Ordering::Relaxed);
+        let mut draws = self.draws.lock().unwrap_or_else(|poison| poison.into_inner());
+        *draws.entry(place).or_insert(0) += 1;
+    }
+
     fn image(&self, digest: ManifestDigest) -> Option<Arc<WeightImage>> {
         let images = self.images.lock().unwrap_or_else(|poison| poison.into_inner());
         images.values().find(|image| image.manifest.digest == digest).cloned()
     }
 }
+
+fn limited_reply() -> Response<ReplyBody> {
+    let mut reply = empty_reply(StatusCode::TOO_MANY_REQUESTS);
+    reply.headers_mut().insert(RETRY_AFTER, HeaderValue::from(RETRY_AFTER_S));
+    reply
+}
