--- a/crates/agent/src/endpoint.rs
+++ b/crates/agent/src/endpoint.rs
@@ -3,23 +3,28 @@
 use std::{
     sync::{
         Arc, Mutex, MutexGuard,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicU32, AtomicU64, Ordering},
     },
     time::Duration,
 };
 
-use cassiawheel_decide::{GateState, PresetHolder};
+use cassiawheel_decide::{GateState, PresetHolder, StartHold};
 use cassiawheel_model::{LoadReport, Timestamp, settings::AgentSettings};
 use cassiawheel_platform::{ModelEngine, TableStore, WeightSource};
 use cassiawheel_runtime::timeout;
 use cassiawheel_wire::{WireSender, message::WeightOrder};
 use smol::channel::{Receiver, Sender, bounded};
 
-use crate::{metrics::AgentMetrics, transfer::TransferState};
+use crate::{
+    keyed::ClaimWriter, metrics::AgentMetrics, serve::chosen_entries, transfer::TransferState,
+};
 
 /// Longest wait before a waiter looks at the gate again.
 const LOOK_AGAIN: Duration = Duration::from_millis(20);
 
+/// Longest time for which an agent that starts waits for every entry that it dials.
+const START_TIME: Duration = Duration::from_secs(2);
+
 /// Everything that the parts of an agent share.
 pub(crate) struct EndpointShared {
     /// The settings.
@@ -30,6 +35,8 @@
     pub(crate) engine: Arc<dyn ModelEngine>,
     /// The table service.
     pub(crate) table: Arc<dyn TableStore>,
+    /// Writes the rows of keyed requests.
+    pub(crate) claims: ClaimWriter,
     /// The origin of weights.
     pub(crate) origin: Arc<dyn WeightSource>,
     /// Weights held and being fetched.
@@ -38,10 +45,12 @@
     pub(crate) metrics: AgentMetrics,
     gate: Mutex<GateState>,
     holder: Mutex<PresetHolder>,
+    start_hold: Mutex<StartHold>,
     order: Mutex<Option<WeightOrder>>,
     load: Mutex<LoadReport>,
     entries: Mutex<Vec<WireSender>>,
     attempts: AtomicU64,
+    open: AtomicU32,
     released: (Sender<()>, Receiver<()>),
 }
 
@@ -55,15 +64,19 @@
         metrics: AgentMetrics,
     ) -> Self {
         let now = Timestamp::now();
+        let sources = chosen_entries(&settings);
         Self {
             incarnation: now.0,
             gate: Mutex::new(GateState::new(settings.engine.max_in_flight)),
             holder: Mutex::default(),
+            start_hold: Mutex::new(StartHold::new(sources, now.deadline_after(START_TIME))),
             order: Mutex::default(),
             load: Mutex::new(LoadReport { in_flight: 0, queued: 0, measured_at: now }),
             entries: Mutex::default(),
             attempts: AtomicU64::new(0),
+            open: AtomicU32::new(0),
             released: bounded(1),
+            claims: ClaimWriter::start(table.clone()),
             transfer: TransferState::new(&settings.transfer),
             settings,
             engine,
@@ -83,6 +96,11 @@
         self.holder.lock().unwrap_or_else(|poison| poison.into_inner())
     }
 
+    /// What this agent waits for before it runs requests.
+    pub(crate) fn start_hold(&self) -> MutexGuard<'_, StartHold> {
+        self.start_hold.lock().unwrap_or_else(|poison| poison.into_inner())
+    }
+
     /// The newest order.
     pub(crate) fn order(&self) -> MutexGuard<'_, Option<WeightOrder>> {
         self.order.lock().unwrap_or_else(|poison| poison.into_inner())
@@ -103,6 +121,20 @@
         self.attempts.fetch_add(1, Ordering::Relaxed)
     }
 
+    /// Counts an attempt, or the record of one, as open until the guard is dropped.
+    pub(crate) fn open_attempt(self: &Arc<Self>) -> OpenAttempt {
+        self.open.fetch_add(1, Ordering::Relaxed);
+        OpenAttempt { shared: self.clone() }
+    }
+
+    /// Attempts that are neither answered nor recorded yet.
+    ///
+    /// More than the gate counts: one that waits for the outcome of another
+    /// attempt has no permit, but a shutdown must not cut it off either.
+    pub(crate) fn open_attempts(&self) -> u32 {
+        self.open.load(Ordering::Relaxed)
+    }
+
     /// Gives a permit of the gate back.
     pub(crate) fn leave_gate(&self) {
         self.gate().leave();
@@ -116,3 +148,15 @@
         timeout(LOOK_AGAIN, self.released.1.recv()).await;
     }
 }
+
+/// An attempt that a graceful shutdown waits for.
+pub(crate) struct OpenAttempt {
+    shared: Arc<EndpointShared>,
+}
+
+impl Drop for OpenAttempt {
+    fn drop(&mut self) {
+        self.shared.open.fetch_sub(1, Ordering::Relaxed);
+        let _ = self.shared.released.0.try_send(());
+    }
+}
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -5,10 +5,14 @@
 //! runs in the processes, in seeded histories and in benches.
 
 pub mod advice;
+pub mod affinity;
+pub mod cell;
+pub mod change;
 pub mod claim;
 pub mod gate;
 pub mod holder;
 pub mod identity;
+pub mod latch;
 pub mod plan;
 pub mod rank;
 pub mod retry;
@@ -17,10 +21,15 @@
 pub mod select;
 
 pub use advice::{AdviceInput, EntryAdvice, advise};
-pub use claim::{ClaimRecord, ClaimStep, ClaimView};
+pub use cell::EndpointCell;
+pub use change::{
+    ChangeAnswer, ChangeRecord, ChangeRequest, ChangeStep, ChangeVerdict, ChangeWriter, ForceRow,
+};
+pub use claim::{ClaimRecord, ClaimState, ClaimStep, ClaimTracker, ClaimView};
 pub use gate::{GateState, SwitchError};
-pub use holder::{Adoption, PresetHolder};
-pub use retry::{AttemptEnd, RetryStep, RetryTracker};
-pub use roster::EndpointRoster;
-pub use route::{RouteCandidate, RouteChoice, RouteSnapshot};
+pub use holder::{Adoption, PresetHolder, StartHold};
+pub use latch::RunLatch;
+pub use retry::{AttemptEnd, RepeatGuard, RetryBudget, RetryStep, RetryTracker};
+pub use roster::{EndpointRoster, EntryRoster, PeerEntry};
+pub use route::{RouteCandidate, RouteChoice, RouteQuery, RouteSnapshot, ServiceRoutes};
 pub use select::{ChunkBits, ChunkPicker, ChunkSource, FetchOrder, PickerSettings};
--- /dev/null
+++ b/crates/decide/tests/roster.rs
@@ -0,0 +1,209 @@
+//! The endpoints and entries that an entry knows, against a reference model.
+
+use std::{
+    collections::{BTreeMap, HashSet},
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+};
+
+use cassiawheel_decide::{EndpointRoster, EntryRoster, PeerEntry, advice::AdviceInput};
+use cassiawheel_model::{
+    EndpointReport, EndpointRole, EndpointState, FailureDomain, InstanceId, LoadReport,
+    PresetRevision, RegionName, ServiceName, Timestamp,
+};
+use proptest::{
+    prelude::*,
+    test_runner::{Config, RngSeed},
+};
+use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
+
+fn instance(index: u8) -> InstanceId {
+    InstanceId::new(&format!("endpoint-{index}")).expect("a valid id")
+}
+
+fn addr() -> SocketAddr {
+    SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 7_001)
+}
+
+fn report(index: u8, incarnation: u64) -> EndpointReport {
+    EndpointReport {
+        instance: instance(index),
+        incarnation,
+        region: RegionName::new("region").expect("valid"),
+        failure_domain: FailureDomain::new("domain").expect("valid"),
+        service: ServiceName::new("desk").expect("valid"),
+        role: EndpointRole::Plain,
+        inner_addr: addr(),
+        state: EndpointState::Serving { version: None, generation: 1 },
+        staged: None,
+        load: LoadReport { in_flight: 0, queued: 0, measured_at: Timestamp(0) },
+        revision: PresetRevision(1),
+        order: 0,
+        limit: 8,
+    }
+}
+
+/// What happens to a roster.
+#[derive(Debug, Clone)]
+enum RosterStep {
+    Hear { index: u8, incarnation: u64 },
+    Leave { index: u8, incarnation: u64 },
+    Forget { index: u8, incarnation: u64 },
+    List(Vec<u8>),
+    Silence,
+}
+
+/// What a roster must show: known processes, words of leaving, the platform's list.
+#[derive(Debug, Clone, Default)]
+struct RosterReference {
+    members: BTreeMap<u8, u64>,
+    left: BTreeMap<u8, u64>,
+    listed: HashSet<u8>,
+}
+
+impl ReferenceStateMachine for RosterReference {
+    type State = Self;
+    type Transition = RosterStep;
+
+    fn init_state() -> BoxedStrategy<Self> {
+        Just(Self::default()).boxed()
+    }
+
+    fn transitions(_: &Self) -> BoxedStrategy<RosterStep> {
+        let process = (0_u8..3, 1_u64..4);
+        prop_oneof![
+            4 => process.clone().prop_map(|(index, incarnation)| RosterStep::Hear { index, incarnation }),
+            2 => process.clone().prop_map(|(index, incarnation)| RosterStep::Leave { index, incarnation }),
+            1 => process.prop_map(|(index, incarnation)| RosterStep::Forget { index, incarnation }),
+            1 => prop::collection::vec(0_u8..3, 0..3).prop_map(RosterStep::List),
+            1 => Just(RosterStep::Silence),
+        ]
+        .boxed()
+    }
+
+    fn apply(mut state: Self, step: &RosterStep) -> Self {
+        match step {
+            RosterStep::Hear { index, incarnation } => {
+                let known = state.members.entry(*index).or_default();
+                *known = (*known).max(*incarnation);
+            }
+            RosterStep::Leave { index, incarnation } => {
+                let left = state.left.entry(*index).or_default();
+                *left = (*left).max(*incarnation);
+            }
+            RosterStep::Forget { index, incarnation } => {
+                if state.members.get(index) == Some(incarnation) {
+                    state.members.remove(index);
+                }
+            }
+            RosterStep::List(listed) => state.listed = listed.iter().copied().collect(),
+            RosterStep::Silence => state.members.clear(),
+        }
+        state
+    }
+}
+
+/// A roster under test and the time, which moves on with each step.
+struct RosterTest {
+    roster: EndpointRoster,
+    now: Timestamp,
+}
+
+impl StateMachineTest for RosterTest {
+    type SystemUnderTest = Self;
+    type Reference = RosterReference;
+
+    fn init_test(_: &RosterReference) -> Self {
+        Self { roster: EndpointRoster::default(), now: Timestamp(1_000) }
+    }
+
+    fn apply(mut test: Self, reference: &RosterReference, step: RosterStep) -> Self {
+        test.now = Timestamp(test.now.0 + 10);
+        match step {
+            RosterStep::Hear { index, incarnation } => {
+                test.roster.hear(report(index, incarnation), test.now);
+            }
+            RosterStep::Leave { index, incarnation } => {
+                test.roster.leave(&instance(index), incarnation, test.now);
+            }
+            RosterStep::Forget { index, incarnation } => {
+                test.roster.forget(&instance(index), incarnation);
+            }
+            RosterStep::List(listed) => {
+                test.roster.list_leaving(listed.into_iter().map(instance).collect());
+            }
+            RosterStep::Silence => {
+                test.roster.expire(Timestamp(test.now.0 + 1), test.now);
+            }
+        }
+        let shown: BTreeMap<_, _> = test
+            .roster
+            .members()
+            .map(|member| {
+                let report = &member.report;
+                let leaving = test.roster.is_leaving(member);
+                (report.instance.clone(), (report.incarnation, leaving))
+            })
+            .collect();
+        let wanted: BTreeMap<_, _> = reference
+            .members
+            .iter()
+            .map(|(index, incarnation)| {
+                let left = reference.left.get(index).is_some_and(|left| left >= incarnation);
+                let leaving = left || reference.listed.contains(index);
+                (instance(*index), (*incarnation, leaving))
+            })
+            .collect();
+        assert_eq!(shown, wanted);
+        test
+    }
+}
+
+prop_state_machine! {
+    #![proptest_config(Config {
+        cases: 512,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(6),
+        ..Config::default()
+    })]
+
+    /// Words of leaving overtake heartbeats, connections end and come back, and
+    /// processes restart at their instance. A process that leaves would
+    /// otherwise get new work, or a restarted one none.
+    #[test]
+    fn leaving_wins_and_ends_with_the_process(sequential 1..40 => RosterTest);
+}
+
+fn peer(incarnation: u64, leaving: bool, heard_at: u64) -> PeerEntry {
+    let failure_domain = FailureDomain::new("domain").expect("valid");
+    let advice = AdviceInput { caller_addr: addr(), failure_domain, in_flight: 0, leaving };
+    let heard_at = Timestamp(heard_at);
+    PeerEntry { advice, incarnation, revision: PresetRevision(1), heard_at }
+}
+
+fn is_advised(roster: &EntryRoster) -> bool {
+    roster.values().any(|peer| !peer.advice.leaving)
+}
+
+/// An entry is drained and started again. If its word of leaving stuck to the
+/// instance, callers would never be advised to use it again.
+#[test]
+fn a_restarted_entry_is_advised_again() {
+    let mut roster = EntryRoster::default();
+    let entry = instance(0);
+    roster.hear(&entry, peer(1, false, 10));
+    roster.leave(&entry, 1, Timestamp(20));
+    assert!(!is_advised(&roster));
+    roster.hear(&entry, peer(1, false, 30));
+    assert!(!is_advised(&roster), "a heartbeat that was overtaken brought it back");
+    roster.hear(&entry, peer(2, false, 40));
+    assert!(is_advised(&roster));
+}
+
+/// The message of leaving is lost in a full queue. The next heartbeat repeats
+/// it, or callers would be sent to an entry that is about to stop.
+#[test]
+fn a_heartbeat_repeats_the_word_of_leaving() {
+    let mut roster = EntryRoster::default();
+    roster.hear(&instance(0), peer(1, true, 10));
+    assert!(!is_advised(&roster));
+}
--- a/crates/entry/src/caller/identify.rs
+++ b/crates/entry/src/caller/identify.rs
@@ -3,12 +3,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use cassiawheel_decide::identity::repeatability;
+use cassiawheel_decide::{affinity::prefix_of, identity::repeatability};
 use cassiawheel_model::{
     Deadline, PresetRevision, PriorityClass, RequestHead, RequestKey, ServiceName, Timestamp,
     WorkspaceId,
 };
-use cassiawheel_runtime::http::{BodyError, ReplyBody, error_reply, read_body};
+use cassiawheel_runtime::http::{BodyError, ReplyBody, error_reply, read_body_within};
 use hyper::{HeaderMap, Request, Response, StatusCode, body::Incoming, header::CONTENT_TYPE};
 
 use super::SERVICE_PATH;
@@ -69,7 +69,7 @@
         None => WorkspaceId::new(DEFAULT_WORKSPACE)
             .map_err(|error| BadRequest::new(WORKSPACE_HEADER, error))?,
     };
-    let head = RequestHead {
+    let mut head = RequestHead {
         id: shared.next_request().map_err(|error| BadRequest::new("request", error))?,
         workspace,
         service,
@@ -84,13 +84,23 @@
         revision: PresetRevision::default(),
         version: None,
     };
-    let body = read_body(body, settings.max_body_bytes).await.map_err(|error| match error {
+    // A caller that stalls in the middle of its body would hold its connection
+    // for as long as it likes.
+    let limit = Duration::from_millis(shared.settings.limits.body_ms);
+    let span = limit.min(head.deadline.remaining(Timestamp::now()));
+    let body = read_body_within(body, settings.max_body_bytes, span).await;
+    let body = body.map_err(|error| match error {
         BodyError::TooLong => BadRequest {
             status: StatusCode::PAYLOAD_TOO_LARGE,
             message: format!("body: longer than {} bytes", settings.max_body_bytes),
         },
         BodyError::Cut => BadRequest::new("body", "ended early"),
+        BodyError::Slow => BadRequest {
+            status: StatusCode::REQUEST_TIMEOUT,
+            message: format!("body: did not arrive within {span:?}"),
+        },
     })?;
+    head.prefix = prefix_of(&body, settings.prefix_bytes);
     Ok(IdentifiedRequest { head, body })
 }
 
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -14,8 +14,12 @@
     pub(crate) revision: IntGauge,
     /// Reads of the table service.
     pub(crate) store_reads: IntCounter,
+    /// Writes to the table service.
+    pub(crate) store_writes: IntCounter,
     /// Reads of the table service that failed.
     pub(crate) store_failures: IntCounter,
+    /// Calls of the operators' API that were refused for want of a token or role.
+    pub(crate) admin_refused: IntCounter,
 }
 
 impl EntryMetrics {
@@ -31,16 +35,26 @@
             in_flight: IntGauge::new(name("in_flight"), "Requests in progress")?,
             revision: IntGauge::new(name("revision"), "Revision of the preset in force")?,
             store_reads: IntCounter::new(name("store_reads_total"), "Reads of the table service")?,
+            store_writes: IntCounter::new(
+                name("store_writes_total"),
+                "Writes to the table service",
+            )?,
+            admin_refused: IntCounter::new(
+                name("admin_refused_total"),
+                "Calls of the operators' API refused for want of a token or role",
+            )?,
             store_failures: IntCounter::new(
                 name("store_failures_total"),
                 "Reads of the table service that failed",
             )?,
         };
+        registry.register(Box::new(metrics.admin_refused.clone()))?;
         registry.register(Box::new(metrics.outcomes.clone()))?;
         registry.register(Box::new(metrics.attempts.clone()))?;
         registry.register(Box::new(metrics.in_flight.clone()))?;
         registry.register(Box::new(metrics.revision.clone()))?;
         registry.register(Box::new(metrics.store_reads.clone()))?;
+        registry.register(Box::new(metrics.store_writes.clone()))?;
         registry.register(Box::new(metrics.store_failures.clone()))?;
         Ok(metrics)
     }
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -1,36 +1,30 @@
 //! State that the parts of an entry share.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::HashMap,
     sync::{
         Arc, Mutex, MutexGuard,
         atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
     },
+    time::Duration,
 };
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use cassiawheel_decide::{
-    Adoption, EndpointRoster, PresetHolder, RouteCandidate, RouteSnapshot, advice::AdviceInput,
+    Adoption, EndpointCell, EndpointRoster, EntryRoster, PresetHolder, RetryBudget, RouteCandidate,
+    RouteSnapshot, ServiceRoutes, StartHold,
 };
 use cassiawheel_model::{
-    EndpointState, ForcedPreset, InstanceId, PresetRevision, RequestId, ServiceName, Timestamp,
-    settings::EntrySettings,
+    EndpointState, ForcedPreset, InstanceId, LoadReport, PresetRevision, RequestId, ServiceName,
+    Timestamp, settings::EntrySettings,
 };
 use cassiawheel_platform::{TableStore, WeightSource};
 use cassiawheel_wire::WireSender;
 
-use crate::{link::AgentLink, metrics::EntryMetrics};
-
-/// Another entry, as its heartbeats tell.
-#[derive(Debug, Clone)]
-pub(crate) struct PeerEntry {
-    /// What callers may be advised.
-    pub(crate) advice: AdviceInput,
-    /// The highest revision that it has adopted.
-    pub(crate) revision: PresetRevision,
-    /// When it was last heard.
-    pub(crate) heard_at: Timestamp,
-}
+use crate::{control::spread, link::AgentLink, metrics::EntryMetrics};
+
+/// Longest time for which an entry that starts waits for every source of presets.
+const START_TIME: Duration = Duration::from_secs(1);
 
 /// Everything that the parts of an entry share.
 pub(crate) struct EntryShared {
@@ -52,14 +46,18 @@
     pub(crate) force: ArcSwapOption<ForcedPreset>,
     /// When the table service last answered, as a timestamp's number.
     pub(crate) store_read_at: AtomicU64,
+    /// Retries that this entry may make.
+    pub(crate) retries: RetryBudget,
     /// Requests of callers in progress.
     pub(crate) in_flight: AtomicU32,
     /// Whether this entry leaves.
     pub(crate) leaving: AtomicBool,
     holder: Mutex<PresetHolder>,
+    settled: AtomicBool,
+    start_hold: Mutex<StartHold>,
     roster: Mutex<EndpointRoster>,
-    counters: Mutex<HashMap<InstanceId, Arc<AtomicU32>>>,
-    peers: Mutex<BTreeMap<InstanceId, PeerEntry>>,
+    cells: Mutex<EndpointCells>,
+    peers: Mutex<EntryRoster>,
     peer_links: Mutex<Vec<WireSender>>,
     requests: AtomicU64,
 }
@@ -72,9 +70,12 @@
         origin: Arc<dyn WeightSource>,
         metrics: EntryMetrics,
     ) -> Self {
+        let now = Timestamp::now();
+        let mut sources = spread::chosen_peers(&settings);
+        sources.push(settings.platform.table);
         Self {
             settings,
-            incarnation: Timestamp::now().0,
+            incarnation: now.0,
             table,
             origin,
             metrics,
@@ -82,11 +83,14 @@
             links: ArcSwap::default(),
             force: ArcSwapOption::empty(),
             store_read_at: AtomicU64::new(0),
+            retries: RetryBudget::default(),
             in_flight: AtomicU32::new(0),
             leaving: AtomicBool::new(false),
             holder: Mutex::default(),
+            settled: AtomicBool::new(false),
+            start_hold: Mutex::new(StartHold::new(sources, now.deadline_after(START_TIME))),
             roster: Mutex::default(),
-            counters: Mutex::default(),
+            cells: Mutex::default(),
             peers: Mutex::default(),
             peer_links: Mutex::default(),
             requests: AtomicU64::new(0),
@@ -99,11 +103,16 @@
     }
 
     /// The other entries that this entry knows.
-    pub(crate) fn peers(&self) -> MutexGuard<'_, BTreeMap<InstanceId, PeerEntry>> {
+    pub(crate) fn peers(&self) -> MutexGuard<'_, EntryRoster> {
         self.peers.lock().unwrap_or_else(|poison| poison.into_inner())
     }
 
-    /// Connections that this entry dialled to other entries.
+    /// What this entry waits for before it uses a preset.
+    pub(crate) fn start_hold(&self) -> MutexGuard<'_, StartHold> {
+        self.start_hold.lock().unwrap_or_else(|poison| poison.into_inner())
+    }
+
+    /// Connections to other entries, whichever end dialled.
     pub(crate) fn peer_links(&self) -> MutexGuard<'_, Vec<WireSender>> {
         self.peer_links.lock().unwrap_or_else(|poison| poison.into_inner())
     }
@@ -117,25 +126,48 @@
 
     /// Considers a preset; true if it is in force from now on.
     pub(crate) fn offer_preset(&self, preset: &Arc<ForcedPreset>) -> bool {
-        let revision = preset.revision.0;
-        let mut holder = self.holder.lock().unwrap_or_else(|poison| poison.into_inner());
+        let mut holder = self.holder();
         match holder.offer(preset.clone()) {
-            Adoption::Adopted => {
-                // Stored under the holder's lock, so that two offers cannot
-                // publish in the reverse of the order of their revisions.
-                self.force.store(Some(preset.clone()));
-                self.metrics.revision.set(revision as i64);
-                log::info!(target: "preset", revision = revision, preset:% = preset.preset, change:% = preset.change; "A preset is in force.");
+            Adoption::Adopted if self.settled.load(Ordering::Acquire) => {
+                self.publish(preset);
                 true
             }
             Adoption::Conflicting => {
+                let revision = preset.revision.0;
                 log::error!(target: "preset", revision = revision; "Two presets have the same revision.");
                 false
             }
-            Adoption::Known | Adoption::Older => false,
+            Adoption::Adopted | Adoption::Known | Adoption::Older => false,
         }
     }
 
+    /// Ends the hold of the start; the preset that is in force from now on, if one is known.
+    pub(crate) fn publish_held(&self) -> Option<Arc<ForcedPreset>> {
+        let holder = self.holder();
+        self.settled.store(true, Ordering::Release);
+        let preset = holder.current()?.clone();
+        self.publish(&preset);
+        Some(preset)
+    }
+
+    /// The highest revision heard of, even if it is not used yet.
+    pub(crate) fn known_revision(&self) -> PresetRevision {
+        self.holder().revision()
+    }
+
+    fn holder(&self) -> MutexGuard<'_, PresetHolder> {
+        self.holder.lock().unwrap_or_else(|poison| poison.into_inner())
+    }
+
+    /// Called under the holder's lock, so that two offers cannot publish in the
+    /// reverse of the order of their revisions.
+    fn publish(&self, preset: &Arc<ForcedPreset>) {
+        let revision = preset.revision.0;
+        self.force.store(Some(preset.clone()));
+        self.metrics.revision.set(revision as i64);
+        log::info!(target: "preset", revision = revision, preset:% = preset.preset, change:% = preset.change; "A preset is in force.");
+    }
+
     /// Adds the connection to an agent.
     pub(crate) fn add_link(&self, link: Arc<AgentLink>) {
         self.links.rcu(|links| {
@@ -154,33 +186,75 @@
             }
             links
         });
-        self.roster().forget(&link.instance, link.incarnation);
-        self.rebuild_routes();
+        // The agent may have connected again before the old connection's end
+        // was noticed; without this look it would vanish until its next report.
+        if !self.links.load().contains_key(&link.instance) {
+            self.roster().forget(&link.instance, link.incarnation);
+            self.rebuild_routes();
+        }
+    }
+
+    /// Takes an endpoint's word of its load.
+    pub(crate) fn hear_load(&self, instance: &InstanceId, load: &LoadReport, limit: u32) {
+        self.cells().of(instance).hear(load, limit);
     }
 
     /// Publishes which endpoints requests may be routed to.
     pub(crate) fn rebuild_routes(&self) {
         let roster = self.roster();
-        let mut counters = self.counters.lock().unwrap_or_else(|poison| poison.into_inner());
+        let mut cells = self.cells();
+        let own_domain = &self.settings.place.failure_domain;
         let mut services: HashMap<ServiceName, Vec<RouteCandidate>> = HashMap::new();
         for member in roster.members().filter(|member| !roster.is_leaving(member)) {
             let report = &member.report;
             let EndpointState::Serving { version, .. } = &report.state else {
                 continue;
             };
-            let in_flight = counters.entry(report.instance.clone()).or_default().clone();
+            let cell = cells.of(&report.instance);
+            if cell.limit() == 0 {
+                cell.hear(&report.load, report.limit);
+            }
             services.entry(report.service.clone()).or_default().push(RouteCandidate {
                 instance: report.instance.clone(),
-                failure_domain: report.failure_domain.clone(),
                 version: version.clone(),
-                limit: report.limit,
-                reported: report.load.in_flight + report.load.queued,
-                measured_at: report.load.measured_at,
-                in_flight,
+                is_near: report.failure_domain == *own_domain,
+                cell,
             });
         }
+        cells.forget_unused();
+        let routed = services.into_iter().map(|(service, candidates)| {
+            let in_flight = cells.service(&service);
+            (service, ServiceRoutes::new(candidates, in_flight))
+        });
+        let snapshot = RouteSnapshot::new(routed.collect());
         // Stored under the roster's lock: a snapshot from before a word of
         // leaving must not replace one from after it.
-        self.routes.store(Arc::new(RouteSnapshot { services }));
+        self.routes.store(Arc::new(snapshot));
+    }
+
+    fn cells(&self) -> MutexGuard<'_, EndpointCells> {
+        self.cells.lock().unwrap_or_else(|poison| poison.into_inner())
+    }
+}
+
+/// Counts that outlive the snapshots which point to them.
+#[derive(Debug, Default)]
+struct EndpointCells {
+    endpoints: HashMap<InstanceId, Arc<EndpointCell>>,
+    services: HashMap<ServiceName, Arc<AtomicU32>>,
+}
+
+impl EndpointCells {
+    fn of(&mut self, instance: &InstanceId) -> Arc<EndpointCell> {
+        self.endpoints.entry(instance.clone()).or_default().clone()
+    }
+
+    fn service(&mut self, service: &ServiceName) -> Arc<AtomicU32> {
+        self.services.entry(service.clone()).or_default().clone()
+    }
+
+    /// Drops the cells of endpoints that neither a snapshot nor a request uses.
+    fn forget_unused(&mut self) {
+        self.endpoints.retain(|_, cell| Arc::strong_count(cell) > 1);
     }
 }
--- a/crates/model/src/finding.rs
+++ b/crates/model/src/finding.rs
@@ -48,6 +48,12 @@
         }
     }
 
+    /// Adds those findings of `other` for whose path and message `holds`.
+    pub fn extend_where(&mut self, other: FindingList, holds: impl Fn(&str, &str) -> bool) {
+        let kept = other.places.into_iter().filter(|place| holds(&place.path, &place.message));
+        self.places.extend(kept);
+    }
+
     /// The findings in the order of their discovery.
     pub fn places(&self) -> &[FindingPlace] {
         &self.places
@@ -64,13 +70,19 @@
     }
 }
 
+impl fmt::Display for FindingPlace {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}: {}", self.source, self.path, self.message)
+    }
+}
+
 impl fmt::Display for FindingList {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         for (index, place) in self.places.iter().enumerate() {
             if index > 0 {
                 writeln!(f)?;
             }
-            write!(f, "{}: {}: {}", place.source, place.path, place.message)?;
+            write!(f, "{place}")?;
         }
         Ok(())
     }
