--- a/crates/decide/src/fencing.rs
+++ b/crates/decide/src/fencing.rs
@@ -29,8 +29,14 @@
 }
 
 /// The lowest token for a new order under `revision` that the endpoint will follow.
-pub fn next_token(revision: PresetRevision, report: &EndpointReport, serve: bool) -> u64 {
+///
+/// None if the endpoint has passed all tokens of the revision. Either this
+/// entry lags, or the report is false; a sum that overflowed would stop the
+/// plan for all endpoints because of one.
+pub fn next_token(revision: PresetRevision, report: &EndpointReport, serve: bool) -> Option<u64> {
     let passed = report.order.max(report.engine_fencing);
-    let lowest = (revision.0 << STEP_BITS).max(passed + 1);
-    if (lowest & 1 == 1) == serve { lowest } else { lowest + 1 }
+    let lowest = (revision.0 << STEP_BITS).max(passed.checked_add(1)?);
+    let matching = (lowest & 1 == 1) == serve;
+    let token = if matching { lowest } else { lowest.checked_add(1)? };
+    (OrderToken::read(token).revision == revision).then_some(token)
 }
--- a/crates/decide/src/plan.rs
+++ b/crates/decide/src/plan.rs
@@ -232,7 +232,7 @@
         if is_ordered(report, weights.manifest, serve) {
             return None;
         }
-        Some(self.order(report, weights, serve, reason))
+        self.order(report, weights, serve, reason)
     }
 
     fn order(
@@ -241,15 +241,15 @@
         weights: WantedWeights<'_>,
         serve: bool,
         reason: PlanReason,
-    ) -> PlannedOrder {
-        PlannedOrder {
+    ) -> Option<PlannedOrder> {
+        Some(PlannedOrder {
             instance: report.instance.clone(),
             version: weights.version.clone(),
             manifest: weights.manifest,
-            fencing: next_token(self.revision, report, serve),
+            fencing: next_token(self.revision, report, serve)?,
             serve,
             reason,
-        }
+        })
     }
 }
 
--- a/crates/decide/tests/plan.rs
+++ b/crates/decide/tests/plan.rs
@@ -249,6 +249,7 @@
     for revision in 1..50 {
         for serve in [false, true, true, false] {
             let token = next_token(PresetRevision(revision), &endpoint, serve);
+            let token = token.expect("the revision has tokens left");
             assert_eq!(
                 OrderToken::read(token),
                 OrderToken { revision: PresetRevision(revision), serve }
@@ -317,3 +318,15 @@
     assert!(orders[0].serve, "an engine that lost its weights serves the preset in force again");
     assert_eq!(orders[0].version, version("v2"));
 }
+
+/// A report claims a token that no order ever had. The endpoint gets no order,
+/// and the others get theirs; the plan of a whole service must not end with it.
+#[test]
+fn a_false_token_stops_no_other_order() {
+    let preset = preset(2, content("v2", 50, None));
+    let mut reports: Vec<_> = (0..3).map(|index| report(index, EndpointState::Empty)).collect();
+    reports[1].order = u64::MAX;
+    let ordered: Vec<_> = plan(&preset, &reports).into_iter().map(|order| order.instance).collect();
+    assert_eq!(ordered.len(), 2);
+    assert!(!ordered.contains(&reports[1].instance));
+}
--- a/crates/testkit/tests/requests.rs
+++ b/crates/testkit/tests/requests.rs
@@ -1,13 +1,21 @@
 //! Requests over real TCP under faults, with every entry and agent a process of its own.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use cassiawheel_model::{Timestamp, settings::CallerSettings};
+use cassiawheel_model::{
+    ModelVersion, Timestamp,
+    settings::{AgentSettings, CallerSettings},
+};
+use cassiawheel_platform::{HttpClient, HttpEngine, LoadOrder, ModelEngine};
 use cassiawheel_runtime::spawn;
 use cassiawheel_testkit::{
-    CallVerdict, Deployment, DeploymentPlan, TestCaller, caller::TestCall,
-    deployment::PLAIN_SERVICE, stand_in::plain::CarriedCall,
+    CallVerdict, Deployment, DeploymentPlan, TestCaller,
+    caller::TestCall,
+    deployment::{MODEL_SERVICE, PLAIN_SERVICE, TestEndpoint},
+    stand_in::plain::CarriedCall,
+    weights::WeightImage,
 };
+use rstest::rstest;
 use serde_json::json;
 use smol::Timer;
 
@@ -259,3 +267,165 @@
     }
     verdicts
 }
+
+/// Far more calls come at once than the services may work on. Each is either
+/// answered in whole, or told that it was not run and then was not; and no
+/// service is given more than its limit.
+#[test]
+fn an_overload_is_answered_or_refused_and_nothing_between() {
+    run(async {
+        let deployment = ledgers(2, 1, Duration::from_secs(1)).await?;
+        let entry = deployment.entries[0].caller_addr;
+        let calls: Vec<_> = (0..600)
+            .map(|number| {
+                let deadline = Timestamp::now().deadline_after(Duration::from_millis(1_500));
+                let text = format!("call-{number}");
+                let mut call = question(entry, &text);
+                call.headers = vec![("cassiawheel-deadline", deadline.0.to_string())];
+                (text, spawn(send(call)))
+            })
+            .collect();
+        let (mut complete, mut refused) = (0, 0);
+        let mut verdicts = Vec::new();
+        for (text, call) in calls {
+            verdicts.push((text, call.await));
+        }
+        let ran = carried(&deployment);
+        for (text, verdict) in &verdicts {
+            let runs = ran.iter().filter(|call| call.body == text.as_bytes()).count();
+            match verdict {
+                CallVerdict::Complete { .. } => {
+                    complete += 1;
+                    assert_eq!(runs, 1, "{text}");
+                }
+                CallVerdict::NotRun(_) => {
+                    refused += 1;
+                    assert_eq!(runs, 0, "{text}");
+                }
+                CallVerdict::Unknown(_) => assert!(runs <= 1, "{text}"),
+                CallVerdict::Wrong(answer) => panic!("{text}: {answer:?}"),
+            }
+        }
+        // 64 calls of a second each fit at a time, and all have a second and a half.
+        assert!(complete >= 1 && refused >= 300, "{complete} complete, {refused} refused");
+        Ok(())
+    });
+}
+
+/// Two model engines that answer from the same version.
+async fn engines() -> anyhow::Result<(Deployment, Arc<WeightImage>)> {
+    let plan = DeploymentPlan { entries: 1, model_agents: 2, ..DeploymentPlan::default() };
+    let deployment = Deployment::start(&plan).await?;
+    deployment.wait_status(0, START_TIME, |_| true).await?;
+    let image = Arc::new(WeightImage::generate(ModelVersion::new("v1")?, 7, 1 << 20, 256 << 10));
+    deployment.origin.add(image.clone());
+    let service = json!({ "kind": "model", "version": "v1", "replicas": 2 });
+    let content = json!({ "services": { MODEL_SERVICE: service } });
+    deployment.force("ordinary", &content, "change-1").await?;
+    let ready =
+        |status: &serde_json::Value| status["services"][MODEL_SERVICE]["replicas_ready"] == 2;
+    deployment.wait_status(0, START_TIME, ready).await?;
+    Ok((deployment, image))
+}
+
+/// Asks for eight tokens, one each tenth of a second.
+fn ask_engine(deployment: &Deployment, image: &WeightImage) -> smol::Task<CallVerdict> {
+    let (entry, digest) = (deployment.entries[0].caller_addr, image.answer_digest());
+    spawn(async move {
+        let weights = |version: &str| (version == "v1").then_some(digest);
+        let prompt = "when does the lift tour start";
+        TestCaller::default().generate(entry, MODEL_SERVICE, prompt, 8, 100, weights).await
+    })
+}
+
+/// The endpoint whose engine began the only run.
+async fn running_engine(deployment: &Deployment) -> anyhow::Result<usize> {
+    wait_for("the run", || deployment.endpoints.iter().any(has_run)).await?;
+    Ok(deployment.endpoints.iter().position(has_run).expect("one of them runs it"))
+}
+
+fn has_run(endpoint: &TestEndpoint) -> bool {
+    endpoint.engine.as_ref().is_some_and(|engine| !engine.runs().is_empty())
+}
+
+/// An engine's instance dies while it computes a long prompt, or in the middle of
+/// its answer. The question may be repeated, so another engine of the same version
+/// answers it again, and its caller sees one whole answer and no error.
+#[rstest]
+#[case::before_the_first_token(0)]
+#[case::in_the_middle(350)]
+fn an_engine_that_dies_is_replaced(#[case] killed_after_ms: u64) {
+    run(async {
+        let (mut deployment, image) = engines().await?;
+        let answer = ask_engine(&deployment, &image);
+        let index = running_engine(&deployment).await?;
+        Timer::after(Duration::from_millis(killed_after_ms)).await;
+        deployment.endpoints[index].agent.as_mut().expect("it runs").kill()?;
+        let verdict = answer.await;
+        assert!(is_complete(&verdict), "{verdict:?}");
+        assert!(deployment.endpoints.iter().all(has_run), "the other engine answered");
+        Ok(())
+    });
+}
+
+/// An engine dies in the middle of its answer, and the other one answers
+/// otherwise, as an engine does that draws its tokens at random. Half of one
+/// answer and half of another must not look like a whole one.
+#[test]
+fn two_different_answers_are_not_joined() {
+    run(async {
+        let (mut deployment, image) = engines().await?;
+        let answer = ask_engine(&deployment, &image);
+        let index = running_engine(&deployment).await?;
+        let other = WeightImage::generate(ModelVersion::new("v1")?, 8, 1 << 20, 256 << 10);
+        load_behind_the_agent(&deployment.endpoints[1 - index], &other).await?;
+        Timer::after(Duration::from_millis(350)).await;
+        deployment.endpoints[index].agent.as_mut().expect("it runs").kill()?;
+        let verdict = answer.await;
+        assert!(matches!(verdict, CallVerdict::Unknown(_)), "{verdict:?}");
+        assert!(deployment.endpoints.iter().all(has_run), "the other engine was asked");
+        Ok(())
+    });
+}
+
+/// Makes an engine answer otherwise under the same version.
+async fn load_behind_the_agent(endpoint: &TestEndpoint, image: &WeightImage) -> anyhow::Result<()> {
+    let settings: AgentSettings = serde_json::from_slice(&std::fs::read(&endpoint.config)?)?;
+    let engine = HttpEngine::new(HttpClient::default(), settings.engine.addr);
+    let manifest = &image.manifest;
+    engine.stage(manifest).await?;
+    for index in 0..manifest.chunks.len() {
+        let chunk = image.chunk(index).expect("a chunk").to_vec();
+        engine.stage_chunk(manifest.digest, index, chunk.into()).await?;
+    }
+    let order = LoadOrder {
+        version: manifest.version.clone(),
+        manifest: manifest.digest,
+        fencing: u64::MAX,
+    };
+    Ok(engine.load(&order).await?)
+}
+
+/// The table service takes a few hundred writes a second and answers slowly, and
+/// three hundred visitors buy at the same moment. Each sale needs two rows; were
+/// each row a write of its own, most visitors would be refused.
+#[test]
+fn many_sales_share_the_writes_of_the_store() {
+    run(async {
+        let deployment = ledgers(2, 1, Duration::ZERO).await?;
+        let entry = deployment.entries[0].caller_addr;
+        deployment.table_switches.set_delay(Duration::from_millis(20));
+        let before = deployment.table.writes();
+        let sales: Vec<_> = (0..300)
+            .map(|n| spawn(send(sale(entry, &format!("seat-{n}"), Duration::from_secs(15)))))
+            .collect();
+        for sale in sales {
+            let verdict = sale.await;
+            assert!(is_complete(&verdict), "{verdict:?}");
+        }
+        let writes = deployment.table.writes() - before;
+        println!("600 rows in {writes} writes");
+        assert!(writes <= 200, "{writes} writes for 600 rows");
+        Ok(())
+    });
+}
