--- /dev/null
+++ b/crates/decide/tests/change.rs
@@ -0,0 +1,119 @@
+//! The steps of putting a preset in force, one answer of the table at a time.
+
+use std::sync::Arc;
+
+use cassiawheel_decide::{
+    ChangeAnswer, ChangeRecord, ChangeRequest, ChangeStep, ChangeVerdict, ChangeWriter, ForceRow,
+};
+use cassiawheel_model::{
+    ChangeId, ForcedPreset, OperatorName, PresetContent, PresetName, PresetRevision, Timestamp,
+};
+use rstest::rstest;
+
+const NOW: Timestamp = Timestamp(1_000);
+
+fn forced(preset: &str, revision: u64) -> Arc<ForcedPreset> {
+    Arc::new(ForcedPreset {
+        revision: PresetRevision(revision),
+        preset: PresetName::new(preset).expect("valid"),
+        content: PresetContent::default(),
+        change: ChangeId::new("change").expect("valid"),
+        operator: OperatorName::new("operator").expect("valid"),
+        changed_at: NOW,
+    })
+}
+
+fn request(fresh: bool, known: u64) -> ChangeRequest {
+    ChangeRequest {
+        preset: PresetName::new("peak").expect("valid"),
+        change: ChangeId::new("change").expect("valid"),
+        operator: OperatorName::new("operator").expect("valid"),
+        fresh,
+        known: PresetRevision(known),
+    }
+}
+
+/// Brings a writer to its first write; the table shows `stored` in force.
+fn to_write(request: ChangeRequest, stored: u64) -> (ChangeWriter, Arc<ForcedPreset>) {
+    let (mut writer, step) = ChangeWriter::start(request);
+    assert!(matches!(step, ChangeStep::FindRecord));
+    writer.next(ChangeAnswer::Record(None), NOW);
+    writer.next(ChangeAnswer::Preset(PresetContent::default()), NOW);
+    let row = ForceRow { preset: forced("ordinary", stored), row_revision: stored };
+    let step = writer.next(ChangeAnswer::Force(Some(row)), NOW);
+    let ChangeStep::Write { preset, guard } = step else {
+        panic!("a write was due, not {step:?}");
+    };
+    assert_eq!(guard, Some(stored));
+    (writer, preset)
+}
+
+/// The table was set back to an earlier state. A revision that processes have
+/// seen before would be ignored by them, and the operator would wait in vain.
+#[test]
+fn a_change_after_a_table_was_set_back_lies_above_all_that_is_known() {
+    let (_, preset) = to_write(request(true, 9), 4);
+    assert_eq!(preset.revision, PresetRevision(10));
+}
+
+/// Another operator came first. While an earlier try of the id may be on its
+/// way, the refusal has to be recorded before it is told.
+#[rstest]
+#[case(true)]
+#[case(false)]
+fn a_refusal_is_recorded_unless_nothing_can_follow(#[case] fresh: bool) {
+    let (mut writer, _) = to_write(request(fresh, 4), 4);
+    let winner = forced("ordinary", 5);
+    let blocked = ChangeAnswer::Blocked { record: None, winner: Some(winner.clone()) };
+    let step = writer.next(blocked, NOW);
+    match step {
+        ChangeStep::Done(verdict) if fresh => {
+            assert_eq!(verdict, ChangeVerdict::Conflict(Some(winner)));
+        }
+        ChangeStep::Refuse(_) if !fresh => {
+            let step = writer.next(ChangeAnswer::Lost("cut".to_owned()), NOW);
+            assert!(matches!(step, ChangeStep::Done(ChangeVerdict::Unknown(_))));
+        }
+        other => panic!("fresh {fresh}: {other:?}"),
+    }
+}
+
+/// The answer to a write is lost and the write is found to have taken effect.
+/// The operator hears "accepted", as if nothing had been lost.
+#[test]
+fn a_lost_answer_is_found_by_its_record() {
+    let (mut writer, preset) = to_write(request(true, 4), 4);
+    let step = writer.next(ChangeAnswer::Lost("cut".to_owned()), NOW);
+    assert!(matches!(step, ChangeStep::FindRecord));
+    let record = ChangeRecord::Made(preset.clone());
+    let step = writer.next(ChangeAnswer::Record(Some(record)), NOW);
+    let ChangeStep::Done(verdict) = step else {
+        panic!("a verdict was due, not {step:?}");
+    };
+    assert_eq!(verdict, ChangeVerdict::Accepted(preset));
+}
+
+/// An operator asks again while the table is down. The ask wrote nothing, but
+/// an earlier one may have, so "not accepted" could be false.
+#[rstest]
+#[case(true)]
+#[case(false)]
+fn an_ask_in_an_outage_is_not_accepted_only_if_it_is_the_first(#[case] fresh: bool) {
+    let (mut writer, _) = ChangeWriter::start(request(fresh, 4));
+    let step = writer.next(ChangeAnswer::NoEffect("refused".to_owned()), NOW);
+    match step {
+        ChangeStep::Done(ChangeVerdict::NotAccepted(_)) => assert!(fresh),
+        ChangeStep::Done(ChangeVerdict::Unknown(_)) => assert!(!fresh),
+        other => panic!("{other:?}"),
+    }
+}
+
+/// An id is used again for another preset. Saying "accepted" would make the
+/// operator believe that this preset is in force.
+#[test]
+fn an_id_names_one_change() {
+    let (mut writer, _) = ChangeWriter::start(request(false, 4));
+    let record = ChangeRecord::Made(forced("ordinary", 3));
+    let step = writer.next(ChangeAnswer::Record(Some(record)), NOW);
+    assert!(matches!(step, ChangeStep::Done(ChangeVerdict::NotAccepted(_))));
+}
