--- a/crates/runtime/src/logging/sampler.rs
+++ b/crates/runtime/src/logging/sampler.rs
@@ -17,7 +17,7 @@
 use log::{Level, Record};
 
 /// Parts whose lines tell a routing or placement decision.
-pub const DECISION_PARTS: [&str; 2] = ["route", "plan"];
+pub const DECISION_PARTS: [&str; 3] = ["route", "admit", "place"];
 
 /// Bits of a window that hold its lines; the rest holds its second.
 const COUNT_BITS: u32 = 24;
