--- a/crates/testkit/examples/hop.rs
+++ b/crates/testkit/examples/hop.rs
@@ -92,12 +92,51 @@
         through.value_at_quantile(quantile) as i64 - straight.value_at_quantile(quantile) as i64
     };
     println!("  added      p50 {:>7}  p99 {:>7}", added(0.5), added(0.99));
+    let before = ProcessorTime::read(&deployment)?;
     let (calls, failed) = closed_loop(&entry, args.callers, span).await?;
+    let after = ProcessorTime::read(&deployment)?;
     let per_second = calls as f64 / span.as_secs_f64();
     println!("closed loop, {} callers: {per_second:.0} calls/s, {failed} failed", args.callers);
+    let per_call = |ticks: u64| ticks as f64 * TICK_US / calls.max(1) as f64;
+    println!(
+        "processor time per call in microseconds: entry {:.1}, agents {:.1}",
+        per_call(after.entry - before.entry),
+        per_call(after.agents - before.agents)
+    );
     Ok(())
 }
 
+/// Microseconds in a tick of the kernel's account of processor time.
+const TICK_US: f64 = 10_000.0;
+
+/// Processor time of our processes, in ticks; other load does not disturb it much.
+struct ProcessorTime {
+    entry: u64,
+    agents: u64,
+}
+
+impl ProcessorTime {
+    fn read(deployment: &Deployment) -> anyhow::Result<Self> {
+        let entries = deployment.entries.iter().filter_map(|entry| entry.process.as_ref());
+        let agents = deployment.endpoints.iter().filter_map(|e| e.agent.as_ref());
+        Ok(Self {
+            entry: entries.map(|process| ticks(process.id())).sum::<anyhow::Result<_>>()?,
+            agents: agents.map(|process| ticks(process.id())).sum::<anyhow::Result<_>>()?,
+        })
+    }
+}
+
+/// User and system time of a process, in ticks.
+fn ticks(process: u32) -> anyhow::Result<u64> {
+    let text = std::fs::read_to_string(format!("/proc/{process}/stat"))?;
+    // The name in parentheses may have spaces; times are the 12th and 13th after it.
+    let (_, fields) = text.rsplit_once(')').context("not a stat line")?;
+    let mut times = fields.split_whitespace().skip(11).take(2).map(str::parse::<u64>);
+    let user = times.next().context("no user time")??;
+    let system = times.next().context("no system time")??;
+    Ok(user + system)
+}
+
 /// Where an endpoint's service is called, as its agent is told.
 fn service_url(endpoint: &TestEndpoint) -> anyhow::Result<String> {
     let settings: AgentSettings = serde_json::from_slice(&std::fs::read(&endpoint.config)?)?;
