--- a/crates/agent/src/entry_link.rs
+++ b/crates/agent/src/entry_link.rs
@@ -88,7 +88,7 @@
         match receiver.recv().await {
             Ok(WireMessage::Control(message)) => {
                 let told = matches!(message, ControlMessage::Force(_));
-                handle_control(shared, &sender, message);
+                handle_control(shared, addr, &sender, message);
                 if told {
                     shared.start_hold().heard(addr);
                 }
@@ -99,18 +99,24 @@
         }
     };
     sender.close();
+    shared.transfer.forget_peers_of(addr);
     attempts.entry_is_gone();
     ended
 }
 
-fn handle_control(shared: &Arc<EndpointShared>, sender: &WireSender, message: ControlMessage) {
+fn handle_control(
+    shared: &Arc<EndpointShared>,
+    entry: SocketAddr,
+    sender: &WireSender,
+    message: ControlMessage,
+) {
     match message {
         ControlMessage::Force(preset) => {
             let revision = preset.revision;
             exchange::offer_preset(shared, preset);
             answer_older(shared, sender, revision);
         }
-        ControlMessage::Peers(peers) => transfer::offer_peers(shared, peers),
+        ControlMessage::Peers(peers) => transfer::offer_peers(shared, entry, peers),
         ControlMessage::Order(order) => exchange::offer_order(shared, order),
         ControlMessage::Drain { instance } if instance == shared.settings.place.instance => {
             leave(shared);
--- a/crates/entry/src/admin.rs
+++ b/crates/entry/src/admin.rs
@@ -4,6 +4,7 @@
 //! even which paths there are.
 
 mod auth;
+pub(crate) mod progress;
 mod reply;
 mod status;
 
@@ -20,6 +21,7 @@
 
 use crate::{
     control::{
+        ahead,
         change::{self, ChangeReply},
         drains,
     },
@@ -72,6 +74,7 @@
     GetPreset(&'a str),
     PutPreset(&'a str),
     Force,
+    Stage(&'a str),
     Drain(&'a str),
 }
 
@@ -90,6 +93,7 @@
             (&Method::GET, ["presets", name]) => Self::GetPreset(name),
             (&Method::PUT, ["presets", name]) => Self::PutPreset(name),
             (&Method::POST, ["force"]) => Self::Force,
+            (&Method::POST, ["stage", name]) => Self::Stage(name),
             (&Method::POST, ["drain", instance]) => Self::Drain(instance),
             _ => return None,
         })
@@ -102,7 +106,9 @@
             | Self::History
             | Self::ListPresets
             | Self::GetPreset(_) => OperatorRole::View,
-            Self::PutPreset(_) | Self::Force | Self::Drain(_) => OperatorRole::Operate,
+            Self::PutPreset(_) | Self::Force | Self::Stage(_) | Self::Drain(_) => {
+                OperatorRole::Operate
+            }
         }
     }
 }
@@ -136,9 +142,10 @@
         AdminRoute::History => history(shared).await,
         AdminRoute::ListPresets => list_presets(shared).await,
         AdminRoute::GetPreset(name) => get_preset(shared, name).await,
-        AdminRoute::PutPreset(name) => put_preset(shared, name, body).await,
+        AdminRoute::PutPreset(name) => put_preset(shared, &operator.name, name, body).await,
         AdminRoute::Force => force(shared, &operator.name, body).await,
-        AdminRoute::Drain(instance) => drain(shared, instance),
+        AdminRoute::Stage(name) => stage(shared, &operator.name, name).await,
+        AdminRoute::Drain(instance) => drain(shared, &operator.name, instance),
     }
 }
 
@@ -159,7 +166,12 @@
     Ok(json_reply(StatusCode::OK, &content))
 }
 
-async fn put_preset(shared: &EntryShared, name: &str, body: Incoming) -> AdminReply {
+async fn put_preset(
+    shared: &EntryShared,
+    operator: &OperatorName,
+    name: &str,
+    body: Incoming,
+) -> AdminReply {
     let name: PresetName = text_id("the preset name", name)?;
     let mut content: PresetContent = read_json(body, body_time(shared)).await?;
     let findings = content.check(name.as_str());
@@ -169,6 +181,7 @@
     change::pin_manifests(shared, &mut content).await.map_err(failed)?;
     let row_revision =
         change::put_preset(shared.table.as_ref(), &name, &content).await.map_err(failed)?;
+    log::info!(target: "admin", operator:% = operator, preset:% = name, row_revision = row_revision; "Stored a preset.");
     Ok(json_reply(StatusCode::OK, &StoredReply { preset: name, row_revision, content }))
 }
 
@@ -179,6 +192,7 @@
 
 async fn force(shared: &EntryShared, operator: &OperatorName, body: Incoming) -> AdminReply {
     let call: ForceCall = read_json(body, body_time(shared)).await?;
+    let change = call.change.clone();
     let request = ChangeRequest {
         preset: call.preset,
         change: call.change,
@@ -187,17 +201,25 @@
         known: shared.known_revision(),
     };
     let reply = change::force_preset(shared, request).await.map_err(failed)?;
-    let status = match &reply {
-        ChangeReply::Accepted { .. } => StatusCode::OK,
-        ChangeReply::Conflict { .. } => StatusCode::CONFLICT,
-        ChangeReply::NotAccepted { .. } => StatusCode::SERVICE_UNAVAILABLE,
-        ChangeReply::Unknown { .. } => StatusCode::GATEWAY_TIMEOUT,
+    let (status, result) = match &reply {
+        ChangeReply::Accepted { .. } => (StatusCode::OK, "accepted"),
+        ChangeReply::Conflict { .. } => (StatusCode::CONFLICT, "conflict"),
+        ChangeReply::NotAccepted { .. } => (StatusCode::SERVICE_UNAVAILABLE, "not-accepted"),
+        ChangeReply::Unknown { .. } => (StatusCode::GATEWAY_TIMEOUT, "unknown"),
     };
+    log::info!(target: "admin", operator:% = operator, change:% = change, result = result; "Answered a change.");
     Ok(json_reply(status, &reply))
 }
 
-fn drain(shared: &EntryShared, instance: &str) -> AdminReply {
+async fn stage(shared: &EntryShared, operator: &OperatorName, name: &str) -> AdminReply {
+    let name = text_id("the preset name", name)?;
+    let staged = ahead::stage_preset(shared, &name, operator).await.map_err(failed)?;
+    Ok(json_reply(StatusCode::OK, staged.as_ref()))
+}
+
+fn drain(shared: &EntryShared, operator: &OperatorName, instance: &str) -> AdminReply {
     let instance: InstanceId = text_id("the instance", instance)?;
+    log::info!(target: "admin", operator:% = operator, instance:% = instance; "Asked an instance to leave.");
     drains::drain_anywhere(shared, &instance);
     Ok(json_reply(StatusCode::ACCEPTED, &DrainReply { instance }))
 }
--- a/crates/entry/src/inner.rs
+++ b/crates/entry/src/inner.rs
@@ -1,6 +1,9 @@
 //! The inner listener: agents and other entries connect here.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use cassiawheel_model::{EndpointReport, Timestamp};
 use cassiawheel_runtime::{ShutdownSignal, listener::accept_connections, timeout};
@@ -82,7 +85,7 @@
 fn handle_agent_control(shared: &Arc<EntryShared>, link: &AgentLink, message: ControlMessage) {
     match message {
         ControlMessage::Report(report) if report.instance == link.instance => {
-            orders::send_missing(shared, link, &report);
+            orders::send_preset(shared, link, &report);
             take_report(shared, *report);
         }
         ControlMessage::Leaving { instance, incarnation } if instance == link.instance => {
@@ -115,6 +118,7 @@
         return;
     }
     drop(roster);
+    shared.plan_stale.store(true, Ordering::Release);
     shared.hear_load(&instance, &load, limit);
     if changed {
         shared.rebuild_routes();
--- a/crates/testkit/src/stand_in.rs
+++ b/crates/testkit/src/stand_in.rs
@@ -4,6 +4,7 @@
 pub mod instances;
 pub mod link;
 pub mod origin;
+pub mod peer;
 pub mod plain;
 
 pub mod table;
--- a/crates/testkit/tests/requests.rs
+++ b/crates/testkit/tests/requests.rs
@@ -303,7 +303,7 @@
                     assert_eq!(runs, 0, "{text}");
                 }
                 CallVerdict::Unknown(_) => assert!(runs <= 1, "{text}"),
-                CallVerdict::Wrong(answer) => panic!("{text}: {answer}"),
+                CallVerdict::Wrong(answer) => panic!("{text}: {answer:?}"),
             }
         }
         // 64 calls of a second each fit at a time, and all have a second and a half.
