--- a/crates/testkit/src/deployment.rs
+++ b/crates/testkit/src/deployment.rs
@@ -25,7 +25,7 @@
 use http_body_util::Full;
 use hyper::{Method, Request, Response, StatusCode, header::AUTHORIZATION};
 use rand::Rng;
-use smol::Task;
+use smol::{Task, net::TcpStream};
 use tempfile::TempDir;
 
 use crate::{
@@ -65,6 +65,9 @@
 const LIST_PORT: u16 = 7008;
 const RELAY_PORT: u16 = 7009;
 
+/// Longest time for the entries to listen.
+const START_TIME: Duration = Duration::from_secs(20);
+
 /// Last octet of the platform's address, of the first entry's and of the first agent's.
 const PLATFORM_HOST: u8 = 1;
 const FIRST_ENTRY: u8 = 10;
@@ -236,6 +239,7 @@
         for index in 0..plan.endpoints() {
             endpoints.push(layout.start_endpoint(index).await?);
         }
+        wait_listening(&entries).await?;
         let client = HttpClient::default();
         Ok(Self {
             table,
@@ -368,6 +372,18 @@
     }
 }
 
+/// Waits until operators reach every entry; a call made before is refused.
+async fn wait_listening(entries: &[TestEntry]) -> anyhow::Result<()> {
+    let end = Instant::now() + START_TIME;
+    for entry in entries {
+        while TcpStream::connect(entry.admin_addr).await.is_err() {
+            anyhow::ensure!(Instant::now() < end, "{} does not listen", entry.instance);
+            smol::Timer::after(Duration::from_millis(5)).await;
+        }
+    }
+    Ok(())
+}
+
 /// A /24 of loopback addresses.
 #[derive(Debug, Clone, Copy)]
 struct LoopbackNet {
