--- a/crates/agent/src/keyed.rs
+++ b/crates/agent/src/keyed.rs
@@ -12,17 +12,22 @@
 use cassiawheel_model::{AttemptNonce, Deadline, NotRunReason, RequestHead, Timestamp};
 use cassiawheel_runtime::timeout;
 use http_body_util::BodyExt;
+use rand::Rng;
 use smol::Timer;
 
 pub(crate) use writer::ClaimWriter;
 
 use crate::{
     endpoint::EndpointShared,
-    run::{AttemptLink, GatePermit, RunFailure, call_engine, send_whole},
+    run::{AttemptLink, GatePermit, RunFailure, call_engine, longest_run, send_whole, within},
 };
 
-/// Wait before the row is looked at again.
-const LOOK_AGAIN: Duration = Duration::from_millis(50);
+/// First and longest wait before the row is looked at again, in milliseconds.
+///
+/// Each look is a read of the table service, and those who wait for one key can
+/// be many.
+const MIN_LOOK_MS: u64 = 25;
+const MAX_LOOK_MS: u64 = 400;
 
 /// Longest wait for a claim, or for the outcome of the attempt that holds it.
 ///
@@ -30,6 +35,17 @@
 /// and not just before its deadline.
 const CLAIM_TIME: Duration = Duration::from_secs(2);
 
+/// Time before a request's deadline at which a claim is given up.
+///
+/// The entry answers "unknown" at the deadline. A refusal that leaves the agent
+/// at the same moment comes too late, and a caller whose request never ran
+/// would be left in doubt, as a clerk who does not know whether a card was
+/// charged. The refusal has to be there before.
+const REFUSAL_LEAD: Duration = Duration::from_millis(100);
+
+/// Part of the time left that the lead may take, of a request in a hurry.
+const LEAD_PART: u32 = 4;
+
 /// Longest wait of an answer for the record of its outcome.
 const RECORD_WAIT: Duration = Duration::from_millis(250);
 
@@ -86,8 +102,10 @@
         let Some(key) = &head.key else {
             return Err(RunFailure::NotRun(NotRunReason::KeyConflict));
         };
-        let claim_until = Timestamp::now().deadline_after(CLAIM_TIME);
-        let give_up_at = claim_until.min(head.deadline);
+        let now = Timestamp::now();
+        let left = head.deadline.remaining(now);
+        let lead = REFUSAL_LEAD.min(left / LEAD_PART);
+        let give_up_at = now.deadline_after(CLAIM_TIME.min(left - lead));
         let nonce = new_nonce(shared, head)?;
         Ok(Self {
             shared,
@@ -103,16 +121,14 @@
     /// Writes and looks until the request may run, is answered, or is given up.
     async fn claim(&mut self) -> Result<ClaimStep, RunFailure> {
         let mut step = ClaimStep::Write(ClaimGuard::Absent);
-        let mut first = true;
+        let mut wait_ms = 0;
         loop {
             if self.link.latch.is_cancelled() {
                 return Err(RunFailure::NotRun(NotRunReason::Cancelled));
             }
             let view = match step {
                 ClaimStep::Write(guard) => {
-                    if !first {
-                        Timer::after(LOOK_AGAIN).await;
-                    }
+                    pause(wait_ms).await;
                     self.take_permit()?;
                     self.tracker.begin_write();
                     let record = self.tracker.record();
@@ -124,12 +140,12 @@
                     if self.tracker.waits_for_other() {
                         self.permit = None;
                     }
-                    Timer::after(LOOK_AGAIN).await;
-                    row::look(self.shared, &self.row).await
+                    pause(wait_ms).await;
+                    row::look_until(self.shared, &self.row, self.give_up_at).await
                 }
                 settled => return Ok(settled),
             };
-            first = false;
+            wait_ms = (wait_ms * 2).clamp(MIN_LOOK_MS, MAX_LOOK_MS);
             step = self.tracker.next(view, Timestamp::now());
         }
     }
@@ -147,7 +163,8 @@
             self.settle(ClaimState::Released, revision).await;
             return Err(RunFailure::NotRun(reason));
         }
-        let ran = run_whole(self.shared, self.head, body).await;
+        let run = run_whole(self.shared, self.head, body);
+        let ran = within(longest_run(self.head), run).await;
         self.permit = None;
         match ran {
             Ok((answer, body)) => {
@@ -193,6 +210,14 @@
     }
 }
 
+/// Waits for about `wait_ms`, so that those who wait for one key do not look together.
+async fn pause(wait_ms: u64) {
+    if wait_ms > 0 {
+        let wait_ms = rand::rng().random_range(wait_ms / 2..=wait_ms);
+        Timer::after(Duration::from_millis(wait_ms)).await;
+    }
+}
+
 async fn run_whole(
     shared: &EndpointShared,
     head: &RequestHead,
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -4,11 +4,15 @@
 //! the present moment and a random generator are arguments. The same code so
 //! runs in the processes, in seeded histories and in benches.
 
+pub mod admit;
 pub mod advice;
 pub mod affinity;
+pub mod budget;
 pub mod cell;
 pub mod change;
 pub mod claim;
+pub mod fencing;
+pub mod forecast;
 pub mod gate;
 pub mod holder;
 pub mod identity;
@@ -20,6 +24,7 @@
 pub mod route;
 pub mod select;
 
+pub use admit::{AdmitTicket, AdmitVerdict, ServiceAdmission};
 pub use advice::{AdviceInput, EntryAdvice, advise};
 pub use cell::EndpointCell;
 pub use change::{
--- a/crates/entry/src/caller.rs
+++ b/crates/entry/src/caller.rs
@@ -1,7 +1,8 @@
 //! Requests of callers.
 //!
-//! `accept → identify → attempts (route → dispatch) → relay → outcome`
+//! `accept → identify → admit → attempts (route → dispatch) → relay → outcome`
 
+mod admit;
 mod attempts;
 mod identify;
 mod outcome;
@@ -18,6 +19,12 @@
 use cassiawheel_runtime::http::{ReplyBody, error_reply, json_reply};
 use hyper::{Request, Response, StatusCode, body::Incoming};
 
+pub(crate) use admit::EntryAdmission;
+
+use self::{
+    admit::AdmitPermit,
+    attempts::{FailedRequest, RequestAttempts},
+};
 use crate::shared::EntryShared;
 
 /// Path at which callers ask which entries to use.
@@ -45,12 +52,21 @@
         Err(error) => return error.reply(),
     };
     let (head, body) = (identified.head, identified.body);
-    let guard = InFlight::begin(shared.clone());
-    match attempts::run_attempts(&shared, &head, &body).await {
-        Ok(begun) => relay::answer_reply(guard, head, begun).await,
+    let mut guard = InFlight::begin(shared.clone());
+    match admit::admit(&shared, &head).await {
+        Ok(permit) => guard.permit = permit,
+        Err(reason) => {
+            guard.count(OutcomeKind::NotRun);
+            let failed = FailedRequest::before_attempts(&shared, reason);
+            return outcome::failure_reply(&head, &failed);
+        }
+    }
+    let mut attempts = RequestAttempts::new(shared, head, body);
+    match attempts.begin().await {
+        Ok(begun) => relay::answer_reply(guard, attempts, begun).await,
         Err(failed) => {
-            shared.metrics.count(failed.outcome.kind());
-            outcome::failure_reply(&head, &failed)
+            guard.count(failed.outcome.kind());
+            outcome::failure_reply(&attempts.head, &failed)
         }
     }
 }
@@ -61,7 +77,7 @@
         caller_addr: settings.listen.caller,
         failure_domain: settings.place.failure_domain.clone(),
         in_flight: shared.in_flight.load(Ordering::Relaxed),
-        leaving: shared.leaving.load(Ordering::Acquire),
+        leaving: shared.leaving.load(Ordering::Acquire) || !shared.is_advised(),
     };
     let mut entries = vec![own];
     entries.extend(shared.peers().values().map(|peer| peer.advice.clone()));
@@ -75,13 +91,14 @@
 /// Counts a request as in progress until its answer is whole or given up.
 pub(crate) struct InFlight {
     shared: Arc<EntryShared>,
+    permit: Option<AdmitPermit>,
 }
 
 impl InFlight {
     fn begin(shared: Arc<EntryShared>) -> Self {
         shared.in_flight.fetch_add(1, Ordering::Relaxed);
         shared.metrics.in_flight.inc();
-        Self { shared }
+        Self { shared, permit: None }
     }
 
     /// Counts the request's outcome.
@@ -92,6 +109,7 @@
 
 impl Drop for InFlight {
     fn drop(&mut self) {
+        drop(self.permit.take());
         self.shared.in_flight.fetch_sub(1, Ordering::Relaxed);
         self.shared.metrics.in_flight.dec();
     }
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -1,8 +1,10 @@
 //! Presets, heartbeats and membership at an entry.
 
+pub(crate) mod ahead;
 pub(crate) mod change;
 pub(crate) mod drains;
 pub(crate) mod membership;
 pub(crate) mod orders;
 pub(crate) mod poll;
 pub(crate) mod spread;
+pub(crate) mod store;
--- a/crates/model/src/settings/entry.rs
+++ b/crates/model/src/settings/entry.rs
@@ -5,7 +5,7 @@
 use macro_rules_attribute::apply;
 
 use super::{
-    CheckedSettings, LogSettings, PlaceSettings, PlatformSettings,
+    CheckedSettings, ListenerSettings, LogSettings, PlaceSettings, PlatformSettings,
     common::{
         EXAMPLE_KEY, EXAMPLE_TOKEN, check_distinct, check_listeners, check_millis, check_reachable,
         check_secret, check_target, example_addr, indexed,
@@ -62,41 +62,6 @@
 /// Largest body of a caller that the settings may allow, in bytes.
 pub const MAX_BODY_BYTES: usize = 12 << 20;
 
-/// Limits of the listeners, so that a slow or greedy client costs one connection at most.
-#[apply(record!)]
-#[derive(Copy)]
-#[serde(deny_unknown_fields, default)]
-pub struct ListenerSettings {
-    /// Most open connections of operators.
-    pub admin_connections: usize,
-    /// Most open connections of our own processes.
-    pub inner_connections: usize,
-    /// Most open connections for metrics and probes.
-    pub metrics_connections: usize,
-    /// Largest head of a request, in bytes.
-    pub head_bytes: usize,
-    /// Longest time for a request's head, and for an idle connection, in milliseconds.
-    pub head_ms: u64,
-    /// Longest time for a request's body, in milliseconds.
-    pub body_ms: u64,
-    /// Longest time in which a client takes nothing of its answer, in milliseconds.
-    pub write_ms: u64,
-}
-
-impl Default for ListenerSettings {
-    fn default() -> Self {
-        Self {
-            admin_connections: 128,
-            inner_connections: 4_096,
-            metrics_connections: 32,
-            head_bytes: 32 << 10,
-            head_ms: 10_000,
-            body_ms: 10_000,
-            write_ms: 30_000,
-        }
-    }
-}
-
 /// What a token's holder may do.
 #[apply(label!)]
 #[serde(rename_all = "kebab-case")]
@@ -135,6 +100,8 @@
     pub advice_addresses: usize,
     /// Most attempts of one request.
     pub max_attempts: u32,
+    /// Most requests that wait for room at the endpoints of one service.
+    pub queue_length: usize,
     /// Leading bytes of a body by which requests with a common prefix are told,
     /// to be sent where an engine has probably cached it; zero turns it off.
     pub prefix_bytes: usize,
@@ -149,6 +116,7 @@
             advice_ms: 2_000,
             advice_addresses: 3,
             max_attempts: 3,
+            queue_length: 1_024,
             prefix_bytes: 256,
         }
     }
@@ -166,11 +134,22 @@
     pub lease_ms: u64,
     /// Longest graceful shutdown, in milliseconds.
     pub drain_ms: u64,
+    /// Most reads of the table service in a second, polls included.
+    pub store_reads_per_s: u32,
+    /// Most writes to the table service in a second.
+    pub store_writes_per_s: u32,
 }
 
 impl Default for ControlSettings {
     fn default() -> Self {
-        Self { poll_ms: 1_000, heartbeat_timeout_ms: 1_500, lease_ms: 3_000, drain_ms: 30_000 }
+        Self {
+            poll_ms: 1_000,
+            heartbeat_timeout_ms: 1_500,
+            lease_ms: 3_000,
+            drain_ms: 30_000,
+            store_reads_per_s: 50,
+            store_writes_per_s: 20,
+        }
     }
 }
 
@@ -268,33 +247,13 @@
     }
 }
 
-impl ListenerSettings {
-    fn check(&self, findings: &mut FindingList) {
-        let positive = [
-            ("limits.admin_connections", self.admin_connections),
-            ("limits.inner_connections", self.inner_connections),
-            ("limits.metrics_connections", self.metrics_connections),
-        ];
-        for (path, value) in positive {
-            findings.require(value > 0, path, "must be at least 1");
-        }
-        findings.require(
-            (8 << 10..=1 << 20).contains(&self.head_bytes),
-            "limits.head_bytes",
-            format_args!("must lie between 8192 and 1048576 bytes, is {}", self.head_bytes),
-        );
-        check_millis(findings, "limits.head_ms", self.head_ms, 100..=300_000);
-        check_millis(findings, "limits.body_ms", self.body_ms, 100..=300_000);
-        check_millis(findings, "limits.write_ms", self.write_ms, 100..=600_000);
-    }
-}
-
 impl CallerSettings {
     fn check(&self, findings: &mut FindingList) {
         let positive = [
             ("caller.max_body_bytes", self.max_body_bytes as u64),
             ("caller.max_connections", self.max_connections as u64),
             ("caller.advice_addresses", self.advice_addresses as u64),
+            ("caller.queue_length", self.queue_length as u64),
             ("caller.max_attempts", u64::from(self.max_attempts)),
         ];
         for (path, value) in positive {
@@ -315,6 +274,16 @@
 impl ControlSettings {
     fn check(&self, findings: &mut FindingList) {
         check_millis(findings, "control.poll_ms", self.poll_ms, 50..=10_000);
+        findings.require(
+            self.store_reads_per_s > 0,
+            "control.store_reads_per_s",
+            "must be at least 1",
+        );
+        findings.require(
+            self.store_writes_per_s > 0,
+            "control.store_writes_per_s",
+            "must be at least 1",
+        );
         findings.require(
             self.lease_ms >= 2 * self.poll_ms,
             "control.lease_ms",
