--- a/crates/testkit/src/stand_in/peer.rs
+++ b/crates/testkit/src/stand_in/peer.rs
@@ -92,6 +92,8 @@
         load: LoadReport { in_flight: 0, queued: 0, measured_at: Timestamp::now() },
         revision: PresetRevision(u64::MAX),
         order: u64::MAX,
+        ordered: None,
+        engine_fencing: 0,
         limit: 0,
     })
 }
