Heartbeats tell only the load while nothing else has changed

Change: an agent sends a beat of its load while its last whole report holds; an entry that has no such report, as after the agent was frozen, asks for one. A report that a full queue swallowed, or that another overtook, is sent again.

--- a/crates/agent/src/endpoint.rs
+++ b/crates/agent/src/endpoint.rs
@@ -9,7 +9,7 @@
 };
 
 use cassiawheel_decide::{GateState, PresetHolder, StartHold};
-use cassiawheel_model::{LoadReport, Timestamp, settings::AgentSettings};
+use cassiawheel_model::{EndpointReport, LoadReport, Timestamp, settings::AgentSettings};
 use cassiawheel_platform::{ModelEngine, TableStore, WeightSource};
 use cassiawheel_runtime::timeout;
 use cassiawheel_wire::{WireSender, message::WeightOrder};
@@ -49,6 +49,7 @@
     holder: Mutex<PresetHolder>,
     start_hold: Mutex<StartHold>,
     order: Mutex<Option<WeightOrder>>,
+    last_report: Mutex<Option<EndpointReport>>,
     load: Mutex<LoadReport>,
     entries: Mutex<Vec<WireSender>>,
     attempts: AtomicU64,
@@ -73,6 +74,7 @@
             holder: Mutex::default(),
             start_hold: Mutex::new(StartHold::new(sources, now.deadline_after(START_TIME))),
             order: Mutex::default(),
+            last_report: Mutex::default(),
             load: Mutex::new(LoadReport { in_flight: 0, queued: 0, measured_at: now }),
             entries: Mutex::default(),
             engine_fencing: AtomicU64::new(0),
@@ -109,6 +111,11 @@
         self.order.lock().unwrap_or_else(|poison| poison.into_inner())
     }
 
+    /// The last whole report, if every connected entry has it.
+    pub(crate) fn last_report(&self) -> MutexGuard<'_, Option<EndpointReport>> {
+        self.last_report.lock().unwrap_or_else(|poison| poison.into_inner())
+    }
+
     /// The engine's last load report.
     pub(crate) fn load(&self) -> MutexGuard<'_, LoadReport> {
         self.load.lock().unwrap_or_else(|poison| poison.into_inner())
--- a/crates/agent/src/entry_link.rs
+++ b/crates/agent/src/entry_link.rs
@@ -121,7 +121,9 @@
         ControlMessage::Drain { instance } if instance == shared.settings.place.instance => {
             leave(shared);
         }
+        ControlMessage::ReportWanted => report::send_report(shared),
         ControlMessage::Report(_)
+        | ControlMessage::Beat(_)
         | ControlMessage::Leaving { .. }
         | ControlMessage::Drain { .. }
         | ControlMessage::EntryBeat { .. } => {}
--- a/crates/agent/src/report.rs
+++ b/crates/agent/src/report.rs
@@ -39,12 +39,57 @@
     }
 }
 
-/// Sends the present report to every connected entry.
+/// Sends the whole present report to every connected entry.
 pub(crate) fn send_report(shared: &EndpointShared) {
+    let mut last = shared.last_report();
     let report = build_report(shared);
-    shared
-        .entries()
-        .retain(|entry| entry.try_send(ControlMessage::Report(Box::new(report.clone()))).is_ok());
+    send_whole(shared, &mut last, report);
+}
+
+/// Sends a beat if the last whole report still holds, else a new one.
+///
+/// A whole report is some four hundred bytes; sent at every heartbeat it would
+/// be most of the control traffic of a large deployment.
+fn send_heartbeat(shared: &EndpointShared) {
+    let mut last = shared.last_report();
+    let report = build_report(shared);
+    let load = report.load;
+    let unchanged = last.as_ref().is_some_and(|last| equal_but_for_load(last, &report));
+    if unchanged {
+        send_to_entries(shared, &ControlMessage::Beat(load));
+    } else {
+        send_whole(shared, &mut last, report);
+    }
+}
+
+/// Sends `report` and notes it as the last one.
+///
+/// `last` stays locked from the building of the report to its queueing: two
+/// reports that overtook each other would leave the entries with the older
+/// state, and the beats that follow would confirm it for ever.
+fn send_whole(shared: &EndpointShared, last: &mut Option<EndpointReport>, report: EndpointReport) {
+    let message = ControlMessage::Report(Box::new(report.clone()));
+    let reached_all = send_to_entries(shared, &message);
+    // An entry whose queue was full would take the next beats for the state
+    // before this one, and might route to an endpoint that switches.
+    *last = reached_all.then_some(report);
+}
+
+fn equal_but_for_load(last: &EndpointReport, report: &EndpointReport) -> bool {
+    EndpointReport { load: report.load, ..last.clone() } == *report
+}
+
+/// Queues `message` for every connected entry; false if a queue was full.
+fn send_to_entries(shared: &EndpointShared, message: &ControlMessage) -> bool {
+    let mut reached_all = true;
+    shared.entries().retain(|entry| match entry.try_send(message.clone()) {
+        Ok(queued) => {
+            reached_all &= queued;
+            true
+        }
+        Err(_) => false,
+    });
+    reached_all
 }
 
 /// Reports at every heartbeat, after asking the engine for its load.
@@ -56,7 +101,7 @@
             shared.engine_fencing.fetch_max(status.fencing, Ordering::Relaxed);
             *shared.load() = status.load;
         }
-        send_report(&shared);
+        send_heartbeat(&shared);
         shared.transfer.announce_held();
         Timer::after(Duration::from_millis(shared.settings.heartbeat_ms)).await;
     }
--- a/crates/decide/src/roster.rs
+++ b/crates/decide/src/roster.rs
@@ -7,7 +7,7 @@
 
 use std::collections::{BTreeMap, HashSet};
 
-use cassiawheel_model::{EndpointReport, InstanceId, PresetRevision, Timestamp};
+use cassiawheel_model::{EndpointReport, InstanceId, LoadReport, PresetRevision, Timestamp};
 
 use crate::advice::AdviceInput;
 
@@ -103,6 +103,26 @@
         true
     }
 
+    /// Takes a beat: the last report of this process holds but for its load.
+    ///
+    /// `None` if there is no such report, as after a pause in which the
+    /// endpoint was dropped; only a whole report makes it a member again.
+    pub fn beat(
+        &mut self,
+        instance: &InstanceId,
+        incarnation: u64,
+        load: LoadReport,
+        now: Timestamp,
+    ) -> Option<&EndpointReport> {
+        let member = self.members.get_mut(instance)?;
+        if member.report.incarnation != incarnation {
+            return None;
+        }
+        member.heard_at = now;
+        member.report.load = load;
+        Some(&member.report)
+    }
+
     /// Notes an endpoint's own word that it leaves.
     pub fn leave(&mut self, instance: &InstanceId, incarnation: u64, now: Timestamp) {
         self.marks.note(instance, incarnation, now);
--- a/crates/decide/tests/roster.rs
+++ b/crates/decide/tests/roster.rs
@@ -220,3 +220,27 @@
     roster.hear(&instance(0), peer(1, false, 20));
     assert!(is_advised(&roster));
 }
+
+/// An endpoint was silent for a while and was dropped. Its next heartbeat tells
+/// only a load; without its state nothing may be routed there.
+#[test]
+fn a_beat_alone_makes_no_member() {
+    let mut roster = EndpointRoster::default();
+    let load = LoadReport { in_flight: 3, queued: 1, measured_at: Timestamp(5) };
+    assert!(roster.beat(&instance(0), 1, load, Timestamp(5)).is_none());
+    roster.hear(report(0, 1), Timestamp(6));
+    assert!(roster.beat(&instance(0), 2, load, Timestamp(7)).is_none());
+    let known = roster.beat(&instance(0), 1, load, Timestamp(8)).map(|report| report.load);
+    assert_eq!(known, Some(load));
+}
+
+/// An endpoint that sends beats is not silent, though it sends no whole report.
+#[test]
+fn beats_keep_a_member() {
+    let mut roster = EndpointRoster::default();
+    roster.hear(report(0, 1), Timestamp(0));
+    let load = LoadReport { in_flight: 0, queued: 0, measured_at: Timestamp(50) };
+    roster.beat(&instance(0), 1, load, Timestamp(50));
+    assert!(roster.expire(Timestamp(40), Timestamp(60)).is_empty());
+    assert_eq!(roster.expire(Timestamp(51), Timestamp(61)), [instance(0)]);
+}
--- a/crates/entry/src/control/orders.rs
+++ b/crates/entry/src/control/orders.rs
@@ -10,7 +10,7 @@
 };
 
 use cassiawheel_decide::plan::{PlanInput, PlannedOrder, plan_orders};
-use cassiawheel_model::EndpointReport;
+use cassiawheel_model::PresetRevision;
 use cassiawheel_wire::{ControlMessage, message::WeightOrder};
 use smol::Timer;
 
@@ -20,10 +20,10 @@
 /// Time between two plans.
 const PLAN_TIME: Duration = Duration::from_millis(50);
 
-/// Sends an agent the preset in force if its report does not know it yet.
-pub(crate) fn send_preset(shared: &EntryShared, link: &AgentLink, report: &EndpointReport) {
+/// Sends an agent that knows `revision` the preset in force, if that is newer.
+pub(crate) fn send_preset(shared: &EntryShared, link: &AgentLink, revision: PresetRevision) {
     let force = shared.force.load_full();
-    if let Some(preset) = force.filter(|preset| preset.revision > report.revision) {
+    if let Some(preset) = force.filter(|preset| preset.revision > revision) {
         let _ = link.sender.try_send(ControlMessage::Force(preset));
     }
 }
--- a/crates/entry/src/control/spread.rs
+++ b/crates/entry/src/control/spread.rs
@@ -96,7 +96,11 @@
             log::info!(target: "roster", instance:% = instance; "An entry leaves.");
         }
         ControlMessage::Drain { instance } => drains::drain_here(shared, &instance),
-        ControlMessage::Report(_) | ControlMessage::Order(_) | ControlMessage::Peers(_) => {}
+        ControlMessage::Report(_)
+        | ControlMessage::Beat(_)
+        | ControlMessage::ReportWanted
+        | ControlMessage::Order(_)
+        | ControlMessage::Peers(_) => {}
     }
 }
 
--- a/crates/entry/src/inner.rs
+++ b/crates/entry/src/inner.rs
@@ -5,7 +5,7 @@
     time::Duration,
 };
 
-use cassiawheel_model::{EndpointReport, Timestamp};
+use cassiawheel_model::{EndpointReport, LoadReport, Timestamp};
 use cassiawheel_runtime::{ShutdownSignal, listener::accept_connections, timeout};
 use cassiawheel_wire::{
     ControlMessage, HelloMessage, ProcessKind, WireMessage, WireReceiver, WireSender, accept,
@@ -85,9 +85,10 @@
 fn handle_agent_control(shared: &Arc<EntryShared>, link: &AgentLink, message: ControlMessage) {
     match message {
         ControlMessage::Report(report) if report.instance == link.instance => {
-            orders::send_preset(shared, link, &report);
+            orders::send_preset(shared, link, report.revision);
             take_report(shared, *report);
         }
+        ControlMessage::Beat(load) => take_beat(shared, link, load),
         ControlMessage::Leaving { instance, incarnation } if instance == link.instance => {
             shared.roster().leave(&instance, incarnation, Timestamp::now());
             shared.rebuild_routes();
@@ -95,6 +96,7 @@
         }
         ControlMessage::Force(preset) => spread::adopt(shared, &preset),
         ControlMessage::Report(_)
+        | ControlMessage::ReportWanted
         | ControlMessage::Leaving { .. }
         | ControlMessage::Drain { .. }
         | ControlMessage::EntryBeat { .. }
@@ -103,7 +105,23 @@
     }
 }
 
-/// Takes a heartbeat.
+/// Takes a heartbeat that tells only the load.
+fn take_beat(shared: &EntryShared, link: &AgentLink, load: LoadReport) {
+    let mut roster = shared.roster();
+    let known = roster.beat(&link.instance, link.incarnation, load, Timestamp::now());
+    let known = known.map(|report| (report.revision, report.limit));
+    drop(roster);
+    let Some((revision, limit)) = known else {
+        let _ = link.sender.try_send(ControlMessage::ReportWanted);
+        return;
+    };
+    // Heals a push that a full queue swallowed.
+    orders::send_preset(shared, link, revision);
+    shared.plan_stale.store(true, Ordering::Release);
+    shared.hear_load(&link.instance, &load, limit);
+}
+
+/// Takes a heartbeat with the whole state.
 ///
 /// A rebuild of the routes costs time in proportion to the endpoints, so one
 /// for each heartbeat would cost its square. Only a changed state needs one;
--- a/crates/testkit/tests/control_drains.rs
+++ b/crates/testkit/tests/control_drains.rs
@@ -239,3 +239,19 @@
         Ok(())
     });
 }
+
+/// An agent is frozen for longer than heartbeats may be missed and then goes on.
+/// Its next heartbeat tells only a load, and the entries have forgotten the rest;
+/// without asking for it, the endpoint would stay without work for ever.
+#[rstest]
+fn a_frozen_agent_that_goes_on_gets_work_again() {
+    run(async {
+        let deployment = start().await?;
+        let frozen = deployment.endpoints[0].agent.as_ref().expect("it runs");
+        frozen.pause()?;
+        let dropped = |status: &Value| status["services"][PLAIN_SERVICE]["replicas_ready"] == 2;
+        deployment.wait_status(0, WAIT, dropped).await?;
+        frozen.resume()?;
+        wait_whole(&deployment).await
+    });
+}
--- a/crates/wire/src/message/control.rs
+++ b/crates/wire/src/message/control.rs
@@ -3,8 +3,8 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use cassiawheel_model::{
-    EndpointReport, FailureDomain, ForcedPreset, InstanceId, ManifestDigest, ModelVersion,
-    PresetRevision, record,
+    EndpointReport, FailureDomain, ForcedPreset, InstanceId, LoadReport, ManifestDigest,
+    ModelVersion, PresetRevision, record,
 };
 use macro_rules_attribute::apply;
 
@@ -12,8 +12,12 @@
 #[apply(record!)]
 #[serde(rename_all = "kebab-case")]
 pub enum ControlMessage {
-    /// Agent to entry: a heartbeat with the endpoint's state.
+    /// Agent to entry: a heartbeat with the endpoint's whole state.
     Report(Box<EndpointReport>),
+    /// Agent to entry: a heartbeat; the last whole report still holds but for this load.
+    Beat(LoadReport),
+    /// Entry to agent: the sender has no whole report that a beat could refer to.
+    ReportWanted,
     /// Agent or entry to entry: no new work from now on.
     Leaving {
         /// Who leaves.
