Drop a setting without effect; smaller read buffers

Cause: control.lease_ms belonged to a planner that is not built; each connection kept a read buffer of 128 KiB. Change: the key is gone, and its invalid case is replaced by one as strict; buffers of 32 KiB.

--- a/crates/model/src/settings/entry.rs
+++ b/crates/model/src/settings/entry.rs
@@ -130,8 +130,6 @@
     pub poll_ms: u64,
     /// Heartbeats without which a peer or agent counts as gone, in milliseconds.
     pub heartbeat_timeout_ms: u64,
-    /// Life of the planner's lease, in milliseconds.
-    pub lease_ms: u64,
     /// Longest graceful shutdown, in milliseconds.
     pub drain_ms: u64,
     /// Most reads of the table service in a second, polls included.
@@ -145,7 +143,6 @@
         Self {
             poll_ms: 1_000,
             heartbeat_timeout_ms: 1_500,
-            lease_ms: 3_000,
             drain_ms: 30_000,
             store_reads_per_s: 50,
             store_writes_per_s: 20,
@@ -284,11 +281,6 @@
             "control.store_writes_per_s",
             "must be at least 1",
         );
-        findings.require(
-            self.lease_ms >= 2 * self.poll_ms,
-            "control.lease_ms",
-            "must be at least twice control.poll_ms, or the planner loses its lease between renewals",
-        );
         let silence = self.heartbeat_timeout_ms;
         check_millis(findings, "control.heartbeat_timeout_ms", silence, 200..=60_000);
         check_millis(findings, "control.drain_ms", self.drain_ms, 100..=3_600_000);
--- a/crates/model/tests/settings.rs
+++ b/crates/model/tests/settings.rs
@@ -65,7 +65,7 @@
 ])]
 #[case("entry-impossible-limits.json", &[
     "limits.inner_connections", "limits.head_bytes", "caller.max_body_bytes",
-    "caller.max_connections", "caller.max_attempts", "control.poll_ms", "control.lease_ms",
+    "caller.max_connections", "caller.max_attempts", "control.poll_ms", "control.store_reads_per_s",
     "log.decisions_per_s",
 ])]
 #[case("entry-duplicate-operators.json", &[
--- a/crates/wire/src/socket.rs
+++ b/crates/wire/src/socket.rs
@@ -42,6 +42,10 @@
 /// Messages that may wait to be written before senders wait.
 const QUEUE_LENGTH: usize = 1_024;
 
+/// Bytes read from a socket at a time. Each connection keeps a buffer of this size, and an agent
+/// may be connected to hundreds of others.
+const READ_BUFFER_BYTES: usize = 32 << 10;
+
 /// Longest time for a connection and its handshake.
 const HANDSHAKE_TIME: Duration = Duration::from_secs(3);
 
@@ -199,6 +203,7 @@
 
 fn frame_limits() -> WebSocketConfig {
     WebSocketConfig::default()
+        .read_buffer_size(READ_BUFFER_BYTES)
         .max_message_size(Some(MAX_MESSAGE_BYTES))
         .max_frame_size(Some(MAX_MESSAGE_BYTES))
 }
