Let a pause end while its process is being stopped

Cause: a planned stop took the process out of its slot, so a pause that ended meanwhile did not find it, and the process stayed frozen; burst gave up after 40 s. Found with a random scenario of overlapping faults. Change: the process stays in its slot until it has ended.

--- a/crates/testkit/src/burst/faults.rs
+++ b/crates/testkit/src/burst/faults.rs
@@ -10,6 +10,7 @@
 use anyhow::Context;
 use cassiawheel_model::Timestamp;
 use cassiawheel_platform::ListedState;
+use cassiawheel_runtime::timeout;
 use smol::{Timer, lock::Mutex};
 
 use super::{
@@ -23,6 +24,9 @@
 /// Longest graceful stop.
 const STOP_TIME: Duration = Duration::from_secs(40);
 
+/// Time between looks at a process that stops.
+const LOOK_AGAIN: Duration = Duration::from_millis(20);
+
 /// The deployment as the faults share it.
 pub type SharedDeployment = Arc<Mutex<Deployment>>;
 
@@ -153,13 +157,15 @@
     if is_drain {
         list(&*deployment.lock().await, slot, Some(ListedState::Leaving));
     }
-    let process = slot.process(&mut *deployment.lock().await).take();
-    let Some(mut process) = process else {
-        return Ok(None);
+    let asked = match slot.process(&mut *deployment.lock().await) {
+        Some(process) => {
+            process.terminate()?;
+            process.id()
+        }
+        None => return Ok(None),
     };
-    process.terminate()?;
-    let ended = process.wait(STOP_TIME).await?;
-    anyhow::ensure!(ended.is_some(), "{} did not stop within {STOP_TIME:?}", plan.target);
+    let ended = timeout(STOP_TIME, ended(deployment, slot, asked)).await;
+    ended.with_context(|| format!("{} did not stop within {STOP_TIME:?}", plan.target))??;
     if is_drain {
         Timer::after(Duration::from_secs_f64(plan.for_s)).await;
         list(&*deployment.lock().await, slot, None);
@@ -174,6 +180,26 @@
     })
 }
 
+/// Completes once the process `id` is gone from its slot.
+///
+/// The process stays in its slot while it stops: a pause that ends meanwhile
+/// has to find it, or it would never go on and never stop.
+async fn ended(deployment: &SharedDeployment, slot: ProcessSlot, id: u32) -> anyhow::Result<()> {
+    loop {
+        let mut locked = deployment.lock().await;
+        let process = slot.process(&mut locked);
+        let Some(running) = process.as_mut().filter(|running| running.id() == id) else {
+            return Ok(());
+        };
+        if running.wait(Duration::ZERO).await?.is_some() {
+            *process = None;
+            return Ok(());
+        }
+        drop(locked);
+        Timer::after(LOOK_AGAIN).await;
+    }
+}
+
 fn list(deployment: &Deployment, slot: ProcessSlot, state: Option<ListedState>) {
     if let ProcessSlot::Endpoint(index) = slot {
         deployment.instances.set(&deployment.endpoints[index].instance, state);
