Shorter queues between processes

Cause: the slots of a connection's queue are allocated at once; with 1,024 of some 140 bytes an agent with 96 peers held 27 MiB in empty queues. Change: 256 slots; whoever sends more waits for the socket as before.

--- a/crates/wire/src/socket.rs
+++ b/crates/wire/src/socket.rs
@@ -40,7 +40,10 @@
 };
 
 /// Messages that may wait to be written before senders wait.
-const QUEUE_LENGTH: usize = 1_024;
+///
+/// The queue's slots are allocated with the connection, some 140 bytes each, and
+/// an agent may be connected to hundreds of others.
+const QUEUE_LENGTH: usize = 256;
 
 /// Bytes read from a socket at a time. Each connection keeps a buffer of this size, and an agent
 /// may be connected to hundreds of others.
