Confirm the engine's version before an answer is called whole

Cause: an engine that ignores fencing tokens obeys a late order of a paused process in the middle of an answer; only the head's version was checked, so an answer mixed from two versions was complete to its caller. Change: agents of such engines ask for the version again before the end mark. Engines that check tokens refuse the order and are not asked. Measured: the new test got a wrong answer called complete before, an unknown after. Conclusion: kept; it costs one status call per answer at engines that ignore tokens.

--- a/crates/agent/src/keyed.rs
+++ b/crates/agent/src/keyed.rs
@@ -19,7 +19,10 @@
 
 use crate::{
     endpoint::EndpointShared,
-    run::{AttemptLink, GatePermit, RunFailure, call_engine, longest_run, send_whole, within},
+    run::{
+        AttemptLink, GatePermit, RunFailure, call_engine, ensure_unmixed, longest_run, send_whole,
+        within,
+    },
 };
 
 /// First and longest wait before the row is looked at again, in milliseconds.
@@ -227,6 +230,7 @@
     let whole = answer.body.collect().await;
     let whole = whole.map_err(|error| RunFailure::Unknown(format!("answer cut: {error}")))?;
     let body = whole.to_bytes();
+    ensure_unmixed(shared, head).await?;
     let answer = RecordedAnswer {
         status: answer.status,
         content_type: answer.content_type,
--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use cassiawheel_decide::{RepeatGuard, RunLatch, claim::RecordedAnswer};
-use cassiawheel_model::{NotRunReason, RequestHead, Timestamp};
+use cassiawheel_model::{EndpointRole, NotRunReason, RequestHead, Timestamp};
 use cassiawheel_platform::{EngineAnswer, EngineError};
 use cassiawheel_runtime::timeout;
 use cassiawheel_wire::{ControlMessage, RequestMessage, WireError, WireSender};
@@ -118,7 +118,7 @@
         RepeatGuard::Idempotent => {
             let run = async {
                 let mut answer = call_engine(shared, head, body).await?;
-                relay(link, head, &mut answer).await
+                relay(shared, link, head, &mut answer).await
             };
             within(head.deadline.remaining(Timestamp::now()), run).await
         }
@@ -157,7 +157,7 @@
         return Err(RunFailure::NotRun(NotRunReason::Cancelled));
     }
     let mut answer = call_engine(shared, head, body).await?;
-    let relayed = relay(link, head, &mut answer).await;
+    let relayed = relay(shared, link, head, &mut answer).await;
     if relayed.is_err() {
         // Dropping the answer would cancel the run at the endpoint in the middle
         // of its effect: a charge without its receipt. Nobody reads the rest,
@@ -185,7 +185,29 @@
     Ok(answer)
 }
 
+/// Fails if the engine's weights were exchanged behind the gate during the run.
+///
+/// An engine that ignores fencing tokens also obeys a late order of a process
+/// that was paused, in the middle of an answer: its beginning and its end would
+/// come from two versions, under a head that names one. Such an engine is asked
+/// again for its version before the answer is called whole.
+pub(crate) async fn ensure_unmixed(
+    shared: &EndpointShared,
+    head: &RequestHead,
+) -> Result<(), RunFailure> {
+    let engine = &shared.settings.engine;
+    if engine.role == EndpointRole::Plain || engine.checks_fencing {
+        return Ok(());
+    }
+    match shared.engine.status().await {
+        Ok(status) if status.version == head.version => Ok(()),
+        Ok(_) => Err(RunFailure::Unknown("the weights changed during the run".to_owned())),
+        Err(error) => Err(RunFailure::Unknown(format!("the weights cannot be confirmed: {error}"))),
+    }
+}
+
 async fn relay(
+    shared: &EndpointShared,
     link: &AttemptLink,
     head: &RequestHead,
     answer: &mut EngineAnswer,
@@ -218,6 +240,7 @@
         let message = RequestMessage::Data { attempt, bytes: data.to_vec() };
         sender.send(message).await.map_err(gone)?;
     }
+    ensure_unmixed(shared, head).await?;
     sender.send(RequestMessage::End { attempt, bytes: sent }).await.map_err(gone)
 }
 
--- /dev/null
+++ b/crates/testkit/tests/foreign_order.rs
@@ -0,0 +1,74 @@
+//! Orders that reach an engine behind its agent's back.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use cassiawheel_model::ModelVersion;
+use cassiawheel_platform::{HttpClient, HttpEngine, LoadOrder, ModelEngine};
+use cassiawheel_runtime::spawn;
+use cassiawheel_testkit::{
+    CallVerdict, Deployment, DeploymentPlan, TestCaller, deployment::MODEL_SERVICE,
+    weights::WeightImage,
+};
+use rstest::rstest;
+use serde_json::json;
+use smol::Timer;
+
+const WAIT: Duration = Duration::from_secs(20);
+
+fn run<T>(test: impl Future<Output = anyhow::Result<T>>) -> T {
+    cassiawheel_runtime::run(4, test).expect("the executor runs").expect("the test passes")
+}
+
+/// Stages `image` and orders `engine` to load it, as a paused process would that goes on.
+async fn load_directly(engine: &HttpEngine, image: &WeightImage) -> anyhow::Result<()> {
+    let manifest = &image.manifest;
+    engine.stage(manifest).await?;
+    for index in 0..manifest.chunks.len() {
+        let chunk = image.chunk(index).expect("the chunk is in the image");
+        engine.stage_chunk(manifest.digest, index, Bytes::copy_from_slice(chunk)).await?;
+    }
+    let version = manifest.version.clone();
+    Ok(engine.load(&LoadOrder { version, manifest: manifest.digest, fencing: 0 }).await?)
+}
+
+/// A process that was paused goes on and orders the engine back to an old
+/// version, while the engine streams an answer; this engine ignores fencing
+/// tokens. The caller would get an answer that begins in one version and ends
+/// in another, and nothing in it would tell.
+#[rstest]
+fn an_answer_during_a_foreign_order_is_not_called_whole() {
+    run(async {
+        let plan =
+            DeploymentPlan { model_agents: 1, checks_fencing: false, ..DeploymentPlan::default() };
+        let deployment = Deployment::start(&plan).await?;
+        let image = |name: &str, seed| -> anyhow::Result<Arc<WeightImage>> {
+            let version = ModelVersion::new(name)?;
+            Ok(Arc::new(WeightImage::generate(version, seed, 1 << 20, 256 << 10)))
+        };
+        let (old, new) = (image("v1", 1)?, image("v2", 2)?);
+        deployment.origin.add(new.clone());
+        let content = json!({ "services": {
+            MODEL_SERVICE: { "kind": "model", "version": "v2", "replicas": 1 }
+        } });
+        deployment.force("ordinary", &content, "change-1").await?;
+        let ready =
+            |status: &serde_json::Value| status["services"][MODEL_SERVICE]["replicas_ready"] == 1;
+        deployment.wait_status(0, WAIT, ready).await?;
+
+        let entry = deployment.entries[0].caller_addr;
+        let digest = new.answer_digest();
+        let call = spawn(async move {
+            let weights = |version: &str| (version == "v2").then_some(digest);
+            TestCaller::default().generate(entry, MODEL_SERVICE, "lift tour", 100, 5, weights).await
+        });
+        Timer::after(Duration::from_millis(200)).await;
+        let engine = HttpEngine::new(HttpClient::default(), deployment.endpoints[0].engine_addr());
+        load_directly(&engine, &old).await?;
+        let verdict = call.await;
+        assert!(matches!(verdict, CallVerdict::Unknown(_)), "{verdict:?}");
+        // The agent notices and brings the wanted version back.
+        deployment.wait_status(0, WAIT, ready).await?;
+        deployment.wait_engines("v2", 1, WAIT).await
+    });
+}
