Pass header fields between callers and endpoints

Cause: only media type, request id and key reached a service, and only the media type came back; a service that reads authorization or answers with a location was broken. Change: end-to-end fields pass both ways and into recorded answers; those of one connection and the system's own do not, so that an endpoint cannot claim an outcome. Early refusals wait for room in the queue instead of being dropped with it full.

--- a/crates/agent/src/entry_link.rs
+++ b/crates/agent/src/entry_link.rs
@@ -212,7 +212,11 @@
     ) {
         self.running.retain(|_, running| !running.task.is_finished());
         if let Some(reason) = refuse_early(shared, sender, &head) {
-            let _ = sender.try_send(RequestMessage::Refused { attempt, reason });
+            // A refusal that a full queue swallowed would be "unknown" to the
+            // caller of a request that certainly did not run.
+            let sender = sender.clone();
+            let refusal = RequestMessage::Refused { attempt, reason };
+            spawn(async move { sender.send(refusal).await }).detach();
             return;
         }
         let (credits, granted) = smol::channel::unbounded();
--- a/crates/agent/src/keyed.rs
+++ b/crates/agent/src/keyed.rs
@@ -234,6 +234,7 @@
     let answer = RecordedAnswer {
         status: answer.status,
         content_type: answer.content_type,
+        headers: answer.headers,
         version: answer.version,
         revision: head.revision,
         body: String::new(),
--- a/crates/decide/src/claim.rs
+++ b/crates/decide/src/claim.rs
@@ -7,8 +7,8 @@
 //! recorded outcome, or learn that it is unknown.
 
 use cassiawheel_model::{
-    AttemptNonce, Deadline, ModelVersion, PresetRevision, RequestKey, ServiceName, Timestamp,
-    WorkspaceId, record,
+    AttemptNonce, Deadline, HeaderField, ModelVersion, PresetRevision, RequestKey, ServiceName,
+    Timestamp, WorkspaceId, record,
 };
 use macro_rules_attribute::apply;
 
@@ -52,6 +52,9 @@
     pub status: u16,
     /// Media type.
     pub content_type: Option<String>,
+    /// Further header fields.
+    #[serde(default)]
+    pub headers: Vec<HeaderField>,
     /// The version that answered.
     pub version: Option<ModelVersion>,
     /// The preset under which it ran.
--- a/crates/decide/tests/keyed_history/world.rs
+++ b/crates/decide/tests/keyed_history/world.rs
@@ -517,6 +517,7 @@
         let answer = RecordedAnswer {
             status: 200,
             content_type: None,
+            headers: Vec::new(),
             version: None,
             revision: PresetRevision(1),
             body: body.clone(),
--- a/crates/entry/src/caller/attempts.rs
+++ b/crates/entry/src/caller/attempts.rs
@@ -10,8 +10,8 @@
     AttemptEnd, EndpointCell, RepeatGuard, RetryStep, RetryTracker, RouteQuery, RouteSnapshot,
 };
 use cassiawheel_model::{
-    Deadline, ForcedPreset, InstanceId, ModelVersion, NotRunReason, PresetRevision, Repeatability,
-    RequestHead, RequestOutcome, ServiceKind, Timestamp,
+    Deadline, ForcedPreset, HeaderField, InstanceId, ModelVersion, NotRunReason, PresetRevision,
+    Repeatability, RequestHead, RequestOutcome, ServiceKind, Timestamp,
 };
 use cassiawheel_runtime::timeout;
 use cassiawheel_wire::RequestMessage;
@@ -33,6 +33,8 @@
     pub(crate) status: u16,
     /// Media type.
     pub(crate) content_type: Option<String>,
+    /// Further header fields.
+    pub(crate) headers: Vec<HeaderField>,
     /// The version that answers.
     pub(crate) version: Option<ModelVersion>,
     /// The preset under which it ran.
@@ -202,6 +204,7 @@
             stream: begun.stream,
             status: begun.status,
             content_type: begun.content_type,
+            headers: begun.headers,
             version: begun.version,
             revision: begun.revision,
             replayed: begun.replayed,
@@ -302,6 +305,7 @@
     stream: AttemptStream,
     status: u16,
     content_type: Option<String>,
+    headers: Vec<HeaderField>,
     version: Option<ModelVersion>,
     revision: PresetRevision,
     replayed: bool,
@@ -320,6 +324,7 @@
             request,
             status,
             content_type,
+            headers,
             version,
             revision,
             replayed,
@@ -331,7 +336,7 @@
             if request != routed.id || (!replayed && version != routed.version) {
                 return Err(AttemptEnd::Unknown("the answer belongs elsewhere".to_owned()));
             }
-            Ok(AnswerHead { stream, status, content_type, version, revision, replayed })
+            Ok(AnswerHead { stream, status, content_type, headers, version, revision, replayed })
         }
         Some(RequestMessage::Refused { reason, .. }) => Err(AttemptEnd::NotRun(reason)),
         Some(RequestMessage::Failed { detail, .. }) => Err(match RepeatGuard::of(routed) {
--- a/crates/entry/src/caller/identify.rs
+++ b/crates/entry/src/caller/identify.rs
@@ -8,6 +8,7 @@
     Deadline, PresetRevision, PriorityClass, RequestHead, RequestKey, ServiceName, Timestamp,
     WorkspaceId,
 };
+use cassiawheel_platform::engine_http::end_to_end_fields;
 use cassiawheel_runtime::http::{BodyError, ReplyBody, error_reply, read_body_within};
 use hyper::{HeaderMap, Request, Response, StatusCode, body::Incoming, header::CONTENT_TYPE};
 
@@ -83,6 +84,7 @@
         method: parts.method.to_string(),
         path,
         content_type: parse(&parts.headers, CONTENT_TYPE.as_str())?,
+        headers: end_to_end_fields(&parts.headers),
         prefix: None,
         revision: PresetRevision::default(),
         version: None,
--- a/crates/entry/src/caller/relay.rs
+++ b/crates/entry/src/caller/relay.rs
@@ -19,7 +19,7 @@
 use hyper::{
     HeaderMap, Response, StatusCode,
     body::Frame,
-    header::{CONTENT_TYPE, HeaderValue, TRAILER},
+    header::{CONTENT_TYPE, HeaderName, HeaderValue, TRAILER},
 };
 
 use super::{
@@ -162,6 +162,13 @@
         if begun.replayed {
             headers.insert(REPLAYED_HEADER, HeaderValue::from_static("true"));
         }
+        for field in &begun.headers {
+            let name = HeaderName::try_from(&field.name);
+            let value = HeaderValue::try_from(&field.value);
+            if let (Ok(name), Ok(value)) = (name, value) {
+                headers.append(name, value);
+            }
+        }
         let kind = begun.content_type.as_deref().map(HeaderValue::from_str);
         if let Some(Ok(kind)) = kind {
             headers.insert(CONTENT_TYPE, kind);
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub mod endpoint;
 pub mod finding;
+pub mod header;
 pub mod ids;
 pub mod manifest;
 pub mod outcome;
@@ -19,6 +20,7 @@
 
 pub use endpoint::{EndpointReport, EndpointRole, EndpointState, LoadReport, StagedWeights};
 pub use finding::{FindingList, FindingPlace};
+pub use header::HeaderField;
 pub use ids::{
     AttemptNonce, ChangeId, ChunkDigest, FailureDomain, InstanceId, LeaseHolder, ManifestDigest,
     ModelVersion, OperatorName, PresetName, RegionName, RequestId, RequestKey, ServiceName,
--- a/crates/model/src/request.rs
+++ b/crates/model/src/request.rs
@@ -3,7 +3,8 @@
 use macro_rules_attribute::apply;
 
 use crate::{
-    Deadline, ModelVersion, PresetRevision, RequestId, RequestKey, ServiceName, WorkspaceId,
+    Deadline, HeaderField, ModelVersion, PresetRevision, RequestId, RequestKey, ServiceName,
+    WorkspaceId,
 };
 
 /// Order in which requests are shed under overload.
@@ -54,6 +55,8 @@
     pub path: String,
     /// The body's media type.
     pub content_type: Option<String>,
+    /// Further header fields for the endpoint.
+    pub headers: Vec<HeaderField>,
     /// Digest of the leading part of the prompt, for prefix affinity; a hint.
     pub prefix: Option<u64>,
     /// The preset by which it is routed.
--- a/crates/platform/src/engine.rs
+++ b/crates/platform/src/engine.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use cassiawheel_model::{
-    LoadReport, ManifestDigest, ModelVersion, RequestHead, WeightManifest, record,
+    HeaderField, LoadReport, ManifestDigest, ModelVersion, RequestHead, WeightManifest, record,
 };
 use hyper::body::Incoming;
 use macro_rules_attribute::apply;
@@ -75,6 +75,8 @@
     pub status: u16,
     /// Media type.
     pub content_type: Option<String>,
+    /// Further header fields.
+    pub headers: Vec<HeaderField>,
     /// The version that the engine says it answers from.
     pub version: Option<ModelVersion>,
     /// The answer. Dropping it cancels the run.
--- a/crates/platform/src/engine_http.rs
+++ b/crates/platform/src/engine_http.rs
@@ -3,9 +3,12 @@
 use std::{net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
-use cassiawheel_model::{ManifestDigest, ModelVersion, RequestHead, WeightManifest};
+use cassiawheel_model::{HeaderField, ManifestDigest, ModelVersion, RequestHead, WeightManifest};
 use http_body_util::Full;
-use hyper::{Method, Request, Response, header::CONTENT_TYPE};
+use hyper::{
+    HeaderMap, Method, Request, Response,
+    header::{CONNECTION, CONTENT_TYPE},
+};
 
 use crate::{
     ClientError, EdgeFuture, EngineAnswer, EngineError, EngineStatus, HttpClient, LoadOrder,
@@ -147,6 +150,7 @@
             Ok(EngineAnswer {
                 status: parts.status.as_u16(),
                 content_type: text(CONTENT_TYPE.as_str()),
+                headers: end_to_end_fields(&parts.headers),
                 version: text(VERSION_HEADER).and_then(|name| ModelVersion::new(&name).ok()),
                 body,
             })
@@ -163,6 +167,9 @@
         .method(head.method.as_str())
         .uri(format!("http://{addr}{}", head.path))
         .header(REQUEST_HEADER, head.id.as_str());
+    for field in &head.headers {
+        request = request.header(&field.name, &field.value);
+    }
     if let Some(kind) = &head.content_type {
         request = request.header(CONTENT_TYPE, kind);
     }
@@ -171,3 +178,11 @@
     }
     request.body(Full::new(body))
 }
+
+/// The fields of `headers` that pass from end to end; values that are not text are left out.
+pub fn end_to_end_fields(headers: &HeaderMap) -> Vec<HeaderField> {
+    let connection = headers.get(CONNECTION).and_then(|value| value.to_str().ok());
+    let pairs =
+        headers.iter().filter_map(|(name, value)| Some((name.as_str(), value.to_str().ok()?)));
+    HeaderField::end_to_end(pairs, connection.unwrap_or_default())
+}
--- a/crates/testkit/src/samples.rs
+++ b/crates/testkit/src/samples.rs
@@ -55,6 +55,7 @@
         method: "POST".to_owned(),
         path: "/v1/generate".to_owned(),
         content_type: Some("application/json".to_owned()),
+        headers: Vec::new(),
         prefix: Some(0x1234_5678_9abc_def0),
         revision: PresetRevision(15_000),
         version: Some(ModelVersion::new("visitor-desk-2026.12.1")?),
--- a/crates/testkit/src/stand_in/plain.rs
+++ b/crates/testkit/src/stand_in/plain.rs
@@ -18,7 +18,7 @@
     engine_http::{KEY_HEADER, REQUEST_HEADER},
 };
 use cassiawheel_runtime::http::{ReplyBody, error_reply, full_body, json_reply, read_body};
-use hyper::{Request, Response, StatusCode, body::Incoming};
+use hyper::{Request, Response, StatusCode, body::Incoming, header::HeaderValue};
 
 use super::{RunningStandIn, start};
 use crate::FaultSwitches;
@@ -29,6 +29,9 @@
 /// Path at which agents ask for the load.
 const STATUS_PATH: &str = "/v1/engine/status";
 
+/// Header that the service gives back.
+pub const ECHO_HEADER: &str = "x-booth";
+
 /// One call that was carried out.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct CarriedCall {
@@ -108,7 +111,13 @@
         if !self.work.is_zero() {
             smol::Timer::after(self.work).await;
         }
-        Response::new(full_body(answer))
+        let mut reply = Response::new(full_body(answer));
+        if let Some(value) = head.headers.get(ECHO_HEADER) {
+            reply.headers_mut().insert(ECHO_HEADER, value.clone());
+        }
+        // What only the system may say of an outcome.
+        reply.headers_mut().insert("cassiawheel-attempts", HeaderValue::from_static("99"));
+        reply
     }
 }
 
--- a/crates/wire/src/message/request.rs
+++ b/crates/wire/src/message/request.rs
@@ -3,7 +3,9 @@
 //! Each attempt has a number that is unique per connection. An answer is
 //! `Head`, any number of `Data`, then `End`; only `End` makes it whole.
 
-use cassiawheel_model::{ModelVersion, NotRunReason, PresetRevision, RequestHead, record};
+use cassiawheel_model::{
+    HeaderField, ModelVersion, NotRunReason, PresetRevision, RequestHead, record,
+};
 use macro_rules_attribute::apply;
 
 /// Traffic of one request attempt between an entry and an agent.
@@ -49,6 +51,8 @@
         status: u16,
         /// Media type of the answer.
         content_type: Option<String>,
+        /// Further header fields of the answer.
+        headers: Vec<HeaderField>,
         /// The version that the endpoint says it answers from.
         version: Option<ModelVersion>,
         /// The preset under which it ran.
