Plan orders on change, entries beat twice a second

Cause: every beat of an agent set off a new plan, and entries told each other four times a second what rarely changes. Change: orders are planned when a whole report or the preset changes, and every 500 ms in case one was lost; entries beat every 500 ms.

--- a/crates/entry/src/control/orders.rs
+++ b/crates/entry/src/control/orders.rs
@@ -10,13 +10,17 @@
 };
 
 use cassiawheel_decide::plan::{PlanInput, PlannedOrder, plan_orders};
-use cassiawheel_model::PresetRevision;
+use cassiawheel_model::{PresetRevision, Timestamp};
 use cassiawheel_wire::{ControlMessage, message::WeightOrder};
 use smol::Timer;
 
 use super::ahead::staged_now;
 use crate::{link::AgentLink, shared::EntryShared};
 
+/// Time after which orders are planned again though nothing has changed, so that
+/// one that a full queue swallowed is sent again.
+const REPEAT_TIME: Duration = Duration::from_millis(500);
+
 /// Time between two plans.
 const PLAN_TIME: Duration = Duration::from_millis(50);
 
@@ -28,11 +32,14 @@
     }
 }
 
-/// Plans again whenever a report or the preset changed.
+/// Plans again whenever a report or the preset changed, and now and then without a change.
 pub(crate) async fn plan_regularly(shared: Arc<EntryShared>) {
+    let mut repeat_at = Timestamp::now().deadline_after(REPEAT_TIME);
     loop {
         Timer::after(PLAN_TIME).await;
-        if shared.plan_stale.swap(false, Ordering::AcqRel) {
+        let now = Timestamp::now();
+        if shared.plan_stale.swap(false, Ordering::AcqRel) || repeat_at.is_past(now) {
+            repeat_at = now.deadline_after(REPEAT_TIME);
             for order in due_orders(&shared) {
                 send_order(&shared, order);
             }
--- a/crates/entry/src/control/spread.rs
+++ b/crates/entry/src/control/spread.rs
@@ -26,7 +26,7 @@
 use crate::shared::EntryShared;
 
 /// Time between heartbeats of an entry.
-const BEAT_TIME: Duration = Duration::from_millis(250);
+const BEAT_TIME: Duration = Duration::from_millis(500);
 
 /// Wait before another entry is dialled again.
 const DIAL_AGAIN: Duration = Duration::from_millis(250);
--- a/crates/entry/src/inner.rs
+++ b/crates/entry/src/inner.rs
@@ -117,7 +117,6 @@
     };
     // Heals a push that a full queue swallowed.
     orders::send_preset(shared, link, revision);
-    shared.plan_stale.store(true, Ordering::Release);
     shared.hear_load(&link.instance, &load, limit);
 }
 
