--- a/crates/decide/src/select.rs
+++ b/crates/decide/src/select.rs
@@ -8,6 +8,7 @@
 //! do; the agents that rank next then own them.
 
 mod bits;
+mod ownership;
 mod peers;
 mod shares;
 
@@ -86,9 +87,6 @@
     origin_latency_ms: u64,
 }
 
-/// Time between looks for peers that fell behind, in milliseconds.
-const REVIEW_MS: u64 = 20;
-
 /// Longest wait for the list of chunks of a peer, in milliseconds.
 const INVENTORY_MS: u64 = 1_000;
 
@@ -104,15 +102,6 @@
 /// Agents up to which each may keep two fetches at the origin.
 const SMALL_GROUP: usize = 64;
 
-/// Rounds of all owners that one may bring nothing.
-const OWING_ROUNDS: usize = 3;
-
-/// Chunks that others must have drawn at least before an owner counts as behind.
-const OWING_SEEDS: usize = 8;
-
-/// Steps without any chunk from the origin before one owner is replaced.
-const IDLE_STEPS: u64 = 4;
-
 impl ChunkPicker {
     /// A picker for `chunks` chunks, none of which is held.
     pub fn new(settings: PickerSettings, chunks: usize, now: Timestamp) -> Self {
@@ -477,124 +466,6 @@
             self.unseeded.insert(index);
         }
     }
-
-    /// Counts a peer's chunks as available, if it can be fetched from.
-    fn count_chunks(&mut self, slot: AgentSlot) {
-        let view = &mut self.peers[slot - 1];
-        if view.counted || !view.connected || view.backoff.is_distrusted() {
-            return;
-        }
-        view.counted = true;
-        for index in view.held.iter() {
-            self.holders[index] += 1;
-            self.unseeded.remove(index);
-        }
-    }
-
-    /// Counts a peer's chunks as not available.
-    fn discount_chunks(&mut self, slot: AgentSlot) {
-        if !std::mem::replace(&mut self.peers[slot - 1].counted, false) {
-            return;
-        }
-        let held = std::mem::take(&mut self.peers[slot - 1].held);
-        for index in held.iter() {
-            self.release_holder(index);
-        }
-        self.peers[slot - 1].held = held;
-    }
-
-    fn join_shares(&mut self, slot: AgentSlot, now: Timestamp) {
-        let view = &self.peers[slot - 1];
-        if view.counted && !view.behind && !self.shares.takes_part(slot) {
-            self.clear_debt(slot, now);
-            self.shares.join(slot);
-        }
-    }
-
-    fn note_seed(&mut self, now: Timestamp) {
-        self.seeds += 1;
-        self.progress_at = now;
-    }
-
-    fn clear_debt(&mut self, slot: AgentSlot, now: Timestamp) {
-        let view = &mut self.peers[slot - 1];
-        view.owing_since = now;
-        view.seeds_then = self.seeds;
-        view.most_owners = 0;
-    }
-
-    /// Takes agents that fell silent or behind out of the shares.
-    ///
-    /// Without this, a paused agent or one whose link to the origin stalls
-    /// would keep its chunks from everybody for ever.
-    fn review_peers(&mut self, now: Timestamp) {
-        if !self.next_review.is_past(now) {
-            return;
-        }
-        self.next_review = Deadline(now.0 + REVIEW_MS);
-        for slot in 1..=self.peers.len() {
-            let view = &self.peers[slot - 1];
-            if view.counted && view.is_silent(now, self.settings.stall_ms) {
-                self.discount_chunks(slot);
-                self.shares.leave(slot);
-            }
-        }
-        self.review_debts(now);
-    }
-
-    fn review_debts(&mut self, now: Timestamp) {
-        let mut owed = vec![0_usize; self.peers.len() + 1];
-        for index in self.unseeded.iter() {
-            owed[self.shares.owner(index)] += 1;
-        }
-        let owners = owed.iter().filter(|owed| **owed > 0).count();
-        let mut longest: Option<AgentSlot> = None;
-        for (slot, owed) in owed.iter().enumerate().skip(1) {
-            if !self.shares.takes_part(slot) {
-                continue;
-            }
-            if *owed == 0 {
-                self.clear_debt(slot, now);
-                continue;
-            }
-            // The queue at the origin is as long as it was when this one joined
-            // it, even if most of the others have been served since.
-            let view = &mut self.peers[slot - 1];
-            view.most_owners = view.most_owners.max(owners);
-            if self.owes_too_long(slot, now) {
-                self.leave_behind(slot);
-                continue;
-            }
-            let since = |slot: AgentSlot| self.peers[slot - 1].owing_since;
-            if longest.is_none_or(|other| since(slot) < since(other)) {
-                longest = Some(slot);
-            }
-        }
-        // With the origin failing here too, the fault is not the owner's.
-        let idle_since = |slot: AgentSlot| self.peers[slot - 1].owing_since.max(self.progress_at);
-        let patience = self.settings.origin_step_ms * IDLE_STEPS;
-        if let Some(slot) = longest
-            && !self.origin.is_failing()
-            && now.0.saturating_sub(idle_since(slot).0) > patience
-        {
-            self.leave_behind(slot);
-            // One owner at a time: if the origin itself is slow, all of them
-            // look alike, and replacing all at once would draw many copies.
-            self.progress_at = now;
-        }
-    }
-
-    fn owes_too_long(&self, slot: AgentSlot, now: Timestamp) -> bool {
-        let view = &self.peers[slot - 1];
-        let others = self.seeds - view.seeds_then;
-        others >= OWING_SEEDS + OWING_ROUNDS * view.most_owners
-            && now.0.saturating_sub(view.owing_since.0) > self.settings.origin_step_ms
-    }
-
-    fn leave_behind(&mut self, slot: AgentSlot) {
-        self.peers[slot - 1].behind = true;
-        self.shares.leave(slot);
-    }
 }
 
 fn smoothed(average: u64, latest: u64) -> u64 {
