Bind a version's name to its bytes

Cause: answers, requests and reports name a version, not its manifest. If other bytes were published under a name in use, an endpoint with the old ones counted as ready after its agent restarted. Change: the first preset that names a version writes version/NAME with its manifest under a guard; a preset with other bytes under that name is refused as version-bound.

--- a/crates/entry/src/admin/reply.rs
+++ b/crates/entry/src/admin/reply.rs
@@ -71,6 +71,7 @@
     let (status, code) = match &error {
         PresetError::Store(_) => (StatusCode::SERVICE_UNAVAILABLE, "store"),
         PresetError::Manifest { .. } => (StatusCode::UNPROCESSABLE_ENTITY, "manifest"),
+        PresetError::VersionBound { .. } => (StatusCode::CONFLICT, "version-bound"),
         PresetError::Damaged(_) => (StatusCode::INTERNAL_SERVER_ERROR, "damaged"),
         PresetError::Missing(_) => (StatusCode::NOT_FOUND, "missing"),
         PresetError::Conflict => (StatusCode::CONFLICT, "conflict"),
--- a/crates/entry/src/control/change.rs
+++ b/crates/entry/src/control/change.rs
@@ -12,7 +12,8 @@
     ChangeAnswer, ChangeRecord, ChangeRequest, ChangeStep, ChangeVerdict, ChangeWriter,
 };
 use cassiawheel_model::{
-    ChangeId, ForcedPreset, PresetContent, PresetName, PresetRevision, Timestamp, record,
+    ChangeId, ForcedPreset, ManifestDigest, ModelVersion, PresetContent, PresetName,
+    PresetRevision, ServiceName, Timestamp, record,
 };
 use cassiawheel_platform::{
     StoreError, TableGuard, TableRow, TableStore, TableWrite, WeightError, WriteVerdict,
@@ -85,6 +86,16 @@
         /// What went wrong.
         error: WeightError,
     },
+    /// The version's name stands for other bytes already.
+    #[error(
+        "services.{service}.version: {version} stands for other bytes since it was first stored; publish them under a new name"
+    )]
+    VersionBound {
+        /// The service.
+        service: String,
+        /// The version.
+        version: String,
+    },
     /// The row is not a preset.
     #[error("the stored preset is damaged: {0}")]
     Damaged(String),
@@ -102,18 +113,57 @@
     content: &mut PresetContent,
 ) -> Result<(), PresetError> {
     for (service, target) in &mut content.services {
-        let Some(version) = target.version.as_ref().filter(|_| target.manifest.is_none()) else {
+        let Some(version) = &target.version else {
             continue;
         };
-        let manifest = shared.origin.manifest(version).await.map_err(|error| {
+        let manifest = match target.manifest {
+            Some(manifest) => manifest,
+            None => origin_manifest(shared, service, version).await?,
+        };
+        if !is_bound(shared.table.as_ref(), version, manifest).await? {
             let (service, version) = (service.to_string(), version.to_string());
-            PresetError::Manifest { service, version, error }
-        })?;
-        target.manifest = Some(manifest.digest);
+            return Err(PresetError::VersionBound { service, version });
+        }
+        target.manifest = Some(manifest);
     }
     Ok(())
 }
 
+async fn origin_manifest(
+    shared: &EntryShared,
+    service: &ServiceName,
+    version: &ModelVersion,
+) -> Result<ManifestDigest, PresetError> {
+    let manifest = shared.origin.manifest(version).await.map_err(|error| {
+        let (service, version) = (service.to_string(), version.to_string());
+        PresetError::Manifest { service, version, error }
+    })?;
+    Ok(manifest.digest)
+}
+
+/// Binds `version` to `manifest` for ever; false if it is bound to another one.
+///
+/// Answers, requests and reports name a version, not its bytes. Were one name
+/// used for two sets of bytes, an endpoint with the old ones would count as
+/// ready, and nobody could tell from an answer which of them gave it.
+async fn is_bound(
+    table: &dyn TableStore,
+    version: &ModelVersion,
+    manifest: ManifestDigest,
+) -> Result<bool, PresetError> {
+    let key = format!("version/{version}");
+    let value = to_value(&manifest)?;
+    if let Some(row) = table.read(&key).await? {
+        return Ok(row.value == value);
+    }
+    let write = TableWrite { key, guard: TableGuard::Absent, value: value.clone() };
+    match table.write(&[write], true).await?.pop() {
+        Some(WriteVerdict::Written(_)) => Ok(true),
+        Some(WriteVerdict::Conflict(Some(row))) => Ok(row.value == value),
+        _ => Err(PresetError::Conflict),
+    }
+}
+
 /// Stores a preset without putting it in force.
 pub(crate) async fn put_preset(
     table: &dyn TableStore,
--- a/crates/testkit/tests/control_plan.rs
+++ b/crates/testkit/tests/control_plan.rs
@@ -190,3 +190,24 @@
         Ok(())
     });
 }
+
+/// Somebody publishes other bytes under the name of a version that is in use.
+/// Endpoints with the old bytes would count as ready for the new ones, and no
+/// answer would tell which of them it came from.
+#[rstest]
+fn a_version_name_never_stands_for_other_bytes() {
+    run(async {
+        let plan = DeploymentPlan { model_agents: 1, ..DeploymentPlan::default() };
+        let deployment = Deployment::start(&plan).await?;
+        deployment.origin.add(image("v1", 1)?);
+        deployment.force("ordinary", &content("v1", 1), "change-1").await?;
+        deployment.origin.add(image("v1", 2)?);
+        let body = serde_json::to_vec(&content("v1", 1))?;
+        let path = "/v1/presets/peak";
+        let refused = deployment.admin(1, OPERATOR_TOKEN, Method::PUT, path, body).await?;
+        assert_eq!(refused.status(), 409);
+        let error: Value = serde_json::from_slice(refused.body())?;
+        assert_eq!(error["error"], "version-bound");
+        Ok(())
+    });
+}
