Entries tell each other only the load while nothing else has changed

Cause: an entry's heartbeat of some 250 bytes went twice a second over up to 24 links; with 9 entries and 32 agents an entry's control traffic was above the allowance. Change: a short heartbeat between whole ones, which are sent on change and every 2 s; an entry that has dropped the other, as after it was frozen, asks for a whole one.

--- a/crates/agent/src/entry_link.rs
+++ b/crates/agent/src/entry_link.rs
@@ -126,6 +126,7 @@
         | ControlMessage::Beat(_)
         | ControlMessage::Leaving { .. }
         | ControlMessage::Drain { .. }
+        | ControlMessage::EntryAlive { .. }
         | ControlMessage::EntryBeat { .. } => {}
     }
 }
--- a/crates/decide/src/roster.rs
+++ b/crates/decide/src/roster.rs
@@ -192,6 +192,25 @@
         self.peers.insert(instance.clone(), peer);
     }
 
+    /// Takes a short heartbeat: the last whole one of this process holds but for
+    /// the requests in progress. The revision in that one, or `None` if there is
+    /// no such heartbeat.
+    pub fn alive(
+        &mut self,
+        instance: &InstanceId,
+        incarnation: u64,
+        in_flight: u32,
+        now: Timestamp,
+    ) -> Option<PresetRevision> {
+        let peer = self.peers.get_mut(instance)?;
+        if peer.incarnation != incarnation {
+            return None;
+        }
+        peer.heard_at = now;
+        peer.advice.in_flight = in_flight;
+        Some(peer.revision)
+    }
+
     /// Notes an entry's own word that it leaves.
     pub fn leave(&mut self, instance: &InstanceId, incarnation: u64, now: Timestamp) {
         self.marks.note(instance, incarnation, now);
--- a/crates/decide/tests/roster.rs
+++ b/crates/decide/tests/roster.rs
@@ -244,3 +244,16 @@
     assert!(roster.expire(Timestamp(40), Timestamp(60)).is_empty());
     assert_eq!(roster.expire(Timestamp(51), Timestamp(61)), [instance(0)]);
 }
+
+/// An entry was frozen and dropped. Its next short heartbeat tells neither its
+/// address nor its revision; callers must not be sent there by what was known.
+#[test]
+fn a_short_heartbeat_alone_makes_no_entry() {
+    let mut roster = EntryRoster::default();
+    assert_eq!(roster.alive(&instance(0), 1, 4, Timestamp(5)), None);
+    roster.hear(&instance(0), peer(2, false, 10));
+    assert_eq!(roster.alive(&instance(0), 1, 4, Timestamp(20)), None);
+    assert_eq!(roster.alive(&instance(0), 2, 4, Timestamp(30)), Some(PresetRevision(1)));
+    roster.expire(Timestamp(25), Timestamp(40));
+    assert_eq!(roster.values().map(|peer| peer.advice.in_flight).collect::<Vec<_>>(), [4]);
+}
--- a/crates/entry/src/control/spread.rs
+++ b/crates/entry/src/control/spread.rs
@@ -28,6 +28,9 @@
 /// Time between heartbeats of an entry.
 const BEAT_TIME: Duration = Duration::from_millis(500);
 
+/// Longest time between whole heartbeats of an entry.
+const WHOLE_TIME: Duration = Duration::from_secs(2);
+
 /// Wait before another entry is dialled again.
 const DIAL_AGAIN: Duration = Duration::from_millis(250);
 
@@ -91,6 +94,9 @@
             shared.peers().hear(&instance, peer);
             heal(shared, sender, revision);
         }
+        ControlMessage::ReportWanted => {
+            let _ = sender.try_send(beat_message(shared));
+        }
         ControlMessage::Leaving { instance, incarnation } => {
             shared.peers().leave(&instance, incarnation, Timestamp::now());
             log::info!(target: "roster", instance:% = instance; "An entry leaves.");
@@ -98,7 +104,7 @@
         ControlMessage::Drain { instance } => drains::drain_here(shared, &instance),
         ControlMessage::Report(_)
         | ControlMessage::Beat(_)
-        | ControlMessage::ReportWanted
+        | ControlMessage::EntryAlive { .. }
         | ControlMessage::Order(_)
         | ControlMessage::Peers(_) => {}
     }
@@ -155,11 +161,17 @@
     }
     let _ = sender.try_send(beat_message(shared));
     shared.peer_links().push(sender.clone());
+    let mut other = None;
     while let Ok(message) = receiver.recv().await {
         let WireMessage::Control(message) = message else {
             continue;
         };
+        if let ControlMessage::EntryAlive { in_flight } = message {
+            hear_alive(shared, &sender, other.as_ref(), in_flight);
+            continue;
+        }
         let is_beat = matches!(message, ControlMessage::EntryBeat { .. });
+        other = told_process(&message).or(other);
         handle_peer(shared, &sender, message);
         if let Some(addr) = dialled.filter(|_| is_beat) {
             shared.start_hold().heard(addr);
@@ -168,14 +180,73 @@
     sender.close();
 }
 
-/// Sends heartbeats to the other entries.
+/// The process at the other end of a connection.
+struct PeerProcess {
+    instance: InstanceId,
+    incarnation: u64,
+}
+
+/// The process that a whole heartbeat comes from.
+fn told_process(message: &ControlMessage) -> Option<PeerProcess> {
+    match message {
+        ControlMessage::EntryBeat { instance, incarnation, .. } => {
+            Some(PeerProcess { instance: instance.clone(), incarnation: *incarnation })
+        }
+        _ => None,
+    }
+}
+
+/// Takes a short heartbeat of `other`; asks for a whole one if it was dropped meanwhile.
+fn hear_alive(
+    shared: &EntryShared,
+    sender: &WireSender,
+    other: Option<&PeerProcess>,
+    in_flight: u32,
+) {
+    let now = Timestamp::now();
+    let known = other
+        .and_then(|other| shared.peers().alive(&other.instance, other.incarnation, in_flight, now));
+    match known {
+        Some(revision) => heal(shared, sender, revision),
+        None => {
+            let _ = sender.try_send(ControlMessage::ReportWanted);
+        }
+    }
+}
+
+/// Sends heartbeats to the other entries: a whole one on change and now and
+/// then, in case one was lost, and short ones between.
 pub(crate) async fn beat(shared: Arc<EntryShared>) {
+    let mut last = None;
+    let mut whole_at = Timestamp::now();
     loop {
-        send_to_peers(&shared, &beat_message(&shared));
+        let now = Timestamp::now();
+        let message = beat_message(&shared);
+        let unchanged = last.as_ref().is_some_and(|last| equal_but_for_load(last, &message));
+        if unchanged && now.since(whole_at) < WHOLE_TIME {
+            let in_flight = shared.in_flight.load(Ordering::Relaxed);
+            send_to_peers(&shared, &ControlMessage::EntryAlive { in_flight });
+        } else {
+            send_to_peers(&shared, &message);
+            whole_at = now;
+            last = Some(message);
+        }
         Timer::after(BEAT_TIME).await;
     }
 }
 
+fn equal_but_for_load(last: &ControlMessage, message: &ControlMessage) -> bool {
+    let mut last = last.clone();
+    if let (
+        ControlMessage::EntryBeat { in_flight: before, .. },
+        ControlMessage::EntryBeat { in_flight: now, .. },
+    ) = (&mut last, message)
+    {
+        *before = *now;
+    }
+    last == *message
+}
+
 fn beat_message(shared: &EntryShared) -> ControlMessage {
     let settings = &shared.settings;
     ControlMessage::EntryBeat {
--- a/crates/entry/src/inner.rs
+++ b/crates/entry/src/inner.rs
@@ -99,6 +99,7 @@
         | ControlMessage::ReportWanted
         | ControlMessage::Leaving { .. }
         | ControlMessage::Drain { .. }
+        | ControlMessage::EntryAlive { .. }
         | ControlMessage::EntryBeat { .. }
         | ControlMessage::Order(_)
         | ControlMessage::Peers(_) => {}
--- a/crates/wire/src/message/control.rs
+++ b/crates/wire/src/message/control.rs
@@ -16,7 +16,7 @@
     Report(Box<EndpointReport>),
     /// Agent to entry: a heartbeat; the last whole report still holds but for this load.
     Beat(LoadReport),
-    /// Entry to agent: the sender has no whole report that a beat could refer to.
+    /// The sender has no whole heartbeat that a short one could refer to.
     ReportWanted,
     /// Agent or entry to entry: no new work from now on.
     Leaving {
@@ -32,7 +32,13 @@
     },
     /// Entry to entry or agent: the preset in force, as far as the sender knows.
     Force(Arc<ForcedPreset>),
-    /// Entry to entry: the sender's heartbeat.
+    /// Entry to entry: a heartbeat; the last whole one over this connection still holds but for
+    /// the requests in progress.
+    EntryAlive {
+        /// Requests in progress there.
+        in_flight: u32,
+    },
+    /// Entry to entry: the sender's whole heartbeat.
     EntryBeat {
         /// The entry.
         instance: InstanceId,
