Test that the loser of a race is told the winner at the command line

Cause: exit code 3 had no test of its own. Change: two operators force different presets through a slow table service. Conclusion: behaviour was right; only the test is new.

--- a/crates/testkit/tests/product_cli.rs
+++ b/crates/testkit/tests/product_cli.rs
@@ -175,3 +175,34 @@
         Ok(())
     });
 }
+
+/// Two operators put different presets in force at the same moment, and the
+/// table service is slow, so that both read the same revision before either
+/// writes. One change wins; the other's operator must be told that it lost, and
+/// to whom, or would believe a preset in force that is not.
+#[test]
+fn the_loser_of_a_race_is_told_the_winner() {
+    run(async {
+        let deployment = one_of_each().await?;
+        let folder = tempfile::tempdir()?;
+        for name in ["ordinary", "peak"] {
+            let file = write_preset(folder.path(), name, 8)?;
+            operate(&deployment, &["preset", "put", name, &file]).await?;
+        }
+        deployment.table_switches.set_delay(Duration::from_millis(500));
+        let force =
+            async |name| command(&deployment, OPERATOR_TOKEN, &["preset", "force", name]).await;
+        let (one, other) = smol::future::zip(force("ordinary"), force("peak")).await;
+        deployment.table_switches.set_delay(Duration::ZERO);
+        let mut ends = [(one?, "ordinary"), (other?, "peak")];
+        ends.sort_by_key(|(output, _)| output.status.code());
+        let [(won, winner), (lost, _)] = ends;
+        let error = String::from_utf8_lossy(&lost.stderr);
+        assert_eq!((won.status.code(), lost.status.code()), (Some(0), Some(3)), "{error}");
+        let told = String::from_utf8_lossy(&lost.stdout);
+        assert!(told.contains(winner), "{told}");
+        let history = operate(&deployment, &["preset", "history"]).await?;
+        assert_eq!(history.lines().count(), 2, "one change: {history}");
+        Ok(())
+    });
+}
