Refuse stale requests on the one path that refuses

Cause: an agent judged the preset of a request twice: early, where it sent the newer preset and the refusal by a route of its own, and again at the gate, whose refusals go through run_attempt. The early ones were neither counted nor logged. Change: the check stands in gated_run, and run_attempt sends the newer preset and the refusal in this order for both; the early path and its own sending are gone. Conclusion: callers are told the same; refused_total now counts these refusals too.

--- a/crates/agent/src/entry_link.rs
+++ b/crates/agent/src/entry_link.rs
@@ -9,9 +9,7 @@
 use bytes::Bytes;
 use cassiawheel_decide::RunLatch;
 
-use cassiawheel_model::{
-    EndpointState, NotRunReason, PresetRevision, Repeatability, RequestHead, Timestamp,
-};
+use cassiawheel_model::{EndpointState, PresetRevision, Repeatability, RequestHead};
 use cassiawheel_runtime::spawn;
 use cassiawheel_wire::{
     ControlMessage, HelloMessage, ProcessKind, RequestMessage, WireError, WireMessage,
@@ -142,27 +140,6 @@
     }
 }
 
-/// Whether a request must not run, judged by the preset in force.
-///
-/// An agent that has just started knows no preset yet. An entry that was paused
-/// may reach it first and route under a preset that others have replaced; its
-/// caller would be answered by rules that are no longer in force.
-fn refuse_early(
-    shared: &EndpointShared,
-    sender: &WireSender,
-    head: &RequestHead,
-) -> Option<NotRunReason> {
-    let known = shared.holder().revision();
-    if known == PresetRevision::default() || !shared.start_hold().is_over(Timestamp::now()) {
-        return Some(NotRunReason::StaleRevision);
-    }
-    if head.revision < known {
-        answer_older(shared, sender, head.revision);
-        return Some(NotRunReason::StaleRevision);
-    }
-    None
-}
-
 /// Admits nothing from now on and tells every entry so.
 pub(crate) fn leave(shared: &EndpointShared) {
     let mut gate = shared.gate();
@@ -212,14 +189,6 @@
         body: Bytes,
     ) {
         self.running.retain(|_, running| !running.task.is_finished());
-        if let Some(reason) = refuse_early(shared, sender, &head) {
-            // A refusal that a full queue swallowed would be "unknown" to the
-            // caller of a request that certainly did not run.
-            let sender = sender.clone();
-            let refusal = RequestMessage::Refused { attempt, reason };
-            spawn(async move { sender.send(refusal).await }).detach();
-            return;
-        }
         let (credits, granted) = smol::channel::unbounded();
         let repeat = head.repeat;
         let latch = Arc::new(RunLatch::default());
--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use cassiawheel_decide::{RepeatGuard, RunLatch, claim::RecordedAnswer};
-use cassiawheel_model::{EndpointRole, NotRunReason, RequestHead, Timestamp};
+use cassiawheel_model::{EndpointRole, NotRunReason, PresetRevision, RequestHead, Timestamp};
 use cassiawheel_platform::{EngineAnswer, EngineError};
 use cassiawheel_runtime::timeout;
 use cassiawheel_wire::{ControlMessage, RequestMessage, WireError, WireSender};
@@ -77,7 +77,7 @@
             shared.metrics.refused.inc();
             log::info!(target: "gate", request:% = head.id, reason:% = reason; "Refused a request.");
             if reason == NotRunReason::StaleRevision {
-                send_preset(&shared, &link.sender).await;
+                send_newer(&shared, &link.sender, head.revision).await;
             }
             RequestMessage::Refused { attempt, reason }
         }
@@ -93,19 +93,34 @@
 ///
 /// The entry would otherwise route by the old one again until its next poll,
 /// and its caller would be refused by every endpoint in turn.
-async fn send_preset(shared: &EndpointShared, sender: &WireSender) {
-    let preset = shared.holder().current().cloned();
-    if let Some(preset) = preset {
-        let _ = sender.send(ControlMessage::Force(preset)).await;
+async fn send_newer(shared: &EndpointShared, sender: &WireSender, revision: PresetRevision) {
+    let newer = shared.holder().current().filter(|known| known.revision > revision).cloned();
+    if let Some(newer) = newer {
+        let _ = sender.send(ControlMessage::Force(newer)).await;
     }
 }
 
+/// Whether a request was routed by a preset that may no longer be in force.
+///
+/// An agent that has just started knows no preset yet. An entry that was paused
+/// may reach it first and route under a preset that others have replaced; its
+/// caller would be answered by rules that are no longer in force.
+fn is_stale(shared: &EndpointShared, head: &RequestHead) -> bool {
+    let known = shared.holder().revision();
+    known == PresetRevision::default()
+        || head.revision < known
+        || !shared.start_hold().is_over(Timestamp::now())
+}
+
 async fn gated_run(
     shared: &Arc<EndpointShared>,
     link: &AttemptLink,
     head: &RequestHead,
     body: Bytes,
 ) -> Result<(), RunFailure> {
+    if is_stale(shared, head) {
+        return Err(RunFailure::NotRun(NotRunReason::StaleRevision));
+    }
     // A request may have waited in a socket while this process was paused; its
     // caller has been answered long since and must not see it run now.
     if head.deadline.is_past(Timestamp::now()) {
