Rename the crate of edges, so that platform/ can be the users' adapter

Cause: two folders of the name platform would confuse. The crate of traits and HTTP clients at a process's edges becomes cassiawheel-edge; nothing else changes. cargo check of the workspace passes.

--- a/crates/agent/src/endpoint.rs
+++ b/crates/agent/src/endpoint.rs
@@ -10,7 +10,7 @@
 
 use cassiawheel_decide::{GateState, PresetHolder, StartHold};
 use cassiawheel_model::{EndpointReport, LoadReport, Timestamp, settings::AgentSettings};
-use cassiawheel_platform::{ModelEngine, TableStore, WeightSource};
+use cassiawheel_edge::{ModelEngine, TableStore, WeightSource};
 use cassiawheel_runtime::timeout;
 use cassiawheel_wire::{WireSender, message::WeightOrder};
 use smol::channel::{Receiver, Sender, bounded};
--- a/crates/agent/src/exchange.rs
+++ b/crates/agent/src/exchange.rs
@@ -14,7 +14,7 @@
 
 use cassiawheel_decide::Adoption;
 use cassiawheel_model::{EndpointRole, EndpointState, ForcedPreset};
-use cassiawheel_platform::{EngineError, EngineStatus, LoadOrder};
+use cassiawheel_edge::{EngineError, EngineStatus, LoadOrder};
 use cassiawheel_runtime::timeout;
 use cassiawheel_wire::message::WeightOrder;
 
--- a/crates/agent/src/keyed/writer.rs
+++ b/crates/agent/src/keyed/writer.rs
@@ -6,7 +6,7 @@
 
 use std::{collections::HashSet, sync::Arc, time::Duration};
 
-use cassiawheel_platform::{StoreError, TableStore, TableWrite, WriteVerdict};
+use cassiawheel_edge::{StoreError, TableStore, TableWrite, WriteVerdict};
 use cassiawheel_runtime::spawn;
 use smol::{
     Timer,
--- a/crates/agent/src/serve.rs
+++ b/crates/agent/src/serve.rs
@@ -5,7 +5,7 @@
 use anyhow::Context;
 use cassiawheel_decide::rank::{first_ranked, subject_of};
 use cassiawheel_model::{EndpointRole, Timestamp, settings::AgentSettings};
-use cassiawheel_platform::{HttpClient, HttpEngine, HttpTable, HttpWeights};
+use cassiawheel_edge::{HttpClient, HttpEngine, HttpTable, HttpWeights};
 use cassiawheel_runtime::{ShutdownTrigger, TerminationSignals, probes::serve_probes, spawn};
 use cassiawheel_wire::traffic::TRAFFIC;
 use prometheus::Registry;
--- a/crates/agent/src/transfer/stage.rs
+++ b/crates/agent/src/transfer/stage.rs
@@ -11,7 +11,7 @@
 use cassiawheel_model::{
     InstanceId, ManifestDigest, ManifestError, Timestamp, WeightManifest, settings::TransferMode,
 };
-use cassiawheel_platform::WeightError;
+use cassiawheel_edge::WeightError;
 use cassiawheel_runtime::{spawn, timeout};
 use cassiawheel_wire::message::WeightOrder;
 use smol::{
--- a/crates/entry/src/cli/client.rs
+++ b/crates/entry/src/cli/client.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, path::PathBuf, time::Duration};
 
 use bytes::Bytes;
-use cassiawheel_platform::{ClientError, HttpClient};
+use cassiawheel_edge::{ClientError, HttpClient};
 use http_body_util::Full;
 use hyper::{
     Method, Request, StatusCode,
--- a/crates/entry/src/control/change.rs
+++ b/crates/entry/src/control/change.rs
@@ -15,7 +15,7 @@
     ChangeId, ForcedPreset, ManifestDigest, ModelVersion, PresetContent, PresetName,
     PresetRevision, ServiceName, Timestamp, record,
 };
-use cassiawheel_platform::{
+use cassiawheel_edge::{
     StoreError, TableGuard, TableRow, TableStore, TableWrite, WeightError, WriteVerdict,
 };
 use macro_rules_attribute::apply;
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -11,7 +11,7 @@
     Timestamp,
     settings::{EntryListen, EntrySettings, ListenerSettings},
 };
-use cassiawheel_platform::{HttpClient, HttpInstances, HttpTable, HttpWeights};
+use cassiawheel_edge::{HttpClient, HttpInstances, HttpTable, HttpWeights};
 use cassiawheel_runtime::{
     ShutdownSignal, ShutdownTrigger, TerminationSignals,
     http::{ListenerLimits, serve as serve_http},
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -18,7 +18,7 @@
     EndpointState, ForcedPreset, InstanceId, LoadReport, PresetRevision, RequestId, ServiceName,
     Timestamp, settings::EntrySettings,
 };
-use cassiawheel_platform::{TableStore, WeightSource};
+use cassiawheel_edge::{TableStore, WeightSource};
 use cassiawheel_wire::WireSender;
 
 use crate::{
--- a/crates/testkit/examples/capacity.rs
+++ b/crates/testkit/examples/capacity.rs
@@ -14,7 +14,7 @@
 use argh::FromArgs;
 use bytes::Bytes;
 use cassiawheel_model::ModelVersion;
-use cassiawheel_platform::HttpClient;
+use cassiawheel_edge::HttpClient;
 use cassiawheel_testkit::{
     ChildProcess, Deployment, DeploymentPlan, deployment::MODEL_SERVICE, weights::WeightImage,
 };
--- a/crates/testkit/examples/control.rs
+++ b/crates/testkit/examples/control.rs
@@ -14,7 +14,7 @@
 use argh::FromArgs;
 use bytes::Bytes;
 use cassiawheel_model::ModelVersion;
-use cassiawheel_platform::{HttpClient, ListedState};
+use cassiawheel_edge::{HttpClient, ListedState};
 use cassiawheel_runtime::spawn;
 use cassiawheel_testkit::{
     Deployment, DeploymentPlan,
--- a/crates/testkit/examples/hop.rs
+++ b/crates/testkit/examples/hop.rs
@@ -18,7 +18,7 @@
 use argh::FromArgs;
 use bytes::Bytes;
 use cassiawheel_model::settings::AgentSettings;
-use cassiawheel_platform::HttpClient;
+use cassiawheel_edge::HttpClient;
 use cassiawheel_runtime::spawn;
 use cassiawheel_testkit::{
     Deployment, DeploymentPlan,
--- a/crates/testkit/examples/quickstart.rs
+++ b/crates/testkit/examples/quickstart.rs
@@ -19,7 +19,7 @@
 use argh::FromArgs;
 use cassiawheel_decide::advice::EntryAdvice;
 use cassiawheel_model::{ModelVersion, Timestamp, settings::TransferSettings};
-use cassiawheel_platform::HttpClient;
+use cassiawheel_edge::HttpClient;
 use cassiawheel_runtime::spawn;
 use cassiawheel_testkit::{
     CallVerdict, Deployment, DeploymentPlan, TestCaller,
--- a/crates/testkit/src/burst/faults.rs
+++ b/crates/testkit/src/burst/faults.rs
@@ -9,7 +9,7 @@
 
 use anyhow::Context;
 use cassiawheel_model::Timestamp;
-use cassiawheel_platform::ListedState;
+use cassiawheel_edge::ListedState;
 use cassiawheel_runtime::timeout;
 use smol::{Timer, lock::Mutex};
 
--- a/crates/testkit/src/burst/operate.rs
+++ b/crates/testkit/src/burst/operate.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use cassiawheel_model::PresetName;
-use cassiawheel_platform::HttpClient;
+use cassiawheel_edge::HttpClient;
 use http_body_util::Full;
 use hyper::{Method, Request, Response, StatusCode, header::AUTHORIZATION};
 use serde::Deserialize;
--- a/crates/testkit/src/caller.rs
+++ b/crates/testkit/src/caller.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
-use cassiawheel_platform::{ClientError, HttpClient};
+use cassiawheel_edge::{ClientError, HttpClient};
 use cassiawheel_runtime::timeout;
 use http_body_util::{BodyExt, Full};
 use hyper::{HeaderMap, Request, StatusCode, header::TE};
--- a/crates/testkit/src/deployment.rs
+++ b/crates/testkit/src/deployment.rs
@@ -18,7 +18,7 @@
     InstanceId,
     settings::{CallerSettings, ControlSettings, PlatformSettings, TransferSettings},
 };
-use cassiawheel_platform::HttpClient;
+use cassiawheel_edge::HttpClient;
 use http_body_util::Full;
 use hyper::{Method, Request, Response, StatusCode, header::AUTHORIZATION};
 use smol::{Task, net::TcpStream};
--- a/crates/testkit/src/stand_in/engine.rs
+++ b/crates/testkit/src/stand_in/engine.rs
@@ -17,7 +17,7 @@
 use cassiawheel_model::{
     LoadReport, ManifestDigest, ModelVersion, Timestamp, WeightManifest, record,
 };
-use cassiawheel_platform::{
+use cassiawheel_edge::{
     EngineStatus, LoadOrder, StagedBits,
     engine_http::{REQUEST_HEADER, VERSION_HEADER},
 };
--- a/crates/testkit/src/stand_in/instances.rs
+++ b/crates/testkit/src/stand_in/instances.rs
@@ -7,7 +7,7 @@
 };
 
 use cassiawheel_model::InstanceId;
-use cassiawheel_platform::{ListedInstance, ListedState};
+use cassiawheel_edge::{ListedInstance, ListedState};
 use cassiawheel_runtime::http::json_reply;
 use hyper::StatusCode;
 
--- a/crates/testkit/src/stand_in/plain.rs
+++ b/crates/testkit/src/stand_in/plain.rs
@@ -13,7 +13,7 @@
 };
 
 use cassiawheel_model::{LoadReport, Timestamp};
-use cassiawheel_platform::{
+use cassiawheel_edge::{
     EngineStatus,
     engine_http::{KEY_HEADER, REQUEST_HEADER},
 };
--- a/crates/testkit/src/stand_in/table.rs
+++ b/crates/testkit/src/stand_in/table.rs
@@ -9,7 +9,7 @@
     },
 };
 
-use cassiawheel_platform::{
+use cassiawheel_edge::{
     TableGuard, TableRow, WriteResult, WriteVerdict,
     table_http::{ReadCall, ScanCall, WriteCall},
 };
--- a/crates/testkit/src/traffic.rs
+++ b/crates/testkit/src/traffic.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
-use cassiawheel_platform::HttpClient;
+use cassiawheel_edge::HttpClient;
 use http_body_util::Full;
 use hyper::Request;
 
--- a/crates/testkit/tests/burst_guards.rs
+++ b/crates/testkit/tests/burst_guards.rs
@@ -10,7 +10,7 @@
 
 use bytes::Bytes;
 use cassiawheel_model::{ModelVersion, Timestamp, WorkspaceId};
-use cassiawheel_platform::HttpClient;
+use cassiawheel_edge::HttpClient;
 use cassiawheel_testkit::{
     Deployment, DeploymentPlan,
     burst::{
--- a/crates/testkit/tests/control_drains.rs
+++ b/crates/testkit/tests/control_drains.rs
@@ -10,7 +10,7 @@
 };
 
 use bytes::Bytes;
-use cassiawheel_platform::{HttpClient, ListedState};
+use cassiawheel_edge::{HttpClient, ListedState};
 use cassiawheel_runtime::spawn;
 use cassiawheel_testkit::{
     CallVerdict, Deployment, DeploymentPlan, TestCaller,
--- a/crates/testkit/tests/distribution.rs
+++ b/crates/testkit/tests/distribution.rs
@@ -6,7 +6,7 @@
 };
 
 use cassiawheel_model::{ManifestDigest, ModelVersion, WeightManifest, settings::TransferSettings};
-use cassiawheel_platform::{HttpClient, HttpEngine, LoadOrder, ModelEngine};
+use cassiawheel_edge::{HttpClient, HttpEngine, LoadOrder, ModelEngine};
 use cassiawheel_runtime::spawn;
 use cassiawheel_testkit::{
     CallVerdict, Deployment, DeploymentPlan, TestCaller,
--- a/crates/testkit/tests/headers.rs
+++ b/crates/testkit/tests/headers.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use cassiawheel_platform::HttpClient;
+use cassiawheel_edge::HttpClient;
 use cassiawheel_testkit::{
     Deployment, DeploymentPlan, deployment::PLAIN_SERVICE, stand_in::plain::ECHO_HEADER,
 };
--- a/crates/testkit/tests/product_process.rs
+++ b/crates/testkit/tests/product_process.rs
@@ -197,7 +197,7 @@
             let addr = addr.or(settings["listen_metrics"].as_str()).expect("an address");
             let request = hyper::Request::get(format!("http://{addr}/metrics"))
                 .body(http_body_util::Full::default())?;
-            let client = cassiawheel_platform::HttpClient::default();
+            let client = cassiawheel_edge::HttpClient::default();
             let reply = client.send_whole(request, LONG).await?;
             let text = String::from_utf8_lossy(reply.body()).into_owned();
             let names = text.lines().filter_map(|line| line.strip_prefix("# TYPE "));
--- a/crates/testkit/tests/requests.rs
+++ b/crates/testkit/tests/requests.rs
@@ -6,7 +6,7 @@
     ModelVersion, Timestamp,
     settings::{AgentSettings, CallerSettings},
 };
-use cassiawheel_platform::{HttpClient, HttpEngine, LoadOrder, ModelEngine};
+use cassiawheel_edge::{HttpClient, HttpEngine, LoadOrder, ModelEngine};
 use cassiawheel_runtime::spawn;
 use cassiawheel_testkit::{
     CallVerdict, Deployment, DeploymentPlan, TestCaller,
