--- a/crates/agent/src/endpoint.rs
+++ b/crates/agent/src/endpoint.rs
@@ -1,6 +1,8 @@
 //! State that the parts of an agent share.
 
 use std::{
+    collections::BTreeSet,
+    net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard,
         atomic::{AtomicU32, AtomicU64, Ordering},
@@ -16,7 +18,10 @@
 use smol::channel::{Receiver, Sender, bounded};
 
 use crate::{
-    keyed::ClaimWriter, metrics::AgentMetrics, serve::chosen_entries, transfer::TransferState,
+    keyed::ClaimWriter,
+    metrics::AgentMetrics,
+    serve::{AgentEdges, chosen_entries},
+    transfer::TransferState,
 };
 
 /// Longest wait before a waiter looks at the gate again.
@@ -52,6 +57,7 @@
     last_report: Mutex<Option<EndpointReport>>,
     load: Mutex<LoadReport>,
     entries: Mutex<Vec<WireSender>>,
+    met: Mutex<BTreeSet<SocketAddr>>,
     attempts: AtomicU64,
     open: AtomicU32,
     released: (Sender<()>, Receiver<()>),
@@ -61,11 +67,10 @@
     /// The state of a process that has just started.
     pub(crate) fn new(
         settings: AgentSettings,
-        engine: Arc<dyn ModelEngine>,
-        table: Arc<dyn TableStore>,
-        origin: Arc<dyn WeightSource>,
+        edges: AgentEdges,
         metrics: AgentMetrics,
     ) -> Self {
+        let AgentEdges { engine, table, origin } = edges;
         let now = Timestamp::now();
         let sources = chosen_entries(&settings);
         Self {
@@ -77,6 +82,7 @@
             last_report: Mutex::default(),
             load: Mutex::new(LoadReport { in_flight: 0, queued: 0, measured_at: now }),
             entries: Mutex::default(),
+            met: Mutex::default(),
             engine_fencing: AtomicU64::new(0),
             attempts: AtomicU64::new(0),
             open: AtomicU32::new(0),
@@ -126,6 +132,12 @@
         self.entries.lock().unwrap_or_else(|poison| poison.into_inner())
     }
 
+    /// Notes the inner addresses of entries; those that were not known.
+    pub(crate) fn note_entries(&self, addrs: &[SocketAddr]) -> Vec<SocketAddr> {
+        let mut known = self.met.lock().unwrap_or_else(|poison| poison.into_inner());
+        addrs.iter().copied().filter(|addr| known.insert(*addr)).collect()
+    }
+
     /// A number that no other attempt of this process has.
     pub(crate) fn next_attempt(&self) -> u64 {
         self.attempts.fetch_add(1, Ordering::Relaxed)
--- a/crates/agent/src/entry_link.rs
+++ b/crates/agent/src/entry_link.rs
@@ -26,6 +26,43 @@
 /// First wait between two attempts to connect, in milliseconds.
 const MIN_BACKOFF_MS: u64 = 50;
 
+/// Time between looks whether any entry is connected.
+const FIND_TIME: Duration = Duration::from_millis(1_000);
+
+/// What the keys of entries' rows in the table service begin with.
+const ENTRY_ROWS: &str = "entries/";
+
+/// Keeps connections to the entries at `addrs`, as far as there are none yet.
+pub(crate) fn meet(shared: &Arc<EndpointShared>, addrs: &[SocketAddr]) {
+    for addr in shared.note_entries(addrs) {
+        spawn(keep_connected(shared.clone(), addr)).detach();
+    }
+}
+
+/// Looks entries up in the table service for as long as none is connected.
+///
+/// The settings name some that may all be gone; an agent that kept to them
+/// would never get an order again.
+pub(crate) async fn find_entries(shared: Arc<EndpointShared>) {
+    loop {
+        Timer::after(FIND_TIME).await;
+        if shared.entries().iter().any(|entry| !entry.is_closed()) {
+            continue;
+        }
+        match shared.table.scan(ENTRY_ROWS).await {
+            Ok(rows) => {
+                let keys = rows.iter().filter_map(|row| row.key.strip_prefix(ENTRY_ROWS));
+                let addrs: Vec<SocketAddr> = keys.filter_map(|addr| addr.parse().ok()).collect();
+                log::info!(target: "link", entries = addrs.len(); "Looked entries up.");
+                meet(&shared, &addrs);
+            }
+            Err(error) => {
+                log::warn!(target: "link", cause:% = error; "Entries cannot be looked up.");
+            }
+        }
+    }
+}
+
 /// Keeps a connection to the entry at `addr`.
 pub(crate) async fn keep_connected(shared: Arc<EndpointShared>, addr: SocketAddr) {
     let mut backoff = MIN_BACKOFF_MS;
@@ -120,12 +157,17 @@
             leave(shared);
         }
         ControlMessage::ReportWanted => report::send_report(shared),
+        ControlMessage::Entries(addrs) => meet(shared, &addrs),
         ControlMessage::Report(_)
         | ControlMessage::Beat(_)
         | ControlMessage::Leaving { .. }
         | ControlMessage::Drain { .. }
         | ControlMessage::EntryAlive { .. }
-        | ControlMessage::EntryBeat { .. } => {}
+        | ControlMessage::EntryBeat { .. }
+        | ControlMessage::PresetWanted
+        | ControlMessage::Named(_)
+        | ControlMessage::Listing { .. }
+        | ControlMessage::ListingWanted => {}
     }
 }
 
--- a/crates/agent/src/exchange.rs
+++ b/crates/agent/src/exchange.rs
@@ -53,6 +53,9 @@
         return;
     }
     log::info!(target: "order", version:% = order.version, fencing = order.fencing, serve = order.serve; "A new order.");
+    if let Some(origin) = order.origin {
+        shared.origin.relocate(origin);
+    }
     *newest = Some(order);
     drop(newest);
     shared.transfer.wake();
@@ -157,7 +160,7 @@
         shared.gate().state(),
         EndpointState::Serving { version, .. } if version.as_ref() == Some(&order.version)
     );
-    if serving && status.manifest == Some(order.manifest) {
+    if serving && status.answers_from(&order.version, order.manifest) {
         if let Err(error) = transfer::resume(shared, order).await {
             log::info!(target: "transfer", cause:% = error; "Cannot offer the served weights.");
         }
@@ -189,6 +192,7 @@
 async fn exchange(shared: &EndpointShared, order: &WeightOrder) -> anyhow::Result<()> {
     let before = shared.gate().state().clone();
     shared.gate().begin_switch()?;
+    announce_switch(shared).await;
     while !shared.gate().may_exchange() {
         shared.permit_released().await;
     }
@@ -203,6 +207,19 @@
     Ok(())
 }
 
+/// Tells the entries that the engine takes nothing new, and leaves them time to hear it.
+///
+/// Where requests reach the engine without the agent, those that come during
+/// the exchange would wait in the engine until it is over.
+async fn announce_switch(shared: &EndpointShared) {
+    let notice = Duration::from_millis(shared.settings.engine.notice_ms);
+    if notice.is_zero() {
+        return;
+    }
+    report::send_report(shared);
+    smol::Timer::after(notice).await;
+}
+
 /// Serves the old version again, if it is certain that the engine kept it.
 async fn settle_failed_load(shared: &EndpointShared, before: EndpointState, error: &anyhow::Error) {
     let refused = matches!(error.downcast_ref(), Some(EngineError::Refused(_)));
@@ -232,7 +249,7 @@
     // The answer to an order tells what was asked, not what is loaded; another
     // process may have given an order in between.
     anyhow::ensure!(
-        status.manifest == Some(order.manifest) && status.version.as_ref() == Some(&order.version),
+        status.answers_from(&order.version, order.manifest),
         "the engine answers from other weights than ordered"
     );
     Ok(())
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -16,11 +16,19 @@
 
 use cassiawheel_model::settings::AgentSettings;
 
+pub use serve::AgentEdges;
+
 /// Executor threads of an agent; small, since one instance has one agent.
 const THREADS: usize = 2;
 
 /// Runs an agent until it is asked to stop.
 pub fn run(settings: AgentSettings) -> anyhow::Result<()> {
+    let edges = AgentEdges::of(&settings);
+    run_with(settings, edges, THREADS)
+}
+
+/// Runs an agent between `edges` on `threads` threads until it is asked to stop.
+pub fn run_with(settings: AgentSettings, edges: AgentEdges, threads: usize) -> anyhow::Result<()> {
     let _log = cassiawheel_runtime::logging::start(&settings.log)?;
-    cassiawheel_runtime::run(THREADS, serve::serve(settings))?
+    cassiawheel_runtime::run(threads, serve::serve(settings, edges))?
 }
--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -3,10 +3,14 @@
 use std::{
     path::{Path, PathBuf},
     process::ExitCode,
+    sync::Arc,
 };
 
 use argh::FromArgs;
+use cassiawheel_agent::AgentEdges;
+use cassiawheel_edge::HttpClient;
 use cassiawheel_model::settings::{AgentSettings, parse_settings};
+use cassiawheel_platform::{OwnRows, PlatformBoot, PlatformEngine, PlatformOrigin, RowClient};
 
 /// The process at an endpoint instance: fetches weights, gates the engine and
 /// runs requests that entries send it.
@@ -30,9 +34,10 @@
 #[derive(FromArgs)]
 #[argh(subcommand, name = "serve")]
 struct ServeArgs {
-    /// settings file (JSON); see samples/agent.json
+    /// settings file (JSON), see samples/agent.json; without it, the file that
+    /// the platform names in the environment is read
     #[argh(option)]
-    config: PathBuf,
+    config: Option<PathBuf>,
 }
 
 /// Checks a settings file and reports every finding with its place.
@@ -58,7 +63,14 @@
         Err(code) => return code,
     };
     match args.command {
-        AgentCommand::Serve(args) => with_settings(&args.config, serve),
+        AgentCommand::Serve(args) => match (args.config, PlatformBoot::path()) {
+            (Some(config), _) => with_settings(&config, serve),
+            (None, Some(path)) => serve_on_platform(&path),
+            (None, None) => {
+                eprintln!("name a settings file: cassiawheel-agent serve --config FILE");
+                ExitCode::from(FINDINGS_CODE)
+            }
+        },
         AgentCommand::CheckConfig(args) => with_settings(&args.file, |_| {
             println!("{}: no findings", args.file.display());
             ExitCode::SUCCESS
@@ -83,7 +95,30 @@
 }
 
 fn serve(settings: AgentSettings) -> ExitCode {
-    match cassiawheel_agent::run(settings) {
+    end_of(cassiawheel_agent::run(settings))
+}
+
+fn serve_on_platform(path: &Path) -> ExitCode {
+    let read = PlatformBoot::read(path).and_then(|boot| Ok((boot.agent_settings()?, boot)));
+    let (settings, boot) = match read {
+        Ok(read) => read,
+        Err(findings) => {
+            eprintln!("{findings}");
+            return ExitCode::from(FINDINGS_CODE);
+        }
+    };
+    let client = HttpClient::default();
+    let rows = RowClient::new(client.clone(), boot.store_addr(), boot.store_timeout());
+    let edges = AgentEdges {
+        engine: Arc::new(PlatformEngine::new(client.clone(), settings.engine.addr)),
+        table: Arc::new(OwnRows::new(rows)),
+        origin: Arc::new(PlatformOrigin::new(client)),
+    };
+    end_of(cassiawheel_agent::run_with(settings, edges, boot.threads()))
+}
+
+fn end_of(run: anyhow::Result<()>) -> ExitCode {
+    match run {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("{error:#}");
--- a/crates/agent/src/serve.rs
+++ b/crates/agent/src/serve.rs
@@ -5,7 +5,9 @@
 use anyhow::Context;
 use cassiawheel_decide::rank::{first_ranked, subject_of};
 use cassiawheel_model::{EndpointRole, Timestamp, settings::AgentSettings};
-use cassiawheel_edge::{HttpClient, HttpEngine, HttpTable, HttpWeights};
+use cassiawheel_edge::{
+    HttpClient, HttpEngine, HttpTable, HttpWeights, ModelEngine, TableStore, WeightSource,
+};
 use cassiawheel_runtime::{ShutdownTrigger, TerminationSignals, probes::serve_probes, spawn};
 use cassiawheel_wire::traffic::TRAFFIC;
 use prometheus::Registry;
@@ -21,8 +23,33 @@
 /// Longest wait for an answer of the origin.
 const ORIGIN_TIME: Duration = Duration::from_secs(60);
 
+/// What an agent stands between.
+pub struct AgentEdges {
+    /// The engine or plain service.
+    pub engine: Arc<dyn ModelEngine>,
+    /// The table service.
+    pub table: Arc<dyn TableStore>,
+    /// The origin of weights.
+    pub origin: Arc<dyn WeightSource>,
+}
+
+impl AgentEdges {
+    /// The edges that the settings name.
+    pub fn of(settings: &AgentSettings) -> Self {
+        let client = HttpClient::default();
+        let platform = &settings.platform;
+        let span = Duration::from_millis(platform.timeout_ms);
+        Self {
+            engine: Arc::new(HttpEngine::new(client.clone(), settings.engine.addr)),
+            table: Arc::new(HttpTable::new(client.clone(), platform.table, span)),
+            // Every fetch has a deadline of its own, which grows with the origin's queue.
+            origin: Arc::new(HttpWeights::new(client, platform.origin, ORIGIN_TIME)),
+        }
+    }
+}
+
 /// Runs until the process is asked to stop; then drains.
-pub(crate) async fn serve(settings: AgentSettings) -> anyhow::Result<()> {
+pub(crate) async fn serve(settings: AgentSettings, edges: AgentEdges) -> anyhow::Result<()> {
     let mut signals = TerminationSignals::listen()?;
     // Both addresses are taken before anything else begins: an agent that
     // finds one in use ends without having spoken to an entry or its engine.
@@ -31,7 +58,7 @@
     let registry = Registry::new();
     let metrics = AgentMetrics::register(&registry)?;
     TRAFFIC.register(&registry)?;
-    let shared = Arc::new(build_shared(settings, metrics));
+    let shared = Arc::new(EndpointShared::new(settings, edges, metrics));
     let (trigger, shutdown) = ShutdownTrigger::new();
 
     let ready = shared.clone();
@@ -41,14 +68,17 @@
     if shared.settings.engine.role == EndpointRole::Model {
         exchange::resume_engine(&shared).await;
     }
-    for addr in chosen_entries(&shared.settings) {
-        spawn(entry_link::keep_connected(shared.clone(), addr)).detach();
-    }
+    entry_link::meet(&shared, &chosen_entries(&shared.settings));
+    spawn(entry_link::find_entries(shared.clone())).detach();
     spawn(exchange::follow_orders(shared.clone())).detach();
     spawn(report::report_regularly(shared.clone())).detach();
     log::info!(target: "process", instance:% = shared.settings.place.instance, inner:% = shared.settings.listen_inner; "The agent runs.");
 
-    signals.asked().await;
+    signals
+        .asked_or(|| {
+            log::info!(target: "process", "The settings file has changed; it is read at the next start.");
+        })
+        .await;
     let deadline = Timestamp::now().deadline_after(Duration::from_millis(shared.settings.drain_ms));
     let end = signals.finish(deadline, drain(&shared)).await;
     trigger.fire();
@@ -57,17 +87,6 @@
     end.into_result(left)
 }
 
-fn build_shared(settings: AgentSettings, metrics: AgentMetrics) -> EndpointShared {
-    let client = HttpClient::default();
-    let platform = &settings.platform;
-    let span = Duration::from_millis(platform.timeout_ms);
-    let engine = Arc::new(HttpEngine::new(client.clone(), settings.engine.addr));
-    let table = Arc::new(HttpTable::new(client.clone(), platform.table, span));
-    // Every fetch has a deadline of its own, which grows with the origin's queue.
-    let origin = Arc::new(HttpWeights::new(client, platform.origin, ORIGIN_TIME));
-    EndpointShared::new(settings, engine, table, origin, metrics)
-}
-
 async fn bind(addr: std::net::SocketAddr, path: &str) -> anyhow::Result<TcpListener> {
     TcpListener::bind(addr).await.with_context(|| format!("{path}: cannot listen at {addr}"))
 }
--- a/crates/agent/src/transfer/fetch.rs
+++ b/crates/agent/src/transfer/fetch.rs
@@ -56,7 +56,7 @@
     manifest: &WeightManifest,
     order: &FetchOrder,
 ) -> Result<Bytes, FetchEnd> {
-    match shared.origin.chunk(manifest.digest, order.index).await {
+    match shared.origin.chunk(manifest, order.index).await {
         Ok(bytes) => {
             shared.metrics.origin_bytes.inc_by(bytes.len() as u64);
             Ok(bytes)
--- a/crates/agent/src/transfer/peer.rs
+++ b/crates/agent/src/transfer/peer.rs
@@ -9,7 +9,7 @@
     time::Duration,
 };
 
-use cassiawheel_model::{InstanceId, ManifestDigest, WeightManifest};
+use cassiawheel_model::{InstanceId, ManifestDigest, WeightManifest, flags::set_positions};
 use cassiawheel_runtime::timeout;
 use cassiawheel_wire::{
     ChunkMessage, HelloMessage, ProcessKind, WireMessage, WireReceiver, WireSender, connect,
@@ -20,7 +20,7 @@
     channel::{Receiver, Sender, bounded},
 };
 
-use super::{stage::TransferEvent, state::set_positions};
+use super::stage::TransferEvent;
 use crate::endpoint::EndpointShared;
 
 /// Wait before a peer is dialled again.
--- a/crates/agent/src/transfer/stage.rs
+++ b/crates/agent/src/transfer/stage.rs
@@ -9,7 +9,8 @@
 use anyhow::Context;
 use cassiawheel_decide::{ChunkPicker, ChunkSource, FetchOrder, PickerSettings};
 use cassiawheel_model::{
-    InstanceId, ManifestDigest, ManifestError, Timestamp, WeightManifest, settings::TransferMode,
+    InstanceId, ManifestDigest, ManifestError, Timestamp, WeightManifest, flags::set_positions,
+    settings::TransferMode,
 };
 use cassiawheel_edge::WeightError;
 use cassiawheel_runtime::{spawn, timeout};
@@ -24,7 +25,6 @@
     fetch::{FetchEnd, fetch},
     peer::{PeerClient, ask_manifest, follow_peer},
     serve::read_held,
-    state::set_positions,
 };
 use crate::endpoint::EndpointShared;
 
--- a/crates/agent/src/transfer/state.rs
+++ b/crates/agent/src/transfer/state.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use cassiawheel_model::{
-    ManifestDigest, StagedWeights, WeightManifest, settings::TransferSettings,
+    ManifestDigest, StagedWeights, WeightManifest, flags::pack_flags, settings::TransferSettings,
 };
 use cassiawheel_runtime::pacer::RatePacer;
 use cassiawheel_wire::{ChunkMessage, WireSender, message::EndpointAddress};
@@ -50,7 +50,7 @@
     fn messages(&self) -> [ChunkMessage; 2] {
         let manifest = self.manifest.digest;
         [
-            ChunkMessage::Held { manifest, bits: pack_bits(&self.held) },
+            ChunkMessage::Held { manifest, bits: pack_flags(&self.held) },
             ChunkMessage::Drawing { manifest, indices: self.drawing.clone() },
         ]
     }
@@ -288,18 +288,3 @@
         }
     }
 }
-
-/// Packs flags into bits, least significant first.
-pub(crate) fn pack_bits(flags: &[bool]) -> Vec<u8> {
-    let mut bits = vec![0; flags.len().div_ceil(8)];
-    for (index, _) in flags.iter().enumerate().filter(|(_, flag)| **flag) {
-        bits[index / 8] |= 1 << (index % 8);
-    }
-    bits
-}
-
-/// Positions of the set bits below `length`.
-pub(crate) fn set_positions(bits: &[u8], length: usize) -> impl Iterator<Item = usize> {
-    let length = length.min(bits.len() * 8);
-    (0..length).filter(move |index| bits[index / 8] & (1 << (index % 8)) != 0)
-}
--- a/crates/decide/benches/route.rs
+++ b/crates/decide/benches/route.rs
@@ -3,7 +3,7 @@
 
 use std::{collections::HashMap, hint::black_box, sync::Arc};
 
-use cassiawheel_decide::{EndpointCell, RouteCandidate, RouteQuery, RouteSnapshot, ServiceRoutes};
+use cassiawheel_decide::{EndpointCell, EndpointPath, RouteCandidate, RouteQuery, RouteSnapshot, ServiceRoutes};
 use cassiawheel_model::{InstanceId, LoadReport, ModelVersion, ServiceName, Timestamp};
 use criterion::{BenchmarkId, Criterion};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
@@ -31,6 +31,7 @@
         instance: InstanceId::new(&format!("endpoint-{index}")).expect("an instance"),
         version: Some(version.clone()),
         is_near: index % 8 == 0,
+        path: EndpointPath::Agent,
         cell: cell.clone(),
     };
     let candidates = cells.iter().enumerate().map(candidate).collect();
--- a/crates/decide/src/cell.rs
+++ b/crates/decide/src/cell.rs
@@ -65,6 +65,16 @@
         let moment = load.measured_at.0 & ((1 << MOMENT_BITS) - 1);
         let others = u64::from(others.min(u32::from(u16::MAX)));
         self.report.store(others << MOMENT_BITS | moment, Ordering::Relaxed);
+        self.set_limit(limit);
+    }
+
+    /// Most requests that the endpoint takes, as it told.
+    pub fn hard_limit(&self) -> u32 {
+        self.hard_limit.load(Ordering::Relaxed)
+    }
+
+    /// Takes the most requests that the endpoint takes, without a word of its load.
+    pub fn set_limit(&self, limit: u32) {
         if self.hard_limit.swap(limit, Ordering::Relaxed) != limit {
             self.limit.store(limit.saturating_mul(UNIT), Ordering::Relaxed);
         }
@@ -77,12 +87,16 @@
 
     /// Own requests, and others' by the last report, discounted by its age.
     pub fn load(&self, now: Timestamp) -> u32 {
+        self.in_flight() + self.others(now)
+    }
+
+    /// Requests of others by the last report, discounted by its age.
+    pub fn others(&self, now: Timestamp) -> u32 {
         let report = self.report.load(Ordering::Relaxed);
         let measured_at = Timestamp(report & ((1 << MOMENT_BITS) - 1));
         let age = now.0.saturating_sub(measured_at.0);
         let weight = REPORT_LIFE_MS.saturating_sub(age);
-        let others = (report >> MOMENT_BITS) * weight / REPORT_LIFE_MS;
-        self.in_flight() + others as u32
+        ((report >> MOMENT_BITS) * weight / REPORT_LIFE_MS) as u32
     }
 
     /// Notes an answer: raises the limit by one per round of full use.
--- /dev/null
+++ b/crates/decide/src/listing.rs
@@ -0,0 +1,205 @@
+//! The platform's list of endpoints as one entry knows it.
+//!
+//! Entries read the list in turns and tell each other what changed: the list
+//! carries every endpoint's heartbeats, and each entry that followed it alone
+//! would make hundreds of calls a second. Whoever has the first rank reads at
+//! a steady pace; the others read only when that word grows old, each a step
+//! later than the one before, so that no agreement is needed when a reader dies.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::Duration,
+};
+
+use cassiawheel_model::{Deadline, InstanceId, ListedEndpoint, ListedRow, Timestamp};
+
+/// Time between two reads of the entry that ranks first.
+///
+/// A leaving endpoint must get nothing new two seconds after its row tells; a
+/// quarter of that leaves time for a reader that dies.
+const READ_TIME: Duration = Duration::from_millis(500);
+
+/// Time by which each further rank reads later; some round trips between regions.
+const RANK_STEP: Duration = Duration::from_millis(250);
+
+/// Ranks beyond this one wait no longer.
+const LAST_RANK: u32 = 5;
+
+/// Time for which rows that vanished during an outage of the list may come back.
+///
+/// While the platform's store is away endpoints cannot renew their rows, and
+/// those lapse although the endpoints live. The platform states two seconds.
+const RETURN_TIME: Duration = Duration::from_millis(2_300);
+
+/// Rows of a list, and where it stands.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ListingNews {
+    /// Rows that changed; all rows if `base` is zero.
+    pub rows: Vec<ListedRow>,
+    /// Whoever knows the list up to here knows it up to `position` with these rows.
+    pub base: u64,
+    /// Where the list stands with them.
+    pub position: u64,
+    /// When the platform was asked.
+    pub asked_at: Timestamp,
+}
+
+/// The list as one entry knows it.
+#[derive(Debug, Clone)]
+pub struct EndpointListing {
+    rows: BTreeMap<InstanceId, ListedRow>,
+    position: u64,
+    asked_at: Option<Timestamp>,
+    /// Endpoints whose rows vanished during an outage, and until when they may come back.
+    doubted: HashMap<InstanceId, Deadline>,
+    /// Longest time between two reads in which no row can have lapsed.
+    outage_ms: u64,
+}
+
+impl EndpointListing {
+    /// An empty list of endpoints that renew their rows every `heartbeat_ms`.
+    pub fn new(heartbeat_ms: u64) -> Self {
+        Self {
+            rows: BTreeMap::new(),
+            position: 0,
+            asked_at: None,
+            doubted: HashMap::new(),
+            outage_ms: heartbeat_ms,
+        }
+    }
+
+    /// Where the list stands; zero while nothing is known.
+    pub fn position(&self) -> u64 {
+        self.position
+    }
+
+    /// When the platform was asked for what is known here.
+    pub fn asked_at(&self) -> Option<Timestamp> {
+        self.asked_at
+    }
+
+    /// The endpoints that are listed.
+    pub fn endpoints(&self) -> impl Iterator<Item = &ListedEndpoint> {
+        self.rows.values().filter_map(|row| row.endpoint.as_ref())
+    }
+
+    /// When to read the list as the entry of this rank.
+    pub fn read_at(&self, rank: u32) -> Deadline {
+        let Some(asked_at) = self.asked_at else {
+            return Deadline(0);
+        };
+        asked_at.deadline_after(READ_TIME + RANK_STEP * rank.min(LAST_RANK))
+    }
+
+    /// All that is known here, for an entry that knows too little.
+    pub fn whole(&self) -> Option<ListingNews> {
+        let rows = self.rows.values().cloned().collect();
+        let asked_at = self.asked_at?;
+        Some(ListingNews { rows, base: 0, position: self.position, asked_at })
+    }
+
+    /// Takes in what the platform told this entry; what the other entries have to know.
+    pub fn take_read(&mut self, mut news: ListingNews, now: Timestamp) -> ListingNews {
+        let after_outage = self.asked_at.is_some_and(|asked_at| {
+            news.asked_at.since(asked_at).as_millis() as u64 > self.outage_ms
+        });
+        if news.base == 0 {
+            let vanished = self.vanished(&news);
+            news.rows.extend(vanished);
+        }
+        if after_outage {
+            self.doubt_removals(&news.rows, now);
+        }
+        let doubted = &self.doubted;
+        news.rows.retain(|row| row.endpoint.is_some() || !doubted.contains_key(&row.instance));
+        self.take_rows(&news.rows);
+        self.advance(&news);
+        news
+    }
+
+    /// Takes in what another entry tells; false if this one knows too little for it.
+    pub fn take_told(&mut self, news: &ListingNews) -> bool {
+        if news.base > self.position {
+            return false;
+        }
+        if news.base == 0 && news.position > self.position {
+            // The teller knows the whole list, and this one's older rows
+            // without a successor were removed since.
+            let kept: Vec<_> = news.rows.iter().map(|row| &row.instance).collect();
+            let position = news.position;
+            self.rows.retain(|instance, row| row.position > position || kept.contains(&instance));
+        }
+        self.take_rows(&news.rows);
+        self.advance(news);
+        true
+    }
+
+    /// Removes the endpoints that did not come back in time; what the others have to know.
+    pub fn settle(&mut self, now: Timestamp) -> Vec<ListedRow> {
+        let over: Vec<_> = self
+            .doubted
+            .iter()
+            .filter(|(_, until)| until.is_past(now))
+            .map(|(instance, _)| instance.clone())
+            .collect();
+        let mut removed = Vec::new();
+        for instance in over {
+            self.doubted.remove(&instance);
+            let row = ListedRow { instance, position: self.position, endpoint: None };
+            self.take_rows(std::slice::from_ref(&row));
+            removed.push(row);
+        }
+        removed
+    }
+
+    /// Forgets an endpoint whose address answers for another process.
+    pub fn forget(&mut self, instance: &InstanceId) -> bool {
+        self.doubted.remove(instance);
+        match self.rows.get_mut(instance) {
+            Some(row) => row.endpoint.take().is_some(),
+            None => false,
+        }
+    }
+
+    fn vanished(&self, news: &ListingNews) -> Vec<ListedRow> {
+        let known = self.rows.values().filter(|row| row.endpoint.is_some());
+        let listed = |row: &ListedRow| news.rows.iter().any(|new| new.instance == row.instance);
+        known
+            .filter(|row| !listed(row))
+            .map(|row| ListedRow {
+                instance: row.instance.clone(),
+                position: news.position,
+                endpoint: None,
+            })
+            .collect()
+    }
+
+    fn doubt_removals(&mut self, rows: &[ListedRow], now: Timestamp) {
+        let until = now.deadline_after(RETURN_TIME);
+        for row in rows.iter().filter(|row| row.endpoint.is_none()) {
+            let is_known =
+                self.rows.get(&row.instance).is_some_and(|known| known.endpoint.is_some());
+            if is_known {
+                self.doubted.entry(row.instance.clone()).or_insert(until);
+            }
+        }
+    }
+
+    fn take_rows(&mut self, rows: &[ListedRow]) {
+        for row in rows {
+            let known = self.rows.get(&row.instance).map(|known| known.position);
+            if known.is_some_and(|position| position > row.position) {
+                continue;
+            }
+            if row.endpoint.is_some() {
+                self.doubted.remove(&row.instance);
+            }
+            self.rows.insert(row.instance.clone(), row.clone());
+        }
+    }
+
+    fn advance(&mut self, news: &ListingNews) {
+        self.position = self.position.max(news.position);
+        self.asked_at = self.asked_at.max(Some(news.asked_at));
+    }
+}
--- a/crates/decide/src/retry.rs
+++ b/crates/decide/src/retry.rs
@@ -143,35 +143,52 @@
     }
 }
 
-/// Share of a retry that each request earns, in thousandths.
-const EARNED: u32 = 100;
-
 /// Price of a retry, in thousandths.
 const PRICE: u32 = 1_000;
 
-/// Retries that an idle entry may make at once, in thousandths.
-const SAVINGS: u32 = 100 * PRICE;
+/// Retries for each request, unless a deployment states another ratio.
+const USUAL_RATIO: f64 = 0.1;
+
+/// Retries that an idle entry may make at once, unless a deployment states another number.
+const USUAL_SAVINGS: f64 = 100.0;
 
-/// Retries that one entry may make: a tenth of its requests, and a few at once.
+/// Retries that one entry may make: a share of its requests, and a few at once.
 ///
 /// When most endpoints refuse, retries would multiply the load that made them
 /// refuse. One would notice attempts at a multiple of the requests; a budget
-/// that requests earn bounds them.
+/// that requests earn bounds them. In any window of time an entry makes at most
+/// its savings and its share of the requests in that window.
 #[derive(Debug)]
 pub struct RetryBudget {
+    /// Share of a retry that each request earns, in thousandths.
+    earned: u32,
+    /// Most retries that are saved up, in thousandths.
+    savings: u32,
     balance: AtomicU32,
 }
 
 impl Default for RetryBudget {
     fn default() -> Self {
-        Self { balance: AtomicU32::new(SAVINGS) }
+        Self::new(USUAL_RATIO, USUAL_SAVINGS)
     }
 }
 
 impl RetryBudget {
+    /// A budget of `ratio` retries for each request and `savings` at once.
+    pub fn new(ratio: f64, savings: f64) -> Self {
+        let savings = (savings * f64::from(PRICE)) as u32;
+        Self {
+            earned: (ratio * f64::from(PRICE)) as u32,
+            savings,
+            balance: AtomicU32::new(savings),
+        }
+    }
+
     /// Notes a request.
     pub fn earn(&self) {
-        let earned = |balance: u32| (balance < SAVINGS).then(|| (balance + EARNED).min(SAVINGS));
+        let most = self.savings;
+        let earned =
+            |balance: u32| (balance < most).then(|| (balance + self.earned).min(most));
         let _ = self.balance.fetch_update(Ordering::Relaxed, Ordering::Relaxed, earned);
     }
 
--- a/crates/decide/src/route.rs
+++ b/crates/decide/src/route.rs
@@ -12,6 +12,7 @@
 
 use std::{
     collections::HashMap,
+    net::SocketAddr,
     sync::{
         Arc,
         atomic::{AtomicU32, Ordering},
@@ -26,6 +27,15 @@
     cell::EndpointCell,
 };
 
+/// How requests reach an endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EndpointPath {
+    /// Through its agent, whose gate limits what all entries send.
+    Agent,
+    /// Directly; only the entries know what they send.
+    Direct(SocketAddr),
+}
+
 /// An endpoint that may be chosen.
 #[derive(Debug, Clone)]
 pub struct RouteCandidate {
@@ -35,6 +45,8 @@
     pub version: Option<ModelVersion>,
     /// Whether it stands in the entry's failure domain.
     pub is_near: bool,
+    /// How requests reach it.
+    pub path: EndpointPath,
     /// Its load and health.
     pub cell: Arc<EndpointCell>,
 }
@@ -120,13 +132,25 @@
 }
 
 impl RouteCandidate {
+    /// Requests that this entry may have in progress here.
+    ///
+    /// No gate stands before an endpoint that is reached directly, so that what
+    /// the other entries have there is taken off.
+    fn limit(&self, max_in_flight: u32, now: Timestamp) -> u32 {
+        let limit = self.cell.limit().min(max_in_flight);
+        match self.path {
+            EndpointPath::Agent => limit,
+            EndpointPath::Direct(_) => limit.saturating_sub(self.cell.others(now)),
+        }
+    }
+
     fn cost(&self, now: Timestamp) -> u32 {
         let distance = if self.is_near { 0 } else { FAR_COST };
         self.cell.load(now) * LOAD_COST + distance
     }
 
     fn has_room(&self, query: &RouteQuery<'_>) -> bool {
-        let limit = self.cell.limit().min(query.max_in_flight);
+        let limit = self.limit(query.max_in_flight, query.now);
         let is_wanted = query.version.is_none_or(|version| self.version.as_ref() == Some(version));
         self.cell.in_flight() < limit && is_wanted && !query.excluded.contains(&self.instance)
     }
@@ -155,7 +179,7 @@
     /// Requests that this entry may have in progress at all endpoints.
     pub fn capacity(&self, max_in_flight: u32, now: Timestamp) -> u32 {
         let usable = self.candidates.iter().filter(|c| !c.cell.is_ejected(now));
-        usable.map(|c| c.cell.limit().min(max_in_flight)).sum()
+        usable.map(|c| c.limit(max_in_flight, now)).sum()
     }
 
     /// Notes a failed attempt at `instance`; true if it was ejected.
--- a/crates/decide/tests/overload.rs
+++ b/crates/decide/tests/overload.rs
@@ -12,7 +12,7 @@
 
 use cassiawheel_decide::{
     AdmitTicket, AdmitVerdict, AttemptEnd, EndpointCell, GateState, RepeatGuard, RetryBudget,
-    RetryStep, RetryTracker, RouteCandidate, RouteQuery, RouteSnapshot, ServiceAdmission,
+    RetryStep, RetryTracker, EndpointPath, RouteCandidate, RouteQuery, RouteSnapshot, ServiceAdmission,
     ServiceRoutes,
 };
 use cassiawheel_model::{
@@ -110,6 +110,7 @@
             instance: name.clone(),
             version: None,
             is_near: false,
+            path: EndpointPath::Agent,
             cell: cell.clone(),
         };
         let candidates = names.iter().zip(&cells).map(candidate).collect();
--- a/crates/decide/tests/routing.rs
+++ b/crates/decide/tests/routing.rs
@@ -10,7 +10,7 @@
 };
 
 use cassiawheel_decide::{
-    AttemptEnd, EndpointCell, RepeatGuard, RetryBudget, RetryStep, RetryTracker, RouteCandidate,
+    AttemptEnd, EndpointCell, RepeatGuard, RetryBudget, RetryStep, RetryTracker, EndpointPath, RouteCandidate,
     RouteQuery, RouteSnapshot, ServiceRoutes, affinity::prefix_of,
 };
 use cassiawheel_model::{
@@ -54,6 +54,7 @@
             instance: names[index].clone(),
             version: version.clone(),
             is_near: index % 4 == 0,
+            path: EndpointPath::Agent,
             cell: cell.clone(),
         };
         let candidates = cells.iter().enumerate().map(candidate).collect();
--- a/crates/edge/src/client.rs
+++ b/crates/edge/src/client.rs
@@ -13,7 +13,7 @@
 };
 
 use bytes::Bytes;
-use cassiawheel_runtime::{spawn, timeout};
+use cassiawheel_runtime::{dial, spawn, timeout};
 use http_body_util::{BodyExt, Full};
 use hyper::{
     Request, Response, Uri,
@@ -134,8 +134,7 @@
                 .authority()
                 .and_then(|authority| authority.as_str().parse().ok())
                 .ok_or_else(|| std::io::Error::other("the address is not an IP number and port"))?;
-            let stream = TcpStream::connect(addr).await?;
-            stream.set_nodelay(true)?;
+            let stream = dial(addr, None).await?;
             Ok(ClientSocket { io: FuturesIo::new(stream) })
         })
     }
--- a/crates/edge/src/engine.rs
+++ b/crates/edge/src/engine.rs
@@ -2,7 +2,8 @@
 
 use bytes::Bytes;
 use cassiawheel_model::{
-    HeaderField, LoadReport, ManifestDigest, ModelVersion, RequestHead, WeightManifest, record,
+    HeaderField, LoadReport, ManifestDigest, ModelVersion, RequestHead, WeightManifest,
+    flags::pack_flags, record,
 };
 use hyper::body::Incoming;
 use macro_rules_attribute::apply;
@@ -14,8 +15,11 @@
 pub struct EngineStatus {
     /// The version it answers from.
     pub version: Option<ModelVersion>,
-    /// The manifest of that version.
+    /// The manifest of that version, if the engine tells it.
     pub manifest: Option<ManifestDigest>,
+    /// Whether the engine tells the manifest of what it holds, or only the version.
+    #[serde(default = "tells_manifest")]
+    pub tells_manifest: bool,
     /// Highest fencing token of an order that it has carried out.
     pub fencing: u64,
     /// Manifests of which it holds chunks in staging.
@@ -25,6 +29,18 @@
     pub load: LoadReport,
 }
 
+fn tells_manifest() -> bool {
+    true
+}
+
+impl EngineStatus {
+    /// Whether the engine answers from these weights, as far as it tells.
+    pub fn answers_from(&self, version: &ModelVersion, manifest: ManifestDigest) -> bool {
+        let is_manifest = !self.tells_manifest || self.manifest == Some(manifest);
+        self.version.as_ref() == Some(version) && is_manifest
+    }
+}
+
 /// Which chunks an engine holds in staging, one bit each, least significant first.
 #[apply(record!)]
 #[derive(Eq)]
@@ -33,6 +49,13 @@
     pub bits: String,
 }
 
+impl StagedBits {
+    /// Packs one flag for each chunk.
+    pub fn pack(flags: &[bool]) -> Self {
+        Self { bits: hex::encode(pack_flags(flags)) }
+    }
+}
+
 /// An order to answer from staged weights.
 #[apply(record!)]
 #[derive(Eq)]
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -5,18 +5,24 @@
 //! adapter for another platform is a day's work. The traits are used as trait
 //! objects; their methods return boxed futures.
 
+pub mod callers;
 pub mod client;
+pub mod endpoints;
 pub mod engine;
 pub mod engine_http;
+pub mod feed;
 pub mod instances;
 pub mod store_error;
 pub mod table;
 pub mod table_http;
 pub mod weights;
 
+pub use callers::{AdviceQuery, CallerHead, CallerProtocol, FieldError, GenerationWork};
 pub use client::{ClientError, HttpClient};
+pub use endpoints::{AnswerMarks, EndpointLeg, EndpointProtocol, ToldLoad};
 pub use engine::{EngineAnswer, EngineError, EngineStatus, LoadOrder, ModelEngine, StagedBits};
 pub use engine_http::HttpEngine;
+pub use feed::{FeedError, FeedPage, FeedSource, ListingFeed, OperatorFeed, OperatorRow};
 pub use instances::{HttpInstances, InstanceList, ListedInstance, ListedState};
 pub use store_error::StoreError;
 pub use table::{TableGuard, TableRow, TableStore, TableWrite, WriteResult, WriteVerdict};
--- a/crates/edge/src/weights.rs
+++ b/crates/edge/src/weights.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
-use cassiawheel_model::{ManifestDigest, ManifestError, ModelVersion, WeightManifest};
+use cassiawheel_model::{ManifestError, ModelVersion, WeightManifest};
 use http_body_util::Full;
 use hyper::{Request, StatusCode};
 
@@ -44,11 +44,14 @@
     ) -> EdgeFuture<'a, Result<WeightManifest, WeightError>>;
 
     /// Bytes of the chunk at `index`; the caller verifies them.
-    fn chunk(
-        &self,
-        manifest: ManifestDigest,
+    fn chunk<'a>(
+        &'a self,
+        manifest: &'a WeightManifest,
         index: usize,
-    ) -> EdgeFuture<'_, Result<Bytes, WeightError>>;
+    ) -> EdgeFuture<'a, Result<Bytes, WeightError>>;
+
+    /// Takes up the source's address, where it comes with the preset.
+    fn relocate(&self, addr: SocketAddr);
 }
 
 /// A source over HTTP: `GET /v1/manifests/VERSION` and `GET /v1/weights/DIGEST/INDEX`.
@@ -95,11 +98,15 @@
         })
     }
 
-    fn chunk(
-        &self,
-        manifest: ManifestDigest,
+    fn chunk<'a>(
+        &'a self,
+        manifest: &'a WeightManifest,
         index: usize,
-    ) -> EdgeFuture<'_, Result<Bytes, WeightError>> {
-        Box::pin(self.get(format!("/v1/weights/{manifest}/{index}")))
+    ) -> EdgeFuture<'a, Result<Bytes, WeightError>> {
+        Box::pin(self.get(format!("/v1/weights/{}/{index}", manifest.digest)))
+    }
+
+    fn relocate(&self, _addr: SocketAddr) {
+        // The settings name the address, and it does not change.
     }
 }
--- a/crates/entry/src/caller.rs
+++ b/crates/entry/src/caller.rs
@@ -1,12 +1,21 @@
 //! Requests of callers.
 //!
 //! `accept → identify → admit → attempts (route → dispatch) → relay → outcome`
+//!
+//! Callers name a service in the path of their request, or, where the preset
+//! has a table of routes, a host and a path that the table leads to a service
+//! ([`routed`]). All filters after `identify` are the same for both; only the
+//! words in which an outcome is told differ.
 
 mod admit;
 mod attempts;
+mod dispatch;
+mod events;
 mod identify;
 mod outcome;
 mod relay;
+mod routed;
+mod unchanged;
 
 use std::{
     net::SocketAddr,
@@ -20,6 +29,7 @@
 use hyper::{Request, Response, StatusCode, body::Incoming};
 
 pub(crate) use admit::EntryAdmission;
+pub(crate) use routed::{accept as accept_routed, answer_advice, answer_ready};
 
 use self::{
     admit::AdmitPermit,
@@ -51,27 +61,37 @@
         Ok(identified) => identified,
         Err(error) => return error.reply(),
     };
-    let (head, body) = (identified.head, identified.body);
     let mut guard = InFlight::begin(shared.clone());
-    match admit::admit(&shared, &head).await {
+    match admit::admit(&shared, &identified.head, identified.admit_by).await {
         Ok(permit) => guard.permit = permit,
         Err(reason) => {
             guard.count(OutcomeKind::NotRun);
             let failed = FailedRequest::before_attempts(&shared, reason);
-            return outcome::failure_reply(&head, &failed);
+            return outcome::failure_reply(&identified.head, &failed);
         }
     }
-    let mut attempts = RequestAttempts::new(shared, head, body);
+    let mut attempts = RequestAttempts::new(shared, identified);
     match attempts.begin().await {
         Ok(begun) => relay::answer_reply(guard, attempts, begun).await,
         Err(failed) => {
             guard.count(failed.outcome.kind());
-            outcome::failure_reply(&attempts.head, &failed)
+            outcome::failure_reply(attempts.head(), &failed)
         }
     }
 }
 
 fn advice_reply(shared: &EntryShared) -> Response<ReplyBody> {
+    let settings = &shared.settings;
+    let entries = advisable(shared);
+    let span = Duration::from_millis(settings.caller.advice_ms);
+    let valid_until = Timestamp::now().deadline_after(span);
+    let count = settings.caller.advice_addresses;
+    let domain = &settings.place.failure_domain;
+    json_reply(StatusCode::OK, &advise(&entries, domain, count, valid_until, &mut rand::rng()))
+}
+
+/// This entry and those that it knows.
+fn advisable(shared: &EntryShared) -> Vec<AdviceInput> {
     let settings = &shared.settings;
     let own = AdviceInput {
         caller_addr: settings.listen.caller,
@@ -81,11 +101,7 @@
     };
     let mut entries = vec![own];
     entries.extend(shared.peers().values().map(|peer| peer.advice.clone()));
-    let span = Duration::from_millis(settings.caller.advice_ms);
-    let valid_until = Timestamp::now().deadline_after(span);
-    let count = settings.caller.advice_addresses;
-    let domain = &settings.place.failure_domain;
-    json_reply(StatusCode::OK, &advise(&entries, domain, count, valid_until, &mut rand::rng()))
+    entries
 }
 
 /// Counts a request as in progress until its answer is whole or given up.
--- a/crates/entry/src/caller/admit.rs
+++ b/crates/entry/src/caller/admit.rs
@@ -9,7 +9,7 @@
 };
 
 use cassiawheel_decide::{AdmitTicket, AdmitVerdict, ServiceAdmission};
-use cassiawheel_model::{ForcedPreset, NotRunReason, RequestHead, ServiceName, Timestamp};
+use cassiawheel_model::{Deadline, ForcedPreset, NotRunReason, RequestHead, ServiceName, Timestamp};
 use cassiawheel_runtime::timeout;
 use smol::channel::{Receiver, Sender, bounded};
 
@@ -96,6 +96,7 @@
 pub(crate) async fn admit(
     shared: &EntryShared,
     head: &RequestHead,
+    admit_by: Deadline,
 ) -> Result<Option<AdmitPermit>, NotRunReason> {
     let now = Timestamp::now();
     // Names that no preset has get no queue, or callers could fill the memory.
@@ -114,12 +115,12 @@
     let ticket = AdmitTicket {
         workspace: head.workspace.clone(),
         priority: head.priority,
-        deadline: head.deadline,
+        deadline: admit_by,
     };
     let (sender, verdict) = bounded(1);
     let place = WaitingPlace { admission: admission.clone(), verdict };
     admission.places.wait(&ticket, sender, capacity, now, tell);
-    let half: Duration = head.deadline.remaining(now) / 2;
+    let half: Duration = admit_by.remaining(now) / 2;
     let verdict = timeout(half, place.verdict.recv()).await;
     let refused = match verdict {
         Some(Ok(AdmitVerdict::Admitted)) => return Ok(Some(AdmitPermit { admission })),
--- a/crates/entry/src/caller/attempts.rs
+++ b/crates/entry/src/caller/attempts.rs
@@ -5,36 +5,37 @@
     atomic::{AtomicU32, Ordering},
 };
 
-use bytes::Bytes;
 use cassiawheel_decide::{
-    AttemptEnd, EndpointCell, RepeatGuard, RetryStep, RetryTracker, RouteQuery, RouteSnapshot,
+    AttemptEnd, EndpointCell, EndpointPath, RepeatGuard, RetryBudget, RetryStep, RetryTracker,
+    RouteQuery, RouteSnapshot,
 };
 use cassiawheel_model::{
-    Deadline, ForcedPreset, HeaderField, InstanceId, ModelVersion, NotRunReason, PresetRevision,
-    Repeatability, RequestHead, RequestOutcome, ServiceKind, Timestamp,
+    Deadline, ForcedPreset, InstanceId, ModelVersion, NotRunReason, PresetRevision, Repeatability,
+    RequestHead, RequestOutcome, ServiceKind, Timestamp,
 };
-use cassiawheel_runtime::timeout;
-use cassiawheel_wire::RequestMessage;
+use hyper::HeaderMap;
 use smol::Timer;
 
-use crate::{
-    link::{AgentLink, AttemptStream},
-    shared::EntryShared,
+use super::{
+    dispatch::{AnswerHead, AttemptStream, DispatchedRequest, dispatch},
+    identify::IdentifiedRequest,
 };
+use crate::shared::EntryShared;
 
 /// When a refused caller should come back, in milliseconds.
 const RETRY_AFTER_MS: u64 = 1_000;
 
+/// Lowest status of a failure that is the endpoint's own.
+const SERVER_ERROR: u16 = 500;
+
 /// An answer that has begun.
 pub(crate) struct BegunAnswer {
     /// The rest of the answer.
     pub(crate) stream: AttemptStream,
     /// HTTP status of the endpoint.
     pub(crate) status: u16,
-    /// Media type.
-    pub(crate) content_type: Option<String>,
-    /// Further header fields.
-    pub(crate) headers: Vec<HeaderField>,
+    /// Header fields that pass from end to end.
+    pub(crate) headers: HeaderMap,
     /// The version that answers.
     pub(crate) version: Option<ModelVersion>,
     /// The preset under which it ran.
@@ -91,8 +92,10 @@
 pub(crate) struct RequestAttempts {
     shared: Arc<EntryShared>,
     /// The request.
-    pub(crate) head: RequestHead,
-    body: Bytes,
+    pub(crate) request: IdentifiedRequest,
+    /// The last event that the caller has, for streams that may be resumed.
+    pub(crate) last_event: Option<u64>,
+    budget: Arc<RetryBudget>,
     tracker: RetryTracker,
     excluded: Vec<InstanceId>,
     /// The only version that may answer, once a part of an answer was sent.
@@ -102,14 +105,16 @@
 
 impl RequestAttempts {
     /// A request that has not been tried yet.
-    pub(crate) fn new(shared: Arc<EntryShared>, head: RequestHead, body: Bytes) -> Self {
-        let max_attempts = shared.settings.caller.max_attempts;
-        let tracker = RetryTracker::new(RepeatGuard::of(&head), head.deadline, max_attempts);
-        shared.retries.earn();
+    pub(crate) fn new(shared: Arc<EntryShared>, request: IdentifiedRequest) -> Self {
+        let head = &request.head;
+        let tracker = RetryTracker::new(RepeatGuard::of(head), head.deadline, request.max_attempts);
+        let budget = shared.retry_budget(&head.service);
+        budget.earn();
         Self {
             shared,
-            head,
-            body,
+            last_event: request.last_event,
+            request,
+            budget,
             tracker,
             excluded: Vec::new(),
             version: None,
@@ -117,16 +122,36 @@
         }
     }
 
+    /// The request's head.
+    pub(crate) fn head(&self) -> &RequestHead {
+        &self.request.head
+    }
+
     /// Tries until an answer begins or the request is given up.
     pub(crate) async fn begin(&mut self) -> Result<BegunAnswer, FailedRequest> {
         loop {
             match self.try_preset().await {
+                Ok(begun) if self.may_ask_another(&begun) => {
+                    let end = AttemptEnd::Unknown(format!("answered {}", begun.status));
+                    if self.after(end).await.is_err() {
+                        // The failure is the endpoint's own answer, and the
+                        // last one that there will be.
+                        return Ok(begun);
+                    }
+                }
                 Ok(begun) => return Ok(begun),
                 Err(end) => self.after(end).await?,
             }
         }
     }
 
+    /// Whether an endpoint failed at a request that another one may answer.
+    fn may_ask_another(&self, begun: &BegunAnswer) -> bool {
+        self.request.is_direct()
+            && begun.status >= SERVER_ERROR
+            && self.head().repeat == Repeatability::Idempotent
+    }
+
     /// Tries again after an answer was cut of which a part has been sent.
     ///
     /// The answer begins anew; only `version` may give it.
@@ -141,15 +166,16 @@
     }
 
     async fn try_preset(&mut self) -> Result<BegunAnswer, AttemptEnd> {
-        let preset = preset_in_force(&self.shared, &self.head).map_err(AttemptEnd::NotRun)?;
+        let preset =
+            preset_in_force(&self.shared, &self.request.head).map_err(AttemptEnd::NotRun)?;
         self.revision = preset.revision;
         self.try_once(&preset).await
     }
 
     /// Waits until the next attempt, if one is allowed.
     async fn after(&mut self, end: AttemptEnd) -> Result<(), FailedRequest> {
-        let budget = &self.shared.retries;
-        let next_at = match self.tracker.after(end, budget, Timestamp::now(), &mut rand::rng()) {
+        let now = Timestamp::now();
+        let next_at = match self.tracker.after(end, &self.budget, now, &mut rand::rng()) {
             RetryStep::Again(next_at) => next_at,
             RetryStep::Reroute(next_at) => {
                 self.excluded.pop();
@@ -165,17 +191,19 @@
     }
 
     async fn try_once(&mut self, preset: &ForcedPreset) -> Result<BegunAnswer, AttemptEnd> {
-        let (shared, head) = (&self.shared, &self.head);
+        let (shared, head) = (&self.shared, &self.request.head);
+        let now = Timestamp::now();
+        let alone = shared.only_version(&head.service, now);
         let routes = shared.routes.load();
         let target = preset.content.services.get(&head.service);
         let has_cache = target.is_some_and(|target| target.kind == ServiceKind::Model);
         let query = RouteQuery {
             service: &head.service,
             excluded: &self.excluded,
-            version: self.version.as_ref(),
+            version: self.version.as_ref().or(alone.as_ref()),
             prefix: head.prefix.filter(|_| has_cache),
             max_in_flight: target.map_or(0, |target| target.max_in_flight),
-            now: Timestamp::now(),
+            now,
         };
         let choice = routes.choose(&query, &mut rand::rng());
         let (Some(choice), Some(service)) = (choice, routes.service(&head.service)) else {
@@ -185,14 +213,23 @@
         let candidate = choice.candidate;
         log::info!(target: "route", request:% = head.id, workspace:% = head.workspace, endpoint:% = candidate.instance, reason = choice.reason.as_str(), cost = choice.cost, candidates = choice.candidates, revision = preset.revision.0, attempt = self.tracker.attempts() + 1; "Chose an endpoint.");
         let load = EndpointLoad::begin(candidate.cell.clone(), service.in_flight().clone());
-        let (instance, version) = (candidate.instance.clone(), candidate.version.clone());
+        let (instance, path) = (candidate.instance.clone(), candidate.path);
+        let version = match path {
+            EndpointPath::Agent => candidate.version.clone(),
+            EndpointPath::Direct(_) => alone,
+        };
         drop(routes);
-        let link = shared.links.load().get(&instance).cloned();
-        self.excluded.push(instance);
+        self.excluded.push(instance.clone());
         self.tracker.begin();
         shared.metrics.attempts.inc();
         let routed = RequestHead { revision: preset.revision, version, ..head.clone() };
-        let begun = match dispatch(link, &routed, &self.body).await {
+        let sent = DispatchedRequest {
+            instance: &instance,
+            head: &routed,
+            request: &self.request,
+            last_event: self.last_event,
+        };
+        let begun: AnswerHead = match dispatch(shared, path, sent, &load.cell).await {
             Ok(begun) => begun,
             Err(end) => {
                 note_end(shared, &routed, self.excluded.last(), &load.cell, &end);
@@ -203,7 +240,6 @@
         Ok(BegunAnswer {
             stream: begun.stream,
             status: begun.status,
-            content_type: begun.content_type,
             headers: begun.headers,
             version: begun.version,
             revision: begun.revision,
@@ -228,43 +264,6 @@
     Ok(preset)
 }
 
-async fn dispatch(
-    link: Option<Arc<AgentLink>>,
-    routed: &RequestHead,
-    body: &Bytes,
-) -> Result<AnswerHead, AttemptEnd> {
-    let link = link.ok_or(AttemptEnd::NotRun(NotRunReason::ConnectFailed))?;
-    let sent = link.dispatch(routed.clone(), body).await;
-    let stream = sent.map_err(AttemptEnd::NotRun)?;
-    let mut begun = await_head(stream, routed).await?;
-    if routed.repeat == Repeatability::Idempotent {
-        await_first_part(&mut begun.stream, routed).await?;
-    }
-    Ok(begun)
-}
-
-/// Waits for the first part of an answer that is streamed.
-///
-/// Once a part is on its way to the caller, no other endpoint's answer may
-/// follow it. An endpoint that dies after the head and before the first part,
-/// as when a prompt is long, is noticed here, and another one can still answer.
-async fn await_first_part(
-    stream: &mut AttemptStream,
-    routed: &RequestHead,
-) -> Result<(), AttemptEnd> {
-    let span = routed.deadline.remaining(Timestamp::now());
-    match timeout(span, stream.peek()).await {
-        Some(Some(RequestMessage::Failed { detail, .. })) => {
-            Err(AttemptEnd::Unknown(detail.clone()))
-        }
-        Some(Some(_)) => Ok(()),
-        Some(None) => {
-            Err(AttemptEnd::Unknown("the connection to the endpoint was lost".to_owned()))
-        }
-        None => Err(AttemptEnd::Unknown("no answer before the deadline".to_owned())),
-    }
-}
-
 /// Why no endpoint was found: none serves, or each is at its limit.
 fn no_endpoint(routes: &RouteSnapshot, head: &RequestHead) -> NotRunReason {
     match routes.service(&head.service) {
@@ -300,55 +299,6 @@
     }
 }
 
-/// The head of an answer and the stream of its rest.
-struct AnswerHead {
-    stream: AttemptStream,
-    status: u16,
-    content_type: Option<String>,
-    headers: Vec<HeaderField>,
-    version: Option<ModelVersion>,
-    revision: PresetRevision,
-    replayed: bool,
-}
-
-async fn await_head(
-    mut stream: AttemptStream,
-    routed: &RequestHead,
-) -> Result<AnswerHead, AttemptEnd> {
-    let span = routed.deadline.remaining(Timestamp::now());
-    let Some(message) = timeout(span, stream.next()).await else {
-        return Err(AttemptEnd::Unknown("no answer before the deadline".to_owned()));
-    };
-    match message {
-        Some(RequestMessage::Head {
-            request,
-            status,
-            content_type,
-            headers,
-            version,
-            revision,
-            replayed,
-            ..
-        }) => {
-            // Answers can arrive crossed; one that names another request or
-            // version would give its caller somebody else's answer. A recorded
-            // answer names the version that gave it, which may have left since.
-            if request != routed.id || (!replayed && version != routed.version) {
-                return Err(AttemptEnd::Unknown("the answer belongs elsewhere".to_owned()));
-            }
-            Ok(AnswerHead { stream, status, content_type, headers, version, revision, replayed })
-        }
-        Some(RequestMessage::Refused { reason, .. }) => Err(AttemptEnd::NotRun(reason)),
-        Some(RequestMessage::Failed { detail, .. }) => Err(match RepeatGuard::of(routed) {
-            // Other agents would find the same claim and let its caller wait.
-            RepeatGuard::Claimed => AttemptEnd::Unanswered(detail),
-            RepeatGuard::Idempotent | RepeatGuard::Nothing => AttemptEnd::Unknown(detail),
-        }),
-        Some(_) => Err(AttemptEnd::Unknown("the answer has no head".to_owned())),
-        None => Err(AttemptEnd::Unknown("the connection to the endpoint was lost".to_owned())),
-    }
-}
-
 fn final_outcome(end: AttemptEnd) -> RequestOutcome {
     match end {
         AttemptEnd::NotRun(reason) => RequestOutcome::NotRun {
--- /dev/null
+++ b/crates/entry/src/caller/dispatch.rs
@@ -0,0 +1,261 @@
+//! Sending one attempt, and the stream of its answer.
+//!
+//! An attempt goes through the endpoint's agent or straight to the endpoint.
+//! Both ways give the same parts of an answer, so that whatever comes before
+//! and after is the same for both.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use cassiawheel_decide::{AttemptEnd, EndpointCell, EndpointPath, RepeatGuard};
+use cassiawheel_edge::{EndpointLeg, ToldLoad};
+use cassiawheel_model::{
+    HeaderField, InstanceId, LoadReport, ModelVersion, NotRunReason, PresetRevision,
+    Repeatability, RequestHead, Timestamp,
+};
+use cassiawheel_runtime::timeout;
+use cassiawheel_wire::RequestMessage;
+use hyper::{
+    HeaderMap,
+    header::{CONTENT_TYPE, HeaderName, HeaderValue},
+};
+
+use super::identify::IdentifiedRequest;
+use crate::{
+    direct::{DirectPart, DirectStream, DirectTarget},
+    link::{AgentLink, LinkStream},
+    routed::RoutedInterface,
+    shared::EntryShared,
+};
+
+/// One attempt.
+pub(super) struct DispatchedRequest<'a> {
+    /// The endpoint.
+    pub(super) instance: &'a InstanceId,
+    /// The head under the preset by which it was routed.
+    pub(super) head: &'a RequestHead,
+    /// The request.
+    pub(super) request: &'a IdentifiedRequest,
+    /// The last event that the caller has.
+    pub(super) last_event: Option<u64>,
+}
+
+/// The head of an answer and the stream of its rest.
+pub(super) struct AnswerHead {
+    pub(super) stream: AttemptStream,
+    pub(super) status: u16,
+    pub(super) headers: HeaderMap,
+    pub(super) version: Option<ModelVersion>,
+    pub(super) revision: PresetRevision,
+    pub(super) replayed: bool,
+}
+
+/// One step of an answer.
+pub(crate) enum AnswerPart {
+    /// Some bytes.
+    Data(Bytes),
+    /// The end, and the length of all parts where the sender tells it.
+    End(Option<u64>),
+    /// The answer broke off.
+    Cut(String),
+}
+
+/// How the rest of an answer arrives.
+enum StreamKind {
+    Link(LinkStream),
+    Direct(Box<DirectStream>),
+}
+
+/// The rest of an answer; dropping it tells the endpoint that nobody waits.
+pub(crate) struct AttemptStream {
+    kind: StreamKind,
+    peeked: Option<AnswerPart>,
+}
+
+impl AttemptStream {
+    fn new(kind: StreamKind) -> Self {
+        Self { kind, peeked: None }
+    }
+
+    /// The next part.
+    pub(crate) async fn next(&mut self) -> AnswerPart {
+        if let Some(part) = self.peeked.take() {
+            return part;
+        }
+        match &mut self.kind {
+            StreamKind::Link(stream) => next_of_link(stream).await,
+            StreamKind::Direct(stream) => match stream.next().await {
+                DirectPart::Data(bytes) => AnswerPart::Data(bytes),
+                DirectPart::End => AnswerPart::End(None),
+                DirectPart::Cut(detail) => AnswerPart::Cut(detail),
+            },
+        }
+    }
+
+    /// Looks at the next part without taking it.
+    async fn peek(&mut self) -> &AnswerPart {
+        let part = match self.peeked.take() {
+            Some(part) => part,
+            None => self.next().await,
+        };
+        self.peeked.insert(part)
+    }
+}
+
+async fn next_of_link(stream: &mut LinkStream) -> AnswerPart {
+    match stream.next().await {
+        Some(RequestMessage::Data { bytes, .. }) => {
+            stream.grant(bytes.len()).await;
+            AnswerPart::Data(Bytes::from(bytes))
+        }
+        Some(RequestMessage::End { bytes, .. }) => AnswerPart::End(Some(bytes)),
+        Some(RequestMessage::Failed { detail, .. }) => AnswerPart::Cut(detail),
+        Some(_) => AnswerPart::Cut("an unexpected message arrived".to_owned()),
+        None => AnswerPart::Cut("the connection to the endpoint was lost".to_owned()),
+    }
+}
+
+/// Sends an attempt and waits until its answer begins.
+pub(super) async fn dispatch(
+    shared: &EntryShared,
+    path: EndpointPath,
+    sent: DispatchedRequest<'_>,
+    cell: &EndpointCell,
+) -> Result<AnswerHead, AttemptEnd> {
+    let mut begun = match (path, &shared.routed) {
+        (EndpointPath::Agent, _) => {
+            let link = shared.links.load().get(sent.instance).cloned();
+            through_agent(link, sent.head, &sent.request.body).await?
+        }
+        (EndpointPath::Direct(addr), Some(routed)) => {
+            let target = DirectTarget { instance: sent.instance, addr };
+            straight(routed, target, &sent, cell).await?
+        }
+        // Only the list gives such paths, and nobody follows it then.
+        (EndpointPath::Direct(_), None) => {
+            return Err(AttemptEnd::NotRun(NotRunReason::NoEndpoint));
+        }
+    };
+    if sent.head.repeat == Repeatability::Idempotent {
+        await_first_part(&mut begun.stream, sent.head).await?;
+    }
+    Ok(begun)
+}
+
+async fn straight(
+    routed: &RoutedInterface,
+    target: DirectTarget<'_>,
+    sent: &DispatchedRequest<'_>,
+    cell: &EndpointCell,
+) -> Result<AnswerHead, AttemptEnd> {
+    let head = sent.head;
+    let leg = EndpointLeg {
+        request: &head.id,
+        endpoint: target.instance,
+        left: head.deadline.remaining(Timestamp::now()),
+        workspace: sent.request.workspace.as_ref(),
+        version: head.version.as_ref(),
+        last_event: sent.last_event,
+        may_wait: false,
+    };
+    let (fields, body) = (&sent.request.fields, &sent.request.body);
+    let answer = routed.direct.send(target, head, fields, body, &leg).await?;
+    if let Some(load) = answer.marks.load {
+        cell.hear(&load_report(load), cell.hard_limit());
+    }
+    Ok(AnswerHead {
+        status: answer.parts.status.as_u16(),
+        headers: routed.callers.end_to_end(&answer.parts.headers),
+        stream: AttemptStream::new(StreamKind::Direct(Box::new(answer.stream))),
+        version: head.version.clone(),
+        revision: head.revision,
+        replayed: false,
+    })
+}
+
+fn load_report(load: ToldLoad) -> LoadReport {
+    LoadReport { in_flight: load.running, queued: load.waiting, measured_at: Timestamp::now() }
+}
+
+async fn through_agent(
+    link: Option<Arc<AgentLink>>,
+    routed: &RequestHead,
+    body: &Bytes,
+) -> Result<AnswerHead, AttemptEnd> {
+    let link = link.ok_or(AttemptEnd::NotRun(NotRunReason::ConnectFailed))?;
+    let sent = link.dispatch(routed.clone(), body).await;
+    let stream = sent.map_err(AttemptEnd::NotRun)?;
+    await_head(stream, routed).await
+}
+
+/// Waits for the first part of an answer that is streamed.
+///
+/// Once a part is on its way to the caller, no other endpoint's answer may
+/// follow it. An endpoint that dies after the head and before the first part,
+/// as when a prompt is long, is noticed here, and another one can still answer.
+async fn await_first_part(
+    stream: &mut AttemptStream,
+    routed: &RequestHead,
+) -> Result<(), AttemptEnd> {
+    let span = routed.deadline.remaining(Timestamp::now());
+    match timeout(span, stream.peek()).await {
+        Some(AnswerPart::Cut(detail)) => Err(AttemptEnd::Unknown(detail.clone())),
+        Some(AnswerPart::Data(_) | AnswerPart::End(_)) => Ok(()),
+        None => Err(AttemptEnd::Unknown("no answer before the deadline".to_owned())),
+    }
+}
+
+async fn await_head(
+    mut stream: LinkStream,
+    routed: &RequestHead,
+) -> Result<AnswerHead, AttemptEnd> {
+    let span = routed.deadline.remaining(Timestamp::now());
+    let Some(message) = timeout(span, stream.next()).await else {
+        return Err(AttemptEnd::Unknown("no answer before the deadline".to_owned()));
+    };
+    match message {
+        Some(RequestMessage::Head {
+            request,
+            status,
+            content_type,
+            headers,
+            version,
+            revision,
+            replayed,
+            ..
+        }) => {
+            // Answers can arrive crossed; one that names another request or
+            // version would give its caller somebody else's answer. A recorded
+            // answer names the version that gave it, which may have left since.
+            if request != routed.id || (!replayed && version != routed.version) {
+                return Err(AttemptEnd::Unknown("the answer belongs elsewhere".to_owned()));
+            }
+            let headers = header_map(&headers, content_type.as_deref());
+            let stream = AttemptStream::new(StreamKind::Link(stream));
+            Ok(AnswerHead { stream, status, headers, version, revision, replayed })
+        }
+        Some(RequestMessage::Refused { reason, .. }) => Err(AttemptEnd::NotRun(reason)),
+        Some(RequestMessage::Failed { detail, .. }) => Err(match RepeatGuard::of(routed) {
+            // Other agents would find the same claim and let its caller wait.
+            RepeatGuard::Claimed => AttemptEnd::Unanswered(detail),
+            RepeatGuard::Idempotent | RepeatGuard::Nothing => AttemptEnd::Unknown(detail),
+        }),
+        Some(_) => Err(AttemptEnd::Unknown("the answer has no head".to_owned())),
+        None => Err(AttemptEnd::Unknown("the connection to the endpoint was lost".to_owned())),
+    }
+}
+
+fn header_map(fields: &[HeaderField], content_type: Option<&str>) -> HeaderMap {
+    let mut headers = HeaderMap::with_capacity(fields.len() + 1);
+    for field in fields {
+        let name = HeaderName::try_from(&field.name);
+        let value = HeaderValue::try_from(&field.value);
+        if let (Ok(name), Ok(value)) = (name, value) {
+            headers.append(name, value);
+        }
+    }
+    if let Some(Ok(kind)) = content_type.map(HeaderValue::from_str) {
+        headers.insert(CONTENT_TYPE, kind);
+    }
+    headers
+}
--- /dev/null
+++ b/crates/entry/src/caller/events.rs
@@ -0,0 +1,130 @@
+//! Streams of events, passed on as they arrive.
+//!
+//! Where the route allows it, another endpoint goes on with a stream that
+//! breaks off, and its events follow under the head of the first. The caller
+//! notices a pause at most.
+
+use std::{io, time::Duration};
+
+use bytes::Bytes;
+use cassiawheel_decide::{EventSplicer, RepeatGuard};
+use cassiawheel_model::{OutcomeKind, Timestamp};
+use cassiawheel_runtime::{http::ReplyBody, timeout};
+use futures_util::stream;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::{Response, body::Frame};
+
+use super::{
+    InFlight,
+    attempts::{BegunAnswer, RequestAttempts},
+    dispatch::AnswerPart,
+    unchanged::reply_with,
+};
+
+/// Longest pause between events before another endpoint is asked to go on.
+///
+/// A busy engine makes an event every 40 to 120 ms; callers count a pause of
+/// 300 ms as late and leave after some two seconds.
+const PAUSE_TIME: Duration = Duration::from_millis(1_200);
+
+/// One step of a stream.
+enum EventStep {
+    Events(Bytes),
+    End,
+    Cut(String),
+}
+
+/// Reads the events of one answer, over as many endpoints as it takes.
+struct EventReader {
+    attempts: RequestAttempts,
+    begun: BegunAnswer,
+    splicer: EventSplicer,
+}
+
+/// Passes a stream of events on.
+pub(super) fn stream_reply(
+    guard: InFlight,
+    attempts: RequestAttempts,
+    begun: BegunAnswer,
+) -> Response<ReplyBody> {
+    let mut reply = reply_with(&begun, cassiawheel_runtime::http::full_body(""));
+    let splicer = EventSplicer::new(attempts.last_event);
+    let reader = EventReader { attempts, begun, splicer };
+    let frames = stream::unfold(Some((guard, reader)), |state| async move {
+        let (guard, mut reader) = state?;
+        match reader.next_or_resumed().await {
+            EventStep::Events(bytes) => Some((Ok(Frame::data(bytes)), Some((guard, reader)))),
+            EventStep::End => {
+                guard.count(OutcomeKind::Complete);
+                None
+            }
+            EventStep::Cut(detail) => {
+                guard.count(OutcomeKind::Unknown);
+                log::warn!(target: "outcome", request:% = reader.attempts.head().id, event:? = reader.splicer.last_id(), attempts = reader.begun.attempts, cause:% = detail; "A stream was cut.");
+                Some((Err(io::Error::other(detail)), None))
+            }
+        }
+    });
+    *reply.body_mut() = BodyExt::boxed(StreamBody::new(frames));
+    reply
+}
+
+impl EventReader {
+    /// The next events; from another endpoint if this one breaks off.
+    async fn next_or_resumed(&mut self) -> EventStep {
+        loop {
+            match self.next().await {
+                EventStep::Cut(detail) => {
+                    if let Err(detail) = self.resume(detail).await {
+                        return EventStep::Cut(detail);
+                    }
+                }
+                step => return step,
+            }
+        }
+    }
+
+    /// Has another endpoint go on after the last event that was passed on.
+    async fn resume(&mut self, detail: String) -> Result<(), String> {
+        if RepeatGuard::of(self.attempts.head()) != RepeatGuard::Idempotent {
+            return Err(detail);
+        }
+        self.splicer.break_off();
+        self.attempts.last_event = self.splicer.last_id();
+        log::info!(target: "outcome", request:% = self.attempts.head().id, event:? = self.attempts.last_event, cause:% = detail; "Resumes a stream.");
+        let begun = self.attempts.begin_again(None, detail).await;
+        let begun = begun.map_err(|failed| format!("{:?}", failed.outcome))?;
+        if begun.status != self.begun.status {
+            return Err(format!("another endpoint answered {}", begun.status));
+        }
+        self.begun = begun;
+        Ok(())
+    }
+
+    async fn next(&mut self) -> EventStep {
+        loop {
+            let left = self.attempts.head().deadline.remaining(Timestamp::now());
+            let part = match timeout(left.min(PAUSE_TIME), self.begun.stream.next()).await {
+                Some(part) => part,
+                None if left <= PAUSE_TIME => {
+                    return EventStep::Cut("the deadline was reached".to_owned());
+                }
+                None => AnswerPart::Cut("the endpoint fell silent".to_owned()),
+            };
+            match part {
+                AnswerPart::Data(bytes) => match self.splicer.push(&bytes) {
+                    Ok(events) if events.is_empty() => {}
+                    Ok(events) => return EventStep::Events(Bytes::from(events)),
+                    Err(error) => return EventStep::Cut(error.to_string()),
+                },
+                AnswerPart::End(_) => {
+                    return match self.splicer.finish() {
+                        Ok(()) => EventStep::End,
+                        Err(error) => EventStep::Cut(error.to_string()),
+                    };
+                }
+                AnswerPart::Cut(detail) => return EventStep::Cut(detail),
+            }
+        }
+    }
+}
--- a/crates/entry/src/caller/identify.rs
+++ b/crates/entry/src/caller/identify.rs
@@ -38,6 +38,36 @@
     pub(crate) head: RequestHead,
     /// The body.
     pub(crate) body: Bytes,
+    /// Further header fields, where endpoints are reached directly.
+    pub(crate) fields: HeaderMap,
+    /// The workspace that endpoints are told.
+    pub(crate) workspace: Option<WorkspaceId>,
+    /// Endpoints that it may be sent to.
+    pub(crate) max_attempts: u32,
+    /// Until when an answer should begin, which bounds the wait for admission.
+    pub(crate) admit_by: Deadline,
+    /// How its answer goes to the caller.
+    pub(crate) form: AnswerForm,
+    /// The last event that the caller has.
+    pub(crate) last_event: Option<u64>,
+}
+
+/// How an answer goes to its caller.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum AnswerForm {
+    /// With its outcome in fields of ours.
+    WithOutcome,
+    /// As the endpoint gave it.
+    Unchanged,
+    /// As the endpoint gave it, event by event.
+    Events,
+}
+
+impl IdentifiedRequest {
+    /// Whether endpoints are reached without an agent between.
+    pub(crate) fn is_direct(&self) -> bool {
+        self.form != AnswerForm::WithOutcome
+    }
 }
 
 /// Why a request was not understood.
@@ -106,7 +136,16 @@
         },
     })?;
     head.prefix = prefix_of(&body, settings.prefix_bytes);
-    Ok(IdentifiedRequest { head, body })
+    Ok(IdentifiedRequest {
+        workspace: Some(head.workspace.clone()),
+        admit_by: head.deadline,
+        head,
+        body,
+        fields: HeaderMap::new(),
+        max_attempts: settings.max_attempts,
+        form: AnswerForm::WithOutcome,
+        last_event: None,
+    })
 }
 
 fn split_path(uri: &hyper::Uri) -> Result<(ServiceName, String), BadRequest> {
--- a/crates/entry/src/caller/relay.rs
+++ b/crates/entry/src/caller/relay.rs
@@ -13,18 +13,18 @@
     http::{ReplyBody, full_body},
     timeout,
 };
-use cassiawheel_wire::RequestMessage;
 use futures_util::stream;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::{
     HeaderMap, Response, StatusCode,
     body::Frame,
-    header::{CONTENT_TYPE, HeaderName, HeaderValue, TRAILER},
+    header::{CONTENT_TYPE, HeaderValue, TRAILER},
 };
 
 use super::{
     InFlight,
     attempts::{BegunAnswer, FailedRequest, RequestAttempts},
+    dispatch::AnswerPart,
     outcome::{
         OUTCOME_HEADER, REPLAYED_HEADER, TRAILER_NAMES, add_headers, failure_reply, outcome_text,
     },
@@ -37,13 +37,6 @@
     Cut(String),
 }
 
-/// One message of an answer.
-enum AnswerPart {
-    Data(Bytes),
-    End(u64),
-    Cut(String),
-}
-
 /// Reads the rest of an answer and checks that it is whole.
 struct AnswerReader {
     attempts: RequestAttempts,
@@ -58,7 +51,7 @@
     attempts: RequestAttempts,
     begun: BegunAnswer,
 ) -> Response<ReplyBody> {
-    let repeat = attempts.head.repeat;
+    let repeat = attempts.head().repeat;
     let reader = AnswerReader { attempts, begun, received: 0, digest: blake3::Hasher::new() };
     match repeat {
         Repeatability::AtMostOnce => whole_reply(guard, reader).await,
@@ -70,10 +63,10 @@
     async fn next(&mut self) -> AnswerStep {
         match self.next_part().await {
             AnswerPart::Data(bytes) => self.pass_on(bytes),
-            AnswerPart::End(bytes) if bytes == self.received => AnswerStep::End,
-            AnswerPart::End(bytes) => {
+            AnswerPart::End(Some(bytes)) if bytes != self.received => {
                 AnswerStep::Cut(format!("{} of {bytes} bytes arrived", self.received))
             }
+            AnswerPart::End(_) => AnswerStep::End,
             AnswerPart::Cut(detail) => AnswerStep::Cut(detail),
         }
     }
@@ -97,10 +90,11 @@
     /// What the caller gets so is the whole answer of the last run.
     async fn resume(&mut self, detail: String) -> Result<AnswerStep, String> {
         let version = self.begun.version.clone();
-        log::info!(target: "outcome", request:% = self.attempts.head.id, cause:% = detail, received = self.received; "Resumes a cut answer.");
+        log::info!(target: "outcome", request:% = self.attempts.head().id, cause:% = detail, received = self.received; "Resumes a cut answer.");
         let begun = self.attempts.begin_again(version, detail).await;
         let begun = begun.map_err(|failed| format!("{:?}", failed.outcome))?;
-        if (begun.status, &begun.content_type) != (self.begun.status, &self.begun.content_type) {
+        let kind = |begun: &BegunAnswer| begun.headers.get(CONTENT_TYPE).cloned();
+        if (begun.status, kind(&begun)) != (self.begun.status, kind(&self.begun)) {
             return Err("another run answered otherwise".to_owned());
         }
         self.begun = begun;
@@ -133,16 +127,9 @@
     }
 
     async fn next_part(&mut self) -> AnswerPart {
-        let span = self.attempts.head.deadline.remaining(Timestamp::now());
+        let span = self.attempts.head().deadline.remaining(Timestamp::now());
         match timeout(span, self.begun.stream.next()).await {
-            Some(Some(RequestMessage::Data { bytes, .. })) => {
-                self.begun.stream.grant(bytes.len()).await;
-                AnswerPart::Data(Bytes::from(bytes))
-            }
-            Some(Some(RequestMessage::End { bytes, .. })) => AnswerPart::End(bytes),
-            Some(Some(RequestMessage::Failed { detail, .. })) => AnswerPart::Cut(detail),
-            Some(Some(_)) => AnswerPart::Cut("an unexpected message arrived".to_owned()),
-            Some(None) => AnswerPart::Cut("the connection to the endpoint was lost".to_owned()),
+            Some(part) => part,
             None => AnswerPart::Cut("the deadline was reached".to_owned()),
         }
     }
@@ -150,7 +137,7 @@
     fn add_headers(&self, headers: &mut HeaderMap) {
         let begun = &self.begun;
         let (version, revision) = (begun.version.as_ref(), begun.revision);
-        add_headers(headers, &self.attempts.head, version, revision, begun.attempts);
+        add_headers(headers, self.attempts.head(), version, revision, begun.attempts);
     }
 
     fn reply(&self, body: ReplyBody) -> Response<ReplyBody> {
@@ -162,17 +149,7 @@
         if begun.replayed {
             headers.insert(REPLAYED_HEADER, HeaderValue::from_static("true"));
         }
-        for field in &begun.headers {
-            let name = HeaderName::try_from(&field.name);
-            let value = HeaderValue::try_from(&field.value);
-            if let (Ok(name), Ok(value)) = (name, value) {
-                headers.append(name, value);
-            }
-        }
-        let kind = begun.content_type.as_deref().map(HeaderValue::from_str);
-        if let Some(Ok(kind)) = kind {
-            headers.insert(CONTENT_TYPE, kind);
-        }
+        headers.extend(begun.headers.clone());
         reply
     }
 }
@@ -196,7 +173,7 @@
                     revision: reader.begun.revision,
                     attempts: reader.begun.attempts,
                 };
-                return failure_reply(&reader.attempts.head, &failed);
+                return failure_reply(reader.attempts.head(), &failed);
             }
         }
     }
@@ -221,7 +198,7 @@
             }
             AnswerStep::Cut(detail) => {
                 guard.count(OutcomeKind::Unknown);
-                log::warn!(target: "outcome", request:% = reader.attempts.head.id, cause:% = detail; "An answer was cut.");
+                log::warn!(target: "outcome", request:% = reader.attempts.head().id, cause:% = detail; "An answer was cut.");
                 Some((Err(io::Error::other(detail)), None))
             }
         }
--- /dev/null
+++ b/crates/entry/src/caller/routed.rs
@@ -0,0 +1,288 @@
+//! Callers that are routed by the table of the preset in force.
+//!
+//! `identify` finds route, service and workspace; an outcome is told by status
+//! alone: 429, 503 and the like promise that a request was not run.
+
+use std::{sync::Arc, time::Duration};
+
+use cassiawheel_decide::{CallerIndex, advise, draw_service};
+use cassiawheel_edge::CallerHead;
+use cassiawheel_model::{
+    NotRunReason, OutcomeKind, PresetRevision, PriorityClass, Repeatability, RequestHead,
+    RouteKind, RouteRule, Timestamp, WorkspaceId,
+};
+use cassiawheel_runtime::http::{
+    BodyError, ReplyBody, error_reply, full_body, read_body_within,
+};
+use hyper::{
+    Request, Response, StatusCode,
+    body::Incoming,
+    header::{CONNECTION, CONTENT_TYPE, HOST, HeaderValue, RETRY_AFTER},
+    http::request::Parts,
+};
+use rand::Rng;
+
+use super::{
+    InFlight, admit, advisable,
+    attempts::{BegunAnswer, FailedRequest, RequestAttempts},
+    events,
+    identify::{AnswerForm, IdentifiedRequest},
+    outcome, unchanged,
+};
+use crate::{routed::RoutedInterface, shared::EntryShared};
+
+/// Workspace of requests that carry no key.
+const NO_WORKSPACE: &str = "public";
+
+/// When a caller should come back to an entry that knows no preset yet, in seconds.
+const START_RETRY_S: &str = "0.3";
+
+/// Why a request is answered without having been routed.
+enum CallerRefusal {
+    /// No preset is known yet.
+    NotReady,
+    /// No route leads to host and path.
+    NoRoute,
+    /// The key opens nothing.
+    UnknownKey,
+    /// The head or the body is wrong.
+    Bad(StatusCode, String),
+}
+
+/// Answers one request of a caller.
+pub(crate) async fn accept(
+    shared: Arc<EntryShared>,
+    routed: Arc<RoutedInterface>,
+    request: Request<Incoming>,
+) -> Response<ReplyBody> {
+    let mut reply = match identify(&shared, &routed, request).await {
+        Ok(identified) => answer(shared.clone(), identified).await,
+        Err(refusal) => refusal.reply(),
+    };
+    if shared.is_leaving() {
+        // Callers that keep the connection would meet its end later.
+        reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    reply
+}
+
+async fn answer(shared: Arc<EntryShared>, request: IdentifiedRequest) -> Response<ReplyBody> {
+    let mut guard = InFlight::begin(shared.clone());
+    match admit::admit(&shared, &request.head, request.admit_by).await {
+        Ok(permit) => guard.permit = permit,
+        Err(reason) => {
+            guard.count(OutcomeKind::NotRun);
+            let failed = FailedRequest::before_attempts(&shared, reason);
+            return failure_reply(&request.head, &failed);
+        }
+    }
+    let mut attempts = RequestAttempts::new(shared, request);
+    match attempts.begin().await {
+        Ok(begun) => answer_reply(guard, attempts, begun).await,
+        Err(failed) => {
+            guard.count(failed.outcome.kind());
+            failure_reply(attempts.head(), &failed)
+        }
+    }
+}
+
+async fn answer_reply(
+    guard: InFlight,
+    attempts: RequestAttempts,
+    begun: BegunAnswer,
+) -> Response<ReplyBody> {
+    let is_success = StatusCode::from_u16(begun.status).is_ok_and(|status| status.is_success());
+    match attempts.request.form {
+        AnswerForm::Events if is_success => events::stream_reply(guard, attempts, begun),
+        AnswerForm::Events | AnswerForm::Unchanged | AnswerForm::WithOutcome => {
+            unchanged::whole_reply(guard, attempts, begun).await
+        }
+    }
+}
+
+/// Answers a caller that asks which entries to use.
+pub(crate) async fn answer_advice(
+    shared: Arc<EntryShared>,
+    routed: Arc<RoutedInterface>,
+    request: Request<Incoming>,
+) -> Response<ReplyBody> {
+    let (parts, _) = request.into_parts();
+    let Some(query) = routed.callers.read_advice(&parts) else {
+        let message = format!("no page {}", parts.uri.path());
+        return error_reply(StatusCode::NOT_FOUND, "not-found", message);
+    };
+    let settings = &shared.settings.caller;
+    let entries = advisable(&shared);
+    let own = &shared.settings.place.failure_domain;
+    let asked = query.failure_domain.and_then(|name| name.parse().ok());
+    let domain = asked.as_ref().unwrap_or(own);
+    let keep = Duration::from_millis(settings.advice_ms);
+    let valid_until = Timestamp::now().deadline_after(keep);
+    let advice =
+        advise(&entries, domain, settings.advice_addresses, valid_until, &mut rand::rng());
+    let near = entries.iter().filter(|e| e.failure_domain == *domain && !e.leaving).count();
+    let count = if near > 0 { near } else { advice.addresses.len() };
+    let addresses = &advice.addresses[..count.min(advice.addresses.len())];
+    let mut reply = Response::new(full_body(routed.callers.advice_body(addresses, keep)));
+    reply.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    reply
+}
+
+/// Answers the platform's question whether this entry is ready.
+pub(crate) async fn answer_ready(
+    shared: Arc<EntryShared>,
+    routed: Arc<RoutedInterface>,
+    request: Request<Incoming>,
+) -> Response<ReplyBody> {
+    let (parts, _) = request.into_parts();
+    if !routed.callers.is_ready_probe(&parts) {
+        let message = format!("no page {}", parts.uri.path());
+        return error_reply(StatusCode::NOT_FOUND, "not-found", message);
+    }
+    if shared.is_advised() && !shared.is_leaving() {
+        return Response::new(full_body("ready\n"));
+    }
+    error_reply(StatusCode::SERVICE_UNAVAILABLE, "not-ready", "not ready")
+}
+
+async fn identify(
+    shared: &EntryShared,
+    routed: &RoutedInterface,
+    request: Request<Incoming>,
+) -> Result<IdentifiedRequest, CallerRefusal> {
+    let now = Timestamp::now();
+    let (parts, body) = request.into_parts();
+    let index = routed.index.load_full().ok_or(CallerRefusal::NotReady)?;
+    let caller = routed
+        .callers
+        .read_head(&parts)
+        .map_err(|error| CallerRefusal::Bad(StatusCode::BAD_REQUEST, error.to_string()))?;
+    let rule = find_route(&index, &parts).ok_or(CallerRefusal::NoRoute)?;
+    let workspace = index
+        .workspace(rule, caller.key.as_deref())
+        .map_err(|_| CallerRefusal::UnknownKey)?
+        .cloned();
+    let head = request_head(&parts, &caller, rule, workspace.as_ref(), now)?;
+    let limits = index.table().limits;
+    let span = Duration::from_millis(shared.settings.limits.body_ms)
+        .min(head.deadline.remaining(Timestamp::now()));
+    let body = read_body_within(body, limits.body_bytes, span).await.map_err(body_refusal)?;
+    Ok(IdentifiedRequest {
+        head,
+        body,
+        fields: routed.callers.end_to_end(&parts.headers),
+        workspace,
+        max_attempts: rule.max_attempts.max(1),
+        admit_by: now.deadline_after(Duration::from_millis(rule.aim_ms)),
+        form: match rule.kind {
+            RouteKind::Idempotent | RouteKind::AtMostOnce => AnswerForm::Unchanged,
+            RouteKind::Stream | RouteKind::ResumableStream => AnswerForm::Events,
+        },
+        last_event: caller.last_event,
+    })
+}
+
+fn find_route<'a>(index: &'a CallerIndex, parts: &Parts) -> Option<&'a RouteRule> {
+    let host = parts.headers.get(HOST)?.to_str().ok()?;
+    let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
+    index.route(&name.to_ascii_lowercase(), parts.uri.path())
+}
+
+fn request_head(
+    parts: &Parts,
+    caller: &CallerHead,
+    rule: &RouteRule,
+    workspace: Option<&WorkspaceId>,
+    now: Timestamp,
+) -> Result<RequestHead, CallerRefusal> {
+    let bad = |error: &dyn std::fmt::Display| {
+        CallerRefusal::Bad(StatusCode::INTERNAL_SERVER_ERROR, error.to_string())
+    };
+    let workspace = match workspace {
+        Some(workspace) => workspace.clone(),
+        None => WorkspaceId::new(NO_WORKSPACE).map_err(|error| bad(&error))?,
+    };
+    let service = draw_service(rule, rand::rng().random()).ok_or(CallerRefusal::NoRoute)?;
+    let timeout = Duration::from_millis(rule.timeout_ms);
+    let patience = caller.patience.map_or(timeout, |patience| patience.min(timeout));
+    let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
+    Ok(RequestHead {
+        id: caller.id.clone(),
+        workspace,
+        service: service.clone(),
+        priority: PriorityClass::Normal,
+        repeat: match rule.kind {
+            RouteKind::Idempotent | RouteKind::ResumableStream => Repeatability::Idempotent,
+            RouteKind::AtMostOnce | RouteKind::Stream => Repeatability::AtMostOnce,
+        },
+        key: None,
+        deadline: now.deadline_after(patience),
+        method: parts.method.to_string(),
+        path: path.to_owned(),
+        content_type: None,
+        headers: Vec::new(),
+        prefix: None,
+        revision: PresetRevision::default(),
+        version: None,
+    })
+}
+
+fn body_refusal(error: BodyError) -> CallerRefusal {
+    match error {
+        BodyError::TooLong => {
+            CallerRefusal::Bad(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long".to_owned())
+        }
+        BodyError::Cut => {
+            CallerRefusal::Bad(StatusCode::BAD_REQUEST, "the body ended early".to_owned())
+        }
+        BodyError::Slow => {
+            CallerRefusal::Bad(StatusCode::REQUEST_TIMEOUT, "the body came too slowly".to_owned())
+        }
+    }
+}
+
+impl CallerRefusal {
+    fn reply(self) -> Response<ReplyBody> {
+        match self {
+            Self::NotReady => {
+                let status = StatusCode::SERVICE_UNAVAILABLE;
+                let mut reply = error_reply(status, "not-ready", "no preset is known yet");
+                reply.headers_mut().insert(RETRY_AFTER, HeaderValue::from_static(START_RETRY_S));
+                reply
+            }
+            Self::NoRoute => {
+                error_reply(StatusCode::NOT_FOUND, "no-route", "no route leads there")
+            }
+            Self::UnknownKey => {
+                error_reply(StatusCode::UNAUTHORIZED, "unknown-key", "the key opens nothing")
+            }
+            Self::Bad(status, message) => error_reply(status, "bad-request", message),
+        }
+    }
+}
+
+/// The answer to a request that failed before any part of an answer was sent.
+pub(super) fn failure_reply(head: &RequestHead, failed: &FailedRequest) -> Response<ReplyBody> {
+    let (status, error, message, wait_ms) = outcome::describe(&failed.outcome);
+    let status = match &failed.outcome {
+        cassiawheel_model::RequestOutcome::NotRun { reason, .. } => not_run_status(*reason),
+        _ => status,
+    };
+    log::info!(target: "outcome", request:% = head.id, status = status.as_u16(), error = error, attempts = failed.attempts; "A request failed.");
+    let mut reply = error_reply(status, error, message);
+    if let Some(wait_ms) = wait_ms {
+        let wait_s = format!("{:.3}", Duration::from_millis(wait_ms).as_secs_f64());
+        if let Ok(wait_s) = HeaderValue::from_str(&wait_s) {
+            reply.headers_mut().insert(RETRY_AFTER, wait_s);
+        }
+    }
+    reply
+}
+
+/// Every status here promises that the request was not run.
+fn not_run_status(reason: NotRunReason) -> StatusCode {
+    match reason {
+        NotRunReason::Overloaded => StatusCode::TOO_MANY_REQUESTS,
+        _ => StatusCode::SERVICE_UNAVAILABLE,
+    }
+}
--- a/crates/entry/src/cli.rs
+++ b/crates/entry/src/cli.rs
@@ -10,11 +10,21 @@
 use std::{
     path::{Path, PathBuf},
     process::ExitCode,
+    sync::Arc,
 };
 
 use argh::FromArgs;
-use cassiawheel_model::settings::{EntrySettings, parse_settings};
+use cassiawheel_edge::HttpClient;
+use cassiawheel_model::{
+    FindingList,
+    settings::{EntrySettings, parse_settings},
+};
+use cassiawheel_platform::{
+    OperatorTable, OwnRows, PlatformBoot, PlatformCallers, PlatformEndpoints, PlatformOrigin,
+    RowClient, ServerTable,
+};
 
+use crate::RoutedEdges;
 use exit::{CommandError, EXIT_CODES};
 
 /// What a newcomer does first; `argh` would run its lines together in a doc comment.
@@ -51,9 +61,10 @@
 #[derive(FromArgs)]
 #[argh(subcommand, name = "serve")]
 struct ServeArgs {
-    /// settings file (JSON); see samples/entry.json
+    /// settings file (JSON), see samples/entry.json; without it, the file that
+    /// the platform names in the environment is read
     #[argh(option)]
-    config: PathBuf,
+    config: Option<PathBuf>,
 }
 
 /// Checks a settings file and reports every finding with its place.
@@ -72,7 +83,7 @@
         Err(code) => return code,
     };
     let done = match args.command {
-        EntryCommand::Serve(args) => serve(&args.config),
+        EntryCommand::Serve(args) => serve(args.config.as_deref()),
         EntryCommand::CheckConfig(args) => check(&args.file),
         EntryCommand::Preset(args) => preset::run(args),
         EntryCommand::Rollout(args) => watch::rollout(args),
@@ -104,8 +115,33 @@
     })
 }
 
-fn serve(config: &Path) -> Result<(), CommandError> {
-    Ok(crate::run(read_settings(config)?)?)
+fn serve(config: Option<&Path>) -> Result<(), CommandError> {
+    match (config, PlatformBoot::path()) {
+        (Some(config), _) => Ok(crate::run(read_settings(config)?)?),
+        (None, Some(path)) => serve_on_platform(&path),
+        (None, None) => {
+            let message = "name a settings file: cassiawheel serve --config FILE";
+            Err(CommandError::Findings(message.to_owned()))
+        }
+    }
+}
+
+fn serve_on_platform(path: &Path) -> Result<(), CommandError> {
+    let findings = |findings: FindingList| CommandError::Findings(findings.to_string());
+    let boot = PlatformBoot::read(path).map_err(findings)?;
+    let (settings, routed) = boot.entry_settings().map_err(findings)?;
+    let client = HttpClient::default();
+    let rows = RowClient::new(client.clone(), boot.store_addr(), boot.store_timeout());
+    let edges = RoutedEdges {
+        settings: routed,
+        callers: Arc::new(PlatformCallers),
+        endpoints: Arc::new(PlatformEndpoints),
+        operators: Arc::new(OperatorTable::new(rows.clone())),
+        list: Arc::new(ServerTable::new(rows.clone())),
+        table: Arc::new(OwnRows::new(rows)),
+        origin: Arc::new(PlatformOrigin::new(client)),
+    };
+    Ok(crate::run_routed(settings, edges)?)
 }
 
 fn check(file: &Path) -> Result<(), CommandError> {
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -2,8 +2,13 @@
 
 pub(crate) mod ahead;
 pub(crate) mod change;
+pub(crate) mod dependency;
 pub(crate) mod drains;
+pub(crate) mod entries;
+pub(crate) mod listing;
+pub(crate) mod manifests;
 pub(crate) mod membership;
+pub(crate) mod operators;
 pub(crate) mod orders;
 pub(crate) mod poll;
 pub(crate) mod spread;
--- /dev/null
+++ b/crates/entry/src/control/listing.rs
@@ -0,0 +1,140 @@
+//! Reading the platform's list of endpoints in turns, and telling the others.
+
+use std::{sync::Arc, time::Duration};
+
+use cassiawheel_decide::ListingNews;
+use cassiawheel_edge::{FeedError, FeedPage};
+use cassiawheel_model::{ListedRow, Timestamp};
+use cassiawheel_wire::{ControlMessage, WireSender};
+use rand::Rng;
+use smol::Timer;
+
+use super::{dependency::DependencyWatch, spread};
+use crate::{routed::RoutedInterface, shared::EntryShared};
+
+/// Longest sleep between looks whether it is this entry's turn.
+const LOOK_TIME: Duration = Duration::from_millis(250);
+
+/// Waits after a failed read, in milliseconds; drawn anew each time.
+const AGAIN_MS: std::ops::Range<u64> = 200..500;
+
+/// Follows the list for ever.
+pub(crate) async fn follow_listing(shared: Arc<EntryShared>, routed: Arc<RoutedInterface>) {
+    let mut watch = DependencyWatch::new("list");
+    let mut again_at = Timestamp::now().deadline_after(Duration::ZERO);
+    let mut history_lost = false;
+    loop {
+        let now = Timestamp::now();
+        settle(&shared, &routed, now);
+        let due = routed.listing().read_at(shared.own_rank()).max(again_at);
+        if !due.is_past(now) {
+            Timer::after(due.remaining(now).min(LOOK_TIME)).await;
+            continue;
+        }
+        let base = if history_lost { 0 } else { routed.listing().position() };
+        let read = match base {
+            0 => routed.list.read_all().await,
+            _ => routed.list.read_changes(base, Duration::ZERO).await,
+        };
+        match read {
+            Ok(page) => {
+                watch.regained();
+                history_lost = false;
+                take_page(&shared, &routed, page, base, now);
+            }
+            Err(FeedError::HistoryLost) => history_lost = true,
+            Err(FeedError::Store(error)) => {
+                watch.lost(&error);
+                let wait = rand::rng().random_range(AGAIN_MS);
+                again_at = Timestamp::now().deadline_after(Duration::from_millis(wait));
+            }
+        }
+    }
+}
+
+fn take_page(
+    shared: &EntryShared,
+    routed: &RoutedInterface,
+    page: FeedPage<ListedRow>,
+    base: u64,
+    asked_at: Timestamp,
+) {
+    let news = ListingNews { rows: page.rows, base, position: page.position, asked_at };
+    let now = Timestamp::now();
+    let mut listing = routed.listing();
+    let before: Vec<_> = listing.endpoints().cloned().collect();
+    let told = listing.take_read(news, now);
+    let changed = !listing.endpoints().eq(before.iter());
+    drop(listing);
+    tell(shared, told, &before);
+    if changed {
+        log_change(shared, routed, "read");
+    }
+}
+
+/// Sends the other entries what they have to know; rows that only repeat a heartbeat stay out.
+fn tell(shared: &EntryShared, news: ListingNews, before: &[cassiawheel_model::ListedEndpoint]) {
+    let is_news = |row: &ListedRow| match &row.endpoint {
+        Some(endpoint) => !before.contains(endpoint),
+        None => true,
+    };
+    let rows = news.rows.into_iter().filter(|row| news.base == 0 || is_news(row)).collect();
+    let message = ControlMessage::Listing {
+        rows,
+        base: news.base,
+        position: news.position,
+        age_ms: Timestamp::now().since(news.asked_at).as_millis() as u64,
+    };
+    spread::send_to_peers(shared, &message);
+}
+
+fn settle(shared: &EntryShared, routed: &RoutedInterface, now: Timestamp) {
+    let mut listing = routed.listing();
+    let rows = listing.settle(now);
+    let (position, asked_at) = (listing.position(), listing.asked_at());
+    drop(listing);
+    let Some(asked_at) = asked_at.filter(|_| !rows.is_empty()) else {
+        return;
+    };
+    tell(shared, ListingNews { rows, base: position, position, asked_at }, &[]);
+    log_change(shared, routed, "not-returned");
+}
+
+/// Takes in what another entry tells of the list.
+pub(crate) fn hear_listing(
+    shared: &EntryShared,
+    routed: &RoutedInterface,
+    sender: &WireSender,
+    news: ListingNews,
+) {
+    let mut listing = routed.listing();
+    let before: Vec<_> = listing.endpoints().cloned().collect();
+    let is_known = listing.take_told(&news);
+    let changed = !listing.endpoints().eq(before.iter());
+    drop(listing);
+    if !is_known {
+        let _ = sender.try_send(ControlMessage::ListingWanted);
+    }
+    if changed {
+        log_change(shared, routed, "told");
+    }
+}
+
+/// Sends the whole list to an entry that knows too little of it.
+pub(crate) fn send_whole(routed: &RoutedInterface, sender: &WireSender) {
+    let Some(whole) = routed.listing().whole() else {
+        return;
+    };
+    let age_ms = Timestamp::now().since(whole.asked_at).as_millis() as u64;
+    let (rows, position) = (whole.rows, whole.position);
+    let _ = sender.try_send(ControlMessage::Listing { rows, base: 0, position, age_ms });
+}
+
+fn log_change(shared: &EntryShared, routed: &RoutedInterface, source: &str) {
+    let listing = routed.listing();
+    let (position, count) = (listing.position(), listing.endpoints().count());
+    let leaving = listing.endpoints().filter(|listed| listed.is_leaving).count();
+    drop(listing);
+    log::info!(target: "list", position = position, endpoints = count, leaving = leaving, source = source; "The list of endpoints changed.");
+    shared.rebuild_routes();
+}
--- /dev/null
+++ b/crates/entry/src/control/manifests.rs
@@ -0,0 +1,79 @@
+//! Pinning the bytes of named versions.
+//!
+//! The origin may send damaged bytes, also of a manifest, and nothing signs
+//! one. Two equal reads are taken for the real thing; damage never comes out
+//! the same twice. The digest is told to the other entries, so that one of
+//! them does this work.
+
+use std::{sync::Arc, time::Duration};
+
+use cassiawheel_model::{ManifestDigest, ModelVersion, NamedVersion, Timestamp};
+use cassiawheel_runtime::timeout;
+use smol::Timer;
+
+use super::operators::take_version;
+use crate::{routed::RoutedInterface, shared::EntryShared};
+
+/// Time that each entry leaves to the one before it.
+const TURN_TIME: Duration = Duration::from_millis(80);
+
+/// Wait after a failed read.
+const AGAIN_TIME: Duration = Duration::from_millis(250);
+
+/// Longest wait for a manifest of a few kilobytes.
+const READ_TIME: Duration = Duration::from_millis(1_500);
+
+/// Pins every named version for ever.
+pub(crate) async fn pin_versions(shared: Arc<EntryShared>, routed: Arc<RoutedInterface>) {
+    loop {
+        if let Some(addr) = shared.origin_addr() {
+            shared.origin.relocate(addr);
+        }
+        let Some(named) = first_unpinned(&routed) else {
+            timeout(Duration::from_secs(1), routed.versions_changed()).await;
+            continue;
+        };
+        Timer::after(TURN_TIME * shared.own_rank()).await;
+        if first_unpinned(&routed).as_ref().map(|left| &left.version) != Some(&named.version) {
+            continue;
+        }
+        match read_twice(&shared, &named.version).await {
+            Some(manifest) => {
+                let pinned = NamedVersion { manifest: Some(manifest), ..named };
+                take_version(&shared, &routed, &pinned);
+            }
+            None => {
+                Timer::after(AGAIN_TIME).await;
+            }
+        }
+    }
+}
+
+fn first_unpinned(routed: &RoutedInterface) -> Option<NamedVersion> {
+    let named = routed.versions.load().named(Timestamp::now());
+    named.into_iter().find(|named| named.manifest.is_none())
+}
+
+async fn read_twice(shared: &EntryShared, version: &ModelVersion) -> Option<ManifestDigest> {
+    let first = read_once(shared, version).await?;
+    let second = read_once(shared, version).await?;
+    if first != second {
+        log::warn!(target: "preset", version:% = version; "Two reads of a manifest differ.");
+        return None;
+    }
+    Some(first)
+}
+
+async fn read_once(shared: &EntryShared, version: &ModelVersion) -> Option<ManifestDigest> {
+    match timeout(READ_TIME, shared.origin.manifest(version)).await {
+        Some(Ok(manifest)) => Some(manifest.digest),
+        Some(Err(error)) => {
+            log::info!(target: "preset", version:% = version, cause:% = error; "A manifest cannot be read.");
+            None
+        }
+        None => {
+            log::info!(target: "preset", version:% = version; "A manifest takes too long.");
+            None
+        }
+    }
+}
--- a/crates/entry/src/control/orders.rs
+++ b/crates/entry/src/control/orders.rs
@@ -26,6 +26,10 @@
 
 /// Sends an agent that knows `revision` the preset in force, if that is newer.
 pub(crate) fn send_preset(shared: &EntryShared, link: &AgentLink, revision: PresetRevision) {
+    if shared.routed.is_some() {
+        // No request passes the agent, so it needs orders only.
+        return;
+    }
     let force = shared.force.load_full();
     if let Some(preset) = force.filter(|preset| preset.revision > revision) {
         let _ = link.sender.try_send(ControlMessage::Force(preset));
@@ -59,7 +63,13 @@
         .map(|member| &member.report)
         .collect();
     let ahead = ahead.as_ref().map(|ahead| &ahead.staged.content);
-    plan_orders(PlanInput { preset: &preset, ahead, reports: &reports })
+    match &shared.routed {
+        Some(routed) => {
+            let preset = routed.with_versions(&preset);
+            plan_orders(PlanInput { preset: &preset, ahead, reports: &reports })
+        }
+        None => plan_orders(PlanInput { preset: &preset, ahead, reports: &reports }),
+    }
 }
 
 fn send_order(shared: &EntryShared, planned: PlannedOrder) {
@@ -69,6 +79,7 @@
     };
     let PlannedOrder { instance, version, manifest, fencing, serve, reason } = planned;
     log::info!(target: "place", instance:% = instance, version:% = version, fencing = fencing, serve = serve, reason:? = reason; "Orders an endpoint.");
-    let order = WeightOrder { version, manifest, fencing, serve };
+    let origin = shared.origin_addr();
+    let order = WeightOrder { version, manifest, fencing, serve, origin };
     let _ = link.sender.try_send(ControlMessage::Order(order));
 }
--- a/crates/entry/src/control/spread.rs
+++ b/crates/entry/src/control/spread.rs
@@ -10,20 +10,24 @@
 };
 
 use cassiawheel_decide::{
-    PeerEntry,
+    ListingNews, PeerEntry,
     advice::AdviceInput,
     rank::{first_ranked, subject_of},
 };
 use cassiawheel_model::{
     ForcedPreset, InstanceId, PresetRevision, Timestamp, settings::EntrySettings,
 };
+use cassiawheel_runtime::spawn;
 use cassiawheel_wire::{
     ControlMessage, HelloMessage, ProcessKind, WireMessage, WireReceiver, WireSender, connect,
 };
 use smol::Timer;
 
-use super::drains;
-use crate::shared::EntryShared;
+use super::{drains, entries, listing, operators};
+use crate::{
+    routed::RoutedInterface,
+    shared::{EntryShared, PeerLink},
+};
 
 /// Time between heartbeats of an entry.
 const BEAT_TIME: Duration = Duration::from_millis(500);
@@ -41,6 +45,12 @@
 /// connected while a third of them is cut.
 const MAX_DIALLED: usize = 12;
 
+/// Time in which the operators' rows bring a preset of which another entry has told.
+const PULL_TIME: Duration = Duration::from_millis(250);
+
+/// Time between looks whether a connection that the other end made is still up.
+const LINKED_TIME: Duration = Duration::from_millis(1_000);
+
 /// Time between looks whether the start hold is over.
 const SETTLE_STEP: Duration = Duration::from_millis(20);
 
@@ -62,6 +72,14 @@
 }
 
 fn push_everywhere(shared: &EntryShared, preset: &Arc<ForcedPreset>) {
+    if shared.routed.is_some() {
+        // Each entry follows the operators' rows by itself. A table of routes
+        // is some fifty kilobytes; pushed from each entry to each other it
+        // would be most of the traffic between regions. The heartbeat tells
+        // that there is a newer preset, and who lacks it asks.
+        send_to_peers(shared, &beat_message(shared));
+        return;
+    }
     let message = ControlMessage::Force(preset.clone());
     for link in shared.links.load().values() {
         let _ = link.sender.try_send(message.clone());
@@ -71,11 +89,15 @@
 
 /// Sends to every connected entry, whichever end dialled.
 pub(crate) fn send_to_peers(shared: &EntryShared, message: &ControlMessage) {
-    shared.peer_links().retain(|peer| peer.try_send(message.clone()).is_ok());
+    shared.peer_links().retain(|peer| peer.sender.try_send(message.clone()).is_ok());
 }
 
 /// Handles what another entry tells over the connection of `sender`.
-pub(crate) fn handle_peer(shared: &EntryShared, sender: &WireSender, message: ControlMessage) {
+pub(crate) fn handle_peer(
+    shared: &Arc<EntryShared>,
+    sender: &WireSender,
+    message: ControlMessage,
+) {
     match message {
         ControlMessage::Force(preset) => adopt(shared, &preset),
         ControlMessage::EntryBeat {
@@ -87,7 +109,9 @@
             in_flight,
             leaving,
             advised,
+            inner_addr,
         } => {
+            note_link(shared, sender, inner_addr);
             let advice = AdviceInput { caller_addr, failure_domain, in_flight, leaving };
             let heard_at = Timestamp::now();
             let peer = PeerEntry { advice, incarnation, revision, advised, heard_at };
@@ -102,6 +126,15 @@
             log::info!(target: "roster", instance:% = instance; "An entry leaves.");
         }
         ControlMessage::Drain { instance } => drains::drain_here(shared, &instance),
+        ControlMessage::PresetWanted => {
+            if let Some(preset) = shared.force.load_full() {
+                let _ = sender.try_send(ControlMessage::Force(preset));
+            }
+        }
+        ControlMessage::Named(_)
+        | ControlMessage::Listing { .. }
+        | ControlMessage::ListingWanted
+        | ControlMessage::Entries(_) => handle_routed(shared, sender, message),
         ControlMessage::Report(_)
         | ControlMessage::Beat(_)
         | ControlMessage::EntryAlive { .. }
@@ -110,13 +143,74 @@
     }
 }
 
-/// Sends the preset in force to an entry whose heartbeat shows an older one.
-fn heal(shared: &EntryShared, sender: &WireSender, revision: PresetRevision) {
+/// Handles what only entries tell each other whose callers are routed by a table.
+fn handle_routed(shared: &Arc<EntryShared>, sender: &WireSender, message: ControlMessage) {
+    let Some(routed) = &shared.routed else {
+        return;
+    };
+    match message {
+        ControlMessage::Named(named) => operators::take_version(shared, routed, &named),
+        ControlMessage::Listing { rows, base, position, age_ms } => {
+            let asked_at = Timestamp(Timestamp::now().0.saturating_sub(age_ms));
+            let news = ListingNews { rows, base, position, asked_at };
+            listing::hear_listing(shared, routed, sender, news);
+        }
+        ControlMessage::ListingWanted => listing::send_whole(routed, sender),
+        ControlMessage::Entries(addrs) => entries::meet(shared, routed, &addrs),
+        _ => {}
+    }
+}
+
+/// Notes which entry is at the other end of a connection.
+fn note_link(shared: &Arc<EntryShared>, sender: &WireSender, addr: SocketAddr) {
+    let mut links = shared.peer_links();
+    if let Some(link) = links.iter_mut().find(|link| link.sender.is_same(sender)) {
+        link.addr = Some(addr);
+    }
+    drop(links);
+    if let Some(routed) = &shared.routed {
+        entries::meet(shared, routed, &[addr]);
+    }
+}
+
+/// Whether a connection to the entry at `addr` is up, whichever end made it.
+fn is_linked(shared: &EntryShared, addr: SocketAddr) -> bool {
+    let links = shared.peer_links();
+    links.iter().any(|link| link.addr == Some(addr) && !link.sender.is_closed())
+}
+
+/// Sends the preset in force to an entry whose heartbeat shows an older one, or
+/// asks it for a newer one.
+fn heal(shared: &Arc<EntryShared>, sender: &WireSender, revision: PresetRevision) {
+    if let Some(routed) = &shared.routed {
+        if revision > shared.known_revision() && !routed.pulling.swap(true, Ordering::AcqRel) {
+            spawn(pull_preset(shared.clone(), routed.clone(), sender.clone(), revision)).detach();
+        }
+        return;
+    }
     if let Some(preset) = shared.force.load_full().filter(|preset| preset.revision > revision) {
         let _ = sender.try_send(ControlMessage::Force(preset));
     }
 }
 
+/// Asks another entry for its preset, if the operators' rows do not bring it meanwhile.
+async fn pull_preset(
+    shared: Arc<EntryShared>,
+    routed: Arc<RoutedInterface>,
+    sender: WireSender,
+    revision: PresetRevision,
+) {
+    if shared.force.load().is_some() {
+        Timer::after(PULL_TIME).await;
+    }
+    if shared.known_revision() < revision {
+        log::info!(target: "preset", revision = revision.0; "Asks another entry for a preset.");
+        let _ = sender.try_send(ControlMessage::PresetWanted);
+        Timer::after(PULL_TIME).await;
+    }
+    routed.pulling.store(false, Ordering::Release);
+}
+
 /// The entries that this one dials: the same choice after every restart.
 pub(crate) fn chosen_peers(settings: &EntrySettings) -> Vec<SocketAddr> {
     let names: Vec<_> = settings.peers.iter().map(ToString::to_string).collect();
@@ -131,6 +225,10 @@
 pub(crate) async fn keep_peer(shared: Arc<EntryShared>, addr: SocketAddr) {
     let local = Some(shared.settings.listen.inner.ip());
     loop {
+        if is_linked(&shared, addr) {
+            Timer::after(LINKED_TIME).await;
+            continue;
+        }
         match connect(addr, &shared.settings.inner_key, local).await {
             Ok((sender, receiver)) => {
                 let hello = HelloMessage {
@@ -149,18 +247,16 @@
 
 /// Talks with another entry until the connection ends; `dialled` if this end made it.
 pub(crate) async fn converse(
-    shared: &EntryShared,
+    shared: &Arc<EntryShared>,
     sender: WireSender,
     mut receiver: WireReceiver,
     dialled: Option<SocketAddr>,
 ) {
     // The preset goes before the heartbeat, so that the other end has it once
     // it takes this entry as heard.
-    if let Some(preset) = shared.force.load_full() {
-        let _ = sender.try_send(ControlMessage::Force(preset));
-    }
+    greet(shared, &sender);
     let _ = sender.try_send(beat_message(shared));
-    shared.peer_links().push(sender.clone());
+    shared.peer_links().push(PeerLink { sender: sender.clone(), addr: None });
     let mut other = None;
     while let Ok(message) = receiver.recv().await {
         let WireMessage::Control(message) = message else {
@@ -180,6 +276,23 @@
     sender.close();
 }
 
+/// Tells an entry at the other end of a new connection what it may lack.
+fn greet(shared: &EntryShared, sender: &WireSender) {
+    let Some(routed) = &shared.routed else {
+        if let Some(preset) = shared.force.load_full() {
+            let _ = sender.try_send(ControlMessage::Force(preset));
+        }
+        return;
+    };
+    for named in routed.versions.load().named(Timestamp::now()) {
+        let _ = sender.try_send(ControlMessage::Named(named));
+    }
+    let _ = sender.try_send(ControlMessage::Entries(routed.known_entries()));
+    if routed.listing().position() == 0 {
+        let _ = sender.try_send(ControlMessage::ListingWanted);
+    }
+}
+
 /// The process at the other end of a connection.
 struct PeerProcess {
     instance: InstanceId,
@@ -198,7 +311,7 @@
 
 /// Takes a short heartbeat of `other`; asks for a whole one if it was dropped meanwhile.
 fn hear_alive(
-    shared: &EntryShared,
+    shared: &Arc<EntryShared>,
     sender: &WireSender,
     other: Option<&PeerProcess>,
     in_flight: u32,
@@ -258,6 +371,7 @@
         in_flight: shared.in_flight.load(Ordering::Relaxed),
         leaving: shared.leaving.load(Ordering::Acquire),
         advised: shared.is_advised(),
+        inner_addr: settings.listen.inner,
     }
 }
 
--- a/crates/entry/src/inner.rs
+++ b/crates/entry/src/inner.rs
@@ -5,7 +5,7 @@
     time::Duration,
 };
 
-use cassiawheel_model::{EndpointReport, LoadReport, Timestamp};
+use cassiawheel_model::{EndpointReport, LoadReport, PresetRevision, Timestamp};
 use cassiawheel_runtime::{ShutdownSignal, listener::accept_connections, timeout};
 use cassiawheel_wire::{
     ControlMessage, HelloMessage, ProcessKind, WireMessage, WireReceiver, WireSender, accept,
@@ -64,8 +64,9 @@
 ) {
     let link = Arc::new(AgentLink::new(hello.instance, hello.incarnation, sender));
     shared.add_link(link.clone());
-    if let Some(preset) = shared.force.load_full() {
-        let _ = link.sender.try_send(ControlMessage::Force(preset));
+    orders::send_preset(shared, &link, PresetRevision::default());
+    if let Some(routed) = &shared.routed {
+        let _ = link.sender.try_send(ControlMessage::Entries(routed.known_entries()));
     }
     loop {
         match receiver.recv().await {
@@ -102,7 +103,12 @@
         | ControlMessage::EntryAlive { .. }
         | ControlMessage::EntryBeat { .. }
         | ControlMessage::Order(_)
-        | ControlMessage::Peers(_) => {}
+        | ControlMessage::Peers(_)
+        | ControlMessage::PresetWanted
+        | ControlMessage::Named(_)
+        | ControlMessage::Listing { .. }
+        | ControlMessage::ListingWanted
+        | ControlMessage::Entries(_) => {}
     }
 }
 
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -9,12 +9,16 @@
 mod caller;
 pub mod cli;
 mod control;
+mod direct;
 mod inner;
 mod link;
 mod metrics;
+mod routed;
 mod serve;
 mod shared;
 
+pub use routed::RoutedEdges;
+
 use cassiawheel_model::settings::EntrySettings;
 
 /// Executor threads of an entry.
@@ -23,5 +27,12 @@
 /// Runs an entry until it is asked to stop.
 pub fn run(settings: EntrySettings) -> anyhow::Result<()> {
     let _log = cassiawheel_runtime::logging::start(&settings.log)?;
-    cassiawheel_runtime::run(THREADS, serve::serve(settings))?
+    cassiawheel_runtime::run(THREADS, serve::serve(settings, None))?
+}
+
+/// Runs an entry whose callers are routed by a table until it is asked to stop.
+pub fn run_routed(settings: EntrySettings, edges: RoutedEdges) -> anyhow::Result<()> {
+    let _log = cassiawheel_runtime::logging::start(&settings.log)?;
+    let threads = edges.settings.threads;
+    cassiawheel_runtime::run(threads, serve::serve(settings, Some(edges)))?
 }
--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -31,11 +31,10 @@
 }
 
 /// One attempt under way; dropping it tells the agent that nobody waits for it.
-pub(crate) struct AttemptStream {
+pub(crate) struct LinkStream {
     link: Arc<AgentLink>,
     attempt: u64,
     messages: Receiver<RequestMessage>,
-    peeked: Option<RequestMessage>,
     ended: bool,
 }
 
@@ -56,13 +55,12 @@
         self: &Arc<Self>,
         head: RequestHead,
         body: &Bytes,
-    ) -> Result<AttemptStream, NotRunReason> {
+    ) -> Result<LinkStream, NotRunReason> {
         let span = head.deadline.remaining(Timestamp::now()).min(MAX_QUEUE_TIME);
         let attempt = self.attempts.fetch_add(1, Ordering::Relaxed);
         let (sender, messages) = unbounded();
         self.waiting().insert(attempt, sender);
-        let stream =
-            AttemptStream { link: self.clone(), attempt, messages, peeked: None, ended: false };
+        let stream = LinkStream { link: self.clone(), attempt, messages, ended: false };
         let message =
             RequestMessage::Dispatch { attempt, head: Box::new(head), body: body.to_vec() };
         // The queue is full when the agent is paused or its link stalls. Giving
@@ -95,12 +93,9 @@
     }
 }
 
-impl AttemptStream {
+impl LinkStream {
     /// The next message; `None` once the connection is gone.
     pub(crate) async fn next(&mut self) -> Option<RequestMessage> {
-        if let Some(message) = self.peeked.take() {
-            return Some(message);
-        }
         let message = self.messages.recv().await.ok()?;
         self.ended = matches!(
             message,
@@ -111,14 +106,6 @@
         Some(message)
     }
 
-    /// Looks at the next message without taking it.
-    pub(crate) async fn peek(&mut self) -> Option<&RequestMessage> {
-        if self.peeked.is_none() {
-            self.peeked = self.next().await;
-        }
-        self.peeked.as_ref()
-    }
-
     /// Lets the agent send `bytes` more.
     ///
     /// Waits for room in the queue: a credit that is lost would stall the rest
@@ -134,7 +121,7 @@
     }
 }
 
-impl Drop for AttemptStream {
+impl Drop for LinkStream {
     fn drop(&mut self) {
         self.link.waiting().remove(&self.attempt);
         if self.ended {
--- /dev/null
+++ b/crates/entry/src/routed.rs
@@ -0,0 +1,235 @@
+//! What an entry has beside [`crate::shared`] where callers are routed by the
+//! table of the preset in force and endpoints are reached directly.
+
+use std::{
+    collections::{BTreeSet, HashMap},
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, atomic::AtomicBool},
+    time::Duration,
+};
+
+use arc_swap::{ArcSwap, ArcSwapOption};
+use cassiawheel_decide::{CallerIndex, EndpointListing, RetryBudget, VersionBook};
+use cassiawheel_edge::{
+    CallerProtocol, EndpointProtocol, ListingFeed, OperatorFeed, TableStore, WeightSource,
+};
+use cassiawheel_model::{
+    EndpointReport, EndpointState, ForcedPreset, InstanceId, ListedEndpoint, ModelVersion,
+    NamedVersion, ServiceName, ServiceTarget, Timestamp, settings::RoutedSettings,
+};
+use smol::channel::{Receiver, Sender, bounded};
+
+use crate::direct::DirectClient;
+
+/// Requests that may wait at an endpoint beyond those that it works on.
+///
+/// A place comes free every 50 to 100 ms at a busy engine, so that one more
+/// request waits about as long as the way there and back saves.
+const WAITING_ALLOWED: u32 = 1;
+
+/// Entries among which the retries of a service are shared at least.
+///
+/// An entry that starts knows of no other yet, and would take all of them.
+const FEWEST_ENTRIES: usize = 9;
+
+/// The edges of such an entry.
+pub struct RoutedEdges {
+    /// Settings beside those of every entry.
+    pub settings: RoutedSettings,
+    /// The callers' protocol.
+    pub callers: Arc<dyn CallerProtocol>,
+    /// The endpoints' protocol.
+    pub endpoints: Arc<dyn EndpointProtocol>,
+    /// The operators' rows.
+    pub operators: Arc<OperatorFeed>,
+    /// The list of endpoints.
+    pub list: Arc<ListingFeed>,
+    /// The project's own rows.
+    pub table: Arc<dyn TableStore>,
+    /// The origin of weights.
+    pub origin: Arc<dyn WeightSource>,
+}
+
+/// State of such an entry.
+pub(crate) struct RoutedInterface {
+    /// Settings.
+    pub(crate) settings: RoutedSettings,
+    /// The callers' protocol.
+    pub(crate) callers: Arc<dyn CallerProtocol>,
+    /// The client of endpoints.
+    pub(crate) direct: Arc<DirectClient>,
+    /// The operators' rows.
+    pub(crate) operators: Arc<OperatorFeed>,
+    /// The list of endpoints.
+    pub(crate) list: Arc<ListingFeed>,
+    /// Routes and keys of the preset in force; read without a lock.
+    pub(crate) index: ArcSwapOption<CallerIndex>,
+    /// The versions that operators named; read without a lock.
+    pub(crate) versions: ArcSwap<VersionBook>,
+    /// Whether a preset is being asked of another entry.
+    pub(crate) pulling: AtomicBool,
+    versions_changed: (Sender<()>, Receiver<()>),
+    listing: Mutex<EndpointListing>,
+    entries: Mutex<BTreeSet<SocketAddr>>,
+    budgets: ArcSwap<HashMap<ServiceName, Arc<RetryBudget>>>,
+}
+
+/// An endpoint that requests may be sent to.
+pub(crate) struct DirectCandidate<'a> {
+    /// The endpoint.
+    pub(crate) listed: &'a ListedEndpoint,
+    /// The version that it serves; none for plain services.
+    pub(crate) version: Option<ModelVersion>,
+    /// Requests that it may have at a time.
+    pub(crate) limit: u32,
+}
+
+impl RoutedInterface {
+    /// The state of a process that has just started.
+    pub(crate) fn new(edges: RoutedEdges) -> Self {
+        Self {
+            listing: Mutex::new(EndpointListing::new(edges.settings.list_heartbeat_ms)),
+            settings: edges.settings,
+            callers: edges.callers,
+            direct: Arc::new(DirectClient::new(edges.endpoints)),
+            operators: edges.operators,
+            list: edges.list,
+            index: ArcSwapOption::empty(),
+            versions: ArcSwap::default(),
+            pulling: AtomicBool::new(false),
+            versions_changed: bounded(1),
+            entries: Mutex::default(),
+            budgets: ArcSwap::default(),
+        }
+    }
+
+    /// The list of endpoints.
+    pub(crate) fn listing(&self) -> MutexGuard<'_, EndpointListing> {
+        self.listing.lock().unwrap_or_else(|poison| poison.into_inner())
+    }
+
+    /// Notes the inner addresses of entries; those that were not known, without the own one.
+    pub(crate) fn note_entries(&self, addrs: &[SocketAddr], own: SocketAddr) -> Vec<SocketAddr> {
+        let mut known = self.entries.lock().unwrap_or_else(|poison| poison.into_inner());
+        addrs.iter().copied().filter(|addr| *addr != own && known.insert(*addr)).collect()
+    }
+
+    /// Inner addresses of all entries that are known.
+    pub(crate) fn known_entries(&self) -> Vec<SocketAddr> {
+        self.entries.lock().unwrap_or_else(|poison| poison.into_inner()).iter().copied().collect()
+    }
+
+    /// Takes up the routes and keys of the preset that is in force from now on.
+    pub(crate) fn take_preset(&self, preset: &ForcedPreset) {
+        let table = preset.content.callers.clone();
+        self.index.store(table.map(|table| Arc::new(CallerIndex::new(table))));
+    }
+
+    /// Takes in a named version; true if it or its manifest was not known.
+    pub(crate) fn offer_version(&self, named: &NamedVersion) -> bool {
+        let span = Duration::from_millis(self.settings.version_ms);
+        let now = Timestamp::now();
+        let mut is_new = false;
+        self.versions.rcu(|known| {
+            let mut book = VersionBook::clone(known);
+            is_new = book.offer(named, span, now);
+            book
+        });
+        if is_new {
+            let _ = self.versions_changed.0.try_send(());
+        }
+        is_new
+    }
+
+    /// Completes when a version or a manifest became known.
+    pub(crate) async fn versions_changed(&self) {
+        let _ = self.versions_changed.1.recv().await;
+    }
+
+    /// The only version that may answer requests of `target` now, if others may not any more.
+    pub(crate) fn only_version(
+        &self,
+        target: &ServiceTarget,
+        now: Timestamp,
+    ) -> Option<ModelVersion> {
+        let engine = target.engine.as_ref()?;
+        self.versions.load().alone(&engine.model, now).cloned()
+    }
+
+    /// `preset` with the versions that were named since.
+    pub(crate) fn with_versions(&self, preset: &ForcedPreset) -> ForcedPreset {
+        let versions = self.versions.load();
+        let mut planned = preset.clone();
+        planned.content.callers = None;
+        for target in planned.content.services.values_mut() {
+            let model = target.engine.as_ref().map(|engine| engine.model.as_str());
+            if let Some(wanted) = model.and_then(|model| versions.wanted(model)) {
+                target.version = Some(wanted.version.clone());
+                target.manifest = wanted.manifest;
+            }
+        }
+        planned
+    }
+
+    /// Retries of `service`; this entry's share of those that all entries may make.
+    pub(crate) fn retry_budget(&self, service: &ServiceName, entries: usize) -> Arc<RetryBudget> {
+        if let Some(budget) = self.budgets.load().get(service) {
+            return budget.clone();
+        }
+        let savings = self.settings.retry_slack / entries.max(FEWEST_ENTRIES) as f64;
+        let fresh = Arc::new(RetryBudget::new(self.settings.retry_ratio, savings));
+        self.budgets.rcu(|known| {
+            let mut known = HashMap::clone(known);
+            known.entry(service.clone()).or_insert_with(|| fresh.clone());
+            known
+        });
+        self.budgets.load().get(service).cloned().unwrap_or(fresh)
+    }
+}
+
+/// The listed endpoints that requests may be sent to.
+///
+/// The list lags by seconds; the word of the agent beside an engine is newer
+/// and goes before it.
+pub(crate) fn direct_candidates<'a>(
+    listing: &'a EndpointListing,
+    preset: &ForcedPreset,
+    reports: &HashMap<SocketAddr, &EndpointReport>,
+) -> Vec<DirectCandidate<'a>> {
+    let present = listing.endpoints().filter(|listed| !listed.is_leaving);
+    let candidate = |listed: &'a ListedEndpoint| {
+        let target = preset.content.services.get(&listed.service)?;
+        let limit = listed.slots + WAITING_ALLOWED;
+        if target.engine.is_none() {
+            return Some(DirectCandidate { listed, version: None, limit });
+        }
+        let version = served_version(listed, reports.get(&listed.addr).copied())?;
+        Some(DirectCandidate { listed, version: Some(version), limit })
+    };
+    present.filter_map(candidate).collect()
+}
+
+fn served_version(
+    listed: &ListedEndpoint,
+    report: Option<&EndpointReport>,
+) -> Option<ModelVersion> {
+    match report.map(|report| &report.state) {
+        Some(EndpointState::Serving { version, .. }) => version.clone(),
+        Some(EndpointState::Empty | EndpointState::Switching) => None,
+        // An agent that leaves says nothing of its engine, which stays.
+        Some(EndpointState::Draining) | None => listed.version.clone(),
+    }
+}
+
+/// Reports of agents by the endpoint beside which they run.
+pub(crate) fn reports_by_endpoint<'a>(
+    reports: impl Iterator<Item = &'a EndpointReport>,
+) -> HashMap<SocketAddr, &'a EndpointReport> {
+    reports.map(|report| (report.endpoint_addr, report)).collect()
+}
+
+/// The endpoint process at which an agent's load counts.
+pub(crate) fn listed_at(listing: &EndpointListing, addr: SocketAddr) -> Option<InstanceId> {
+    let mut found = listing.endpoints().filter(|listed| listed.addr == addr);
+    found.next().map(|listed| listed.instance.clone())
+}
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -24,31 +24,54 @@
 
 use crate::{
     admin, caller,
-    control::{membership, orders, poll, spread},
+    control::{entries, listing, manifests, membership, operators, orders, poll, spread},
     inner::serve_inner,
     metrics::EntryMetrics,
+    routed::{RoutedEdges, RoutedInterface},
     shared::EntryShared,
 };
 
+/// Longest idle time of a caller's connection.
+///
+/// Presets name a shorter one; callers use a connection for a part of that, and
+/// one that ends under them costs a request.
+const IDLE_TIME: Duration = Duration::from_secs(60);
+
+/// Longest time for which a leaving entry takes new connections.
+///
+/// Callers keep the addresses that they were told for the advised time, some of
+/// them longer; the rest of the shutdown is for the requests in progress.
+const LEAVE_TIME: Duration = Duration::from_millis(3_000);
+
 /// The addresses of an entry, all taken.
 struct EntryListeners {
     caller: TcpListener,
     admin: TcpListener,
     inner: TcpListener,
     metrics: TcpListener,
+    routed: Option<RoutedListeners>,
+}
+
+/// Further addresses of an entry whose callers are routed by a table.
+struct RoutedListeners {
+    ready: TcpListener,
+    advice: TcpListener,
 }
 
 /// Runs until the process is asked to stop; then drains.
-pub(crate) async fn serve(settings: EntrySettings) -> anyhow::Result<()> {
+pub(crate) async fn serve(
+    settings: EntrySettings,
+    edges: Option<RoutedEdges>,
+) -> anyhow::Result<()> {
     let mut signals = TerminationSignals::listen()?;
     // Every address is taken before anything else begins: an entry that finds
     // one in use ends without having told anyone that it is there.
-    let listeners = EntryListeners::bind(&settings.listen).await?;
+    let listeners = EntryListeners::bind(&settings.listen, edges.as_ref()).await?;
     let registry = Registry::new();
     let metrics = EntryMetrics::register(&registry)?;
     TRAFFIC.register(&registry)?;
 
-    let shared = build_shared(settings, metrics);
+    let shared = build_shared(settings, edges, metrics);
     let (trigger, shutdown) = ShutdownTrigger::new();
     let (caller_trigger, caller_shutdown) = ShutdownTrigger::new();
     let ready = shared.clone();
@@ -57,11 +80,18 @@
     spawn(serve_inner(shared.clone(), listeners.inner, shutdown.clone())).detach();
     start_control(&shared);
     spawn(serve_operators(shared.clone(), listeners.admin, shutdown)).detach();
+    if let (Some(routed), Some(listeners)) = (&shared.routed, listeners.routed) {
+        start_routed(&shared, routed, listeners, &caller_shutdown);
+    }
     let callers = spawn(serve_callers(shared.clone(), listeners.caller, caller_shutdown));
     let caller_addr = shared.settings.listen.caller;
     log::info!(target: "process", instance:% = shared.settings.place.instance, caller:% = caller_addr; "The entry runs.");
 
-    signals.asked().await;
+    signals
+        .asked_or(|| {
+            log::info!(target: "process", "The settings file has changed; it is read at the next start.");
+        })
+        .await;
     let span = Duration::from_millis(shared.settings.control.drain_ms);
     let deadline = Timestamp::now().deadline_after(span);
     let drained = async {
@@ -77,8 +107,16 @@
 }
 
 impl EntryListeners {
-    async fn bind(listen: &EntryListen) -> anyhow::Result<Self> {
+    async fn bind(listen: &EntryListen, edges: Option<&RoutedEdges>) -> anyhow::Result<Self> {
+        let routed = match edges {
+            Some(edges) => Some(RoutedListeners {
+                ready: bind(edges.settings.listen_ready, "listen.ready").await?,
+                advice: bind(edges.settings.listen_advice, "listen.directory").await?,
+            }),
+            None => None,
+        };
         Ok(Self {
+            routed,
             caller: bind(listen.caller, "listen.caller").await?,
             admin: bind(listen.admin, "listen.admin").await?,
             inner: bind(listen.inner, "listen.inner").await?,
@@ -87,32 +125,73 @@
     }
 }
 
-fn build_shared(settings: EntrySettings, metrics: EntryMetrics) -> Arc<EntryShared> {
+fn build_shared(
+    settings: EntrySettings,
+    edges: Option<RoutedEdges>,
+    metrics: EntryMetrics,
+) -> Arc<EntryShared> {
+    if let Some(edges) = edges {
+        let (table, origin) = (edges.table.clone(), edges.origin.clone());
+        let routed = Arc::new(RoutedInterface::new(edges));
+        return Arc::new(EntryShared::new(settings, table, origin, metrics, Some(routed)));
+    }
     let client = HttpClient::default();
     let platform = &settings.platform;
     let span = Duration::from_millis(platform.timeout_ms);
     let table = Arc::new(HttpTable::new(client.clone(), platform.table, span));
     let origin = Arc::new(HttpWeights::new(client, platform.origin, span));
-    Arc::new(EntryShared::new(settings, table, origin, metrics))
+    Arc::new(EntryShared::new(settings, table, origin, metrics, None))
 }
 
 /// Starts whatever keeps the preset in force and the membership up to date.
 fn start_control(shared: &Arc<EntryShared>) {
-    let platform = &shared.settings.platform;
-    let span = Duration::from_millis(platform.timeout_ms);
-    let list = Arc::new(HttpInstances::new(HttpClient::default(), platform.instances, span));
-    spawn(poll::poll_force(shared.clone())).detach();
     spawn(spread::beat(shared.clone())).detach();
     spawn(membership::expire_silent(shared.clone())).detach();
-    spawn(membership::follow_list(shared.clone(), list)).detach();
     spawn(membership::introduce_agents(shared.clone())).detach();
     spawn(orders::plan_regularly(shared.clone())).detach();
     spawn(spread::settle(shared.clone())).detach();
+    match &shared.routed {
+        Some(routed) => follow_feeds(shared, routed),
+        None => poll_services(shared),
+    }
+}
+
+/// Follows the platform's tables, where they can be followed.
+fn follow_feeds(shared: &Arc<EntryShared>, routed: &Arc<RoutedInterface>) {
+    spawn(operators::follow_operators(shared.clone(), routed.clone())).detach();
+    spawn(listing::follow_listing(shared.clone(), routed.clone())).detach();
+    spawn(manifests::pin_versions(shared.clone(), routed.clone())).detach();
+    spawn(entries::register(shared.clone(), routed.clone())).detach();
+}
+
+/// Reads the platform's services again and again.
+fn poll_services(shared: &Arc<EntryShared>) {
+    let platform = &shared.settings.platform;
+    let span = Duration::from_millis(platform.timeout_ms);
+    let list = Arc::new(HttpInstances::new(HttpClient::default(), platform.instances, span));
+    spawn(poll::poll_force(shared.clone())).detach();
+    spawn(membership::follow_list(shared.clone(), list)).detach();
     for peer in spread::chosen_peers(&shared.settings) {
         spawn(spread::keep_peer(shared.clone(), peer)).detach();
     }
 }
 
+/// Answers the platform, and callers that ask which entries to use.
+fn start_routed(
+    shared: &Arc<EntryShared>,
+    routed: &Arc<RoutedInterface>,
+    listeners: RoutedListeners,
+    shutdown: &ShutdownSignal,
+) {
+    let limits = ListenerLimits::default();
+    let (state, interface) = (shared.clone(), routed.clone());
+    let ready = move |request, _| caller::answer_ready(state.clone(), interface.clone(), request);
+    spawn(serve_http(listeners.ready, limits, shutdown.clone(), ready)).detach();
+    let (state, interface) = (shared.clone(), routed.clone());
+    let advice = move |request, _| caller::answer_advice(state.clone(), interface.clone(), request);
+    spawn(serve_http(listeners.advice, limits, shutdown.clone(), advice)).detach();
+}
+
 async fn serve_operators(
     shared: Arc<EntryShared>,
     listener: TcpListener,
@@ -127,8 +206,18 @@
 async fn serve_callers(shared: Arc<EntryShared>, listener: TcpListener, shutdown: ShutdownSignal) {
     let settings = &shared.settings;
     let limits = listener_limits(&settings.limits, settings.caller.max_connections);
-    let answer = move |request, remote| caller::accept(shared.clone(), request, remote);
-    serve_http(listener, limits, shutdown, answer).await;
+    match shared.routed.clone() {
+        Some(routed) => {
+            let limits = ListenerLimits { head_time: IDLE_TIME, ..limits };
+            let answer =
+                move |request, _| caller::accept_routed(shared.clone(), routed.clone(), request);
+            serve_http(listener, limits, shutdown, answer).await;
+        }
+        None => {
+            let answer = move |request, remote| caller::accept(shared.clone(), request, remote);
+            serve_http(listener, limits, shutdown, answer).await;
+        }
+    }
 }
 
 fn listener_limits(settings: &ListenerSettings, connections: usize) -> ListenerLimits {
@@ -149,5 +238,7 @@
 async fn leave(shared: &EntryShared) {
     spread::announce_leaving(shared);
     log::info!(target: "drain", in_flight = shared.in_flight.load(Ordering::Relaxed); "The entry leaves.");
-    Timer::after(Duration::from_millis(shared.settings.caller.advice_ms)).await;
+    let advised = Duration::from_millis(shared.settings.caller.advice_ms);
+    let span = if shared.routed.is_some() { LEAVE_TIME.max(advised) } else { advised };
+    Timer::after(span).await;
 }
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::HashMap,
+    net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard,
         atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
@@ -11,14 +12,14 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use cassiawheel_decide::{
-    Adoption, EndpointCell, EndpointRoster, EntryRoster, PresetHolder, RetryBudget, RouteCandidate,
-    RouteSnapshot, ServiceRoutes, StartHold,
+    Adoption, EndpointCell, EndpointPath, EndpointRoster, EntryRoster, PresetHolder, RetryBudget,
+    RouteCandidate, RouteSnapshot, ServiceRoutes, StartHold,
 };
+use cassiawheel_edge::{TableStore, WeightSource};
 use cassiawheel_model::{
-    EndpointState, ForcedPreset, InstanceId, LoadReport, PresetRevision, RequestId, ServiceName,
-    Timestamp, settings::EntrySettings,
+    EndpointState, ForcedPreset, InstanceId, LoadReport, ModelVersion, PresetRevision, RequestId,
+    ServiceName, Timestamp, settings::EntrySettings,
 };
-use cassiawheel_edge::{TableStore, WeightSource};
 use cassiawheel_wire::WireSender;
 
 use crate::{
@@ -27,6 +28,7 @@
     control::{ahead::AheadRow, spread, store::BudgetedTable},
     link::AgentLink,
     metrics::EntryMetrics,
+    routed::{RoutedInterface, direct_candidates, listed_at, reports_by_endpoint},
 };
 
 /// Longest time for which an entry that starts waits for every source of presets.
@@ -62,8 +64,9 @@
     pub(crate) store: Arc<BudgetedTable>,
     /// Progress of services towards their versions, for forecasts.
     pub(crate) progress: Mutex<ProgressMarks>,
-    /// Retries that this entry may make.
-    pub(crate) retries: RetryBudget,
+    /// What the entry has where callers are routed by a table.
+    pub(crate) routed: Option<Arc<RoutedInterface>>,
+    retries: Arc<RetryBudget>,
     /// Requests of callers in progress.
     pub(crate) in_flight: AtomicU32,
     /// Whether this entry leaves.
@@ -75,7 +78,7 @@
     roster: Mutex<EndpointRoster>,
     cells: Mutex<EndpointCells>,
     peers: Mutex<EntryRoster>,
-    peer_links: Mutex<Vec<WireSender>>,
+    peer_links: Mutex<Vec<PeerLink>>,
     requests: AtomicU64,
 }
 
@@ -86,6 +89,7 @@
         table: Arc<dyn TableStore>,
         origin: Arc<dyn WeightSource>,
         metrics: EntryMetrics,
+        routed: Option<Arc<RoutedInterface>>,
     ) -> Self {
         let now = Timestamp::now();
         let mut sources = spread::chosen_peers(&settings);
@@ -105,7 +109,8 @@
             plan_stale: AtomicBool::new(false),
             store,
             progress: Mutex::default(),
-            retries: RetryBudget::default(),
+            routed,
+            retries: Arc::default(),
             in_flight: AtomicU32::new(0),
             leaving: AtomicBool::new(false),
             advised: AtomicBool::new(false),
@@ -136,10 +141,49 @@
     }
 
     /// Connections to other entries, whichever end dialled.
-    pub(crate) fn peer_links(&self) -> MutexGuard<'_, Vec<WireSender>> {
+    pub(crate) fn peer_links(&self) -> MutexGuard<'_, Vec<PeerLink>> {
         self.peer_links.lock().unwrap_or_else(|poison| poison.into_inner())
     }
 
+    /// Whether this entry leaves.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Acquire)
+    }
+
+    /// Address of the origin of weights, where it comes with the preset.
+    pub(crate) fn origin_addr(&self) -> Option<SocketAddr> {
+        let force = self.force.load();
+        let mut services = force.as_ref()?.content.services.values();
+        services.find_map(|target| target.engine.as_ref()?.origin)
+    }
+
+    /// Entries that go before this one where one of them does the work of all.
+    pub(crate) fn own_rank(&self) -> u32 {
+        let own = &self.settings.place.instance;
+        self.peers().iter().filter(|(instance, _)| *instance < own).count() as u32
+    }
+
+    /// Retries that this entry may make for `service`.
+    pub(crate) fn retry_budget(&self, service: &ServiceName) -> Arc<RetryBudget> {
+        match &self.routed {
+            Some(routed) => routed.retry_budget(service, self.peers().values().count() + 1),
+            None => self.retries.clone(),
+        }
+    }
+
+    /// The only version that may answer requests for `service` now, if one was
+    /// named so long ago that others may not any more.
+    pub(crate) fn only_version(
+        &self,
+        service: &ServiceName,
+        now: Timestamp,
+    ) -> Option<ModelVersion> {
+        let routed = self.routed.as_ref()?;
+        let force = self.force.load();
+        let target = force.as_ref()?.content.services.get(service)?;
+        routed.only_version(target, now)
+    }
+
     /// An id that no other request has.
     pub(crate) fn next_request(&self) -> anyhow::Result<RequestId> {
         let number = self.requests.fetch_add(1, Ordering::Relaxed);
@@ -199,6 +243,9 @@
         if Timestamp::now().since(started_at) > CONNECT_TIME {
             return true;
         }
+        if let Some(routed) = &self.routed {
+            return routed.listing().position() > 0;
+        }
         let roster = self.roster();
         preset.content.services.keys().all(|service| {
             roster.members().any(|member| {
@@ -221,6 +268,9 @@
     /// reverse of the order of their revisions.
     fn publish(&self, preset: &Arc<ForcedPreset>) {
         let revision = preset.revision.0;
+        if let Some(routed) = &self.routed {
+            routed.take_preset(preset);
+        }
         self.force.store(Some(preset.clone()));
         self.plan_stale.store(true, Ordering::Release);
         self.metrics.revision.set(revision as i64);
@@ -267,17 +317,49 @@
         self.admissions.load().get(service).cloned().unwrap_or(fresh)
     }
 
-    /// Takes an endpoint's word of its load.
-    pub(crate) fn hear_load(&self, instance: &InstanceId, load: &LoadReport, limit: u32) {
-        self.cells().of(instance).hear(load, limit);
+    /// Takes an agent's word of its endpoint's load.
+    pub(crate) fn hear_load(&self, agent: &InstanceId, load: &LoadReport, limit: u32) {
+        // The clocks of two machines differ; only the own one tells an age.
+        let load = LoadReport { measured_at: Timestamp::now(), ..*load };
+        let Some(routed) = &self.routed else {
+            self.cells().of(agent).hear(&load, limit);
+            return;
+        };
+        let addr = self.roster().member(agent).map(|member| member.report.endpoint_addr);
+        let Some(instance) = addr.and_then(|addr| listed_at(&routed.listing(), addr)) else {
+            return;
+        };
+        let cell = self.cells().of(&instance);
+        cell.hear(&load, cell.hard_limit());
     }
 
     /// Publishes which endpoints requests may be routed to.
     pub(crate) fn rebuild_routes(&self) {
         let roster = self.roster();
         let mut cells = self.cells();
+        let services = match &self.routed {
+            Some(routed) => self.listed_candidates(routed, &roster, &mut cells),
+            None => self.reported_candidates(&roster, &mut cells),
+        };
+        cells.forget_unused();
+        let routed = services.into_iter().map(|(service, candidates)| {
+            let in_flight = cells.service(&service);
+            (service, ServiceRoutes::new(candidates, in_flight))
+        });
+        let snapshot = RouteSnapshot::new(routed.collect());
+        // Stored under the roster's lock: a snapshot from before a word of
+        // leaving must not replace one from after it.
+        self.routes.store(Arc::new(snapshot));
+    }
+
+    /// Endpoints whose agents serve.
+    fn reported_candidates(
+        &self,
+        roster: &EndpointRoster,
+        cells: &mut EndpointCells,
+    ) -> ServiceCandidates {
         let own_domain = &self.settings.place.failure_domain;
-        let mut services: HashMap<ServiceName, Vec<RouteCandidate>> = HashMap::new();
+        let mut services = ServiceCandidates::new();
         for member in roster.members().filter(|member| !roster.is_leaving(member)) {
             let report = &member.report;
             let EndpointState::Serving { version, .. } = &report.state else {
@@ -291,18 +373,42 @@
                 instance: report.instance.clone(),
                 version: version.clone(),
                 is_near: report.failure_domain == *own_domain,
+                path: EndpointPath::Agent,
                 cell,
             });
         }
-        cells.forget_unused();
-        let routed = services.into_iter().map(|(service, candidates)| {
-            let in_flight = cells.service(&service);
-            (service, ServiceRoutes::new(candidates, in_flight))
-        });
-        let snapshot = RouteSnapshot::new(routed.collect());
-        // Stored under the roster's lock: a snapshot from before a word of
-        // leaving must not replace one from after it.
-        self.routes.store(Arc::new(snapshot));
+        services
+    }
+
+    /// Endpoints that the platform lists, as far as they serve.
+    fn listed_candidates(
+        &self,
+        routed: &RoutedInterface,
+        roster: &EndpointRoster,
+        cells: &mut EndpointCells,
+    ) -> ServiceCandidates {
+        let own_domain = &self.settings.place.failure_domain;
+        let mut services = ServiceCandidates::new();
+        let Some(preset) = self.force.load_full() else {
+            return services;
+        };
+        let reports = reports_by_endpoint(roster.members().map(|member| &member.report));
+        let listing = routed.listing();
+        for candidate in direct_candidates(&listing, &preset, &reports) {
+            let listed = candidate.listed;
+            let cell = cells.of(&listed.instance);
+            cell.set_limit(candidate.limit);
+            services.entry(listed.service.clone()).or_default().push(RouteCandidate {
+                instance: listed.instance.clone(),
+                version: candidate.version,
+                is_near: listed.failure_domain == *own_domain,
+                path: EndpointPath::Direct(listed.addr),
+                cell,
+            });
+        }
+        let listed: Vec<_> = listing.endpoints().map(|listed| &listed.instance).collect();
+        routed.direct.keep_only(|instance| listed.contains(&instance));
+        services
     }
 
     fn cells(&self) -> MutexGuard<'_, EndpointCells> {
@@ -310,6 +416,17 @@
     }
 }
 
+/// A connection to another entry.
+pub(crate) struct PeerLink {
+    /// Messages to it.
+    pub(crate) sender: WireSender,
+    /// Its inner address, once it has told it.
+    pub(crate) addr: Option<SocketAddr>,
+}
+
+/// Endpoints by the service that they belong to.
+type ServiceCandidates = HashMap<ServiceName, Vec<RouteCandidate>>;
+
 /// Counts that outlive the snapshots which point to them.
 #[derive(Debug, Default)]
 struct EndpointCells {
--- a/crates/model/src/endpoint.rs
+++ b/crates/model/src/endpoint.rs
@@ -68,6 +68,8 @@
     pub role: EndpointRole,
     /// Where other agents fetch chunks from it.
     pub inner_addr: SocketAddr,
+    /// Where its engine or plain service is reached.
+    pub endpoint_addr: SocketAddr,
     /// State of its weights.
     pub state: EndpointState,
     /// The manifest being staged or already staged, if any.
--- a/crates/model/src/ids.rs
+++ b/crates/model/src/ids.rs
@@ -197,7 +197,7 @@
 }
 
 digest_id! {
-    /// BLAKE3 digest of one chunk of weights.
+    /// Digest of one chunk of weights; its manifest tells how it is made.
     ChunkDigest;
     /// BLAKE3 digest over a manifest's chunk list; pins one set of weights.
     ManifestDigest;
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -7,17 +7,22 @@
 #[macro_use]
 mod derives;
 
+pub mod callers;
 pub mod endpoint;
 pub mod finding;
+pub mod flags;
 pub mod header;
 pub mod ids;
+pub mod listing;
 pub mod manifest;
 pub mod outcome;
 pub mod preset;
 pub mod request;
 pub mod settings;
+pub mod target;
 pub mod time;
 
+pub use callers::{CallerLimits, CallerTable, RouteKind, RouteRule, RouteShare};
 pub use endpoint::{EndpointReport, EndpointRole, EndpointState, LoadReport, StagedWeights};
 pub use finding::{FindingList, FindingPlace};
 pub use header::HeaderField;
@@ -26,8 +31,10 @@
     ModelVersion, OperatorName, PresetName, RegionName, RequestId, RequestKey, ServiceName,
     WorkspaceId,
 };
-pub use manifest::{ChunkEntry, ManifestError, WeightManifest};
+pub use listing::{ListedEndpoint, ListedRow};
+pub use manifest::{ChunkEntry, ChunkHash, ManifestError, WeightManifest};
 pub use outcome::{NotRunReason, OutcomeKind, RequestOutcome};
 pub use preset::{ForcedPreset, PresetContent, PresetRevision, ServiceKind, ServiceTarget};
 pub use request::{PriorityClass, Repeatability, RequestHead};
+pub use target::{EngineProfile, ModelName, NamedVersion};
 pub use time::{Deadline, Timestamp};
--- a/crates/model/src/manifest.rs
+++ b/crates/model/src/manifest.rs
@@ -5,9 +5,32 @@
 //! be answered from another version.
 
 use macro_rules_attribute::apply;
+use sha2::{Digest, Sha256};
 
 use crate::{ChunkDigest, ManifestDigest, ModelVersion};
 
+/// How the digests of chunks are made; the origin of weights decides.
+#[apply(label!)]
+#[derive(Default)]
+#[serde(rename_all = "kebab-case")]
+pub enum ChunkHash {
+    /// BLAKE3.
+    #[default]
+    Blake3,
+    /// SHA-256.
+    Sha256,
+}
+
+impl ChunkHash {
+    /// Digest of a chunk's bytes.
+    pub fn digest(self, bytes: &[u8]) -> ChunkDigest {
+        match self {
+            Self::Blake3 => ChunkDigest::of(bytes),
+            Self::Sha256 => ChunkDigest::from(<[u8; 32]>::from(Sha256::digest(bytes))),
+        }
+    }
+}
+
 /// One chunk of a manifest.
 #[apply(record!)]
 #[derive(Copy, Eq)]
@@ -30,7 +53,10 @@
     pub chunk_bytes: u32,
     /// The chunks in order.
     pub chunks: Vec<ChunkEntry>,
-    /// Digest over version, chunk length and chunks.
+    /// How the digests of the chunks are made.
+    #[serde(default)]
+    pub hash: ChunkHash,
+    /// Digest over version, chunk length, hash and chunks.
     pub digest: ManifestDigest,
 }
 
@@ -71,13 +97,18 @@
             .chunks(chunk_bytes.max(1) as usize)
             .map(|chunk| ChunkEntry { digest: ChunkDigest::of(chunk), bytes: chunk.len() as u32 })
             .collect();
-        Self::from_chunks(version, chunk_bytes, chunks)
+        Self::from_chunks(version, chunk_bytes, ChunkHash::Blake3, chunks)
     }
 
     /// Builds a manifest from chunks whose digests are known.
-    pub fn from_chunks(version: ModelVersion, chunk_bytes: u32, chunks: Vec<ChunkEntry>) -> Self {
-        let digest = list_digest(&version, chunk_bytes, &chunks);
-        Self { version, chunk_bytes, chunks, digest }
+    pub fn from_chunks(
+        version: ModelVersion,
+        chunk_bytes: u32,
+        hash: ChunkHash,
+        chunks: Vec<ChunkEntry>,
+    ) -> Self {
+        let digest = list_digest(&version, chunk_bytes, hash, &chunks);
+        Self { version, chunk_bytes, chunks, hash, digest }
     }
 
     /// Checks that the list is consistent and matches its own digest.
@@ -93,7 +124,7 @@
                 return Err(ManifestError::ChunkLength { index, bytes, chunk_bytes });
             }
         }
-        if list_digest(&self.version, self.chunk_bytes, &self.chunks) != self.digest {
+        if list_digest(&self.version, self.chunk_bytes, self.hash, &self.chunks) != self.digest {
             return Err(ManifestError::Digest);
         }
         Ok(())
@@ -102,7 +133,8 @@
     /// Checks received bytes against the chunk at `index`.
     pub fn verify_chunk(&self, index: usize, bytes: &[u8]) -> Result<(), ManifestError> {
         let entry = self.chunks.get(index).ok_or(ManifestError::UnknownChunk(index))?;
-        let intact = bytes.len() == entry.bytes as usize && ChunkDigest::of(bytes) == entry.digest;
+        let intact =
+            bytes.len() == entry.bytes as usize && self.hash.digest(bytes) == entry.digest;
         if intact { Ok(()) } else { Err(ManifestError::CorruptChunk(index)) }
     }
 
@@ -117,8 +149,14 @@
     }
 }
 
-fn list_digest(version: &ModelVersion, chunk_bytes: u32, chunks: &[ChunkEntry]) -> ManifestDigest {
+fn list_digest(
+    version: &ModelVersion,
+    chunk_bytes: u32,
+    hash: ChunkHash,
+    chunks: &[ChunkEntry],
+) -> ManifestDigest {
     let mut hasher = blake3::Hasher::new();
+    hasher.update(&[hash as u8]);
     hasher.update(&(version.as_str().len() as u64).to_le_bytes());
     hasher.update(version.as_str().as_bytes());
     hasher.update(&chunk_bytes.to_le_bytes());
--- a/crates/model/src/preset.rs
+++ b/crates/model/src/preset.rs
@@ -3,12 +3,12 @@
 //! Operators keep several presets; exactly one is in force. Each change of the
 //! one in force has a revision, and revisions form one linear history.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, sync::Arc};
 
 use macro_rules_attribute::apply;
 
 use crate::{
-    ChangeId, Deadline, FindingList, ManifestDigest, ModelVersion, OperatorName, PresetName,
+    CallerTable, ChangeId, Deadline, EngineProfile, FindingList, ManifestDigest, ModelVersion, OperatorName, PresetName,
     ServiceName, Timestamp,
 };
 
@@ -55,6 +55,9 @@
     /// Share of the endpoints, in percent, that goes on serving during a switch of versions.
     #[serde(default = "default_serving_percent")]
     pub serving_percent: u32,
+    /// How the service's engines work, where the platform tells.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub engine: Option<EngineProfile>,
 }
 
 fn default_serving_percent() -> u32 {
@@ -72,6 +75,9 @@
 pub struct PresetContent {
     /// The services by name.
     pub services: BTreeMap<ServiceName, ServiceTarget>,
+    /// Routes and keys of callers, where callers reach services by host and path.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub callers: Option<Arc<CallerTable>>,
 }
 
 /// Most replicas that a preset may ask for in one service.
--- a/crates/model/src/settings.rs
+++ b/crates/model/src/settings.rs
@@ -14,6 +14,7 @@
 pub mod common;
 pub mod entry;
 pub mod listener;
+pub mod routed;
 mod tree;
 mod walk;
 
@@ -23,6 +24,7 @@
     CallerSettings, ControlSettings, EntryListen, EntrySettings, OperatorRole, OperatorToken,
 };
 pub use listener::ListenerSettings;
+pub use routed::RoutedSettings;
 
 use serde::{Serialize, de::DeserializeOwned};
 
--- a/crates/model/src/settings/agent.rs
+++ b/crates/model/src/settings/agent.rs
@@ -86,6 +86,10 @@
     /// Requests that the agent admits at a time.
     #[serde(default = "default_max_in_flight")]
     pub max_in_flight: u32,
+    /// Time between the word that the engine takes nothing new and the exchange of its weights,
+    /// in milliseconds. Zero where every request passes the agent, which then refuses by itself.
+    #[serde(default)]
+    pub notice_ms: u64,
 }
 
 fn default_max_in_flight() -> u32 {
@@ -161,6 +165,7 @@
                 service: ServiceName::example(),
                 checks_fencing: false,
                 max_in_flight: default_max_in_flight(),
+                notice_ms: 0,
             },
             transfer: TransferSettings::default(),
             heartbeat_ms: default_heartbeat_ms(),
--- /dev/null
+++ b/crates/model/src/settings/routed.rs
@@ -0,0 +1,24 @@
+//! Settings of an entry whose callers are routed by the table of the preset in force.
+
+use std::net::SocketAddr;
+
+use macro_rules_attribute::apply;
+
+/// What such an entry is told beside [`super::EntrySettings`].
+#[apply(record!)]
+pub struct RoutedSettings {
+    /// Where the platform asks whether the entry is ready.
+    pub listen_ready: SocketAddr,
+    /// Where callers ask which entries to use.
+    pub listen_advice: SocketAddr,
+    /// Endpoints that a process uses at the same time, from its settings' processor cores.
+    pub threads: usize,
+    /// Time after a version was named in which every endpoint has to serve it, in milliseconds.
+    pub version_ms: u64,
+    /// Time between the heartbeats of listed endpoints, in milliseconds.
+    pub list_heartbeat_ms: u64,
+    /// Retries for each request of a service, over all entries.
+    pub retry_ratio: f64,
+    /// Retries of a service beyond that ratio, over all entries.
+    pub retry_slack: f64,
+}
--- /dev/null
+++ b/crates/model/src/target.rs
@@ -0,0 +1,45 @@
+//! Versions that operators name for a model, and how its engines work.
+
+use std::net::SocketAddr;
+
+use macro_rules_attribute::apply;
+
+use crate::{ManifestDigest, ModelVersion};
+
+/// Name of a model; several services may run the same one.
+pub type ModelName = String;
+
+/// The newest version that operators named for a model.
+#[apply(record!)]
+#[derive(Eq)]
+pub struct NamedVersion {
+    /// The model.
+    pub model: ModelName,
+    /// Rises with every version that is named for the model.
+    pub number: u64,
+    /// The version.
+    pub version: ModelVersion,
+    /// Pins its bytes, once an entry has read its manifest.
+    pub manifest: Option<ManifestDigest>,
+    /// Time since it was named, in milliseconds, when this was sent.
+    pub age_ms: u64,
+}
+
+/// How the engines of a service work.
+#[apply(record!)]
+pub struct EngineProfile {
+    /// The model that they run.
+    pub model: ModelName,
+    /// Requests that one engine answers at the same time.
+    pub slots: u32,
+    /// Prompt tokens that an engine reads in a millisecond.
+    pub read_per_ms: f64,
+    /// Time of one step of all running requests, in milliseconds.
+    pub step_ms: f64,
+    /// Tokens of one event.
+    pub stride: u32,
+    /// Tokens of a usual answer.
+    pub usual_answer: u32,
+    /// Address of the origin of weights, if there is one.
+    pub origin: Option<SocketAddr>,
+}
--- a/crates/model/src/time.rs
+++ b/crates/model/src/time.rs
@@ -3,10 +3,19 @@
 //! Stored values are always points, never durations: a deadline that was
 //! computed once keeps its meaning while it is queued, forwarded or retried.
 
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::{
+    sync::LazyLock,
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+};
 
 use macro_rules_attribute::apply;
 
+/// The time of day and the steady clock at the first look at the clock.
+static PROCESS_START: LazyLock<(u64, Instant)> = LazyLock::new(|| {
+    let of_day = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    (of_day.as_millis() as u64, Instant::now())
+});
+
 /// A moment, in milliseconds since the Unix epoch.
 #[apply(label!)]
 #[serde(transparent)]
@@ -18,10 +27,15 @@
 pub struct Deadline(pub u64);
 
 impl Timestamp {
-    /// Reads the system clock. Only called at the edge of a process.
+    /// Reads the clock of the process. Only called at the edge of a process.
+    ///
+    /// The time of day is read once, at the first call; from then on the steady
+    /// clock counts. A time of day that is set forward would else end every
+    /// request at once, and one set back would keep requests past their
+    /// deadlines; callers would notice answers that come far too early or late.
     pub fn now() -> Self {
-        let elapsed = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Self(elapsed.as_millis() as u64)
+        let (started_at, started) = *PROCESS_START;
+        Self(started_at + started.elapsed().as_millis() as u64)
     }
 
     /// The deadline `span` after this moment.
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -3,6 +3,7 @@
 //! An executor on several threads, shutdown signals, structured logs, and HTTP
 //! listeners with limits. Nothing here knows about weights or requests.
 
+pub mod dial;
 pub mod executor;
 pub mod http;
 pub mod listener;
@@ -11,5 +12,6 @@
 pub mod probes;
 pub mod shutdown;
 
+pub use dial::dial;
 pub use executor::{run, spawn, timeout};
 pub use shutdown::{ShutdownEnd, ShutdownSignal, ShutdownTrigger, TerminationSignals};
--- a/crates/runtime/src/logging.rs
+++ b/crates/runtime/src/logging.rs
@@ -18,7 +18,7 @@
 /// Layout of a line's time, in the instance's time zone.
 const TIME_LAYOUT: &str = "%Y-%m-%dT%H:%M:%S%.3f%:z";
 
-/// Starts logging to standard error; keep the handle until the process ends.
+/// Starts logging to standard output; keep the handle until the process ends.
 pub fn start(settings: &LogSettings) -> anyhow::Result<LoggerHandle> {
     let format: FormatFunction = match settings.format {
         LogFormat::KeyValue => write_key_value,
@@ -26,7 +26,7 @@
     };
     Logger::try_with_str(&settings.level)
         .with_context(|| format!("log.level {:?} is not understood", settings.level))?
-        .log_to_stderr()
+        .log_to_stdout()
         .format(format)
         .filter(Box::new(DecisionSampler::new(settings.decisions_per_s)))
         .write_mode(WriteMode::Async)
--- a/crates/runtime/src/shutdown.rs
+++ b/crates/runtime/src/shutdown.rs
@@ -50,7 +50,8 @@
     }
 }
 
-/// SIGTERM and SIGINT, which ask a process to stop.
+/// SIGTERM and SIGINT, which ask a process to stop, and SIGHUP, which tells that
+/// the settings have changed.
 #[derive(Debug)]
 pub struct TerminationSignals {
     signals: Signals,
@@ -71,13 +72,21 @@
     /// Takes the signals over; from now on they no longer end the process by themselves.
     pub fn listen() -> anyhow::Result<Self> {
         let signals =
-            Signals::new([Signal::Term, Signal::Int]).context("cannot listen for signals")?;
+            Signals::new([Signal::Term, Signal::Int, Signal::Hup]).context("cannot listen for signals")?;
         Ok(Self { signals })
     }
 
     /// Completes when the process is asked to stop.
     pub async fn asked(&mut self) {
-        self.signals.next().await;
+        self.asked_or(|| {}).await;
+    }
+
+    /// Completes when the process is asked to stop; calls `reload` whenever it is
+    /// told that the settings have changed.
+    pub async fn asked_or(&mut self, mut reload: impl FnMut()) {
+        while let Some(Ok(Signal::Hup)) = self.signals.next().await {
+            reload();
+        }
     }
 
     /// Runs `drain` to its end, to `deadline`, or until the process is asked again.
--- a/crates/testkit/src/processes.rs
+++ b/crates/testkit/src/processes.rs
@@ -24,7 +24,7 @@
             .args(["serve", "--config"])
             .arg(config)
             .stdin(Stdio::null())
-            .stdout(Stdio::null())
+            .stdout(log.try_clone()?)
             .stderr(log)
             .spawn()?;
         Ok(Self { name: name.to_owned(), child })
--- a/crates/wire/src/message/control.rs
+++ b/crates/wire/src/message/control.rs
@@ -3,8 +3,8 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use cassiawheel_model::{
-    EndpointReport, FailureDomain, ForcedPreset, InstanceId, LoadReport, ManifestDigest,
-    ModelVersion, PresetRevision, record,
+    EndpointReport, FailureDomain, ForcedPreset, InstanceId, ListedRow, LoadReport,
+    ManifestDigest, ModelVersion, NamedVersion, PresetRevision, record,
 };
 use macro_rules_attribute::apply;
 
@@ -56,11 +56,32 @@
         leaving: bool,
         /// Whether callers may be sent there.
         advised: bool,
+        /// Where our own processes reach it.
+        inner_addr: SocketAddr,
     },
     /// Entry to agent: which weights to hold and to serve.
     Order(WeightOrder),
     /// Entry to agent: agents that stage or hold the same weights.
     Peers(Vec<EndpointAddress>),
+    /// Entry to entry: the preset in force is wanted, since a heartbeat told a newer one.
+    PresetWanted,
+    /// Entry to entry: a version that was named for a model.
+    Named(NamedVersion),
+    /// Entry to entry: what changed in the platform's list of endpoints.
+    Listing {
+        /// The rows that changed; all rows if `base` is zero.
+        rows: Vec<ListedRow>,
+        /// Whoever knows the list up to here knows it up to `position` with these rows.
+        base: u64,
+        /// Where the list stands with them.
+        position: u64,
+        /// Time since the platform was asked, in milliseconds.
+        age_ms: u64,
+    },
+    /// Entry to entry: the whole list is wanted.
+    ListingWanted,
+    /// Entry to entry or agent: inner addresses of entries that the sender knows.
+    Entries(Vec<SocketAddr>),
 }
 
 /// Which weights an endpoint has to hold.
@@ -75,6 +96,9 @@
     pub fencing: u64,
     /// Whether to serve the version once it is staged, or only to stage it.
     pub serve: bool,
+    /// Address of the origin of weights, where it comes with the preset.
+    #[serde(default)]
+    pub origin: Option<SocketAddr>,
 }
 
 /// Where an agent is reached by other agents.
--- a/crates/wire/src/socket.rs
+++ b/crates/wire/src/socket.rs
@@ -10,17 +10,15 @@
 };
 
 use async_compat::{Compat, CompatExt};
-use cassiawheel_runtime::{spawn, timeout};
+use cassiawheel_runtime::{dial, spawn, timeout};
 use futures_util::{
     SinkExt, StreamExt,
     stream::{SplitSink, SplitStream},
 };
 use smol::{
-    Async,
     channel::{Receiver, Sender, TrySendError, bounded},
     net::TcpStream,
 };
-use socket2::{Domain, Protocol, Socket, Type};
 use subtle::ConstantTimeEq;
 use tokio_tungstenite::{
     WebSocketStream, accept_hdr_async_with_config, client_async_with_config,
@@ -99,6 +97,11 @@
         }
     }
 
+    /// Whether both send over the same connection.
+    pub fn is_same(&self, other: &Self) -> bool {
+        self.queue.same_channel(&other.queue)
+    }
+
     /// Whether the connection is known to be closed.
     pub fn is_closed(&self) -> bool {
         self.queue.is_closed()
@@ -140,7 +143,7 @@
     local: Option<IpAddr>,
 ) -> Result<(WireSender, WireReceiver), WireError> {
     let attempt = async {
-        let stream = connect_tcp(addr, local).await?;
+        let stream = dial(addr, local).await?;
         let mut request = format!("ws://{addr}/")
             .into_client_request()
             .map_err(|error| WireError::Handshake(error.to_string()))?;
@@ -182,28 +185,6 @@
     Err(refusal)
 }
 
-async fn connect_tcp(addr: SocketAddr, local: Option<IpAddr>) -> Result<TcpStream, WireError> {
-    let socket = Socket::new(Domain::for_address(addr), Type::STREAM, Some(Protocol::TCP))?;
-    socket.set_nonblocking(true)?;
-    socket.set_tcp_nodelay(true)?;
-    if let Some(local) = local {
-        socket.bind(&SocketAddr::new(local, 0).into())?;
-    }
-    match socket.connect(&addr.into()) {
-        Err(error) if error.raw_os_error() != Some(EINPROGRESS) => return Err(error.into()),
-        _ => {}
-    }
-    let stream = Async::new_nonblocking(std::net::TcpStream::from(socket))?;
-    stream.writable().await?;
-    if let Some(error) = stream.get_ref().take_error()? {
-        return Err(error.into());
-    }
-    Ok(TcpStream::from(stream))
-}
-
-/// `connect` goes on in the background.
-const EINPROGRESS: i32 = 115;
-
 fn frame_limits() -> WebSocketConfig {
     WebSocketConfig::default()
         .read_buffer_size(READ_BUFFER_BYTES)
