--- a/crates/agent/src/endpoint.rs
+++ b/crates/agent/src/endpoint.rs
@@ -11,8 +11,8 @@
 };
 
 use cassiawheel_decide::{GateState, PresetHolder, StartHold};
-use cassiawheel_model::{EndpointReport, LoadReport, Timestamp, settings::AgentSettings};
 use cassiawheel_edge::{ModelEngine, TableStore, WeightSource};
+use cassiawheel_model::{EndpointReport, LoadReport, Timestamp, settings::AgentSettings};
 use cassiawheel_runtime::timeout;
 use cassiawheel_wire::{WireSender, message::WeightOrder};
 use smol::channel::{Receiver, Sender, bounded};
@@ -65,11 +65,7 @@
 
 impl EndpointShared {
     /// The state of a process that has just started.
-    pub(crate) fn new(
-        settings: AgentSettings,
-        edges: AgentEdges,
-        metrics: AgentMetrics,
-    ) -> Self {
+    pub(crate) fn new(settings: AgentSettings, edges: AgentEdges, metrics: AgentMetrics) -> Self {
         let AgentEdges { engine, table, origin } = edges;
         let now = Timestamp::now();
         let sources = chosen_entries(&settings);
--- a/crates/agent/src/exchange.rs
+++ b/crates/agent/src/exchange.rs
@@ -13,8 +13,8 @@
 };
 
 use cassiawheel_decide::Adoption;
-use cassiawheel_model::{EndpointRole, EndpointState, ForcedPreset};
 use cassiawheel_edge::{EngineError, EngineStatus, LoadOrder};
+use cassiawheel_model::{EndpointRole, EndpointState, ForcedPreset};
 use cassiawheel_runtime::timeout;
 use cassiawheel_wire::message::WeightOrder;
 
@@ -142,10 +142,21 @@
         return;
     };
     shared.engine_fencing.fetch_max(status.fencing, Ordering::Relaxed);
-    let Some(version) = status.version else {
+    take_up(shared, &status);
+}
+
+/// Opens the gate for what the engine answers from, if it is the first to do so.
+///
+/// The engine may start later than the agent; it then already holds weights at
+/// the first report, before anybody has ordered any.
+pub(crate) fn take_up(shared: &EndpointShared, status: &EngineStatus) {
+    let Some(version) = &status.version else {
         return;
     };
     let mut gate = shared.gate();
+    if *gate.state() != EndpointState::Empty || gate.has_served() {
+        return;
+    }
     let resumed = gate.begin_switch().and_then(|()| gate.commit_switch(Some(version.clone())));
     drop(gate);
     if resumed.is_ok() {
@@ -166,6 +177,13 @@
         }
         return Ok(());
     }
+    if status.answers_from(&order.version, order.manifest) && is_empty(shared) {
+        // The engine's answer to the order that did this was lost.
+        shared.gate().begin_switch()?;
+        shared.gate().commit_switch(Some(order.version.clone()))?;
+        report::send_report(shared);
+        return Ok(());
+    }
     if !transfer::stage(shared, order).await? {
         anyhow::bail!("a newer order came during the transfer");
     }
@@ -175,6 +193,10 @@
     Ok(())
 }
 
+fn is_empty(shared: &EndpointShared) -> bool {
+    *shared.gate().state() == EndpointState::Empty
+}
+
 /// Refuses an order that is older than what the engine has carried out.
 ///
 /// Some engines ignore fencing tokens. A new agent, which knows no order yet,
--- a/crates/agent/src/keyed/row.rs
+++ b/crates/agent/src/keyed/row.rs
@@ -5,8 +5,8 @@
 use cassiawheel_decide::claim::{
     ClaimGuard, ClaimRecord, ClaimState, ClaimTracker, ClaimView, ReleaseStep, release_step,
 };
-use cassiawheel_model::{Deadline, Timestamp};
 use cassiawheel_edge::{StoreError, TableGuard, TableRow, TableWrite, WriteVerdict};
+use cassiawheel_model::{Deadline, Timestamp};
 use cassiawheel_runtime::{spawn, timeout};
 use rand::Rng;
 use smol::{Task, Timer};
--- a/crates/agent/src/report.rs
+++ b/crates/agent/src/report.rs
@@ -99,6 +99,9 @@
         let before = shared.gate().state().clone();
         if let Ok(status) = shared.engine.status().await {
             exchange::check_engine(&shared, &before, &status);
+            if shared.order().is_none() {
+                exchange::take_up(&shared, &status);
+            }
             shared.engine_fencing.fetch_max(status.fencing, Ordering::Relaxed);
             *shared.load() = status.load;
         }
--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -4,8 +4,8 @@
 
 use bytes::Bytes;
 use cassiawheel_decide::{RepeatGuard, RunLatch, claim::RecordedAnswer};
-use cassiawheel_model::{EndpointRole, NotRunReason, PresetRevision, RequestHead, Timestamp};
 use cassiawheel_edge::{EngineAnswer, EngineError};
+use cassiawheel_model::{EndpointRole, NotRunReason, PresetRevision, RequestHead, Timestamp};
 use cassiawheel_runtime::timeout;
 use cassiawheel_wire::{ControlMessage, RequestMessage, WireError, WireSender};
 use http_body_util::BodyExt;
--- a/crates/agent/src/serve.rs
+++ b/crates/agent/src/serve.rs
@@ -4,10 +4,10 @@
 
 use anyhow::Context;
 use cassiawheel_decide::rank::{first_ranked, subject_of};
-use cassiawheel_model::{EndpointRole, Timestamp, settings::AgentSettings};
 use cassiawheel_edge::{
     HttpClient, HttpEngine, HttpTable, HttpWeights, ModelEngine, TableStore, WeightSource,
 };
+use cassiawheel_model::{EndpointRole, Timestamp, settings::AgentSettings};
 use cassiawheel_runtime::{ShutdownTrigger, TerminationSignals, probes::serve_probes, spawn};
 use cassiawheel_wire::traffic::TRAFFIC;
 use prometheus::Registry;
--- a/crates/agent/src/transfer/fetch.rs
+++ b/crates/agent/src/transfer/fetch.rs
@@ -4,8 +4,8 @@
 
 use bytes::Bytes;
 use cassiawheel_decide::{ChunkSource, FetchFailure, FetchOrder};
-use cassiawheel_model::{Timestamp, WeightManifest};
 use cassiawheel_edge::WeightError;
+use cassiawheel_model::{Timestamp, WeightManifest};
 use cassiawheel_runtime::timeout;
 use cassiawheel_wire::message::ChunkRefusal;
 
--- a/crates/agent/src/transfer/stage.rs
+++ b/crates/agent/src/transfer/stage.rs
@@ -8,11 +8,11 @@
 
 use anyhow::Context;
 use cassiawheel_decide::{ChunkPicker, ChunkSource, FetchOrder, PickerSettings};
+use cassiawheel_edge::WeightError;
 use cassiawheel_model::{
     InstanceId, ManifestDigest, ManifestError, Timestamp, WeightManifest, flags::set_positions,
     settings::TransferMode,
 };
-use cassiawheel_edge::WeightError;
 use cassiawheel_runtime::{spawn, timeout};
 use cassiawheel_wire::message::WeightOrder;
 use smol::{
--- a/crates/decide/benches/route.rs
+++ b/crates/decide/benches/route.rs
@@ -3,7 +3,9 @@
 
 use std::{collections::HashMap, hint::black_box, sync::Arc};
 
-use cassiawheel_decide::{EndpointCell, EndpointPath, RouteCandidate, RouteQuery, RouteSnapshot, ServiceRoutes};
+use cassiawheel_decide::{
+    EndpointCell, EndpointPath, RouteCandidate, RouteQuery, RouteSnapshot, ServiceRoutes,
+};
 use cassiawheel_model::{InstanceId, LoadReport, ModelVersion, ServiceName, Timestamp};
 use criterion::{BenchmarkId, Criterion};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
--- a/crates/decide/src/gate.rs
+++ b/crates/decide/src/gate.rs
@@ -129,6 +129,11 @@
         &self.state
     }
 
+    /// Whether any version has served since the process started.
+    pub fn has_served(&self) -> bool {
+        self.generation > 0
+    }
+
     /// Requests in progress.
     pub fn in_progress(&self) -> u32 {
         self.in_progress
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -43,6 +43,8 @@
 pub use listing::{EndpointListing, ListingNews};
 pub use retry::{AttemptEnd, RepeatGuard, RetryBudget, RetryStep, RetryTracker};
 pub use roster::{EndpointRoster, EntryRoster, PeerEntry};
-pub use route::{EndpointPath, RouteCandidate, RouteChoice, RouteQuery, RouteSnapshot, ServiceRoutes};
+pub use route::{
+    EndpointPath, RouteCandidate, RouteChoice, RouteQuery, RouteSnapshot, ServiceRoutes,
+};
 pub use select::{ChunkBits, ChunkPicker, ChunkSource, FetchFailure, FetchOrder, PickerSettings};
 pub use versions::{VersionBook, WantedVersion};
--- a/crates/decide/src/retry.rs
+++ b/crates/decide/src/retry.rs
@@ -187,8 +187,7 @@
     /// Notes a request.
     pub fn earn(&self) {
         let most = self.savings;
-        let earned =
-            |balance: u32| (balance < most).then(|| (balance + self.earned).min(most));
+        let earned = |balance: u32| (balance < most).then(|| (balance + self.earned).min(most));
         let _ = self.balance.fetch_update(Ordering::Relaxed, Ordering::Relaxed, earned);
     }
 
--- a/crates/decide/tests/overload.rs
+++ b/crates/decide/tests/overload.rs
@@ -11,9 +11,9 @@
 };
 
 use cassiawheel_decide::{
-    AdmitTicket, AdmitVerdict, AttemptEnd, EndpointCell, GateState, RepeatGuard, RetryBudget,
-    RetryStep, RetryTracker, EndpointPath, RouteCandidate, RouteQuery, RouteSnapshot, ServiceAdmission,
-    ServiceRoutes,
+    AdmitTicket, AdmitVerdict, AttemptEnd, EndpointCell, EndpointPath, GateState, RepeatGuard,
+    RetryBudget, RetryStep, RetryTracker, RouteCandidate, RouteQuery, RouteSnapshot,
+    ServiceAdmission, ServiceRoutes,
 };
 use cassiawheel_model::{
     Deadline, InstanceId, LoadReport, NotRunReason, PresetRevision, PriorityClass, ServiceName,
--- a/crates/decide/tests/plan.rs
+++ b/crates/decide/tests/plan.rs
@@ -34,9 +34,10 @@
         max_in_flight: 8,
         spares,
         serving_percent,
+        engine: None,
     };
     let service = ServiceName::new("desk").expect("valid");
-    PresetContent { services: BTreeMap::from([(service, target)]) }
+    PresetContent { services: BTreeMap::from([(service, target)]), callers: None }
 }
 
 fn preset(revision: u64, content: PresetContent) -> ForcedPreset {
@@ -59,6 +60,7 @@
         service: ServiceName::new("desk").expect("valid"),
         role: EndpointRole::Model,
         inner_addr: "127.0.0.1:7003".parse().expect("valid"),
+        endpoint_addr: "127.0.0.1:8003".parse().expect("valid"),
         state,
         staged: None,
         load: LoadReport { in_flight: 0, queued: 0, measured_at: Timestamp(0) },
--- a/crates/decide/tests/routing.rs
+++ b/crates/decide/tests/routing.rs
@@ -10,8 +10,8 @@
 };
 
 use cassiawheel_decide::{
-    AttemptEnd, EndpointCell, RepeatGuard, RetryBudget, RetryStep, RetryTracker, EndpointPath, RouteCandidate,
-    RouteQuery, RouteSnapshot, ServiceRoutes, affinity::prefix_of,
+    AttemptEnd, EndpointCell, EndpointPath, RepeatGuard, RetryBudget, RetryStep, RetryTracker,
+    RouteCandidate, RouteQuery, RouteSnapshot, ServiceRoutes, affinity::prefix_of,
 };
 use cassiawheel_model::{
     Deadline, InstanceId, LoadReport, ModelVersion, NotRunReason, ServiceName, Timestamp,
--- a/crates/edge/src/feed.rs
+++ b/crates/edge/src/feed.rs
@@ -58,4 +58,3 @@
 
 /// The list of endpoints.
 pub type ListingFeed = dyn FeedSource<Row = ListedRow>;
-
--- a/crates/entry/src/caller/admit.rs
+++ b/crates/entry/src/caller/admit.rs
@@ -9,7 +9,9 @@
 };
 
 use cassiawheel_decide::{AdmitTicket, AdmitVerdict, ServiceAdmission};
-use cassiawheel_model::{Deadline, ForcedPreset, NotRunReason, RequestHead, ServiceName, Timestamp};
+use cassiawheel_model::{
+    Deadline, ForcedPreset, NotRunReason, RequestHead, ServiceName, Timestamp,
+};
 use cassiawheel_runtime::timeout;
 use smol::channel::{Receiver, Sender, bounded};
 
--- a/crates/entry/src/caller/dispatch.rs
+++ b/crates/entry/src/caller/dispatch.rs
@@ -10,8 +10,8 @@
 use cassiawheel_decide::{AttemptEnd, EndpointCell, EndpointPath, RepeatGuard};
 use cassiawheel_edge::{EndpointLeg, ToldLoad};
 use cassiawheel_model::{
-    HeaderField, InstanceId, LoadReport, ModelVersion, NotRunReason, PresetRevision,
-    Repeatability, RequestHead, Timestamp,
+    HeaderField, InstanceId, LoadReport, ModelVersion, NotRunReason, PresetRevision, Repeatability,
+    RequestHead, Timestamp,
 };
 use cassiawheel_runtime::timeout;
 use cassiawheel_wire::RequestMessage;
--- a/crates/entry/src/caller/identify.rs
+++ b/crates/entry/src/caller/identify.rs
@@ -4,11 +4,11 @@
 
 use bytes::Bytes;
 use cassiawheel_decide::{affinity::prefix_of, identity::repeatability};
+use cassiawheel_edge::engine_http::end_to_end_fields;
 use cassiawheel_model::{
     Deadline, PresetRevision, PriorityClass, RequestHead, RequestKey, ServiceName, Timestamp,
     WorkspaceId,
 };
-use cassiawheel_edge::engine_http::end_to_end_fields;
 use cassiawheel_runtime::http::{BodyError, ReplyBody, error_reply, read_body_within};
 use hyper::{HeaderMap, Request, Response, StatusCode, body::Incoming, header::CONTENT_TYPE};
 
--- a/crates/entry/src/caller/outcome.rs
+++ b/crates/entry/src/caller/outcome.rs
@@ -97,7 +97,9 @@
     reply
 }
 
-pub(super) fn describe(outcome: &RequestOutcome) -> (StatusCode, &'static str, String, Option<u64>) {
+pub(super) fn describe(
+    outcome: &RequestOutcome,
+) -> (StatusCode, &'static str, String, Option<u64>) {
     match outcome {
         RequestOutcome::Complete { .. } => (StatusCode::OK, "complete", String::new(), None),
         RequestOutcome::NotRun { reason, retry_at } => {
--- a/crates/entry/src/caller/routed.rs
+++ b/crates/entry/src/caller/routed.rs
@@ -11,9 +11,7 @@
     NotRunReason, OutcomeKind, PresetRevision, PriorityClass, Repeatability, RequestHead,
     RouteKind, RouteRule, Timestamp, WorkspaceId,
 };
-use cassiawheel_runtime::http::{
-    BodyError, ReplyBody, error_reply, full_body, read_body_within,
-};
+use cassiawheel_runtime::http::{BodyError, ReplyBody, error_reply, full_body, read_body_within};
 use hyper::{
     Request, Response, StatusCode,
     body::Incoming,
@@ -118,8 +116,7 @@
     let domain = asked.as_ref().unwrap_or(own);
     let keep = Duration::from_millis(settings.advice_ms);
     let valid_until = Timestamp::now().deadline_after(keep);
-    let advice =
-        advise(&entries, domain, settings.advice_addresses, valid_until, &mut rand::rng());
+    let advice = advise(&entries, domain, settings.advice_addresses, valid_until, &mut rand::rng());
     let near = entries.iter().filter(|e| e.failure_domain == *domain && !e.leaving).count();
     let count = if near > 0 { near } else { advice.addresses.len() };
     let addresses = &advice.addresses[..count.min(advice.addresses.len())];
@@ -250,9 +247,7 @@
                 reply.headers_mut().insert(RETRY_AFTER, HeaderValue::from_static(START_RETRY_S));
                 reply
             }
-            Self::NoRoute => {
-                error_reply(StatusCode::NOT_FOUND, "no-route", "no route leads there")
-            }
+            Self::NoRoute => error_reply(StatusCode::NOT_FOUND, "no-route", "no route leads there"),
             Self::UnknownKey => {
                 error_reply(StatusCode::UNAUTHORIZED, "unknown-key", "the key opens nothing")
             }
--- a/crates/entry/src/control/ahead.rs
+++ b/crates/entry/src/control/ahead.rs
@@ -5,10 +5,10 @@
 
 use std::sync::{Arc, atomic::Ordering};
 
+use cassiawheel_edge::{TableGuard, TableRow, TableStore, TableWrite, WriteVerdict};
 use cassiawheel_model::{
     OperatorName, PresetContent, PresetName, PresetRevision, Timestamp, record,
 };
-use cassiawheel_edge::{TableGuard, TableRow, TableStore, TableWrite, WriteVerdict};
 use macro_rules_attribute::apply;
 
 use super::change::{PresetError, get_preset, to_value};
--- a/crates/entry/src/control/change.rs
+++ b/crates/entry/src/control/change.rs
@@ -11,13 +11,13 @@
 use cassiawheel_decide::{
     ChangeAnswer, ChangeRecord, ChangeRequest, ChangeStep, ChangeVerdict, ChangeWriter,
 };
+use cassiawheel_edge::{
+    StoreError, TableGuard, TableRow, TableStore, TableWrite, WeightError, WriteVerdict,
+};
 use cassiawheel_model::{
     ChangeId, ForcedPreset, ManifestDigest, ModelVersion, PresetContent, PresetName,
     PresetRevision, ServiceName, Timestamp, record,
 };
-use cassiawheel_edge::{
-    StoreError, TableGuard, TableRow, TableStore, TableWrite, WeightError, WriteVerdict,
-};
 use macro_rules_attribute::apply;
 
 use super::{
--- a/crates/entry/src/control/membership.rs
+++ b/crates/entry/src/control/membership.rs
@@ -7,8 +7,8 @@
 };
 
 use cassiawheel_decide::rank::{first_ranked, subject_of};
-use cassiawheel_model::{EndpointRole, InstanceId, ServiceName, Timestamp};
 use cassiawheel_edge::{InstanceList, ListedInstance, ListedState};
+use cassiawheel_model::{EndpointRole, InstanceId, ServiceName, Timestamp};
 use cassiawheel_wire::{ControlMessage, message::EndpointAddress};
 use smol::Timer;
 
--- a/crates/entry/src/control/poll.rs
+++ b/crates/entry/src/control/poll.rs
@@ -3,8 +3,8 @@
 use std::{sync::Arc, time::Duration};
 
 use cassiawheel_decide::{ForceRow, budget::poll_wait_ms};
-use cassiawheel_model::PresetRevision;
 use cassiawheel_edge::{StoreError, TableRow, TableStore};
+use cassiawheel_model::PresetRevision;
 use rand::Rng;
 use smol::Timer;
 
--- a/crates/entry/src/control/spread.rs
+++ b/crates/entry/src/control/spread.rs
@@ -93,11 +93,7 @@
 }
 
 /// Handles what another entry tells over the connection of `sender`.
-pub(crate) fn handle_peer(
-    shared: &Arc<EntryShared>,
-    sender: &WireSender,
-    message: ControlMessage,
-) {
+pub(crate) fn handle_peer(shared: &Arc<EntryShared>, sender: &WireSender, message: ControlMessage) {
     match message {
         ControlMessage::Force(preset) => adopt(shared, &preset),
         ControlMessage::EntryBeat {
--- a/crates/entry/src/control/store.rs
+++ b/crates/entry/src/control/store.rs
@@ -4,8 +4,8 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 
 use cassiawheel_decide::budget::CallBudget;
-use cassiawheel_model::{Timestamp, record, settings::ControlSettings};
 use cassiawheel_edge::{EdgeFuture, StoreError, TableRow, TableStore, TableWrite, WriteResult};
+use cassiawheel_model::{Timestamp, record, settings::ControlSettings};
 use macro_rules_attribute::apply;
 use prometheus::IntCounter;
 
--- a/crates/entry/src/direct.rs
+++ b/crates/entry/src/direct.rs
@@ -15,11 +15,7 @@
 use cassiawheel_model::{InstanceId, NotRunReason, Repeatability, RequestHead, Timestamp};
 use cassiawheel_runtime::{spawn, timeout};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::{
-    HeaderMap, Request, Response, StatusCode,
-    body::Incoming,
-    http::response::Parts,
-};
+use hyper::{HeaderMap, Request, Response, StatusCode, body::Incoming, http::response::Parts};
 
 use self::pool::{ConnectionPool, EndpointConnection};
 
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -7,11 +7,11 @@
 };
 
 use anyhow::Context;
+use cassiawheel_edge::{HttpClient, HttpInstances, HttpTable, HttpWeights};
 use cassiawheel_model::{
     Timestamp,
     settings::{EntryListen, EntrySettings, ListenerSettings},
 };
-use cassiawheel_edge::{HttpClient, HttpInstances, HttpTable, HttpWeights};
 use cassiawheel_runtime::{
     ShutdownSignal, ShutdownTrigger, TerminationSignals,
     http::{ListenerLimits, serve as serve_http},
--- a/crates/model/src/manifest.rs
+++ b/crates/model/src/manifest.rs
@@ -133,8 +133,7 @@
     /// Checks received bytes against the chunk at `index`.
     pub fn verify_chunk(&self, index: usize, bytes: &[u8]) -> Result<(), ManifestError> {
         let entry = self.chunks.get(index).ok_or(ManifestError::UnknownChunk(index))?;
-        let intact =
-            bytes.len() == entry.bytes as usize && self.hash.digest(bytes) == entry.digest;
+        let intact = bytes.len() == entry.bytes as usize && self.hash.digest(bytes) == entry.digest;
         if intact { Ok(()) } else { Err(ManifestError::CorruptChunk(index)) }
     }
 
--- a/crates/model/src/preset.rs
+++ b/crates/model/src/preset.rs
@@ -8,8 +8,8 @@
 use macro_rules_attribute::apply;
 
 use crate::{
-    CallerTable, ChangeId, Deadline, EngineProfile, FindingList, ManifestDigest, ModelVersion, OperatorName, PresetName,
-    ServiceName, Timestamp,
+    CallerTable, ChangeId, Deadline, EngineProfile, FindingList, ManifestDigest, ModelVersion,
+    OperatorName, PresetName, ServiceName, Timestamp,
 };
 
 /// Position of a change in the history of the preset in force.
--- a/crates/runtime/src/shutdown.rs
+++ b/crates/runtime/src/shutdown.rs
@@ -71,8 +71,8 @@
 impl TerminationSignals {
     /// Takes the signals over; from now on they no longer end the process by themselves.
     pub fn listen() -> anyhow::Result<Self> {
-        let signals =
-            Signals::new([Signal::Term, Signal::Int, Signal::Hup]).context("cannot listen for signals")?;
+        let signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])
+            .context("cannot listen for signals")?;
         Ok(Self { signals })
     }
 
--- a/crates/testkit/examples/capacity.rs
+++ b/crates/testkit/examples/capacity.rs
@@ -13,8 +13,8 @@
 use anyhow::Context;
 use argh::FromArgs;
 use bytes::Bytes;
-use cassiawheel_model::ModelVersion;
 use cassiawheel_edge::HttpClient;
+use cassiawheel_model::ModelVersion;
 use cassiawheel_testkit::{
     ChildProcess, Deployment, DeploymentPlan, deployment::MODEL_SERVICE, weights::WeightImage,
 };
--- a/crates/testkit/examples/control.rs
+++ b/crates/testkit/examples/control.rs
@@ -13,8 +13,8 @@
 use anyhow::Context;
 use argh::FromArgs;
 use bytes::Bytes;
-use cassiawheel_model::ModelVersion;
 use cassiawheel_edge::{HttpClient, ListedState};
+use cassiawheel_model::ModelVersion;
 use cassiawheel_runtime::spawn;
 use cassiawheel_testkit::{
     Deployment, DeploymentPlan,
--- a/crates/testkit/examples/hop.rs
+++ b/crates/testkit/examples/hop.rs
@@ -17,8 +17,8 @@
 use anyhow::Context;
 use argh::FromArgs;
 use bytes::Bytes;
-use cassiawheel_model::settings::AgentSettings;
 use cassiawheel_edge::HttpClient;
+use cassiawheel_model::settings::AgentSettings;
 use cassiawheel_runtime::spawn;
 use cassiawheel_testkit::{
     Deployment, DeploymentPlan,
--- a/crates/testkit/examples/quickstart.rs
+++ b/crates/testkit/examples/quickstart.rs
@@ -18,8 +18,8 @@
 use anyhow::Context;
 use argh::FromArgs;
 use cassiawheel_decide::advice::EntryAdvice;
-use cassiawheel_model::{ModelVersion, Timestamp, settings::TransferSettings};
 use cassiawheel_edge::HttpClient;
+use cassiawheel_model::{ModelVersion, Timestamp, settings::TransferSettings};
 use cassiawheel_runtime::spawn;
 use cassiawheel_testkit::{
     CallVerdict, Deployment, DeploymentPlan, TestCaller,
--- a/crates/testkit/src/burst/drive.rs
+++ b/crates/testkit/src/burst/drive.rs
@@ -13,8 +13,8 @@
 
 use bytes::Bytes;
 use cassiawheel_decide::advice::EntryAdvice;
-use cassiawheel_model::{Deadline, Timestamp};
 use cassiawheel_edge::{ClientError, HttpClient};
+use cassiawheel_model::{Deadline, Timestamp};
 use cassiawheel_runtime::timeout;
 use http_body_util::{BodyExt, Full};
 use hyper::{HeaderMap, Request, Response, body::Incoming, header::TE};
--- a/crates/testkit/src/burst/faults.rs
+++ b/crates/testkit/src/burst/faults.rs
@@ -8,8 +8,8 @@
 };
 
 use anyhow::Context;
-use cassiawheel_model::Timestamp;
 use cassiawheel_edge::ListedState;
+use cassiawheel_model::Timestamp;
 use cassiawheel_runtime::timeout;
 use smol::{Timer, lock::Mutex};
 
--- a/crates/testkit/src/burst/operate.rs
+++ b/crates/testkit/src/burst/operate.rs
@@ -6,8 +6,8 @@
 };
 
 use bytes::Bytes;
-use cassiawheel_model::PresetName;
 use cassiawheel_edge::HttpClient;
+use cassiawheel_model::PresetName;
 use http_body_util::Full;
 use hyper::{Method, Request, Response, StatusCode, header::AUTHORIZATION};
 use serde::Deserialize;
--- a/crates/testkit/src/deployment.rs
+++ b/crates/testkit/src/deployment.rs
@@ -14,11 +14,11 @@
 };
 
 use bytes::Bytes;
+use cassiawheel_edge::HttpClient;
 use cassiawheel_model::{
     InstanceId,
     settings::{CallerSettings, ControlSettings, PlatformSettings, TransferSettings},
 };
-use cassiawheel_edge::HttpClient;
 use http_body_util::Full;
 use hyper::{Method, Request, Response, StatusCode, header::AUTHORIZATION};
 use smol::{Task, net::TcpStream};
--- a/crates/testkit/src/deployment/layout.rs
+++ b/crates/testkit/src/deployment/layout.rs
@@ -201,6 +201,7 @@
                 service: ServiceName::new(service)?,
                 checks_fencing: self.plan.checks_fencing,
                 max_in_flight: self.plan.max_in_flight,
+                notice_ms: 0,
             },
             transfer: self.plan.transfer.clone(),
             heartbeat_ms: 200,
--- a/crates/testkit/src/stand_in/engine.rs
+++ b/crates/testkit/src/stand_in/engine.rs
@@ -14,13 +14,13 @@
 };
 
 use bytes::Bytes;
-use cassiawheel_model::{
-    LoadReport, ManifestDigest, ModelVersion, Timestamp, WeightManifest, record,
-};
 use cassiawheel_edge::{
     EngineStatus, LoadOrder, StagedBits,
     engine_http::{REQUEST_HEADER, VERSION_HEADER},
 };
+use cassiawheel_model::{
+    LoadReport, ManifestDigest, ModelVersion, Timestamp, WeightManifest, record,
+};
 use cassiawheel_runtime::http::{ReplyBody, error_reply, full_body, json_reply, read_body};
 use futures_util::stream;
 use http_body_util::{BodyExt, StreamBody};
@@ -185,6 +185,7 @@
         EngineStatus {
             version: inner.loaded.as_ref().map(|image| image.version.clone()),
             manifest: inner.loaded.as_ref().map(|image| image.manifest),
+            tells_manifest: true,
             fencing: inner.fencing,
             staged: inner.staging.keys().copied().collect(),
             load: LoadReport {
--- a/crates/testkit/src/stand_in/instances.rs
+++ b/crates/testkit/src/stand_in/instances.rs
@@ -6,8 +6,8 @@
     sync::{Arc, Mutex},
 };
 
-use cassiawheel_model::InstanceId;
 use cassiawheel_edge::{ListedInstance, ListedState};
+use cassiawheel_model::InstanceId;
 use cassiawheel_runtime::http::json_reply;
 use hyper::StatusCode;
 
--- a/crates/testkit/src/stand_in/plain.rs
+++ b/crates/testkit/src/stand_in/plain.rs
@@ -12,11 +12,11 @@
     time::Duration,
 };
 
-use cassiawheel_model::{LoadReport, Timestamp};
 use cassiawheel_edge::{
     EngineStatus,
     engine_http::{KEY_HEADER, REQUEST_HEADER},
 };
+use cassiawheel_model::{LoadReport, Timestamp};
 use cassiawheel_runtime::http::{ReplyBody, error_reply, full_body, json_reply, read_body};
 use hyper::{Request, Response, StatusCode, body::Incoming, header::HeaderValue};
 
@@ -85,7 +85,14 @@
             queued: 0,
             measured_at: Timestamp::now(),
         };
-        EngineStatus { version: None, manifest: None, fencing: 0, staged: Vec::new(), load }
+        EngineStatus {
+            version: None,
+            manifest: None,
+            tells_manifest: true,
+            fencing: 0,
+            staged: Vec::new(),
+            load,
+        }
     }
 
     async fn handle(&self, request: Request<Incoming>) -> Response<ReplyBody> {
--- a/crates/testkit/tests/burst_guards.rs
+++ b/crates/testkit/tests/burst_guards.rs
@@ -9,8 +9,8 @@
 };
 
 use bytes::Bytes;
-use cassiawheel_model::{ModelVersion, Timestamp, WorkspaceId};
 use cassiawheel_edge::HttpClient;
+use cassiawheel_model::{ModelVersion, Timestamp, WorkspaceId};
 use cassiawheel_testkit::{
     Deployment, DeploymentPlan,
     burst::{
--- a/crates/testkit/tests/distribution.rs
+++ b/crates/testkit/tests/distribution.rs
@@ -5,8 +5,8 @@
     time::{Duration, Instant},
 };
 
-use cassiawheel_model::{ManifestDigest, ModelVersion, WeightManifest, settings::TransferSettings};
 use cassiawheel_edge::{HttpClient, HttpEngine, LoadOrder, ModelEngine};
+use cassiawheel_model::{ManifestDigest, ModelVersion, WeightManifest, settings::TransferSettings};
 use cassiawheel_runtime::spawn;
 use cassiawheel_testkit::{
     CallVerdict, Deployment, DeploymentPlan, TestCaller,
--- a/crates/testkit/tests/foreign_order.rs
+++ b/crates/testkit/tests/foreign_order.rs
@@ -3,8 +3,8 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use cassiawheel_model::ModelVersion;
 use cassiawheel_edge::{HttpClient, HttpEngine, LoadOrder, ModelEngine};
+use cassiawheel_model::ModelVersion;
 use cassiawheel_runtime::spawn;
 use cassiawheel_testkit::{
     CallVerdict, Deployment, DeploymentPlan, TestCaller, deployment::MODEL_SERVICE,
--- a/crates/testkit/tests/requests.rs
+++ b/crates/testkit/tests/requests.rs
@@ -2,11 +2,11 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
+use cassiawheel_edge::{HttpClient, HttpEngine, LoadOrder, ModelEngine};
 use cassiawheel_model::{
     ModelVersion, Timestamp,
     settings::{AgentSettings, CallerSettings},
 };
-use cassiawheel_edge::{HttpClient, HttpEngine, LoadOrder, ModelEngine};
 use cassiawheel_runtime::spawn;
 use cassiawheel_testkit::{
     CallVerdict, Deployment, DeploymentPlan, TestCaller,
--- a/crates/wire/src/message/control.rs
+++ b/crates/wire/src/message/control.rs
@@ -3,8 +3,8 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use cassiawheel_model::{
-    EndpointReport, FailureDomain, ForcedPreset, InstanceId, ListedRow, LoadReport,
-    ManifestDigest, ModelVersion, NamedVersion, PresetRevision, record,
+    EndpointReport, FailureDomain, ForcedPreset, InstanceId, ListedRow, LoadReport, ManifestDigest,
+    ModelVersion, NamedVersion, PresetRevision, record,
 };
 use macro_rules_attribute::apply;
 
