--- a/crates/agent/src/exchange.rs
+++ b/crates/agent/src/exchange.rs
@@ -53,11 +53,13 @@
         return;
     }
     log::info!(target: "order", version:% = order.version, fencing = order.fencing, serve = order.serve; "A new order.");
-    if let Some(origin) = order.origin {
-        shared.origin.relocate(origin);
+    if let Some(origin) = &order.origin {
+        shared.origin.relocate(origin.addr);
     }
     *newest = Some(order);
     drop(newest);
+    // The entries repeat an order until a report shows it.
+    report::send_report(shared);
     shared.transfer.wake();
 }
 
--- a/crates/agent/src/transfer/stage.rs
+++ b/crates/agent/src/transfer/stage.rs
@@ -7,11 +7,11 @@
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use anyhow::Context;
-use cassiawheel_decide::{ChunkPicker, ChunkSource, FetchOrder, PickerSettings};
+use cassiawheel_decide::{ChunkPicker, ChunkSource, FetchOrder, PeerPlace, PickerSettings};
 use cassiawheel_edge::WeightError;
 use cassiawheel_model::{
-    InstanceId, ManifestDigest, ManifestError, Timestamp, WeightManifest, flags::set_positions,
-    settings::TransferMode,
+    InstanceId, ManifestDigest, ManifestError, OriginPlace, RegionName, Timestamp, WeightManifest,
+    flags::set_positions, settings::TransferMode,
 };
 use cassiawheel_runtime::{spawn, timeout};
 use cassiawheel_wire::message::WeightOrder;
@@ -59,6 +59,7 @@
 struct StagingTask {
     shared: Arc<EndpointShared>,
     manifest: Arc<WeightManifest>,
+    origin_region: Option<RegionName>,
     picker: ChunkPicker,
     clients: HashMap<InstanceId, Arc<PeerClient>>,
     followers: HashMap<InstanceId, Task<()>>,
@@ -84,7 +85,7 @@
     let keep: Vec<_> = serving.into_iter().chain([order.manifest]).collect();
     release_others(shared, &keep).await;
     await_peers(shared).await;
-    let mut task = StagingTask::new(shared.clone(), manifest, &held);
+    let mut task = StagingTask::new(shared.clone(), manifest, &held, order.origin.clone());
     let whole = task.run(order).await;
     log::info!(target: "transfer", version:% = order.version, whole = whole; "A transfer ended.");
     Ok(whole)
@@ -187,8 +188,20 @@
 }
 
 impl StagingTask {
-    fn new(shared: Arc<EndpointShared>, manifest: Arc<WeightManifest>, held: &[bool]) -> Self {
+    fn new(
+        shared: Arc<EndpointShared>,
+        manifest: Arc<WeightManifest>,
+        held: &[bool],
+        origin: Option<OriginPlace>,
+    ) -> Self {
+        let chunk_ms = origin
+            .as_ref()
+            .filter(|origin| origin.bytes_per_s > 0)
+            .map(|origin| f64::from(manifest.chunk_bytes) * 1_000.0 / origin.bytes_per_s as f64);
+        let origin_region = origin.and_then(|origin| origin.region);
         let settings = PickerSettings {
+            origin_chunk_ms: chunk_ms.unwrap_or(0.0),
+            is_near_origin: origin_region.as_ref() == Some(&shared.settings.place.region),
             instance: shared.settings.place.instance.clone(),
             stall_ms: shared.settings.transfer.stall_ms,
             origin_step_ms: shared.settings.transfer.origin_step_ms,
@@ -207,6 +220,7 @@
         Self {
             shared,
             manifest,
+            origin_region,
             picker,
             clients: HashMap::new(),
             followers: HashMap::new(),
@@ -266,7 +280,13 @@
             if self.followers.contains_key(&instance) {
                 continue;
             }
-            self.picker.expect_peer(&instance, Timestamp::now());
+            let now = Timestamp::now();
+            let place = PeerPlace {
+                is_far: peer.region != self.shared.settings.place.region,
+                is_near_origin: self.origin_region.as_ref() == Some(&peer.region),
+            };
+            self.picker.place_peer(&instance, place, now);
+            self.picker.expect_peer(&instance, now);
             let (manifest, chunks) = (self.manifest.digest, self.manifest.chunks.len());
             let follower =
                 follow_peer(self.shared.clone(), peer, manifest, chunks, self.sender.clone());
--- a/crates/decide/benches/route.rs
+++ b/crates/decide/benches/route.rs
@@ -52,6 +52,7 @@
             excluded: &[],
             prefix: None,
             version: None,
+            allowed: None,
             max_in_flight: 32,
             now: NOW,
         };
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -46,5 +46,7 @@
 pub use route::{
     EndpointPath, RouteCandidate, RouteChoice, RouteQuery, RouteSnapshot, ServiceRoutes,
 };
-pub use select::{ChunkBits, ChunkPicker, ChunkSource, FetchFailure, FetchOrder, PickerSettings};
+pub use select::{
+    ChunkBits, ChunkPicker, ChunkSource, FetchFailure, FetchOrder, PeerPlace, PickerSettings,
+};
 pub use versions::{VersionBook, WantedVersion};
--- a/crates/decide/src/route.rs
+++ b/crates/decide/src/route.rs
@@ -78,6 +78,8 @@
     pub prefix: Option<u64>,
     /// The only version that may answer, once a part of an answer was sent.
     pub version: Option<&'a ModelVersion>,
+    /// The only versions that may answer, where older ones may not any more.
+    pub allowed: Option<&'a [ModelVersion]>,
     /// Requests at one endpoint by the preset in force.
     pub max_in_flight: u32,
     /// The present moment.
@@ -152,7 +154,13 @@
     fn has_room(&self, query: &RouteQuery<'_>) -> bool {
         let limit = self.limit(query.max_in_flight, query.now);
         let is_wanted = query.version.is_none_or(|version| self.version.as_ref() == Some(version));
-        self.cell.in_flight() < limit && is_wanted && !query.excluded.contains(&self.instance)
+        let is_allowed = query.allowed.is_none_or(|allowed| {
+            self.version.as_ref().is_none_or(|version| allowed.contains(version))
+        });
+        self.cell.in_flight() < limit
+            && is_wanted
+            && is_allowed
+            && !query.excluded.contains(&self.instance)
     }
 
     fn is_usable(&self, query: &RouteQuery<'_>) -> bool {
--- a/crates/decide/src/select.rs
+++ b/crates/decide/src/select.rs
@@ -6,8 +6,13 @@
 //! so suffices, however long the transfer takes. An owner loses its chunks when
 //! it falls silent, cannot be fetched from, or brings nothing while the others
 //! do; the agents that rank next then own them.
+//!
+//! Links between regions are shared and dear. A chunk crosses to a region once:
+//! the agent there that ranks first for it fetches it from afar, and the others
+//! wait for that one (see [`imports`]).
 
 mod bits;
+mod imports;
 mod ownership;
 mod peers;
 mod shares;
@@ -18,6 +23,7 @@
 use rand::Rng;
 
 pub use bits::ChunkBits;
+use imports::ChunkImports;
 pub use peers::FetchFailure;
 use peers::{PeerView, SourceBackoff};
 use shares::{AgentSlot, OWN_SLOT, OriginShares};
@@ -59,6 +65,23 @@
     pub peer_slots: usize,
     /// Copies that all agents together may draw beyond the first to save time.
     pub extra_copies: f64,
+    /// Time in which the origin sends one chunk, in milliseconds; zero if not known.
+    ///
+    /// An origin that serves all agents at once finishes all chunks at the same
+    /// late moment. Agents that ask one after another have something to swap
+    /// from the start.
+    pub origin_chunk_ms: f64,
+    /// Whether this agent stands in the origin's region.
+    pub is_near_origin: bool,
+}
+
+/// Where another agent stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct PeerPlace {
+    /// Whether it stands in another region than this agent.
+    pub is_far: bool,
+    /// Whether it stands in the origin's region.
+    pub is_near_origin: bool,
 }
 
 /// Chooses fetches for one manifest at one agent.
@@ -78,6 +101,8 @@
     /// Chunks not held here that no reachable peer holds.
     unseeded: ChunkBits,
     shares: OriginShares,
+    imports: ChunkImports,
+    began_at: Timestamp,
     origin: SourceBackoff,
     extra_draws: usize,
     seeds: usize,
@@ -106,7 +131,9 @@
     /// A picker for `chunks` chunks, none of which is held.
     pub fn new(settings: PickerSettings, chunks: usize, now: Timestamp) -> Self {
         Self {
-            shares: OriginShares::new(settings.instance.as_str(), chunks),
+            shares: OriginShares::new(settings.instance.as_str(), chunks, settings.is_near_origin),
+            imports: ChunkImports::new(settings.instance.as_str(), chunks),
+            began_at: now,
             settings,
             wanted: ChunkBits::full(chunks),
             held: ChunkBits::empty(chunks),
@@ -136,6 +163,12 @@
         }
     }
 
+    /// Notes where `peer` stands; one that nobody tells of stands near.
+    pub fn place_peer(&mut self, peer: &InstanceId, place: PeerPlace, now: Timestamp) {
+        let slot = self.slot_with(peer, place, now);
+        self.peers[slot - 1].is_far = place.is_far;
+    }
+
     /// Expects to hear soon what `peer` holds.
     ///
     /// Until it tells, or takes too long, nothing is drawn from the origin: an
@@ -151,7 +184,7 @@
         view.connected = true;
         view.heard_at = now;
         view.awaited_until = Deadline(now.0 + INVENTORY_MS);
-        self.count_chunks(slot);
+        self.count_chunks(slot, now);
     }
 
     /// Notes that `peer` has told all it holds.
@@ -167,7 +200,7 @@
             return;
         };
         self.discount_chunks(slot);
-        self.shares.leave(slot);
+        self.leave_shares(slot);
         let view = &mut self.peers[slot - 1];
         view.held = ChunkBits::empty(self.holders.len());
         view.drawing.clear();
@@ -204,6 +237,7 @@
                 continue;
             }
             self.holders[index] += 1;
+            self.imports.gain(index, self.peers[slot - 1].is_far, now);
             seeded |= self.unseeded.remove(index);
         }
         if seeded {
@@ -211,7 +245,7 @@
             self.clear_debt(slot, now);
             self.peers[slot - 1].behind = false;
         }
-        self.count_chunks(slot);
+        self.count_chunks(slot, now);
         self.join_shares(slot, now);
     }
 
@@ -240,7 +274,7 @@
                 self.peer_latency_ms = smoothed(self.peer_latency_ms, latency);
                 if let Some(slot) = self.slots.get(peer).copied() {
                     self.peers[slot - 1].backoff.succeeded();
-                    self.count_chunks(slot);
+                    self.count_chunks(slot, now);
                 }
             }
         }
@@ -267,7 +301,7 @@
         // hold everybody up; without that peer the chunk gets a new owner.
         if self.peers[slot - 1].backoff.is_distrusted() {
             self.discount_chunks(slot);
-            self.shares.leave(slot);
+            self.leave_shares(slot);
         }
     }
 
@@ -324,7 +358,15 @@
         if let Some(slot) = self.slots.get(peer) {
             return *slot;
         }
-        let slot = self.shares.add(peer.as_str());
+        self.slot_with(peer, PeerPlace::default(), now)
+    }
+
+    fn slot_with(&mut self, peer: &InstanceId, place: PeerPlace, now: Timestamp) -> AgentSlot {
+        if let Some(slot) = self.slots.get(peer) {
+            return *slot;
+        }
+        let slot = self.shares.add(peer.as_str(), place.is_near_origin);
+        self.imports.add(peer.as_str());
         let awaited_until = Deadline(now.0 + INVENTORY_MS);
         self.peers.push(PeerView::new(peer, self.holders.len(), now, awaited_until));
         self.slots.insert(peer.clone(), slot);
@@ -390,10 +432,16 @@
         }
         let owned = unclaimed
             .iter_common(&self.wanted)
-            .filter(|index| self.shares.owner(*index) == OWN_SLOT);
+            .filter(|index| self.shares.owner(*index) == OWN_SLOT)
+            .filter(|index| self.origin_turn(*index).is_past(now));
         pick_least(owned.map(|index| (index, 0)), rng)
     }
 
+    /// When the origin has time for a chunk, if all owners ask in the chunks' order.
+    fn origin_turn(&self, index: usize) -> Deadline {
+        Deadline(self.began_at.0 + (index as f64 * self.settings.origin_chunk_ms) as u64)
+    }
+
     fn may_draw(&self, now: Timestamp) -> bool {
         let most = if self.shares.participants() > SMALL_GROUP { 1 } else { 2 };
         self.origin_fetches < most
@@ -423,7 +471,9 @@
             return None;
         }
         let position = self.idle_peer(now, rng).or_else(|| self.least_asked_peer(now, rng))?;
-        let offered = self.peers[position].held.iter_common(&self.wanted);
+        let view = &self.peers[position];
+        let offered = view.held.iter_common(&self.wanted);
+        let offered = offered.filter(|index| !view.is_far || self.imports.may_import(*index));
         let index = pick_least(offered.map(|index| (index, self.holders[index])), rng)?;
         Some((position + 1, index))
     }
@@ -450,18 +500,29 @@
     }
 
     fn offers_something(&self, view: &PeerView, now: Timestamp) -> bool {
-        view.is_usable(now, self.settings.per_peer) && view.held.intersects(&self.wanted)
+        if !view.is_usable(now, self.settings.per_peer) {
+            return false;
+        }
+        match view.is_far {
+            false => view.held.intersects(&self.wanted),
+            true => {
+                let mut offered = view.held.iter_common(&self.wanted);
+                offered.any(|index| self.imports.may_import(index))
+            }
+        }
     }
 
     fn forget_chunk(&mut self, slot: AgentSlot, index: usize) {
         let view = &mut self.peers[slot - 1];
+        let is_far = view.is_far;
         if view.held.remove(index) && view.counted {
-            self.release_holder(index);
+            self.release_holder(index, is_far);
         }
     }
 
-    fn release_holder(&mut self, index: usize) {
+    fn release_holder(&mut self, index: usize, is_far: bool) {
         self.holders[index] -= 1;
+        self.imports.lose(index, is_far);
         if self.holders[index] == 0 && !self.held.contains(index) {
             self.unseeded.insert(index);
         }
--- a/crates/decide/src/select/ownership.rs
+++ b/crates/decide/src/select/ownership.rs
@@ -21,7 +21,7 @@
 
 impl ChunkPicker {
     /// Counts a peer's chunks as available, if it can be fetched from.
-    pub(super) fn count_chunks(&mut self, slot: AgentSlot) {
+    pub(super) fn count_chunks(&mut self, slot: AgentSlot, now: Timestamp) {
         let view = &mut self.peers[slot - 1];
         if view.counted || !view.connected || view.backoff.is_distrusted() {
             return;
@@ -29,6 +29,7 @@
         view.counted = true;
         for index in view.held.iter() {
             self.holders[index] += 1;
+            self.imports.gain(index, view.is_far, now);
             self.unseeded.remove(index);
         }
     }
@@ -38,9 +39,10 @@
         if !std::mem::replace(&mut self.peers[slot - 1].counted, false) {
             return;
         }
+        let is_far = self.peers[slot - 1].is_far;
         let held = std::mem::take(&mut self.peers[slot - 1].held);
         for index in held.iter() {
-            self.release_holder(index);
+            self.release_holder(index, is_far);
         }
         self.peers[slot - 1].held = held;
     }
@@ -48,11 +50,21 @@
     pub(super) fn join_shares(&mut self, slot: AgentSlot, now: Timestamp) {
         let view = &self.peers[slot - 1];
         if view.counted && !view.behind && !self.shares.takes_part(slot) {
+            let is_far = view.is_far;
             self.clear_debt(slot, now);
             self.shares.join(slot);
+            if !is_far {
+                self.imports.join(slot);
+            }
         }
     }
 
+    /// Takes an agent out of all shares.
+    pub(super) fn leave_shares(&mut self, slot: AgentSlot) {
+        self.shares.leave(slot);
+        self.imports.leave(slot);
+    }
+
     pub(super) fn note_seed(&mut self, now: Timestamp) {
         self.seeds += 1;
         self.progress_at = now;
@@ -78,9 +90,10 @@
             let view = &self.peers[slot - 1];
             if view.counted && view.is_silent(now, self.settings.stall_ms) {
                 self.discount_chunks(slot);
-                self.shares.leave(slot);
+                self.leave_shares(slot);
             }
         }
+        self.imports.review(now);
         self.review_debts(now);
     }
 
@@ -135,6 +148,6 @@
 
     fn leave_behind(&mut self, slot: AgentSlot) {
         self.peers[slot - 1].behind = true;
-        self.shares.leave(slot);
+        self.leave_shares(slot);
     }
 }
--- a/crates/decide/src/select/peers.rs
+++ b/crates/decide/src/select/peers.rs
@@ -96,6 +96,8 @@
     /// Whether its chunks count as available.
     pub(super) counted: bool,
     pub(super) backoff: SourceBackoff,
+    /// Whether it stands in another region.
+    pub(super) is_far: bool,
     /// Whether it lost its chunks because it brought none of them.
     pub(super) behind: bool,
     pub(super) heard_at: Timestamp,
@@ -123,6 +125,7 @@
             awaited_until,
             counted: false,
             backoff: SourceBackoff::default(),
+            is_far: false,
             behind: false,
             heard_at: now,
             owing_since: now,
--- a/crates/decide/src/select/shares.rs
+++ b/crates/decide/src/select/shares.rs
@@ -3,7 +3,9 @@
 //! Every chunk has one owner: the agent that ranks first for it by rendezvous
 //! hash among those that take part. All agents compute the same owners from
 //! the same names, without talk. An agent that leaves or falls behind is taken
-//! out, and just its chunks get new owners.
+//! out, and just its chunks get new owners. Agents in the origin's region go
+//! before all others, since a chunk that leaves that region and comes back
+//! crosses between regions twice.
 
 use crate::rank::{chunk_salt, name_salt, salted_weight};
 
@@ -17,6 +19,7 @@
 struct ShareHolder {
     salt: u64,
     name: String,
+    is_preferred: bool,
     taking_part: bool,
 }
 
@@ -30,8 +33,9 @@
 
 impl OriginShares {
     /// Shares in which `own` owns all `chunks` chunks.
-    pub(super) fn new(own: &str, chunks: usize) -> Self {
-        let own = ShareHolder { salt: name_salt(own), name: own.to_owned(), taking_part: true };
+    pub(super) fn new(own: &str, chunks: usize, is_preferred: bool) -> Self {
+        let (salt, name) = (name_salt(own), own.to_owned());
+        let own = ShareHolder { salt, name, is_preferred, taking_part: true };
         Self {
             chunk_salts: (0..chunks as u64).map(chunk_salt).collect(),
             holders: vec![own],
@@ -40,9 +44,9 @@
     }
 
     /// Adds an agent that does not take part yet.
-    pub(super) fn add(&mut self, name: &str) -> AgentSlot {
+    pub(super) fn add(&mut self, name: &str, is_preferred: bool) -> AgentSlot {
         let (salt, name) = (name_salt(name), name.to_owned());
-        self.holders.push(ShareHolder { salt, name, taking_part: false });
+        self.holders.push(ShareHolder { salt, name, is_preferred, taking_part: false });
         self.holders.len() - 1
     }
 
@@ -95,6 +99,7 @@
     fn ranks_before(&self, slot: AgentSlot, other: AgentSlot, index: usize) -> bool {
         let (own, other) = (&self.holders[slot], &self.holders[other]);
         let salt = self.chunk_salts[index];
-        (salted_weight(salt, own.salt), &own.name) > (salted_weight(salt, other.salt), &other.name)
+        let rank = |holder: &ShareHolder| (holder.is_preferred, salted_weight(salt, holder.salt));
+        (rank(own), &own.name) > (rank(other), &other.name)
     }
 }
--- a/crates/decide/src/versions.rs
+++ b/crates/decide/src/versions.rs
@@ -1,4 +1,8 @@
 //! The versions that operators named, and until when older ones may answer.
+//!
+//! A version may be named before the one before it is everywhere. Each has its
+//! own deadline, after which nothing older may answer; naming a newer one does
+//! not put off the deadline of an earlier one.
 
 use std::{collections::BTreeMap, time::Duration};
 
@@ -6,7 +10,10 @@
     Deadline, ManifestDigest, ModelName, ModelVersion, NamedVersion, Timestamp,
 };
 
-/// The newest version of one model.
+/// Versions of a model that are remembered; older ones have long been replaced.
+const REMEMBERED: usize = 8;
+
+/// A version that was named.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct WantedVersion {
     /// Rises with every version that is named.
@@ -20,16 +27,16 @@
     named_at: Timestamp,
 }
 
-/// The newest version of each model.
+/// The versions of each model, the newest last.
 #[derive(Debug, Clone, Default)]
 pub struct VersionBook {
-    models: BTreeMap<ModelName, WantedVersion>,
+    models: BTreeMap<ModelName, Vec<WantedVersion>>,
 }
 
 impl VersionBook {
     /// Takes in a named version; true if it or its manifest was not known.
     ///
-    /// `span` is the time within which it has to be the only one that answers.
+    /// `span` is the time after which no older version may answer.
     pub fn offer(&mut self, named: &NamedVersion, span: Duration, now: Timestamp) -> bool {
         let named_at = Timestamp(now.0.saturating_sub(named.age_ms));
         let fresh = WantedVersion {
@@ -39,49 +46,62 @@
             alone_from: named_at.deadline_after(span),
             named_at,
         };
-        let Some(known) = self.models.get_mut(&named.model) else {
-            self.models.insert(named.model.clone(), fresh);
-            return true;
-        };
-        if known.number > fresh.number {
-            return false;
-        }
-        if known.number < fresh.number {
-            *known = fresh;
-            return true;
+        let versions = self.models.entry(named.model.clone()).or_default();
+        let position = versions.partition_point(|known| known.number < fresh.number);
+        if let Some(known) = versions.get_mut(position).filter(|k| k.number == fresh.number) {
+            return known.merge(&fresh);
         }
-        // Whoever heard it first knows best how old it is.
-        known.named_at = known.named_at.min(fresh.named_at);
-        known.alone_from = known.alone_from.min(fresh.alone_from);
-        if known.manifest.is_none() && fresh.manifest.is_some() {
-            known.manifest = fresh.manifest;
-            return true;
+        versions.insert(position, fresh);
+        if versions.len() > REMEMBERED {
+            versions.remove(0);
         }
-        false
+        true
     }
 
     /// The newest version of `model`.
     pub fn wanted(&self, model: &str) -> Option<&WantedVersion> {
-        self.models.get(model)
+        self.models.get(model)?.last()
     }
 
-    /// The only version of `model` that may answer now, if older ones may not any more.
-    pub fn alone(&self, model: &str, now: Timestamp) -> Option<&ModelVersion> {
-        let wanted = self.models.get(model)?;
-        wanted.alone_from.is_past(now).then_some(&wanted.version)
+    /// The only versions of `model` that may answer now; none if all may.
+    pub fn allowed(&self, model: &str, now: Timestamp) -> Option<Vec<ModelVersion>> {
+        let versions = self.models.get(model)?;
+        let oldest = versions.iter().rposition(|known| known.alone_from.is_past(now))?;
+        if oldest == 0 {
+            // Nothing older was ever heard of.
+            return None;
+        }
+        Some(versions[oldest..].iter().map(|known| known.version.clone()).collect())
     }
 
-    /// All newest versions, as other processes have to know them.
+    /// All versions that are remembered, as other processes have to know them.
     pub fn named(&self, now: Timestamp) -> Vec<NamedVersion> {
-        let models = self.models.iter();
-        models
-            .map(|(model, wanted)| NamedVersion {
-                model: model.clone(),
-                number: wanted.number,
-                version: wanted.version.clone(),
-                manifest: wanted.manifest,
-                age_ms: now.since(wanted.named_at).as_millis() as u64,
-            })
-            .collect()
+        let of_model = |(model, versions): (&ModelName, &Vec<WantedVersion>)| {
+            let named = versions.iter().map(|known| known.named(model, now));
+            named.collect::<Vec<_>>()
+        };
+        self.models.iter().flat_map(of_model).collect()
+    }
+}
+
+impl WantedVersion {
+    /// Takes in what another process knows of the same version; true if the manifest is new.
+    fn merge(&mut self, other: &Self) -> bool {
+        // Whoever heard of it first knows best how old it is.
+        self.named_at = self.named_at.min(other.named_at);
+        self.alone_from = self.alone_from.min(other.alone_from);
+        let is_pinned = self.manifest.is_none() && other.manifest.is_some();
+        self.manifest = self.manifest.or(other.manifest);
+        is_pinned
+    }
+
+    fn named(&self, model: &str, now: Timestamp) -> NamedVersion {
+        NamedVersion {
+            model: model.to_owned(),
+            number: self.number,
+            version: self.version.clone(),
+            manifest: self.manifest,
+            age_ms: now.since(self.named_at).as_millis() as u64,
+        }
     }
 }
--- a/crates/decide/tests/overload.rs
+++ b/crates/decide/tests/overload.rs
@@ -243,6 +243,7 @@
             excluded: &request.excluded,
             prefix: None,
             version: None,
+            allowed: None,
             max_in_flight: LIMIT,
             now: stamp(self.now),
         };
--- a/crates/decide/tests/routing.rs
+++ b/crates/decide/tests/routing.rs
@@ -83,8 +83,15 @@
             }
             Policy::Shipped => {
                 let service = &self.service;
-                let query =
-                    RouteQuery { service, excluded, prefix, version: None, max_in_flight: 64, now };
+                let query = RouteQuery {
+                    service,
+                    excluded,
+                    prefix,
+                    version: None,
+                    allowed: None,
+                    max_in_flight: 64,
+                    now,
+                };
                 let choice = self.snapshot.choose(&query, &mut self.rng)?;
                 self.names.iter().position(|name| *name == choice.candidate.instance)
             }
--- a/crates/decide/tests/support/rounds.rs
+++ b/crates/decide/tests/support/rounds.rs
@@ -389,6 +389,8 @@
     fn new(plan: &RoundPlan, agent: usize) -> Self {
         let name = InstanceId::new(&format!("endpoint-{agent}")).expect("a valid name");
         let settings = PickerSettings {
+            origin_chunk_ms: 0.0,
+            is_near_origin: false,
             instance: name.clone(),
             stall_ms: 2_000,
             origin_step_ms: 500,
--- a/crates/entry/src/caller/attempts.rs
+++ b/crates/entry/src/caller/attempts.rs
@@ -193,14 +193,15 @@
     async fn try_once(&mut self, preset: &ForcedPreset) -> Result<BegunAnswer, AttemptEnd> {
         let (shared, head) = (&self.shared, &self.request.head);
         let now = Timestamp::now();
-        let alone = shared.only_version(&head.service, now);
+        let allowed = shared.allowed_versions(&head.service, now);
         let routes = shared.routes.load();
         let target = preset.content.services.get(&head.service);
         let has_cache = target.is_some_and(|target| target.kind == ServiceKind::Model);
         let query = RouteQuery {
             service: &head.service,
             excluded: &self.excluded,
-            version: self.version.as_ref().or(alone.as_ref()),
+            version: self.version.as_ref(),
+            allowed: allowed.as_deref(),
             prefix: head.prefix.filter(|_| has_cache),
             max_in_flight: target.map_or(0, |target| target.max_in_flight),
             now,
@@ -216,7 +217,8 @@
         let (instance, path) = (candidate.instance.clone(), candidate.path);
         let version = match path {
             EndpointPath::Agent => candidate.version.clone(),
-            EndpointPath::Direct(_) => alone,
+            // The endpoint refuses if it holds another one after all.
+            EndpointPath::Direct(_) => candidate.version.clone().filter(|_| allowed.is_some()),
         };
         drop(routes);
         self.excluded.push(instance.clone());
--- a/crates/entry/src/cli.rs
+++ b/crates/entry/src/cli.rs
@@ -136,7 +136,7 @@
         settings: routed,
         callers: Arc::new(PlatformCallers),
         endpoints: Arc::new(PlatformEndpoints),
-        operators: Arc::new(OperatorTable::new(rows.clone())),
+        operators: Arc::new(OperatorTable::new(rows.clone(), boot.regions())),
         list: Arc::new(ServerTable::new(rows.clone())),
         table: Arc::new(OwnRows::new(rows)),
         origin: Arc::new(PlatformOrigin::new(client)),
--- a/crates/entry/src/control/manifests.rs
+++ b/crates/entry/src/control/manifests.rs
@@ -26,8 +26,8 @@
 /// Pins every named version for ever.
 pub(crate) async fn pin_versions(shared: Arc<EntryShared>, routed: Arc<RoutedInterface>) {
     loop {
-        if let Some(addr) = shared.origin_addr() {
-            shared.origin.relocate(addr);
+        if let Some(origin) = shared.origin_place() {
+            shared.origin.relocate(origin.addr);
         }
         let Some(named) = first_unpinned(&routed) else {
             timeout(Duration::from_secs(1), routed.versions_changed()).await;
@@ -50,8 +50,14 @@
 }
 
 fn first_unpinned(routed: &RoutedInterface) -> Option<NamedVersion> {
-    let named = routed.versions.load().named(Timestamp::now());
-    named.into_iter().find(|named| named.manifest.is_none())
+    let versions = routed.versions.load();
+    let named = versions.named(Timestamp::now());
+    // The newest one is what endpoints have to serve; the origin may have
+    // dropped the others.
+    named.into_iter().rev().find(|named| {
+        let wanted = versions.wanted(&named.model).map(|wanted| wanted.number);
+        named.manifest.is_none() && wanted == Some(named.number)
+    })
 }
 
 async fn read_twice(shared: &EntryShared, version: &ModelVersion) -> Option<ManifestDigest> {
--- a/crates/entry/src/control/membership.rs
+++ b/crates/entry/src/control/membership.rs
@@ -122,6 +122,7 @@
                 instance: report.instance.clone(),
                 inner_addr: report.inner_addr,
                 failure_domain: report.failure_domain.clone(),
+                region: report.region.clone(),
             });
         }
     }
--- a/crates/entry/src/control/orders.rs
+++ b/crates/entry/src/control/orders.rs
@@ -79,7 +79,7 @@
     };
     let PlannedOrder { instance, version, manifest, fencing, serve, reason } = planned;
     log::info!(target: "place", instance:% = instance, version:% = version, fencing = fencing, serve = serve, reason:? = reason; "Orders an endpoint.");
-    let origin = shared.origin_addr();
+    let origin = shared.origin_place();
     let order = WeightOrder { version, manifest, fencing, serve, origin };
     let _ = link.sender.try_send(ControlMessage::Order(order));
 }
--- a/crates/entry/src/routed.rs
+++ b/crates/entry/src/routed.rs
@@ -146,14 +146,14 @@
         let _ = self.versions_changed.1.recv().await;
     }
 
-    /// The only version that may answer requests of `target` now, if others may not any more.
-    pub(crate) fn only_version(
+    /// The only versions that may answer requests of `target` now; none if all may.
+    pub(crate) fn allowed_versions(
         &self,
         target: &ServiceTarget,
         now: Timestamp,
-    ) -> Option<ModelVersion> {
+    ) -> Option<Vec<ModelVersion>> {
         let engine = target.engine.as_ref()?;
-        self.versions.load().alone(&engine.model, now).cloned()
+        self.versions.load().allowed(&engine.model, now)
     }
 
     /// `preset` with the versions that were named since.
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -17,8 +17,8 @@
 };
 use cassiawheel_edge::{TableStore, WeightSource};
 use cassiawheel_model::{
-    EndpointState, ForcedPreset, InstanceId, LoadReport, ModelVersion, PresetRevision, RequestId,
-    ServiceName, Timestamp, settings::EntrySettings,
+    EndpointState, ForcedPreset, InstanceId, LoadReport, ModelVersion, OriginPlace, PresetRevision,
+    RequestId, ServiceName, Timestamp, settings::EntrySettings,
 };
 use cassiawheel_wire::WireSender;
 
@@ -150,11 +150,11 @@
         self.leaving.load(Ordering::Acquire)
     }
 
-    /// Address of the origin of weights, where it comes with the preset.
-    pub(crate) fn origin_addr(&self) -> Option<SocketAddr> {
+    /// The origin of weights, where it comes with the preset.
+    pub(crate) fn origin_place(&self) -> Option<OriginPlace> {
         let force = self.force.load();
         let mut services = force.as_ref()?.content.services.values();
-        services.find_map(|target| target.engine.as_ref()?.origin)
+        services.find_map(|target| target.engine.as_ref()?.origin.clone())
     }
 
     /// Entries that go before this one where one of them does the work of all.
@@ -171,17 +171,17 @@
         }
     }
 
-    /// The only version that may answer requests for `service` now, if one was
-    /// named so long ago that others may not any more.
-    pub(crate) fn only_version(
+    /// The only versions that may answer requests for `service` now, if a newer one
+    /// was named so long ago that older ones may not any more.
+    pub(crate) fn allowed_versions(
         &self,
         service: &ServiceName,
         now: Timestamp,
-    ) -> Option<ModelVersion> {
+    ) -> Option<Vec<ModelVersion>> {
         let routed = self.routed.as_ref()?;
         let force = self.force.load();
         let target = force.as_ref()?.content.services.get(service)?;
-        routed.only_version(target, now)
+        routed.allowed_versions(target, now)
     }
 
     /// An id that no other request has.
--- a/crates/model/src/target.rs
+++ b/crates/model/src/target.rs
@@ -4,7 +4,7 @@
 
 use macro_rules_attribute::apply;
 
-use crate::{ManifestDigest, ModelVersion};
+use crate::{ManifestDigest, ModelVersion, RegionName};
 
 /// Name of a model; several services may run the same one.
 pub type ModelName = String;
@@ -40,6 +40,18 @@
     pub stride: u32,
     /// Tokens of a usual answer.
     pub usual_answer: u32,
-    /// Address of the origin of weights, if there is one.
-    pub origin: Option<SocketAddr>,
+    /// The origin of its weights, if there is one.
+    pub origin: Option<OriginPlace>,
+}
+
+/// Where weights come from.
+#[apply(record!)]
+#[derive(Eq)]
+pub struct OriginPlace {
+    /// Its address.
+    pub addr: SocketAddr,
+    /// Its region, if it is known.
+    pub region: Option<RegionName>,
+    /// What its link carries, in bytes per second; zero if it is not known.
+    pub bytes_per_s: u64,
 }
--- a/crates/wire/src/message/control.rs
+++ b/crates/wire/src/message/control.rs
@@ -4,7 +4,7 @@
 
 use cassiawheel_model::{
     EndpointReport, FailureDomain, ForcedPreset, InstanceId, ListedRow, LoadReport, ManifestDigest,
-    ModelVersion, NamedVersion, PresetRevision, record,
+    ModelVersion, NamedVersion, OriginPlace, PresetRevision, RegionName, record,
 };
 use macro_rules_attribute::apply;
 
@@ -96,9 +96,9 @@
     pub fencing: u64,
     /// Whether to serve the version once it is staged, or only to stage it.
     pub serve: bool,
-    /// Address of the origin of weights, where it comes with the preset.
+    /// The origin of weights, where it comes with the preset.
     #[serde(default)]
-    pub origin: Option<SocketAddr>,
+    pub origin: Option<OriginPlace>,
 }
 
 /// Where an agent is reached by other agents.
@@ -111,4 +111,6 @@
     pub inner_addr: SocketAddr,
     /// Where it stands.
     pub failure_domain: FailureDomain,
+    /// Its region.
+    pub region: RegionName,
 }
