--- a/crates/decide/src/plan.rs
+++ b/crates/decide/src/plan.rs
@@ -7,15 +7,18 @@
 //!
 //! A new version is staged everywhere at once while the old one serves. Then
 //! the endpoints switch in the order of their rendezvous ranks, so many at a
-//! time that the promised share goes on serving. An entry whose reports lag
+//! time that the promised share goes on serving. Where the platform sets a time
+//! by which a version has to be the only one, as many switch at a time as it
+//! takes to keep it, those with the oldest version first. An entry whose reports lag
 //! takes fewer endpoints for finished and so releases fewer, never others:
 //! several entries together keep the share that each of them keeps.
 
 use std::{cmp::Reverse, collections::BTreeMap};
 
 use cassiawheel_model::{
-    EndpointReport, EndpointState, FailureDomain, ForcedPreset, InstanceId, ManifestDigest,
-    ModelVersion, PresetContent, PresetRevision, ServiceName, ServiceTarget, label,
+    Deadline, EndpointReport, EndpointState, FailureDomain, ForcedPreset, InstanceId,
+    ManifestDigest, ModelVersion, PresetContent, PresetRevision, ServiceName, ServiceTarget,
+    Timestamp, label,
 };
 use macro_rules_attribute::apply;
 
@@ -33,6 +36,49 @@
     pub ahead: Option<&'a PresetContent>,
     /// Reports of the endpoints that do not leave.
     pub reports: &'a [&'a EndpointReport],
+    /// What the platform asks of versions, if it does.
+    pub pace: Option<&'a PlanPace>,
+}
+
+/// By when endpoints have to serve a version, and which versions no longer count.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PlanPace {
+    /// Versions that were named, the oldest first.
+    pub versions: Vec<ModelVersion>,
+    /// Versions that may not answer any more; their endpoints serve nothing.
+    pub barred: Vec<ModelVersion>,
+    /// When the last endpoint should begin to switch.
+    pub begin_by: Deadline,
+    /// The present moment.
+    pub now: Timestamp,
+}
+
+/// Usual time of a switch, in milliseconds.
+///
+/// An engine finishes what runs, which took 1.0 to 2.6 s with answers of some
+/// 24 events, and loads in 0.3 s.
+const SWITCH_MS: u64 = 2_000;
+
+impl PlanPace {
+    /// How many of `left` endpoints have to switch at a time to keep the time.
+    fn at_a_time(&self, left: usize) -> usize {
+        let span = self.begin_by.remaining(self.now).as_millis() as u64 + SWITCH_MS;
+        (left as u64 * SWITCH_MS).div_ceil(span) as usize
+    }
+
+    fn age_of(&self, report: &EndpointReport) -> usize {
+        let EndpointState::Serving { version: Some(version), .. } = &report.state else {
+            return 0;
+        };
+        self.versions.iter().position(|known| known == version).unwrap_or(0)
+    }
+
+    fn bars(&self, report: &EndpointReport) -> bool {
+        let EndpointState::Serving { version: Some(version), .. } = &report.state else {
+            return false;
+        };
+        self.barred.contains(version)
+    }
 }
 
 /// An order that an endpoint has to get.
@@ -93,7 +139,11 @@
             revision: input.preset.revision,
             wanted,
             ahead: ahead.filter(|ahead| ahead.manifest != wanted.manifest),
-            at_a_time: switches_at_a_time(target, chosen.len()),
+            at_a_time: match input.pace {
+                Some(pace) => pace.at_a_time(chosen.iter().filter(|r| !serves(r, wanted)).count()),
+                None => switches_at_a_time(target, chosen.len()),
+            },
+            pace: input.pace,
             chosen,
         };
         orders.extend(service.orders());
@@ -194,14 +244,18 @@
     wanted: WantedWeights<'a>,
     ahead: Option<WantedWeights<'a>>,
     at_a_time: usize,
+    pace: Option<&'a PlanPace>,
     chosen: Vec<&'a EndpointReport>,
 }
 
 impl ServicePlan<'_> {
     fn orders(mut self) -> Vec<PlannedOrder> {
         let subject = subject_of(&self.wanted.manifest.to_string());
-        self.chosen
-            .sort_by_key(|report| Reverse(rendezvous_weight(subject, report.instance.as_str())));
+        let pace = self.pace;
+        self.chosen.sort_by_key(|report| {
+            let age = pace.map_or(0, |pace| pace.age_of(report));
+            (age, Reverse(rendezvous_weight(subject, report.instance.as_str())))
+        });
         let mut window = SwitchWindow::new(&self.chosen, self.at_a_time);
         let mut orders = Vec::new();
         for report in &self.chosen {
@@ -215,6 +269,9 @@
         let (weights, serve, reason) = match &report.state {
             EndpointState::Switching | EndpointState::Draining => return None,
             EndpointState::Empty => (self.wanted, true, PlanReason::ServesNothing),
+            EndpointState::Serving { .. } if self.pace.is_some_and(|pace| pace.bars(report)) => {
+                (self.wanted, true, PlanReason::ServesNothing)
+            }
             EndpointState::Serving { .. } if serves(report, self.wanted) => {
                 (self.ahead?, false, PlanReason::StageAhead)
             }
--- a/crates/decide/src/versions.rs
+++ b/crates/decide/src/versions.rs
@@ -10,6 +10,8 @@
     Deadline, ManifestDigest, ModelName, ModelVersion, NamedVersion, Timestamp,
 };
 
+use crate::plan::PlanPace;
+
 /// Versions of a model that are remembered; older ones have long been replaced.
 const REMEMBERED: usize = 8;
 
@@ -74,6 +76,18 @@
         Some(versions[oldest..].iter().map(|known| known.version.clone()).collect())
     }
 
+    /// What the versions of `model` ask of a plan.
+    pub fn pace(&self, model: &str, now: Timestamp) -> Option<PlanPace> {
+        let versions = self.models.get(model)?;
+        let newest = versions.last()?;
+        let names: Vec<_> = versions.iter().map(|known| known.version.clone()).collect();
+        let barred = match self.allowed(model, now) {
+            Some(allowed) => names.iter().filter(|name| !allowed.contains(name)).cloned().collect(),
+            None => Vec::new(),
+        };
+        Some(PlanPace { versions: names, barred, begin_by: newest.alone_from, now })
+    }
+
     /// All versions that are remembered, as other processes have to know them.
     pub fn named(&self, now: Timestamp) -> Vec<NamedVersion> {
         let of_model = |(model, versions): (&ModelName, &Vec<WantedVersion>)| {
--- a/crates/decide/tests/plan.rs
+++ b/crates/decide/tests/plan.rs
@@ -83,7 +83,7 @@
 
 fn plan(preset: &ForcedPreset, reports: &[EndpointReport]) -> Vec<PlannedOrder> {
     let reports: Vec<_> = reports.iter().collect();
-    plan_orders(PlanInput { preset, ahead: None, reports: &reports })
+    plan_orders(PlanInput { preset, ahead: None, reports: &reports, pace: None })
 }
 
 /// An endpoint with its agent and engine, reduced to what orders do to it.
@@ -306,7 +306,12 @@
     let ahead = content("v3", 50, None);
     let mut endpoint = report(0, serving("v2"));
     let plan = |endpoint: &EndpointReport| {
-        plan_orders(PlanInput { preset: &preset, ahead: Some(&ahead), reports: &[endpoint] })
+        plan_orders(PlanInput {
+            preset: &preset,
+            ahead: Some(&ahead),
+            reports: &[endpoint],
+            pace: None,
+        })
     };
     let orders = plan(&endpoint);
     assert_eq!(orders.len(), 1);
--- a/crates/entry/src/control/orders.rs
+++ b/crates/entry/src/control/orders.rs
@@ -65,10 +65,12 @@
     let ahead = ahead.as_ref().map(|ahead| &ahead.staged.content);
     match &shared.routed {
         Some(routed) => {
+            let pace = routed.pace(&preset, Timestamp::now());
             let preset = routed.with_versions(&preset);
-            plan_orders(PlanInput { preset: &preset, ahead, reports: &reports })
+            let pace = pace.as_ref();
+            plan_orders(PlanInput { preset: &preset, ahead, reports: &reports, pace })
         }
-        None => plan_orders(PlanInput { preset: &preset, ahead, reports: &reports }),
+        None => plan_orders(PlanInput { preset: &preset, ahead, reports: &reports, pace: None }),
     }
 }
 
--- a/crates/entry/src/routed.rs
+++ b/crates/entry/src/routed.rs
@@ -9,7 +9,7 @@
 };
 
 use arc_swap::{ArcSwap, ArcSwapOption};
-use cassiawheel_decide::{CallerIndex, EndpointListing, RetryBudget, VersionBook};
+use cassiawheel_decide::{CallerIndex, EndpointListing, RetryBudget, VersionBook, plan::PlanPace};
 use cassiawheel_edge::{
     CallerProtocol, EndpointProtocol, ListingFeed, OperatorFeed, TableStore, WeightSource,
 };
@@ -156,6 +156,13 @@
         self.versions.load().allowed(&engine.model, now)
     }
 
+    /// What the platform asks of the versions of the preset's model.
+    pub(crate) fn pace(&self, preset: &ForcedPreset, now: Timestamp) -> Option<PlanPace> {
+        let mut targets = preset.content.services.values();
+        let engine = targets.find_map(|target| target.engine.as_ref())?;
+        self.versions.load().pace(&engine.model, now)
+    }
+
     /// `preset` with the versions that were named since.
     pub(crate) fn with_versions(&self, preset: &ForcedPreset) -> ForcedPreset {
         let versions = self.versions.load();
