--- a/crates/entry/src/direct/pool.rs
+++ b/crates/entry/src/direct/pool.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use cassiawheel_model::{Deadline, InstanceId, Timestamp};
-use cassiawheel_runtime::{dial, spawn, timeout};
+use cassiawheel_runtime::{dial, reset_on_close, spawn, timeout};
 use http_body_util::Full;
 use hyper::{Request, Response, body::Incoming, client::conn::http1};
 use smol::Task;
@@ -73,6 +73,7 @@
         Some(Err(error)) => return Err(error.to_string()),
         None => return Err("connecting takes too long".to_owned()),
     };
+    reset_on_close(&stream).map_err(|error| error.to_string())?;
     let mut builder = http1::Builder::new();
     builder.max_buf_size(BUFFER_BYTES);
     let (sender, connection) =
--- a/crates/runtime/src/dial.rs
+++ b/crates/runtime/src/dial.rs
@@ -7,7 +7,7 @@
 };
 
 use smol::{Async, net::TcpStream};
-use socket2::{Domain, Protocol, Socket, TcpKeepalive, Type};
+use socket2::{Domain, Protocol, SockRef, Socket, TcpKeepalive, Type};
 
 /// `connect` goes on in the background.
 const EINPROGRESS: i32 = 115;
@@ -43,6 +43,15 @@
     }
 }
 
+/// Has a connection reset when it is closed, so that what was not sent yet never is.
+///
+/// Bytes for a machine that stands still wait in the kernel after a close and
+/// reach the machine when it wakes, seconds later: a request whose caller has
+/// long left would then run after all.
+pub fn reset_on_close(stream: &TcpStream) -> io::Result<()> {
+    SockRef::from(stream).set_linger(Some(Duration::ZERO))
+}
+
 /// Has a connection end once the other end has been silent for a while.
 ///
 /// Works without as well, only slower, so a system that knows none of the
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -12,6 +12,6 @@
 pub mod probes;
 pub mod shutdown;
 
-pub use dial::dial;
+pub use dial::{dial, reset_on_close};
 pub use executor::{run, spawn, timeout};
 pub use shutdown::{ShutdownEnd, ShutdownSignal, ShutdownTrigger, TerminationSignals};
