--- a/crates/decide/src/cell.rs
+++ b/crates/decide/src/cell.rs
@@ -7,9 +7,25 @@
 
 use cassiawheel_model::{LoadReport, Timestamp};
 
+/// Age up to which a load report counts in full, in milliseconds.
+///
+/// Under overload what one entry takes for free another takes as well. A report
+/// that fades at once lets all of them together send more than fits, and every
+/// answer comes late.
+const FRESH_MS: u64 = 800;
+
 /// Age at which a load report no longer counts, in milliseconds.
 const REPORT_LIFE_MS: u64 = 2_000;
 
+/// Weight of a new delay in the mean, as a power of two.
+const DELAY_SHIFT: u32 = 2;
+
+/// Age at which measured delays no longer count, in milliseconds.
+///
+/// An endpoint that was slow is tried again after this time; one that stayed
+/// slow costs a request then.
+const DELAY_LIFE_MS: u64 = 3_000;
+
 /// Sixteenths of a request, in which the adaptive limit is kept.
 const UNIT: u32 = 16;
 
@@ -40,6 +56,9 @@
     cut_at: AtomicU64,
     failures: AtomicU32,
     ejected_until: AtomicU64,
+    /// Mean time until an answer begins, in milliseconds.
+    delay_ms: AtomicU32,
+    delayed_at: AtomicU64,
 }
 
 impl EndpointCell {
@@ -95,8 +114,28 @@
         let report = self.report.load(Ordering::Relaxed);
         let measured_at = Timestamp(report & ((1 << MOMENT_BITS) - 1));
         let age = now.0.saturating_sub(measured_at.0);
-        let weight = REPORT_LIFE_MS.saturating_sub(age);
-        ((report >> MOMENT_BITS) * weight / REPORT_LIFE_MS) as u32
+        let weight = REPORT_LIFE_MS.saturating_sub(age.max(FRESH_MS));
+        ((report >> MOMENT_BITS) * weight).div_ceil(REPORT_LIFE_MS - FRESH_MS) as u32
+    }
+
+    /// Notes how long a request waited for the beginning of its answer, or has
+    /// waited so far when it was given up.
+    pub fn note_delay(&self, delay_ms: u64, now: Timestamp) {
+        let before = self.delay_ms(now);
+        let delay = u32::try_from(delay_ms).unwrap_or(u32::MAX);
+        let mean = if delay > before {
+            before + ((delay - before) >> DELAY_SHIFT)
+        } else {
+            before - ((before - delay) >> DELAY_SHIFT)
+        };
+        self.delay_ms.store(mean, Ordering::Relaxed);
+        self.delayed_at.store(now.0, Ordering::Relaxed);
+    }
+
+    /// Mean time until an answer begins here, in milliseconds; zero if not known.
+    pub fn delay_ms(&self, now: Timestamp) -> u32 {
+        let age = now.0.saturating_sub(self.delayed_at.load(Ordering::Relaxed));
+        if age > DELAY_LIFE_MS { 0 } else { self.delay_ms.load(Ordering::Relaxed) }
     }
 
     /// Notes an answer: raises the limit by one per round of full use.
--- a/crates/decide/src/route.rs
+++ b/crates/decide/src/route.rs
@@ -1,12 +1,13 @@
 //! Which endpoint gets a request.
 //!
 //! Two endpoints are drawn at random, one of them from the entry's own failure
-//! domain, and the one with the lower cost wins. The cost counts requests that
-//! this entry has in progress there and the others' by the endpoint's last
-//! report, discounted by its age, since it lags and every entry sees the same
-//! number. A prompt whose prefix an endpoint has probably cached goes there,
-//! as long as that endpoint's load stays near the mean. Endpoints that fail
-//! are passed over for a while.
+//! domain, and the one with the lower cost wins. Comparing all of them would
+//! send every entry to the same one, since reports lag. The cost counts
+//! requests that this entry has in progress there and the others' by the
+//! endpoint's last report, and how long answers have taken to begin lately. A
+//! prompt whose prefix an endpoint has probably cached goes there, as long as
+//! that endpoint's load stays near the mean. Endpoints that fail are passed
+//! over for a while.
 //!
 //! A choice reads one snapshot and atomics; it takes no lock and allocates nothing.
 
@@ -121,6 +122,18 @@
 /// Cost of another failure domain: decides between equals, never against load.
 const FAR_COST: u32 = 2;
 
+/// Requests beyond its limit that a direct endpoint may get, since what others
+/// send it at the same moment is not known.
+const DIRECT_SLACK: u32 = 0;
+
+/// Time until an answer begins that is usual at a busy endpoint, in milliseconds.
+const USUAL_DELAY_MS: u32 = 450;
+
+/// Delay beyond the usual that costs as much as one unit of cost, in milliseconds.
+///
+/// A request more in progress delays the next one by some 25 ms and costs four.
+const DELAY_UNIT_MS: u32 = 25;
+
 impl RouteReason {
     /// The word in the decision log.
     pub fn as_str(self) -> &'static str {
@@ -148,11 +161,17 @@
 
     fn cost(&self, now: Timestamp) -> u32 {
         let distance = if self.is_near { 0 } else { FAR_COST };
-        self.cell.load(now) * LOAD_COST + distance
+        let delay = self.cell.delay_ms(now).saturating_sub(USUAL_DELAY_MS) / DELAY_UNIT_MS;
+        self.cell.load(now) * LOAD_COST + distance + delay
     }
 
     fn has_room(&self, query: &RouteQuery<'_>) -> bool {
-        let limit = self.limit(query.max_in_flight, query.now);
+        let limit = match self.path {
+            EndpointPath::Agent => self.limit(query.max_in_flight, query.now),
+            EndpointPath::Direct(_) => {
+                self.limit(query.max_in_flight, query.now).saturating_add(DIRECT_SLACK)
+            }
+        };
         let is_wanted = query.version.is_none_or(|version| self.version.as_ref() == Some(version));
         let is_allowed = query.allowed.is_none_or(|allowed| {
             self.version.as_ref().is_none_or(|version| allowed.contains(version))
--- a/crates/entry/src/caller/attempts.rs
+++ b/crates/entry/src/caller/attempts.rs
@@ -239,6 +239,8 @@
             }
         };
         load.cell.succeed();
+        let delay_ms = Timestamp::now().since(now).as_millis() as u64;
+        log::info!(target: "answer", request:% = self.request.head.id, endpoint:% = instance, status = begun.status, delay_ms = delay_ms; "An answer begins.");
         Ok(BegunAnswer {
             stream: begun.stream,
             status: begun.status,
--- a/crates/entry/src/caller/dispatch.rs
+++ b/crates/entry/src/caller/dispatch.rs
@@ -115,6 +115,19 @@
     }
 }
 
+/// Measures how long an answer takes to begin, also if nobody waits for it any more.
+struct DelayWatch<'a> {
+    cell: &'a EndpointCell,
+    started_at: Timestamp,
+}
+
+impl Drop for DelayWatch<'_> {
+    fn drop(&mut self) {
+        let now = Timestamp::now();
+        self.cell.note_delay(now.since(self.started_at).as_millis() as u64, now);
+    }
+}
+
 /// Sends an attempt and waits until its answer begins.
 pub(super) async fn dispatch(
     shared: &EntryShared,
@@ -122,6 +135,7 @@
     sent: DispatchedRequest<'_>,
     cell: &EndpointCell,
 ) -> Result<AnswerHead, AttemptEnd> {
+    let _watch = DelayWatch { cell, started_at: Timestamp::now() };
     let mut begun = match (path, &shared.routed) {
         (EndpointPath::Agent, _) => {
             let link = shared.links.load().get(sent.instance).cloned();
--- a/crates/entry/src/caller/routed.rs
+++ b/crates/entry/src/caller/routed.rs
@@ -32,6 +32,13 @@
 /// Workspace of requests that carry no key.
 const NO_WORKSPACE: &str = "public";
 
+/// Part of a route's aim by which a request has to be admitted; half of that
+/// time is the longest wait.
+///
+/// A busy engine takes 130 to 250 ms to begin an answer and aims are 300 to
+/// 400 ms, so a quarter is what is left.
+const AIM_PART: u64 = 2;
+
 /// When a caller should come back to an entry that knows no preset yet, in seconds.
 const START_RETRY_S: &str = "0.3";
 
@@ -159,7 +166,7 @@
         .workspace(rule, caller.key.as_deref())
         .map_err(|_| CallerRefusal::UnknownKey)?
         .cloned();
-    let head = request_head(&parts, &caller, rule, workspace.as_ref(), now)?;
+    let head = request_head(routed, &parts, &caller, rule, workspace.as_ref(), now)?;
     let limits = index.table().limits;
     let span = Duration::from_millis(shared.settings.limits.body_ms)
         .min(head.deadline.remaining(Timestamp::now()));
@@ -170,7 +177,7 @@
         fields: routed.callers.end_to_end(&parts.headers),
         workspace,
         max_attempts: rule.max_attempts.max(1),
-        admit_by: now.deadline_after(Duration::from_millis(rule.aim_ms)),
+        admit_by: now.deadline_after(Duration::from_millis(rule.aim_ms / AIM_PART)),
         form: match rule.kind {
             RouteKind::Idempotent | RouteKind::AtMostOnce => AnswerForm::Unchanged,
             RouteKind::Stream | RouteKind::ResumableStream => AnswerForm::Events,
@@ -186,6 +193,7 @@
 }
 
 fn request_head(
+    routed: &RoutedInterface,
     parts: &Parts,
     caller: &CallerHead,
     rule: &RouteRule,
@@ -201,13 +209,16 @@
     };
     let service = draw_service(rule, rand::rng().random()).ok_or(CallerRefusal::NoRoute)?;
     let timeout = Duration::from_millis(rule.timeout_ms);
+    let is_first = caller.patience.is_none_or(|patience| routed.is_first_try(&rule.name, patience));
     let patience = caller.patience.map_or(timeout, |patience| patience.min(timeout));
     let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
     Ok(RequestHead {
         id: caller.id.clone(),
         workspace,
         service: service.clone(),
-        priority: PriorityClass::Normal,
+        // One that was refused before has missed its aim; its answer is worth
+        // less to the caller than that of a fresh one.
+        priority: if is_first { PriorityClass::Normal } else { PriorityClass::Low },
         repeat: match rule.kind {
             RouteKind::Idempotent | RouteKind::ResumableStream => Repeatability::Idempotent,
             RouteKind::AtMostOnce | RouteKind::Stream => Repeatability::AtMostOnce,
--- a/crates/entry/src/routed.rs
+++ b/crates/entry/src/routed.rs
@@ -4,7 +4,10 @@
 use std::{
     collections::{BTreeSet, HashMap},
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard, atomic::AtomicBool},
+    sync::{
+        Arc, Mutex, MutexGuard,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
     time::Duration,
 };
 
@@ -21,12 +24,6 @@
 
 use crate::direct::DirectClient;
 
-/// Requests that may wait at an endpoint beyond those that it works on.
-///
-/// A place comes free every 50 to 100 ms at a busy engine, so that one more
-/// request waits about as long as the way there and back saves.
-const WAITING_ALLOWED: u32 = 1;
-
 /// Entries among which the retries of a service are shared at least.
 ///
 /// An entry that starts knows of no other yet, and would take all of them.
@@ -72,8 +69,16 @@
     listing: Mutex<EndpointListing>,
     entries: Mutex<BTreeSet<SocketAddr>>,
     budgets: ArcSwap<HashMap<ServiceName, Arc<RetryBudget>>>,
+    /// Longest patience of a caller by the name of its route, in milliseconds.
+    patience: ArcSwap<HashMap<String, Arc<AtomicU64>>>,
 }
 
+/// Part of the longest patience on a route below which a request is not its caller's first try.
+///
+/// Callers give a first try all of their time, and come back after some hundred
+/// milliseconds at least.
+const FIRST_TRY_PART: f64 = 0.97;
+
 /// An endpoint that requests may be sent to.
 pub(crate) struct DirectCandidate<'a> {
     /// The endpoint.
@@ -100,6 +105,7 @@
             versions_changed: bounded(1),
             entries: Mutex::default(),
             budgets: ArcSwap::default(),
+            patience: ArcSwap::default(),
         }
     }
 
@@ -125,6 +131,21 @@
         self.index.store(table.map(|table| Arc::new(CallerIndex::new(table))));
     }
 
+    /// Whether a caller that waits for `patience` asks for the first time.
+    pub(crate) fn is_first_try(&self, route: &str, patience: Duration) -> bool {
+        let patience = patience.as_millis() as u64;
+        if let Some(longest) = self.patience.load().get(route) {
+            let longest = longest.fetch_max(patience, Ordering::Relaxed).max(patience);
+            return patience as f64 >= longest as f64 * FIRST_TRY_PART;
+        }
+        self.patience.rcu(|known| {
+            let mut known = HashMap::clone(known);
+            known.entry(route.to_owned()).or_insert_with(|| Arc::new(AtomicU64::new(patience)));
+            known
+        });
+        true
+    }
+
     /// Takes in a named version; true if it or its manifest was not known.
     pub(crate) fn offer_version(&self, named: &NamedVersion) -> bool {
         let span = Duration::from_millis(self.settings.version_ms);
@@ -206,7 +227,7 @@
     let present = listing.endpoints().filter(|listed| !listed.is_leaving);
     let candidate = |listed: &'a ListedEndpoint| {
         let target = preset.content.services.get(&listed.service)?;
-        let limit = listed.slots + WAITING_ALLOWED;
+        let limit = listed.slots;
         if target.engine.is_none() {
             return Some(DirectCandidate { listed, version: None, limit });
         }
