Test the platform's path over TCP with stand-ins; route as soon as a preset is known

Cause, found by the tests: an entry that read the list before the preset kept no route until the list changed, and answered 503 meanwhile. Ruled out: the list itself, which was complete. Publishing a preset now rebuilds the routes.

--- a/crates/decide/src/cell.rs
+++ b/crates/decide/src/cell.rs
@@ -7,7 +7,8 @@
 
 use cassiawheel_model::{LoadReport, Timestamp};
 
-/// Age up to which a load report counts in full, in milliseconds.
+/// Age up to which a load report counts in full where no gate stands before the
+/// endpoint, in milliseconds.
 ///
 /// Under overload what one entry takes for free another takes as well. A report
 /// that fades at once lets all of them together send more than fits, and every
@@ -111,11 +112,20 @@
 
     /// Requests of others by the last report, discounted by its age.
     pub fn others(&self, now: Timestamp) -> u32 {
+        self.others_after(now, 0)
+    }
+
+    /// Requests of others by the last report, which counts in full while it is fresh.
+    pub fn recent_others(&self, now: Timestamp) -> u32 {
+        self.others_after(now, FRESH_MS)
+    }
+
+    fn others_after(&self, now: Timestamp, fresh_ms: u64) -> u32 {
         let report = self.report.load(Ordering::Relaxed);
         let measured_at = Timestamp(report & ((1 << MOMENT_BITS) - 1));
         let age = now.0.saturating_sub(measured_at.0);
-        let weight = REPORT_LIFE_MS.saturating_sub(age.max(FRESH_MS));
-        ((report >> MOMENT_BITS) * weight).div_ceil(REPORT_LIFE_MS - FRESH_MS) as u32
+        let weight = REPORT_LIFE_MS.saturating_sub(age.max(fresh_ms));
+        ((report >> MOMENT_BITS) * weight / (REPORT_LIFE_MS - fresh_ms)) as u32
     }
 
     /// Notes how long a request waited for the beginning of its answer, or has
--- a/crates/decide/src/route.rs
+++ b/crates/decide/src/route.rs
@@ -122,10 +122,6 @@
 /// Cost of another failure domain: decides between equals, never against load.
 const FAR_COST: u32 = 2;
 
-/// Requests beyond its limit that a direct endpoint may get, since what others
-/// send it at the same moment is not known.
-const DIRECT_SLACK: u32 = 0;
-
 /// Time until an answer begins that is usual at a busy endpoint, in milliseconds.
 const USUAL_DELAY_MS: u32 = 450;
 
@@ -155,7 +151,7 @@
         let limit = self.cell.limit().min(max_in_flight);
         match self.path {
             EndpointPath::Agent => limit,
-            EndpointPath::Direct(_) => limit.saturating_sub(self.cell.others(now)),
+            EndpointPath::Direct(_) => limit.saturating_sub(self.cell.recent_others(now)),
         }
     }
 
@@ -166,12 +162,7 @@
     }
 
     fn has_room(&self, query: &RouteQuery<'_>) -> bool {
-        let limit = match self.path {
-            EndpointPath::Agent => self.limit(query.max_in_flight, query.now),
-            EndpointPath::Direct(_) => {
-                self.limit(query.max_in_flight, query.now).saturating_add(DIRECT_SLACK)
-            }
-        };
+        let limit = self.limit(query.max_in_flight, query.now);
         let is_wanted = query.version.is_none_or(|version| self.version.as_ref() == Some(version));
         let is_allowed = query.allowed.is_none_or(|allowed| {
             self.version.as_ref().is_none_or(|version| allowed.contains(version))
--- /dev/null
+++ b/crates/decide/tests/caller_index.rs
@@ -0,0 +1,81 @@
+//! Routes by host and path, keys, and shares of a split route.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use cassiawheel_decide::{CallerIndex, UnknownKey, draw_service};
+use cassiawheel_model::{
+    CallerLimits, CallerTable, RouteKind, RouteRule, RouteShare, ServiceName, WorkspaceId,
+};
+use rstest::rstest;
+
+fn service(name: &str) -> ServiceName {
+    ServiceName::new(name).expect("valid")
+}
+
+fn rule(host: &str, prefix: &str, shares: &[(&str, u32)], is_public: bool) -> RouteRule {
+    let share =
+        |(name, weight): &(&str, u32)| RouteShare { service: service(name), weight: *weight };
+    RouteRule {
+        name: format!("{host}{prefix}"),
+        host: host.to_owned(),
+        prefix: prefix.to_owned(),
+        shares: shares.iter().map(share).collect(),
+        kind: RouteKind::Idempotent,
+        timeout_ms: 1_000,
+        aim_ms: 100,
+        max_attempts: 2,
+        is_public,
+    }
+}
+
+fn index(routes: Vec<RouteRule>) -> CallerIndex {
+    let keys = BTreeMap::from([("key-one".to_owned(), WorkspaceId::new("one").expect("valid"))]);
+    let limits =
+        CallerLimits { head_bytes: 16_384, body_bytes: 1 << 20, head_ms: 3_000, idle_ms: 15_000 };
+    CallerIndex::new(Arc::new(CallerTable { routes, keys, needs_key: true, limits }))
+}
+
+/// The longest prefix that begins the path wins, a prefix ends at a slash, and
+/// another host has other routes.
+#[rstest]
+#[case("a.example", "/tours/x", Some("a.example/tours/"))]
+#[case("a.example", "/tours/groups/7", Some("a.example/tours/groups/"))]
+#[case("a.example", "/tours/groups", Some("a.example/tours/"))]
+#[case("a.example", "/toursgroups/", Some("a.example/"))]
+#[case("a.example", "/", Some("a.example/"))]
+#[case("b.example", "/tours/x", None)]
+#[case("c.example", "/tours/x", None)]
+fn the_longest_prefix_wins(#[case] host: &str, #[case] path: &str, #[case] found: Option<&str>) {
+    let shares = [("desk", 1)];
+    let index = index(vec![
+        rule("a.example", "/", &shares, false),
+        rule("a.example", "/tours/", &shares, false),
+        rule("a.example", "/tours/groups/", &shares, false),
+        rule("b.example", "/desk/", &shares, false),
+    ]);
+    assert_eq!(index.route(host, path).map(|rule| rule.name.as_str()), found);
+}
+
+/// A key was taken away while its callers were connected, or a caller guesses
+/// one. Its request must not run; those of public routes need no key.
+#[test]
+fn only_known_keys_open_routes_that_need_one() {
+    let closed = rule("a.example", "/", &[("desk", 1)], false);
+    let public = rule("a.example", "/open/", &[("desk", 1)], true);
+    let index = index(vec![closed.clone(), public.clone()]);
+    let known = index.workspace(&closed, Some("key-one"));
+    assert_eq!(known.map(|workspace| workspace.map(WorkspaceId::as_str)), Ok(Some("one")));
+    assert_eq!(index.workspace(&closed, Some("key-two")), Err(UnknownKey));
+    assert_eq!(index.workspace(&closed, None), Err(UnknownKey));
+    assert_eq!(index.workspace(&public, None), Ok(None));
+}
+
+/// Each service gets its weight of all points, and one of weight zero nothing.
+#[test]
+fn shares_follow_the_weights() {
+    let rule = rule("a.example", "/", &[("old", 90), ("none", 0), ("new", 10)], false);
+    let drawn = |name: &str| {
+        (0..1_000).filter(|point| draw_service(&rule, *point) == Some(&service(name))).count()
+    };
+    assert_eq!((drawn("old"), drawn("none"), drawn("new")), (900, 0, 100));
+}
--- /dev/null
+++ b/crates/decide/tests/listing.rs
@@ -0,0 +1,120 @@
+//! The list of endpoints, which entries read in turns and tell each other.
+
+use cassiawheel_decide::{EndpointListing, ListingNews};
+use cassiawheel_model::{
+    Deadline, FailureDomain, InstanceId, ListedEndpoint, ListedRow, ServiceName, Timestamp,
+};
+
+const HEARTBEAT_MS: u64 = 1_200;
+const START: Timestamp = Timestamp(1_000_000);
+
+fn at(ms: u64) -> Timestamp {
+    Timestamp(START.0 + ms)
+}
+
+fn instance(name: &str) -> InstanceId {
+    InstanceId::new(name).expect("valid")
+}
+
+fn endpoint(name: &str, is_leaving: bool) -> ListedEndpoint {
+    ListedEndpoint {
+        instance: instance(name),
+        service: ServiceName::new("desk").expect("valid"),
+        addr: "10.0.0.1:8001".parse().expect("valid"),
+        failure_domain: FailureDomain::new("hall").expect("valid"),
+        slots: 16,
+        is_leaving,
+        version: None,
+    }
+}
+
+fn row(name: &str, position: u64) -> ListedRow {
+    ListedRow { instance: instance(name), position, endpoint: Some(endpoint(name, false)) }
+}
+
+fn gone(name: &str, position: u64) -> ListedRow {
+    ListedRow { instance: instance(name), position, endpoint: None }
+}
+
+fn news(rows: Vec<ListedRow>, base: u64, position: u64, asked_at: Timestamp) -> ListingNews {
+    ListingNews { rows, base, position, asked_at }
+}
+
+fn names(listing: &EndpointListing) -> Vec<String> {
+    listing.endpoints().map(|endpoint| endpoint.instance.to_string()).collect()
+}
+
+fn read(rows: Vec<ListedRow>, position: u64) -> EndpointListing {
+    let mut listing = EndpointListing::new(HEARTBEAT_MS);
+    listing.take_read(news(rows, 0, position, START), START);
+    listing
+}
+
+/// An endpoint leaves without a word: its row vanishes while the list answers.
+/// It gets nothing new from the moment at which that is read.
+#[test]
+fn a_row_that_vanishes_while_the_list_answers_is_gone_at_once() {
+    let mut listing = read(vec![row("a", 1), row("b", 2)], 2);
+    let told = listing.take_read(news(vec![gone("a", 3)], 2, 3, at(500)), at(505));
+    assert_eq!(names(&listing), ["b"]);
+    assert_eq!(told.rows, [gone("a", 3)]);
+}
+
+/// The platform's store was away for seconds and endpoints could not renew
+/// their rows. Taking them all for gone would refuse every caller although the
+/// endpoints live; those that are not back in time are gone after all.
+#[test]
+fn rows_that_lapsed_in_an_outage_may_come_back() {
+    let mut listing = read(vec![row("a", 1), row("b", 2)], 2);
+    let back_at = at(6_000);
+    let told = listing.take_read(news(vec![gone("a", 3), gone("b", 4)], 2, 4, back_at), back_at);
+    assert_eq!(names(&listing), ["a", "b"]);
+    assert!(told.rows.is_empty(), "the others must not drop them either: {told:?}");
+    listing.take_read(news(vec![row("a", 5)], 4, 5, at(6_500)), at(6_500));
+    assert!(listing.settle(at(7_500)).is_empty());
+    let removed = listing.settle(at(8_400));
+    assert_eq!(names(&listing), ["a"]);
+    assert_eq!(removed.iter().map(|row| &row.instance).collect::<Vec<_>>(), [&instance("b")]);
+}
+
+/// The history was dropped, so the whole list is read again. A row that is not
+/// in it was removed in between.
+#[test]
+fn a_whole_read_shows_what_was_removed() {
+    let mut listing = read(vec![row("a", 1), row("b", 2)], 2);
+    let told = listing.take_read(news(vec![row("b", 2)], 0, 7, at(500)), at(500));
+    assert_eq!(names(&listing), ["b"]);
+    assert!(told.rows.contains(&gone("a", 7)));
+}
+
+/// Two entries tell the same in different orders, one of them late. The older
+/// row must not bring an endpoint back that has left.
+#[test]
+fn an_older_row_changes_nothing() {
+    let mut listing = read(vec![row("a", 1)], 1);
+    assert!(listing.take_told(&news(vec![gone("a", 5)], 1, 5, at(600))));
+    assert!(listing.take_told(&news(vec![row("a", 3)], 1, 3, at(300))));
+    assert!(names(&listing).is_empty());
+    assert_eq!(listing.position(), 5);
+}
+
+/// An entry missed some news, as when a queue was full. News that build on them
+/// are not enough, and it has to ask for the whole list.
+#[test]
+fn news_with_a_gap_are_not_taken() {
+    let mut listing = read(vec![row("a", 1)], 1);
+    assert!(!listing.take_told(&news(vec![row("c", 9)], 8, 9, at(900))));
+    assert_eq!(names(&listing), ["a"]);
+    assert!(listing.take_told(&news(vec![row("b", 4), row("c", 9)], 0, 9, at(900))));
+    assert_eq!(names(&listing), ["b", "c"]);
+}
+
+/// The entry that reads dies. The next one reads a step later by itself, and the
+/// word of a leaving endpoint still arrives in time.
+#[test]
+fn the_next_rank_reads_when_the_first_falls_silent() {
+    let listing = read(vec![row("a", 1)], 1);
+    assert_eq!(listing.read_at(0), Deadline(at(500).0));
+    assert_eq!(listing.read_at(1), Deadline(at(750).0));
+    assert!(listing.read_at(400).0 <= at(2_000).0, "a leaving endpoint has two seconds");
+}
--- /dev/null
+++ b/crates/decide/tests/versions.rs
@@ -0,0 +1,95 @@
+//! Versions that operators name one after another.
+
+use std::time::Duration;
+
+use cassiawheel_decide::VersionBook;
+use cassiawheel_model::{ManifestDigest, ModelVersion, NamedVersion, Timestamp};
+
+const SPAN: Duration = Duration::from_millis(7_000);
+const START: Timestamp = Timestamp(1_000_000);
+
+fn at(ms: u64) -> Timestamp {
+    Timestamp(START.0 + ms)
+}
+
+fn version(number: u64) -> ModelVersion {
+    ModelVersion::new(&format!("m:{number}")).expect("valid")
+}
+
+fn named(number: u64) -> NamedVersion {
+    NamedVersion {
+        model: "m".to_owned(),
+        number,
+        version: version(number),
+        manifest: None,
+        age_ms: 0,
+    }
+}
+
+fn book(offers: &[(u64, u64)]) -> VersionBook {
+    let mut book = VersionBook::default();
+    for (number, ms) in offers {
+        book.offer(&named(*number), SPAN, at(*ms));
+    }
+    book
+}
+
+/// A version is named while the one before is still under way. Each keeps its
+/// own deadline; the newer one must not give the oldest more time, or callers
+/// are answered from weights that were replaced long ago.
+#[test]
+fn a_newer_version_does_not_put_off_an_earlier_deadline() {
+    let book = book(&[(1, 0), (2, 18_000), (3, 20_000)]);
+    assert_eq!(book.allowed("m", at(24_900)), None);
+    assert_eq!(book.allowed("m", at(25_000)), Some(vec![version(2), version(3)]));
+    assert_eq!(book.allowed("m", at(27_000)), Some(vec![version(3)]));
+    assert_eq!(book.wanted("m").map(|wanted| wanted.number), Some(3));
+}
+
+/// A row is read late, after a newer one. It must not become the wanted version.
+#[test]
+fn an_older_version_is_never_wanted_again() {
+    let mut book = book(&[(1, 0), (3, 100)]);
+    book.offer(&named(2), SPAN, at(200));
+    assert_eq!(book.wanted("m").map(|wanted| wanted.number), Some(3));
+}
+
+/// The first version that is known replaces nothing, so nothing is refused.
+#[test]
+fn the_first_version_bars_nobody() {
+    assert_eq!(book(&[(4, 0)]).allowed("m", at(60_000)), None);
+}
+
+/// An entry hears of a version late, from another that has known it for five
+/// seconds. The deadline follows from when it was named.
+#[test]
+fn the_age_counts() {
+    let mut book = book(&[(1, 0)]);
+    let told = NamedVersion { age_ms: 5_000, ..named(2) };
+    book.offer(&told, SPAN, at(6_000));
+    assert!(book.allowed("m", at(7_900)).is_none());
+    assert_eq!(book.allowed("m", at(8_000)), Some(vec![version(2)]));
+}
+
+/// One entry pins a version's bytes and tells the others; the digest stays.
+#[test]
+fn the_digest_is_taken_once_and_kept() {
+    let mut book = book(&[(1, 0)]);
+    let digest = ManifestDigest::of(b"weights");
+    let pinned = NamedVersion { manifest: Some(digest), ..named(1) };
+    assert!(book.offer(&pinned, SPAN, at(10)));
+    assert!(!book.offer(&pinned, SPAN, at(20)));
+    assert!(!book.offer(&named(1), SPAN, at(30)));
+    assert_eq!(book.wanted("m").and_then(|wanted| wanted.manifest), Some(digest));
+}
+
+/// Endpoints with the oldest version switch first, and those that may not answer
+/// any more are known to the plan.
+#[test]
+fn the_pace_tells_the_order_and_who_is_barred() {
+    let book = book(&[(1, 0), (2, 18_000), (3, 20_000)]);
+    let pace = book.pace("m", at(25_500)).expect("versions are known");
+    assert_eq!(pace.versions, [version(1), version(2), version(3)]);
+    assert_eq!(pace.barred, [version(1)]);
+    assert_eq!(pace.begin_by.0, at(27_000).0);
+}
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -272,6 +272,11 @@
             routed.take_preset(preset);
         }
         self.force.store(Some(preset.clone()));
+        if self.routed.is_some() {
+            // The list may be known already; without this look its endpoints
+            // would get nothing until it changes.
+            self.rebuild_routes();
+        }
         self.plan_stale.store(true, Ordering::Release);
         self.metrics.revision.set(revision as i64);
         log::info!(target: "preset", revision = revision, preset:% = preset.preset, change:% = preset.change; "A preset is in force.");
--- /dev/null
+++ b/crates/testkit/src/platform_site.rs
@@ -0,0 +1,284 @@
+//! A small deployment on a stand-in of the users' platform: a store, endpoints
+//! without agents, and entries as separate processes.
+
+use std::{
+    net::{Ipv4Addr, SocketAddr, TcpListener},
+    path::PathBuf,
+    sync::Arc,
+    time::Duration,
+};
+
+use bytes::Bytes;
+use cassiawheel_edge::HttpClient;
+use cassiawheel_model::Timestamp;
+use http_body_util::Full;
+use hyper::{Request, Response, StatusCode};
+use serde_json::{Value, json};
+use smol::Timer;
+use tempfile::TempDir;
+
+use crate::{
+    ChildProcess, FaultSwitches,
+    processes::binary_path,
+    stand_in::{RunningStandIn, replica::Replica, rows::StoreRows},
+};
+
+/// Host of every route.
+pub const HOST: &str = "desk.example";
+
+/// Key of the only workspace.
+pub const KEY: &str = "a-key-of-the-booth";
+
+/// Time between looks whether something has come about.
+const LOOK_AGAIN: Duration = Duration::from_millis(10);
+
+/// Longest wait for something to come about.
+const PATIENCE: Duration = Duration::from_secs(10);
+
+/// The deployment.
+pub struct PlatformSite {
+    /// The store's rows.
+    pub rows: Arc<StoreRows>,
+    /// Faults of the store.
+    pub store_faults: Arc<FaultSwitches>,
+    /// The endpoints.
+    pub replicas: Vec<Arc<Replica>>,
+    /// The entries.
+    pub entries: Vec<PlatformEntry>,
+    store_addr: SocketAddr,
+    _stand_ins: Vec<RunningStandIn>,
+    dir: TempDir,
+}
+
+/// One entry process.
+pub struct PlatformEntry {
+    /// The process.
+    pub process: ChildProcess,
+    /// Where callers reach it.
+    pub front: SocketAddr,
+    /// Where it tells whether it is ready.
+    pub ready: SocketAddr,
+    /// Where callers ask which entries to use.
+    pub directory: SocketAddr,
+    control: SocketAddr,
+}
+
+/// A call of a caller.
+#[derive(Debug, Clone, Copy)]
+pub struct SiteCall<'a> {
+    /// The request's id.
+    pub id: &'a str,
+    /// Its path; routes are `/safe/`, `/unsafe/` and `/stream/`.
+    pub path: &'a str,
+    /// The caller's key.
+    pub key: Option<&'a str>,
+    /// How long the caller waits, in milliseconds.
+    pub patience_ms: u64,
+}
+
+impl<'a> SiteCall<'a> {
+    /// A call of the workspace with two seconds of patience.
+    pub fn new(id: &'a str, path: &'a str) -> Self {
+        Self { id, path, key: Some(KEY), patience_ms: 2_000 }
+    }
+}
+
+impl PlatformSite {
+    /// Starts the store and `replicas` endpoints, but no entry.
+    pub async fn prepare(replicas: usize) -> anyhow::Result<Self> {
+        let rows = Arc::new(StoreRows::default());
+        let store_faults = Arc::new(FaultSwitches::default());
+        let store = rows.serve(loopback(0), store_faults.clone()).await?;
+        let mut site = Self {
+            store_addr: store.addr,
+            rows,
+            store_faults,
+            replicas: Vec::new(),
+            entries: Vec::new(),
+            _stand_ins: vec![store],
+            dir: tempfile::tempdir()?,
+        };
+        site.rows.put("op", "config", &config(1, &["safe", "unsafe", "stream"], 1_500));
+        for index in 0..replicas {
+            site.add_replica(&format!("i-{index}")).await?;
+        }
+        Ok(site)
+    }
+
+    /// Starts the store, `replicas` endpoints and `entries` entries, and waits until they serve.
+    pub async fn start(replicas: usize, entries: usize) -> anyhow::Result<Self> {
+        let mut site = Self::prepare(replicas).await?;
+        for _ in 0..entries {
+            site.add_entry()?;
+        }
+        for entry in &site.entries {
+            site.wait_ready(entry, true).await?;
+        }
+        Ok(site)
+    }
+
+    /// Adds an endpoint that registers itself.
+    pub async fn add_replica(&mut self, id: &str) -> anyhow::Result<()> {
+        let replica = Replica::new(id);
+        let running = replica.serve(loopback(0)).await?;
+        self.list(id, running.addr, "ready");
+        self.replicas.push(replica);
+        self._stand_ins.push(running);
+        Ok(())
+    }
+
+    /// Writes the state of an endpoint into the list.
+    pub fn set_state(&self, index: usize, state: &str) {
+        // The first stand-in is the store.
+        let addr = self._stand_ins[index + 1].addr;
+        self.list(&self.replicas[index].id, addr, state);
+    }
+
+    fn list(&self, id: &str, addr: SocketAddr, state: &str) {
+        let row = json!({
+            "service": "ledger", "address": addr, "zone": "hall", "version": "v1", "slots": 8,
+            "state": state, "cold_remaining_ms": 0, "sequence": 1,
+        });
+        self.rows.put("servers", id, &row);
+    }
+
+    /// Starts one more entry; the first two are seeds of those that follow.
+    pub fn add_entry(&mut self) -> anyhow::Result<()> {
+        let ports = free_ports(6)?;
+        let index = self.entries.len();
+        let seeds: Vec<_> = self.entries.iter().take(2).map(|entry| entry.control).collect();
+        let settings = self.settings(index, &ports, &seeds);
+        let path = self.dir.path().join(format!("entry-{index}.toml"));
+        std::fs::write(&path, settings)?;
+        let name = format!("entry-{index}");
+        let binary = binary_path("cassiawheel")?;
+        let process = ChildProcess::start_on_platform(&name, &binary, &path, &self.log(index))?;
+        self.entries.push(PlatformEntry {
+            process,
+            front: loopback(ports[0]),
+            ready: loopback(ports[1]),
+            directory: loopback(ports[2]),
+            control: loopback(ports[3]),
+        });
+        Ok(())
+    }
+
+    /// The log of an entry.
+    pub fn log(&self, index: usize) -> PathBuf {
+        self.dir.path().join(format!("entry-{index}.log"))
+    }
+
+    fn settings(&self, index: usize, ports: &[u16], seeds: &[SocketAddr]) -> String {
+        // Admin and metrics take fixed ports beyond the first of the range.
+        let range = ports[4];
+        format!(
+            "node_name = \"entry-{index}\"\nip = \"127.0.0.1\"\nzone = \"hall\"\n\
+             region = \"north\"\ninternal_port_range = [{range}, {}]\nseeds = {seeds:?}\n\
+             heartbeat_ms = 1200\n[zones]\nhall = \"north\"\n[listen]\n\
+             front = \"127.0.0.1:{}\"\nready = \"127.0.0.1:{}\"\ndirectory = \"127.0.0.1:{}\"\n\
+             control = \"127.0.0.1:{}\"\n[limits]\ncpu_cores = 2\nmax_fds = 1024\n\
+             [bounds]\ngrace_s = 8\nversion_ms = 8000\nretry_budget_ratio = 0.2\n\
+             retry_slack = 90\n[platform]\naddress = \"{}\"\n",
+            range + 15,
+            ports[0],
+            ports[1],
+            ports[2],
+            ports[3],
+            self.store_addr,
+            seeds = seeds.iter().map(ToString::to_string).collect::<Vec<_>>(),
+        )
+    }
+
+    /// Waits until an entry says that it is ready, or no longer.
+    pub async fn wait_ready(&self, entry: &PlatformEntry, ready: bool) -> anyhow::Result<()> {
+        let url = format!("http://{}/v1/ready", entry.ready);
+        let client = HttpClient::default();
+        let is_so = async || {
+            let request = Request::get(&url).body(Full::new(Bytes::new()))?;
+            let status = client.send_whole(request, PATIENCE).await.map(|reply| reply.status());
+            anyhow::Ok(status.is_ok_and(|status| status == StatusCode::OK) == ready)
+        };
+        wait_until(is_so).await
+    }
+
+    /// Calls the first entry.
+    pub async fn call(&self, call: SiteCall<'_>) -> anyhow::Result<Response<Bytes>> {
+        let request = self.request(0, call)?;
+        Ok(HttpClient::default().send_whole(request, PATIENCE).await?)
+    }
+
+    /// The request of a call to an entry.
+    pub fn request(
+        &self,
+        entry: usize,
+        call: SiteCall<'_>,
+    ) -> anyhow::Result<Request<Full<Bytes>>> {
+        let front = self.entries[entry].front;
+        let method = if call.path.starts_with("/safe/") { "GET" } else { "POST" };
+        let mut request = Request::builder()
+            .method(method)
+            .uri(format!("http://{front}{}", call.path))
+            .header("host", HOST)
+            .header("x-cassiawheel-attempt-id", call.id)
+            .header("x-cassiawheel-deadline-ms", call.patience_ms.to_string());
+        if let Some(key) = call.key {
+            request = request.header("x-cassiawheel-key", key);
+        }
+        Ok(request.body(Full::new(Bytes::from_static(b"a seat")))?)
+    }
+
+    /// Runs of a request at all endpoints.
+    pub fn runs_of(&self, id: &str) -> u32 {
+        let runs = self.replicas.iter().filter_map(|replica| replica.runs().get(id).copied());
+        runs.sum()
+    }
+}
+
+/// Waits until `is_so` holds.
+pub async fn wait_until(is_so: impl AsyncFn() -> anyhow::Result<bool>) -> anyhow::Result<()> {
+    let deadline = Timestamp::now().deadline_after(PATIENCE);
+    while !is_so().await? {
+        anyhow::ensure!(!deadline.is_past(Timestamp::now()), "it did not come about in time");
+        Timer::after(LOOK_AGAIN).await;
+    }
+    Ok(())
+}
+
+/// A configuration with the named routes, each below a path of its name; those
+/// that are neither `unsafe` nor `stream` may be repeated.
+pub fn config(version: u64, routes: &[&str], timeout_ms: u64) -> Value {
+    let route = |name: &&str| {
+        let kind = match *name {
+            "stream" => "streaming",
+            "unsafe" => "unsafe",
+            _ => "safe",
+        };
+        json!({
+            "name": name, "host": HOST, "prefix": format!("/{name}/"), "kind": kind,
+            "timeout_ms": timeout_ms, "target_latency_ms": 400, "priority": 1,
+            "service": "ledger", "max_attempts": 2, "public": false,
+            "stream_resume": *name == "stream",
+        })
+    };
+    json!({
+        "version": version,
+        "routes": routes.iter().map(route).collect::<Vec<_>>(),
+        "services": [{ "name": "ledger", "health_path": "/health", "max_connections": 100 }],
+        "limits": {
+            "max_header_bytes": 16_384, "max_body_bytes": 1_048_576,
+            "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000,
+        },
+        "tenants": [{ "name": "booth", "api_keys": [KEY] }],
+    })
+}
+
+fn loopback(port: u16) -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::LOCALHOST, port))
+}
+
+/// Ports that are free now; the last two begin a range of sixteen free ones.
+fn free_ports(count: usize) -> std::io::Result<Vec<u16>> {
+    let held: Vec<_> =
+        (0..count).map(|_| TcpListener::bind(loopback(0))).collect::<Result<_, _>>()?;
+    held.iter().map(|listener| Ok(listener.local_addr()?.port())).collect()
+}
--- a/crates/testkit/src/processes.rs
+++ b/crates/testkit/src/processes.rs
@@ -30,6 +30,24 @@
         Ok(Self { name: name.to_owned(), child })
     }
 
+    /// Starts `binary serve` with the settings file that the platform writes.
+    pub fn start_on_platform(
+        name: &str,
+        binary: &Path,
+        settings: &Path,
+        log: &Path,
+    ) -> io::Result<Self> {
+        let log = std::fs::File::create(log)?;
+        let child = Command::new(binary)
+            .arg("serve")
+            .env("CASSIAWHEEL_BOOT", settings)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone()?)
+            .stderr(log)
+            .spawn()?;
+        Ok(Self { name: name.to_owned(), child })
+    }
+
     /// Its name in reports.
     pub fn name(&self) -> &str {
         &self.name
--- a/crates/testkit/src/stand_in.rs
+++ b/crates/testkit/src/stand_in.rs
@@ -6,7 +6,8 @@
 pub mod origin;
 pub mod peer;
 pub mod plain;
-
+pub mod replica;
+pub mod rows;
 pub mod table;
 
 use std::{future::Future, net::SocketAddr, sync::Arc};
--- /dev/null
+++ b/crates/testkit/src/stand_in/replica.rs
@@ -0,0 +1,201 @@
+//! Stand-in of an endpoint that entries reach without an agent between.
+//!
+//! It signs its answers, counts runs by request, streams events and resumes
+//! them, and misbehaves on demand.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+use bytes::Bytes;
+use cassiawheel_runtime::http::{ReplyBody, full_body, read_body};
+use futures_util::stream;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::{HeaderMap, Request, Response, StatusCode, body::Frame, body::Incoming};
+use smol::Timer;
+
+use super::{RunningStandIn, start};
+use crate::FaultSwitches;
+
+/// Events of every stream.
+pub const EVENTS: u64 = 6;
+
+/// Stands for the id of an event that never comes.
+const BROKEN: u64 = u64::MAX;
+
+/// Time between two events.
+const EVENT_TIME: Duration = Duration::from_millis(15);
+
+/// How the stand-in treats requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum ReplicaMode {
+    /// As it should.
+    #[default]
+    Honest,
+    /// Says that it has not run the request.
+    Refuses,
+    /// Runs the request and answers with an error of its own.
+    Fails,
+    /// Runs the request and names another one in its answer.
+    Crosses,
+    /// Runs the request and breaks its answer off.
+    Cuts,
+    /// Runs the request and never answers.
+    Mute,
+}
+
+/// What the stand-in has done.
+#[derive(Debug)]
+pub struct Replica {
+    /// Its process.
+    pub id: String,
+    mode: Mutex<ReplicaMode>,
+    runs: Mutex<HashMap<String, u32>>,
+    heads: Mutex<Vec<HeaderMap>>,
+    open: Arc<AtomicUsize>,
+}
+
+/// Counts a run as open until it is dropped.
+struct OpenRun(Arc<AtomicUsize>);
+
+impl Drop for OpenRun {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+impl Replica {
+    /// An honest one.
+    pub fn new(id: &str) -> Arc<Self> {
+        Arc::new(Self {
+            id: id.to_owned(),
+            mode: Mutex::default(),
+            runs: Mutex::default(),
+            heads: Mutex::default(),
+            open: Arc::default(),
+        })
+    }
+
+    /// Serves at `addr`.
+    pub async fn serve(self: &Arc<Self>, addr: SocketAddr) -> std::io::Result<RunningStandIn> {
+        let replica = self.clone();
+        start(addr, Arc::new(FaultSwitches::default()), move |request| {
+            let replica = replica.clone();
+            async move { replica.handle(request).await }
+        })
+        .await
+    }
+
+    /// Changes how it treats requests.
+    pub fn set_mode(&self, mode: ReplicaMode) {
+        *self.mode.lock().unwrap_or_else(|poison| poison.into_inner()) = mode;
+    }
+
+    /// Requests that were run, and how often each.
+    pub fn runs(&self) -> HashMap<String, u32> {
+        self.runs.lock().unwrap_or_else(|poison| poison.into_inner()).clone()
+    }
+
+    /// Heads of the requests that were run.
+    pub fn heads(&self) -> Vec<HeaderMap> {
+        self.heads.lock().unwrap_or_else(|poison| poison.into_inner()).clone()
+    }
+
+    /// Requests at work.
+    pub fn open_runs(&self) -> usize {
+        self.open.load(Ordering::SeqCst)
+    }
+
+    async fn handle(&self, request: Request<Incoming>) -> Response<ReplyBody> {
+        let (parts, body) = request.into_parts();
+        let text = |name: &str| parts.headers.get(name).and_then(|value| value.to_str().ok());
+        let id = text("x-cassiawheel-attempt-id").unwrap_or_default().to_owned();
+        if text("x-cassiawheel-expect-replica") != Some(self.id.as_str()) {
+            return self.reply(421, &id, full_body(""));
+        }
+        let mode = *self.mode.lock().unwrap_or_else(|poison| poison.into_inner());
+        if mode == ReplicaMode::Refuses {
+            let mut reply = self.reply(503, &id, full_body(""));
+            reply.headers_mut().insert("x-cassiawheel-not-executed", "1".parse().expect("valid"));
+            return reply;
+        }
+        let body = read_body(body, 1 << 20).await.unwrap_or_default();
+        *self
+            .runs
+            .lock()
+            .unwrap_or_else(|poison| poison.into_inner())
+            .entry(id.clone())
+            .or_default() += 1;
+        self.heads.lock().unwrap_or_else(|poison| poison.into_inner()).push(parts.headers.clone());
+        self.open.fetch_add(1, Ordering::SeqCst);
+        let run = OpenRun(self.open.clone());
+        match mode {
+            ReplicaMode::Fails => self.reply(500, &id, full_body("failed")),
+            ReplicaMode::Crosses => self.reply(200, "another", full_body("not yours")),
+            ReplicaMode::Mute => {
+                Timer::after(Duration::from_secs(60)).await;
+                self.reply(200, &id, full_body("too late"))
+            }
+            ReplicaMode::Honest | ReplicaMode::Cuts if parts.uri.path().contains("/stream/") => {
+                let after = text("last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0);
+                let mut reply = self.reply(200, &id, events(after, mode, run));
+                let kind = "text/event-stream".parse().expect("valid");
+                reply.headers_mut().insert("content-type", kind);
+                reply
+            }
+            ReplicaMode::Cuts => self.reply(200, &id, cut_body()),
+            _ => {
+                let answer = format!("{} {}", parts.uri, String::from_utf8_lossy(&body));
+                self.reply(200, &id, full_body(answer))
+            }
+        }
+    }
+
+    fn reply(&self, status: u16, id: &str, body: ReplyBody) -> Response<ReplyBody> {
+        let mut reply = Response::new(body);
+        *reply.status_mut() = StatusCode::from_u16(status).unwrap_or_default();
+        let headers = reply.headers_mut();
+        let mut put = |name: &'static str, value: &str| {
+            headers.insert(name, value.parse().expect("valid"));
+        };
+        put("x-cassiawheel-attempt-id", id);
+        put("x-cassiawheel-replica-stamp", &format!("stamp-of-{}", self.id));
+        put("x-cassiawheel-replica-load", "1,0,8");
+        put("keep-alive", "timeout=5");
+        reply
+    }
+}
+
+fn events(after: u64, mode: ReplicaMode, run: OpenRun) -> ReplyBody {
+    let frames = stream::unfold((after + 1, run), move |(id, run)| async move {
+        if id == BROKEN {
+            return Some((Err(std::io::Error::other("died")), (id, run)));
+        }
+        if id > EVENTS {
+            return None;
+        }
+        Timer::after(EVENT_TIME).await;
+        let text = format!("id: {id}\ndata: piece {id}\n\n");
+        if mode == ReplicaMode::Cuts && id == after + 3 {
+            // In the middle of an event; the next step ends the stream.
+            let half = Bytes::from(text[..text.len() / 2].to_owned());
+            return Some((Ok(Frame::data(half)), (BROKEN, run)));
+        }
+        Some((Ok(Frame::data(Bytes::from(text))), (id + 1, run)))
+    });
+    BodyExt::boxed(StreamBody::new(frames))
+}
+
+fn cut_body() -> ReplyBody {
+    let frames = stream::iter([
+        Ok(Frame::data(Bytes::from_static(b"the first half"))),
+        Err(std::io::Error::other("died")),
+    ]);
+    BodyExt::boxed(StreamBody::new(frames))
+}
--- /dev/null
+++ b/crates/testkit/src/stand_in/rows.rs
@@ -0,0 +1,219 @@
+//! Stand-in of the users' platform store: rows with positions, conditions and a feed.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard},
+    time::Duration,
+};
+
+use base64::{Engine, engine::general_purpose::STANDARD};
+use cassiawheel_model::Timestamp;
+use cassiawheel_runtime::http::{ReplyBody, error_reply, json_reply, read_body};
+use hyper::{Method, Request, Response, StatusCode, Uri, body::Incoming};
+use serde_json::{Value, json};
+use smol::Timer;
+
+use super::{RunningStandIn, start};
+use crate::FaultSwitches;
+
+/// Largest call, in bytes.
+const MAX_CALL_BYTES: usize = 1 << 20;
+
+/// Time between looks for changes while a reader waits.
+const LOOK_AGAIN: Duration = Duration::from_millis(5);
+
+/// Name of a row: its table and its key; every part is empty.
+type RowName = (String, String);
+
+/// Rows, and what became of them.
+#[derive(Debug, Default)]
+pub struct StoreRows {
+    inner: Mutex<StoreInner>,
+}
+
+#[derive(Debug, Default)]
+struct StoreInner {
+    position: u64,
+    rows: BTreeMap<RowName, StoredRow>,
+    /// Changes in order, as far as the history goes back.
+    history: Vec<(RowName, StoredRow)>,
+    /// Position up to which the history is gone.
+    forgotten: u64,
+    calls: u64,
+}
+
+#[derive(Debug, Clone)]
+struct StoredRow {
+    position: u64,
+    /// Missing once the row was removed.
+    value: Option<String>,
+}
+
+impl StoreRows {
+    /// Serves the rows at `addr`.
+    pub async fn serve(
+        self: &Arc<Self>,
+        addr: SocketAddr,
+        switches: Arc<FaultSwitches>,
+    ) -> std::io::Result<RunningStandIn> {
+        let rows = self.clone();
+        start(addr, switches, move |request| {
+            let rows = rows.clone();
+            async move { rows.handle(request).await }
+        })
+        .await
+    }
+
+    /// Writes a row as the operator or an endpoint does.
+    pub fn put(&self, table: &str, key: &str, value: &Value) {
+        let value = STANDARD.encode(value.to_string());
+        self.lock().change((table.to_owned(), key.to_owned()), Some(value));
+    }
+
+    /// Removes a row.
+    pub fn remove(&self, table: &str, key: &str) {
+        self.lock().change((table.to_owned(), key.to_owned()), None);
+    }
+
+    /// Forgets the history.
+    pub fn compact(&self) {
+        let mut inner = self.lock();
+        inner.history.clear();
+        inner.forgotten = inner.position;
+    }
+
+    /// Calls so far.
+    pub fn calls(&self) -> u64 {
+        self.lock().calls
+    }
+
+    /// Keys of a table.
+    pub fn keys(&self, table: &str) -> Vec<String> {
+        let inner = self.lock();
+        let rows = inner.rows.keys().filter(|(of, _)| of == table);
+        rows.map(|(_, key)| key.clone()).collect()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, StoreInner> {
+        self.inner.lock().unwrap_or_else(|poison| poison.into_inner())
+    }
+
+    async fn handle(&self, request: Request<Incoming>) -> Response<ReplyBody> {
+        self.lock().calls += 1;
+        let query = query_of(request.uri());
+        match (request.method(), request.uri().path()) {
+            (&Method::GET, "/v1/rows-get") => self.get(&query),
+            (&Method::GET, "/v1/rows-feed") => self.feed(&query).await,
+            (&Method::POST, "/v1/rows-tx") => match read_body(request.into_body(), MAX_CALL_BYTES)
+                .await
+                .ok()
+                .and_then(|body| serde_json::from_slice::<Value>(&body).ok())
+            {
+                Some(call) => self.lock().transact(&call),
+                None => error_reply(StatusCode::BAD_REQUEST, "bad-request", "no call"),
+            },
+            _ => error_reply(StatusCode::NOT_FOUND, "not-found", "no such call"),
+        }
+    }
+
+    fn get(&self, query: &HashMap<String, String>) -> Response<ReplyBody> {
+        let table = query.get("table").cloned().unwrap_or_default();
+        let from = query.get("from").cloned().unwrap_or_default();
+        let inner = self.lock();
+        let listed = inner.rows.range((table.clone(), from)..);
+        let listed = listed.take_while(|((of, _), _)| *of == table);
+        let rows: Vec<_> = listed.map(|(name, row)| wire_row(name, row)).collect();
+        inner.page(rows)
+    }
+
+    async fn feed(&self, query: &HashMap<String, String>) -> Response<ReplyBody> {
+        let table = query.get("table").cloned().unwrap_or_default();
+        let number = |name: &str| query.get(name).and_then(|text| text.parse().ok()).unwrap_or(0);
+        let (after, wait_ms) = (number("after"), number("wait_ms"));
+        let deadline = Timestamp::now().deadline_after(Duration::from_millis(wait_ms));
+        loop {
+            {
+                let inner = self.lock();
+                if after < inner.forgotten {
+                    return error_reply(StatusCode::GONE, "gone", "the history is gone");
+                }
+                let changed = inner.history.iter();
+                let changed = changed.filter(|((of, _), row)| *of == table && row.position > after);
+                let rows: Vec<_> = changed.map(|(name, row)| wire_row(name, row)).collect();
+                if !rows.is_empty() || deadline.is_past(Timestamp::now()) {
+                    return inner.page(rows);
+                }
+            }
+            Timer::after(LOOK_AGAIN).await;
+        }
+    }
+}
+
+impl StoreInner {
+    fn change(&mut self, name: RowName, value: Option<String>) {
+        self.position += 1;
+        let row = StoredRow { position: self.position, value };
+        self.history.push((name.clone(), row.clone()));
+        match row.value {
+            Some(_) => self.rows.insert(name, row),
+            None => self.rows.remove(&name),
+        };
+    }
+
+    fn page(&self, rows: Vec<Value>) -> Response<ReplyBody> {
+        let page = json!({
+            "rows": rows,
+            "has_more": false,
+            "row_version": self.position,
+            "now_ms": Timestamp::now().0,
+        });
+        json_reply(StatusCode::OK, &page)
+    }
+
+    fn transact(&mut self, call: &Value) -> Response<ReplyBody> {
+        let entries = |name: &str| call[name].as_array().cloned().unwrap_or_default();
+        let name_of = |entry: &Value| {
+            let text = |field: &str| entry[field].as_str().unwrap_or_default().to_owned();
+            (text("table"), text("key"))
+        };
+        let conditions = entries("precondition");
+        let holds = |entry: &Value| {
+            let stored = self.rows.get(&name_of(entry)).map_or(0, |row| row.position);
+            entry["row_version"].as_u64() == Some(stored)
+        };
+        if !conditions.iter().all(holds) {
+            let found = conditions.iter().filter_map(|entry| {
+                let name = name_of(entry);
+                self.rows.get(&name).map(|row| wire_row(&name, row))
+            });
+            let mut reply = self.page(found.collect());
+            *reply.status_mut() = StatusCode::PRECONDITION_FAILED;
+            return reply;
+        }
+        for entry in entries("upserts") {
+            self.change(name_of(&entry), entry["value"].as_str().map(str::to_owned));
+        }
+        for entry in entries("deletes") {
+            self.change(name_of(&entry), None);
+        }
+        self.page(Vec::new())
+    }
+}
+
+fn wire_row((table, key): &RowName, row: &StoredRow) -> Value {
+    let mut wire = json!({ "table": table, "part": "", "key": key, "row_version": row.position });
+    match &row.value {
+        Some(value) => wire["value"] = json!(value),
+        None => wire["removed"] = json!(true),
+    }
+    wire
+}
+
+fn query_of(uri: &Uri) -> HashMap<String, String> {
+    let pairs = uri.query().unwrap_or_default().split('&');
+    pairs
+        .filter_map(|pair| pair.split_once('='))
+        .map(|(name, value)| (name.to_owned(), value.to_owned()))
+        .collect()
+}
