--- a/crates/decide/src/select.rs
+++ b/crates/decide/src/select.rs
@@ -63,6 +63,9 @@
     pub per_peer: usize,
     /// Fetches from peers at a time.
     pub peer_slots: usize,
+    /// Time of a fetch from a peer beyond which there are fewer at a time, in milliseconds;
+    /// zero for no limit.
+    pub queue_ms: u64,
     /// Copies that all agents together may draw beyond the first to save time.
     pub extra_copies: f64,
     /// Time in which the origin sends one chunk, in milliseconds; zero if not known.
@@ -467,7 +470,7 @@
     }
 
     fn chunk_of_peer(&self, now: Timestamp, rng: &mut impl Rng) -> Option<(AgentSlot, usize)> {
-        if self.fetching.len() - self.origin_fetches >= self.settings.peer_slots {
+        if self.fetching.len() - self.origin_fetches >= self.open_slots() {
             return None;
         }
         let position = self.idle_peer(now, rng).or_else(|| self.least_asked_peer(now, rng))?;
@@ -478,6 +481,19 @@
         Some((position + 1, index))
     }
 
+    /// Fetches from peers that may be in progress now.
+    ///
+    /// Over a link that has narrowed, chunks queue for as long as many are asked
+    /// for, and whatever else the instance receives waits behind them.
+    fn open_slots(&self) -> usize {
+        let slots = self.settings.peer_slots;
+        let (goal, latency) = (self.settings.queue_ms, self.peer_latency_ms);
+        if goal == 0 || latency <= goal {
+            return slots;
+        }
+        ((slots as u64 * goal / latency) as usize).max(1)
+    }
+
     /// A peer that is not asked at present, found by a few random probes.
     ///
     /// Among hundreds of peers most are idle; looking at all of them for each
--- a/crates/decide/tests/distribution.rs
+++ b/crates/decide/tests/distribution.rs
@@ -120,6 +120,7 @@
 fn picker(own: usize, chunks: usize) -> ChunkPicker {
     let settings = PickerSettings {
         origin_chunk_ms: 0.0,
+        queue_ms: 0,
         is_near_origin: false,
         instance: instance(own),
         stall_ms: 2_000,
--- a/crates/decide/tests/support/rounds.rs
+++ b/crates/decide/tests/support/rounds.rs
@@ -390,6 +390,7 @@
         let name = InstanceId::new(&format!("endpoint-{agent}")).expect("a valid name");
         let settings = PickerSettings {
             origin_chunk_ms: 0.0,
+            queue_ms: 0,
             is_near_origin: false,
             instance: name.clone(),
             stall_ms: 2_000,
--- a/crates/model/src/settings/agent.rs
+++ b/crates/model/src/settings/agent.rs
@@ -129,6 +129,9 @@
     pub origin_step_ms: u64,
     /// Verified chunks kept in memory for other agents, in bytes.
     pub cache_bytes: u64,
+    /// Time of a chunk from another agent beyond which fewer are asked for at a time, in
+    /// milliseconds; 0 asks for `download_slots` always.
+    pub queue_ms: u64,
 }
 
 impl Default for TransferSettings {
@@ -143,6 +146,7 @@
             stall_ms: 2_000,
             origin_step_ms: 500,
             cache_bytes: 64 << 20,
+            queue_ms: 0,
         }
     }
 }
--- a/crates/testkit/src/platform_site.rs
+++ b/crates/testkit/src/platform_site.rs
@@ -2,7 +2,7 @@
 //! without agents, and entries as separate processes.
 
 use std::{
-    net::{Ipv4Addr, SocketAddr, TcpListener},
+    net::{Ipv4Addr, SocketAddr},
     path::PathBuf,
     sync::Arc,
     time::Duration,
@@ -29,6 +29,12 @@
 /// Key of the only workspace.
 pub const KEY: &str = "a-key-of-the-booth";
 
+/// Ports of an entry, which has an address of its own.
+const FRONT_PORT: u16 = 8_005;
+const READY_PORT: u16 = 8_002;
+const DIRECTORY_PORT: u16 = 8_009;
+const CONTROL_PORT: u16 = 8_000;
+
 /// Time between looks whether something has come about.
 const LOOK_AGAIN: Duration = Duration::from_millis(10);
 
@@ -46,6 +52,8 @@
     /// The entries.
     pub entries: Vec<PlatformEntry>,
     store_addr: SocketAddr,
+    /// First three numbers of the entries' addresses, a network of their own.
+    network: [u8; 3],
     _stand_ins: Vec<RunningStandIn>,
     dir: TempDir,
 }
@@ -91,6 +99,7 @@
         let store = rows.serve(loopback(0), store_faults.clone()).await?;
         let mut site = Self {
             store_addr: store.addr,
+            network: [127, rand::random_range(1..=254), rand::random_range(0..=255)],
             rows,
             store_faults,
             replicas: Vec::new(),
@@ -144,10 +153,11 @@
 
     /// Starts one more entry; the first two are seeds of those that follow.
     pub fn add_entry(&mut self) -> anyhow::Result<()> {
-        let ports = free_ports(6)?;
         let index = self.entries.len();
+        let [a, b, c] = self.network;
+        let ip = Ipv4Addr::new(a, b, c, 10 + index as u8);
         let seeds: Vec<_> = self.entries.iter().take(2).map(|entry| entry.control).collect();
-        let settings = self.settings(index, &ports, &seeds);
+        let settings = self.settings(index, ip, &seeds);
         let path = self.dir.path().join(format!("entry-{index}.toml"));
         std::fs::write(&path, settings)?;
         let name = format!("entry-{index}");
@@ -155,10 +165,10 @@
         let process = ChildProcess::start_on_platform(&name, &binary, &path, &self.log(index))?;
         self.entries.push(PlatformEntry {
             process,
-            front: loopback(ports[0]),
-            ready: loopback(ports[1]),
-            directory: loopback(ports[2]),
-            control: loopback(ports[3]),
+            front: SocketAddr::from((ip, FRONT_PORT)),
+            ready: SocketAddr::from((ip, READY_PORT)),
+            directory: SocketAddr::from((ip, DIRECTORY_PORT)),
+            control: SocketAddr::from((ip, CONTROL_PORT)),
         });
         Ok(())
     }
@@ -168,24 +178,18 @@
         self.dir.path().join(format!("entry-{index}.log"))
     }
 
-    fn settings(&self, index: usize, ports: &[u16], seeds: &[SocketAddr]) -> String {
-        // Admin and metrics take fixed ports beyond the first of the range.
-        let range = ports[4];
+    fn settings(&self, index: usize, ip: Ipv4Addr, seeds: &[SocketAddr]) -> String {
+        let seeds: Vec<_> = seeds.iter().map(ToString::to_string).collect();
         format!(
-            "node_name = \"entry-{index}\"\nip = \"127.0.0.1\"\nzone = \"hall\"\n\
-             region = \"north\"\ninternal_port_range = [{range}, {}]\nseeds = {seeds:?}\n\
+            "node_name = \"entry-{index}\"\nip = \"{ip}\"\nzone = \"hall\"\n\
+             region = \"north\"\ninternal_port_range = [7700, 7715]\nseeds = {seeds:?}\n\
              heartbeat_ms = 1200\n[zones]\nhall = \"north\"\n[listen]\n\
-             front = \"127.0.0.1:{}\"\nready = \"127.0.0.1:{}\"\ndirectory = \"127.0.0.1:{}\"\n\
-             control = \"127.0.0.1:{}\"\n[limits]\ncpu_cores = 2\nmax_fds = 1024\n\
+             front = \"{ip}:{FRONT_PORT}\"\nready = \"{ip}:{READY_PORT}\"\n\
+             directory = \"{ip}:{DIRECTORY_PORT}\"\ncontrol = \"{ip}:{CONTROL_PORT}\"\n\
+             [limits]\ncpu_cores = 2\nmax_fds = 1024\n\
              [bounds]\ngrace_s = 8\nversion_ms = 8000\nretry_budget_ratio = 0.2\n\
              retry_slack = 90\n[platform]\naddress = \"{}\"\n",
-            range + 15,
-            ports[0],
-            ports[1],
-            ports[2],
-            ports[3],
             self.store_addr,
-            seeds = seeds.iter().map(ToString::to_string).collect::<Vec<_>>(),
         )
     }
 
@@ -275,10 +279,3 @@
 fn loopback(port: u16) -> SocketAddr {
     SocketAddr::from((Ipv4Addr::LOCALHOST, port))
 }
-
-/// Ports that are free now; the last two begin a range of sixteen free ones.
-fn free_ports(count: usize) -> std::io::Result<Vec<u16>> {
-    let held: Vec<_> =
-        (0..count).map(|_| TcpListener::bind(loopback(0))).collect::<Result<_, _>>()?;
-    held.iter().map(|listener| Ok(listener.local_addr()?.port())).collect()
-}
