--- a/crates/agent/src/transfer/peer.rs
+++ b/crates/agent/src/transfer/peer.rs
@@ -158,6 +158,9 @@
             ChunkMessage::ToldAll => TransferEvent::PeerToldAll(peer),
             ChunkMessage::Bytes { call, bytes, last } => {
                 client.take_part(call, &bytes, last);
+                if !last {
+                    let _ = client.sender.try_send(ChunkMessage::More { call });
+                }
                 continue;
             }
             ChunkMessage::Refused { call, reason } => {
--- a/crates/agent/src/transfer/stage.rs
+++ b/crates/agent/src/transfer/stage.rs
@@ -208,6 +208,7 @@
             per_peer: PER_PEER,
             peer_slots: shared.settings.transfer.download_slots,
             queue_ms: shared.settings.transfer.queue_ms,
+            rescue_ms: shared.settings.transfer.rescue_ms,
             extra_copies: match shared.settings.transfer.mode {
                 TransferMode::Time => shared.settings.transfer.origin_copies - 1.0,
                 TransferMode::Bytes => 0.0,
--- a/crates/decide/src/select.rs
+++ b/crates/decide/src/select.rs
@@ -61,6 +61,9 @@
     pub origin_step_ms: u64,
     /// Fetches at one peer at a time.
     pub per_peer: usize,
+    /// Time after which a chunk that hardly anyone holds is drawn from the origin again, in
+    /// milliseconds; zero for never.
+    pub rescue_ms: u64,
     /// Fetches from peers at a time.
     pub peer_slots: usize,
     /// Time of a fetch from a peer beyond which there are fewer at a time, in milliseconds;
@@ -103,6 +106,8 @@
     holders: Vec<u16>,
     /// Chunks not held here that no reachable peer holds.
     unseeded: ChunkBits,
+    /// Chunks that this agent has to draw again from the origin.
+    scarce: ChunkBits,
     shares: OriginShares,
     imports: ChunkImports,
     began_at: Timestamp,
@@ -147,6 +152,7 @@
             peers: Vec::new(),
             holders: vec![0; chunks],
             unseeded: ChunkBits::full(chunks),
+            scarce: ChunkBits::empty(chunks),
             origin: SourceBackoff::default(),
             extra_draws: 0,
             seeds: 0,
@@ -329,6 +335,9 @@
         if let Some(index) = self.owned_chunk(now, rng) {
             return Some(self.start(index, ChunkSource::Origin, now));
         }
+        if let Some(index) = self.scarce_chunk(now) {
+            return Some(self.start(index, ChunkSource::Origin, now));
+        }
         if let Some((slot, index)) = self.chunk_of_peer(now, rng) {
             let view = &mut self.peers[slot - 1];
             view.fetching += 1;
@@ -445,6 +454,14 @@
         Deadline(self.began_at.0 + (index as f64 * self.settings.origin_chunk_ms) as u64)
     }
 
+    /// A chunk that is to be drawn again, since those who hold it cannot pass it on.
+    fn scarce_chunk(&self, now: Timestamp) -> Option<usize> {
+        if self.scarce.is_empty() || !self.may_draw(now) {
+            return None;
+        }
+        self.scarce.iter_common(&self.wanted).next()
+    }
+
     fn may_draw(&self, now: Timestamp) -> bool {
         let most = if self.shares.participants() > SMALL_GROUP { 1 } else { 2 };
         self.origin_fetches < most
@@ -470,7 +487,7 @@
     }
 
     fn chunk_of_peer(&self, now: Timestamp, rng: &mut impl Rng) -> Option<(AgentSlot, usize)> {
-        if self.fetching.len() - self.origin_fetches >= self.open_slots() {
+        if self.fetching.len() - self.origin_fetches >= self.open_slots(now) {
             return None;
         }
         let position = self.idle_peer(now, rng).or_else(|| self.least_asked_peer(now, rng))?;
@@ -485,10 +502,17 @@
     ///
     /// Over a link that has narrowed, chunks queue for as long as many are asked
     /// for, and whatever else the instance receives waits behind them.
-    fn open_slots(&self) -> usize {
+    fn open_slots(&self, now: Timestamp) -> usize {
         let slots = self.settings.peer_slots;
-        let (goal, latency) = (self.settings.queue_ms, self.peer_latency_ms);
-        if goal == 0 || latency <= goal {
+        let goal = self.settings.queue_ms;
+        if goal == 0 {
+            return slots;
+        }
+        // What is still on its way tells of a link that has just narrowed.
+        let from_peers = self.fetching.values().filter(|f| f.source != ChunkSource::Origin);
+        let waited = from_peers.map(|f| now.0.saturating_sub(f.started_at.0)).max();
+        let latency = self.peer_latency_ms.max(waited.unwrap_or(0));
+        if latency <= goal {
             return slots;
         }
         ((slots as u64 * goal / latency) as usize).max(1)
--- a/crates/decide/src/select/imports.rs
+++ b/crates/decide/src/select/imports.rs
@@ -1,8 +1,8 @@
 //! Which chunks an agent fetches from other regions.
 //!
 //! Of the agents of a region the one that ranks first for a chunk imports it.
-//! If it does not, as when it dies or its link stalls, a chunk that has been to
-//! be had elsewhere for a while is fetched by whoever wants it.
+//! If it does not, as when it dies or its link stalls, a chunk that has been
+//! held anywhere for a while is fetched by whoever wants it.
 
 use cassiawheel_model::{Deadline, Timestamp};
 
@@ -23,7 +23,7 @@
     shares: OriginShares,
     /// Reachable holders of each chunk in the own region.
     near: Vec<u16>,
-    /// When each chunk could first be had elsewhere.
+    /// When each chunk was first held by another agent.
     offered_at: Vec<Option<Timestamp>>,
     /// Chunks for which the importer had its time.
     overdue: ChunkBits,
@@ -57,9 +57,8 @@
 
     /// Notes a further holder of a chunk.
     pub(super) fn gain(&mut self, index: usize, is_far: bool, now: Timestamp) {
-        if is_far {
-            self.offered_at[index].get_or_insert(now);
-        } else {
+        self.offered_at[index].get_or_insert(now);
+        if !is_far {
             self.near[index] += 1;
         }
     }
@@ -77,6 +76,11 @@
         is_own || self.overdue.contains(index)
     }
 
+    /// When a chunk was first held by another agent.
+    pub(super) fn offered_at(&self, index: usize) -> Option<Timestamp> {
+        self.offered_at[index]
+    }
+
     /// Looks for chunks whose importer had its time.
     pub(super) fn review(&mut self, now: Timestamp) {
         for (index, offered_at) in self.offered_at.iter().enumerate() {
--- a/crates/decide/src/select/ownership.rs
+++ b/crates/decide/src/select/ownership.rs
@@ -5,7 +5,10 @@
 
 use cassiawheel_model::{Deadline, Timestamp};
 
-use super::{ChunkPicker, shares::AgentSlot};
+use super::{
+    ChunkPicker,
+    shares::{AgentSlot, OWN_SLOT},
+};
 
 /// Time between looks for peers that fell behind, in milliseconds.
 const REVIEW_MS: u64 = 20;
@@ -16,6 +19,12 @@
 /// Chunks that others must have drawn at least before an owner counts as behind.
 const OWING_SEEDS: usize = 8;
 
+/// Holders up to which a chunk counts as scarce after a while.
+const SCARCE_HOLDERS: u16 = 2;
+
+/// Time that an agent leaves to the one before it in drawing a chunk again, in milliseconds.
+const RESCUE_STEP_MS: u64 = 400;
+
 /// Steps without any chunk from the origin before one owner is replaced.
 const IDLE_STEPS: u64 = 4;
 
@@ -94,9 +103,43 @@
             }
         }
         self.imports.review(now);
+        self.review_scarce(now);
         self.review_debts(now);
     }
 
+    /// Looks for chunks that are stuck with the one or two agents that hold them.
+    ///
+    /// An agent whose link has narrowed passes a chunk on to one other in the
+    /// time in which the rest swap everything else, and a version waits for its
+    /// last chunk everywhere. The agents that lack such a chunk draw it again,
+    /// one after another in the order of their ranks, until it spreads.
+    fn review_scarce(&mut self, now: Timestamp) {
+        let rescue_ms = self.settings.rescue_ms;
+        if rescue_ms == 0 {
+            return;
+        }
+        for index in 0..self.holders.len() {
+            let few = (1..=SCARCE_HOLDERS).contains(&self.holders[index]);
+            let offered_at = self.imports.offered_at(index).filter(|_| few);
+            let Some(offered_at) = offered_at.filter(|_| self.wanted.contains(index)) else {
+                self.scarce.remove(index);
+                continue;
+            };
+            let wait_ms = rescue_ms + RESCUE_STEP_MS * self.rank_among_lacking(index);
+            if Deadline(offered_at.0 + wait_ms).is_past(now) {
+                self.scarce.insert(index);
+            }
+        }
+    }
+
+    /// Agents without a chunk that go before this one in drawing it again.
+    fn rank_among_lacking(&self, index: usize) -> u64 {
+        let lacking = self.peers.iter().enumerate();
+        let lacking = lacking.filter(|(_, view)| view.connected && !view.held.contains(index));
+        let before = lacking.filter(|(at, _)| self.shares.ranks_by_weight(at + 1, OWN_SLOT, index));
+        before.count() as u64
+    }
+
     fn review_debts(&mut self, now: Timestamp) {
         let mut owed = vec![0_usize; self.peers.len() + 1];
         for index in self.unseeded.iter() {
--- a/crates/decide/src/select/shares.rs
+++ b/crates/decide/src/select/shares.rs
@@ -96,6 +96,13 @@
         first.unwrap_or(OWN_SLOT)
     }
 
+    /// Whether one agent goes before another for a chunk wherever both stand.
+    pub(super) fn ranks_by_weight(&self, slot: AgentSlot, other: AgentSlot, index: usize) -> bool {
+        let (own, other) = (&self.holders[slot], &self.holders[other]);
+        let salt = self.chunk_salts[index];
+        (salted_weight(salt, own.salt), &own.name) > (salted_weight(salt, other.salt), &other.name)
+    }
+
     fn ranks_before(&self, slot: AgentSlot, other: AgentSlot, index: usize) -> bool {
         let (own, other) = (&self.holders[slot], &self.holders[other]);
         let salt = self.chunk_salts[index];
--- a/crates/decide/tests/distribution.rs
+++ b/crates/decide/tests/distribution.rs
@@ -121,6 +121,7 @@
     let settings = PickerSettings {
         origin_chunk_ms: 0.0,
         queue_ms: 0,
+        rescue_ms: 0,
         is_near_origin: false,
         instance: instance(own),
         stall_ms: 2_000,
--- a/crates/decide/tests/support/rounds.rs
+++ b/crates/decide/tests/support/rounds.rs
@@ -391,6 +391,7 @@
         let settings = PickerSettings {
             origin_chunk_ms: 0.0,
             queue_ms: 0,
+            rescue_ms: 0,
             is_near_origin: false,
             instance: name.clone(),
             stall_ms: 2_000,
--- a/crates/model/src/settings/agent.rs
+++ b/crates/model/src/settings/agent.rs
@@ -132,6 +132,9 @@
     /// Time of a chunk from another agent beyond which fewer are asked for at a time, in
     /// milliseconds; 0 asks for `download_slots` always.
     pub queue_ms: u64,
+    /// Time after which a chunk that hardly any agent holds is drawn from the origin again, in
+    /// milliseconds; 0 never does, so that one copy is drawn.
+    pub rescue_ms: u64,
 }
 
 impl Default for TransferSettings {
@@ -147,6 +150,7 @@
             origin_step_ms: 500,
             cache_bytes: 64 << 20,
             queue_ms: 0,
+            rescue_ms: 0,
         }
     }
 }
--- a/crates/wire/src/message/chunk.rs
+++ b/crates/wire/src/message/chunk.rs
@@ -60,6 +60,11 @@
         /// Whether it is the last part.
         last: bool,
     },
+    /// A part of a chunk has arrived, and there is room for another one.
+    More {
+        /// The call.
+        call: u64,
+    },
     /// The chunk is not sent.
     Refused {
         /// The call.
