--- a/crates/agent/src/exchange.rs
+++ b/crates/agent/src/exchange.rs
@@ -236,12 +236,11 @@
 /// Where requests reach the engine without the agent, those that come during
 /// the exchange would wait in the engine until it is over.
 async fn announce_switch(shared: &EndpointShared) {
-    let notice = Duration::from_millis(shared.settings.engine.notice_ms);
-    if notice.is_zero() {
-        return;
+    let engine = &shared.settings.engine;
+    if engine.is_direct() {
+        report::send_report(shared);
+        smol::Timer::after(Duration::from_millis(engine.notice_ms)).await;
     }
-    report::send_report(shared);
-    smol::Timer::after(notice).await;
 }
 
 /// Serves the old version again, if it is certain that the engine kept it.
--- a/crates/agent/src/report.rs
+++ b/crates/agent/src/report.rs
@@ -28,7 +28,7 @@
         service: settings.engine.service.clone(),
         role: settings.engine.role,
         inner_addr: settings.advertise_inner.unwrap_or(settings.listen_inner),
-        endpoint_addr: settings.engine.addr,
+        endpoint_addr: settings.engine.is_direct().then_some(settings.engine.addr),
         state: gate.state().clone(),
         staged: shared.transfer.staged(),
         load,
--- a/crates/decide/tests/plan.rs
+++ b/crates/decide/tests/plan.rs
@@ -60,7 +60,7 @@
         service: ServiceName::new("desk").expect("valid"),
         role: EndpointRole::Model,
         inner_addr: "127.0.0.1:7003".parse().expect("valid"),
-        endpoint_addr: "127.0.0.1:8003".parse().expect("valid"),
+        endpoint_addr: None,
         state,
         staged: None,
         load: LoadReport { in_flight: 0, queued: 0, measured_at: Timestamp(0) },
--- a/crates/decide/tests/roster.rs
+++ b/crates/decide/tests/roster.rs
@@ -33,7 +33,7 @@
         service: ServiceName::new("desk").expect("valid"),
         role: EndpointRole::Plain,
         inner_addr: addr(),
-        endpoint_addr: addr(),
+        endpoint_addr: None,
         state: EndpointState::Serving { version: None, generation: 1 },
         staged: None,
         load: LoadReport { in_flight: 0, queued: 0, measured_at: Timestamp(0) },
--- a/crates/edge/src/client.rs
+++ b/crates/edge/src/client.rs
@@ -16,8 +16,9 @@
 use cassiawheel_runtime::{dial, spawn, timeout};
 use http_body_util::{BodyExt, Full};
 use hyper::{
-    Request, Response, Uri,
+    Method, Request, Response, Uri,
     body::Incoming,
+    header::CONTENT_TYPE,
     rt::{Executor, ReadBufCursor},
 };
 use hyper_util::client::legacy::{
@@ -74,6 +75,26 @@
         })
     }
 
+    /// Calls `path` at `addr` and reads the whole answer within `span`; what is posted is JSON.
+    pub async fn call(
+        &self,
+        method: Method,
+        addr: SocketAddr,
+        path: &str,
+        body: Bytes,
+        span: Duration,
+    ) -> Result<Response<Bytes>, ClientError> {
+        let mut request = Request::builder().uri(format!("http://{addr}{path}"));
+        if method == Method::POST {
+            request = request.header(CONTENT_TYPE, "application/json");
+        }
+        let request = request
+            .method(method)
+            .body(Full::new(body))
+            .map_err(|error| ClientError::NotSent(error.to_string()))?;
+        self.send_whole(request, span).await
+    }
+
     /// Sends `request` and reads the whole answer within `span`.
     pub async fn send_whole(
         &self,
--- a/crates/edge/src/engine_http.rs
+++ b/crates/edge/src/engine_http.rs
@@ -46,12 +46,7 @@
         path: &str,
         body: Bytes,
     ) -> Result<Response<Bytes>, EngineError> {
-        let request = Request::builder()
-            .method(method)
-            .uri(format!("http://{}{path}", self.addr))
-            .body(Full::new(body))
-            .map_err(|error| EngineError::NotSent(error.to_string()))?;
-        let reply = self.client.send_whole(request, ORDER_TIME).await?;
+        let reply = self.client.call(method, self.addr, path, body, ORDER_TIME).await?;
         if reply.status().is_success() {
             return Ok(reply);
         }
--- a/crates/edge/src/weights.rs
+++ b/crates/edge/src/weights.rs
@@ -4,8 +4,7 @@
 
 use bytes::Bytes;
 use cassiawheel_model::{ManifestError, ModelVersion, WeightManifest};
-use http_body_util::Full;
-use hyper::{Request, StatusCode};
+use hyper::{Method, StatusCode};
 
 use crate::{ClientError, EdgeFuture, HttpClient, table_http::retry_after};
 
@@ -69,10 +68,8 @@
     }
 
     async fn get(&self, path: String) -> Result<Bytes, WeightError> {
-        let request = Request::get(format!("http://{}{path}", self.addr))
-            .body(Full::new(Bytes::new()))
-            .map_err(|error| WeightError::Failed(error.to_string()))?;
-        let reply = self.client.send_whole(request, self.timeout).await?;
+        let body = Bytes::new();
+        let reply = self.client.call(Method::GET, self.addr, &path, body, self.timeout).await?;
         match reply.status() {
             StatusCode::OK => Ok(reply.into_body()),
             StatusCode::NOT_FOUND => Err(WeightError::NotFound),
--- a/crates/entry/src/caller/routed.rs
+++ b/crates/entry/src/caller/routed.rs
@@ -32,6 +32,13 @@
 /// Workspace of requests that carry no key.
 const NO_WORKSPACE: &str = "public";
 
+/// When a caller should come back that was refused for want of room.
+///
+/// Whoever comes back has missed the aim in any case, so that the wait costs
+/// nothing but gives the crowd time to pass: engines that lost their weights
+/// serve again after three to four seconds, and a burst lasts about as long.
+const CROWDED_TIME: Duration = Duration::from_millis(2_000);
+
 /// Part of a route's aim by which a request has to be admitted; half of that
 /// time is the longest wait.
 ///
@@ -276,8 +283,8 @@
     };
     log::info!(target: "outcome", request:% = head.id, status = status.as_u16(), error = error, attempts = failed.attempts, cause:% = message; "A request failed.");
     let mut reply = error_reply(status, error, message);
-    if let Some(wait_ms) = wait_ms {
-        let wait_s = format!("{:.3}", Duration::from_millis(wait_ms).as_secs_f64());
+    if wait_ms.is_some() {
+        let wait_s = format!("{:.3}", CROWDED_TIME.as_secs_f64());
         if let Ok(wait_s) = HeaderValue::from_str(&wait_s) {
             reply.headers_mut().insert(RETRY_AFTER, wait_s);
         }
--- a/crates/entry/src/routed.rs
+++ b/crates/entry/src/routed.rs
@@ -253,7 +253,7 @@
 pub(crate) fn reports_by_endpoint<'a>(
     reports: impl Iterator<Item = &'a EndpointReport>,
 ) -> HashMap<SocketAddr, &'a EndpointReport> {
-    reports.map(|report| (report.endpoint_addr, report)).collect()
+    reports.filter_map(|report| Some((report.endpoint_addr?, report))).collect()
 }
 
 /// The endpoint process at which an agent's load counts.
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -330,7 +330,7 @@
             self.cells().of(agent).hear(&load, limit);
             return;
         };
-        let addr = self.roster().member(agent).map(|member| member.report.endpoint_addr);
+        let addr = self.roster().member(agent).and_then(|member| member.report.endpoint_addr);
         let Some(instance) = addr.and_then(|addr| listed_at(&routed.listing(), addr)) else {
             return;
         };
--- a/crates/model/src/endpoint.rs
+++ b/crates/model/src/endpoint.rs
@@ -68,8 +68,9 @@
     pub role: EndpointRole,
     /// Where other agents fetch chunks from it.
     pub inner_addr: SocketAddr,
-    /// Where its engine or plain service is reached.
-    pub endpoint_addr: SocketAddr,
+    /// Where its engine is reached, if requests go there without the agent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub endpoint_addr: Option<SocketAddr>,
     /// State of its weights.
     pub state: EndpointState,
     /// The manifest being staged or already staged, if any.
--- a/crates/model/src/settings/agent.rs
+++ b/crates/model/src/settings/agent.rs
@@ -92,6 +92,13 @@
     pub notice_ms: u64,
 }
 
+impl EngineSettings {
+    /// Whether requests reach the engine without the agent.
+    pub fn is_direct(&self) -> bool {
+        self.notice_ms > 0
+    }
+}
+
 fn default_max_in_flight() -> u32 {
     32
 }
--- a/crates/model/src/settings/routed.rs
+++ b/crates/model/src/settings/routed.rs
@@ -11,7 +11,7 @@
     pub listen_ready: SocketAddr,
     /// Where callers ask which entries to use.
     pub listen_advice: SocketAddr,
-    /// Endpoints that a process uses at the same time, from its settings' processor cores.
+    /// Executor threads, one for each core that the process may use.
     pub threads: usize,
     /// Time after a version was named in which every endpoint has to serve it, in milliseconds.
     pub version_ms: u64,
--- a/crates/testkit/src/samples.rs
+++ b/crates/testkit/src/samples.rs
@@ -22,7 +22,7 @@
         service: ServiceName::new("desk")?,
         role: EndpointRole::Model,
         inner_addr: SocketAddr::new(IpAddr::V4(Ipv4Addr::new(10, 20, 30, 40)), 7_003),
-        endpoint_addr: SocketAddr::new(IpAddr::V4(Ipv4Addr::new(10, 20, 30, 40)), 8_003),
+        endpoint_addr: None,
         state: EndpointState::Serving {
             version: Some(ModelVersion::new("visitor-desk-2026.12.1")?),
             generation: 12,
--- a/crates/testkit/src/stand_in/peer.rs
+++ b/crates/testkit/src/stand_in/peer.rs
@@ -87,7 +87,7 @@
         service: ServiceName::new(plan.service)?,
         role: EndpointRole::Model,
         inner_addr,
-        endpoint_addr: inner_addr,
+        endpoint_addr: None,
         state: EndpointState::Empty,
         staged: None,
         load: LoadReport { in_flight: 0, queued: 0, measured_at: Timestamp::now() },
