--- a/crates/entry/src/control/operators.rs
+++ b/crates/entry/src/control/operators.rs
@@ -38,7 +38,6 @@
             Some(position) => routed.operators.read_changes(position, WAIT_TIME).await,
             None => routed.operators.read_all().await,
         };
-        shared.start_hold().heard(shared.settings.platform.table);
         match read {
             Ok(page) => {
                 watch.regained();
@@ -46,6 +45,7 @@
                 position = Some(page.position);
                 asked_at = Some(Timestamp::now());
                 take_page(&shared, &routed, page, age);
+                shared.start_hold().heard(shared.settings.platform.table);
             }
             Err(FeedError::HistoryLost) => {
                 log::info!(target: "preset", position:? = position; "The history of the operators' rows is gone; reads all of them.");
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -92,7 +92,12 @@
         routed: Option<Arc<RoutedInterface>>,
     ) -> Self {
         let now = Timestamp::now();
-        let mut sources = spread::chosen_peers(&settings);
+        // Where the operators' rows can be followed, the first read of them is
+        // the newest state; other entries only know it later.
+        let mut sources = match &routed {
+            Some(_) => Vec::new(),
+            None => spread::chosen_peers(&settings),
+        };
         sources.push(settings.platform.table);
         let store = Arc::new(BudgetedTable::new(table, &settings.control, &metrics));
         Self {
--- a/crates/runtime/src/dial.rs
+++ b/crates/runtime/src/dial.rs
@@ -9,6 +9,8 @@
 use smol::{Async, net::TcpStream};
 use socket2::{Domain, Protocol, SockRef, Socket, TcpKeepalive, Type};
 
+use crate::timeout;
+
 /// `connect` goes on in the background.
 const EINPROGRESS: i32 = 115;
 
@@ -22,8 +24,27 @@
 /// Idle time before the other end is asked whether it is still there.
 const PROBE_TIME: Duration = Duration::from_secs(1);
 
+/// Time for one try to connect.
+///
+/// The kernel repeats a lost opening packet after a second, and one sent to a
+/// machine that is just being started is lost. Everybody who starts together
+/// would wait out that second; regions are a few milliseconds apart.
+const TRY_TIME: Duration = Duration::from_millis(250);
+
+/// Tries to connect before the other end counts as unreachable.
+const TRIES: u32 = 12;
+
 /// Connects to `addr`, from `local` if given.
 pub async fn dial(addr: SocketAddr, local: Option<IpAddr>) -> io::Result<TcpStream> {
+    for _ in 0..TRIES {
+        if let Some(connected) = timeout(TRY_TIME, dial_once(addr, local)).await {
+            return connected;
+        }
+    }
+    Err(io::Error::new(io::ErrorKind::TimedOut, "the other end does not answer"))
+}
+
+async fn dial_once(addr: SocketAddr, local: Option<IpAddr>) -> io::Result<TcpStream> {
     let socket = Socket::new(Domain::for_address(addr), Type::STREAM, Some(Protocol::TCP))?;
     socket.set_nonblocking(true)?;
     socket.set_tcp_nodelay(true)?;
