--- a/crates/agent/src/entry_link.rs
+++ b/crates/agent/src/entry_link.rs
@@ -8,6 +8,7 @@
 
 use bytes::Bytes;
 use cassiawheel_decide::RunLatch;
+use cassiawheel_edge::ENTRY_ROWS;
 
 use cassiawheel_model::{EndpointState, PresetRevision, Repeatability, RequestHead};
 use cassiawheel_runtime::spawn;
@@ -29,9 +30,6 @@
 /// Time between looks whether any entry is connected.
 const FIND_TIME: Duration = Duration::from_millis(1_000);
 
-/// What the keys of entries' rows in the table service begin with.
-const ENTRY_ROWS: &str = "entries/";
-
 /// Keeps connections to the entries at `addrs`, as far as there are none yet.
 pub(crate) fn meet(shared: &Arc<EndpointShared>, addrs: &[SocketAddr]) {
     for addr in shared.note_entries(addrs) {
--- a/crates/agent/src/report.rs
+++ b/crates/agent/src/report.rs
@@ -95,9 +95,18 @@
 
 /// Reports at every heartbeat, after asking the engine for its load.
 pub(crate) async fn report_regularly(shared: Arc<EndpointShared>) {
+    let mut is_reached = true;
     loop {
         let before = shared.gate().state().clone();
-        if let Ok(status) = shared.engine.status().await {
+        let status = shared.engine.status().await;
+        if status.is_ok() && !is_reached {
+            // An engine that starts again waits for weights; the next try to
+            // bring them may be seconds away.
+            log::info!(target: "switch", "The engine answers again.");
+            shared.transfer.wake();
+        }
+        is_reached = status.is_ok();
+        if let Ok(status) = status {
             exchange::check_engine(&shared, &before, &status);
             if shared.order().is_none() {
                 exchange::take_up(&shared, &status);
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -25,7 +25,9 @@
 pub use feed::{FeedError, FeedPage, FeedSource, ListingFeed, OperatorFeed, OperatorRow};
 pub use instances::{HttpInstances, InstanceList, ListedInstance, ListedState};
 pub use store_error::StoreError;
-pub use table::{TableGuard, TableRow, TableStore, TableWrite, WriteResult, WriteVerdict};
+pub use table::{
+    ENTRY_ROWS, TableGuard, TableRow, TableStore, TableWrite, WriteResult, WriteVerdict,
+};
 pub use table_http::HttpTable;
 pub use weights::{HttpWeights, WeightError, WeightSource};
 
--- a/crates/entry/src/caller/events.rs
+++ b/crates/entry/src/caller/events.rs
@@ -9,7 +9,10 @@
 use bytes::Bytes;
 use cassiawheel_decide::{EventSplicer, RepeatGuard};
 use cassiawheel_model::{OutcomeKind, Timestamp};
-use cassiawheel_runtime::{http::ReplyBody, timeout};
+use cassiawheel_runtime::{
+    http::{ReplyBody, full_body},
+    timeout,
+};
 use futures_util::stream;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::{Response, body::Frame};
@@ -47,7 +50,7 @@
     attempts: RequestAttempts,
     begun: BegunAnswer,
 ) -> Response<ReplyBody> {
-    let mut reply = reply_with(&begun, cassiawheel_runtime::http::full_body(""));
+    let mut reply = reply_with(&begun, full_body(""));
     let splicer = EventSplicer::new(attempts.last_event);
     let reader = EventReader { attempts, begun, splicer };
     let frames = stream::unfold(Some((guard, reader)), |state| async move {
--- a/crates/entry/src/caller/routed.rs
+++ b/crates/entry/src/caller/routed.rs
@@ -9,7 +9,7 @@
 use cassiawheel_edge::CallerHead;
 use cassiawheel_model::{
     NotRunReason, OutcomeKind, PresetRevision, PriorityClass, Repeatability, RequestHead,
-    RouteKind, RouteRule, Timestamp, WorkspaceId,
+    RequestOutcome, RouteKind, RouteRule, Timestamp, WorkspaceId,
 };
 use cassiawheel_runtime::http::{BodyError, ReplyBody, error_reply, full_body, read_body_within};
 use hyper::{
@@ -278,7 +278,7 @@
 pub(super) fn failure_reply(head: &RequestHead, failed: &FailedRequest) -> Response<ReplyBody> {
     let (status, error, message, wait_ms) = outcome::describe(&failed.outcome);
     let status = match &failed.outcome {
-        cassiawheel_model::RequestOutcome::NotRun { reason, .. } => not_run_status(*reason),
+        RequestOutcome::NotRun { reason, .. } => not_run_status(*reason),
         _ => status,
     };
     log::info!(target: "outcome", request:% = head.id, status = status.as_u16(), error = error, attempts = failed.attempts, cause:% = message; "A request failed.");
--- a/crates/entry/src/control/entries.rs
+++ b/crates/entry/src/control/entries.rs
@@ -6,7 +6,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use cassiawheel_edge::{StoreError, TableGuard, TableStore, TableWrite};
+use cassiawheel_edge::{ENTRY_ROWS, StoreError, TableGuard, TableStore, TableWrite};
 use cassiawheel_runtime::spawn;
 use cassiawheel_wire::ControlMessage;
 use rand::Rng;
@@ -15,9 +15,6 @@
 use super::{dependency::DependencyWatch, spread};
 use crate::{routed::RoutedInterface, shared::EntryShared};
 
-/// What the keys of entries' rows begin with; the inner address follows.
-pub(crate) const ENTRY_ROWS: &str = "entries/";
-
 /// Waits after a failed call, in milliseconds; drawn anew each time.
 const AGAIN_MS: std::ops::Range<u64> = 300..900;
 
--- a/crates/entry/src/control/listing.rs
+++ b/crates/entry/src/control/listing.rs
@@ -4,7 +4,7 @@
 
 use cassiawheel_decide::ListingNews;
 use cassiawheel_edge::{FeedError, FeedPage};
-use cassiawheel_model::{ListedRow, Timestamp};
+use cassiawheel_model::{ListedEndpoint, ListedRow, Timestamp};
 use cassiawheel_wire::{ControlMessage, WireSender};
 use rand::Rng;
 use smol::Timer;
@@ -73,7 +73,7 @@
 }
 
 /// Sends the other entries what they have to know; rows that only repeat a heartbeat stay out.
-fn tell(shared: &EntryShared, news: ListingNews, before: &[cassiawheel_model::ListedEndpoint]) {
+fn tell(shared: &EntryShared, news: ListingNews, before: &[ListedEndpoint]) {
     let is_news = |row: &ListedRow| match &row.endpoint {
         Some(endpoint) => !before.contains(endpoint),
         None => true,
--- a/crates/entry/src/control/operators.rs
+++ b/crates/entry/src/control/operators.rs
@@ -3,10 +3,14 @@
 //! Every entry follows them by itself, so that a change reaches it in
 //! milliseconds, and hears of what it missed from the heartbeats of the others.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use cassiawheel_edge::{FeedError, FeedPage, OperatorRow};
 use cassiawheel_model::{NamedVersion, Timestamp};
+use cassiawheel_wire::ControlMessage;
 use rand::Rng;
 use smol::Timer;
 
@@ -96,6 +100,6 @@
         return;
     }
     log::info!(target: "preset", version:% = named.version, manifest:? = named.manifest, age_ms = named.age_ms; "A version is named.");
-    shared.plan_stale.store(true, std::sync::atomic::Ordering::Release);
-    spread::send_to_peers(shared, &cassiawheel_wire::ControlMessage::Named(named.clone()));
+    shared.plan_stale.store(true, Ordering::Release);
+    spread::send_to_peers(shared, &ControlMessage::Named(named.clone()));
 }
