Draw one chunk at a time over links that may narrow

Ruled out: chunks of peers alone, of which 64 KB at most are on their way. The test fails without the change.

--- a/crates/decide/src/select.rs
+++ b/crates/decide/src/select.rs
@@ -463,7 +463,11 @@
     }
 
     fn may_draw(&self, now: Timestamp) -> bool {
-        let most = if self.shares.participants() > SMALL_GROUP { 1 } else { 2 };
+        // The origin sends a chunk as a whole. Where links may be narrow, a second
+        // one behind it would hold up what the instance receives beside it, and
+        // where the origin is asked in turns it would bring nothing forward.
+        let is_one = self.shares.participants() > SMALL_GROUP || self.settings.queue_ms > 0;
+        let most = if is_one { 1 } else { 2 };
         self.origin_fetches < most
             && self.origin.is_over(now)
             && self.peers.iter().all(|view| view.awaited_until.is_past(now))
--- a/crates/decide/tests/chunk_regions.rs
+++ b/crates/decide/tests/chunk_regions.rs
@@ -151,3 +151,14 @@
     first[1..].iter().for_each(|order| picker.fetch_succeeded(order, at(1_430)));
     assert_eq!(orders(&mut picker, at(1_440)).len(), 1);
 }
+
+/// A link narrows while an agent draws from the origin, which sends a chunk as a
+/// whole. With two on their way the word that a caller has left arrives half a
+/// second too late, and the engine works for nobody.
+#[test]
+fn one_chunk_at_a_time_is_drawn_over_links_that_may_narrow() {
+    let mut narrow = picker(PickerSettings { queue_ms: 350, ..settings("own-a") });
+    assert_eq!(orders(&mut narrow, at(10)).len(), 1);
+    let mut wide = picker(settings("own-a"));
+    assert_eq!(orders(&mut wide, at(10)).len(), 2);
+}
