Control traffic that does not grow with the square; requests stay in their region; overdue chunks

A count of bytes by kind of message (a trial build) showed 160 to 200 MB in 4 s of lists of peers, sent by each entry to each agent at each change, and 20 to 80 MB of whole reports: one that asked, or connected, made an agent tell all entries. Requests crossed too: one draw in two was far.

Ruled out: chunks (28 MB in 4 s at their peak), loads (2.7 MB), heartbeats of entries (2.2 MB).

Three entries tell each agent of the others, at most once a second; an agent knows all of its region and six of each other; a report goes to the entry that asks; progress alone is told once a second; entries of other regions hear loads every 0.6 s; lists of chunks are repeated every 0.65 s unless one was missed; a busy holder is asked after 20, 40, 80 ms. Two draws of three are near, and another region costs as much as two and a half requests. A chunk whose owner does not bring it in its turn is drawn by the next agent after half a second (frozen owners held up a version for two).

--- a/crates/agent/src/endpoint.rs
+++ b/crates/agent/src/endpoint.rs
@@ -10,9 +10,9 @@
     time::Duration,
 };
 
-use cassiawheel_decide::{GateState, PresetHolder, StartHold};
+use cassiawheel_decide::{GateState, LoadPace, PresetHolder, StartHold, ToldReport};
 use cassiawheel_edge::{ModelEngine, TableStore, WeightSource};
-use cassiawheel_model::{EndpointReport, LoadReport, Timestamp, settings::AgentSettings};
+use cassiawheel_model::{LoadReport, Timestamp, settings::AgentSettings};
 use cassiawheel_runtime::timeout;
 use cassiawheel_wire::{WireSender, message::WeightOrder};
 use smol::channel::{Receiver, Sender, bounded};
@@ -54,9 +54,9 @@
     holder: Mutex<PresetHolder>,
     start_hold: Mutex<StartHold>,
     order: Mutex<Option<WeightOrder>>,
-    last_report: Mutex<Option<EndpointReport>>,
+    last_report: Mutex<Option<ToldReport>>,
     load: Mutex<LoadReport>,
-    entries: Mutex<Vec<WireSender>>,
+    entries: Mutex<Vec<EntryLink>>,
     met: Mutex<BTreeSet<SocketAddr>>,
     attempts: AtomicU64,
     open: AtomicU32,
@@ -114,7 +114,7 @@
     }
 
     /// The last whole report, if every connected entry has it.
-    pub(crate) fn last_report(&self) -> MutexGuard<'_, Option<EndpointReport>> {
+    pub(crate) fn last_report(&self) -> MutexGuard<'_, Option<ToldReport>> {
         self.last_report.lock().unwrap_or_else(|poison| poison.into_inner())
     }
 
@@ -124,7 +124,7 @@
     }
 
     /// Connections to entries.
-    pub(crate) fn entries(&self) -> MutexGuard<'_, Vec<WireSender>> {
+    pub(crate) fn entries(&self) -> MutexGuard<'_, Vec<EntryLink>> {
         self.entries.lock().unwrap_or_else(|poison| poison.into_inner())
     }
 
@@ -167,6 +167,14 @@
     }
 }
 
+/// A connection to an entry, and when it wants to hear the load.
+pub(crate) struct EntryLink {
+    /// Messages to it.
+    pub(crate) sender: WireSender,
+    /// When it wants to hear the load.
+    pub(crate) pace: LoadPace,
+}
+
 /// An attempt that a graceful shutdown waits for.
 pub(crate) struct OpenAttempt {
     shared: Arc<EndpointShared>,
--- a/crates/agent/src/entry_link.rs
+++ b/crates/agent/src/entry_link.rs
@@ -7,10 +7,10 @@
 use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use cassiawheel_decide::RunLatch;
+use cassiawheel_decide::{LoadPace, RunLatch};
 use cassiawheel_edge::ENTRY_ROWS;
 
-use cassiawheel_model::{EndpointState, PresetRevision, Repeatability, RequestHead};
+use cassiawheel_model::{EndpointState, PresetRevision, Repeatability, RequestHead, Timestamp};
 use cassiawheel_runtime::spawn;
 use cassiawheel_wire::{
     ControlMessage, HelloMessage, ProcessKind, RequestMessage, WireError, WireMessage,
@@ -19,7 +19,10 @@
 use rand::Rng;
 use smol::{Task, Timer, channel::Sender};
 
-use crate::{endpoint::EndpointShared, exchange, report, run, transfer};
+use crate::{
+    endpoint::{EndpointShared, EntryLink},
+    exchange, report, run, transfer,
+};
 
 /// Longest wait between two attempts to connect, in milliseconds.
 const MAX_BACKOFF_MS: u64 = 1_000;
@@ -44,7 +47,7 @@
 pub(crate) async fn find_entries(shared: Arc<EndpointShared>) {
     loop {
         Timer::after(FIND_TIME).await;
-        if shared.entries().iter().any(|entry| !entry.is_closed()) {
+        if shared.entries().iter().any(|entry| !entry.sender.is_closed()) {
             continue;
         }
         match shared.table.scan(ENTRY_ROWS).await {
@@ -110,12 +113,13 @@
     if let Err(error) = sender.send(hello).await {
         return error;
     }
-    shared.entries().push(sender.clone());
+    let pace = LoadPace::each_heartbeat();
+    shared.entries().push(EntryLink { sender: sender.clone(), pace });
     // An entry that restarted with the table service down may know no preset.
     if let Some(preset) = shared.holder().current().cloned() {
         let _ = sender.try_send(ControlMessage::Force(preset));
     }
-    report::send_report(shared);
+    report::send_report_to(shared, &sender);
     let mut attempts = LinkAttempts::default();
     let ended = loop {
         match receiver.recv().await {
@@ -154,7 +158,8 @@
         ControlMessage::Drain { instance } if instance == shared.settings.place.instance => {
             leave(shared);
         }
-        ControlMessage::ReportWanted => report::send_report(shared),
+        ControlMessage::ReportWanted => report::send_report_to(shared, sender),
+        ControlMessage::LoadWanted { every_ms } => set_pace(shared, sender, every_ms),
         ControlMessage::Entries(addrs) => meet(shared, &addrs),
         ControlMessage::Report(_)
         | ControlMessage::Beat(_)
@@ -169,6 +174,14 @@
     }
 }
 
+fn set_pace(shared: &EndpointShared, sender: &WireSender, every_ms: u64) {
+    let pace = LoadPace::every(every_ms, Timestamp::now());
+    let mut entries = shared.entries();
+    for link in entries.iter_mut().filter(|link| link.sender.is_same(sender)) {
+        link.pace = pace;
+    }
+}
+
 /// Sends the preset in force to an entry that works under `revision`, if that is older.
 ///
 /// An entry that was paused, or that started while the table service and its
@@ -191,7 +204,7 @@
     drop(gate);
     let instance = shared.settings.place.instance.clone();
     let message = ControlMessage::Leaving { instance, incarnation: shared.incarnation };
-    shared.entries().retain(|entry| entry.try_send(message.clone()).is_ok());
+    shared.entries().retain(|entry| entry.sender.try_send(message.clone()).is_ok());
     report::send_report(shared);
 }
 
--- a/crates/agent/src/report.rs
+++ b/crates/agent/src/report.rs
@@ -5,8 +5,9 @@
     time::Duration,
 };
 
-use cassiawheel_model::EndpointReport;
-use cassiawheel_wire::ControlMessage;
+use cassiawheel_decide::ToldReport;
+use cassiawheel_model::{EndpointReport, LoadReport, Timestamp};
+use cassiawheel_wire::{ControlMessage, WireSender};
 use smol::Timer;
 
 use crate::{endpoint::EndpointShared, exchange};
@@ -47,17 +48,24 @@
     send_whole(shared, &mut last, report);
 }
 
-/// Sends a beat if the last whole report still holds, else a new one.
+/// Sends the whole present report to the entry at the other end of `sender`.
 ///
-/// A whole report is some four hundred bytes; sent at every heartbeat it would
-/// be most of the control traffic of a large deployment.
+/// Only to this one: if each entry that connects or asks made the agent tell all
+/// of them, their number would enter as its square.
+pub(crate) fn send_report_to(shared: &EndpointShared, sender: &WireSender) {
+    // Locked so that a report of an earlier state cannot be queued after it.
+    let _last = shared.last_report();
+    let message = ControlMessage::Report(Box::new(build_report(shared)));
+    let _ = sender.try_send(message);
+}
+
+/// Sends the load if the last whole report still holds, else a new one.
 fn send_heartbeat(shared: &EndpointShared) {
+    let now = Timestamp::now();
     let mut last = shared.last_report();
     let report = build_report(shared);
-    let load = report.load;
-    let unchanged = last.as_ref().is_some_and(|last| equal_but_for_load(last, &report));
-    if unchanged {
-        send_to_entries(shared, &ControlMessage::Beat(load));
+    if last.as_ref().is_some_and(|last| last.covers(&report, now)) {
+        send_load(shared, report.load, now);
     } else {
         send_whole(shared, &mut last, report);
     }
@@ -68,22 +76,18 @@
 /// `last` stays locked from the building of the report to its queueing: two
 /// reports that overtook each other would leave the entries with the older
 /// state, and the beats that follow would confirm it for ever.
-fn send_whole(shared: &EndpointShared, last: &mut Option<EndpointReport>, report: EndpointReport) {
+fn send_whole(shared: &EndpointShared, last: &mut Option<ToldReport>, report: EndpointReport) {
     let message = ControlMessage::Report(Box::new(report.clone()));
     let reached_all = send_to_entries(shared, &message);
     // An entry whose queue was full would take the next beats for the state
     // before this one, and might route to an endpoint that switches.
-    *last = reached_all.then_some(report);
-}
-
-fn equal_but_for_load(last: &EndpointReport, report: &EndpointReport) -> bool {
-    EndpointReport { load: report.load, ..last.clone() } == *report
+    *last = reached_all.then(|| ToldReport::new(report, Timestamp::now()));
 }
 
 /// Queues `message` for every connected entry; false if a queue was full.
 fn send_to_entries(shared: &EndpointShared, message: &ControlMessage) -> bool {
     let mut reached_all = true;
-    shared.entries().retain(|entry| match entry.try_send(message.clone()) {
+    shared.entries().retain(|entry| match entry.sender.try_send(message.clone()) {
         Ok(queued) => {
             reached_all &= queued;
             true
@@ -93,6 +97,14 @@
     reached_all
 }
 
+/// Queues the load for the entries that want to hear it now.
+fn send_load(shared: &EndpointShared, load: LoadReport, now: Timestamp) {
+    let message = ControlMessage::Beat(load);
+    shared.entries().retain_mut(|entry| {
+        !entry.pace.take_due(now) || entry.sender.try_send(message.clone()).is_ok()
+    });
+}
+
 /// Reports at every heartbeat, after asking the engine for its load.
 pub(crate) async fn report_regularly(shared: Arc<EndpointShared>) {
     let mut is_reached = true;
@@ -115,7 +127,7 @@
             *shared.load() = status.load;
         }
         send_heartbeat(&shared);
-        shared.transfer.announce_held();
+        shared.transfer.repeat_held();
         Timer::after(Duration::from_millis(shared.settings.heartbeat_ms)).await;
     }
 }
--- a/crates/agent/src/transfer.rs
+++ b/crates/agent/src/transfer.rs
@@ -5,6 +5,7 @@
 mod serve;
 mod stage;
 mod state;
+mod watchers;
 
 pub(crate) use serve::serve_peers;
 pub(crate) use stage::{release_others, resume, stage};
--- a/crates/agent/src/transfer/state.rs
+++ b/crates/agent/src/transfer/state.rs
@@ -8,7 +8,8 @@
 
 use bytes::Bytes;
 use cassiawheel_model::{
-    ManifestDigest, StagedWeights, WeightManifest, flags::pack_flags, settings::TransferSettings,
+    ManifestDigest, StagedWeights, Timestamp, WeightManifest, flags::pack_flags,
+    settings::TransferSettings,
 };
 use cassiawheel_runtime::pacer::RatePacer;
 use cassiawheel_wire::{ChunkMessage, WireSender, message::EndpointAddress};
@@ -17,6 +18,8 @@
     lock::Semaphore,
 };
 
+use super::watchers::WatcherLinks;
+
 /// Transfer state that the parts of an agent share.
 pub(crate) struct TransferState {
     /// Paces what is sent to other agents.
@@ -34,7 +37,7 @@
     images: HashMap<ManifestDigest, HeldImage>,
     current: Option<ManifestDigest>,
     cache: ChunkCache,
-    watchers: Vec<WireSender>,
+    watchers: WatcherLinks,
     /// Lists of peers by the entry that sent them.
     peers: HashMap<SocketAddr, Vec<EndpointAddress>>,
 }
@@ -77,7 +80,7 @@
                 images: HashMap::new(),
                 current: None,
                 cache: ChunkCache::new(settings.cache_bytes),
-                watchers: Vec::new(),
+                watchers: WatcherLinks::default(),
                 peers: HashMap::new(),
             }),
             wake: bounded(1),
@@ -136,8 +139,10 @@
         let mut inner = self.lock();
         inner.current = Some(manifest.digest);
         inner.images.insert(manifest.digest, HeldImage { manifest, held, drawing: Vec::new() });
-        drop(inner);
-        self.announce_held();
+        let messages: Vec<_> = inner.images.values().flat_map(HeldImage::messages).collect();
+        for message in &messages {
+            inner.watchers.tell(message);
+        }
     }
 
     /// Notes a verified and staged chunk and tells the watchers.
@@ -148,7 +153,7 @@
         }
         inner.cache.insert((manifest, index), bytes);
         let gained = ChunkMessage::Gained { manifest, index: index as u32 };
-        inner.watchers.retain(|watcher| watcher.try_send(gained.clone()).is_ok());
+        inner.watchers.tell(&gained);
     }
 
     /// Tells the watchers which chunks are drawn from the origin, if that changed.
@@ -163,7 +168,7 @@
         }
         image.drawing.clone_from(&indices);
         let message = ChunkMessage::Drawing { manifest, indices };
-        inner.watchers.retain(|watcher| watcher.try_send(message.clone()).is_ok());
+        inner.watchers.tell(&message);
     }
 
     /// Whether a chunk is held, and its bytes if they are in memory.
@@ -216,20 +221,15 @@
     pub(crate) fn add_watcher(&self, watcher: WireSender) {
         let mut inner = self.lock();
         let told = inner.images.values().flat_map(HeldImage::messages);
-        let told = told.chain([ChunkMessage::ToldAll]);
-        let open = told.map(|message| watcher.try_send(message)).all(|sent| sent.is_ok());
-        if open {
-            inner.watchers.push(watcher);
-        }
+        let told: Vec<_> = told.chain([ChunkMessage::ToldAll]).collect();
+        inner.watchers.add(watcher, &told, Timestamp::now());
     }
 
-    /// Tells all watchers what is held; repeats what a full queue swallowed.
-    pub(crate) fn announce_held(&self) {
+    /// Repeats what is held to the watchers that may lack it.
+    pub(crate) fn repeat_held(&self) {
         let mut inner = self.lock();
         let messages: Vec<_> = inner.images.values().flat_map(HeldImage::messages).collect();
-        inner.watchers.retain(|watcher| {
-            messages.iter().all(|message| watcher.try_send(message.clone()).is_ok())
-        });
+        inner.watchers.repeat(&messages, Timestamp::now());
     }
 
     /// Progress of the newest image, for reports.
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -4,6 +4,7 @@
 //! the present moment and a random generator are arguments. The same code so
 //! runs in the processes, in seeded histories and in benches.
 
+pub mod acquaint;
 pub mod admit;
 pub mod advice;
 pub mod affinity;
@@ -16,18 +17,21 @@
 pub mod fencing;
 pub mod forecast;
 pub mod gate;
+pub mod heartbeat;
 pub mod holder;
 pub mod identity;
 pub mod latch;
 pub mod listing;
 pub mod plan;
 pub mod rank;
+pub mod repeats;
 pub mod retry;
 pub mod roster;
 pub mod route;
 pub mod select;
 pub mod versions;
 
+pub use acquaint::{AgentPlace, acquaintances};
 pub use admit::{AdmitTicket, AdmitVerdict, ServiceAdmission};
 pub use advice::{AdviceInput, EntryAdvice, advise};
 pub use caller_index::{CallerIndex, UnknownKey, draw_service};
@@ -38,9 +42,11 @@
 pub use claim::{ClaimRecord, ClaimState, ClaimStep, ClaimTracker, ClaimView};
 pub use events::{EventError, EventSplicer};
 pub use gate::{GateState, SwitchError};
+pub use heartbeat::{LoadPace, ToldReport};
 pub use holder::{Adoption, PresetHolder, StartHold};
 pub use latch::RunLatch;
 pub use listing::{EndpointListing, ListingNews};
+pub use repeats::RepeatSchedule;
 pub use retry::{AttemptEnd, RepeatGuard, RetryBudget, RetryStep, RetryTracker};
 pub use roster::{EndpointRoster, EntryRoster, PeerEntry};
 pub use route::{
--- a/crates/decide/src/route.rs
+++ b/crates/decide/src/route.rs
@@ -1,7 +1,7 @@
 //! Which endpoint gets a request.
 //!
-//! Two endpoints are drawn at random, one of them from the entry's own failure
-//! domain, and the one with the lower cost wins. Comparing all of them would
+//! Three endpoints are drawn at random, two of them near the entry, and the one
+//! with the lowest cost wins. Comparing all of them would
 //! send every entry to the same one, since reports lag. The cost counts
 //! requests that this entry has in progress there and the others' by the
 //! endpoint's last report, and how long answers have taken to begin lately. A
@@ -44,7 +44,8 @@
     pub instance: InstanceId,
     /// The version it serves; none for plain services.
     pub version: Option<ModelVersion>,
-    /// Whether it stands in the entry's failure domain.
+    /// Whether it stands near the entry: what passes between them crosses no
+    /// link that is shared and dear.
     pub is_near: bool,
     /// How requests reach it.
     pub path: EndpointPath,
@@ -115,14 +116,21 @@
     pub candidates: usize,
 }
 
+/// Further draws from the near endpoints if none of the first has room.
+const NEAR_DRAWS: usize = 3;
+
 /// Draws from all endpoints before each is looked at in turn.
 const MORE_DRAWS: usize = 6;
 
 /// Cost of one request in progress.
 const LOAD_COST: u32 = 4;
 
-/// Cost of another failure domain: decides between equals, never against load.
-const FAR_COST: u32 = 2;
+/// Cost of an endpoint that is not near, in units of cost: two and a half requests.
+///
+/// An answer of 24 events is some 13 KB, and links between regions carry the
+/// weights as well. Two requests more delay an answer by some 50 ms, a sixth of
+/// the shortest aim; where a region is fuller than that by more, others help.
+const FAR_COST: u32 = 10;
 
 /// Time until an answer begins that is usual at a busy endpoint, in milliseconds.
 const USUAL_DELAY_MS: u32 = 450;
@@ -237,12 +245,14 @@
         if let Some(candidate) = query.prefix.and_then(|prefix| self.cached(prefix, query)) {
             return Some(self.choice(candidate, RouteReason::PrefixAffinity, query));
         }
-        let drawn = [self.draw_near(rng), Some(self.draw(rng))];
+        let drawn = [self.draw_near(rng), self.draw_near(rng), Some(self.draw(rng))];
         let drawn = drawn.into_iter().flatten().filter(|c| c.is_usable(query));
         if let Some(candidate) = drawn.min_by_key(|c| c.cost(query.now)) {
             return Some(self.choice(candidate, RouteReason::LeastCost, query));
         }
-        let more = (0..MORE_DRAWS).map(|_| self.draw(rng)).find(|c| c.is_usable(query));
+        let near = (0..NEAR_DRAWS).filter_map(|_| self.draw_near(rng)).find(|c| c.is_usable(query));
+        let more = || (0..MORE_DRAWS).map(|_| self.draw(rng)).find(|c| c.is_usable(query));
+        let more = near.or_else(more);
         if let Some(candidate) = more.or_else(|| self.in_turn(rng, |c| c.is_usable(query))) {
             return Some(self.choice(candidate, RouteReason::FirstWithRoom, query));
         }
--- a/crates/decide/src/select.rs
+++ b/crates/decide/src/select.rs
@@ -123,8 +123,15 @@
 /// Longest wait for the list of chunks of a peer, in milliseconds.
 const INVENTORY_MS: u64 = 1_000;
 
-/// Wait after a peer had no free slot, in milliseconds.
-const BUSY_MS: u64 = 10;
+/// First wait after a peer had no free slot, in milliseconds; doubled each time.
+///
+/// A slot comes free with every chunk that has been sent, some 40 ms apart over
+/// a small link. Agents that asked again after 10 ms asked thousands of times
+/// for one chunk while it had a single holder.
+const BUSY_MS: u64 = 20;
+
+/// Doublings of that wait.
+const BUSY_DOUBLINGS: u32 = 2;
 
 /// A fetch may take this many times the usual time.
 const LATE_FACTOR: u64 = 8;
@@ -283,6 +290,7 @@
                 self.peer_latency_ms = smoothed(self.peer_latency_ms, latency);
                 if let Some(slot) = self.slots.get(peer).copied() {
                     self.peers[slot - 1].backoff.succeeded();
+                    self.peers[slot - 1].busy = 0;
                     self.count_chunks(slot, now);
                 }
             }
@@ -320,7 +328,10 @@
         if let ChunkSource::Peer(peer) = &order.source
             && let Some(slot) = self.slots.get(peer)
         {
-            self.peers[slot - 1].backoff.avoid(Deadline(now.0 + BUSY_MS));
+            let view = &mut self.peers[slot - 1];
+            let wait = BUSY_MS << view.busy.min(BUSY_DOUBLINGS);
+            view.busy += 1;
+            view.backoff.avoid(Deadline(now.0 + wait));
         }
     }
 
@@ -437,20 +448,25 @@
         let mut unclaimed = self.unseeded.clone();
         for (position, view) in self.peers.iter().enumerate() {
             if self.shares.takes_part(position + 1) {
-                for index in &view.drawing {
+                // That an owner draws its own chunk keeps nobody else from it
+                // once it is overdue.
+                let claimed =
+                    view.drawing.iter().filter(|index| self.shares.owner(**index) != position + 1);
+                for index in claimed {
                     unclaimed.remove(*index);
                 }
             }
         }
-        let owned = unclaimed
-            .iter_common(&self.wanted)
-            .filter(|index| self.shares.owner(*index) == OWN_SLOT)
-            .filter(|index| self.origin_turn(*index).is_past(now));
+        let owned =
+            unclaimed.iter_common(&self.wanted).filter(|index| match self.shares.owner(*index) {
+                OWN_SLOT => self.origin_turn(*index).is_past(now),
+                _ => self.is_overdue(*index, now),
+            });
         pick_least(owned.map(|index| (index, 0)), rng)
     }
 
     /// When the origin has time for a chunk, if all owners ask in the chunks' order.
-    fn origin_turn(&self, index: usize) -> Deadline {
+    pub(super) fn origin_turn(&self, index: usize) -> Deadline {
         Deadline(self.began_at.0 + (index as f64 * self.settings.origin_chunk_ms) as u64)
     }
 
--- a/crates/decide/src/select/ownership.rs
+++ b/crates/decide/src/select/ownership.rs
@@ -28,7 +28,38 @@
 /// Steps without any chunk from the origin before one owner is replaced.
 const IDLE_STEPS: u64 = 4;
 
+/// Time after its turn at the origin from which on a chunk is overdue, in milliseconds.
+///
+/// A chunk is there some 30 to 100 ms after its turn.
+const OVERDUE_MS: u64 = 500;
+
+/// Time that an agent leaves to the one before it in drawing an overdue chunk, in milliseconds.
+const OVERDUE_STEP_MS: u64 = 150;
+
 impl ChunkPicker {
+    /// Whether this agent draws a chunk in place of its owner.
+    ///
+    /// An owner that was paused or killed a moment ago still counts as an owner
+    /// until it has been silent for long. A version would wait for its few
+    /// chunks everywhere; one would notice that all agents lack the same ones.
+    pub(super) fn is_overdue(&self, index: usize, now: Timestamp) -> bool {
+        if self.settings.origin_chunk_ms == 0.0 || !self.origin_keeps_up(now) {
+            return false;
+        }
+        let before = self.shares.rank(OWN_SLOT, index).saturating_sub(1) as u64;
+        let wait_ms = OVERDUE_MS + OVERDUE_STEP_MS * before;
+        Deadline(self.origin_turn(index).0 + wait_ms).is_past(now)
+    }
+
+    /// Whether most chunks came in their turn; if not, the origin is slow or
+    /// away, and asking for more of it would make it worse.
+    fn origin_keeps_up(&self, now: Timestamp) -> bool {
+        let is_due = |index: &usize| Deadline(self.origin_turn(*index).0 + OVERDUE_MS).is_past(now);
+        let due: Vec<_> = (0..self.holders.len()).filter(is_due).collect();
+        let missing = due.iter().filter(|index| self.unseeded.contains(**index)).count();
+        missing * 2 <= due.len()
+    }
+
     /// Counts a peer's chunks as available, if it can be fetched from.
     pub(super) fn count_chunks(&mut self, slot: AgentSlot, now: Timestamp) {
         let view = &mut self.peers[slot - 1];
--- a/crates/decide/src/select/peers.rs
+++ b/crates/decide/src/select/peers.rs
@@ -96,6 +96,8 @@
     /// Whether its chunks count as available.
     pub(super) counted: bool,
     pub(super) backoff: SourceBackoff,
+    /// Times in a row that it had no free slot.
+    pub(super) busy: u32,
     /// Whether it stands in another region.
     pub(super) is_far: bool,
     /// Whether it lost its chunks because it brought none of them.
@@ -125,6 +127,7 @@
             awaited_until,
             counted: false,
             backoff: SourceBackoff::default(),
+            busy: 0,
             is_far: false,
             behind: false,
             heard_at: now,
--- a/crates/decide/src/select/shares.rs
+++ b/crates/decide/src/select/shares.rs
@@ -89,6 +89,13 @@
         }
     }
 
+    /// Agents that take part and go before `slot` for a chunk.
+    pub(super) fn rank(&self, slot: AgentSlot, index: usize) -> usize {
+        let others = (0..self.holders.len()).filter(|other| *other != slot);
+        let taking_part = others.filter(|other| self.holders[*other].taking_part);
+        taking_part.filter(|other| self.ranks_before(*other, slot, index)).count()
+    }
+
     fn first_ranked(&self, index: usize) -> AgentSlot {
         let taking_part = (0..self.holders.len()).filter(|slot| self.holders[*slot].taking_part);
         let first = taking_part
--- a/crates/decide/tests/chunk_regions.rs
+++ b/crates/decide/tests/chunk_regions.rs
@@ -162,3 +162,73 @@
     let mut wide = picker(settings("own-a"));
     assert_eq!(orders(&mut wide, at(10)).len(), 2);
 }
+
+/// One agent holds a chunk that all others want, and has no free slot. Asked
+/// again after a few milliseconds by each of them it answers thousands of
+/// questions for one chunk, on the link over which it sends it.
+#[test]
+fn a_busy_holder_is_asked_less_and_less_often() {
+    let mut picker = picker(settings("own"));
+    connect(&mut picker, "holder", NEAR, &[3]);
+    let mut asked = 0;
+    for ms in 0..400 {
+        for order in orders(&mut picker, at(ms)) {
+            if order.source == ChunkSource::Peer(instance("holder")) {
+                picker.fetch_deferred(&order, at(ms));
+                asked += 1;
+            }
+        }
+    }
+    assert!((4..=8).contains(&asked), "asked {asked} times");
+}
+
+/// An owner is paused before its turn at the origin, while the others bring
+/// theirs. Nobody knows yet that it is gone, and callers wait for a version of
+/// which a few chunks are missing everywhere. The next agent draws them.
+#[test]
+fn chunks_of_a_paused_owner_are_drawn_by_the_next() {
+    let settings = PickerSettings { origin_chunk_ms: 10.0, ..settings("own-a") };
+    let mut picker = picker(settings);
+    connect(&mut picker, "paused", NEAR, &[]);
+    let owned = drawn_by_turn(&mut picker, 240);
+    let others: Vec<_> = (0..CHUNKS).filter(|index| !owned.contains(index)).collect();
+    let (brought, missing) = others.split_at(others.len() - 3);
+    picker.peer_holds(&instance("paused"), brought.iter().copied(), at(240));
+    picker.peer_draws(&instance("paused"), missing.to_vec(), at(240));
+    assert!(drawn_by_turn(&mut picker, 400).is_empty());
+    assert_eq!(drawn_by_turn(&mut picker, 1_000), missing);
+}
+
+/// The origin itself is slow or away, and no owner is to blame. If all agents
+/// then asked for each other's chunks, it would have to send each several times.
+#[test]
+fn nothing_is_drawn_twice_from_a_slow_origin() {
+    let settings = PickerSettings { origin_chunk_ms: 10.0, ..settings("own-a") };
+    let mut picker = picker(settings);
+    connect(&mut picker, "other", NEAR, &[]);
+    let mut asked: Vec<_> = Vec::new();
+    for ms in 0..1_500 {
+        for order in orders(&mut picker, at(ms)) {
+            picker.fetch_deferred(&order, at(ms));
+            asked.push(order.index);
+        }
+    }
+    asked.sort_unstable();
+    asked.dedup();
+    assert!(asked.len() < CHUNKS, "it asked for all chunks");
+}
+
+/// Draws until `until_ms`, each chunk at once; the chunks that were drawn.
+fn drawn_by_turn(picker: &mut ChunkPicker, until_ms: u64) -> Vec<usize> {
+    let mut drawn = Vec::new();
+    for ms in 0..until_ms {
+        for order in orders(picker, at(ms)) {
+            if order.source == ChunkSource::Origin {
+                picker.fetch_succeeded(&order, at(ms));
+                drawn.push(order.index);
+            }
+        }
+    }
+    drawn.sort_unstable();
+    drawn
+}
--- /dev/null
+++ b/crates/decide/tests/control_traffic.rs
@@ -0,0 +1,169 @@
+//! What agents tell entries and each other, and how often.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use cassiawheel_decide::{AgentPlace, LoadPace, RepeatSchedule, ToldReport, acquaintances};
+use cassiawheel_model::{
+    EndpointReport, EndpointRole, EndpointState, FailureDomain, InstanceId, LoadReport,
+    ManifestDigest, ModelVersion, PresetRevision, RegionName, ServiceName, StagedWeights,
+    Timestamp,
+};
+use rstest::rstest;
+
+const START: Timestamp = Timestamp(1_000_000);
+
+fn at(ms: u64) -> Timestamp {
+    Timestamp(START.0 + ms)
+}
+
+fn staged(ready: u32) -> StagedWeights {
+    StagedWeights {
+        version: ModelVersion::new("v2").expect("valid"),
+        manifest: ManifestDigest::of(b"wanted"),
+        chunks_ready: ready,
+        chunks_total: 48,
+    }
+}
+
+fn report(ready: u32, in_flight: u32) -> EndpointReport {
+    EndpointReport {
+        instance: InstanceId::new("endpoint-1").expect("valid"),
+        incarnation: 1,
+        region: RegionName::new("region").expect("valid"),
+        failure_domain: FailureDomain::new("domain").expect("valid"),
+        service: ServiceName::new("desk").expect("valid"),
+        role: EndpointRole::Model,
+        inner_addr: "127.0.0.1:7003".parse().expect("valid"),
+        endpoint_addr: None,
+        state: EndpointState::Empty,
+        staged: Some(staged(ready)),
+        load: LoadReport { in_flight, queued: 0, measured_at: START },
+        revision: PresetRevision(1),
+        order: 3,
+        ordered: None,
+        engine_fencing: 0,
+        limit: 8,
+    }
+}
+
+/// A version is being fetched, and the endpoint holds a few chunks more at each
+/// heartbeat. Told as a whole each time, a hundred endpoints fill the links on
+/// which the chunks themselves travel, and callers see slow answers.
+#[test]
+fn progress_alone_is_told_once_a_second() {
+    let told = ToldReport::new(report(3, 0), START);
+    assert!(told.covers(&report(9, 5), at(200)));
+    assert!(told.covers(&report(40, 5), at(900)));
+    assert!(!told.covers(&report(44, 5), at(1_001)));
+}
+
+/// The last chunk arrives, or the state changes. Entries plan by that and route
+/// by it, so that it is told at the next heartbeat.
+#[test]
+fn changes_that_entries_act_on_are_told_at_once() {
+    let told = ToldReport::new(report(47, 0), START);
+    assert!(!told.covers(&report(48, 0), at(200)));
+    let state = EndpointState::Switching;
+    assert!(!told.covers(&EndpointReport { state, ..report(47, 0) }, at(200)));
+    assert!(!told.covers(&EndpointReport { order: 4, ..report(47, 0) }, at(200)));
+    let other = StagedWeights { manifest: ManifestDigest::of(b"other"), ..staged(2) };
+    assert!(!told.covers(&EndpointReport { staged: Some(other), ..report(47, 0) }, at(200)));
+}
+
+/// A load changes at every heartbeat and needs no whole report, however old.
+#[test]
+fn a_load_alone_needs_no_whole_report() {
+    let told = ToldReport::new(report(48, 0), START);
+    assert!(told.covers(&report(48, 7), at(60_000)));
+}
+
+/// An entry of another region asks for fewer loads; one that asked for nothing
+/// gets one with every heartbeat.
+#[rstest]
+#[case(LoadPace::each_heartbeat(), 10)]
+#[case(LoadPace::every(600, START), 3)]
+fn loads_keep_the_pace_that_the_entry_asked_for(#[case] mut pace: LoadPace, #[case] wanted: usize) {
+    let heartbeats = (1..=10).map(|beat| at(beat * 200));
+    assert_eq!(heartbeats.filter(|now| pace.take_due(*now)).count(), wanted);
+}
+
+/// Nothing was lost. A hundred agents that repeat everything to each other at
+/// every heartbeat send ten thousand lists; two repeats in two seconds are
+/// enough to be taken for alive.
+#[test]
+fn a_list_is_repeated_now_and_then_if_nothing_was_missed() {
+    let mut schedule = RepeatSchedule::new(START);
+    schedule.note(true);
+    let heartbeats = (1..=10).map(|beat| at(beat * 200));
+    assert_eq!(heartbeats.filter(|now| schedule.take_due(*now)).count(), 2);
+}
+
+/// A queue was full, and the word of a gained chunk was lost. Until it is
+/// repeated nobody fetches that chunk there, and if it is the only copy the
+/// version waits for it everywhere.
+#[test]
+fn a_list_is_repeated_at_once_after_a_full_queue() {
+    let mut schedule = RepeatSchedule::new(START);
+    schedule.note(false);
+    schedule.note(true);
+    assert!(schedule.take_due(at(1)));
+    assert!(!schedule.take_due(at(2)));
+}
+
+struct Fleet {
+    agents: Vec<(String, RegionName)>,
+}
+
+impl Fleet {
+    fn new(per_region: usize, regions: usize) -> Self {
+        let name = |region: usize| RegionName::new(&format!("region-{region}")).expect("valid");
+        let agents = (0..regions).flat_map(|region| {
+            (0..per_region).map(move |index| (format!("agent-{region}-{index}"), name(region)))
+        });
+        Self { agents: agents.collect() }
+    }
+
+    fn places(&self) -> Vec<AgentPlace<'_>> {
+        let place = |(instance, region)| AgentPlace { instance, region };
+        self.agents.iter().map(|(instance, region)| place((instance.as_str(), region))).collect()
+    }
+}
+
+/// Who draws a chunk from the origin, and who imports it, every agent works out
+/// from the names it knows. If two agents of a region knew different names of
+/// it, both or neither would fetch the chunk.
+#[test]
+fn all_agents_of_a_region_know_each_other() {
+    let fleet = Fleet::new(33, 3);
+    let places = fleet.places();
+    for agent in &places {
+        let known: BTreeSet<_> = acquaintances(*agent, &places).into_iter().collect();
+        let near = places.iter().filter(|other| other.region == agent.region);
+        for other in near.filter(|other| other.instance != agent.instance) {
+            assert!(known.contains(other.instance));
+        }
+        assert!(!known.contains(agent.instance));
+    }
+}
+
+/// Words between regions grow with the number of agents and not with its
+/// square, and no agent of another region is known by nobody or by all.
+#[test]
+fn few_agents_of_other_regions_are_known() {
+    let fleet = Fleet::new(33, 3);
+    let places = fleet.places();
+    let mut known_by: BTreeMap<&str, usize> = BTreeMap::new();
+    for agent in &places {
+        let known = acquaintances(*agent, &places);
+        let far = known
+            .iter()
+            .filter(|name| places.iter().any(|p| p.instance == **name && p.region != agent.region));
+        let far: Vec<_> = far.collect();
+        assert_eq!(far.len(), 12);
+        for name in far {
+            *known_by.entry(name).or_default() += 1;
+        }
+    }
+    assert_eq!(known_by.len(), places.len());
+    assert!(known_by.values().all(|count| *count <= 30), "{known_by:?}");
+}
--- a/crates/decide/tests/direct_routing.rs
+++ b/crates/decide/tests/direct_routing.rs
@@ -172,3 +172,30 @@
     let query = RouteQuery { allowed: Some(&none), ..endpoints.query(NOW) };
     assert_eq!(endpoints.choices(&query), [0, 0, 0]);
 }
+
+/// Endpoints near the entry are a little busier than those of other regions.
+/// Answers from afar take the same time but cross links that are shared with the
+/// weights of a new version; those that cross for nothing hold it up.
+#[test]
+fn requests_stay_near_while_the_near_are_hardly_busier() {
+    let endpoints = Endpoints::serving(&[1; 8]);
+    for near in [0, 2, 4, 6] {
+        endpoints.report(near, 2, NOW);
+    }
+    let chosen = endpoints.choices(&endpoints.query(NOW));
+    let far: u32 = [1, 3, 5, 7].iter().map(|index| chosen[*index]).sum();
+    assert_eq!(far, 0, "{chosen:?}");
+}
+
+/// The region is full and others are idle. A caller of the full region would
+/// wait behind all the others there; it is worth the way to another region.
+#[test]
+fn requests_go_far_when_the_near_are_much_busier() {
+    let endpoints = Endpoints::serving(&[1; 8]);
+    for near in [0, 2, 4, 6] {
+        endpoints.report(near, 10, NOW);
+    }
+    let chosen = endpoints.choices(&endpoints.query(NOW));
+    let far: u32 = [1, 3, 5, 7].iter().map(|index| chosen[*index]).sum();
+    assert!(far >= 40, "{chosen:?}");
+}
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -5,6 +5,7 @@
 pub(crate) mod dependency;
 pub(crate) mod drains;
 pub(crate) mod entries;
+pub(crate) mod introduce;
 pub(crate) mod listing;
 pub(crate) mod manifests;
 pub(crate) mod membership;
--- /dev/null
+++ b/crates/entry/src/control/introduce.rs
@@ -0,0 +1,145 @@
+//! Telling agents whom they may swap chunks with.
+
+use std::{
+    collections::{HashMap, HashSet},
+    sync::Arc,
+    time::Duration,
+};
+
+use cassiawheel_decide::{
+    AgentPlace, acquaintances,
+    rank::{first_ranked, subject_of},
+};
+use cassiawheel_model::{Deadline, EndpointRole, InstanceId, ServiceName, Timestamp};
+use cassiawheel_wire::{ControlMessage, message::EndpointAddress};
+use smol::Timer;
+
+use crate::{link::AgentLink, shared::EntryShared};
+
+/// Time between looks for agents that have to be told.
+const LOOK_TIME: Duration = Duration::from_millis(100);
+
+/// Shortest time between two words to an agent that has been told of others.
+///
+/// An agent that joins dials the others itself; that they know of it is less
+/// urgent, and a list of forty is four kilobytes.
+const AGAIN_TIME: Duration = Duration::from_millis(1_000);
+
+/// Entries that tell an agent of the others, where all are connected to it.
+///
+/// Lists from all 45 entries of a large deployment filled the links between its
+/// regions. Three are enough: two may be cut off from the agent or gone.
+const TELLERS: usize = 3;
+
+/// Agents by service, each with what it has to know of the others.
+type ServiceAgents = HashMap<ServiceName, Vec<EndpointAddress>>;
+
+/// What the words to agents follow from.
+#[derive(PartialEq, Default)]
+struct KnownFleet {
+    agents: ServiceAgents,
+    /// The entries of which three tell; none if each tells its own agents.
+    tellers: Option<Vec<InstanceId>>,
+}
+
+/// What an agent was told last, and over which connection.
+struct ToldPeers {
+    link: Arc<AgentLink>,
+    peers: Vec<EndpointAddress>,
+}
+
+/// Tells agents whom they may swap chunks with, whenever that has changed.
+///
+/// Each agent has the same peers for as long as they live: a new random choice
+/// at every look would cost control traffic and make agents dial each other
+/// again and again in the middle of a transfer.
+pub(crate) async fn introduce_agents(shared: Arc<EntryShared>) {
+    let mut told: HashMap<InstanceId, ToldPeers> = HashMap::new();
+    let mut known = KnownFleet::default();
+    let mut again_at = Deadline(0);
+    loop {
+        Timer::after(LOOK_TIME).await;
+        let links = shared.links.load_full();
+        told.retain(|instance, last| {
+            links.get(instance).is_some_and(|link| Arc::ptr_eq(link, &last.link))
+        });
+        let fleet = KnownFleet::of(&shared);
+        let now = Timestamp::now();
+        let all_are_due = fleet != known && again_at.is_past(now);
+        if all_are_due {
+            again_at = now.deadline_after(AGAIN_TIME);
+        }
+        for agents in fleet.agents.values() {
+            for agent in agents {
+                let Some(link) = links.get(&agent.instance) else {
+                    continue;
+                };
+                let last = told.get(&agent.instance);
+                if !all_are_due && last.is_some() {
+                    continue;
+                }
+                let peers = match fleet.is_told_by(agent, &shared.settings.place.instance) {
+                    true => chosen_peers(agent, agents),
+                    false => Vec::new(),
+                };
+                // An empty list takes back the last word of an entry that tells no more.
+                let is_news = last.map_or(!peers.is_empty(), |last| last.peers != peers);
+                let message = ControlMessage::Peers(peers.clone());
+                if !is_news || matches!(link.sender.try_send(message), Ok(true)) {
+                    let last = ToldPeers { link: link.clone(), peers };
+                    told.insert(agent.instance.clone(), last);
+                }
+            }
+        }
+        if all_are_due {
+            known = fleet;
+        }
+    }
+}
+
+impl KnownFleet {
+    fn of(shared: &EntryShared) -> Self {
+        let tellers = shared.routed.as_ref().map(|_| {
+            let others = shared.peers();
+            let others = others.iter().map(|(instance, _)| instance.clone());
+            others.chain([shared.settings.place.instance.clone()]).collect()
+        });
+        Self { agents: agents_by_service(shared), tellers }
+    }
+
+    /// Whether `entry` is one of those that tell `agent`.
+    fn is_told_by(&self, agent: &EndpointAddress, entry: &InstanceId) -> bool {
+        let Some(tellers) = &self.tellers else {
+            return true;
+        };
+        let names = tellers.iter().map(InstanceId::as_str);
+        let subject = subject_of(agent.instance.as_str());
+        first_ranked(subject, names, TELLERS).contains(&entry.as_str())
+    }
+}
+
+fn agents_by_service(shared: &EntryShared) -> ServiceAgents {
+    let mut by_service = ServiceAgents::new();
+    for member in shared.roster().members() {
+        let report = &member.report;
+        if report.role == EndpointRole::Model {
+            by_service.entry(report.service.clone()).or_default().push(EndpointAddress {
+                instance: report.instance.clone(),
+                inner_addr: report.inner_addr,
+                failure_domain: report.failure_domain.clone(),
+                region: report.region.clone(),
+            });
+        }
+    }
+    by_service
+}
+
+fn chosen_peers(agent: &EndpointAddress, agents: &[EndpointAddress]) -> Vec<EndpointAddress> {
+    let places: Vec<_> = agents.iter().map(place_of).collect();
+    let chosen: HashSet<_> = acquaintances(place_of(agent), &places).into_iter().collect();
+    agents.iter().filter(|other| chosen.contains(other.instance.as_str())).cloned().collect()
+}
+
+fn place_of(agent: &EndpointAddress) -> AgentPlace<'_> {
+    AgentPlace { instance: agent.instance.as_str(), region: &agent.region }
+}
--- a/crates/entry/src/control/spread.rs
+++ b/crates/entry/src/control/spread.rs
@@ -133,6 +133,7 @@
         | ControlMessage::Entries(_) => handle_routed(shared, sender, message),
         ControlMessage::Report(_)
         | ControlMessage::Beat(_)
+        | ControlMessage::LoadWanted { .. }
         | ControlMessage::EntryAlive { .. }
         | ControlMessage::Order(_)
         | ControlMessage::Peers(_) => {}
--- a/crates/entry/src/inner.rs
+++ b/crates/entry/src/inner.rs
@@ -5,7 +5,7 @@
     time::Duration,
 };
 
-use cassiawheel_model::{EndpointReport, LoadReport, PresetRevision, Timestamp};
+use cassiawheel_model::{EndpointReport, LoadReport, PresetRevision, RegionName, Timestamp};
 use cassiawheel_runtime::{ShutdownSignal, listener::accept_connections, timeout};
 use cassiawheel_wire::{
     ControlMessage, HelloMessage, ProcessKind, WireMessage, WireReceiver, WireSender, accept,
@@ -56,6 +56,12 @@
     }
 }
 
+/// Time between loads that an agent of another region tells, in milliseconds.
+///
+/// An entry sends an endpoint of another region only what its own region has no
+/// room for. Two words may be lost before the agent counts as silent, after 1.5 s.
+const FAR_LOAD_MS: u64 = 600;
+
 async fn serve_agent(
     shared: &Arc<EntryShared>,
     hello: HelloMessage,
@@ -68,9 +74,16 @@
     if let Some(routed) = &shared.routed {
         let _ = link.sender.try_send(ControlMessage::Entries(routed.known_entries()));
     }
+    let mut region = None;
     loop {
         match receiver.recv().await {
-            Ok(WireMessage::Control(message)) => handle_agent_control(shared, &link, message),
+            Ok(WireMessage::Control(message)) => {
+                if let (None, ControlMessage::Report(report)) = (&region, &message) {
+                    ask_for_loads(shared, &link, &report.region);
+                    region = Some(report.region.clone());
+                }
+                handle_agent_control(shared, &link, message);
+            }
             Ok(WireMessage::Request(message)) => link.deliver(message),
             Ok(WireMessage::Hello(_) | WireMessage::Chunk(_)) => {}
             Err(error) => {
@@ -83,6 +96,13 @@
     shared.remove_link(&link);
 }
 
+/// Asks an agent of another region for fewer loads.
+fn ask_for_loads(shared: &EntryShared, link: &AgentLink, region: &RegionName) {
+    if *region != shared.settings.place.region {
+        let _ = link.sender.try_send(ControlMessage::LoadWanted { every_ms: FAR_LOAD_MS });
+    }
+}
+
 fn handle_agent_control(shared: &Arc<EntryShared>, link: &AgentLink, message: ControlMessage) {
     match message {
         ControlMessage::Report(report) if report.instance == link.instance => {
@@ -100,6 +120,7 @@
         | ControlMessage::ReportWanted
         | ControlMessage::Leaving { .. }
         | ControlMessage::Drain { .. }
+        | ControlMessage::LoadWanted { .. }
         | ControlMessage::EntryAlive { .. }
         | ControlMessage::EntryBeat { .. }
         | ControlMessage::Order(_)
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -24,7 +24,9 @@
 
 use crate::{
     admin, caller,
-    control::{entries, listing, manifests, membership, operators, orders, poll, spread},
+    control::{
+        entries, introduce, listing, manifests, membership, operators, orders, poll, spread,
+    },
     inner::serve_inner,
     metrics::EntryMetrics,
     routed::{RoutedEdges, RoutedInterface},
@@ -147,7 +149,7 @@
 fn start_control(shared: &Arc<EntryShared>) {
     spawn(spread::beat(shared.clone())).detach();
     spawn(membership::expire_silent(shared.clone())).detach();
-    spawn(membership::introduce_agents(shared.clone())).detach();
+    spawn(introduce::introduce_agents(shared.clone())).detach();
     spawn(orders::plan_regularly(shared.clone())).detach();
     spawn(spread::settle(shared.clone())).detach();
     match &shared.routed {
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -397,7 +397,6 @@
         roster: &EndpointRoster,
         cells: &mut EndpointCells,
     ) -> ServiceCandidates {
-        let own_domain = &self.settings.place.failure_domain;
         let mut services = ServiceCandidates::new();
         let Some(preset) = self.force.load_full() else {
             return services;
@@ -411,7 +410,7 @@
             services.entry(listed.service.clone()).or_default().push(RouteCandidate {
                 instance: listed.instance.clone(),
                 version: candidate.version,
-                is_near: listed.failure_domain == *own_domain,
+                is_near: routed.settings.near_domains.contains(&listed.failure_domain),
                 path: EndpointPath::Direct(listed.addr),
                 cell,
             });
--- a/crates/model/src/settings/routed.rs
+++ b/crates/model/src/settings/routed.rs
@@ -1,9 +1,11 @@
 //! Settings of an entry whose callers are routed by the table of the preset in force.
 
-use std::net::SocketAddr;
+use std::{collections::BTreeSet, net::SocketAddr};
 
 use macro_rules_attribute::apply;
 
+use crate::FailureDomain;
+
 /// What such an entry is told beside [`super::EntrySettings`].
 #[apply(record!)]
 pub struct RoutedSettings {
@@ -11,6 +13,8 @@
     pub listen_ready: SocketAddr,
     /// Where callers ask which entries to use.
     pub listen_advice: SocketAddr,
+    /// Failure domains of the entry's own region.
+    pub near_domains: BTreeSet<FailureDomain>,
     /// Executor threads, one for each core that the process may use.
     pub threads: usize,
     /// Time after a version was named in which every endpoint has to serve it, in milliseconds.
--- a/crates/wire/src/message/control.rs
+++ b/crates/wire/src/message/control.rs
@@ -18,6 +18,11 @@
     Beat(LoadReport),
     /// The sender has no whole heartbeat that a short one could refer to.
     ReportWanted,
+    /// Entry to agent: loads are wanted no more often than this.
+    LoadWanted {
+        /// Time between two of them, in milliseconds.
+        every_ms: u64,
+    },
     /// Agent or entry to entry: no new work from now on.
     Leaving {
         /// Who leaves.
