Engines offer what they serve; imports first; a superseded transfer goes on at once; nearest deadline sets the pace

Chunks crossed to a region 390 times where 96 would do, since an overdue import stayed open for all its agents after the first copy had come. An agent whose transfer was superseded waited 100 ms and more before the next; entries waited 250 ms after a read of a manifest over a connection that the origin had closed. Two versions within seconds were paced by the later deadline alone.

Ruled out: the links of agents (chunks took 197 ms at four at a time, which is their share of the link).

Routes carry near, fetches are logged with their end.

--- a/crates/agent/src/endpoint.rs
+++ b/crates/agent/src/endpoint.rs
@@ -12,7 +12,7 @@
 
 use cassiawheel_decide::{GateState, LoadPace, PresetHolder, StartHold, ToldReport};
 use cassiawheel_edge::{ModelEngine, TableStore, WeightSource};
-use cassiawheel_model::{LoadReport, Timestamp, settings::AgentSettings};
+use cassiawheel_model::{EndpointState, LoadReport, Timestamp, settings::AgentSettings};
 use cassiawheel_runtime::timeout;
 use cassiawheel_wire::{WireSender, message::WeightOrder};
 use smol::channel::{Receiver, Sender, bounded};
@@ -98,6 +98,11 @@
         self.gate.lock().unwrap_or_else(|poison| poison.into_inner())
     }
 
+    /// Whether callers' requests may share the link with the weights.
+    pub(crate) fn serves_callers(&self) -> bool {
+        *self.gate().state() != EndpointState::Empty
+    }
+
     /// The preset in force.
     pub(crate) fn holder(&self) -> MutexGuard<'_, PresetHolder> {
         self.holder.lock().unwrap_or_else(|poison| poison.into_inner())
--- a/crates/agent/src/exchange.rs
+++ b/crates/agent/src/exchange.rs
@@ -91,10 +91,14 @@
             continue;
         };
         match reach(shared, &order).await {
-            Ok(()) => {
+            Ok(ReachEnd::Reached) => {
                 reached = Some(order);
                 wait = TRY_AGAIN;
             }
+            Ok(ReachEnd::Superseded) => {
+                log::info!(target: "switch", version:% = order.version; "A newer order goes before.");
+                wait = TRY_AGAIN;
+            }
             Err(error) => {
                 log::warn!(target: "switch", version:% = order.version, cause:% = format!("{error:#}"); "Weights are not in place yet.");
                 timeout(wait, shared.transfer.woken()).await;
@@ -104,6 +108,14 @@
     }
 }
 
+/// How an order ended that did not fail.
+enum ReachEnd {
+    /// The endpoint is where the order wants it.
+    Reached,
+    /// A newer order came meanwhile, and is followed at once.
+    Superseded,
+}
+
 /// Whether `order` was carried out and still holds.
 fn is_reached(shared: &EndpointShared, order: &WeightOrder, reached: Option<&WeightOrder>) -> bool {
     // An engine that lost its weights empties the gate; the order must then be
@@ -166,7 +178,7 @@
     }
 }
 
-async fn reach(shared: &Arc<EndpointShared>, order: &WeightOrder) -> anyhow::Result<()> {
+async fn reach(shared: &Arc<EndpointShared>, order: &WeightOrder) -> anyhow::Result<ReachEnd> {
     let status = shared.engine.status().await?;
     ensure_current(order, &status)?;
     let serving = matches!(
@@ -177,22 +189,22 @@
         if let Err(error) = transfer::resume(shared, order).await {
             log::info!(target: "transfer", cause:% = error; "Cannot offer the served weights.");
         }
-        return Ok(());
+        return Ok(ReachEnd::Reached);
     }
     if status.answers_from(&order.version, order.manifest) && is_empty(shared) {
         // The engine's answer to the order that did this was lost.
         shared.gate().begin_switch()?;
         shared.gate().commit_switch(Some(order.version.clone()))?;
         report::send_report(shared);
-        return Ok(());
+        return Ok(ReachEnd::Reached);
     }
     if !transfer::stage(shared, order).await? {
-        anyhow::bail!("a newer order came during the transfer");
+        return Ok(ReachEnd::Superseded);
     }
     if order.serve {
         exchange(shared, order).await?;
     }
-    Ok(())
+    Ok(ReachEnd::Reached)
 }
 
 fn is_empty(shared: &EndpointShared) -> bool {
--- a/crates/agent/src/transfer.rs
+++ b/crates/agent/src/transfer.rs
@@ -1,6 +1,7 @@
 //! Transfer of weights: from origin and peers, verified, into staging.
 
 mod fetch;
+mod manifest;
 mod peer;
 mod serve;
 mod stage;
--- a/crates/agent/src/transfer/fetch.rs
+++ b/crates/agent/src/transfer/fetch.rs
@@ -24,6 +24,19 @@
     Failed(FetchFailure),
 }
 
+impl FetchEnd {
+    /// The word in the decision log.
+    pub(super) fn as_str(&self) -> &'static str {
+        match self {
+            Self::Staged(_) => "staged",
+            Self::Deferred => "busy",
+            Self::RateLimited(_) => "rate-limited",
+            Self::Failed(FetchFailure::Damaged) => "damaged",
+            Self::Failed(FetchFailure::Late) => "late",
+        }
+    }
+}
+
 /// Carries `order` out.
 pub(super) async fn fetch(
     shared: &EndpointShared,
@@ -46,8 +59,11 @@
     };
     // The slot stays taken until the link's share has been paid for, so that
     // the transfer never takes what is kept free for live requests. Paying
-    // before the ask would leave the link idle while sources answer.
-    shared.transfer.download.pass(bytes.len()).await;
+    // before the ask would leave the link idle while sources answer. An engine
+    // without weights has no live requests to keep it free for.
+    if shared.serves_callers() {
+        shared.transfer.download.pass(bytes.len()).await;
+    }
     verify_and_stage(shared, manifest, order, bytes).await
 }
 
@@ -72,7 +88,7 @@
     order: &FetchOrder,
 ) -> Result<Bytes, FetchEnd> {
     let waiting = client
-        .ask(manifest.digest, order.index)
+        .ask(manifest.digest, order.index, order.is_import)
         .await
         .ok_or(FetchEnd::Failed(FetchFailure::Damaged))?;
     match waiting.recv().await {
--- a/crates/agent/src/transfer/peer.rs
+++ b/crates/agent/src/transfer/peer.rs
@@ -55,11 +55,12 @@
         &self,
         manifest: ManifestDigest,
         index: usize,
+        is_import: bool,
     ) -> Option<Receiver<ChunkReply>> {
         let (reply, waiting) = bounded(1);
         let call = self.calls.fetch_add(1, Ordering::Relaxed);
         self.waiting().insert(call, WaitingCall { reply, bytes: Vec::new() });
-        let message = ChunkMessage::Wanted { call, manifest, index: index as u32 };
+        let message = ChunkMessage::Wanted { call, manifest, index: index as u32, is_import };
         self.sender.send(message).await.ok()?;
         Some(waiting)
     }
@@ -187,8 +188,10 @@
     sender.send(ChunkMessage::ManifestWanted { manifest: digest }).await.ok()?;
     let answer = async {
         while let Ok(message) = receiver.recv().await {
-            if let WireMessage::Chunk(ChunkMessage::Manifest(manifest)) = message {
-                return Some(*manifest);
+            match message {
+                WireMessage::Chunk(ChunkMessage::Manifest(manifest)) => return Some(*manifest),
+                WireMessage::Chunk(ChunkMessage::Refused { .. }) => return None,
+                _ => {}
             }
         }
         None
--- a/crates/agent/src/transfer/serve.rs
+++ b/crates/agent/src/transfer/serve.rs
@@ -85,14 +85,17 @@
     match message {
         ChunkMessage::More { call } => uploads.more(call),
         ChunkMessage::ManifestWanted { manifest } => {
-            if let Some(found) = shared.transfer.manifest(manifest) {
-                let reply = ChunkMessage::Manifest(Box::new(found.as_ref().clone()));
-                let _ = sender.send(reply).await;
-            }
+            let reply = match shared.transfer.manifest(manifest) {
+                Some(found) => ChunkMessage::Manifest(Box::new(found.as_ref().clone())),
+                // No call was numbered; the connection asks nothing else.
+                None => ChunkMessage::Refused { call: 0, reason: ChunkRefusal::NotHeld },
+            };
+            let _ = sender.send(reply).await;
         }
-        ChunkMessage::Wanted { call, manifest, index } => {
+        ChunkMessage::Wanted { call, manifest, index, is_import } => {
             let (shared, sender) = (shared.clone(), sender.clone());
-            let upload = Upload { call, manifest, index: index as usize, room: uploads.open(call) };
+            let room = uploads.open(call);
+            let upload = Upload { call, manifest, index: index as usize, is_import, room };
             spawn(async move {
                 if let Err(reason) = upload.send(&shared, &sender).await {
                     let _ = sender.send(ChunkMessage::Refused { call, reason }).await;
@@ -136,6 +139,7 @@
     call: u64,
     manifest: ManifestDigest,
     index: usize,
+    is_import: bool,
     room: Receiver<()>,
 }
 
@@ -143,14 +147,22 @@
     /// Sends the chunk in parts, each as the link has room; chunks that are sent
     /// at the same time take turns.
     async fn send(&self, shared: &EndpointShared, sender: &WireSender) -> Result<(), ChunkRefusal> {
-        let Some(_slot) = shared.transfer.upload_slots.try_acquire() else {
+        let transfer = &shared.transfer;
+        let import_slot = || match self.is_import {
+            true => transfer.import_slots.try_acquire(),
+            false => None,
+        };
+        let Some(_slot) = transfer.upload_slots.try_acquire().or_else(import_slot) else {
             return Err(ChunkRefusal::Busy);
         };
         let length = shared.transfer.held_bytes(self.manifest, self.index);
         let part_bytes = length.ok_or(ChunkRefusal::NotHeld)?.div_ceil(MOST_PARTS).max(PART_BYTES);
         // The bytes are read only once the link is free, so that waiting requests
         // hold no memory.
-        shared.transfer.upload.pass(part_bytes).await;
+        let is_paced = shared.serves_callers();
+        if is_paced {
+            transfer.upload.pass(part_bytes).await;
+        }
         let bytes = read_held(shared, self.manifest, self.index).await;
         let bytes = bytes.ok_or(ChunkRefusal::NotHeld)?;
         let count = bytes.len().div_ceil(part_bytes);
@@ -159,8 +171,8 @@
             if !matches!(timeout(ROOM_TIME, self.room.recv()).await, Some(Ok(()))) {
                 break;
             }
-            if number > 0 {
-                shared.transfer.upload.pass(part.len()).await;
+            if number > 0 && is_paced {
+                transfer.upload.pass(part.len()).await;
             }
             let (call, last) = (self.call, number + 1 == count);
             let message = ChunkMessage::Bytes { call, bytes: part.to_vec(), last };
--- a/crates/agent/src/transfer/stage.rs
+++ b/crates/agent/src/transfer/stage.rs
@@ -8,22 +8,22 @@
 
 use anyhow::Context;
 use cassiawheel_decide::{ChunkPicker, ChunkSource, FetchOrder, PeerPlace, PickerSettings};
-use cassiawheel_edge::WeightError;
 use cassiawheel_model::{
-    InstanceId, ManifestDigest, ManifestError, OriginPlace, RegionName, Timestamp, WeightManifest,
+    InstanceId, ManifestDigest, OriginPlace, RegionName, Timestamp, WeightManifest,
     flags::set_positions, settings::TransferMode,
 };
 use cassiawheel_runtime::{spawn, timeout};
 use cassiawheel_wire::message::WeightOrder;
 use smol::{
-    Task, Timer,
+    Task,
     channel::{Receiver, Sender, unbounded},
     future::FutureExt,
 };
 
 use super::{
     fetch::{FetchEnd, fetch},
-    peer::{PeerClient, ask_manifest, follow_peer},
+    manifest::pinned_manifest,
+    peer::{PeerClient, follow_peer},
     serve::read_held,
 };
 use crate::endpoint::EndpointShared;
@@ -37,9 +37,6 @@
 /// Fetches at one peer at a time.
 const PER_PEER: usize = 2;
 
-/// Longest wait that the origin's rate limit imposes on a manifest.
-const LONGEST_RATE_WAIT: Duration = Duration::from_secs(10);
-
 /// What the staging task learns.
 pub(super) enum TransferEvent {
     /// A connection to a peer is up.
@@ -144,7 +141,10 @@
 ///
 /// An agent that restarts beside an engine that serves already would else not
 /// tell the others what it holds, and they would turn to the origin.
-pub(crate) async fn resume(shared: &EndpointShared, order: &WeightOrder) -> anyhow::Result<()> {
+pub(crate) async fn resume(
+    shared: &Arc<EndpointShared>,
+    order: &WeightOrder,
+) -> anyhow::Result<()> {
     if shared.transfer.manifest(order.manifest).is_some() {
         return Ok(());
     }
@@ -159,34 +159,6 @@
     Ok(())
 }
 
-/// The manifest that `order` pins: known here, from the origin, or from a peer.
-async fn pinned_manifest(
-    shared: &EndpointShared,
-    order: &WeightOrder,
-) -> anyhow::Result<WeightManifest> {
-    if let Some(known) = shared.transfer.manifest(order.manifest) {
-        return Ok(known.as_ref().clone());
-    }
-    let stall = Duration::from_millis(shared.settings.transfer.stall_ms);
-    let refused = match timeout(stall, shared.origin.manifest(&order.version)).await {
-        Some(Ok(manifest)) if manifest.digest == order.manifest => return Ok(manifest),
-        // The origin may have replaced the version since it was pinned; chunks
-        // of both would then be staged together.
-        Some(Ok(_)) => WeightError::from(ManifestError::NotPinned),
-        Some(Err(error)) => error,
-        None => WeightError::Failed("timed out".to_owned()),
-    };
-    for peer in shared.transfer.peers() {
-        if let Some(manifest) = ask_manifest(shared, &peer, order.manifest).await {
-            return Ok(manifest);
-        }
-    }
-    if let WeightError::RateLimited { retry_after } = &refused {
-        Timer::after((*retry_after).min(LONGEST_RATE_WAIT)).await;
-    }
-    Err(refused.into())
-}
-
 impl StagingTask {
     fn new(
         shared: Arc<EndpointShared>,
@@ -321,6 +293,8 @@
     }
 
     fn fetch_ended(&mut self, order: &FetchOrder, end: FetchEnd, now: Timestamp) {
+        let took_ms = now.since(order.started_at).as_millis() as u64;
+        log::info!(target: "transfer", chunk = order.index, source:? = order.source, end = end.as_str(), took_ms = took_ms; "A fetch ended.");
         match end {
             FetchEnd::Staged(bytes) => {
                 self.picker.fetch_succeeded(order, now);
--- a/crates/agent/src/transfer/state.rs
+++ b/crates/agent/src/transfer/state.rs
@@ -20,6 +20,12 @@
 
 use super::watchers::WatcherLinks;
 
+/// Chunks that an agent sends to importers beside all others.
+///
+/// The first holder of a chunk is asked by its whole region; behind that crowd
+/// an importer got its chunk after a second, and its region stood idle meanwhile.
+const IMPORT_SLOTS: usize = 2;
+
 /// Transfer state that the parts of an agent share.
 pub(crate) struct TransferState {
     /// Paces what is sent to other agents.
@@ -28,6 +34,8 @@
     pub(crate) download: RatePacer,
     /// Chunks sent at a time.
     pub(crate) upload_slots: Arc<Semaphore>,
+    /// Chunks sent at a time beyond those, to agents that import them for their region.
+    pub(crate) import_slots: Arc<Semaphore>,
     inner: Mutex<TransferInner>,
     wake: (Sender<()>, Receiver<()>),
     peers_changed: (Sender<()>, Receiver<()>),
@@ -76,6 +84,7 @@
             upload: RatePacer::new(rate),
             download: RatePacer::new(rate),
             upload_slots: Arc::new(Semaphore::new(settings.upload_slots)),
+            import_slots: Arc::new(Semaphore::new(IMPORT_SLOTS)),
             inner: Mutex::new(TransferInner {
                 images: HashMap::new(),
                 current: None,
--- a/crates/decide/src/plan.rs
+++ b/crates/decide/src/plan.rs
@@ -44,15 +44,22 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PlanPace {
     /// Versions that were named, the oldest first.
-    pub versions: Vec<ModelVersion>,
+    pub versions: Vec<PacedVersion>,
     /// Versions that may not answer any more; their endpoints serve nothing.
     pub barred: Vec<ModelVersion>,
-    /// When the last endpoint should begin to switch.
-    pub begin_by: Deadline,
     /// The present moment.
     pub now: Timestamp,
 }
 
+/// A named version, and from when on nothing older may answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PacedVersion {
+    /// The version.
+    pub version: ModelVersion,
+    /// When the last endpoint with an older one should begin to switch.
+    pub alone_from: Deadline,
+}
+
 /// Usual time of a switch, in milliseconds.
 ///
 /// An engine finishes what runs, which took 1.0 to 2.6 s with answers of some
@@ -60,17 +67,25 @@
 const SWITCH_MS: u64 = 2_000;
 
 impl PlanPace {
-    /// How many of `left` endpoints have to switch at a time to keep the time.
-    fn at_a_time(&self, left: usize) -> usize {
-        let span = self.begin_by.remaining(self.now).as_millis() as u64 + SWITCH_MS;
-        (left as u64 * SWITCH_MS).div_ceil(span) as usize
+    /// How many of the endpoints `left` have to switch at a time to keep every time.
+    ///
+    /// Two versions that are named within seconds have two deadlines. Paced by
+    /// the later one only, most endpoints would still serve the oldest version
+    /// at the first one, and all of them would switch at once.
+    fn at_a_time(&self, left: &[&EndpointReport]) -> usize {
+        let needed = self.versions.iter().enumerate().map(|(age, paced)| {
+            let older = left.iter().filter(|report| self.age_of(report) < age).count() as u64;
+            let span = paced.alone_from.remaining(self.now).as_millis() as u64 + SWITCH_MS;
+            (older * SWITCH_MS).div_ceil(span) as usize
+        });
+        needed.max().unwrap_or(left.len())
     }
 
     fn age_of(&self, report: &EndpointReport) -> usize {
         let EndpointState::Serving { version: Some(version), .. } = &report.state else {
             return 0;
         };
-        self.versions.iter().position(|known| known == version).unwrap_or(0)
+        self.versions.iter().position(|known| known.version == *version).unwrap_or(0)
     }
 
     fn bars(&self, report: &EndpointReport) -> bool {
@@ -116,6 +131,8 @@
     TurnToSwitch,
     /// It serves what is in force and stages what comes next.
     StageAhead,
+    /// It serves the version and does not tell others yet that it holds it.
+    OfferServed,
 }
 
 /// The weights that a service has to serve.
@@ -146,7 +163,10 @@
             wanted,
             ahead: ahead.filter(|ahead| ahead.manifest != wanted.manifest),
             at_a_time: match input.pace {
-                Some(pace) => pace.at_a_time(chosen.iter().filter(|r| !serves(r, wanted)).count()),
+                Some(pace) => {
+                    let left = chosen.iter().copied().filter(|report| !serves(report, wanted));
+                    pace.at_a_time(&left.collect::<Vec<_>>())
+                }
                 None => switches_at_a_time(target, chosen.len()),
             },
             pace: input.pace,
@@ -312,7 +332,7 @@
                 (self.wanted, true, PlanReason::ServesNothing)
             }
             EndpointState::Serving { .. } if serves(report, self.wanted) => {
-                (self.ahead?, false, PlanReason::StageAhead)
+                self.order_while_serving(report)?
             }
             EndpointState::Serving { .. } if is_ordered(report, self.wanted.manifest, true) => {
                 return None;
@@ -331,6 +351,22 @@
         self.order(report, weights, serve, reason)
     }
 
+    /// What an endpoint gets that serves the wanted version.
+    ///
+    /// An engine that serves callers directly may hold its version from before
+    /// its agent was there. Until the agent is told which bytes these are, it
+    /// offers them to nobody, and agents that join have to turn to the origin,
+    /// which may be away.
+    fn order_while_serving(
+        &self,
+        report: &EndpointReport,
+    ) -> Option<(WantedWeights<'_>, bool, PlanReason)> {
+        if report.endpoint_addr.is_some() && report.staged.is_none() {
+            return Some((self.wanted, true, PlanReason::OfferServed));
+        }
+        Some((self.ahead?, false, PlanReason::StageAhead))
+    }
+
     fn order(
         &self,
         report: &EndpointReport,
--- a/crates/decide/src/route.rs
+++ b/crates/decide/src/route.rs
@@ -15,7 +15,7 @@
     collections::HashMap,
     net::SocketAddr,
     sync::{
-        Arc,
+        Arc, OnceLock,
         atomic::{AtomicU32, Ordering},
     },
 };
@@ -59,7 +59,9 @@
     candidates: Vec<RouteCandidate>,
     near: Vec<u32>,
     positions: HashMap<InstanceId, usize>,
-    ring: PrefixRing,
+    /// Made for the first prompt that asks for it; a service whose engines cache
+    /// no prefixes needs none, and a snapshot is made for every change of a state.
+    ring: OnceLock<PrefixRing>,
     in_flight: Arc<AtomicU32>,
 }
 
@@ -203,8 +205,7 @@
         let near = near.map(|(position, _)| position as u32).collect();
         let positions =
             candidates.iter().enumerate().map(|(p, c)| (c.instance.clone(), p)).collect();
-        let ring = PrefixRing::new(candidates.iter().map(|c| c.instance.as_str()));
-        Self { candidates, near, positions, ring, in_flight }
+        Self { candidates, near, positions, ring: OnceLock::new(), in_flight }
     }
 
     /// Counts this entry's requests at all endpoints.
@@ -267,7 +268,9 @@
     fn cached(&self, prefix: u64, query: &RouteQuery<'_>) -> Option<&RouteCandidate> {
         let total = self.in_flight.load(Ordering::Relaxed);
         let bound = bounded_load(total, self.candidates.len());
-        let mut owners = self.ring.positions(prefix).map(|position| &self.candidates[position]);
+        let names = || self.candidates.iter().map(|c| c.instance.as_str());
+        let ring = self.ring.get_or_init(|| PrefixRing::new(names()));
+        let mut owners = ring.positions(prefix).map(|position| &self.candidates[position]);
         owners.find(|c| c.cell.in_flight() < bound && c.is_usable(query))
     }
 
--- a/crates/decide/src/select.rs
+++ b/crates/decide/src/select.rs
@@ -48,6 +48,8 @@
     pub started_at: Timestamp,
     /// When to give up on the source.
     pub deadline: Deadline,
+    /// Whether the chunk comes from another region, for all agents of this one.
+    pub is_import: bool,
 }
 
 /// Settings of a picker.
@@ -343,21 +345,19 @@
     /// The next fetch, if one may start now.
     pub fn next(&mut self, now: Timestamp, rng: &mut impl Rng) -> Option<FetchOrder> {
         self.review_peers(now);
-        if let Some(index) = self.owned_chunk(now, rng) {
-            return Some(self.start(index, ChunkSource::Origin, now));
-        }
-        if let Some(index) = self.scarce_chunk(now) {
-            return Some(self.start(index, ChunkSource::Origin, now));
+        let drawn = self.owned_chunk(now, rng).or_else(|| self.scarce_chunk(now));
+        if let Some(index) = drawn {
+            return Some(self.start(index, ChunkSource::Origin, false, now));
         }
         if let Some((slot, index)) = self.chunk_of_peer(now, rng) {
             let view = &mut self.peers[slot - 1];
             view.fetching += 1;
-            let source = ChunkSource::Peer(view.instance.clone());
-            return Some(self.start(index, source, now));
+            let (source, is_far) = (ChunkSource::Peer(view.instance.clone()), view.is_far);
+            return Some(self.start(index, source, is_far, now));
         }
         let index = self.extra_chunk(now, rng)?;
         self.extra_draws += 1;
-        Some(self.start(index, ChunkSource::Origin, now))
+        Some(self.start(index, ChunkSource::Origin, false, now))
     }
 
     /// Chunks still missing.
@@ -396,14 +396,21 @@
         slot
     }
 
-    fn start(&mut self, index: usize, source: ChunkSource, now: Timestamp) -> FetchOrder {
+    fn start(
+        &mut self,
+        index: usize,
+        source: ChunkSource,
+        is_import: bool,
+        now: Timestamp,
+    ) -> FetchOrder {
         let wait = match source {
             ChunkSource::Origin => self.origin_wait_ms(),
             ChunkSource::Peer(_) => self.peer_wait_ms(),
         };
         self.origin_fetches += usize::from(source == ChunkSource::Origin);
         self.wanted.remove(index);
-        let order = FetchOrder { index, source, started_at: now, deadline: Deadline(now.0 + wait) };
+        let deadline = Deadline(now.0 + wait);
+        let order = FetchOrder { index, source, started_at: now, deadline, is_import };
         self.fetching.insert(index, order.clone());
         order
     }
--- a/crates/decide/src/select/imports.rs
+++ b/crates/decide/src/select/imports.rs
@@ -72,8 +72,10 @@
 
     /// Whether this agent may fetch a chunk from another region.
     pub(super) fn may_import(&self, index: usize) -> bool {
-        let is_own = self.near[index] == 0 && self.shares.owner(index) == OWN_SLOT;
-        is_own || self.overdue.contains(index)
+        // Once one agent of the region has it, the others fetch it from that one;
+        // overdue chunks crossed four times as often as they had to.
+        let is_lacking = self.near[index] == 0;
+        is_lacking && (self.overdue.contains(index) || self.shares.owner(index) == OWN_SLOT)
     }
 
     /// When a chunk was first held by another agent.
--- a/crates/decide/src/versions.rs
+++ b/crates/decide/src/versions.rs
@@ -10,7 +10,7 @@
     Deadline, ManifestDigest, ModelName, ModelVersion, NamedVersion, Timestamp,
 };
 
-use crate::plan::PlanPace;
+use crate::plan::{PacedVersion, PlanPace};
 
 /// Versions of a model that are remembered; older ones have long been replaced.
 const REMEMBERED: usize = 8;
@@ -79,13 +79,16 @@
     /// What the versions of `model` ask of a plan.
     pub fn pace(&self, model: &str, now: Timestamp) -> Option<PlanPace> {
         let versions = self.models.get(model)?;
-        let newest = versions.last()?;
-        let names: Vec<_> = versions.iter().map(|known| known.version.clone()).collect();
+        let names = versions.iter().map(|known| known.version.clone());
         let barred = match self.allowed(model, now) {
-            Some(allowed) => names.iter().filter(|name| !allowed.contains(name)).cloned().collect(),
+            Some(allowed) => names.filter(|name| !allowed.contains(name)).collect(),
             None => Vec::new(),
         };
-        Some(PlanPace { versions: names, barred, begin_by: newest.alone_from, now })
+        let paced = versions.iter().map(|known| PacedVersion {
+            version: known.version.clone(),
+            alone_from: known.alone_from,
+        });
+        Some(PlanPace { versions: paced.collect(), barred, now })
     }
 
     /// All versions that are remembered, as other processes have to know them.
--- a/crates/decide/tests/chunk_regions.rs
+++ b/crates/decide/tests/chunk_regions.rs
@@ -232,3 +232,21 @@
     drawn.sort_unstable();
     drawn
 }
+
+/// An import took longer than it should, so that each agent of the region may
+/// fetch the chunk from afar. Once one of them has it the others turn to that
+/// one; if all went on, a version would cross the shared link several times.
+#[test]
+fn an_overdue_import_ends_with_the_first_copy() {
+    let all: Vec<_> = (0..CHUNKS).collect();
+    let mut picker = picker(settings("own-a"));
+    connect(&mut picker, "own-b", NEAR, &[]);
+    connect(&mut picker, "far", FAR, &all);
+    let first = orders(&mut picker, at(10));
+    assert!(first.iter().all(|order| order.is_import));
+    let lacking: Vec<_> =
+        all.iter().copied().filter(|i| first.iter().all(|order| order.index != *i)).collect();
+    picker.peer_holds(&instance("own-b"), lacking.iter().copied(), at(800));
+    let second = orders(&mut picker, at(900));
+    assert_eq!(from(&second, &ChunkSource::Peer(instance("own-b"))), lacking);
+}
--- a/crates/decide/tests/plan.rs
+++ b/crates/decide/tests/plan.rs
@@ -4,7 +4,7 @@
 
 use cassiawheel_decide::{
     fencing::{OrderToken, next_token},
-    plan::{PlanInput, PlanPace, PlanReason, PlannedOrder, plan_orders},
+    plan::{PacedVersion, PlanInput, PlanPace, PlanReason, PlannedOrder, plan_orders},
 };
 use cassiawheel_model::{
     ChangeId, Deadline, EndpointReport, EndpointRole, EndpointState, FailureDomain, ForcedPreset,
@@ -339,10 +339,18 @@
 }
 
 fn pace(barred: &[&str], left_ms: u64) -> PlanPace {
+    pace_of(barred, [0, left_ms, left_ms])
+}
+
+/// A pace with the time left of each version.
+fn pace_of(barred: &[&str], left_ms: [u64; 3]) -> PlanPace {
+    let paced = ["v1", "v2", "v3"].into_iter().zip(left_ms).map(|(name, left_ms)| PacedVersion {
+        version: version(name),
+        alone_from: Deadline(10_000 + left_ms),
+    });
     PlanPace {
-        versions: ["v1", "v2", "v3"].map(version).to_vec(),
+        versions: paced.collect(),
         barred: barred.iter().map(|name| version(name)).collect(),
-        begin_by: Deadline(10_000 + left_ms),
         now: Timestamp(10_000),
     }
 }
@@ -370,6 +378,17 @@
     assert_eq!(paced(&reports, &pace(&[], 0)).len(), 12);
 }
 
+/// A version was named two seconds after another one, and both are late. All
+/// engines still serve the oldest, whose time is over first. Paced by the newest
+/// alone they would all stop at that moment, and callers would get nothing.
+#[test]
+fn the_nearest_deadline_sets_the_pace() {
+    let reports: Vec<_> = (0..12).map(|index| ready_report(index, "v1")).collect();
+    assert_eq!(paced(&reports, &pace_of(&[], [0, 2_000, 4_000])).len(), 6);
+    let reports: Vec<_> = (0..12).map(|index| ready_report(index, "v2")).collect();
+    assert_eq!(paced(&reports, &pace_of(&[], [0, 2_000, 4_000])).len(), 4);
+}
+
 /// Engines with the oldest version switch first: its time is over first, and
 /// they would serve nothing while others still may.
 #[test]
@@ -403,3 +422,19 @@
     let switching = after.iter().filter(|i| reports[..8].iter().any(|r| r.instance == **i)).count();
     assert!(switching >= before, "{switching} of {before}");
 }
+
+/// Engines serve a version that they held before their agents were there. New
+/// engines join while the origin is away. Nobody has told the agents which bytes
+/// their engines hold, so they offer none, and the new engines wait for the
+/// origin while callers are refused for want of room.
+#[test]
+fn engines_that_serve_already_are_told_to_offer_their_weights() {
+    let endpoint_addr = Some("127.0.0.1:8001".parse().expect("valid"));
+    let held = EndpointReport { endpoint_addr, ..report(0, serving("v1")) };
+    let orders = plan(&preset(1, content("v1", 50, None)), &[held.clone()]);
+    assert_eq!(orders.len(), 1);
+    assert_eq!((orders[0].serve, orders[0].reason), (true, PlanReason::OfferServed));
+    let told =
+        EndpointReport { order: orders[0].fencing, ordered: Some(orders[0].manifest), ..held };
+    assert!(plan(&preset(1, content("v1", 50, None)), &[told]).is_empty(), "told once");
+}
--- a/crates/decide/tests/versions.rs
+++ b/crates/decide/tests/versions.rs
@@ -89,7 +89,8 @@
 fn the_pace_tells_the_order_and_who_is_barred() {
     let book = book(&[(1, 0), (2, 18_000), (3, 20_000)]);
     let pace = book.pace("m", at(25_500)).expect("versions are known");
-    assert_eq!(pace.versions, [version(1), version(2), version(3)]);
+    let names: Vec<_> = pace.versions.iter().map(|paced| paced.version.clone()).collect();
+    assert_eq!(names, [version(1), version(2), version(3)]);
     assert_eq!(pace.barred, [version(1)]);
-    assert_eq!(pace.begin_by.0, at(27_000).0);
+    assert_eq!(pace.versions[2].alone_from.0, at(27_000).0);
 }
--- a/crates/entry/src/caller/attempts.rs
+++ b/crates/entry/src/caller/attempts.rs
@@ -224,7 +224,7 @@
             return Err(AttemptEnd::NotRun(no_endpoint(&routes, head)));
         };
         let candidate = choice.candidate;
-        log::info!(target: "route", request:% = head.id, workspace:% = head.workspace, endpoint:% = candidate.instance, reason = choice.reason.as_str(), cost = choice.cost, candidates = choice.candidates, revision = preset.revision.0, attempt = self.tracker.attempts() + 1; "Chose an endpoint.");
+        log::info!(target: "route", request:% = head.id, workspace:% = head.workspace, endpoint:% = candidate.instance, reason = choice.reason.as_str(), cost = choice.cost, near = candidate.is_near, candidates = choice.candidates, revision = preset.revision.0, attempt = self.tracker.attempts() + 1; "Chose an endpoint.");
         let load = EndpointLoad::begin(candidate.cell.clone(), service.in_flight().clone());
         let (instance, path) = (candidate.instance.clone(), candidate.path);
         let version = match path {
--- a/crates/entry/src/control/manifests.rs
+++ b/crates/entry/src/control/manifests.rs
@@ -17,14 +17,22 @@
 /// Time that each entry leaves to the one before it.
 const TURN_TIME: Duration = Duration::from_millis(80);
 
-/// Wait after a failed read.
-const AGAIN_TIME: Duration = Duration::from_millis(250);
+/// First wait after a failed read; doubles with every further one.
+///
+/// Most reads that fail met a connection that the origin had closed while it was
+/// idle. Endpoints wait for the manifest, and every tenth of a second is one in
+/// which fewer of them can switch at a time.
+const AGAIN_TIME: Duration = Duration::from_millis(30);
+
+/// Longest wait after a failed read.
+const LONGEST_AGAIN: Duration = Duration::from_millis(500);
 
 /// Longest wait for a manifest of a few kilobytes.
 const READ_TIME: Duration = Duration::from_millis(1_500);
 
 /// Pins every named version for ever.
 pub(crate) async fn pin_versions(shared: Arc<EntryShared>, routed: Arc<RoutedInterface>) {
+    let mut wait = AGAIN_TIME;
     loop {
         if let Some(origin) = shared.origin_place() {
             shared.origin.relocate(origin.addr);
@@ -39,11 +47,13 @@
         }
         match read_twice(&shared, &named.version).await {
             Some(manifest) => {
+                wait = AGAIN_TIME;
                 let pinned = NamedVersion { manifest: Some(manifest), ..named };
                 take_version(&shared, &routed, &pinned);
             }
             None => {
-                Timer::after(AGAIN_TIME).await;
+                Timer::after(wait).await;
+                wait = (wait * 2).min(LONGEST_AGAIN);
             }
         }
     }
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -1,7 +1,7 @@
 //! State that the parts of an entry share.
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard,
@@ -415,8 +415,8 @@
                 cell,
             });
         }
-        let listed: Vec<_> = listing.endpoints().map(|listed| &listed.instance).collect();
-        routed.direct.keep_only(|instance| listed.contains(&instance));
+        let listed: HashSet<_> = listing.endpoints().map(|listed| &listed.instance).collect();
+        routed.direct.keep_only(|instance| listed.contains(instance));
         services
     }
 
--- a/crates/wire/src/message/chunk.rs
+++ b/crates/wire/src/message/chunk.rs
@@ -49,6 +49,9 @@
         manifest: ManifestDigest,
         /// The chunk.
         index: u32,
+        /// Whether all agents of the asker's region wait for it.
+        #[serde(default)]
+        is_import: bool,
     },
     /// The next part of the chunk that was asked for.
     Bytes {
