--- a/crates/agent/src/transfer/peer.rs
+++ b/crates/agent/src/transfer/peer.rs
@@ -76,18 +76,29 @@
         }
     }
 
-    fn take_part(&self, call: u64, part: &[u8], last: bool) {
+    /// Takes a part of a chunk; what the other end has to know, if anything.
+    ///
+    /// Over a link that has narrowed a chunk comes too late. If its rest was
+    /// still asked for, it would share the link with those that are asked for
+    /// instead, and none of them would come in time either.
+    fn take_part(&self, call: u64, part: &[u8], last: bool) -> Option<ChunkMessage> {
         let mut waiting = self.waiting();
         let Some(open) = waiting.get_mut(&call) else {
-            return;
+            return (!last).then_some(ChunkMessage::Abandoned { call });
         };
         open.bytes.extend_from_slice(part);
         if !last && open.bytes.len() <= MAX_CHUNK_BYTES {
-            return;
+            let is_awaited = !open.reply.is_closed();
+            if !is_awaited {
+                waiting.remove(&call);
+                return Some(ChunkMessage::Abandoned { call });
+            }
+            return Some(ChunkMessage::More { call });
         }
         if let Some(whole) = waiting.remove(&call) {
             let _ = whole.reply.try_send(Ok(whole.bytes));
         }
+        None
     }
 }
 
@@ -158,9 +169,8 @@
             }
             ChunkMessage::ToldAll => TransferEvent::PeerToldAll(peer),
             ChunkMessage::Bytes { call, bytes, last } => {
-                client.take_part(call, &bytes, last);
-                if !last {
-                    let _ = client.sender.try_send(ChunkMessage::More { call });
+                if let Some(answer) = client.take_part(call, &bytes, last) {
+                    let _ = client.sender.try_send(answer);
                 }
                 continue;
             }
--- a/crates/agent/src/transfer/serve.rs
+++ b/crates/agent/src/transfer/serve.rs
@@ -68,6 +68,11 @@
         room
     }
 
+    /// Ends an upload; without room for its next part it gives its slot back.
+    fn end(&mut self, call: u64) {
+        self.calls.remove(&call);
+    }
+
     fn more(&self, call: u64) {
         if let Some(room) = self.calls.get(&call) {
             // A chunk that was sent as a whole needs no more room.
@@ -84,6 +89,7 @@
 ) {
     match message {
         ChunkMessage::More { call } => uploads.more(call),
+        ChunkMessage::Abandoned { call } => uploads.end(call),
         ChunkMessage::ManifestWanted { manifest } => {
             let reply = match shared.transfer.manifest(manifest) {
                 Some(found) => ChunkMessage::Manifest(Box::new(found.as_ref().clone())),
--- a/crates/decide/src/select.rs
+++ b/crates/decide/src/select.rs
@@ -119,6 +119,8 @@
     progress_at: Timestamp,
     next_review: Deadline,
     peer_latency_ms: u64,
+    /// When a peer brought a chunk last.
+    brought_at: Timestamp,
     origin_latency_ms: u64,
 }
 
@@ -168,6 +170,7 @@
             progress_at: now,
             next_review: Deadline(0),
             peer_latency_ms: 0,
+            brought_at: now,
             origin_latency_ms: 0,
         }
     }
@@ -289,6 +292,7 @@
                 }
             }
             ChunkSource::Peer(peer) => {
+                self.brought_at = now;
                 self.peer_latency_ms = smoothed(self.peer_latency_ms, latency);
                 if let Some(slot) = self.slots.get(peer).copied() {
                     self.peers[slot - 1].backoff.succeeded();
@@ -311,6 +315,11 @@
             return;
         };
         self.peers[slot - 1].backoff.failed(cause, now);
+        // If nothing else came meanwhile either, the own link has narrowed.
+        if cause == FetchFailure::Late && self.brought_at < order.started_at {
+            let waited = now.0.saturating_sub(order.started_at.0);
+            self.peer_latency_ms = self.peer_latency_ms.max(waited);
+        }
         // A peer that lied or sent corrupt bytes is not asked for this chunk
         // again before it repeats that it holds it.
         if cause == FetchFailure::Damaged {
--- a/crates/decide/tests/chunk_regions.rs
+++ b/crates/decide/tests/chunk_regions.rs
@@ -1,7 +1,9 @@
 //! Which chunks an agent fetches from other regions and from the origin, and
 //! how many at a time.
 
-use cassiawheel_decide::{ChunkPicker, ChunkSource, FetchOrder, PeerPlace, PickerSettings};
+use cassiawheel_decide::{
+    ChunkPicker, ChunkSource, FetchFailure, FetchOrder, PeerPlace, PickerSettings,
+};
 use cassiawheel_model::{InstanceId, Timestamp};
 use rand::{SeedableRng, rngs::SmallRng};
 
@@ -250,3 +252,37 @@
     let second = orders(&mut picker, at(900));
     assert_eq!(from(&second, &ChunkSource::Peer(instance("own-b"))), lacking);
 }
+
+/// A link narrows so far that no chunk comes in time. Asking for four others
+/// again and again keeps the link full: a request for the engine waits there for
+/// two seconds, and so does the word that its caller has left.
+#[test]
+fn fewer_chunks_are_asked_for_after_none_came_in_time() {
+    let settings = PickerSettings { queue_ms: 350, peer_slots: 4, ..settings("own-a") };
+    let all: Vec<_> = (0..CHUNKS).collect();
+    let mut picker = picker(settings);
+    for name in ["one", "two", "three"] {
+        connect(&mut picker, name, NEAR, &all);
+    }
+    let first = orders(&mut picker, at(10));
+    assert_eq!(first.len(), 4);
+    first.iter().for_each(|order| picker.fetch_failed(order, FetchFailure::Late, at(1_266)));
+    assert_eq!(orders(&mut picker, at(1_500)).len(), 1);
+}
+
+/// One agent is paused, and the chunk that it was asked for is late; those of the
+/// others come. The link is as wide as before and is used in full.
+#[test]
+fn one_late_agent_is_no_narrow_link() {
+    let settings =
+        PickerSettings { queue_ms: 350, peer_slots: 4, per_peer: 2, ..settings("own-a") };
+    let all: Vec<_> = (0..CHUNKS).collect();
+    let mut picker = picker(settings);
+    for name in ["one", "two", "three"] {
+        connect(&mut picker, name, NEAR, &all);
+    }
+    let first = orders(&mut picker, at(10));
+    first[1..].iter().for_each(|order| picker.fetch_succeeded(order, at(180)));
+    picker.fetch_failed(&first[0], FetchFailure::Late, at(1_266));
+    assert_eq!(orders(&mut picker, at(1_500)).len(), 4);
+}
--- a/crates/wire/src/message/chunk.rs
+++ b/crates/wire/src/message/chunk.rs
@@ -68,6 +68,11 @@
         /// The call.
         call: u64,
     },
+    /// Nobody waits for the chunk any more; no further part of it is wanted.
+    Abandoned {
+        /// The call.
+        call: u64,
+    },
     /// The chunk is not sent.
     Refused {
         /// The call.
