One entry lets engines switch

Entries plan from reports that reach each at another moment, and each let its own first choice switch.

The first-ranked entry lets engines switch at once, each further one 250 ms later those that it still wants to.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod roster;
 pub mod route;
 pub mod select;
+pub mod turns;
 pub mod versions;
 
 pub use acquaint::{AgentPlace, acquaintances};
@@ -55,4 +56,5 @@
 pub use select::{
     ChunkBits, ChunkPicker, ChunkSource, FetchFailure, FetchOrder, PeerPlace, PickerSettings,
 };
+pub use turns::TurnLedger;
 pub use versions::{VersionBook, WantedVersion};
--- a/crates/decide/tests/plan.rs
+++ b/crates/decide/tests/plan.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use cassiawheel_decide::{
+    TurnLedger,
     fencing::{OrderToken, next_token},
     plan::{PacedVersion, PlanInput, PlanPace, PlanReason, PlannedOrder, plan_orders},
 };
@@ -438,3 +439,41 @@
         EndpointReport { order: orders[0].fencing, ordered: Some(orders[0].manifest), ..held };
     assert!(plan(&preset(1, content("v1", 50, None)), &[told]).is_empty(), "told once");
 }
+
+/// Several entries plan from reports that reach each at another moment, and see
+/// other engines as the first that are ready. If each let its own choice switch,
+/// most engines would be out of service at once and callers would be refused.
+#[test]
+fn one_entry_lets_engines_switch() {
+    let early: Vec<_> = (0..12).map(|index| ready_report(index, "v2")).collect();
+    let orders = |reports: &[EndpointReport]| {
+        let preset = preset(1, content("v3", 50, None));
+        let pace = pace(&[], 4_000);
+        let reports: Vec<_> = reports.iter().collect();
+        plan_orders(PlanInput {
+            preset: &preset,
+            ahead: None,
+            reports: &reports,
+            pace: Some(&pace),
+        })
+    };
+    let first = TurnLedger::default().release(orders(&early), 0, Timestamp(10_000));
+    assert_eq!(first.len(), 4);
+    let mut second = TurnLedger::default();
+    assert!(second.release(orders(&early[4..]), 1, Timestamp(10_000)).is_empty());
+    assert!(second.release(orders(&early[4..]), 1, Timestamp(10_100)).is_empty());
+}
+
+/// The entry that ranks first is paused. Engines would keep a version that may
+/// soon not answer any more; after a short while the next entry lets them switch.
+#[test]
+fn the_next_entry_takes_over_after_a_while() {
+    let reports: Vec<_> = (0..12).map(|index| ready_report(index, "v2")).collect();
+    let preset = preset(1, content("v3", 50, None));
+    let pace = pace(&[], 4_000);
+    let reports: Vec<_> = reports.iter().collect();
+    let input = PlanInput { preset: &preset, ahead: None, reports: &reports, pace: Some(&pace) };
+    let mut ledger = TurnLedger::default();
+    assert!(ledger.release(plan_orders(input), 2, Timestamp(10_000)).is_empty());
+    assert_eq!(ledger.release(plan_orders(input), 2, Timestamp(10_500)).len(), 4);
+}
--- a/crates/entry/src/control/orders.rs
+++ b/crates/entry/src/control/orders.rs
@@ -9,7 +9,10 @@
     time::Duration,
 };
 
-use cassiawheel_decide::plan::{PlanInput, PlannedOrder, plan_orders};
+use cassiawheel_decide::{
+    TurnLedger,
+    plan::{PlanInput, PlannedOrder, plan_orders},
+};
 use cassiawheel_model::{PresetRevision, Timestamp};
 use cassiawheel_wire::{ControlMessage, message::WeightOrder};
 use smol::Timer;
@@ -39,12 +42,20 @@
 /// Plans again whenever a report or the preset changed, and now and then without a change.
 pub(crate) async fn plan_regularly(shared: Arc<EntryShared>) {
     let mut repeat_at = Timestamp::now().deadline_after(REPEAT_TIME);
+    let mut turns = TurnLedger::default();
     loop {
         Timer::after(PLAN_TIME).await;
         let now = Timestamp::now();
         if shared.plan_stale.swap(false, Ordering::AcqRel) || repeat_at.is_past(now) {
             repeat_at = now.deadline_after(REPEAT_TIME);
-            for order in due_orders(&shared) {
+            let planned = due_orders(&shared);
+            let released = match &shared.routed {
+                Some(_) => turns.release(planned, shared.own_rank(), now),
+                // Agents are connected to a few entries only, and each of these
+                // has to give them their orders.
+                None => planned,
+            };
+            for order in released {
                 send_order(&shared, order);
             }
         }
