Half of the engines serve a version that is nearly there while the others turn to the newest

Tried: all engines take the step.

Half of the engines, those first that have begun, finish a version of which they hold half, if the end of what they serve is within six seconds and the step is worth three; the others fetch the newest at once.

--- a/crates/decide/src/plan.rs
+++ b/crates/decide/src/plan.rs
@@ -13,7 +13,10 @@
 //! takes fewer endpoints for finished and so releases fewer, never others:
 //! several entries together keep the share that each of them keeps.
 
-use std::{cmp::Reverse, collections::BTreeMap};
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BTreeSet},
+};
 
 use cassiawheel_model::{
     Deadline, EndpointReport, EndpointState, FailureDomain, ForcedPreset, InstanceId,
@@ -56,10 +59,23 @@
 pub struct PacedVersion {
     /// The version.
     pub version: ModelVersion,
+    /// Pins its bytes, once known.
+    pub manifest: Option<ManifestDigest>,
     /// When the last endpoint with an older one should begin to switch.
     pub alone_from: Deadline,
 }
 
+/// Time in which an endpoint that holds nothing of a version comes to serve it, in milliseconds.
+///
+/// Some four seconds until all have fetched it, and a switch.
+const FETCH_AND_SWITCH_MS: u64 = 6_000;
+
+/// Shortest time for which it is worth to serve a version, in milliseconds.
+const WORTH_SERVING_MS: u64 = 3_000;
+
+/// Part of a version from which on it is finished though a newer one is named, in percent.
+const FINISHED_FROM: u32 = 50;
+
 /// Usual time of a switch, in milliseconds.
 ///
 /// An engine finishes what runs, which took 1.0 to 2.6 s with answers of some
@@ -88,6 +104,47 @@
         self.versions.iter().position(|known| known.version == *version).unwrap_or(0)
     }
 
+    /// An older version than the newest that the endpoint should serve meanwhile.
+    ///
+    /// A version may be superseded while it is nearly there. If all endpoints
+    /// turned to the newest at once, none would serve anything between the end
+    /// of what they serve now and the arrival of the newest. Those that hold most
+    /// of the one between go on with it, if that end is near.
+    fn step_between(&self, report: &EndpointReport) -> Option<WantedWeights<'_>> {
+        let staged = report.staged.as_ref()?;
+        let first = self.age_of(report) + 1;
+        let is_empty = report.state == EndpointState::Empty;
+        let between = self.versions.windows(2).enumerate().skip(first);
+        let steps = between.filter_map(|(_, pair)| {
+            let (paced, next) = (&pair[0], &pair[1]);
+            let manifest = paced.manifest.filter(|manifest| *manifest == staged.manifest)?;
+            let is_worth =
+                next.alone_from.remaining(self.now).as_millis() as u64 >= WORTH_SERVING_MS;
+            let end = paced.alone_from.remaining(self.now).as_millis() as u64;
+            let is_urgent = is_empty || end < FETCH_AND_SWITCH_MS;
+            (is_worth && is_urgent).then_some(WantedWeights { version: &paced.version, manifest })
+        });
+        steps.last().filter(|weights| held_share(report, *weights) >= FINISHED_FROM)
+    }
+
+    /// The endpoints that may take a step between: half of all, those first that
+    /// have taken it.
+    ///
+    /// Each step costs an endpoint a switch more. With all of them on two switches
+    /// in eight seconds, a third was out of service all the while, and a calm day
+    /// earned less than if nobody had taken the step; with half, these serve
+    /// while the others turn to the newest.
+    fn steppers(&self, chosen: &[&EndpointReport]) -> BTreeSet<InstanceId> {
+        let mut ranked = chosen.to_vec();
+        let subject = subject_of(&self.versions.len().to_string());
+        ranked.sort_by_key(|report| {
+            let rank = rendezvous_weight(subject, report.instance.as_str());
+            (Reverse(self.age_of(report)), Reverse(rank))
+        });
+        let half = chosen.len().div_ceil(2);
+        ranked.iter().take(half).map(|report| report.instance.clone()).collect()
+    }
+
     fn bars(&self, report: &EndpointReport) -> bool {
         let EndpointState::Serving { version: Some(version), .. } = &report.state else {
             return false;
@@ -170,6 +227,10 @@
                 None => switches_at_a_time(target, chosen.len()),
             },
             pace: input.pace,
+            steppers: match input.pace {
+                Some(pace) => pace.steppers(&chosen),
+                None => BTreeSet::new(),
+            },
             chosen,
         };
         orders.extend(service.orders());
@@ -276,6 +337,8 @@
     at_a_time: usize,
     pace: Option<&'a PlanPace>,
     chosen: Vec<&'a EndpointReport>,
+    /// The endpoints that may serve an older version than the newest meanwhile.
+    steppers: BTreeSet<InstanceId>,
 }
 
 impl ServicePlan<'_> {
@@ -310,9 +373,10 @@
     /// the others would wait for them until they may not answer any more.
     fn paced_orders(&self) -> Vec<PlannedOrder> {
         let is_under_way = |report: &&&EndpointReport| {
-            let is_told = is_ordered(report, self.wanted.manifest, true);
+            let goal = self.goal(report);
+            let is_told = is_ordered(report, goal.manifest, true);
             matches!(report.state, EndpointState::Switching)
-                || is_told && !serves(report, self.wanted) && is_serving(report)
+                || is_told && !serves(report, goal) && is_serving(report)
         };
         let mut under_way = self.chosen.iter().filter(is_under_way).count();
         let mut orders = Vec::new();
@@ -324,25 +388,30 @@
         orders
     }
 
+    /// What the endpoint should serve next.
+    fn goal(&self, report: &EndpointReport) -> WantedWeights<'_> {
+        let step = self.pace.and_then(|pace| pace.step_between(report));
+        step.filter(|_| self.steppers.contains(&report.instance)).unwrap_or(self.wanted)
+    }
+
     fn order_for(&self, report: &EndpointReport, may_switch: bool) -> Option<PlannedOrder> {
+        let goal = self.goal(report);
         let (weights, serve, reason) = match &report.state {
             EndpointState::Switching | EndpointState::Draining => return None,
-            EndpointState::Empty => (self.wanted, true, PlanReason::ServesNothing),
+            EndpointState::Empty => (goal, true, PlanReason::ServesNothing),
             EndpointState::Serving { .. } if self.pace.is_some_and(|pace| pace.bars(report)) => {
-                (self.wanted, true, PlanReason::ServesNothing)
+                (goal, true, PlanReason::ServesNothing)
             }
             EndpointState::Serving { .. } if serves(report, self.wanted) => {
                 self.order_while_serving(report)?
             }
-            EndpointState::Serving { .. } if is_ordered(report, self.wanted.manifest, true) => {
+            EndpointState::Serving { .. } if is_ordered(report, goal.manifest, true) => {
                 return None;
             }
-            EndpointState::Serving { .. } if !has_staged(report, self.wanted.manifest) => {
-                (self.wanted, false, PlanReason::StageWhileServing)
-            }
-            EndpointState::Serving { .. } if may_switch => {
-                (self.wanted, true, PlanReason::TurnToSwitch)
+            EndpointState::Serving { .. } if !has_staged(report, goal.manifest) => {
+                (goal, false, PlanReason::StageWhileServing)
             }
+            EndpointState::Serving { .. } if may_switch => (goal, true, PlanReason::TurnToSwitch),
             EndpointState::Serving { .. } => return None,
         };
         if is_ordered(report, weights.manifest, serve) {
--- a/crates/decide/src/versions.rs
+++ b/crates/decide/src/versions.rs
@@ -86,6 +86,7 @@
         };
         let paced = versions.iter().map(|known| PacedVersion {
             version: known.version.clone(),
+            manifest: known.manifest,
             alone_from: known.alone_from,
         });
         Some(PlanPace { versions: paced.collect(), barred, now })
--- a/crates/decide/tests/plan.rs
+++ b/crates/decide/tests/plan.rs
@@ -347,6 +347,7 @@
 fn pace_of(barred: &[&str], left_ms: [u64; 3]) -> PlanPace {
     let paced = ["v1", "v2", "v3"].into_iter().zip(left_ms).map(|(name, left_ms)| PacedVersion {
         version: version(name),
+        manifest: Some(manifest(name)),
         alone_from: Deadline(10_000 + left_ms),
     });
     PlanPace {
@@ -477,3 +478,50 @@
     assert!(ledger.release(plan_orders(input), 2, Timestamp(10_000)).is_empty());
     assert_eq!(ledger.release(plan_orders(input), 2, Timestamp(10_500)).len(), 4);
 }
+
+fn superseded(ready: u32, left_ms: [u64; 3]) -> Vec<PlannedOrder> {
+    let held =
+        |index| EndpointReport { staged: staged("v2", ready), ..report(index, serving("v1")) };
+    let reports: Vec<_> = (0..12).map(held).collect();
+    let preset = preset(1, content("v3", 50, None));
+    let pace = pace_of(&[], left_ms);
+    let reports: Vec<_> = reports.iter().collect();
+    plan_orders(PlanInput { preset: &preset, ahead: None, reports: &reports, pace: Some(&pace) })
+}
+
+/// A version is whole everywhere when a newer one is named. Thrown away, it would
+/// leave every engine with the oldest version until that may not answer any
+/// more, and all of them would stop at that moment. Half of them serve it
+/// meanwhile, a few switching at a time; the others fetch the newest.
+#[test]
+fn a_version_that_is_whole_is_served_until_the_newest_is_there() {
+    let orders = superseded(CHUNKS, [0, 4_800, 8_800]);
+    let step: Vec<_> = orders.iter().filter(|order| order.version == version("v2")).collect();
+    let newest: Vec<_> = orders.iter().filter(|order| order.version == version("v3")).collect();
+    assert_eq!((step.len(), newest.len()), (4, 6));
+    assert!(step.iter().all(|order| order.serve) && newest.iter().all(|order| !order.serve));
+}
+
+/// Most of a version has been fetched when a newer one is named; it is finished.
+/// Of one that has hardly begun nothing is gained, and the newest is fetched.
+#[rstest]
+#[case(CHUNKS * 3 / 4, 6)]
+#[case(CHUNKS / 4, 0)]
+fn a_version_is_finished_if_most_of_it_is_there(#[case] ready: u32, #[case] finished: usize) {
+    let orders = superseded(ready, [0, 4_800, 8_800]);
+    assert_eq!(orders.len(), 12);
+    let goes_on = orders.iter().filter(|order| order.version == version("v2"));
+    assert_eq!(goes_on.count(), finished);
+    assert!(orders.iter().all(|order| !order.serve));
+}
+
+/// There is time enough to fetch the newest before the oldest may not answer any
+/// more, or none in which the one between would be served. A switch to it would
+/// cost each engine a second or two for nothing.
+#[rstest]
+#[case([0, 20_000, 24_000])]
+#[case([0, 0, 2_000])]
+fn a_version_between_is_passed_over_if_it_gains_nothing(#[case] left_ms: [u64; 3]) {
+    let orders = superseded(CHUNKS, left_ms);
+    assert!(orders.iter().all(|order| order.version == version("v3")));
+}
