--- a/crates/agent/src/transfer/manifest.rs
+++ b/crates/agent/src/transfer/manifest.rs
@@ -71,8 +71,9 @@
     peers.shuffle(&mut rand::rng());
     for asked in peers.chunks(ASKED) {
         let (sender, answers) = bounded(asked.len());
-        for peer in asked.iter().cloned() {
-            let (shared, sender, digest) = (shared.clone(), sender.clone(), order.manifest);
+        for peer in asked {
+            let (shared, sender) = (shared.clone(), sender.clone());
+            let (peer, digest) = (peer.clone(), order.manifest);
             spawn(async move {
                 let _ = sender.send(ask_manifest(&shared, &peer, digest).await).await;
             })
--- a/crates/decide/src/plan.rs
+++ b/crates/decide/src/plan.rs
@@ -112,19 +112,19 @@
     /// of the one between go on with it, if that end is near.
     fn step_between(&self, report: &EndpointReport) -> Option<WantedWeights<'_>> {
         let staged = report.staged.as_ref()?;
-        let first = self.age_of(report) + 1;
         let is_empty = report.state == EndpointState::Empty;
-        let between = self.versions.windows(2).enumerate().skip(first);
-        let steps = between.filter_map(|(_, pair)| {
-            let (paced, next) = (&pair[0], &pair[1]);
-            let manifest = paced.manifest.filter(|manifest| *manifest == staged.manifest)?;
-            let is_worth =
-                next.alone_from.remaining(self.now).as_millis() as u64 >= WORTH_SERVING_MS;
-            let end = paced.alone_from.remaining(self.now).as_millis() as u64;
-            let is_urgent = is_empty || end < FETCH_AND_SWITCH_MS;
-            (is_worth && is_urgent).then_some(WantedWeights { version: &paced.version, manifest })
-        });
-        steps.last().filter(|weights| held_share(report, *weights) >= FINISHED_FROM)
+        let mut between = self.versions.windows(2).skip(self.age_of(report) + 1);
+        let pair = between.rfind(|pair| pair[0].manifest == Some(staged.manifest))?;
+        let weights = WantedWeights { version: &pair[0].version, manifest: staged.manifest };
+        let is_nearly_there = held_share(report, weights) >= FINISHED_FROM;
+        (is_nearly_there && self.is_worth(&pair[0], &pair[1], is_empty)).then_some(weights)
+    }
+
+    /// Whether it is worth to serve `paced` until only `next` may answer.
+    fn is_worth(&self, paced: &PacedVersion, next: &PacedVersion, is_empty: bool) -> bool {
+        let left_ms = |deadline: Deadline| deadline.remaining(self.now).as_millis() as u64;
+        let is_urgent = is_empty || left_ms(paced.alone_from) < FETCH_AND_SWITCH_MS;
+        is_urgent && left_ms(next.alone_from) >= WORTH_SERVING_MS
     }
 
     /// The endpoints that may take a step between: half of all, those first that
--- a/crates/decide/tests/plan.rs
+++ b/crates/decide/tests/plan.rs
@@ -433,7 +433,7 @@
 fn engines_that_serve_already_are_told_to_offer_their_weights() {
     let endpoint_addr = Some("127.0.0.1:8001".parse().expect("valid"));
     let held = EndpointReport { endpoint_addr, ..report(0, serving("v1")) };
-    let orders = plan(&preset(1, content("v1", 50, None)), &[held.clone()]);
+    let orders = plan(&preset(1, content("v1", 50, None)), std::slice::from_ref(&held));
     assert_eq!(orders.len(), 1);
     assert_eq!((orders[0].serve, orders[0].reason), (true, PlanReason::OfferServed));
     let told =
