--- a/crates/decide/src/route.rs
+++ b/crates/decide/src/route.rs
@@ -246,7 +246,7 @@
         if let Some(candidate) = query.prefix.and_then(|prefix| self.cached(prefix, query)) {
             return Some(self.choice(candidate, RouteReason::PrefixAffinity, query));
         }
-        let drawn = [self.draw_near(rng), self.draw_near(rng), Some(self.draw(rng))];
+        let drawn = self.first_draws(rng);
         let drawn = drawn.into_iter().flatten().filter(|c| c.is_usable(query));
         if let Some(candidate) = drawn.min_by_key(|c| c.cost(query.now)) {
             return Some(self.choice(candidate, RouteReason::LeastCost, query));
@@ -274,9 +274,18 @@
         owners.find(|c| c.cell.in_flight() < bound && c.is_usable(query))
     }
 
+    /// Two near endpoints and one of all; two of all if none is near, since more
+    /// draws would bring many entries to the same few.
+    fn first_draws(&self, rng: &mut impl Rng) -> [Option<&RouteCandidate>; 3] {
+        match self.near.is_empty() {
+            true => [Some(self.draw(rng)), Some(self.draw(rng)), None],
+            false => [self.draw_near(rng), self.draw_near(rng), Some(self.draw(rng))],
+        }
+    }
+
     fn draw_near(&self, rng: &mut impl Rng) -> Option<&RouteCandidate> {
         if self.near.is_empty() {
-            return Some(self.draw(rng));
+            return None;
         }
         let position = self.near[rng.random_range(0..self.near.len())];
         self.candidates.get(position as usize)
--- a/crates/decide/src/versions.rs
+++ b/crates/decide/src/versions.rs
@@ -76,6 +76,13 @@
         Some(versions[oldest..].iter().map(|known| known.version.clone()).collect())
     }
 
+    /// From when on `version` of `model` may not answer any more, if that is known.
+    pub fn barred_from(&self, model: &str, version: &ModelVersion) -> Option<Deadline> {
+        let versions = self.models.get(model)?;
+        let position = versions.iter().position(|known| known.version == *version)?;
+        versions[position + 1..].iter().map(|newer| newer.alone_from).min()
+    }
+
     /// What the versions of `model` ask of a plan.
     pub fn pace(&self, model: &str, now: Timestamp) -> Option<PlanPace> {
         let versions = self.models.get(model)?;
--- a/crates/decide/tests/versions.rs
+++ b/crates/decide/tests/versions.rs
@@ -94,3 +94,14 @@
     assert_eq!(pace.barred, [version(1)]);
     assert_eq!(pace.versions[2].alone_from.0, at(27_000).0);
 }
+
+/// A request waits in a full engine's queue while the time of the engine's
+/// version runs out. Whoever sent it has to know that moment, or the answer
+/// begins from a version that may not answer any more.
+#[test]
+fn the_end_of_a_version_is_the_nearest_of_all_newer_ones() {
+    let book = book(&[(1, 0), (2, 18_000), (3, 20_000)]);
+    assert_eq!(book.barred_from("m", &version(1)).map(|end| end.0), Some(at(25_000).0));
+    assert_eq!(book.barred_from("m", &version(2)).map(|end| end.0), Some(at(27_000).0));
+    assert_eq!(book.barred_from("m", &version(3)), None);
+}
--- a/crates/entry/src/caller/attempts.rs
+++ b/crates/entry/src/caller/attempts.rs
@@ -227,6 +227,7 @@
         log::info!(target: "route", request:% = head.id, workspace:% = head.workspace, endpoint:% = candidate.instance, reason = choice.reason.as_str(), cost = choice.cost, near = candidate.is_near, candidates = choice.candidates, revision = preset.revision.0, attempt = self.tracker.attempts() + 1; "Chose an endpoint.");
         let load = EndpointLoad::begin(candidate.cell.clone(), service.in_flight().clone());
         let (instance, path) = (candidate.instance.clone(), candidate.path);
+        let candidate_version = candidate.version.clone();
         let version = match path {
             EndpointPath::Agent => candidate.version.clone(),
             // The endpoint refuses if it holds another one after all.
@@ -243,7 +244,8 @@
             request: &self.request,
             last_event: self.last_event,
         };
-        let begun: AnswerHead = match dispatch(shared, path, sent, &load.cell).await {
+        let begin_by = shared.begin_by(&head.service, candidate_version.as_ref());
+        let begun: AnswerHead = match dispatch(shared, path, sent, &load.cell, begin_by).await {
             Ok(begun) => begun,
             Err(end) => {
                 note_end(shared, &routed, self.excluded.last(), &load.cell, &end);
--- a/crates/entry/src/caller/dispatch.rs
+++ b/crates/entry/src/caller/dispatch.rs
@@ -10,8 +10,8 @@
 use cassiawheel_decide::{AttemptEnd, EndpointCell, EndpointPath, RepeatGuard};
 use cassiawheel_edge::{EndpointLeg, ToldLoad};
 use cassiawheel_model::{
-    HeaderField, InstanceId, LoadReport, ModelVersion, NotRunReason, PresetRevision, Repeatability,
-    RequestHead, Timestamp,
+    Deadline, HeaderField, InstanceId, LoadReport, ModelVersion, NotRunReason, PresetRevision,
+    Repeatability, RequestHead, Timestamp,
 };
 use cassiawheel_runtime::timeout;
 use cassiawheel_wire::RequestMessage;
@@ -144,8 +144,32 @@
     path: EndpointPath,
     sent: DispatchedRequest<'_>,
     cell: &EndpointCell,
+    begin_by: Option<Deadline>,
 ) -> Result<AnswerHead, AttemptEnd> {
     let mut watch = DelayWatch::start(cell);
+    let beginning = begin(shared, path, &sent, cell);
+    let begun = match begin_by.filter(|_| sent.head.repeat == Repeatability::Idempotent) {
+        // A request may wait in the engine's queue until the engine's version may
+        // not answer any more. It is taken back before, while others can answer.
+        Some(begin_by) => {
+            let late =
+                || Err(AttemptEnd::Unknown("its version may not answer any more".to_owned()));
+            let left = begin_by.remaining(Timestamp::now());
+            timeout(left, beginning).await.unwrap_or_else(late)?
+        }
+        None => beginning.await?,
+    };
+    watch.answered = true;
+    Ok(begun)
+}
+
+/// Sends an attempt; done once its answer has begun as far as it has to be known.
+async fn begin(
+    shared: &EntryShared,
+    path: EndpointPath,
+    sent: &DispatchedRequest<'_>,
+    cell: &EndpointCell,
+) -> Result<AnswerHead, AttemptEnd> {
     let mut begun = match (path, &shared.routed) {
         (EndpointPath::Agent, _) => {
             let link = shared.links.load().get(sent.instance).cloned();
@@ -153,7 +177,7 @@
         }
         (EndpointPath::Direct(addr), Some(routed)) => {
             let target = DirectTarget { instance: sent.instance, addr };
-            straight(routed, target, &sent, cell).await?
+            straight(routed, target, sent, cell).await?
         }
         // Only the list gives such paths, and nobody follows it then.
         (EndpointPath::Direct(_), None) => {
@@ -163,7 +187,6 @@
     if sent.head.repeat == Repeatability::Idempotent {
         await_first_part(&mut begun.stream, sent.head).await?;
     }
-    watch.answered = true;
     Ok(begun)
 }
 
--- a/crates/entry/src/control/introduce.rs
+++ b/crates/entry/src/control/introduce.rs
@@ -48,51 +48,64 @@
     peers: Vec<EndpointAddress>,
 }
 
+/// What all agents have been told.
+#[derive(Default)]
+struct FleetWords {
+    told: HashMap<InstanceId, ToldPeers>,
+    known: KnownFleet,
+    /// When agents that have been told may be told again; at once at first.
+    again_at: Option<Deadline>,
+}
+
 /// Tells agents whom they may swap chunks with, whenever that has changed.
 ///
 /// Each agent has the same peers for as long as they live: a new random choice
 /// at every look would cost control traffic and make agents dial each other
 /// again and again in the middle of a transfer.
 pub(crate) async fn introduce_agents(shared: Arc<EntryShared>) {
-    let mut told: HashMap<InstanceId, ToldPeers> = HashMap::new();
-    let mut known = KnownFleet::default();
-    let mut again_at = Deadline(0);
+    let mut words = FleetWords::default();
     loop {
         Timer::after(LOOK_TIME).await;
+        words.renew(&shared, Timestamp::now());
+    }
+}
+
+impl FleetWords {
+    /// Tells new agents at once, and the others if it is time and something changed.
+    fn renew(&mut self, shared: &EntryShared, now: Timestamp) {
         let links = shared.links.load_full();
-        told.retain(|instance, last| {
+        self.told.retain(|instance, last| {
             links.get(instance).is_some_and(|link| Arc::ptr_eq(link, &last.link))
         });
-        let fleet = KnownFleet::of(&shared);
-        let now = Timestamp::now();
-        let all_are_due = fleet != known && again_at.is_past(now);
-        if all_are_due {
-            again_at = now.deadline_after(AGAIN_TIME);
-        }
+        let fleet = KnownFleet::of(shared);
+        let all_are_due = fleet != self.known && self.again_at.is_none_or(|at| at.is_past(now));
         for agents in fleet.agents.values() {
             for agent in agents {
-                let Some(link) = links.get(&agent.instance) else {
-                    continue;
-                };
-                let last = told.get(&agent.instance);
-                if !all_are_due && last.is_some() {
-                    continue;
-                }
-                let peers = match fleet.is_told_by(agent, &shared.settings.place.instance) {
-                    true => chosen_peers(agent, agents),
-                    false => Vec::new(),
-                };
-                // An empty list takes back the last word of an entry that tells no more.
-                let is_news = last.map_or(!peers.is_empty(), |last| last.peers != peers);
-                let message = ControlMessage::Peers(peers.clone());
-                if !is_news || matches!(link.sender.try_send(message), Ok(true)) {
-                    let last = ToldPeers { link: link.clone(), peers };
-                    told.insert(agent.instance.clone(), last);
+                let is_due = all_are_due || !self.told.contains_key(&agent.instance);
+                if let Some(link) = links.get(&agent.instance).filter(|_| is_due) {
+                    self.tell(link, agent, fleet.peers_of(agent, agents, shared));
                 }
             }
         }
         if all_are_due {
-            known = fleet;
+            self.again_at = Some(now.deadline_after(AGAIN_TIME));
+            self.known = fleet;
+        }
+    }
+
+    fn tell(
+        &mut self,
+        link: &Arc<AgentLink>,
+        agent: &EndpointAddress,
+        peers: Vec<EndpointAddress>,
+    ) {
+        let last = self.told.get(&agent.instance);
+        // An empty list takes back the last word of an entry that tells no more.
+        let is_news = last.map_or(!peers.is_empty(), |last| last.peers != peers);
+        let message = ControlMessage::Peers(peers.clone());
+        if !is_news || matches!(link.sender.try_send(message), Ok(true)) {
+            let last = ToldPeers { link: link.clone(), peers };
+            self.told.insert(agent.instance.clone(), last);
         }
     }
 }
@@ -107,6 +120,19 @@
         Self { agents: agents_by_service(shared), tellers }
     }
 
+    /// What this entry tells `agent`; nothing if others do.
+    fn peers_of(
+        &self,
+        agent: &EndpointAddress,
+        agents: &[EndpointAddress],
+        shared: &EntryShared,
+    ) -> Vec<EndpointAddress> {
+        match self.is_told_by(agent, &shared.settings.place.instance) {
+            true => chosen_peers(agent, agents),
+            false => Vec::new(),
+        }
+    }
+
     /// Whether `entry` is one of those that tell `agent`.
     fn is_told_by(&self, agent: &EndpointAddress, entry: &InstanceId) -> bool {
         let Some(tellers) = &self.tellers else {
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -17,8 +17,8 @@
 };
 use cassiawheel_edge::{TableStore, WeightSource};
 use cassiawheel_model::{
-    EndpointState, ForcedPreset, InstanceId, LoadReport, ModelVersion, OriginPlace, PresetRevision,
-    RequestId, ServiceName, Timestamp, settings::EntrySettings,
+    Deadline, EndpointState, ForcedPreset, InstanceId, LoadReport, ModelVersion, OriginPlace,
+    PresetRevision, RequestId, ServiceName, Timestamp, settings::EntrySettings,
 };
 use cassiawheel_wire::WireSender;
 
@@ -34,6 +34,12 @@
 /// Longest time for which an entry that starts waits for every source of presets.
 const START_TIME: Duration = Duration::from_secs(1);
 
+/// Time for which a request may still begin at an engine whose version gets no new ones.
+///
+/// New requests stop 900 ms before the version may not answer any more. One that
+/// waits in a full engine's queue for longer than that would begin too late.
+const BEGIN_TIME: Duration = Duration::from_millis(550);
+
 /// Time within which agents connect to an entry that has started.
 const CONNECT_TIME: Duration = Duration::from_secs(3);
 
@@ -189,6 +195,19 @@
         routed.allowed_versions(target, now)
     }
 
+    /// Until when an answer to a request for `service` may begin from `version`.
+    pub(crate) fn begin_by(
+        &self,
+        service: &ServiceName,
+        version: Option<&ModelVersion>,
+    ) -> Option<Deadline> {
+        let routed = self.routed.as_ref()?;
+        let force = self.force.load();
+        let engine = force.as_ref()?.content.services.get(service)?.engine.as_ref()?;
+        let barred_from = routed.versions.load().barred_from(&engine.model, version?)?;
+        Some(Timestamp(barred_from.0).deadline_after(BEGIN_TIME))
+    }
+
     /// An id that no other request has.
     pub(crate) fn next_request(&self) -> anyhow::Result<RequestId> {
         let number = self.requests.fetch_add(1, Ordering::Relaxed);
