An assumed age of a version never goes before an observed one

Cause: an entry that was killed before a version was named and started again just after it found the version in the operators' rows, took it for 3.5 s old and told the others. VersionBook::merge kept the older of two ages, so every entry barred version 1 at 21.87 s (18.27 - 3.5 + 7.1) though it may begin until 26 s: nothing was served from 21.9 s on. Ruled out: engines that refuse or lose weights (none was asked), ejection.

--- a/crates/agent/src/exchange.rs
+++ b/crates/agent/src/exchange.rs
@@ -12,6 +12,7 @@
     time::Duration,
 };
 
+use anyhow::Context;
 use cassiawheel_decide::Adoption;
 use cassiawheel_edge::{EngineError, EngineStatus, LoadOrder};
 use cassiawheel_model::{EndpointRole, EndpointState, ForcedPreset};
@@ -181,21 +182,19 @@
 async fn reach(shared: &Arc<EndpointShared>, order: &WeightOrder) -> anyhow::Result<ReachEnd> {
     let status = shared.engine.status().await?;
     ensure_current(order, &status)?;
-    let serving = matches!(
-        shared.gate().state(),
-        EndpointState::Serving { version, .. } if version.as_ref() == Some(&order.version)
-    );
-    if serving && status.answers_from(&order.version, order.manifest) {
-        if let Err(error) = transfer::resume(shared, order).await {
-            log::info!(target: "transfer", cause:% = error; "Cannot offer the served weights.");
-        }
-        return Ok(ReachEnd::Reached);
-    }
-    if status.answers_from(&order.version, order.manifest) && is_empty(shared) {
-        // The engine's answer to the order that did this was lost.
+    let answers = status.answers_from(&order.version, order.manifest);
+    if answers && is_empty(shared) {
+        // The engine's answer to the order that did this was lost, or the engine
+        // started with these weights after the order had come.
         shared.gate().begin_switch()?;
         shared.gate().commit_switch(Some(order.version.clone()))?;
         report::send_report(shared);
+    }
+    if answers && serves(shared, order) {
+        // Nobody repeats the order once a report shows it. An agent that did not
+        // tell what its engine holds would never do so, and agents that join
+        // while the origin is away would have nobody to fetch from.
+        transfer::resume(shared, order).await.context("the served weights cannot be offered")?;
         return Ok(ReachEnd::Reached);
     }
     if !transfer::stage(shared, order).await? {
@@ -207,6 +206,14 @@
     Ok(ReachEnd::Reached)
 }
 
+/// Whether callers are answered from what `order` names.
+fn serves(shared: &EndpointShared, order: &WeightOrder) -> bool {
+    matches!(
+        shared.gate().state(),
+        EndpointState::Serving { version, .. } if version.as_ref() == Some(&order.version)
+    )
+}
+
 fn is_empty(shared: &EndpointShared) -> bool {
     *shared.gate().state() == EndpointState::Empty
 }
--- a/crates/decide/src/versions.rs
+++ b/crates/decide/src/versions.rs
@@ -7,7 +7,7 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use cassiawheel_model::{
-    Deadline, ManifestDigest, ModelName, ModelVersion, NamedVersion, Timestamp,
+    AgeSource, Deadline, ManifestDigest, ModelName, ModelVersion, NamedVersion, Timestamp,
 };
 
 use crate::plan::{PacedVersion, PlanPace};
@@ -27,6 +27,7 @@
     /// From when on no older version may answer.
     pub alone_from: Deadline,
     named_at: Timestamp,
+    age_source: AgeSource,
 }
 
 /// The versions of each model, the newest last.
@@ -47,6 +48,7 @@
             manifest: named.manifest,
             alone_from: named_at.deadline_after(span),
             named_at,
+            age_source: named.age_source,
         };
         let versions = self.models.entry(named.model.clone()).or_default();
         let position = versions.partition_point(|known| known.number < fresh.number);
@@ -112,14 +114,34 @@
 impl WantedVersion {
     /// Takes in what another process knows of the same version; true if the manifest is new.
     fn merge(&mut self, other: &Self) -> bool {
-        // Whoever heard of it first knows best how old it is.
-        self.named_at = self.named_at.min(other.named_at);
-        self.alone_from = self.alone_from.min(other.alone_from);
+        self.merge_age(other);
         let is_pinned = self.manifest.is_none() && other.manifest.is_some();
         self.manifest = self.manifest.or(other.manifest);
         is_pinned
     }
 
+    /// Takes the better knowledge of when the version was named.
+    ///
+    /// A process that starts just after a version was named finds it there and
+    /// has to assume an age of seconds. If that went before what others
+    /// observed, all entries would bar the older version seconds too early,
+    /// while engines that may still serve it stand idle: callers would be
+    /// refused everywhere until the new version has arrived. Among equal
+    /// knowledge the older age counts, since a word may come late but not early.
+    fn merge_age(&mut self, other: &Self) {
+        let takes_other = match (self.age_source, other.age_source) {
+            (AgeSource::Assumed, AgeSource::Observed) => true,
+            (AgeSource::Observed, AgeSource::Assumed) => false,
+            (AgeSource::Assumed, AgeSource::Assumed)
+            | (AgeSource::Observed, AgeSource::Observed) => other.named_at < self.named_at,
+        };
+        if takes_other {
+            self.named_at = other.named_at;
+            self.alone_from = other.alone_from;
+            self.age_source = other.age_source;
+        }
+    }
+
     fn named(&self, model: &str, now: Timestamp) -> NamedVersion {
         NamedVersion {
             model: model.to_owned(),
@@ -127,6 +149,7 @@
             version: self.version.clone(),
             manifest: self.manifest,
             age_ms: now.since(self.named_at).as_millis() as u64,
+            age_source: self.age_source,
         }
     }
 }
--- a/crates/decide/tests/versions.rs
+++ b/crates/decide/tests/versions.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use cassiawheel_decide::VersionBook;
-use cassiawheel_model::{ManifestDigest, ModelVersion, NamedVersion, Timestamp};
+use cassiawheel_model::{AgeSource, ManifestDigest, ModelVersion, NamedVersion, Timestamp};
 
 const SPAN: Duration = Duration::from_millis(7_000);
 const START: Timestamp = Timestamp(1_000_000);
@@ -23,6 +23,7 @@
         version: version(number),
         manifest: None,
         age_ms: 0,
+        age_source: AgeSource::Observed,
     }
 }
 
@@ -71,6 +72,42 @@
     assert_eq!(book.allowed("m", at(8_000)), Some(vec![version(2)]));
 }
 
+/// An entry is killed before a version is named and starts again just after. It
+/// finds the version in the rows and cannot know that it is a quarter of a second
+/// old, so it assumes seconds and tells the others. Whichever word comes first,
+/// what the others observed counts; else every entry refuses all callers for
+/// seconds in which the engines may still serve the older version.
+#[test]
+fn an_assumed_age_does_not_go_before_an_observed_one() {
+    let assumed = NamedVersion { age_ms: 3_500, age_source: AgeSource::Assumed, ..named(2) };
+    let observed = NamedVersion { age_ms: 250, ..named(2) };
+    for words in [[&assumed, &observed], [&observed, &assumed]] {
+        let mut book = book(&[(1, 0)]);
+        for word in words {
+            book.offer(word, SPAN, at(18_250));
+        }
+        assert_eq!(book.allowed("m", at(24_900)), None);
+        assert_eq!(book.allowed("m", at(25_000)), Some(vec![version(2)]));
+        let told = book.named(at(19_000));
+        assert_eq!(told[1].age_source, AgeSource::Observed);
+        assert_eq!(told[1].age_ms, 1_000);
+    }
+}
+
+/// All entries are killed and start again together after a version was named.
+/// Nobody observed it, so the assumed age counts, the oldest of those told, and
+/// no older version answers for longer than it may.
+#[test]
+fn the_oldest_assumed_age_counts_where_nobody_observed() {
+    let mut book = book(&[(1, 0)]);
+    for (age_ms, ms) in [(3_500, 20_000), (3_500, 20_400)] {
+        let assumed = NamedVersion { age_ms, age_source: AgeSource::Assumed, ..named(2) };
+        book.offer(&assumed, SPAN, at(ms));
+    }
+    assert_eq!(book.allowed("m", at(23_400)), None);
+    assert_eq!(book.allowed("m", at(23_500)), Some(vec![version(2)]));
+}
+
 /// One entry pins a version's bytes and tells the others; the digest stays.
 #[test]
 fn the_digest_is_taken_once_and_kept() {
--- a/crates/entry/src/control/operators.rs
+++ b/crates/entry/src/control/operators.rs
@@ -9,7 +9,7 @@
 };
 
 use cassiawheel_edge::{FeedError, FeedPage, OperatorRow};
-use cassiawheel_model::{NamedVersion, Timestamp};
+use cassiawheel_model::{AgeSource, NamedVersion, Timestamp};
 use cassiawheel_wire::ControlMessage;
 use rand::Rng;
 use smol::Timer;
@@ -64,13 +64,14 @@
     }
 }
 
-/// How old a version may be that a read brings.
-fn version_age(position: Option<u64>, asked_at: Option<Timestamp>) -> Duration {
+/// How old a version may be that a read brings, and how that is known.
+fn version_age(position: Option<u64>, asked_at: Option<Timestamp>) -> (Duration, AgeSource) {
     match (position, asked_at) {
         // Changes come as they are made.
-        (Some(_), _) => Duration::ZERO,
-        (None, Some(asked_at)) => Timestamp::now().since(asked_at),
-        (None, None) => FOUND_AGE,
+        (Some(_), _) => (Duration::ZERO, AgeSource::Observed),
+        // It was named at some time since the last read.
+        (None, Some(asked_at)) => (Timestamp::now().since(asked_at), AgeSource::Assumed),
+        (None, None) => (FOUND_AGE, AgeSource::Assumed),
     }
 }
 
@@ -78,13 +79,13 @@
     shared: &EntryShared,
     routed: &RoutedInterface,
     page: FeedPage<OperatorRow>,
-    age: Duration,
+    (age, age_source): (Duration, AgeSource),
 ) {
     for row in page.rows {
         match row {
             OperatorRow::Preset(preset) => spread::adopt(shared, &Arc::new(*preset)),
             OperatorRow::Version(named) => {
-                let named = NamedVersion { age_ms: age.as_millis() as u64, ..named };
+                let named = NamedVersion { age_ms: age.as_millis() as u64, age_source, ..named };
                 take_version(shared, routed, &named);
             }
             OperatorRow::Damaged(detail) => {
@@ -99,7 +100,7 @@
     if !routed.offer_version(named) {
         return;
     }
-    log::info!(target: "preset", version:% = named.version, manifest:? = named.manifest, age_ms = named.age_ms; "A version is named.");
+    log::info!(target: "preset", version:% = named.version, manifest:? = named.manifest, age_ms = named.age_ms, age_source:? = named.age_source; "A version is named.");
     shared.plan_stale.store(true, Ordering::Release);
     spread::send_to_peers(shared, &ControlMessage::Named(named.clone()));
 }
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -36,5 +36,5 @@
 pub use outcome::{NotRunReason, OutcomeKind, RequestOutcome};
 pub use preset::{ForcedPreset, PresetContent, PresetRevision, ServiceKind, ServiceTarget};
 pub use request::{PriorityClass, Repeatability, RequestHead};
-pub use target::{EngineProfile, ModelName, NamedVersion, OriginPlace};
+pub use target::{AgeSource, EngineProfile, ModelName, NamedVersion, OriginPlace};
 pub use time::{Deadline, Timestamp};
--- a/crates/model/src/target.rs
+++ b/crates/model/src/target.rs
@@ -23,6 +23,21 @@
     pub manifest: Option<ManifestDigest>,
     /// Time since it was named, in milliseconds, when this was sent.
     pub age_ms: u64,
+    /// How the sender knows this age.
+    #[serde(default)]
+    pub age_source: AgeSource,
+}
+
+/// How a process knows when a version was named.
+#[apply(label!)]
+#[derive(Default)]
+#[serde(rename_all = "kebab-case")]
+pub enum AgeSource {
+    /// It found the version already there and took an age that is safe if nobody knows better.
+    #[default]
+    Assumed,
+    /// It was told as the version was named, or by a process that was.
+    Observed,
 }
 
 /// How the engines of a service work.
