An origin that returns is asked at once and in new turns

Ruled out: the origin's start (the first agents are served at 26.55 s), the pacer. Change: the wait for the origin is bounded so that all agents together try some eighty times a second; the first chunk after a pause starts new turns for the missing chunks; who is not served draws nothing for others.

--- a/crates/decide/src/select.rs
+++ b/crates/decide/src/select.rs
@@ -16,6 +16,7 @@
 mod ownership;
 mod peers;
 mod shares;
+mod turns;
 
 use std::collections::HashMap;
 
@@ -25,8 +26,9 @@
 pub use bits::ChunkBits;
 use imports::ChunkImports;
 pub use peers::FetchFailure;
-use peers::{PeerView, SourceBackoff};
+use peers::{LONGEST_BACKOFF_MS, PeerView, SourceBackoff};
 use shares::{AgentSlot, OWN_SLOT, OriginShares};
+use turns::OriginTurns;
 
 /// Where a chunk is fetched.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
@@ -112,7 +114,7 @@
     scarce: ChunkBits,
     shares: OriginShares,
     imports: ChunkImports,
-    began_at: Timestamp,
+    turns: OriginTurns,
     origin: SourceBackoff,
     extra_draws: usize,
     seeds: usize,
@@ -137,6 +139,15 @@
 /// Doublings of that wait.
 const BUSY_DOUBLINGS: u32 = 2;
 
+/// Mean time between two tries of all agents together to reach an origin that
+/// fails, in milliseconds.
+///
+/// A refused connection costs the origin less than a hundredth of a chunk.
+const ORIGIN_PROBE_MS: u64 = 12;
+
+/// Longest wait for the origin in the smallest groups, in milliseconds.
+const SHORTEST_ORIGIN_WAIT_MS: u64 = 200;
+
 /// A fetch may take this many times the usual time.
 const LATE_FACTOR: u64 = 8;
 
@@ -152,7 +163,7 @@
         Self {
             shares: OriginShares::new(settings.instance.as_str(), chunks, settings.is_near_origin),
             imports: ChunkImports::new(settings.instance.as_str(), chunks),
-            began_at: now,
+            turns: OriginTurns::new(settings.origin_chunk_ms, chunks, now),
             settings,
             wanted: ChunkBits::full(chunks),
             held: ChunkBits::empty(chunks),
@@ -308,13 +319,13 @@
     pub fn fetch_failed(&mut self, order: &FetchOrder, cause: FetchFailure, now: Timestamp) {
         self.fetching_ends(order);
         let ChunkSource::Peer(peer) = &order.source else {
-            self.origin.failed(cause, now);
+            self.origin.failed(cause, self.longest_origin_wait_ms(), now);
             return;
         };
         let Some(slot) = self.slots.get(peer).copied() else {
             return;
         };
-        self.peers[slot - 1].backoff.failed(cause, now);
+        self.peers[slot - 1].backoff.failed(cause, LONGEST_BACKOFF_MS, now);
         // If nothing else came meanwhile either, the own link has narrowed.
         if cause == FetchFailure::Late && self.brought_at < order.started_at {
             let waited = now.0.saturating_sub(order.started_at.0);
@@ -457,6 +468,18 @@
         queue.max(self.origin_latency_ms * LATE_FACTOR)
     }
 
+    /// Longest wait after a failure of the origin.
+    ///
+    /// When the origin goes away, all agents fail at the same moments and, with
+    /// waits that double, all wait for seconds at the same time. One would notice
+    /// that nobody asks for a second and more after it has returned, while no
+    /// engine serves. Together the agents ask some eighty times a second, in
+    /// groups of any size; the first that is served tells the others.
+    fn longest_origin_wait_ms(&self) -> u64 {
+        (ORIGIN_PROBE_MS * self.shares.participants() as u64)
+            .clamp(SHORTEST_ORIGIN_WAIT_MS, LONGEST_BACKOFF_MS)
+    }
+
     fn owned_chunk(&self, now: Timestamp, rng: &mut impl Rng) -> Option<usize> {
         if self.unseeded.is_empty() || !self.may_draw(now) {
             return None;
@@ -475,17 +498,12 @@
         }
         let owned =
             unclaimed.iter_common(&self.wanted).filter(|index| match self.shares.owner(*index) {
-                OWN_SLOT => self.origin_turn(*index).is_past(now),
+                OWN_SLOT => self.turns.of(*index).is_past(now),
                 _ => self.is_overdue(*index, now),
             });
         pick_least(owned.map(|index| (index, 0)), rng)
     }
 
-    /// When the origin has time for a chunk, if all owners ask in the chunks' order.
-    pub(super) fn origin_turn(&self, index: usize) -> Deadline {
-        Deadline(self.began_at.0 + (index as f64 * self.settings.origin_chunk_ms) as u64)
-    }
-
     /// A chunk that is to be drawn again, since those who hold it cannot pass it on.
     fn scarce_chunk(&self, now: Timestamp) -> Option<usize> {
         if self.scarce.is_empty() || !self.may_draw(now) {
--- a/crates/decide/src/select/ownership.rs
+++ b/crates/decide/src/select/ownership.rs
@@ -43,18 +43,19 @@
     /// until it has been silent for long. A version would wait for its few
     /// chunks everywhere; one would notice that all agents lack the same ones.
     pub(super) fn is_overdue(&self, index: usize, now: Timestamp) -> bool {
-        if self.settings.origin_chunk_ms == 0.0 || !self.origin_keeps_up(now) {
+        // Whoever is not served cannot help the owners out.
+        if !self.turns.are_known() || self.origin.is_failing() || !self.origin_keeps_up(now) {
             return false;
         }
         let before = self.shares.rank(OWN_SLOT, index).saturating_sub(1) as u64;
         let wait_ms = OVERDUE_MS + OVERDUE_STEP_MS * before;
-        Deadline(self.origin_turn(index).0 + wait_ms).is_past(now)
+        Deadline(self.turns.of(index).0 + wait_ms).is_past(now)
     }
 
     /// Whether most chunks came in their turn; if not, the origin is slow or
     /// away, and asking for more of it would make it worse.
     fn origin_keeps_up(&self, now: Timestamp) -> bool {
-        let is_due = |index: &usize| Deadline(self.origin_turn(*index).0 + OVERDUE_MS).is_past(now);
+        let is_due = |index: &usize| Deadline(self.turns.of(*index).0 + OVERDUE_MS).is_past(now);
         let due: Vec<_> = (0..self.holders.len()).filter(is_due).collect();
         let missing = due.iter().filter(|index| self.unseeded.contains(**index)).count();
         missing * 2 <= due.len()
@@ -105,7 +106,17 @@
         self.imports.leave(slot);
     }
 
+    /// Notes that the origin has given out a chunk that nobody held.
+    ///
+    /// After a pause that means that it was away and is back. Each agent would
+    /// else end its wait at another time and then draw all that is overdue by
+    /// the old turns: one would notice twice as many draws as chunks, and a link
+    /// that is busy with copies while every engine waits for the last chunks.
     pub(super) fn note_seed(&mut self, now: Timestamp) {
+        if now.0.saturating_sub(self.progress_at.0) > OVERDUE_MS {
+            self.turns.begin_again(&self.unseeded, now);
+            self.origin.recovered(now);
+        }
         self.seeds += 1;
         self.progress_at = now;
     }
--- a/crates/decide/src/select/peers.rs
+++ b/crates/decide/src/select/peers.rs
@@ -7,8 +7,8 @@
 /// Wait after a first failure, in milliseconds; doubles with every further one.
 const FIRST_BACKOFF_MS: u64 = 100;
 
-/// Longest wait after a failure, in milliseconds.
-const LONGEST_BACKOFF_MS: u64 = 5_000;
+/// Longest wait after a failure of another agent, in milliseconds.
+pub(super) const LONGEST_BACKOFF_MS: u64 = 5_000;
 
 /// Blame in a row after which a peer's chunks no longer count as available.
 const DISTRUSTED_BLAME: u32 = 4;
@@ -43,8 +43,8 @@
 }
 
 impl SourceBackoff {
-    /// Fetches that fail together count as one failure.
-    pub(super) fn failed(&mut self, cause: FetchFailure, now: Timestamp) {
+    /// Fetches that fail together count as one failure; waits at most `longest_ms`.
+    pub(super) fn failed(&mut self, cause: FetchFailure, longest_ms: u64, now: Timestamp) {
         if !self.is_over(now) {
             return;
         }
@@ -54,7 +54,7 @@
             FetchFailure::Damaged => DAMAGE_BLAME,
             FetchFailure::Late => LATE_BLAME,
         };
-        let wait = (FIRST_BACKOFF_MS << doublings).min(LONGEST_BACKOFF_MS);
+        let wait = (FIRST_BACKOFF_MS << doublings).min(longest_ms);
         self.avoid(Deadline(now.0 + wait));
     }
 
@@ -67,6 +67,12 @@
         self.avoided_until = self.avoided_until.max(until);
     }
 
+    /// Ends the wait, as another agent has just been served.
+    pub(super) fn recovered(&mut self, now: Timestamp) {
+        self.succeeded();
+        self.avoided_until = self.avoided_until.min(Deadline(now.0));
+    }
+
     pub(super) fn is_over(&self, now: Timestamp) -> bool {
         self.avoided_until.is_past(now)
     }
--- a/crates/decide/tests/chunk_regions.rs
+++ b/crates/decide/tests/chunk_regions.rs
@@ -286,3 +286,62 @@
     picker.fetch_failed(&first[0], FetchFailure::Late, at(1_266));
     assert_eq!(orders(&mut picker, at(1_500)).len(), 4);
 }
+
+/// The origin goes away for some seconds and all agents fail at it again and
+/// again. It returns, and the engines serve nothing until the last chunks have
+/// been drawn: nobody may be in the middle of a wait of seconds then.
+#[test]
+fn an_origin_that_returns_is_asked_within_a_third_of_a_second() {
+    let mut picker = picker(settings("own-a"));
+    for number in 0..26 {
+        connect(&mut picker, &format!("own-{number}"), NEAR, &[]);
+    }
+    let mut last_try = 0;
+    for ms in 0..6_000 {
+        for order in orders(&mut picker, at(ms)) {
+            assert!(ms - last_try <= 330, "nobody asked from {last_try} to {ms} ms");
+            last_try = ms;
+            picker.fetch_failed(&order, FetchFailure::Damaged, at(ms));
+        }
+    }
+    assert!(last_try > 5_600, "the last try was at {last_try} ms");
+}
+
+/// The origin returns after some seconds, and one of a large group is the first
+/// to be served. The others hear of its chunk and go on at once, each with the
+/// chunks that it owns and one after another: what is overdue by the old turns is
+/// not drawn by everybody, while every engine waits for the last chunks.
+#[test]
+fn the_first_chunk_of_an_origin_that_returns_starts_new_turns() {
+    let names: Vec<_> = (0..8).map(|number| format!("own-{number}")).collect();
+    let held: Vec<_> = (0..CHUNKS / 2).collect();
+    let mut drawn = Vec::new();
+    for name in &names {
+        let mut picker = picker(PickerSettings { origin_chunk_ms: 30.0, ..settings(name) });
+        held.iter().for_each(|index| picker.mark_held(*index));
+        for other in names.iter().filter(|other| *other != name) {
+            connect(&mut picker, other, NEAR, &held);
+        }
+        connect(&mut picker, "first", NEAR, &held);
+        for ms in (0..6_000).step_by(10) {
+            for order in orders(&mut picker, at(ms)) {
+                picker.fetch_failed(&order, FetchFailure::Damaged, at(ms));
+            }
+        }
+        picker.peer_holds(&instance("first"), [CHUNKS - 1], at(6_000));
+        for ms in (6_000..6_400).step_by(10) {
+            let origin = orders(&mut picker, at(ms)).into_iter();
+            for order in origin.filter(|order| order.source == ChunkSource::Origin) {
+                let turn_ms = 6_000 + (order.index - held.len()) as u64 * 30;
+                assert!(ms >= turn_ms, "chunk {} at {ms} ms", order.index);
+                drawn.push(order.index);
+                picker.fetch_succeeded(&order, at(ms));
+            }
+        }
+    }
+    let all = drawn.len();
+    drawn.sort_unstable();
+    drawn.dedup();
+    assert_eq!(drawn.len(), all, "chunks are drawn twice");
+    assert!(all >= CHUNKS / 3, "{all} chunks are drawn within 0.4 s");
+}
