Requests go to the newest process at an address; whoever answers for another is forgotten

EndpointListing::forget existed, but nobody called it. Ruled out: a mismatch of weights (all engines served version 3). Change: the newest row at an address counts, for requests and for loads; an endpoint at whose address another process answers is taken out of the list.

--- a/crates/decide/src/listing.rs
+++ b/crates/decide/src/listing.rs
@@ -8,10 +8,11 @@
 
 use std::{
     collections::{BTreeMap, HashMap},
+    net::SocketAddr,
     time::Duration,
 };
 
-use cassiawheel_model::{Deadline, InstanceId, ListedEndpoint, ListedRow, Timestamp};
+use cassiawheel_model::{Deadline, InstanceId, ListedEndpoint, ListedRow, ServiceName, Timestamp};
 
 /// Time between two reads of the entry that ranks first.
 ///
@@ -83,6 +84,30 @@
         self.rows.values().filter_map(|row| row.endpoint.as_ref())
     }
 
+    /// The newest endpoint at each address, of the services that `is_known` names.
+    ///
+    /// When instances lose power, the rows of their former processes stay until
+    /// these have been silent for three heartbeats, and the new ones register at
+    /// the same addresses. Requests for a former one are refused there; one would
+    /// notice that half of all callers are refused for seconds after everything
+    /// is back. Two processes never share an address, so the older row is of one
+    /// that is gone.
+    pub fn present(&self, is_known: impl Fn(&ServiceName) -> bool) -> Vec<&ListedEndpoint> {
+        let mut newest: HashMap<SocketAddr, (u64, &ListedEndpoint)> = HashMap::new();
+        for row in self.rows.values() {
+            let Some(endpoint) = row.endpoint.as_ref().filter(|e| is_known(&e.service)) else {
+                continue;
+            };
+            let place = newest.entry(endpoint.addr).or_insert((row.position, endpoint));
+            if row.position > place.0 {
+                *place = (row.position, endpoint);
+            }
+        }
+        let mut present: Vec<_> = newest.into_values().map(|(_, endpoint)| endpoint).collect();
+        present.sort_unstable_by(|one, other| one.instance.cmp(&other.instance));
+        present
+    }
+
     /// When to read the list as the entry of this rank.
     pub fn read_at(&self, rank: u32) -> Deadline {
         let Some(asked_at) = self.asked_at else {
@@ -187,8 +212,12 @@
 
     fn take_rows(&mut self, rows: &[ListedRow]) {
         for row in rows {
-            let known = self.rows.get(&row.instance).map(|known| known.position);
-            if known.is_some_and(|position| position > row.position) {
+            let is_old = self.rows.get(&row.instance).is_some_and(|known| {
+                // The same row again does not bring back what was forgotten.
+                let is_repeated = known.position == row.position && known.endpoint.is_none();
+                known.position > row.position || is_repeated
+            });
+            if is_old {
                 continue;
             }
             if row.endpoint.is_some() {
--- a/crates/decide/tests/listing.rs
+++ b/crates/decide/tests/listing.rs
@@ -1,5 +1,7 @@
 //! The list of endpoints, which entries read in turns and tell each other.
 
+use std::net::SocketAddr;
+
 use cassiawheel_decide::{EndpointListing, ListingNews};
 use cassiawheel_model::{
     Deadline, FailureDomain, InstanceId, ListedEndpoint, ListedRow, ServiceName, Timestamp,
@@ -20,7 +22,7 @@
     ListedEndpoint {
         instance: instance(name),
         service: ServiceName::new("desk").expect("valid"),
-        addr: "10.0.0.1:8001".parse().expect("valid"),
+        addr: SocketAddr::from(([10, 0, 0, name.as_bytes()[0]], 8_001)),
         failure_domain: FailureDomain::new("hall").expect("valid"),
         slots: 16,
         is_leaving,
@@ -118,3 +120,35 @@
     assert_eq!(listing.read_at(1), Deadline(at(750).0));
     assert!(listing.read_at(400).0 <= at(2_000).0, "a leaving endpoint has two seconds");
 }
+
+/// All instances lose power. Their engines start again at the same addresses
+/// under new names, while the rows of the former ones stay for seconds. Requests
+/// go to the new ones only, or half of the callers are refused meanwhile.
+#[test]
+fn the_newest_process_at_an_address_is_the_present_one() {
+    let mut listing = read(vec![row("a", 1), row("b", 2)], 2);
+    let mut restarted = endpoint("z", false);
+    restarted.addr = endpoint("a", false).addr;
+    let restarted = ListedRow { instance: instance("z"), position: 5, endpoint: Some(restarted) };
+    listing.take_read(news(vec![restarted], 2, 5, at(500)), at(500));
+    let present = |listing: &EndpointListing| -> Vec<String> {
+        let present = listing.present(|_| true);
+        present.iter().map(|endpoint| endpoint.instance.to_string()).collect()
+    };
+    assert_eq!(present(&listing), ["b", "z"]);
+    // A row of a service that nobody knows is somebody else's and hides none.
+    assert!(listing.present(|service| service.as_str() == "other").is_empty());
+}
+
+/// An entry learns that another process answers at an endpoint's address. A word
+/// that was on its way with the same row must not bring the endpoint back.
+#[test]
+fn a_forgotten_endpoint_does_not_come_back_with_an_old_row() {
+    let mut listing = read(vec![row("a", 1), row("b", 2)], 2);
+    assert!(listing.forget(&instance("a")));
+    assert!(!listing.forget(&instance("a")));
+    assert!(listing.take_told(&news(vec![row("a", 1)], 2, 2, at(300))));
+    assert_eq!(names(&listing), ["b"]);
+    assert!(listing.take_told(&news(vec![row("a", 3)], 2, 3, at(400))));
+    assert_eq!(names(&listing), ["a", "b"]);
+}
--- a/crates/entry/src/caller/attempts.rs
+++ b/crates/entry/src/caller/attempts.rs
@@ -305,6 +305,14 @@
         // Another attempt with the key may be the cause, and not this endpoint.
         AttemptEnd::Unanswered(_) => {}
         AttemptEnd::NotRun(NotRunReason::Overloaded) => cell.refuse(now),
+        // No version was asked for, so it is the process that is another one.
+        // It refuses at once and so seems to be idle; without this look it would
+        // draw request after request until its row lapses.
+        AttemptEnd::NotRun(NotRunReason::VersionMismatch) if head.version.is_none() => {
+            if let Some(instance) = instance {
+                shared.forget_listed(instance);
+            }
+        }
         AttemptEnd::NotRun(NotRunReason::ConnectFailed) | AttemptEnd::Unknown(_) => {
             let routes = shared.routes.load();
             let ejected =
--- a/crates/entry/src/routed.rs
+++ b/crates/entry/src/routed.rs
@@ -224,7 +224,8 @@
     preset: &ForcedPreset,
     reports: &HashMap<SocketAddr, &EndpointReport>,
 ) -> Vec<DirectCandidate<'a>> {
-    let present = listing.endpoints().filter(|listed| !listed.is_leaving);
+    let present = listing.present(|service| preset.content.services.contains_key(service));
+    let present = present.into_iter().filter(|listed| !listed.is_leaving);
     let candidate = |listed: &'a ListedEndpoint| {
         let target = preset.content.services.get(&listed.service)?;
         let limit = listed.slots;
@@ -256,8 +257,13 @@
     reports.filter_map(|report| Some((report.endpoint_addr?, report))).collect()
 }
 
-/// The endpoint process at which an agent's load counts.
-pub(crate) fn listed_at(listing: &EndpointListing, addr: SocketAddr) -> Option<InstanceId> {
-    let mut found = listing.endpoints().filter(|listed| listed.addr == addr);
-    found.next().map(|listed| listed.instance.clone())
+/// The endpoint process at which the load of an agent beside `service` counts.
+pub(crate) fn listed_at(
+    listing: &EndpointListing,
+    service: &ServiceName,
+    addr: SocketAddr,
+) -> Option<InstanceId> {
+    let present = listing.present(|known| known == service);
+    let found = present.into_iter().find(|listed| listed.addr == addr);
+    found.map(|listed| listed.instance.clone())
 }
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -354,14 +354,30 @@
             self.cells().of(agent).hear(&load, limit);
             return;
         };
-        let addr = self.roster().member(agent).and_then(|member| member.report.endpoint_addr);
-        let Some(instance) = addr.and_then(|addr| listed_at(&routed.listing(), addr)) else {
+        let place = self
+            .roster()
+            .member(agent)
+            .and_then(|member| Some((member.report.service.clone(), member.report.endpoint_addr?)));
+        let listed = place.and_then(|(service, addr)| listed_at(&routed.listing(), &service, addr));
+        let Some(instance) = listed else {
             return;
         };
         let cell = self.cells().of(&instance);
         cell.hear(&load, cell.hard_limit());
     }
 
+    /// Takes an endpoint out at whose address another process answers.
+    pub(crate) fn forget_listed(&self, instance: &InstanceId) {
+        let Some(routed) = &self.routed else {
+            return;
+        };
+        let is_news = routed.listing().forget(instance);
+        if is_news {
+            log::info!(target: "list", endpoint:% = instance; "Another process answers for an endpoint.");
+            self.rebuild_routes();
+        }
+    }
+
     /// Publishes which endpoints requests may be routed to.
     pub(crate) fn rebuild_routes(&self) {
         let roster = self.roster();
