Engines that switch count half in the pace of switches

Cause: the plan let so many engines switch that all would have begun in time if none had begun yet. Empty engines, which hold up nobody, counted as well. Ruled out: several entries that each let their own choice switch (one gave all). Change: engines under way count half, empty ones not at all.

--- a/crates/decide/src/plan.rs
+++ b/crates/decide/src/plan.rs
@@ -83,18 +83,24 @@
 const SWITCH_MS: u64 = 2_000;
 
 impl PlanPace {
-    /// How many of the endpoints `left` have to switch at a time to keep every time.
+    /// How many endpoints have to switch at a time to keep every time, if those
+    /// in `waiting` have not begun and `under_way` have.
     ///
     /// Two versions that are named within seconds have two deadlines. Paced by
     /// the later one only, most endpoints would still serve the oldest version
     /// at the first one, and all of them would switch at once.
-    fn at_a_time(&self, left: &[&EndpointReport]) -> usize {
+    ///
+    /// Those under way are half done on the average. Counted in full until the
+    /// first of them ends, they made the pace rise with every moment: 21 of 26
+    /// engines were out of service at a time where 12 keep the time as well.
+    fn at_a_time(&self, waiting: &[&EndpointReport], under_way: usize) -> usize {
         let needed = self.versions.iter().enumerate().map(|(age, paced)| {
-            let older = left.iter().filter(|report| self.age_of(report) < age).count() as u64;
+            let older = waiting.iter().filter(|report| self.age_of(report) < age).count();
+            let halves = (2 * older + under_way) as u64;
             let span = paced.alone_from.remaining(self.now).as_millis() as u64 + SWITCH_MS;
-            (older * SWITCH_MS).div_ceil(span) as usize
+            (halves * SWITCH_MS).div_ceil(2 * span) as usize
         });
-        needed.max().unwrap_or(left.len())
+        needed.max().unwrap_or(waiting.len())
     }
 
     fn age_of(&self, report: &EndpointReport) -> usize {
@@ -219,13 +225,7 @@
             revision: input.preset.revision,
             wanted,
             ahead: ahead.filter(|ahead| ahead.manifest != wanted.manifest),
-            at_a_time: match input.pace {
-                Some(pace) => {
-                    let left = chosen.iter().copied().filter(|report| !serves(report, wanted));
-                    pace.at_a_time(&left.collect::<Vec<_>>())
-                }
-                None => switches_at_a_time(target, chosen.len()),
-            },
+            at_a_time: switches_at_a_time(target, chosen.len()),
             pace: input.pace,
             steppers: match input.pace {
                 Some(pace) => pace.steppers(&chosen),
@@ -334,6 +334,7 @@
     revision: PresetRevision,
     wanted: WantedWeights<'a>,
     ahead: Option<WantedWeights<'a>>,
+    /// How many may be without service at a time, where no time is set.
     at_a_time: usize,
     pace: Option<&'a PlanPace>,
     chosen: Vec<&'a EndpointReport>,
@@ -350,7 +351,7 @@
             (age, Reverse(rendezvous_weight(subject, report.instance.as_str())))
         });
         match pace {
-            Some(_) => self.paced_orders(),
+            Some(pace) => self.paced_orders(pace),
             None => self.shared_orders(),
         }
     }
@@ -371,23 +372,29 @@
     ///
     /// Endpoints that serve nothing do not count: new ones come all day, and
     /// the others would wait for them until they may not answer any more.
-    fn paced_orders(&self) -> Vec<PlannedOrder> {
-        let is_under_way = |report: &&&EndpointReport| {
-            let goal = self.goal(report);
-            let is_told = is_ordered(report, goal.manifest, true);
-            matches!(report.state, EndpointState::Switching)
-                || is_told && !serves(report, goal) && is_serving(report)
-        };
-        let mut under_way = self.chosen.iter().filter(is_under_way).count();
+    fn paced_orders(&self, pace: &PlanPace) -> Vec<PlannedOrder> {
+        let mut under_way = self.chosen.iter().filter(|report| self.is_under_way(report)).count();
+        let waiting = self.chosen.iter().copied().filter(|report| {
+            is_serving(report) && !serves(report, self.wanted) && !self.is_under_way(report)
+        });
+        let at_a_time = pace.at_a_time(&waiting.collect::<Vec<_>>(), under_way);
         let mut orders = Vec::new();
         for report in &self.chosen {
-            let order = self.order_for(report, under_way < self.at_a_time);
+            let order = self.order_for(report, under_way < at_a_time);
             under_way += usize::from(order.as_ref().is_some_and(PlannedOrder::is_turn));
             orders.extend(order);
         }
         orders
     }
 
+    /// Whether the endpoint exchanges its weights, or has been told to.
+    fn is_under_way(&self, report: &EndpointReport) -> bool {
+        let goal = self.goal(report);
+        let is_told = is_ordered(report, goal.manifest, true);
+        report.state == EndpointState::Switching
+            || is_told && !serves(report, goal) && is_serving(report)
+    }
+
     /// What the endpoint should serve next.
     fn goal(&self, report: &EndpointReport) -> WantedWeights<'_> {
         let step = self.pace.and_then(|pace| pace.step_between(report));
--- a/crates/decide/tests/plan.rs
+++ b/crates/decide/tests/plan.rs
@@ -380,6 +380,25 @@
     assert_eq!(paced(&reports, &pace(&[], 0)).len(), 12);
 }
 
+/// Twelve engines switch within four seconds, each in two, and none has finished
+/// after one second. The pace must not rise because the time grows shorter while
+/// they are at it: one more would go out of service every tenth of a second, until
+/// no engine is left for the callers.
+#[test]
+fn the_pace_holds_while_the_first_engines_switch() {
+    let mut reports: Vec<_> = (0..12).map(|index| ready_report(index, "v2")).collect();
+    let first = paced(&reports, &pace(&[], 4_000));
+    assert_eq!(first.len(), 4);
+    for report in reports.iter_mut().filter(|report| first.contains(&report.instance)) {
+        report.state = EndpointState::Switching;
+    }
+    for left_ms in (3_000..=4_000).step_by(50) {
+        assert!(paced(&reports, &pace(&[], left_ms)).is_empty(), "{left_ms} ms are left");
+    }
+    // Those that are late all the same go before the time is over.
+    assert!(!paced(&reports, &pace(&[], 0)).is_empty());
+}
+
 /// A version was named two seconds after another one, and both are late. All
 /// engines still serve the oldest, whose time is over first. Paced by the newest
 /// alone they would all stop at that moment, and callers would get nothing.
