Rows of foreign writers name no endpoint; an endpoint that starts again under its name begins anew

A row of the list with a field missing or of another type, an unnamed state or bytes that cannot be read was dropped when it was read, so that an earlier, sound row of that name stayed in use. It now ends that endpoint until its own row is back, also right after an outage, when rows that merely lapsed are kept. An endpoint tells when its process started (born). A later start under the same name resets what entries learnt of the former one (loads, delays, ejection) and its kept connections.

--- a/crates/decide/src/listing.rs
+++ b/crates/decide/src/listing.rs
@@ -170,7 +170,8 @@
         let mut removed = Vec::new();
         for instance in over {
             self.doubted.remove(&instance);
-            let row = ListedRow { instance, position: self.position, endpoint: None };
+            let row =
+                ListedRow { instance, position: self.position, endpoint: None, is_unusable: false };
             self.take_rows(std::slice::from_ref(&row));
             removed.push(row);
         }
@@ -195,13 +196,15 @@
                 instance: row.instance.clone(),
                 position: news.position,
                 endpoint: None,
+                is_unusable: false,
             })
             .collect()
     }
 
     fn doubt_removals(&mut self, rows: &[ListedRow], now: Timestamp) {
         let until = now.deadline_after(RETURN_TIME);
-        for row in rows.iter().filter(|row| row.endpoint.is_none()) {
+        // An unusable row has not lapsed: somebody wrote it.
+        for row in rows.iter().filter(|row| row.endpoint.is_none() && !row.is_unusable) {
             let is_known =
                 self.rows.get(&row.instance).is_some_and(|known| known.endpoint.is_some());
             if is_known {
@@ -220,7 +223,7 @@
             if is_old {
                 continue;
             }
-            if row.endpoint.is_some() {
+            if row.endpoint.is_some() || row.is_unusable {
                 self.doubted.remove(&row.instance);
             }
             self.rows.insert(row.instance.clone(), row.clone());
--- /dev/null
+++ b/crates/decide/src/lives.rs
@@ -0,0 +1,34 @@
+//! Endpoints that start again under the name that they had.
+
+use std::collections::HashMap;
+
+use cassiawheel_model::{InstanceId, Timestamp};
+
+/// When the present process of each endpoint started, by its own word.
+#[derive(Debug, Clone, Default)]
+pub struct EndpointLives {
+    born: HashMap<InstanceId, Timestamp>,
+}
+
+impl EndpointLives {
+    /// Notes the start of an endpoint's process; true if a former one ended.
+    ///
+    /// What was learnt of the former process does not hold for this one: its
+    /// failures would keep requests away from an engine that is idle, its loads
+    /// would send it more or less than it can take, and its connections are gone.
+    pub fn begin(&mut self, instance: &InstanceId, born_at: Option<Timestamp>) -> bool {
+        let Some(born_at) = born_at else {
+            return false;
+        };
+        let known = self.born.entry(instance.clone()).or_insert(born_at);
+        let is_later = *known < born_at;
+        // An older row may come late, and must not end the present life.
+        *known = born_at.max(*known);
+        is_later
+    }
+
+    /// Forgets the endpoints for which `is_listed` does not hold.
+    pub fn keep_only(&mut self, is_listed: impl Fn(&InstanceId) -> bool) {
+        self.born.retain(|instance, _| is_listed(instance));
+    }
+}
--- a/crates/decide/tests/listing.rs
+++ b/crates/decide/tests/listing.rs
@@ -26,16 +26,18 @@
         failure_domain: FailureDomain::new("hall").expect("valid"),
         slots: 16,
         is_leaving,
+        born_at: None,
         version: None,
     }
 }
 
 fn row(name: &str, position: u64) -> ListedRow {
-    ListedRow { instance: instance(name), position, endpoint: Some(endpoint(name, false)) }
+    let endpoint = Some(endpoint(name, false));
+    ListedRow { instance: instance(name), position, endpoint, is_unusable: false }
 }
 
 fn gone(name: &str, position: u64) -> ListedRow {
-    ListedRow { instance: instance(name), position, endpoint: None }
+    ListedRow { instance: instance(name), position, endpoint: None, is_unusable: false }
 }
 
 fn news(rows: Vec<ListedRow>, base: u64, position: u64, asked_at: Timestamp) -> ListingNews {
@@ -129,7 +131,7 @@
     let mut listing = read(vec![row("a", 1), row("b", 2)], 2);
     let mut restarted = endpoint("z", false);
     restarted.addr = endpoint("a", false).addr;
-    let restarted = ListedRow { instance: instance("z"), position: 5, endpoint: Some(restarted) };
+    let restarted = ListedRow { endpoint: Some(restarted), ..row("z", 5) };
     listing.take_read(news(vec![restarted], 2, 5, at(500)), at(500));
     let present = |listing: &EndpointListing| -> Vec<String> {
         let present = listing.present(|_| true);
@@ -152,3 +154,17 @@
     assert!(listing.take_told(&news(vec![row("a", 3)], 2, 3, at(400))));
     assert_eq!(names(&listing), ["a", "b"]);
 }
+
+/// Another writer overwrites the row of a sound endpoint with something that
+/// names none, right after an outage of the list. Rows that lapsed then are kept
+/// for a while, but this one did not lapse: requests must not go on to an
+/// endpoint that no row names.
+#[test]
+fn an_unusable_row_ends_its_endpoint_also_after_an_outage() {
+    let mut listing = read(vec![row("a", 1), row("b", 2)], 2);
+    let unusable = ListedRow { is_unusable: true, ..gone("a", 3) };
+    listing.take_read(news(vec![unusable, gone("b", 4)], 2, 4, at(6_000)), at(6_000));
+    assert_eq!(names(&listing), ["b"]);
+    assert!(listing.take_told(&news(vec![row("a", 5)], 4, 5, at(6_500))));
+    assert_eq!(names(&listing), ["a", "b"]);
+}
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -12,8 +12,8 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use cassiawheel_decide::{
-    Adoption, EndpointCell, EndpointPath, EndpointRoster, EntryRoster, PresetHolder, RetryBudget,
-    RouteCandidate, RouteSnapshot, ServiceRoutes, StartHold,
+    Adoption, EndpointCell, EndpointLives, EndpointPath, EndpointRoster, EntryRoster, PresetHolder,
+    RetryBudget, RouteCandidate, RouteSnapshot, ServiceRoutes, StartHold,
 };
 use cassiawheel_edge::{TableStore, WeightSource};
 use cassiawheel_model::{
@@ -440,6 +440,10 @@
         let listing = routed.listing();
         for candidate in direct_candidates(&listing, &preset, &reports) {
             let listed = candidate.listed;
+            if cells.lives.begin(&listed.instance, listed.born_at) {
+                cells.reset(&listed.instance);
+                routed.direct.keep_only(|instance| *instance != listed.instance);
+            }
             let cell = cells.of(&listed.instance);
             cell.set_limit(candidate.limit);
             services.entry(listed.service.clone()).or_default().push(RouteCandidate {
@@ -452,6 +456,7 @@
         }
         let listed: HashSet<_> = listing.endpoints().map(|listed| &listed.instance).collect();
         routed.direct.keep_only(|instance| listed.contains(instance));
+        cells.lives.keep_only(|instance| listed.contains(instance));
         services
     }
 
@@ -475,6 +480,8 @@
 #[derive(Debug, Default)]
 struct EndpointCells {
     endpoints: HashMap<InstanceId, Arc<EndpointCell>>,
+    /// The processes whose counts the cells hold.
+    lives: EndpointLives,
     services: HashMap<ServiceName, Arc<AtomicU32>>,
 }
 
@@ -483,6 +490,11 @@
         self.endpoints.entry(instance.clone()).or_default().clone()
     }
 
+    /// Starts the counts of an endpoint anew.
+    fn reset(&mut self, instance: &InstanceId) {
+        self.endpoints.remove(instance);
+    }
+
     fn service(&mut self, service: &ServiceName) -> Arc<AtomicU32> {
         self.services.entry(service.clone()).or_default().clone()
     }
--- a/crates/model/src/listing.rs
+++ b/crates/model/src/listing.rs
@@ -4,13 +4,14 @@
 
 use macro_rules_attribute::apply;
 
-use crate::{FailureDomain, InstanceId, ModelVersion, ServiceName};
+use crate::{FailureDomain, InstanceId, ModelVersion, ServiceName, Timestamp};
 
 /// An endpoint in the platform's list.
 #[apply(record!)]
 #[derive(Eq)]
 pub struct ListedEndpoint {
-    /// Its process; one that starts later at the same address has another name.
+    /// Its process; one that starts later at the same address has another name
+    /// or a later start.
     pub instance: InstanceId,
     /// The service that it belongs to.
     pub service: ServiceName,
@@ -22,6 +23,10 @@
     pub slots: u32,
     /// Whether it leaves and must get nothing new.
     pub is_leaving: bool,
+    /// When its process started by its own word; a later one holds and knows
+    /// nothing of what went before, also under the same name.
+    #[serde(default)]
+    pub born_at: Option<Timestamp>,
     /// The version whose weights it holds as a whole, if it is a model engine.
     pub version: Option<ModelVersion>,
 }
@@ -36,4 +41,8 @@
     pub position: u64,
     /// What the row says.
     pub endpoint: Option<ListedEndpoint>,
+    /// Whether the row is there but names no endpoint that could be used, as one
+    /// of a foreign writer.
+    #[serde(default)]
+    pub is_unusable: bool,
 }
--- a/crates/testkit/src/platform_site.rs
+++ b/crates/testkit/src/platform_site.rs
@@ -143,12 +143,13 @@
         self.list(&self.replicas[index].id, addr, state);
     }
 
+    /// The row of an endpoint that serves.
+    pub fn row_of(&self, index: usize) -> Value {
+        server_row(self._stand_ins[index + 1].addr, "ready")
+    }
+
     fn list(&self, id: &str, addr: SocketAddr, state: &str) {
-        let row = json!({
-            "service": "ledger", "address": addr, "zone": "hall", "version": "v1", "slots": 8,
-            "state": state, "cold_remaining_ms": 0, "sequence": 1,
-        });
-        self.rows.put("servers", id, &row);
+        self.rows.put("servers", id, &server_row(addr, state));
     }
 
     /// Starts one more entry; the first two are seeds of those that follow.
@@ -276,6 +277,13 @@
     })
 }
 
+fn server_row(addr: SocketAddr, state: &str) -> Value {
+    json!({
+        "service": "ledger", "address": addr, "zone": "hall", "version": "v1", "slots": 8,
+        "state": state, "cold_remaining_ms": 0, "sequence": 1,
+    })
+}
+
 fn loopback(port: u16) -> SocketAddr {
     SocketAddr::from((Ipv4Addr::LOCALHOST, port))
 }
--- a/crates/testkit/tests/platform_path.rs
+++ b/crates/testkit/tests/platform_path.rs
@@ -13,11 +13,15 @@
 use http_body_util::BodyExt;
 use hyper::StatusCode;
 use rstest::rstest;
+use serde_json::json;
 
 fn run<T>(test: impl Future<Output = anyhow::Result<T>>) -> T {
     cassiawheel_runtime::run(4, test).expect("the executor runs").expect("the test passes")
 }
 
+/// Generous: entries read the list every half second.
+const LIST_TIME: Duration = Duration::from_millis(1_900);
+
 fn whole_stream() -> String {
     (1..=EVENTS).map(|id| format!("id: {id}\ndata: piece {id}\n\n")).collect()
 }
@@ -220,6 +224,44 @@
     });
 }
 
+/// Another writer overwrites an endpoint's row with one that lacks a field, has one
+/// of another type, tells an unknown state, or cannot be read at all. It names no
+/// endpoint: nothing goes there until its own row is back, and the other endpoint
+/// serves all callers meanwhile.
+#[rstest]
+#[case::lacks_a_field(json!({ "slots": null }))]
+#[case::other_type(json!({ "version": 3 }))]
+#[case::unknown_state(json!({ "state": "warming" }))]
+#[case::unknown_service(json!({ "service": "nobody" }))]
+#[case::unreadable(json!("not a row"))]
+fn a_row_of_another_writer_names_no_endpoint(#[case] change: serde_json::Value) {
+    run(async {
+        let site = PlatformSite::start(2, 1).await?;
+        let row = match (site.row_of(0), change) {
+            (serde_json::Value::Object(mut row), serde_json::Value::Object(change)) => {
+                row.extend(change);
+                serde_json::Value::Object(row)
+            }
+            (_, change) => change,
+        };
+        site.rows.put("servers", "i-0", &row);
+        smol::Timer::after(LIST_TIME).await;
+        let before = site.replicas[0].runs().len();
+        for number in 0..20 {
+            let answer = site.call(SiteCall::new(&format!("r-{number}"), "/safe/x")).await?;
+            assert_eq!(answer.status(), StatusCode::OK);
+        }
+        assert_eq!(site.replicas[0].runs().len(), before, "the row names no endpoint");
+        site.set_state(0, "ready");
+        wait_until(async || {
+            let id = format!("s-{}", Timestamp::now().0);
+            site.call(SiteCall::new(&id, "/safe/x")).await?;
+            Ok(site.replicas[0].runs().len() > before)
+        })
+        .await
+    });
+}
+
 /// An endpoint says that it leaves, or its row vanishes without a word. From two
 /// seconds later it gets nothing new.
 #[rstest]
