--- /dev/null
+++ b/crates/entry/src/cells.rs
@@ -0,0 +1,38 @@
+//! Counts of endpoints and services that outlive the snapshots which point to them.
+
+use std::{
+    collections::HashMap,
+    sync::{Arc, atomic::AtomicU32},
+};
+
+use cassiawheel_decide::{EndpointCell, EndpointLives};
+use cassiawheel_model::{InstanceId, ServiceName};
+
+/// The counts that an entry keeps.
+#[derive(Debug, Default)]
+pub(crate) struct EndpointCells {
+    endpoints: HashMap<InstanceId, Arc<EndpointCell>>,
+    /// The processes whose counts the cells hold.
+    pub(crate) lives: EndpointLives,
+    services: HashMap<ServiceName, Arc<AtomicU32>>,
+}
+
+impl EndpointCells {
+    pub(crate) fn of(&mut self, instance: &InstanceId) -> Arc<EndpointCell> {
+        self.endpoints.entry(instance.clone()).or_default().clone()
+    }
+
+    /// Starts the counts of an endpoint anew.
+    pub(crate) fn reset(&mut self, instance: &InstanceId) {
+        self.endpoints.remove(instance);
+    }
+
+    pub(crate) fn service(&mut self, service: &ServiceName) -> Arc<AtomicU32> {
+        self.services.entry(service.clone()).or_default().clone()
+    }
+
+    /// Drops the cells of endpoints that neither a snapshot nor a request uses.
+    pub(crate) fn forget_unused(&mut self) {
+        self.endpoints.retain(|_, cell| Arc::strong_count(cell) > 1);
+    }
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod admin;
 mod caller;
+mod cells;
 pub mod cli;
 mod control;
 mod direct;
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -12,8 +12,8 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use cassiawheel_decide::{
-    Adoption, EndpointCell, EndpointLives, EndpointPath, EndpointRoster, EntryRoster, PresetHolder,
-    RetryBudget, RouteCandidate, RouteSnapshot, ServiceRoutes, StartHold,
+    Adoption, EndpointPath, EndpointRoster, EntryRoster, PresetHolder, RetryBudget, RouteCandidate,
+    RouteSnapshot, ServiceRoutes, StartHold,
 };
 use cassiawheel_edge::{TableStore, WeightSource};
 use cassiawheel_model::{
@@ -25,6 +25,7 @@
 use crate::{
     admin::progress::ProgressMarks,
     caller::EntryAdmission,
+    cells::EndpointCells,
     control::{ahead::AheadRow, spread, store::BudgetedTable},
     link::AgentLink,
     metrics::EntryMetrics,
@@ -475,32 +476,3 @@
 
 /// Endpoints by the service that they belong to.
 type ServiceCandidates = HashMap<ServiceName, Vec<RouteCandidate>>;
-
-/// Counts that outlive the snapshots which point to them.
-#[derive(Debug, Default)]
-struct EndpointCells {
-    endpoints: HashMap<InstanceId, Arc<EndpointCell>>,
-    /// The processes whose counts the cells hold.
-    lives: EndpointLives,
-    services: HashMap<ServiceName, Arc<AtomicU32>>,
-}
-
-impl EndpointCells {
-    fn of(&mut self, instance: &InstanceId) -> Arc<EndpointCell> {
-        self.endpoints.entry(instance.clone()).or_default().clone()
-    }
-
-    /// Starts the counts of an endpoint anew.
-    fn reset(&mut self, instance: &InstanceId) {
-        self.endpoints.remove(instance);
-    }
-
-    fn service(&mut self, service: &ServiceName) -> Arc<AtomicU32> {
-        self.services.entry(service.clone()).or_default().clone()
-    }
-
-    /// Drops the cells of endpoints that neither a snapshot nor a request uses.
-    fn forget_unused(&mut self) {
-        self.endpoints.retain(|_, cell| Arc::strong_count(cell) > 1);
-    }
-}
