Fresh requests go before returning ones, with an eighth of the places kept for them

Going behind by priority did not help: the workspace's share goes before priority, and whoever met a free place took it at once. Conclusion: an eighth kept. A test plays a minute of overload and counts what callers get.

--- a/crates/decide/src/admit.rs
+++ b/crates/decide/src/admit.rs
@@ -3,7 +3,9 @@
 //! While there is room, a request passes with one atomic step. Beyond that,
 //! requests wait in a bounded queue: by each workspace's fair share, then by
 //! priority, then by arrival. Priority before share would let one workspace that
-//! calls everything urgent starve the others. A request that would wait too long
+//! calls everything urgent starve the others. Before both goes whether its caller
+//! asks for the first time: who was refused before has missed the aim, and a place
+//! for that one would make a fresh request miss it too. A request that would wait too long
 //! is refused at once, and a full queue sheds the lowest priority of the
 //! workspace that has the most waiting. What is refused here was not run.
 
@@ -29,6 +31,17 @@
     pub priority: PriorityClass,
     /// When its answer is of no more use.
     pub deadline: Deadline,
+    /// Whether its caller asks for the first time.
+    pub turn: CallerTurn,
+}
+
+/// Whether a caller asks for the first time; the first goes before the second.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum CallerTurn {
+    /// It has asked nobody before.
+    Fresh,
+    /// It was refused before and has missed its aim.
+    Returned,
 }
 
 /// What became of a request.
@@ -51,7 +64,7 @@
 /// Requests that wait.
 #[derive(Debug)]
 struct AdmitQueue<T> {
-    workspaces: BTreeMap<WorkspaceId, WorkspaceQueue<T>>,
+    workspaces: BTreeMap<QueueKey, WorkspaceQueue<T>>,
     length: usize,
     most: usize,
     /// Requests that each workspace got since the queue was last empty.
@@ -61,7 +74,33 @@
     departures: DepartureRate,
 }
 
-/// The waiting requests of one workspace, by priority and arrival.
+/// Part of the places that are kept free for callers that ask for the first time.
+const FRESH_PART: u32 = 8;
+
+impl CallerTurn {
+    /// Places of which a caller of this turn may take one.
+    fn room(self, capacity: u32) -> u32 {
+        match self {
+            Self::Fresh => capacity,
+            Self::Returned => capacity - capacity / FRESH_PART,
+        }
+    }
+}
+
+/// Whose requests wait in a part of the queue.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+struct QueueKey {
+    turn: CallerTurn,
+    workspace: WorkspaceId,
+}
+
+impl QueueKey {
+    fn of(ticket: &AdmitTicket) -> Self {
+        Self { turn: ticket.turn, workspace: ticket.workspace.clone() }
+    }
+}
+
+/// The waiting requests of one workspace and turn, by priority and arrival.
 #[derive(Debug)]
 struct WorkspaceQueue<T> {
     classes: BTreeMap<PriorityClass, VecDeque<WaitingRequest<T>>>,
@@ -103,8 +142,8 @@
     }
 
     /// Admits a request if there is room and nobody waits.
-    pub fn admit_now(&self, capacity: u32) -> bool {
-        self.waiting.load(Ordering::SeqCst) == 0 && self.take_place(capacity)
+    pub fn admit_now(&self, turn: CallerTurn, capacity: u32) -> bool {
+        self.waiting.load(Ordering::SeqCst) == 0 && self.take_place(turn.room(capacity))
     }
 
     /// Lets a request wait; `notify` tells verdicts and whether they were heard.
@@ -145,7 +184,7 @@
         now: Timestamp,
         notify: &mut impl FnMut(T, AdmitVerdict) -> bool,
     ) {
-        while queue.length > 0 && self.take_place(capacity) {
+        while queue.next_turn().is_some_and(|turn| self.take_place(turn.room(capacity))) {
             if !queue.admit_next(now, notify) {
                 self.active.fetch_sub(1, Ordering::SeqCst);
             }
@@ -197,40 +236,49 @@
         None
     }
 
-    /// Requests that go before this one: its workspace's of the same or a higher
-    /// priority, and as many of each other workspace.
+    /// The turn of the request that is admitted next.
+    fn next_turn(&self) -> Option<CallerTurn> {
+        self.workspaces.first_key_value().map(|(key, _)| key.turn)
+    }
+
+    /// Requests that go before this one: all of an earlier turn, its workspace's of
+    /// the same or a higher priority, and as many of each other workspace.
     fn ahead_of(&self, ticket: &AdmitTicket) -> usize {
-        let own = self.workspaces.get(&ticket.workspace);
+        let own = self.workspaces.get(&QueueKey::of(ticket));
         let own = own.map_or(0, |queue| queue.ahead_of(ticket.priority));
-        let others = self.workspaces.iter().filter(|(name, _)| **name != ticket.workspace);
-        own + others.map(|(_, queue)| queue.length.min(own + 1)).sum::<usize>()
+        let others = self.workspaces.iter().filter(|(key, _)| key.workspace != ticket.workspace);
+        let earlier = self.workspaces.iter().filter(|(key, _)| key.turn < ticket.turn);
+        let others = others.filter(|(key, _)| key.turn == ticket.turn);
+        own + earlier.map(|(_, queue)| queue.length).sum::<usize>()
+            + others.map(|(_, queue)| queue.length.min(own + 1)).sum::<usize>()
     }
 
     fn push(&mut self, ticket: &AdmitTicket, request: WaitingRequest<T>) {
         // A workspace that was idle does not save its share up for a burst.
         let share = self.shares.entry(ticket.workspace.clone()).or_insert(self.floor);
         *share = (*share).max(self.floor);
-        let queue = self.workspaces.entry(ticket.workspace.clone()).or_default();
+        let queue = self.workspaces.entry(QueueKey::of(ticket)).or_default();
         queue.classes.entry(ticket.priority).or_default().push_back(request);
         queue.length += 1;
         self.length += 1;
     }
 
     /// Takes out the newest request of the lowest priority of the workspace that
-    /// has the most waiting.
+    /// has the most waiting, of those that have returned if there are any.
     fn shed(&mut self) -> Option<T> {
-        let longest = self.workspaces.iter_mut().max_by_key(|(_, queue)| queue.length);
-        let (workspace, queue) = longest?;
+        let longest =
+            self.workspaces.iter_mut().max_by_key(|(key, queue)| (key.turn, queue.length));
+        let (key, queue) = longest?;
         let shed = queue.take_last()?;
-        let workspace = workspace.clone();
-        self.taken_from(&workspace);
+        let key = key.clone();
+        self.taken_from(&key);
         Some(shed.handle)
     }
 
-    fn taken_from(&mut self, workspace: &WorkspaceId) {
+    fn taken_from(&mut self, key: &QueueKey) {
         self.length -= 1;
-        if self.workspaces.get(workspace).is_some_and(|queue| queue.length == 0) {
-            self.workspaces.remove(workspace);
+        if self.workspaces.get(key).is_some_and(|queue| queue.length == 0) {
+            self.workspaces.remove(key);
         }
     }
 
@@ -254,12 +302,13 @@
     fn pop(&mut self) -> Option<WaitingRequest<T>> {
         let shares = &self.shares;
         let share_of = |name: &WorkspaceId| shares.get(name).copied().unwrap_or_default();
-        let least = self.workspaces.iter_mut().min_by_key(|(name, _)| share_of(name));
-        let (workspace, queue) = least?;
+        let waiting = self.workspaces.iter_mut();
+        let least = waiting.min_by_key(|(key, _)| (key.turn, share_of(&key.workspace)));
+        let (key, queue) = least?;
         let next = queue.take_first()?;
-        let workspace = workspace.clone();
-        self.taken_from(&workspace);
-        let share = self.shares.entry(workspace).or_default();
+        let key = key.clone();
+        self.taken_from(&key);
+        let share = self.shares.entry(key.workspace).or_default();
         self.floor = self.floor.max(*share);
         *share += 1;
         if self.length == 0 {
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -34,7 +34,7 @@
 pub mod versions;
 
 pub use acquaint::{AgentPlace, acquaintances};
-pub use admit::{AdmitTicket, AdmitVerdict, ServiceAdmission};
+pub use admit::{AdmitTicket, AdmitVerdict, CallerTurn, ServiceAdmission};
 pub use advice::{AdviceInput, EntryAdvice, advise};
 pub use caller_index::{CallerIndex, UnknownKey, draw_service};
 pub use cell::EndpointCell;
--- a/crates/decide/tests/admit.rs
+++ b/crates/decide/tests/admit.rs
@@ -9,7 +9,7 @@
     time::Duration,
 };
 
-use cassiawheel_decide::{AdmitTicket, AdmitVerdict, ServiceAdmission};
+use cassiawheel_decide::{AdmitTicket, AdmitVerdict, CallerTurn, ServiceAdmission};
 use cassiawheel_model::{Deadline, NotRunReason, PriorityClass, Timestamp, WorkspaceId};
 
 const CAPACITY: u32 = 3;
@@ -23,7 +23,8 @@
 
 fn ticket(workspace: &str, priority: PriorityClass) -> AdmitTicket {
     let workspace = WorkspaceId::new(workspace).expect("a workspace");
-    AdmitTicket { workspace, priority, deadline: Deadline(NOW.0 + 60_000) }
+    let deadline = Deadline(NOW.0 + 60_000);
+    AdmitTicket { workspace, priority, deadline, turn: CallerTurn::Fresh }
 }
 
 fn wait(
@@ -48,7 +49,7 @@
             let (admission, active, most) = (admission.clone(), active.clone(), most.clone());
             std::thread::spawn(move || {
                 for _ in 0..2_000 {
-                    if !admission.admit_now(CAPACITY) {
+                    if !admission.admit_now(CallerTurn::Fresh, CAPACITY) {
                         let verdict =
                             wait(&admission, &format!("w{thread}"), PriorityClass::Normal);
                         let verdict = verdict.recv_timeout(Duration::from_secs(30));
@@ -71,7 +72,7 @@
 #[test]
 fn a_full_queue_sheds_the_least_urgent_of_the_greediest() {
     let admission = ServiceAdmission::<Handle>::new(4);
-    (0..CAPACITY).for_each(|_| assert!(admission.admit_now(CAPACITY)));
+    (0..CAPACITY).for_each(|_| assert!(admission.admit_now(CallerTurn::Fresh, CAPACITY)));
     let small = wait(&admission, "small", PriorityClass::Low);
     let urgent = wait(&admission, "large", PriorityClass::High);
     let low = wait(&admission, "large", PriorityClass::Low);
@@ -86,3 +87,82 @@
     assert_eq!(small.try_recv(), Ok(AdmitVerdict::Admitted));
     assert_eq!(urgent.try_recv(), Ok(AdmitVerdict::Admitted));
 }
+
+/// What callers get of a service in lasting overload.
+#[derive(Debug, Default)]
+struct OverloadCount {
+    in_time: u32,
+    returned: u32,
+}
+
+/// Plays a minute in which a third more requests come than the places can take.
+/// Each holds its place for 100 ms; who is refused comes back once, two seconds
+/// later, and `turn_of` says what the admission is told of that.
+fn play_overload(turn_of: impl Fn(bool) -> CallerTurn) -> OverloadCount {
+    const PLACES: u32 = 16;
+    const HELD_MS: u64 = 100;
+    const BACK_MS: u64 = 2_000;
+    let admission = ServiceAdmission::<(u64, bool)>::new(64);
+    let mut count = OverloadCount::default();
+    let mut due: std::collections::BTreeMap<u64, Vec<bool>> = std::collections::BTreeMap::new();
+    let mut ends: std::collections::BTreeMap<u64, u32> = std::collections::BTreeMap::new();
+    for ms in 0..60_000_u64 {
+        let now = Timestamp(NOW.0 + ms);
+        let mut verdicts = Vec::new();
+        for _ in 0..ends.remove(&ms).unwrap_or(0) {
+            admission.release(PLACES, now, |handle, verdict| {
+                verdicts.push((handle, verdict));
+                true
+            });
+        }
+        // Sixteen places free up 160 times a second; 213 fresh requests come.
+        let fresh = (ms + 1) * 213 / 1_000 - ms * 213 / 1_000;
+        let mut arrivals = due.remove(&ms).unwrap_or_default();
+        arrivals.extend((0..fresh).map(|_| false));
+        for is_back in arrivals {
+            let turn = turn_of(is_back);
+            if admission.admit_now(turn, PLACES) {
+                verdicts.push(((ms, is_back), AdmitVerdict::Admitted));
+                continue;
+            }
+            let name = format!("w{}", ms % 5);
+            let deadline = Deadline(now.0 + 200);
+            let ticket = AdmitTicket { deadline, turn, ..ticket(&name, PriorityClass::Normal) };
+            admission.wait(&ticket, (ms, is_back), PLACES, now, |handle, verdict| {
+                verdicts.push((handle, verdict));
+                true
+            });
+        }
+        for ((_, is_back), verdict) in verdicts {
+            match verdict {
+                AdmitVerdict::Admitted => {
+                    *ends.entry(ms + HELD_MS).or_default() += 1;
+                    count.in_time += u32::from(!is_back);
+                    count.returned += u32::from(is_back);
+                }
+                AdmitVerdict::Refused(_) if !is_back => {
+                    due.entry(ms + BACK_MS).or_default().push(true);
+                }
+                AdmitVerdict::Refused(_) => {}
+            }
+        }
+    }
+    count
+}
+
+/// A third more requests come than there is room for, all day. Callers that were
+/// refused come back and have missed their aim; with places for them, fresh
+/// requests are refused in their stead and miss theirs as well. As many are
+/// answered, and far more of them in time.
+#[test]
+fn fresh_requests_go_before_returning_ones_in_lasting_overload() {
+    let alike = play_overload(|_| CallerTurn::Fresh);
+    let told = play_overload(|is_back| match is_back {
+        true => CallerTurn::Returned,
+        false => CallerTurn::Fresh,
+    });
+    let all = |count: &OverloadCount| count.in_time + count.returned;
+    assert!(all(&told) * 100 >= all(&alike) * 98, "{told:?} {alike:?}");
+    assert!(told.in_time * 100 >= alike.in_time * 115, "{told:?} {alike:?}");
+    assert!(told.in_time * 100 >= all(&told) * 95, "{told:?}");
+}
--- a/crates/decide/tests/overload.rs
+++ b/crates/decide/tests/overload.rs
@@ -11,8 +11,8 @@
 };
 
 use cassiawheel_decide::{
-    AdmitTicket, AdmitVerdict, AttemptEnd, EndpointCell, EndpointPath, GateState, RepeatGuard,
-    RetryBudget, RetryStep, RetryTracker, RouteCandidate, RouteQuery, RouteSnapshot,
+    AdmitTicket, AdmitVerdict, AttemptEnd, CallerTurn, EndpointCell, EndpointPath, GateState,
+    RepeatGuard, RetryBudget, RetryStep, RetryTracker, RouteCandidate, RouteQuery, RouteSnapshot,
     ServiceAdmission, ServiceRoutes,
 };
 use cassiawheel_model::{
@@ -216,7 +216,7 @@
         let entry = &self.entries[entry];
         entry.budget.earn();
         let capacity = entry.capacity(&self.service, now);
-        if entry.admission.admit_now(capacity) {
+        if entry.admission.admit_now(CallerTurn::Fresh, capacity) {
             self.admitted.push_back(request);
             return;
         }
@@ -224,6 +224,7 @@
             workspace: WorkspaceId::new(&format!("workspace-{workspace}")).expect("a workspace"),
             priority,
             deadline,
+            turn: CallerTurn::Fresh,
         };
         let admitted = &mut self.admitted;
         let notify = |request, verdict| {
--- a/crates/entry/src/caller.rs
+++ b/crates/entry/src/caller.rs
@@ -62,7 +62,7 @@
         Err(error) => return error.reply(),
     };
     let mut guard = InFlight::begin(shared.clone());
-    match admit::admit(&shared, &identified.head, identified.admit_by).await {
+    match admit::admit(&shared, &identified).await {
         Ok(permit) => guard.permit = permit,
         Err(reason) => {
             guard.count(OutcomeKind::NotRun);
--- a/crates/entry/src/caller/admit.rs
+++ b/crates/entry/src/caller/admit.rs
@@ -9,12 +9,11 @@
 };
 
 use cassiawheel_decide::{AdmitTicket, AdmitVerdict, ServiceAdmission};
-use cassiawheel_model::{
-    Deadline, ForcedPreset, NotRunReason, RequestHead, ServiceName, Timestamp,
-};
+use cassiawheel_model::{ForcedPreset, NotRunReason, ServiceName, Timestamp};
 use cassiawheel_runtime::timeout;
 use smol::channel::{Receiver, Sender, bounded};
 
+use super::identify::IdentifiedRequest;
 use crate::shared::EntryShared;
 
 /// Age at which the capacity is added up again, in milliseconds.
@@ -97,10 +96,10 @@
 /// Waits until the request may go on; none if there is nothing to wait for.
 pub(crate) async fn admit(
     shared: &EntryShared,
-    head: &RequestHead,
-    admit_by: Deadline,
+    request: &IdentifiedRequest,
 ) -> Result<Option<AdmitPermit>, NotRunReason> {
     let now = Timestamp::now();
+    let (head, admit_by) = (&request.head, request.admit_by);
     // Names that no preset has get no queue, or callers could fill the memory.
     let is_known = |preset: &Arc<ForcedPreset>| preset.content.services.contains_key(&head.service);
     if !shared.force.load().as_ref().is_some_and(is_known) {
@@ -111,13 +110,14 @@
     if capacity == 0 {
         return Ok(None);
     }
-    if admission.places.admit_now(capacity) {
+    if admission.places.admit_now(request.turn, capacity) {
         return Ok(Some(AdmitPermit { admission }));
     }
     let ticket = AdmitTicket {
         workspace: head.workspace.clone(),
         priority: head.priority,
         deadline: admit_by,
+        turn: request.turn,
     };
     let (sender, verdict) = bounded(1);
     let place = WaitingPlace { admission: admission.clone(), verdict };
--- a/crates/entry/src/caller/identify.rs
+++ b/crates/entry/src/caller/identify.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use cassiawheel_decide::{affinity::prefix_of, identity::repeatability};
+use cassiawheel_decide::{CallerTurn, affinity::prefix_of, identity::repeatability};
 use cassiawheel_edge::engine_http::end_to_end_fields;
 use cassiawheel_model::{
     Deadline, PresetRevision, PriorityClass, RequestHead, RequestKey, ServiceName, Timestamp,
@@ -50,6 +50,8 @@
     pub(crate) form: AnswerForm,
     /// The last event that the caller has.
     pub(crate) last_event: Option<u64>,
+    /// Whether its caller asks for the first time, as far as that shows.
+    pub(crate) turn: CallerTurn,
 }
 
 /// How an answer goes to its caller.
@@ -145,6 +147,7 @@
         max_attempts: settings.max_attempts,
         form: AnswerForm::WithOutcome,
         last_event: None,
+        turn: CallerTurn::Fresh,
     })
 }
 
--- a/crates/entry/src/caller/routed.rs
+++ b/crates/entry/src/caller/routed.rs
@@ -5,7 +5,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use cassiawheel_decide::{CallerIndex, advise, draw_service};
+use cassiawheel_decide::{CallerIndex, CallerTurn, advise, draw_service};
 use cassiawheel_edge::CallerHead;
 use cassiawheel_model::{
     NotRunReason, OutcomeKind, PresetRevision, PriorityClass, Repeatability, RequestHead,
@@ -80,7 +80,7 @@
 
 async fn answer(shared: Arc<EntryShared>, request: IdentifiedRequest) -> Response<ReplyBody> {
     let mut guard = InFlight::begin(shared.clone());
-    match admit::admit(&shared, &request.head, request.admit_by).await {
+    match admit::admit(&shared, &request).await {
         Ok(permit) => guard.permit = permit,
         Err(reason) => {
             guard.count(OutcomeKind::NotRun);
@@ -173,7 +173,8 @@
         .workspace(rule, caller.key.as_deref())
         .map_err(|_| CallerRefusal::UnknownKey)?
         .cloned();
-    let head = request_head(routed, &parts, &caller, rule, workspace.as_ref(), now)?;
+    let head = request_head(&parts, &caller, rule, workspace.as_ref(), now)?;
+    let is_first = caller.patience.is_none_or(|patience| routed.is_first_try(&rule.name, patience));
     let limits = index.table().limits;
     let span = Duration::from_millis(shared.settings.limits.body_ms)
         .min(head.deadline.remaining(Timestamp::now()));
@@ -190,6 +191,7 @@
             RouteKind::Stream | RouteKind::ResumableStream => AnswerForm::Events,
         },
         last_event: caller.last_event,
+        turn: if is_first { CallerTurn::Fresh } else { CallerTurn::Returned },
     })
 }
 
@@ -200,7 +202,6 @@
 }
 
 fn request_head(
-    routed: &RoutedInterface,
     parts: &Parts,
     caller: &CallerHead,
     rule: &RouteRule,
@@ -216,16 +217,13 @@
     };
     let service = draw_service(rule, rand::rng().random()).ok_or(CallerRefusal::NoRoute)?;
     let timeout = Duration::from_millis(rule.timeout_ms);
-    let is_first = caller.patience.is_none_or(|patience| routed.is_first_try(&rule.name, patience));
     let patience = caller.patience.map_or(timeout, |patience| patience.min(timeout));
     let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
     Ok(RequestHead {
         id: caller.id.clone(),
         workspace,
         service: service.clone(),
-        // One that was refused before has missed its aim; its answer is worth
-        // less to the caller than that of a fresh one.
-        priority: if is_first { PriorityClass::Normal } else { PriorityClass::Low },
+        priority: PriorityClass::Normal,
         repeat: match rule.kind {
             RouteKind::Idempotent | RouteKind::ResumableStream => Repeatability::Idempotent,
             RouteKind::AtMostOnce | RouteKind::Stream => Repeatability::AtMostOnce,
