--- a/crates/decide/src/listing.rs
+++ b/crates/decide/src/listing.rs
@@ -108,6 +108,14 @@
         present
     }
 
+    /// The newest endpoint of `service` at `addr`.
+    pub fn present_at(&self, service: &ServiceName, addr: SocketAddr) -> Option<&ListedEndpoint> {
+        let rows =
+            self.rows.values().filter_map(|row| Some((row.position, row.endpoint.as_ref()?)));
+        let there = rows.filter(|(_, e)| e.addr == addr && e.service == *service);
+        there.max_by_key(|(position, _)| *position).map(|(_, endpoint)| endpoint)
+    }
+
     /// When to read the list as the entry of this rank.
     pub fn read_at(&self, rank: u32) -> Deadline {
         let Some(asked_at) = self.asked_at else {
--- a/crates/decide/tests/listing.rs
+++ b/crates/decide/tests/listing.rs
@@ -138,6 +138,9 @@
         present.iter().map(|endpoint| endpoint.instance.to_string()).collect()
     };
     assert_eq!(present(&listing), ["b", "z"]);
+    let service = ServiceName::new("desk").expect("valid");
+    let at_address = listing.present_at(&service, endpoint("a", false).addr);
+    assert_eq!(at_address.map(|endpoint| &endpoint.instance), Some(&instance("z")));
     // A row of a service that nobody knows is somebody else's and hides none.
     assert!(listing.present(|service| service.as_str() == "other").is_empty());
 }
--- a/crates/entry/src/cells.rs
+++ b/crates/entry/src/cells.rs
@@ -18,6 +18,7 @@
 }
 
 impl EndpointCells {
+    /// The counts of an endpoint.
     pub(crate) fn of(&mut self, instance: &InstanceId) -> Arc<EndpointCell> {
         self.endpoints.entry(instance.clone()).or_default().clone()
     }
@@ -27,6 +28,7 @@
         self.endpoints.remove(instance);
     }
 
+    /// Requests of this entry at all endpoints of a service.
     pub(crate) fn service(&mut self, service: &ServiceName) -> Arc<AtomicU32> {
         self.services.entry(service.clone()).or_default().clone()
     }
--- a/crates/entry/src/routed.rs
+++ b/crates/entry/src/routed.rs
@@ -17,8 +17,8 @@
     CallerProtocol, EndpointProtocol, ListingFeed, OperatorFeed, TableStore, WeightSource,
 };
 use cassiawheel_model::{
-    EndpointReport, EndpointState, ForcedPreset, InstanceId, ListedEndpoint, ModelVersion,
-    NamedVersion, ServiceName, ServiceTarget, Timestamp, settings::RoutedSettings,
+    EndpointReport, EndpointState, ForcedPreset, ListedEndpoint, ModelVersion, NamedVersion,
+    ServiceName, ServiceTarget, Timestamp, settings::RoutedSettings,
 };
 use smol::channel::{Receiver, Sender, bounded};
 
@@ -256,14 +256,3 @@
 ) -> HashMap<SocketAddr, &'a EndpointReport> {
     reports.filter_map(|report| Some((report.endpoint_addr?, report))).collect()
 }
-
-/// The endpoint process at which the load of an agent beside `service` counts.
-pub(crate) fn listed_at(
-    listing: &EndpointListing,
-    service: &ServiceName,
-    addr: SocketAddr,
-) -> Option<InstanceId> {
-    let present = listing.present(|known| known == service);
-    let found = present.into_iter().find(|listed| listed.addr == addr);
-    found.map(|listed| listed.instance.clone())
-}
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -29,7 +29,7 @@
     control::{ahead::AheadRow, spread, store::BudgetedTable},
     link::AgentLink,
     metrics::EntryMetrics,
-    routed::{RoutedInterface, direct_candidates, listed_at, reports_by_endpoint},
+    routed::{RoutedInterface, direct_candidates, reports_by_endpoint},
 };
 
 /// Longest time for which an entry that starts waits for every source of presets.
@@ -355,14 +355,16 @@
             self.cells().of(agent).hear(&load, limit);
             return;
         };
-        let place = self
-            .roster()
-            .member(agent)
-            .and_then(|member| Some((member.report.service.clone(), member.report.endpoint_addr?)));
-        let listed = place.and_then(|(service, addr)| listed_at(&routed.listing(), &service, addr));
-        let Some(instance) = listed else {
+        let roster = self.roster();
+        let Some(report) = roster.member(agent).map(|member| &member.report) else {
+            return;
+        };
+        let listing = routed.listing();
+        let listed = report.endpoint_addr.and_then(|a| listing.present_at(&report.service, a));
+        let Some(instance) = listed.map(|listed| listed.instance.clone()) else {
             return;
         };
+        drop((listing, roster));
         let cell = self.cells().of(&instance);
         cell.hear(&load, cell.hard_limit());
     }
