--- a/crates/testkit/tests/headers.rs
+++ b/crates/testkit/tests/headers.rs
@@ -30,8 +30,12 @@
         let deployment = Deployment::start(&plan).await?;
         let content = json!({ "services": { PLAIN_SERVICE: { "kind": "plain", "replicas": 1 } } });
         deployment.force("ordinary", &content, "change-1").await?;
-        let ready =
-            |status: &serde_json::Value| status["services"][PLAIN_SERVICE]["replicas_ready"] == 1;
+        // A plain service serves before its agent has heard of the preset; until
+        // then the agent sends a request back once, to be routed by the newer one.
+        let ready = |status: &serde_json::Value| {
+            status["services"][PLAIN_SERVICE]["replicas_ready"] == 1
+                && status["behind"].as_array().is_some_and(Vec::is_empty)
+        };
         deployment.wait_status(0, WAIT, ready).await?;
         let entry = deployment.entries[0].caller_addr;
         let request = Request::post(format!("http://{entry}/v1/services/{PLAIN_SERVICE}/seat"))
