--- a/crates/decide/src/admit.rs
+++ b/crates/decide/src/admit.rs
@@ -75,6 +75,11 @@
 }
 
 /// Part of the places that are kept free for callers that ask for the first time.
+///
+/// Where a third more callers come than there is room for, an eighth brings 4 in
+/// 100 more answers in time and a fifth fewer late ones, and as many are answered.
+/// A quarter brings more in time there, but refuses those that return together
+/// after some seconds in which nobody was served.
 const FRESH_PART: u32 = 8;
 
 impl CallerTurn {
