Tell what is held at the origin and why its calls fail; one client for both kinds of origin

Both programs now have cassiawheel_origin_connections and cassiawheel_origin_failures_total{end}, and a line origin: The origin gave no answer, with the cause and the connections that the process holds. The two clients of an origin, which mapped statuses alike, share OriginClient. No decision changes.

--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -110,9 +110,9 @@
     let client = HttpClient::default();
     let rows = RowClient::new(client.clone(), boot.store_addr(), boot.store_timeout());
     let edges = AgentEdges {
-        engine: Arc::new(PlatformEngine::new(client.clone(), settings.engine.addr)),
+        engine: Arc::new(PlatformEngine::new(client, settings.engine.addr)),
         table: Arc::new(OwnRows::new(rows)),
-        origin: Arc::new(PlatformOrigin::new(client)),
+        origin: Arc::new(PlatformOrigin::default()),
     };
     end_of(cassiawheel_agent::run_with(settings, edges, boot.threads()))
 }
--- a/crates/agent/src/serve.rs
+++ b/crates/agent/src/serve.rs
@@ -5,7 +5,8 @@
 use anyhow::Context;
 use cassiawheel_decide::rank::{first_ranked, subject_of};
 use cassiawheel_edge::{
-    HttpClient, HttpEngine, HttpTable, HttpWeights, ModelEngine, TableStore, WeightSource,
+    HttpClient, HttpEngine, HttpTable, HttpWeights, ModelEngine, ORIGIN_METRICS, TableStore,
+    WeightSource,
 };
 use cassiawheel_model::{EndpointRole, Timestamp, settings::AgentSettings};
 use cassiawheel_runtime::{ShutdownTrigger, TerminationSignals, probes::serve_probes, spawn};
@@ -41,9 +42,9 @@
         let span = Duration::from_millis(platform.timeout_ms);
         Self {
             engine: Arc::new(HttpEngine::new(client.clone(), settings.engine.addr)),
-            table: Arc::new(HttpTable::new(client.clone(), platform.table, span)),
+            table: Arc::new(HttpTable::new(client, platform.table, span)),
             // Every fetch has a deadline of its own, which grows with the origin's queue.
-            origin: Arc::new(HttpWeights::new(client, platform.origin, ORIGIN_TIME)),
+            origin: Arc::new(HttpWeights::new(platform.origin, ORIGIN_TIME)),
         }
     }
 }
@@ -58,6 +59,7 @@
     let registry = Registry::new();
     let metrics = AgentMetrics::register(&registry)?;
     TRAFFIC.register(&registry)?;
+    ORIGIN_METRICS.register(&registry)?;
     let shared = Arc::new(EndpointShared::new(settings, edges, metrics));
     let (trigger, shutdown) = ShutdownTrigger::new();
 
--- a/crates/edge/src/client.rs
+++ b/crates/edge/src/client.rs
@@ -25,6 +25,7 @@
     Client,
     connect::{Connected, Connection},
 };
+use prometheus::IntGauge;
 use smol::net::TcpStream;
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 use tower_service::Service;
@@ -51,16 +52,25 @@
 
 impl Default for HttpClient {
     fn default() -> Self {
+        Self::with_connector(SmolConnector { open: None })
+    }
+}
+
+impl HttpClient {
+    /// A client that counts its open connections in `open`.
+    pub fn counting(open: IntGauge) -> Self {
+        Self::with_connector(SmolConnector { open: Some(open) })
+    }
+
+    fn with_connector(connector: SmolConnector) -> Self {
         let inner = Client::builder(TaskExecutor)
             .pool_timer(SmolTimer::new())
             .timer(SmolTimer::new())
             .pool_idle_timeout(IDLE_TIME)
-            .build(SmolConnector);
+            .build(connector);
         Self { inner }
     }
-}
 
-impl HttpClient {
     /// Sends `request` and waits for the head of the answer.
     pub async fn send(
         &self,
@@ -137,8 +147,11 @@
     }
 }
 
-#[derive(Debug, Clone, Copy)]
-struct SmolConnector;
+#[derive(Debug, Clone)]
+struct SmolConnector {
+    /// Where open connections are counted.
+    open: Option<IntGauge>,
+}
 
 impl Service<Uri> for SmolConnector {
     type Response = ClientSocket;
@@ -150,13 +163,17 @@
     }
 
     fn call(&mut self, uri: Uri) -> Self::Future {
+        let open = self.open.clone();
         Box::pin(async move {
             let addr: SocketAddr = uri
                 .authority()
                 .and_then(|authority| authority.as_str().parse().ok())
                 .ok_or_else(|| std::io::Error::other("the address is not an IP number and port"))?;
             let stream = dial(addr, None).await?;
-            Ok(ClientSocket { io: FuturesIo::new(stream) })
+            if let Some(open) = &open {
+                open.inc();
+            }
+            Ok(ClientSocket { io: FuturesIo::new(stream), open })
         })
     }
 }
@@ -164,6 +181,16 @@
 /// A socket as `hyper-util` wants it.
 struct ClientSocket {
     io: FuturesIo<TcpStream>,
+    /// Where the connection is counted while it is open.
+    open: Option<IntGauge>,
+}
+
+impl Drop for ClientSocket {
+    fn drop(&mut self) {
+        if let Some(open) = &self.open {
+            open.dec();
+        }
+    }
 }
 
 impl Connection for ClientSocket {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod engine_http;
 pub mod feed;
 pub mod instances;
+pub mod origin_client;
 pub mod store_error;
 pub mod table;
 pub mod table_http;
@@ -24,6 +25,7 @@
 pub use engine_http::HttpEngine;
 pub use feed::{FeedError, FeedPage, FeedSource, ListingFeed, OperatorFeed, OperatorRow};
 pub use instances::{HttpInstances, InstanceList, ListedInstance, ListedState};
+pub use origin_client::{ORIGIN_METRICS, OriginClient};
 pub use store_error::StoreError;
 pub use table::{
     ENTRY_ROWS, TableGuard, TableRow, TableStore, TableWrite, WriteResult, WriteVerdict,
--- a/crates/edge/src/weights.rs
+++ b/crates/edge/src/weights.rs
@@ -4,9 +4,8 @@
 
 use bytes::Bytes;
 use cassiawheel_model::{ManifestError, ModelVersion, WeightManifest};
-use hyper::{Method, StatusCode};
 
-use crate::{ClientError, EdgeFuture, HttpClient, table_http::retry_after};
+use crate::{ClientError, EdgeFuture, OriginClient};
 
 /// Why weights could not be fetched.
 #[derive(Debug, Clone, thiserror::Error)]
@@ -56,28 +55,19 @@
 /// A source over HTTP: `GET /v1/manifests/VERSION` and `GET /v1/weights/DIGEST/INDEX`.
 #[derive(Clone)]
 pub struct HttpWeights {
-    client: HttpClient,
+    client: OriginClient,
     addr: SocketAddr,
     timeout: Duration,
 }
 
 impl HttpWeights {
     /// A client of the source at `addr` that waits at most `timeout` for an answer.
-    pub fn new(client: HttpClient, addr: SocketAddr, timeout: Duration) -> Self {
-        Self { client, addr, timeout }
+    pub fn new(addr: SocketAddr, timeout: Duration) -> Self {
+        Self { client: OriginClient::default(), addr, timeout }
     }
 
     async fn get(&self, path: String) -> Result<Bytes, WeightError> {
-        let body = Bytes::new();
-        let reply = self.client.call(Method::GET, self.addr, &path, body, self.timeout).await?;
-        match reply.status() {
-            StatusCode::OK => Ok(reply.into_body()),
-            StatusCode::NOT_FOUND => Err(WeightError::NotFound),
-            StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => {
-                Err(WeightError::RateLimited { retry_after: retry_after(&reply) })
-            }
-            status => Err(WeightError::Failed(status.to_string())),
-        }
+        self.client.get(self.addr, &path, self.timeout).await
     }
 }
 
--- a/crates/entry/src/cli.rs
+++ b/crates/entry/src/cli.rs
@@ -131,7 +131,7 @@
     let boot = PlatformBoot::read(path).map_err(findings)?;
     let (settings, routed) = boot.entry_settings().map_err(findings)?;
     let client = HttpClient::default();
-    let rows = RowClient::new(client.clone(), boot.store_addr(), boot.store_timeout());
+    let rows = RowClient::new(client, boot.store_addr(), boot.store_timeout());
     let edges = RoutedEdges {
         settings: routed,
         callers: Arc::new(PlatformCallers),
@@ -139,7 +139,7 @@
         operators: Arc::new(OperatorTable::new(rows.clone(), boot.regions())),
         list: Arc::new(ServerTable::new(rows.clone())),
         table: Arc::new(OwnRows::new(rows)),
-        origin: Arc::new(PlatformOrigin::new(client)),
+        origin: Arc::new(PlatformOrigin::default()),
     };
     Ok(crate::run_routed(settings, edges)?)
 }
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -7,7 +7,7 @@
 };
 
 use anyhow::Context;
-use cassiawheel_edge::{HttpClient, HttpInstances, HttpTable, HttpWeights};
+use cassiawheel_edge::{HttpClient, HttpInstances, HttpTable, HttpWeights, ORIGIN_METRICS};
 use cassiawheel_model::{
     Timestamp,
     settings::{EntryListen, EntrySettings, ListenerSettings},
@@ -72,6 +72,7 @@
     let registry = Registry::new();
     let metrics = EntryMetrics::register(&registry)?;
     TRAFFIC.register(&registry)?;
+    ORIGIN_METRICS.register(&registry)?;
 
     let shared = build_shared(settings, edges, metrics);
     let (trigger, shutdown) = ShutdownTrigger::new();
@@ -140,8 +141,8 @@
     let client = HttpClient::default();
     let platform = &settings.platform;
     let span = Duration::from_millis(platform.timeout_ms);
-    let table = Arc::new(HttpTable::new(client.clone(), platform.table, span));
-    let origin = Arc::new(HttpWeights::new(client, platform.origin, span));
+    let table = Arc::new(HttpTable::new(client, platform.table, span));
+    let origin = Arc::new(HttpWeights::new(platform.origin, span));
     Arc::new(EntryShared::new(settings, table, origin, metrics, None))
 }
 
