A failing test: no manifest can be read after all instances lost power

Reproduces the incident without the users' platform: fifty-one readers of a manifest lose power within the seconds in which they keep their connection; an origin that admits 48 then resets everybody for ever.

--- a/crates/testkit/src/stand_in.rs
+++ b/crates/testkit/src/stand_in.rs
@@ -2,6 +2,7 @@
 
 pub mod engine;
 pub mod instances;
+pub mod limited_origin;
 pub mod link;
 pub mod origin;
 pub mod peer;
@@ -10,14 +11,14 @@
 pub mod rows;
 pub mod table;
 
-use std::{future::Future, net::SocketAddr, sync::Arc};
+use std::{collections::HashMap, future::Future, net::SocketAddr, sync::Arc};
 
 use cassiawheel_runtime::{
     ShutdownSignal, ShutdownTrigger,
     http::{ListenerLimits, ReplyBody, serve},
     spawn,
 };
-use hyper::{Request, Response, StatusCode, body::Incoming};
+use hyper::{Request, Response, StatusCode, Uri, body::Incoming};
 use smol::net::TcpListener;
 
 use crate::FaultSwitches;
@@ -73,6 +74,12 @@
     Ok(RunningStandIn { addr, trigger })
 }
 
+/// The fields of a query.
+fn query_of(uri: &Uri) -> HashMap<String, String> {
+    let pairs = uri.query().unwrap_or_default().split('&').filter_map(|pair| pair.split_once('='));
+    pairs.map(|(name, value)| (name.to_owned(), value.to_owned())).collect()
+}
+
 /// A reply without a body.
 fn empty_reply(status: StatusCode) -> Response<ReplyBody> {
     let mut reply = Response::new(cassiawheel_runtime::http::full_body(""));
--- a/crates/testkit/src/stand_in/rows.rs
+++ b/crates/testkit/src/stand_in/rows.rs
@@ -10,11 +10,11 @@
 use base64::{Engine, engine::general_purpose::STANDARD};
 use cassiawheel_model::Timestamp;
 use cassiawheel_runtime::http::{ReplyBody, error_reply, json_reply, read_body};
-use hyper::{Method, Request, Response, StatusCode, Uri, body::Incoming};
+use hyper::{Method, Request, Response, StatusCode, body::Incoming};
 use serde_json::{Value, json};
 use smol::Timer;
 
-use super::{RunningStandIn, start};
+use super::{RunningStandIn, query_of, start};
 use crate::FaultSwitches;
 
 /// Largest call, in bytes.
@@ -209,11 +209,3 @@
     }
     wire
 }
-
-fn query_of(uri: &Uri) -> HashMap<String, String> {
-    let pairs = uri.query().unwrap_or_default().split('&');
-    pairs
-        .filter_map(|pair| pair.split_once('='))
-        .map(|(name, value)| (name.to_owned(), value.to_owned()))
-        .collect()
-}
