A few processes read a manifest from the origin; the others ask them

Entries, too, read it all at once after a start, before they know each other.

ManifestSearch decides who reads: two by rank among those that know each other, the next ones 0.4 s apart, less often the longer the origin holds a read; the others ask agents that have it. Test first: decide/tests/manifest_search.rs.

--- a/crates/agent/src/endpoint.rs
+++ b/crates/agent/src/endpoint.rs
@@ -118,6 +118,11 @@
         self.order.lock().unwrap_or_else(|poison| poison.into_inner())
     }
 
+    /// Whether the newest order names the weights of `order`.
+    pub(crate) fn still_wants(&self, order: &WeightOrder) -> bool {
+        self.order().as_ref().map(|newest| newest.manifest) == Some(order.manifest)
+    }
+
     /// The last whole report, if every connected entry has it.
     pub(crate) fn last_report(&self) -> MutexGuard<'_, Option<ToldReport>> {
         self.last_report.lock().unwrap_or_else(|poison| poison.into_inner())
--- a/crates/agent/src/transfer/peer.rs
+++ b/crates/agent/src/transfer/peer.rs
@@ -191,23 +191,33 @@
     shared: &EndpointShared,
     peer: &EndpointAddress,
     digest: ManifestDigest,
+) -> Option<WeightManifest> {
+    // An instance without power does not even refuse the connection.
+    let manifest = timeout(MANIFEST_TIME, told_manifest(shared, peer, digest)).await.flatten();
+    // A peer may lie; only the list that the plan pins is taken.
+    manifest.filter(|manifest| manifest.digest == digest && manifest.verify().is_ok())
+}
+
+async fn told_manifest(
+    shared: &EndpointShared,
+    peer: &EndpointAddress,
+    digest: ManifestDigest,
 ) -> Option<WeightManifest> {
     let local = Some(shared.settings.listen_inner.ip());
     let key = &shared.settings.inner_key;
     let (sender, mut receiver) = connect(peer.inner_addr, key, local).await.ok()?;
     sender.send(ChunkMessage::ManifestWanted { manifest: digest }).await.ok()?;
-    let answer = async {
-        while let Ok(message) = receiver.recv().await {
-            match message {
-                WireMessage::Chunk(ChunkMessage::Manifest(manifest)) => return Some(*manifest),
-                WireMessage::Chunk(ChunkMessage::Refused { .. }) => return None,
-                _ => {}
+    let mut told = None;
+    while let Ok(message) = receiver.recv().await {
+        match message {
+            WireMessage::Chunk(ChunkMessage::Manifest(manifest)) => {
+                told = Some(*manifest);
+                break;
             }
+            WireMessage::Chunk(ChunkMessage::Refused { .. }) => break,
+            _ => {}
         }
-        None
-    };
-    let manifest = timeout(MANIFEST_TIME, answer).await.flatten();
+    }
     sender.close();
-    // A peer may lie; only the list that the plan pins is taken.
-    manifest.filter(|manifest| manifest.digest == digest && manifest.verify().is_ok())
+    told
 }
--- a/crates/agent/src/transfer/stage.rs
+++ b/crates/agent/src/transfer/stage.rs
@@ -69,7 +69,9 @@
     shared: &Arc<EndpointShared>,
     order: &WeightOrder,
 ) -> anyhow::Result<bool> {
-    let manifest = Arc::new(pinned_manifest(shared, order).await?);
+    let Some(manifest) = pinned_manifest(shared, order).await.map(Arc::new) else {
+        return Ok(false);
+    };
     let staged = shared.engine.stage(&manifest).await.context("staging cannot be opened")?;
     let bits = hex::decode(&staged.bits).context("the engine's list of chunks is damaged")?;
     let mut held = vec![false; manifest.chunks.len()];
@@ -92,7 +94,7 @@
 ///
 /// An order may come before it. An agent that knows of nobody owns all chunks,
 /// and every agent of a new deployment would draw some of the same.
-async fn await_peers(shared: &EndpointShared) {
+pub(super) async fn await_peers(shared: &EndpointShared) {
     let deadline = Timestamp::now().deadline_after(FIRST_LIST_TIME);
     while !shared.transfer.knows_peers() && !deadline.is_past(Timestamp::now()) {
         timeout(TICK, shared.transfer.peers_changed()).await;
@@ -148,7 +150,9 @@
     if shared.transfer.manifest(order.manifest).is_some() {
         return Ok(());
     }
-    let manifest = Arc::new(pinned_manifest(shared, order).await?);
+    let Some(manifest) = pinned_manifest(shared, order).await.map(Arc::new) else {
+        return Ok(());
+    };
     let staged = shared.engine.stage(&manifest).await.context("staging cannot be opened")?;
     let bits = hex::decode(&staged.bits).context("the engine's list of chunks is damaged")?;
     let whole = set_positions(&bits, manifest.chunks.len()).count() == manifest.chunks.len();
@@ -206,7 +210,7 @@
     async fn run(&mut self, order: &WeightOrder) -> bool {
         self.follow_peers();
         while self.picker.missing() > 0 {
-            if !self.still_wanted(order) {
+            if !self.shared.still_wants(order) {
                 return false;
             }
             self.start_fetches();
@@ -217,10 +221,6 @@
         true
     }
 
-    fn still_wanted(&self, order: &WeightOrder) -> bool {
-        self.shared.order().as_ref().map(|newest| newest.manifest) == Some(order.manifest)
-    }
-
     async fn wait_and_handle(&mut self) {
         let event = async { self.events.recv().await.ok() };
         let peers = async {
--- /dev/null
+++ b/crates/decide/tests/manifest_search.rs
@@ -0,0 +1,264 @@
+//! Agents that look for a manifest, before an origin that admits few connections.
+
+use std::collections::BTreeMap;
+
+use cassiawheel_decide::{AgentPlace, ManifestSearch, SearchStep, acquaintances};
+use cassiawheel_model::{Deadline, InstanceId, RegionName, Timestamp};
+use rand::{SeedableRng, rngs::SmallRng};
+use rstest::rstest;
+
+const START: u64 = 1_000_000;
+
+/// Connections that the origin admits.
+const PLACES: usize = 48;
+
+/// Time of a read while the origin has nothing else to send, in milliseconds.
+const READ_MS: u64 = 20;
+
+/// Time of the origin's link that a manifest takes, in milliseconds.
+const SEND_MS: u64 = 3;
+
+/// Longest wait for an origin that is silent, in milliseconds.
+const READ_LIMIT_MS: u64 = 1_000;
+
+/// Time to connect to another agent and hear its answer, in milliseconds.
+const ASK_MS: u64 = 10;
+
+/// Longest wait for another agent that says nothing, in milliseconds.
+const ASK_LIMIT_MS: u64 = 500;
+
+/// Time after which entries no longer list an agent that fell silent, in milliseconds.
+const EXPIRY_MS: u64 = 1_500;
+
+/// How the origin behaves until a moment; after it, it answers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum OriginFault {
+    None,
+    /// It refuses connections.
+    Away,
+    /// It takes connections and says nothing.
+    Silent,
+}
+
+/// What an agent is doing.
+enum Doing {
+    Idle(u64),
+    Reading { began: u64, ends: u64, succeeds: bool, holds_place: bool },
+    Asking { ends: u64, others: Vec<InstanceId> },
+}
+
+struct Play {
+    fault: OriginFault,
+    /// When the fault ends.
+    until: u64,
+    /// Agents that never do anything.
+    dead: Vec<usize>,
+    /// When the agents learn of each other.
+    met_at: u64,
+    link_free_at: u64,
+    reads: usize,
+    turned_away: usize,
+    most_open: usize,
+}
+
+/// What became of the agents.
+struct Outcome {
+    /// When each agent had the manifest, in milliseconds from the order.
+    found_ms: Vec<u64>,
+    reads: usize,
+    turned_away: usize,
+    most_open: usize,
+}
+
+fn name(index: usize) -> InstanceId {
+    InstanceId::new(&format!("side-{index}")).expect("valid")
+}
+
+/// Agents in regions of equal size, and whom each of them knows.
+fn known(agents: usize, regions: usize) -> Vec<Vec<InstanceId>> {
+    let names: Vec<_> = (0..agents).map(name).collect();
+    let regions: Vec<_> =
+        (0..regions).map(|r| RegionName::new(&format!("region-{r}")).expect("valid")).collect();
+    let place = |index: usize| AgentPlace {
+        instance: names[index].as_str(),
+        region: &regions[index % regions.len()],
+    };
+    let all: Vec<_> = (0..agents).map(place).collect();
+    let of = |index: usize| {
+        let chosen = acquaintances(place(index), &all).into_iter();
+        chosen.map(|name| InstanceId::new(name).expect("valid")).collect()
+    };
+    (0..agents).map(of).collect()
+}
+
+fn play(agents: usize, seed: u64, mut play: Play) -> Outcome {
+    let known = known(agents, 3);
+    let index_of: BTreeMap<_, _> = (0..agents).map(|index| (name(index), index)).collect();
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let search = |index| ManifestSearch::new(name(index), "a-digest", Timestamp(START));
+    let mut searches: Vec<_> = (0..agents).map(search).collect();
+    let mut doing: Vec<_> = (0..agents).map(|_| Doing::Idle(0)).collect();
+    let mut found: Vec<Option<u64>> = vec![None; agents];
+    let alive: Vec<_> = (0..agents).filter(|index| !play.dead.contains(index)).collect();
+    let mut listed = vec![Vec::new(); agents];
+    for ms in 0..60_000 {
+        if ms == play.met_at {
+            listed.clone_from(&known);
+        }
+        if ms == EXPIRY_MS {
+            let is_alive = |other: &InstanceId| !play.dead.contains(&index_of[other]);
+            listed.iter_mut().for_each(|known| known.retain(is_alive));
+        }
+        let now = Timestamp(START + ms);
+        for index in alive.iter().copied() {
+            let ended = match &doing[index] {
+                Doing::Idle(until) | Doing::Reading { ends: until, .. } => ms >= *until,
+                Doing::Asking { ends, .. } => ms >= *ends,
+            };
+            if found[index].is_some() || !ended {
+                continue;
+            }
+            match std::mem::replace(&mut doing[index], Doing::Idle(0)) {
+                Doing::Idle(_) => {}
+                Doing::Reading { succeeds: true, .. } => found[index] = Some(ms),
+                Doing::Reading { began, .. } => {
+                    let asked_at = Timestamp(START + began);
+                    searches[index].origin_failed(asked_at, None, listed[index].len(), now);
+                }
+                Doing::Asking { others, .. } => {
+                    let holds = |other: &InstanceId| found[index_of[other]].is_some();
+                    found[index] = others.iter().any(holds).then_some(ms);
+                }
+            }
+            if found[index].is_some() {
+                continue;
+            }
+            doing[index] = match searches[index].next(&listed[index], now, &mut rng) {
+                SearchStep::Origin => play.read(ms, &doing),
+                SearchStep::Others(others) => {
+                    let is_dead = |other: &InstanceId| play.dead.contains(&index_of[other]);
+                    let holds = |other: &InstanceId| found[index_of[other]].is_some();
+                    let is_slow = others.iter().any(is_dead) && !others.iter().any(holds);
+                    let ends = ms + if is_slow { ASK_LIMIT_MS } else { ASK_MS };
+                    Doing::Asking { ends, others }
+                }
+                SearchStep::Wait(until) => Doing::Idle((until.0 - START).max(ms + 1)),
+            };
+        }
+        if alive.iter().all(|index| found[*index].is_some()) {
+            break;
+        }
+    }
+    Outcome {
+        found_ms: alive.iter().map(|index| found[*index].expect("found in time")).collect(),
+        reads: play.reads,
+        turned_away: play.turned_away,
+        most_open: play.most_open,
+    }
+}
+
+impl Play {
+    fn new(fault: OriginFault, until: u64, dead: Vec<usize>) -> Self {
+        let (link_free_at, reads, turned_away, most_open) = (0, 0, 0, 0);
+        Self { fault, until, dead, met_at: 0, link_free_at, reads, turned_away, most_open }
+    }
+
+    fn read(&mut self, ms: u64, doing: &[Doing]) -> Doing {
+        self.reads += 1;
+        let holds = |one: &&Doing| matches!(one, Doing::Reading { holds_place: true, ends, .. } if *ends > ms);
+        let open = doing.iter().filter(holds).count() + 1;
+        let fault = if ms < self.until { self.fault } else { OriginFault::None };
+        if fault == OriginFault::Away || open > PLACES {
+            self.turned_away += usize::from(open > PLACES);
+            return Doing::Reading { began: ms, ends: ms + 2, succeeds: false, holds_place: false };
+        }
+        self.most_open = self.most_open.max(open);
+        if fault == OriginFault::Silent {
+            return Doing::Reading {
+                began: ms,
+                ends: ms + READ_LIMIT_MS,
+                succeeds: false,
+                holds_place: true,
+            };
+        }
+        self.link_free_at = self.link_free_at.max(ms) + SEND_MS;
+        let ends = self.link_free_at + READ_MS;
+        Doing::Reading { began: ms, ends, succeeds: true, holds_place: true }
+    }
+}
+
+/// A version is named and all agents are ordered to fetch it. When each of them read
+/// the manifest, 52 of 99 were reset by an origin of 48 connections and the rest took
+/// 0.3 s of its link before the first chunk. At any time at most a quarter of the
+/// connections may be in use, so that three losses of power leave room.
+#[rstest]
+#[case(99, 1)]
+#[case(99, 2)]
+#[case(300, 3)]
+fn a_few_agents_read_and_the_others_ask_them(#[case] agents: usize, #[case] seed: u64) {
+    let outcome = play(agents, seed, Play::new(OriginFault::None, 0, Vec::new()));
+    assert!(outcome.reads <= PLACES / 4, "{} reads", outcome.reads);
+    assert!(outcome.most_open <= PLACES / 4, "{} connections", outcome.most_open);
+    let last = outcome.found_ms.iter().max().expect("agents");
+    assert!(*last <= 600, "the last agent has the manifest after {last} ms");
+}
+
+/// The origin is away when a version is named, or takes connections and is silent.
+/// Agents that all went on asking would fill it, and would reset each other when it is
+/// back; engines that serve nothing would wait for that.
+#[rstest]
+#[case(OriginFault::Away, 4)]
+#[case(OriginFault::Silent, 5)]
+#[case(OriginFault::Silent, 6)]
+fn an_origin_that_is_away_is_not_crowded(#[case] fault: OriginFault, #[case] seed: u64) {
+    let until = 6_000;
+    let outcome = play(99, seed, Play::new(fault, until, Vec::new()));
+    assert!(outcome.most_open <= PLACES / 4, "{} connections", outcome.most_open);
+    assert_eq!(outcome.turned_away, 0);
+    let last = outcome.found_ms.iter().max().expect("agents");
+    assert!(*last <= until + 2_000, "the last agent has the manifest after {last} ms");
+}
+
+/// The agents that rank first are gone but still listed for a while. The others wait
+/// for them for a moment and then read the origin in turn.
+#[test]
+fn the_next_agents_read_when_the_first_are_gone() {
+    let mut ranked: Vec<_> = (0..99).collect();
+    let subject = cassiawheel_decide::rank::subject_of("a-digest");
+    let weight =
+        |index: &usize| cassiawheel_decide::rank::rendezvous_weight(subject, name(*index).as_str());
+    ranked.sort_by_key(|index| std::cmp::Reverse(weight(index)));
+    ranked.truncate(20);
+    let outcome = play(99, 7, Play::new(OriginFault::None, 0, ranked));
+    let last = outcome.found_ms.iter().max().expect("agents");
+    assert!(*last <= 2_500, "the last agent has the manifest after {last} ms");
+    assert!(outcome.most_open <= PLACES / 4, "{} connections", outcome.most_open);
+}
+
+/// All processes start again at the same time after a loss of power, before any of them
+/// knows another. If each read the origin at once, a second loss of power would leave it
+/// with as many connections that nobody closes.
+#[rstest]
+#[case(45, 8)]
+#[case(99, 9)]
+fn processes_that_know_nobody_yet_spread_their_reads(#[case] agents: usize, #[case] seed: u64) {
+    let mut start = Play::new(OriginFault::None, 0, Vec::new());
+    start.met_at = 300;
+    let outcome = play(agents, seed, start);
+    assert!(outcome.most_open <= PLACES / 4, "{} connections", outcome.most_open);
+    let last = outcome.found_ms.iter().max().expect("agents");
+    assert!(*last <= 1_000, "the last one has the manifest after {last} ms");
+}
+
+/// A process that is alone reads the origin soon, and leaves it alone for as long as it
+/// asks for.
+#[test]
+fn a_process_alone_reads_the_origin() {
+    let mut rng = SmallRng::seed_from_u64(8);
+    let mut search = ManifestSearch::new(name(0), "a-digest", Timestamp(START));
+    let now = Timestamp(START + 400);
+    assert_eq!(search.next(&[], now, &mut rng), SearchStep::Origin);
+    let until = Deadline(START + 5_000);
+    search.origin_failed(now, Some(until), 0, now);
+    assert_eq!(search.next(&[], now, &mut rng), SearchStep::Wait(until));
+}
--- a/crates/entry/src/control/manifests.rs
+++ b/crates/entry/src/control/manifests.rs
@@ -7,53 +7,57 @@
 
 use std::{sync::Arc, time::Duration};
 
+use cassiawheel_decide::{ManifestSearch, SearchStep};
 use cassiawheel_model::{ManifestDigest, ModelVersion, NamedVersion, Timestamp};
 use cassiawheel_runtime::timeout;
-use smol::Timer;
 
 use super::operators::take_version;
 use crate::{routed::RoutedInterface, shared::EntryShared};
 
-/// Time that each entry leaves to the one before it.
-const TURN_TIME: Duration = Duration::from_millis(80);
-
-/// First wait after a failed read; doubles with every further one.
+/// Longest wait for a manifest of a few kilobytes.
 ///
-/// Most reads that fail met a connection that the origin had closed while it was
-/// idle. Endpoints wait for the manifest, and every tenth of a second is one in
-/// which fewer of them can switch at a time.
-const AGAIN_TIME: Duration = Duration::from_millis(30);
-
-/// Longest wait after a failed read.
-const LONGEST_AGAIN: Duration = Duration::from_millis(500);
+/// It is there within some 20 ms, or some hundred while chunks leave the origin;
+/// a longer wait holds a connection at an origin that is silent.
+const READ_TIME: Duration = Duration::from_secs(1);
 
-/// Longest wait for a manifest of a few kilobytes.
-const READ_TIME: Duration = Duration::from_millis(1_500);
+/// Longest wait before the others' word of a version is looked for again.
+const TICK: Duration = Duration::from_millis(250);
 
 /// Pins every named version for ever.
 pub(crate) async fn pin_versions(shared: Arc<EntryShared>, routed: Arc<RoutedInterface>) {
-    let mut wait = AGAIN_TIME;
     loop {
-        if let Some(origin) = shared.origin_place() {
-            shared.origin.relocate(origin.addr);
-        }
-        let Some(named) = first_unpinned(&routed) else {
-            timeout(Duration::from_secs(1), routed.versions_changed()).await;
-            continue;
-        };
-        Timer::after(TURN_TIME * shared.own_rank()).await;
-        if first_unpinned(&routed).as_ref().map(|left| &left.version) != Some(&named.version) {
-            continue;
+        match first_unpinned(&routed) {
+            Some(named) => pin(&shared, &routed, &named).await,
+            None => {
+                timeout(Duration::from_secs(1), routed.versions_changed()).await;
+            }
         }
-        match read_twice(&shared, &named.version).await {
-            Some(manifest) => {
-                wait = AGAIN_TIME;
-                let pinned = NamedVersion { manifest: Some(manifest), ..named };
-                take_version(&shared, &routed, &pinned);
+    }
+}
+
+/// Pins `named`, or waits until another entry has done so or a newer version is named.
+async fn pin(shared: &EntryShared, routed: &RoutedInterface, named: &NamedVersion) {
+    let own = shared.settings.place.instance.clone();
+    let mut search = ManifestSearch::new(own, named.version.as_str(), Timestamp::now());
+    while first_unpinned(routed).is_some_and(|left| left.version == named.version) {
+        let peers: Vec<_> = shared.peers().iter().map(|(instance, _)| instance.clone()).collect();
+        let step = search.next(&peers, Timestamp::now(), &mut rand::rng());
+        match step {
+            SearchStep::Origin => {
+                let asked_at = Timestamp::now();
+                match read_twice(shared, &named.version).await {
+                    Some(manifest) => {
+                        let pinned = NamedVersion { manifest: Some(manifest), ..named.clone() };
+                        take_version(shared, routed, &pinned);
+                    }
+                    None => search.origin_failed(asked_at, None, peers.len(), Timestamp::now()),
+                }
             }
-            None => {
-                Timer::after(wait).await;
-                wait = (wait * 2).min(LONGEST_AGAIN);
+            // The others tell what they have pinned without being asked.
+            SearchStep::Others(_) => {}
+            SearchStep::Wait(until) => {
+                let span = until.remaining(Timestamp::now()).min(TICK);
+                timeout(span, routed.versions_changed()).await;
             }
         }
     }
@@ -71,6 +75,9 @@
 }
 
 async fn read_twice(shared: &EntryShared, version: &ModelVersion) -> Option<ManifestDigest> {
+    if let Some(origin) = shared.origin_place() {
+        shared.origin.relocate(origin.addr);
+    }
     let first = read_once(shared, version).await?;
     let second = read_once(shared, version).await?;
     if first != second {
