Draws leave the origin three quarters of its connections

Agents now draw only while fewer than a quarter of the connections that the preset tells are in use by those they know. Test: agents_leave_the_origin_most_of_its_connections (without the limit it draws at once).

--- a/crates/agent/src/transfer/stage.rs
+++ b/crates/agent/src/transfer/stage.rs
@@ -34,6 +34,13 @@
 /// Longest wait for the first list of peers.
 const FIRST_LIST_TIME: Duration = Duration::from_millis(700);
 
+/// The part of the origin's connections that draws may take is one in this many.
+///
+/// Whatever an instance has open when it loses power stays taken there for longer
+/// than it takes to come back. With a quarter, three losses of power in a row leave
+/// room; usually five to eight draws are under way.
+const DRAWN_PART: usize = 4;
+
 /// Fetches at one peer at a time.
 const PER_PEER: usize = 2;
 
@@ -174,10 +181,12 @@
             .as_ref()
             .filter(|origin| origin.bytes_per_s > 0)
             .map(|origin| f64::from(manifest.chunk_bytes) * 1_000.0 / origin.bytes_per_s as f64);
+        let places = origin.as_ref().map_or(0, |origin| origin.max_connections as usize);
         let origin_region = origin.and_then(|origin| origin.region);
         let settings = PickerSettings {
             origin_chunk_ms: chunk_ms.unwrap_or(0.0),
             is_near_origin: origin_region.as_ref() == Some(&shared.settings.place.region),
+            most_draws: places.div_ceil(DRAWN_PART),
             instance: shared.settings.place.instance.clone(),
             stall_ms: shared.settings.transfer.stall_ms,
             origin_step_ms: shared.settings.transfer.origin_step_ms,
--- a/crates/decide/src/select.rs
+++ b/crates/decide/src/select.rs
@@ -83,6 +83,9 @@
     pub origin_chunk_ms: f64,
     /// Whether this agent stands in the origin's region.
     pub is_near_origin: bool,
+    /// Draws from the origin by the agents that know each other that may be under way at a
+    /// time; zero for no limit.
+    pub most_draws: usize,
 }
 
 /// Where another agent stands.
@@ -521,6 +524,23 @@
         self.origin_fetches < most
             && self.origin.is_over(now)
             && self.peers.iter().all(|view| view.awaited_until.is_past(now))
+            && self.is_room_at_origin(now)
+    }
+
+    /// Whether the origin's connections allow one more draw.
+    ///
+    /// Turns come at the pace of the origin's link. If it stands still or is silent,
+    /// every owner would hold a connection before long, and new ones would be reset;
+    /// instances that lose power then leave the origin full for everybody. One would
+    /// notice that all calls of the origin fail after connecting.
+    fn is_room_at_origin(&self, now: Timestamp) -> bool {
+        if self.settings.most_draws == 0 {
+            return true;
+        }
+        let heard =
+            |view: &&PeerView| view.connected && !view.is_silent(now, self.settings.stall_ms);
+        let others: usize = self.peers.iter().filter(heard).map(|view| view.drawing.len()).sum();
+        others + self.origin_fetches < self.settings.most_draws
     }
 
     fn extra_chunk(&self, now: Timestamp, rng: &mut impl Rng) -> Option<usize> {
--- a/crates/decide/tests/chunk_regions.rs
+++ b/crates/decide/tests/chunk_regions.rs
@@ -30,6 +30,7 @@
         extra_copies: 0.0,
         origin_chunk_ms: 0.0,
         is_near_origin: false,
+        most_draws: 0,
     }
 }
 
@@ -345,3 +346,20 @@
     assert_eq!(drawn.len(), all, "chunks are drawn twice");
     assert!(all >= CHUNKS / 3, "{all} chunks are drawn within 0.4 s");
 }
+
+/// The origin takes connections and sends nothing. Every owner's turn comes all the same;
+/// if each drew, the origin would soon have no connection left, and after a loss of power
+/// it would keep them all. An agent waits until another one's draw has ended.
+#[test]
+fn agents_leave_the_origin_most_of_its_connections() {
+    let settings = PickerSettings { origin_chunk_ms: 10.0, most_draws: 3, ..settings("own-a") };
+    let mut picker = picker(settings);
+    for name in ["one", "two", "three"] {
+        connect(&mut picker, name, NEAR, &[]);
+        picker.peer_draws(&instance(name), vec![CHUNKS - 1], START);
+    }
+    assert!(orders(&mut picker, at(400)).is_empty());
+    picker.peer_draws(&instance("two"), Vec::new(), at(401));
+    let drawn = from(&orders(&mut picker, at(402)), &ChunkSource::Origin);
+    assert_eq!(drawn.len(), 1, "{drawn:?}");
+}
--- a/crates/decide/tests/distribution.rs
+++ b/crates/decide/tests/distribution.rs
@@ -123,6 +123,7 @@
         queue_ms: 0,
         rescue_ms: 0,
         is_near_origin: false,
+        most_draws: 0,
         instance: instance(own),
         stall_ms: 2_000,
         origin_step_ms: 500,
--- a/crates/decide/tests/support/rounds.rs
+++ b/crates/decide/tests/support/rounds.rs
@@ -393,6 +393,7 @@
             queue_ms: 0,
             rescue_ms: 0,
             is_near_origin: false,
+            most_draws: 0,
             instance: name.clone(),
             stall_ms: 2_000,
             origin_step_ms: 500,
--- a/crates/model/src/target.rs
+++ b/crates/model/src/target.rs
@@ -69,4 +69,7 @@
     pub region: Option<RegionName>,
     /// What its link carries, in bytes per second; zero if it is not known.
     pub bytes_per_s: u64,
+    /// Connections that it admits of all clients together; zero if it is not known.
+    #[serde(default)]
+    pub max_connections: u32,
 }
