Entries keep four idle connections to an endpoint, not twelve

Looked for the same cause elsewhere: plain services outlive a loss of power of the entries, and count what 45 entries kept idle as taken until their own idle time is over; twelve each are 540 of 590. No failure of this kind was seen; four are a third.

--- a/crates/entry/src/direct/pool.rs
+++ b/crates/entry/src/direct/pool.rs
@@ -24,9 +24,12 @@
 
 /// Idle connections kept to one endpoint.
 ///
-/// Endpoints limit the connections of all entries together; more than this
-/// many are rarely idle at the same time.
-const IDLE_CONNECTIONS: usize = 12;
+/// Endpoints limit the connections of all entries together, and entries that lose
+/// power leave theirs behind: those that are idle stay taken until the endpoint's
+/// own idle time is over. Four of each entry are a third of what an endpoint of 590
+/// admits from 45 entries, so that it has room for their return. An entry rarely has
+/// more idle at one endpoint: it sends it a request or two a second.
+const IDLE_CONNECTIONS: usize = 4;
 
 /// How long a connection is kept of which the endpoint does not tell it.
 const SHORT_IDLE: Duration = Duration::from_millis(300);
