Entries pass a manifest on to agents

Hypothesis: whoever orders a version has its manifest and can tell it. The entry that reads a manifest now tells it to the other entries before it names its digest; entries lacking it ask who told them; an agent asks the entry whose order it follows, then two others, then as before. Entries also wait for the origin's address (37 vain reads in 0.2 s before).

Test: entries_read_a_manifest_once_and_pass_it_on. Older processes do not know the three new words; a mixed fleet was not tried.

--- a/crates/agent/src/endpoint.rs
+++ b/crates/agent/src/endpoint.rs
@@ -54,6 +54,8 @@
     holder: Mutex<PresetHolder>,
     start_hold: Mutex<StartHold>,
     order: Mutex<Option<WeightOrder>>,
+    /// The connection over which the newest order came.
+    order_giver: Mutex<Option<WireSender>>,
     last_report: Mutex<Option<ToldReport>>,
     load: Mutex<LoadReport>,
     entries: Mutex<Vec<EntryLink>>,
@@ -75,6 +77,7 @@
             holder: Mutex::default(),
             start_hold: Mutex::new(StartHold::new(sources, now.deadline_after(START_TIME))),
             order: Mutex::default(),
+            order_giver: Mutex::default(),
             last_report: Mutex::default(),
             load: Mutex::new(LoadReport { in_flight: 0, queued: 0, measured_at: now }),
             entries: Mutex::default(),
@@ -118,6 +121,16 @@
         self.order.lock().unwrap_or_else(|poison| poison.into_inner())
     }
 
+    /// Notes over which connection the newest order came.
+    pub(crate) fn note_order_giver(&self, entry: WireSender) {
+        *self.order_giver.lock().unwrap_or_else(|poison| poison.into_inner()) = Some(entry);
+    }
+
+    /// The connection over which the newest order came.
+    pub(crate) fn order_giver(&self) -> Option<WireSender> {
+        self.order_giver.lock().unwrap_or_else(|poison| poison.into_inner()).clone()
+    }
+
     /// Whether the newest order names the weights of `order`.
     pub(crate) fn still_wants(&self, order: &WeightOrder) -> bool {
         self.order().as_ref().map(|newest| newest.manifest) == Some(order.manifest)
--- a/crates/agent/src/entry_link.rs
+++ b/crates/agent/src/entry_link.rs
@@ -21,7 +21,8 @@
 
 use crate::{
     endpoint::{EndpointShared, EntryLink},
-    exchange, report, run, transfer,
+    exchange, report, run,
+    transfer::{self, ManifestWord},
 };
 
 /// Longest wait between two attempts to connect, in milliseconds.
@@ -154,7 +155,13 @@
             answer_older(shared, sender, revision);
         }
         ControlMessage::Peers(peers) => transfer::offer_peers(shared, entry, peers),
-        ControlMessage::Order(order) => exchange::offer_order(shared, order),
+        ControlMessage::Order(order) => exchange::offer_order(shared, sender, order),
+        ControlMessage::Manifest(manifest) => {
+            shared.transfer.told.hear(ManifestWord::Known(manifest));
+        }
+        ControlMessage::ManifestUnknown { manifest } => {
+            shared.transfer.told.hear(ManifestWord::Unknown(manifest));
+        }
         ControlMessage::Drain { instance } if instance == shared.settings.place.instance => {
             leave(shared);
         }
@@ -170,7 +177,8 @@
         | ControlMessage::PresetWanted
         | ControlMessage::Named(_)
         | ControlMessage::Listing { .. }
-        | ControlMessage::ListingWanted => {}
+        | ControlMessage::ListingWanted
+        | ControlMessage::ManifestWanted { .. } => {}
     }
 }
 
--- a/crates/agent/src/exchange.rs
+++ b/crates/agent/src/exchange.rs
@@ -17,7 +17,7 @@
 use cassiawheel_edge::{EngineError, EngineStatus, LoadOrder};
 use cassiawheel_model::{EndpointRole, EndpointState, ForcedPreset};
 use cassiawheel_runtime::timeout;
-use cassiawheel_wire::message::WeightOrder;
+use cassiawheel_wire::{WireSender, message::WeightOrder};
 
 use crate::{endpoint::EndpointShared, report, transfer};
 
@@ -46,8 +46,8 @@
     }
 }
 
-/// Considers an order that an entry sent.
-pub(crate) fn offer_order(shared: &EndpointShared, order: WeightOrder) {
+/// Considers an order that came over the connection of `entry`.
+pub(crate) fn offer_order(shared: &EndpointShared, entry: &WireSender, order: WeightOrder) {
     let mut newest = shared.order();
     // A planner that was paused may send what a later one has replaced.
     if newest.as_ref().is_some_and(|known| known.fencing >= order.fencing) {
@@ -59,6 +59,7 @@
     }
     *newest = Some(order);
     drop(newest);
+    shared.note_order_giver(entry.clone());
     // The entries repeat an order until a report shows it.
     report::send_report(shared);
     shared.transfer.wake();
--- a/crates/agent/src/transfer.rs
+++ b/crates/agent/src/transfer.rs
@@ -6,11 +6,13 @@
 mod serve;
 mod stage;
 mod state;
+mod told;
 mod watchers;
 
 pub(crate) use serve::serve_peers;
 pub(crate) use stage::{release_others, resume, stage};
 pub(crate) use state::TransferState;
+pub(crate) use told::ManifestWord;
 
 use std::{net::SocketAddr, sync::Arc};
 
--- a/crates/agent/src/transfer/manifest.rs
+++ b/crates/agent/src/transfer/manifest.rs
@@ -9,7 +9,7 @@
 use cassiawheel_wire::message::{EndpointAddress, WeightOrder};
 use smol::{Timer, channel::bounded};
 
-use super::{peer::ask_manifest, stage::await_peers};
+use super::{peer::ask_manifest, stage::await_peers, told::from_entries};
 use crate::endpoint::EndpointShared;
 
 /// Longest wait for a manifest of a few kilobytes from the origin.
@@ -24,7 +24,7 @@
 /// Longest wait before the order is looked at again.
 const TICK: Duration = Duration::from_millis(50);
 
-/// The manifest that `order` pins: known here, from another agent, or from the origin.
+/// The manifest that `order` pins: known here, from an entry, another agent, or the origin.
 ///
 /// None if another version became wanted meanwhile.
 pub(super) async fn pinned_manifest(
@@ -34,6 +34,9 @@
     if let Some(known) = shared.transfer.manifest(order.manifest) {
         return Some(known.as_ref().clone());
     }
+    if let Some(manifest) = from_entries(shared, order.manifest).await {
+        return Some(manifest);
+    }
     await_peers(shared).await;
     let own = shared.settings.place.instance.clone();
     let mut search = ManifestSearch::new(own, &order.manifest.to_string(), Timestamp::now());
--- a/crates/agent/src/transfer/state.rs
+++ b/crates/agent/src/transfer/state.rs
@@ -18,7 +18,7 @@
     lock::Semaphore,
 };
 
-use super::watchers::WatcherLinks;
+use super::{told::ToldManifest, watchers::WatcherLinks};
 
 /// Chunks that an agent sends to importers beside all others.
 ///
@@ -36,6 +36,8 @@
     pub(crate) upload_slots: Arc<Semaphore>,
     /// Chunks sent at a time beyond those, to agents that import them for their region.
     pub(crate) import_slots: Arc<Semaphore>,
+    /// What entries say of manifests.
+    pub(crate) told: ToldManifest,
     inner: Mutex<TransferInner>,
     wake: (Sender<()>, Receiver<()>),
     peers_changed: (Sender<()>, Receiver<()>),
@@ -85,6 +87,7 @@
             download: RatePacer::new(rate),
             upload_slots: Arc::new(Semaphore::new(settings.upload_slots)),
             import_slots: Arc::new(Semaphore::new(IMPORT_SLOTS)),
+            told: ToldManifest::default(),
             inner: Mutex::new(TransferInner {
                 images: HashMap::new(),
                 current: None,
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -7,6 +7,7 @@
 pub(crate) mod entries;
 pub(crate) mod introduce;
 pub(crate) mod listing;
+pub(crate) mod manifest_cache;
 pub(crate) mod manifests;
 pub(crate) mod membership;
 pub(crate) mod operators;
--- a/crates/entry/src/control/manifests.rs
+++ b/crates/entry/src/control/manifests.rs
@@ -2,16 +2,18 @@
 //!
 //! The origin may send damaged bytes, also of a manifest, and nothing signs
 //! one. Two equal reads are taken for the real thing; damage never comes out
-//! the same twice. The digest is told to the other entries, so that one of
-//! them does this work.
+//! the same twice. The manifest is told to the other entries, so that one of
+//! them does this work, and all of them pass it on to agents.
 
 use std::{sync::Arc, time::Duration};
 
 use cassiawheel_decide::{ManifestSearch, SearchStep};
-use cassiawheel_model::{ManifestDigest, ModelVersion, NamedVersion, Timestamp};
+use cassiawheel_model::{ManifestDigest, ModelVersion, NamedVersion, Timestamp, WeightManifest};
 use cassiawheel_runtime::timeout;
+use cassiawheel_wire::{ControlMessage, WireSender};
+use smol::Timer;
 
-use super::operators::take_version;
+use super::{operators::take_version, spread};
 use crate::{routed::RoutedInterface, shared::EntryShared};
 
 /// Longest wait for a manifest of a few kilobytes.
@@ -23,6 +25,9 @@
 /// Longest wait before the others' word of a version is looked for again.
 const TICK: Duration = Duration::from_millis(250);
 
+/// Time between looks whether the origin's address is known.
+const PLACE_STEP: Duration = Duration::from_millis(10);
+
 /// Pins every named version for ever.
 pub(crate) async fn pin_versions(shared: Arc<EntryShared>, routed: Arc<RoutedInterface>) {
     loop {
@@ -43,11 +48,20 @@
         let peers: Vec<_> = shared.peers().iter().map(|(instance, _)| instance.clone()).collect();
         let step = search.next(&peers, Timestamp::now(), &mut rand::rng());
         match step {
+            // It comes with the preset, which may be some milliseconds behind the versions.
+            SearchStep::Origin if shared.origin_place().is_none() => {
+                Timer::after(PLACE_STEP).await;
+            }
             SearchStep::Origin => {
                 let asked_at = Timestamp::now();
                 match read_twice(shared, &named.version).await {
                     Some(manifest) => {
-                        let pinned = NamedVersion { manifest: Some(manifest), ..named.clone() };
+                        let digest = Some(manifest.digest);
+                        let pinned = NamedVersion { manifest: digest, ..named.clone() };
+                        let manifest = Arc::new(manifest);
+                        routed.manifests.keep(manifest.clone());
+                        // Goes before the version, so that whoever orders it has it.
+                        spread::send_to_peers(shared, &ControlMessage::Manifest(manifest));
                         take_version(shared, routed, &pinned);
                     }
                     None => search.origin_failed(asked_at, None, peers.len(), Timestamp::now()),
@@ -63,6 +77,29 @@
     }
 }
 
+/// Asks whoever told of a pinned version for its manifest, if it is missing here.
+pub(crate) fn ask_teller(routed: &RoutedInterface, teller: &WireSender, named: &NamedVersion) {
+    let Some(manifest) = named.manifest else {
+        return;
+    };
+    if routed.manifests.begin_asking(manifest, Timestamp::now()) {
+        let _ = teller.try_send(ControlMessage::ManifestWanted { manifest });
+    }
+}
+
+/// Tells the process at the other end of `sender` the manifest with this digest.
+pub(crate) fn answer(
+    routed: Option<&RoutedInterface>,
+    sender: &WireSender,
+    manifest: ManifestDigest,
+) {
+    let message = match routed.and_then(|routed| routed.manifests.find(manifest)) {
+        Some(found) => ControlMessage::Manifest(found),
+        None => ControlMessage::ManifestUnknown { manifest },
+    };
+    let _ = sender.try_send(message);
+}
+
 fn first_unpinned(routed: &RoutedInterface) -> Option<NamedVersion> {
     let versions = routed.versions.load();
     let named = versions.named(Timestamp::now());
@@ -74,22 +111,22 @@
     })
 }
 
-async fn read_twice(shared: &EntryShared, version: &ModelVersion) -> Option<ManifestDigest> {
+async fn read_twice(shared: &EntryShared, version: &ModelVersion) -> Option<WeightManifest> {
     if let Some(origin) = shared.origin_place() {
         shared.origin.relocate(origin.addr);
     }
     let first = read_once(shared, version).await?;
     let second = read_once(shared, version).await?;
-    if first != second {
+    if first.digest != second.digest {
         log::warn!(target: "preset", version:% = version; "Two reads of a manifest differ.");
         return None;
     }
     Some(first)
 }
 
-async fn read_once(shared: &EntryShared, version: &ModelVersion) -> Option<ManifestDigest> {
+async fn read_once(shared: &EntryShared, version: &ModelVersion) -> Option<WeightManifest> {
     match timeout(READ_TIME, shared.origin.manifest(version)).await {
-        Some(Ok(manifest)) => Some(manifest.digest),
+        Some(Ok(manifest)) => Some(manifest),
         Some(Err(error)) => {
             log::info!(target: "preset", version:% = version, cause:% = error; "A manifest cannot be read.");
             None
--- a/crates/entry/src/control/spread.rs
+++ b/crates/entry/src/control/spread.rs
@@ -23,7 +23,7 @@
 };
 use smol::Timer;
 
-use super::{drains, entries, listing, operators};
+use super::{drains, entries, listing, manifests, operators};
 use crate::{
     routed::RoutedInterface,
     shared::{EntryShared, PeerLink},
@@ -130,13 +130,16 @@
         ControlMessage::Named(_)
         | ControlMessage::Listing { .. }
         | ControlMessage::ListingWanted
+        | ControlMessage::ManifestWanted { .. }
+        | ControlMessage::Manifest(_)
         | ControlMessage::Entries(_) => handle_routed(shared, sender, message),
         ControlMessage::Report(_)
         | ControlMessage::Beat(_)
         | ControlMessage::LoadWanted { .. }
         | ControlMessage::EntryAlive { .. }
         | ControlMessage::Order(_)
-        | ControlMessage::Peers(_) => {}
+        | ControlMessage::Peers(_)
+        | ControlMessage::ManifestUnknown { .. } => {}
     }
 }
 
@@ -146,7 +149,14 @@
         return;
     };
     match message {
-        ControlMessage::Named(named) => operators::take_version(shared, routed, &named),
+        ControlMessage::Named(named) => {
+            operators::take_version(shared, routed, &named);
+            manifests::ask_teller(routed, sender, &named);
+        }
+        ControlMessage::ManifestWanted { manifest } => {
+            manifests::answer(Some(routed), sender, manifest);
+        }
+        ControlMessage::Manifest(manifest) => routed.manifests.keep(manifest),
         ControlMessage::Listing { rows, base, position, age_ms } => {
             let asked_at = Timestamp(Timestamp::now().0.saturating_sub(age_ms));
             let news = ListingNews { rows, base, position, asked_at };
--- a/crates/entry/src/inner.rs
+++ b/crates/entry/src/inner.rs
@@ -13,7 +13,7 @@
 use smol::net::{TcpListener, TcpStream};
 
 use crate::{
-    control::{orders, spread},
+    control::{manifests, orders, spread},
     link::AgentLink,
     shared::EntryShared,
 };
@@ -116,6 +116,9 @@
             log::info!(target: "roster", instance:% = instance; "An endpoint leaves.");
         }
         ControlMessage::Force(preset) => spread::adopt(shared, &preset),
+        ControlMessage::ManifestWanted { manifest } => {
+            manifests::answer(shared.routed.as_deref(), &link.sender, manifest);
+        }
         ControlMessage::Report(_)
         | ControlMessage::ReportWanted
         | ControlMessage::Leaving { .. }
@@ -129,6 +132,8 @@
         | ControlMessage::Named(_)
         | ControlMessage::Listing { .. }
         | ControlMessage::ListingWanted
+        | ControlMessage::Manifest(_)
+        | ControlMessage::ManifestUnknown { .. }
         | ControlMessage::Entries(_) => {}
     }
 }
--- a/crates/entry/src/routed.rs
+++ b/crates/entry/src/routed.rs
@@ -22,7 +22,7 @@
 };
 use smol::channel::{Receiver, Sender, bounded};
 
-use crate::direct::DirectClient;
+use crate::{control::manifest_cache::ManifestCache, direct::DirectClient};
 
 /// Entries among which the retries of a service are shared at least.
 ///
@@ -63,6 +63,8 @@
     pub(crate) index: ArcSwapOption<CallerIndex>,
     /// The versions that operators named; read without a lock.
     pub(crate) versions: ArcSwap<VersionBook>,
+    /// Manifests of named versions.
+    pub(crate) manifests: ManifestCache,
     /// Whether a preset is being asked of another entry.
     pub(crate) pulling: AtomicBool,
     versions_changed: (Sender<()>, Receiver<()>),
@@ -101,6 +103,7 @@
             list: edges.list,
             index: ArcSwapOption::empty(),
             versions: ArcSwap::default(),
+            manifests: ManifestCache::default(),
             pulling: AtomicBool::new(false),
             versions_changed: bounded(1),
             entries: Mutex::default(),
--- a/crates/testkit/src/platform_site.rs
+++ b/crates/testkit/src/platform_site.rs
@@ -20,7 +20,7 @@
 use crate::{
     ChildProcess, FaultSwitches,
     processes::binary_path,
-    stand_in::{RunningStandIn, replica::Replica, rows::StoreRows},
+    stand_in::{RunningStandIn, limited_origin::RunningOrigin, replica::Replica, rows::StoreRows},
 };
 
 /// Host of every route.
@@ -68,7 +68,8 @@
     pub ready: SocketAddr,
     /// Where callers ask which entries to use.
     pub directory: SocketAddr,
-    control: SocketAddr,
+    /// Where our own processes reach it.
+    pub control: SocketAddr,
 }
 
 /// A call of a caller.
@@ -277,6 +278,26 @@
     })
 }
 
+/// [`config`] with a model service whose weights come from `origin`.
+pub fn model_config(version: u64, model: &str, origin: &RunningOrigin) -> Value {
+    let mut config = config(version, &["safe"], 1_500);
+    let engine = json!({
+        "slots": 8, "stride": 1, "models": [{ "name": model }], "step_ms": 7.0,
+        "read_per_s": 30_600.0,
+    });
+    let services = [
+        json!({ "name": "guide", "health_path": "/health", "engine": engine }),
+        json!({
+            "name": "weights", "origin": origin.addr, "zone": "hall", "link_mbps": 9.0,
+            "max_connections": origin.state.places(),
+        }),
+    ];
+    if let Some(listed) = config["services"].as_array_mut() {
+        listed.extend(services);
+    }
+    config
+}
+
 fn server_row(addr: SocketAddr, state: &str) -> Value {
     json!({
         "service": "ledger", "address": addr, "zone": "hall", "version": "v1", "slots": 8,
--- a/crates/testkit/src/stand_in/limited_origin.rs
+++ b/crates/testkit/src/stand_in/limited_origin.rs
@@ -42,6 +42,8 @@
     taken: AtomicUsize,
     /// Most connections that it took for open at a time.
     most_taken: AtomicUsize,
+    /// Connections that were made so far.
+    served: AtomicUsize,
     /// Connections that it had no place for.
     turned_away: AtomicUsize,
     /// How often power was lost; connections of before never end for it.
@@ -73,6 +75,7 @@
             delay,
             taken: AtomicUsize::new(0),
             most_taken: AtomicUsize::new(0),
+            served: AtomicUsize::new(0),
             turned_away: AtomicUsize::new(0),
             losses: AtomicU64::new(0),
         });
@@ -85,6 +88,16 @@
         self.losses.fetch_add(1, Ordering::SeqCst);
     }
 
+    /// Connections that it admits.
+    pub fn places(&self) -> usize {
+        self.places
+    }
+
+    /// Connections that were made so far.
+    pub fn served(&self) -> usize {
+        self.served.load(Ordering::SeqCst)
+    }
+
     /// Connections that it takes for open.
     pub fn taken(&self) -> usize {
         self.taken.load(Ordering::SeqCst)
@@ -139,6 +152,7 @@
         }
         let taken = state.taken.fetch_add(1, Ordering::SeqCst) + 1;
         state.most_taken.fetch_max(taken, Ordering::SeqCst);
+        state.served.fetch_add(1, Ordering::SeqCst);
         spawn(serve(stream, state.clone())).detach();
     }
 }
--- a/crates/testkit/tests/origin_connections.rs
+++ b/crates/testkit/tests/origin_connections.rs
@@ -1,11 +1,19 @@
 //! Connections to an origin that admits few.
 
-use std::{net::Ipv4Addr, time::Duration};
+use std::{
+    net::{Ipv4Addr, SocketAddr},
+    time::Duration,
+};
 
 use cassiawheel_edge::WeightSource;
-use cassiawheel_model::ModelVersion;
+use cassiawheel_model::{InstanceId, ModelVersion, WeightManifest};
 use cassiawheel_platform::PlatformOrigin;
-use cassiawheel_testkit::stand_in::limited_origin::{LimitedOrigin, RunningOrigin};
+use cassiawheel_testkit::{
+    PlatformSite,
+    platform_site::{model_config, wait_until},
+    stand_in::limited_origin::{LimitedOrigin, RunningOrigin},
+};
+use cassiawheel_wire::{ControlMessage, HelloMessage, ProcessKind, WireMessage, connect};
 use smol::{Timer, io::AsyncReadExt, net::TcpListener};
 
 /// Connections that the users' origin admits.
@@ -17,6 +25,16 @@
 /// Agents that read a manifest within the seconds before the loss of power.
 const READERS: usize = 51;
 
+/// Key that processes on the platform show each other.
+const INNER_KEY: &str = "cassiawheel-on-the-platform";
+
+/// Time for three entries to meet.
+const MEET_TIME: Duration = Duration::from_millis(1_500);
+
+/// Reads of a manifest that are allowed: two by each of the two entries that may begin at the
+/// same time, and the test's own.
+const MOST_READS: usize = 5;
+
 /// Time for a closed connection to be seen at the other end.
 const CLOSE_TIME: Duration = Duration::from_millis(200);
 
@@ -84,3 +102,60 @@
         Ok(())
     });
 }
+
+/// Connects to an entry as an agent does, and asks for a manifest until it has it.
+async fn told_manifest(addr: SocketAddr, wanted: &WeightManifest) -> anyhow::Result<Told> {
+    let (sender, mut receiver) = connect(addr, INNER_KEY, None).await?;
+    let instance = InstanceId::new("side-1")?;
+    sender.send(HelloMessage { kind: ProcessKind::Agent, instance, incarnation: 1 }).await?;
+    sender.send(ControlMessage::ManifestWanted { manifest: wanted.digest }).await?;
+    loop {
+        match receiver.recv().await? {
+            WireMessage::Control(ControlMessage::Manifest(told)) => {
+                return Ok(Told::Whole(told.as_ref().clone()));
+            }
+            WireMessage::Control(ControlMessage::ManifestUnknown { .. }) => {
+                return Ok(Told::Unknown);
+            }
+            _ => {}
+        }
+    }
+}
+
+#[derive(Debug, PartialEq)]
+enum Told {
+    Whole(WeightManifest),
+    Unknown,
+}
+
+/// After a loss of power every process needs the manifest of the version in force. When
+/// a hundred agents read it at an origin of 48 connections, half of them were reset, and
+/// engines that held all chunks served nothing for two seconds. One entry reads it, twice
+/// since the origin may send damaged bytes, and all entries pass it on.
+#[test]
+fn entries_read_a_manifest_once_and_pass_it_on() {
+    run(async {
+        let origin = LimitedOrigin::start(PLACES, CHUNKS, Duration::ZERO).await?;
+        let mut site = PlatformSite::prepare(1).await?;
+        for _ in 0..3 {
+            site.add_entry()?;
+        }
+        for entry in &site.entries {
+            site.wait_ready(entry, true).await?;
+        }
+        // All entries know each other before the version is named.
+        Timer::after(MEET_TIME).await;
+        site.rows.put("op", "config", &model_config(2, "guide", &origin));
+        let wanted = client_of(&origin).manifest(&version(1)).await?;
+        for entry in &site.entries {
+            wait_until(async || {
+                let told = told_manifest(entry.control, &wanted).await?;
+                Ok(told == Told::Whole(wanted.clone()))
+            })
+            .await?;
+        }
+        assert!(origin.state.served() <= MOST_READS, "{} reads", origin.state.served());
+        assert_eq!(origin.state.taken(), 0);
+        Ok(())
+    });
+}
--- a/crates/wire/src/message/control.rs
+++ b/crates/wire/src/message/control.rs
@@ -4,7 +4,7 @@
 
 use cassiawheel_model::{
     EndpointReport, FailureDomain, ForcedPreset, InstanceId, ListedRow, LoadReport, ManifestDigest,
-    ModelVersion, NamedVersion, OriginPlace, PresetRevision, RegionName, record,
+    ModelVersion, NamedVersion, OriginPlace, PresetRevision, RegionName, WeightManifest, record,
 };
 use macro_rules_attribute::apply;
 
@@ -85,6 +85,18 @@
     },
     /// Entry to entry: the whole list is wanted.
     ListingWanted,
+    /// Agent or entry to entry: the manifest with this digest is wanted.
+    ManifestWanted {
+        /// Its digest.
+        manifest: ManifestDigest,
+    },
+    /// Entry to agent or entry: a manifest that an entry has read from the origin.
+    Manifest(Arc<WeightManifest>),
+    /// Entry to agent or entry: the sender does not have the manifest with this digest.
+    ManifestUnknown {
+        /// Its digest.
+        manifest: ManifestDigest,
+    },
     /// Entry to entry or agent: inner addresses of entries that the sender knows.
     Entries(Vec<SocketAddr>),
 }
