--- a/crates/decide/src/select.rs
+++ b/crates/decide/src/select.rs
@@ -12,9 +12,13 @@
 //! wait for that one (see [`imports`]).
 
 mod bits;
+mod draws;
 mod imports;
+mod orders;
 mod ownership;
 mod peers;
+mod requests;
+mod settings;
 mod shares;
 mod turns;
 
@@ -25,78 +29,13 @@
 
 pub use bits::ChunkBits;
 use imports::ChunkImports;
+pub use orders::{ChunkSource, FetchOrder};
 pub use peers::FetchFailure;
 use peers::{LONGEST_BACKOFF_MS, PeerView, SourceBackoff};
-use shares::{AgentSlot, OWN_SLOT, OriginShares};
+pub use settings::{PeerPlace, PickerSettings};
+use shares::{AgentSlot, OriginShares};
 use turns::OriginTurns;
 
-/// Where a chunk is fetched.
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
-pub enum ChunkSource {
-    /// The origin of weights.
-    Origin,
-    /// Another agent.
-    Peer(InstanceId),
-}
-
-/// One fetch to start.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct FetchOrder {
-    /// The chunk.
-    pub index: usize,
-    /// Where.
-    pub source: ChunkSource,
-    /// When it was given.
-    pub started_at: Timestamp,
-    /// When to give up on the source.
-    pub deadline: Deadline,
-    /// Whether the chunk comes from another region, for all agents of this one.
-    pub is_import: bool,
-}
-
-/// Settings of a picker.
-#[derive(Debug, Clone)]
-pub struct PickerSettings {
-    /// This agent.
-    pub instance: InstanceId,
-    /// Longest wait before a chunk is asked of another source, in milliseconds.
-    pub stall_ms: u64,
-    /// Shortest time before an owner that brings nothing loses its chunks, in milliseconds.
-    pub origin_step_ms: u64,
-    /// Fetches at one peer at a time.
-    pub per_peer: usize,
-    /// Time after which a chunk that hardly anyone holds is drawn from the origin again, in
-    /// milliseconds; zero for never.
-    pub rescue_ms: u64,
-    /// Fetches from peers at a time.
-    pub peer_slots: usize,
-    /// Time of a fetch from a peer beyond which there are fewer at a time, in milliseconds;
-    /// zero for no limit.
-    pub queue_ms: u64,
-    /// Copies that all agents together may draw beyond the first to save time.
-    pub extra_copies: f64,
-    /// Time in which the origin sends one chunk, in milliseconds; zero if not known.
-    ///
-    /// An origin that serves all agents at once finishes all chunks at the same
-    /// late moment. Agents that ask one after another have something to swap
-    /// from the start.
-    pub origin_chunk_ms: f64,
-    /// Whether this agent stands in the origin's region.
-    pub is_near_origin: bool,
-    /// Draws from the origin by the agents that know each other that may be under way at a
-    /// time; zero for no limit.
-    pub most_draws: usize,
-}
-
-/// Where another agent stands.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub struct PeerPlace {
-    /// Whether it stands in another region than this agent.
-    pub is_far: bool,
-    /// Whether it stands in the origin's region.
-    pub is_near_origin: bool,
-}
-
 /// Chooses fetches for one manifest at one agent.
 #[derive(Debug, Clone)]
 pub struct ChunkPicker {
@@ -142,24 +81,9 @@
 /// Doublings of that wait.
 const BUSY_DOUBLINGS: u32 = 2;
 
-/// Mean time between two tries of all agents together to reach an origin that
-/// fails, in milliseconds.
-///
-/// A refused connection costs the origin less than a hundredth of a chunk.
-const ORIGIN_PROBE_MS: u64 = 12;
-
-/// Longest wait for the origin in the smallest groups, in milliseconds.
-const SHORTEST_ORIGIN_WAIT_MS: u64 = 200;
-
 /// A fetch may take this many times the usual time.
 const LATE_FACTOR: u64 = 8;
 
-/// Random peers looked at before all are.
-const PROBES: usize = 8;
-
-/// Agents up to which each may keep two fetches at the origin.
-const SMALL_GROUP: usize = 64;
-
 impl ChunkPicker {
     /// A picker for `chunks` chunks, none of which is held.
     pub fn new(settings: PickerSettings, chunks: usize, now: Timestamp) -> Self {
@@ -465,167 +389,6 @@
         }
     }
 
-    /// Every agent may have a fetch in the origin's queue, so the wait grows with their number.
-    fn origin_wait_ms(&self) -> u64 {
-        let queue = self.settings.stall_ms * (1 + self.shares.participants() as u64 / 16);
-        queue.max(self.origin_latency_ms * LATE_FACTOR)
-    }
-
-    /// Longest wait after a failure of the origin.
-    ///
-    /// When the origin goes away, all agents fail at the same moments and, with
-    /// waits that double, all wait for seconds at the same time. One would notice
-    /// that nobody asks for a second and more after it has returned, while no
-    /// engine serves. Together the agents ask some eighty times a second, in
-    /// groups of any size; the first that is served tells the others.
-    fn longest_origin_wait_ms(&self) -> u64 {
-        (ORIGIN_PROBE_MS * self.shares.participants() as u64)
-            .clamp(SHORTEST_ORIGIN_WAIT_MS, LONGEST_BACKOFF_MS)
-    }
-
-    fn owned_chunk(&self, now: Timestamp, rng: &mut impl Rng) -> Option<usize> {
-        if self.unseeded.is_empty() || !self.may_draw(now) {
-            return None;
-        }
-        let mut unclaimed = self.unseeded.clone();
-        for (position, view) in self.peers.iter().enumerate() {
-            if self.shares.takes_part(position + 1) {
-                // That an owner draws its own chunk keeps nobody else from it
-                // once it is overdue.
-                let claimed =
-                    view.drawing.iter().filter(|index| self.shares.owner(**index) != position + 1);
-                for index in claimed {
-                    unclaimed.remove(*index);
-                }
-            }
-        }
-        let owned =
-            unclaimed.iter_common(&self.wanted).filter(|index| match self.shares.owner(*index) {
-                OWN_SLOT => self.turns.of(*index).is_past(now),
-                _ => self.is_overdue(*index, now),
-            });
-        pick_least(owned.map(|index| (index, 0)), rng)
-    }
-
-    /// A chunk that is to be drawn again, since those who hold it cannot pass it on.
-    fn scarce_chunk(&self, now: Timestamp) -> Option<usize> {
-        if self.scarce.is_empty() || !self.may_draw(now) {
-            return None;
-        }
-        self.scarce.iter_common(&self.wanted).next()
-    }
-
-    fn may_draw(&self, now: Timestamp) -> bool {
-        // The origin sends a chunk as a whole. Where links may be narrow, a second
-        // one behind it would hold up what the instance receives beside it, and
-        // where the origin is asked in turns it would bring nothing forward.
-        let is_one = self.shares.participants() > SMALL_GROUP || self.settings.queue_ms > 0;
-        let most = if is_one { 1 } else { 2 };
-        self.origin_fetches < most
-            && self.origin.is_over(now)
-            && self.peers.iter().all(|view| view.awaited_until.is_past(now))
-            && self.is_room_at_origin(now)
-    }
-
-    /// Whether the origin's connections allow one more draw.
-    ///
-    /// Turns come at the pace of the origin's link. If it stands still or is silent,
-    /// every owner would hold a connection before long, and new ones would be reset;
-    /// instances that lose power then leave the origin full for everybody. One would
-    /// notice that all calls of the origin fail after connecting.
-    fn is_room_at_origin(&self, now: Timestamp) -> bool {
-        if self.settings.most_draws == 0 {
-            return true;
-        }
-        let heard =
-            |view: &&PeerView| view.connected && !view.is_silent(now, self.settings.stall_ms);
-        let others: usize = self.peers.iter().filter(heard).map(|view| view.drawing.len()).sum();
-        others + self.origin_fetches < self.settings.most_draws
-    }
-
-    fn extra_chunk(&self, now: Timestamp, rng: &mut impl Rng) -> Option<usize> {
-        let total = self.settings.extra_copies * self.holders.len() as f64;
-        let own_part = total / self.shares.participants().max(1) as f64;
-        let allowed = self.unseeded.is_empty() && (self.extra_draws as f64) < own_part;
-        // Among many agents the origin's queue is long; a chunk that waits
-        // there until peers have sent all others would be the last to arrive.
-        let peers_take =
-            self.missing as u64 * self.peer_latency_ms / self.settings.peer_slots.max(1) as u64;
-        if peers_take < 2 * self.origin_latency_ms {
-            return None;
-        }
-        if !allowed || !self.may_draw(now) {
-            return None;
-        }
-        pick_least(self.wanted.iter().map(|index| (index, self.holders[index])), rng)
-    }
-
-    fn chunk_of_peer(&self, now: Timestamp, rng: &mut impl Rng) -> Option<(AgentSlot, usize)> {
-        if self.fetching.len() - self.origin_fetches >= self.open_slots(now) {
-            return None;
-        }
-        let position = self.idle_peer(now, rng).or_else(|| self.least_asked_peer(now, rng))?;
-        let view = &self.peers[position];
-        let offered = view.held.iter_common(&self.wanted);
-        let offered = offered.filter(|index| !view.is_far || self.imports.may_import(*index));
-        let index = pick_least(offered.map(|index| (index, self.holders[index])), rng)?;
-        Some((position + 1, index))
-    }
-
-    /// Fetches from peers that may be in progress now.
-    ///
-    /// Over a link that has narrowed, chunks queue for as long as many are asked
-    /// for, and whatever else the instance receives waits behind them.
-    fn open_slots(&self, now: Timestamp) -> usize {
-        let slots = self.settings.peer_slots;
-        let goal = self.settings.queue_ms;
-        if goal == 0 {
-            return slots;
-        }
-        // What is still on its way tells of a link that has just narrowed.
-        let from_peers = self.fetching.values().filter(|f| f.source != ChunkSource::Origin);
-        let waited = from_peers.map(|f| now.0.saturating_sub(f.started_at.0)).max();
-        let latency = self.peer_latency_ms.max(waited.unwrap_or(0));
-        if latency <= goal {
-            return slots;
-        }
-        ((slots as u64 * goal / latency) as usize).max(1)
-    }
-
-    /// A peer that is not asked at present, found by a few random probes.
-    ///
-    /// Among hundreds of peers most are idle; looking at all of them for each
-    /// chunk would cost more than the choice is worth.
-    fn idle_peer(&self, now: Timestamp, rng: &mut impl Rng) -> Option<usize> {
-        if self.peers.is_empty() {
-            return None;
-        }
-        let mut probes = (0..PROBES).map(|_| rng.random_range(0..self.peers.len()));
-        probes.find(|position| {
-            let view = &self.peers[*position];
-            view.fetching == 0 && self.offers_something(view, now)
-        })
-    }
-
-    fn least_asked_peer(&self, now: Timestamp, rng: &mut impl Rng) -> Option<usize> {
-        let peers = self.peers.iter().enumerate();
-        let usable = peers.filter(|(_, view)| self.offers_something(view, now));
-        pick_least(usable.map(|(position, view)| (position, view.fetching as u16)), rng)
-    }
-
-    fn offers_something(&self, view: &PeerView, now: Timestamp) -> bool {
-        if !view.is_usable(now, self.settings.per_peer) {
-            return false;
-        }
-        match view.is_far {
-            false => view.held.intersects(&self.wanted),
-            true => {
-                let mut offered = view.held.iter_common(&self.wanted);
-                offered.any(|index| self.imports.may_import(index))
-            }
-        }
-    }
-
     fn forget_chunk(&mut self, slot: AgentSlot, index: usize) {
         let view = &mut self.peers[slot - 1];
         let is_far = view.is_far;
