--- a/crates/testkit/src/stand_in/rows.rs
+++ b/crates/testkit/src/stand_in/rows.rs
@@ -67,7 +67,12 @@
 
     /// Writes a row as the operator or an endpoint does.
     pub fn put(&self, table: &str, key: &str, value: &Value) {
-        let value = STANDARD.encode(value.to_string());
+        self.put_bytes(table, key, value.to_string().as_bytes());
+    }
+
+    /// Writes a row of any bytes, as another writer may do.
+    pub fn put_bytes(&self, table: &str, key: &str, value: &[u8]) {
+        let value = STANDARD.encode(value);
         self.lock().change((table.to_owned(), key.to_owned()), Some(value));
     }
 
