The least time of a rollout counts only links that hold

Cause: the bound counted agents' links, which on loopback only their own pacing enforces, and agents whose engines serve nothing do not pace any more; ruled out: the clock, which starts before the operator's command.

--- a/crates/testkit/examples/quickstart.rs
+++ b/crates/testkit/examples/quickstart.rs
@@ -23,6 +23,7 @@
 use cassiawheel_runtime::spawn;
 use cassiawheel_testkit::{
     CallVerdict, Deployment, DeploymentPlan, TestCaller,
+    bound::RolloutBound,
     caller::WrongAnswer,
     deployment::{MODEL_SERVICE, OPERATOR_TOKEN},
     processes::binary_path,
@@ -140,8 +141,14 @@
     deployment.wait_engines("v1", AGENTS, Duration::from_secs(40)).await?;
     let time_to_ready = started.elapsed();
     let copies = deployment.origin.drawn() as f64 / MODEL_BYTES as f64;
-    let bound = lower_bound(link);
-    let time_ratio = time_to_ready.as_secs_f64() / bound.as_secs_f64();
+    let bound = RolloutBound {
+        model_bytes: MODEL_BYTES as u64,
+        agents: AGENTS,
+        // The engines serve nothing yet.
+        link_bytes_per_s: None,
+        origin_bytes_per_s: plan.origin_bytes_per_s,
+    };
+    let time_ratio = bound.ratio(time_to_ready)?;
     println!(
         "v1 on {AGENTS} replicas after {time_to_ready:.2?} ({time_ratio:.2} of the lower bound), \
          {copies:.2} copies drawn from the origin"
@@ -219,15 +226,6 @@
     } })
 }
 
-/// The least time in which all agents can have all bytes.
-fn lower_bound(link: u64) -> Duration {
-    let (size, link) = (MODEL_BYTES as f64, link as f64);
-    let origin = 2.0 * link;
-    let agents = AGENTS as f64;
-    let seconds = (size / link).max(size / origin).max(agents * size / (agents * link + origin));
-    Duration::from_secs_f64(seconds)
-}
-
 async fn rollout_under_load(
     deployment: &mut Deployment,
     folder: &Path,
--- a/crates/testkit/examples/transfer.rs
+++ b/crates/testkit/examples/transfer.rs
@@ -21,8 +21,8 @@
 };
 use cassiawheel_runtime::spawn;
 use cassiawheel_testkit::{
-    CallVerdict, Deployment, DeploymentPlan, TestCaller, deployment::MODEL_SERVICE,
-    weights::WeightImage,
+    CallVerdict, Deployment, DeploymentPlan, TestCaller, bound::RolloutBound,
+    deployment::MODEL_SERVICE, weights::WeightImage,
 };
 use serde_json::json;
 use smol::Timer;
@@ -78,15 +78,15 @@
         2 * self.model_bytes() as u64 / self.window_s
     }
 
-    /// The least time in which all agents can have all bytes, with the share that transfers get.
-    fn lower_bound(&self) -> Duration {
-        let size = self.model_bytes() as f64;
-        let link = self.link() as f64 * (1.0 - self.live_share);
-        let origin = 2.0 * self.link() as f64;
-        let agents = self.agents as f64;
-        let seconds =
-            (size / link).max(size / origin).max(agents * size / (agents * link + origin));
-        Duration::from_secs_f64(seconds)
+    /// What bounds a rollout to agents whose engines serve, or serve nothing yet.
+    fn bound(&self, serves: bool) -> RolloutBound {
+        let share = 1.0 - self.live_share;
+        RolloutBound {
+            model_bytes: self.model_bytes() as u64,
+            agents: self.agents,
+            link_bytes_per_s: serves.then_some((self.link() as f64 * share) as u64),
+            origin_bytes_per_s: 2 * self.link(),
+        }
     }
 
     fn image(&self, name: &str, seed: u64) -> anyhow::Result<Arc<WeightImage>> {
@@ -137,11 +137,11 @@
     if args.faults {
         return run_faulty(&args, &mut deployment).await;
     }
-    let span = args.lower_bound() * 10;
+    let span = args.bound(true).span() * 10;
     let started = Instant::now();
     deployment.force("ordinary", &args.preset("v1"), "transfer-1").await?;
     deployment.wait_engines("v1", args.agents, span).await?;
-    print("whole transfer", &args, &deployment, started.elapsed(), 0);
+    print("whole transfer", &args, &deployment, started.elapsed(), 0)?;
     print_baselines(&args);
     if args.calls {
         print_latencies(&args, &deployment, &images).await?;
@@ -151,7 +151,7 @@
 
 async fn run_faulty(args: &TransferArgs, deployment: &mut Deployment) -> anyhow::Result<()> {
     deployment.origin.corrupt_every(100);
-    let bound = args.lower_bound();
+    let bound = args.bound(false).span();
     deployment.force("ordinary", &args.preset("v1"), "transfer-1").await?;
     Timer::after(bound / 2).await;
     let before = deployment.origin.drawn();
@@ -163,8 +163,8 @@
         agent.kill()?;
     }
     deployment.endpoints[3].agent.as_ref().context("no agent")?.pause()?;
-    deployment.wait_engines("v2", args.agents - 3, bound * 10).await?;
-    print("v2 under faults", args, deployment, started.elapsed(), before);
+    deployment.wait_engines("v2", args.agents - 3, args.bound(true).span() * 10).await?;
+    print("v2 under faults", args, deployment, started.elapsed(), before)?;
     let bad = deployment.endpoints.iter().filter_map(|endpoint| endpoint.engine.as_ref());
     let v2 = args.image("v2", 2)?;
     let bad = bad
@@ -175,18 +175,26 @@
     Ok(())
 }
 
-fn print(case: &str, args: &TransferArgs, deployment: &Deployment, took: Duration, before: u64) {
+/// Prints a rollout to engines that served nothing before.
+fn print(
+    case: &str,
+    args: &TransferArgs,
+    deployment: &Deployment,
+    took: Duration,
+    before: u64,
+) -> anyhow::Result<()> {
     let copies = (deployment.origin.drawn() - before) as f64 / args.model_bytes() as f64;
-    let bound = args.lower_bound();
-    let ratio = took.as_secs_f64() / bound.as_secs_f64();
-    println!("{case}: {took:.2?}, {ratio:.3} x the lower bound of {bound:.2?}, {copies:.3} copies");
+    let bound = args.bound(false);
+    let (ratio, least) = (bound.ratio(took)?, bound.span());
+    println!("{case}: {took:.2?}, {ratio:.3} x the least time of {least:.2?}, {copies:.3} copies");
+    Ok(())
 }
 
 /// Baselines as their links would carry them at best; they are computed, not run.
 fn print_baselines(args: &TransferArgs) {
     let (size, origin) = (args.model_bytes() as f64, 2.0 * args.link() as f64);
     let link = args.link() as f64 * (1.0 - args.live_share);
-    let bound = args.lower_bound().as_secs_f64();
+    let bound = args.bound(true).span().as_secs_f64();
     let all = args.agents as f64 * size / origin / bound;
     let tree = 2.0 * size / link / bound;
     println!("computed: all from the origin {all:.2} x bound, {} copies", args.agents);
@@ -205,7 +213,7 @@
     .await?;
     let busy = measure(deployment, images, async {
         deployment.force("peak", &args.preset("v2"), "transfer-2").await?;
-        deployment.wait_engines("v2", args.agents, args.lower_bound() * 10).await
+        deployment.wait_engines("v2", args.agents, args.bound(true).span() * 10).await
     })
     .await?;
     let p99 = |latencies: &[Duration]| latencies[latencies.len() * 99 / 100];
--- a/crates/testkit/src/burst/run.rs
+++ b/crates/testkit/src/burst/run.rs
@@ -214,7 +214,9 @@
     };
     let counts = judge(&records, &limits);
     let (requests, last) = (counts.requests.max(1) as f64, samples.waits.last());
-    let time_to_n_s = longest_wait(&samples.waits);
+    let longest = longest_wait(&samples.waits);
+    // The first version goes to replicas that serve nothing yet.
+    let bound_s = |first: bool| scenario.rollout_bound(!first).span().as_secs_f64();
     let versions = samples.waits.iter().map(|w| &w.version).collect::<BTreeSet<_>>().len();
     let drawn = deployment.origin.drawn() as f64 / scenario.model_bytes as f64;
     let asks = records.requests.iter().map(|request| request.asks.len()).sum::<usize>();
@@ -223,8 +225,8 @@
         seed: options.seed,
         replicas_ready: samples.ready.last().map_or(0, |sample| sample.ready as u64),
         replicas_wanted: last.map_or(0, |wait| wait.wanted as u64),
-        time_to_n_s,
-        time_ratio: time_to_n_s.map(|span| span / scenario.lower_bound_s()),
+        time_to_n_s: longest.map(|(_, span)| span),
+        time_ratio: longest.map(|(index, span)| span / bound_s(index == 0)),
         origin_copies: drawn / versions.max(1) as f64,
         calls: CallFigures::of(&records.requests)?,
         goodput_rps: counts.complete as f64 / scenario.duration_s,
@@ -324,9 +326,11 @@
     }
 }
 
-fn longest_wait(waits: &[VersionWait]) -> Option<f64> {
-    let spans = waits.iter().filter_map(|wait| wait.waited).map(|span| span.as_secs_f64());
-    spans.max_by(f64::total_cmp)
+/// The version that took longest, by its position, and its seconds.
+fn longest_wait(waits: &[VersionWait]) -> Option<(usize, f64)> {
+    let spans = waits.iter().enumerate();
+    let spans = spans.filter_map(|(index, wait)| Some((index, wait.waited?.as_secs_f64())));
+    spans.max_by(|(_, span), (_, other)| span.total_cmp(other))
 }
 
 /// What the stand-ins know at the end.
--- a/crates/testkit/src/burst/scenario.rs
+++ b/crates/testkit/src/burst/scenario.rs
@@ -6,6 +6,8 @@
 };
 use macro_rules_attribute::apply;
 
+use crate::bound::RolloutBound;
+
 /// Most entries and most endpoints: each is a process on this machine.
 const MAX_ENTRIES: usize = 20;
 const MAX_ENDPOINTS: usize = 200;
@@ -262,12 +264,14 @@
         self.faults.iter().any(|fault| stalls(fault.kind))
     }
 
-    /// The least time in which all replicas can have all bytes, in seconds.
-    pub fn lower_bound_s(&self) -> f64 {
-        let size = self.model_bytes as f64;
-        let (link, origin) = (self.link_bytes_per_s() as f64, self.origin_bytes_per_s() as f64);
-        let replicas = self.model_replicas as f64;
-        (size / link).max(size / origin).max(replicas * size / (replicas * link + origin))
+    /// What bounds a rollout to replicas that serve callers, or serve nothing yet.
+    pub fn rollout_bound(&self, serves: bool) -> RolloutBound {
+        RolloutBound {
+            model_bytes: self.model_bytes as u64,
+            agents: self.model_replicas,
+            link_bytes_per_s: serves.then(|| self.link_bytes_per_s()),
+            origin_bytes_per_s: self.origin_bytes_per_s(),
+        }
     }
 }
 
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -3,6 +3,7 @@
 //! Each stand-in speaks the same HTTP as the real thing over loopback TCP and
 //! has switches for its faults. Nothing here ships.
 
+pub mod bound;
 pub mod burst;
 pub mod caller;
 pub mod deployment;
