--- a/crates/decide/tests/distribution.rs
+++ b/crates/decide/tests/distribution.rs
@@ -11,7 +11,9 @@
 use cassiawheel_model::{InstanceId, Timestamp};
 use proptest::{prelude::*, test_runner::RngSeed};
 use rand::{SeedableRng, rngs::SmallRng};
-use rounds::{RoundFault, RoundPlan, RoundResult, all_from_origin, fixed_tree, run_rounds};
+use rounds::{
+    LinkProfile, RoundFault, RoundPlan, RoundResult, all_from_origin, fixed_tree, run_rounds,
+};
 use rstest::rstest;
 
 fn completed(plan: &RoundPlan) -> RoundResult {
@@ -256,3 +258,27 @@
         prop_assert_eq!(result.origin_chunks, 0);
     }
 }
+
+/// Links of 9.4 Mbit/s that requests share, with chunks of 48 KB.
+const NARROW: LinkProfile =
+    LinkProfile { round_ms: 42, peer_slots: 4, upload_slots: 4, in_turns: true };
+
+/// After a loss of power no engine holds anything, and callers are refused until engines
+/// serve again. Half of them have to hold the version within 1.4 times the least time: one
+/// copy through the origin's link, which is hardly wider than the agents', and then the
+/// swarm, in which the holders of a chunk double with each round. So on any size.
+#[rstest]
+#[case(25)]
+#[case(98)]
+#[case(300)]
+fn half_of_the_engines_are_whole_soon_after_a_loss_of_power(#[case] agents: usize) {
+    for seed in 1..=2 {
+        let plan =
+            RoundPlan { origin_rate: 1, profile: NARROW, ..RoundPlan::new(agents, 48, seed) };
+        let result = completed(&plan);
+        let least = 48.0 + (agents as f64 / 2.0).log2();
+        let ratio = result.half_rounds as f64 / least;
+        assert!(ratio <= 1.4, "{ratio} times the least time: {result:?}");
+        assert!(result.origin_copies() <= 1.15, "{result:?}");
+    }
+}
--- a/crates/decide/tests/support/rounds.rs
+++ b/crates/decide/tests/support/rounds.rs
@@ -14,6 +14,8 @@
 pub const ROUND_MS: u64 = 20;
 /// Chunks that the origin sends in a round.
 pub const ORIGIN_RATE: usize = 2;
+/// Time of a fetch from a peer beyond which there are fewer at a time, in milliseconds.
+const QUEUE_MS: u64 = 350;
 /// Rounds between two repetitions of all that an agent holds.
 const REPEAT_ROUNDS: usize = 40;
 /// Rounds after which a run that does not end is given up.
@@ -34,8 +36,29 @@
     pub full_holders: usize,
     /// Rounds in which the origin sends nothing.
     pub origin_down: std::ops::Range<usize>,
+    /// Chunks that the origin sends in a round.
+    pub origin_rate: usize,
+    /// How agents use their links.
+    pub profile: LinkProfile,
 }
 
+/// Settings of all agents that belong to a size of links.
+#[derive(Debug, Clone, Copy)]
+pub struct LinkProfile {
+    /// Time in which a link carries a chunk, in milliseconds of the pickers' clock.
+    pub round_ms: u64,
+    /// Fetches from peers that an agent keeps in progress.
+    pub peer_slots: usize,
+    /// Uploads that may wait at one agent.
+    pub upload_slots: usize,
+    /// Whether agents ask the origin in turns, and fewer peers over a link that is slow.
+    pub in_turns: bool,
+}
+
+/// Wide links, and an origin that answers everybody at once.
+const WIDE: LinkProfile =
+    LinkProfile { round_ms: ROUND_MS, peer_slots: 8, upload_slots: 32, in_turns: false };
+
 impl RoundPlan {
     pub fn new(agents: usize, chunks: usize, seed: u64) -> Self {
         Self {
@@ -47,6 +70,8 @@
             faults: Vec::new(),
             full_holders: 0,
             origin_down: 0..0,
+            origin_rate: ORIGIN_RATE,
+            profile: WIDE,
         }
     }
 }
@@ -68,6 +93,8 @@
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RoundResult {
     pub rounds: usize,
+    /// Rounds until half of the agents held everything.
+    pub half_rounds: usize,
     pub bound: f64,
     pub origin_chunks: usize,
     pub chunks: usize,
@@ -89,8 +116,8 @@
 }
 
 /// Least rounds in which all agents can have all chunks.
-pub fn lower_bound(agents: usize, chunks: usize) -> f64 {
-    let (agents, chunks, origin) = (agents as f64, chunks as f64, ORIGIN_RATE as f64);
+pub fn lower_bound(agents: usize, chunks: usize, origin_rate: usize) -> f64 {
+    let (agents, chunks, origin) = (agents as f64, chunks as f64, origin_rate as f64);
     chunks.max(chunks / origin).max(agents * chunks / (agents + origin))
 }
 
@@ -143,21 +170,21 @@
     selection_ns: u64,
 }
 
-/// Uploads that may wait at one agent.
-const UPLOAD_QUEUE: usize = 32;
-/// Fetches from peers that an agent keeps in progress.
-const PEER_SLOTS: usize = 8;
-
 /// Runs `plan` to its end.
 pub fn run_rounds(plan: &RoundPlan) -> RoundResult {
     let mut bench = RoundBench::new(plan.clone());
-    let bound = lower_bound(plan.agents, plan.chunks);
+    let bound = lower_bound(plan.agents, plan.chunks, plan.origin_rate);
     let longest = plan.chunks * LONGEST_FACTOR;
+    let mut half_rounds = None;
     while !bench.is_complete() && bench.round < longest {
         bench.run_round();
+        if half_rounds.is_none() && bench.whole() * 2 >= plan.agents {
+            half_rounds = Some(bench.round);
+        }
     }
     RoundResult {
         rounds: bench.round,
+        half_rounds: half_rounds.unwrap_or(bench.round),
         bound,
         origin_chunks: bench.draws.iter().sum(),
         chunks: plan.chunks,
@@ -193,7 +220,7 @@
     }
 
     fn now(&self) -> Timestamp {
-        Timestamp(1_000 + self.round as u64 * ROUND_MS)
+        Timestamp(1_000 + self.round as u64 * self.plan.profile.round_ms)
     }
 
     fn is_complete(&self) -> bool {
@@ -205,6 +232,11 @@
         !joins_later && !busy
     }
 
+    /// Agents that hold everything.
+    fn whole(&self) -> usize {
+        self.agents.iter().filter(|agent| agent.picker.missing() == 0).count()
+    }
+
     fn run_round(&mut self) {
         self.start_faults();
         let mut order: Vec<_> = (0..self.agents.len()).collect();
@@ -283,7 +315,7 @@
         }
         let now = self.now();
         // Refusals come back within a fraction of a round; a few are tried again.
-        for _ in 0..4 * PEER_SLOTS {
+        for _ in 0..4 * self.plan.profile.peer_slots {
             let begun = std::time::Instant::now();
             let order = self.agents[agent].picker.next(now, &mut self.rng);
             self.selection_ns += begun.elapsed().as_nanos() as u64;
@@ -308,7 +340,7 @@
         let source = &mut self.agents[*source];
         if source.lies {
             self.agents[agent].picker.fetch_failed(&order, FetchFailure::Damaged, now);
-        } else if source.upload.len() >= UPLOAD_QUEUE {
+        } else if source.upload.len() >= self.plan.profile.upload_slots {
             self.agents[agent].picker.fetch_deferred(&order, now);
         } else {
             source.upload.push_back(fetch);
@@ -320,7 +352,7 @@
         let mut room: Vec<_> =
             self.agents.iter().map(|agent| agent.running && !agent.stalled).collect();
         if !self.plan.origin_down.contains(&self.round) {
-            for _ in 0..ORIGIN_RATE {
+            for _ in 0..self.plan.origin_rate {
                 let Some(fetch) = take_deliverable(&mut self.origin, &room, &self.agents) else {
                     break;
                 };
@@ -345,7 +377,7 @@
 
     fn hand_over(&mut self, fetch: QueuedFetch) {
         let corrupt = self.plan.corrupt > 0.0 && self.rng.random_bool(self.plan.corrupt);
-        let now = Timestamp(self.now().0 + ROUND_MS);
+        let now = Timestamp(self.now().0 + self.plan.profile.round_ms);
         let agent = &mut self.agents[fetch.agent];
         agent.waiting.remove(&fetch.order.index);
         if corrupt {
@@ -388,9 +420,11 @@
 impl RoundAgent {
     fn new(plan: &RoundPlan, agent: usize) -> Self {
         let name = InstanceId::new(&format!("endpoint-{agent}")).expect("a valid name");
+        let profile = plan.profile;
+        let turn_ms = profile.round_ms as f64 / plan.origin_rate as f64;
         let settings = PickerSettings {
-            origin_chunk_ms: 0.0,
-            queue_ms: 0,
+            origin_chunk_ms: if profile.in_turns { turn_ms } else { 0.0 },
+            queue_ms: if profile.in_turns { QUEUE_MS } else { 0 },
             rescue_ms: 0,
             is_near_origin: false,
             most_draws: 0,
@@ -398,7 +432,7 @@
             stall_ms: 2_000,
             origin_step_ms: 500,
             per_peer: 2,
-            peer_slots: PEER_SLOTS,
+            peer_slots: profile.peer_slots,
             extra_copies: plan.extra_copies,
         };
         let mut picker = ChunkPicker::new(settings, plan.chunks, Timestamp(1_000));
