A version that is pinned late is told with its age

Found in reading the change: the search for a manifest may now take seconds, and what it told at its end was the age at its beginning. An entry that had not heard of the version would take it for younger and let older ones answer too long. Before: told as named 0 ms ago after 2.5 s without the origin (a_version_that_is_pinned_late_is_told_with_its_age); after: with its age.

--- a/crates/entry/src/control/manifests.rs
+++ b/crates/entry/src/control/manifests.rs
@@ -32,7 +32,7 @@
 pub(crate) async fn pin_versions(shared: Arc<EntryShared>, routed: Arc<RoutedInterface>) {
     loop {
         match first_unpinned(&routed) {
-            Some(named) => pin(&shared, &routed, &named).await,
+            Some(named) => pin(&shared, &routed, &named.version).await,
             None => {
                 timeout(Duration::from_secs(1), routed.versions_changed()).await;
             }
@@ -40,11 +40,11 @@
     }
 }
 
-/// Pins `named`, or waits until another entry has done so or a newer version is named.
-async fn pin(shared: &EntryShared, routed: &RoutedInterface, named: &NamedVersion) {
+/// Pins `version`, or waits until another entry has done so or a newer one is named.
+async fn pin(shared: &EntryShared, routed: &RoutedInterface, version: &ModelVersion) {
     let own = shared.settings.place.instance.clone();
-    let mut search = ManifestSearch::new(own, named.version.as_str(), Timestamp::now());
-    while first_unpinned(routed).is_some_and(|left| left.version == named.version) {
+    let mut search = ManifestSearch::new(own, version.as_str(), Timestamp::now());
+    while is_unpinned(routed, version) {
         let peers: Vec<_> = shared.peers().iter().map(|(instance, _)| instance.clone()).collect();
         let step = search.next(&peers, Timestamp::now(), &mut rand::rng());
         match step {
@@ -54,16 +54,8 @@
             }
             SearchStep::Origin => {
                 let asked_at = Timestamp::now();
-                match read_twice(shared, &named.version).await {
-                    Some(manifest) => {
-                        let digest = Some(manifest.digest);
-                        let pinned = NamedVersion { manifest: digest, ..named.clone() };
-                        let manifest = Arc::new(manifest);
-                        routed.manifests.keep(manifest.clone());
-                        // Goes before the version, so that whoever orders it has it.
-                        spread::send_to_peers(shared, &ControlMessage::Manifest(manifest));
-                        take_version(shared, routed, &pinned);
-                    }
+                match read_twice(shared, version).await {
+                    Some(manifest) => tell_pinned(shared, routed, version, manifest),
                     None => search.origin_failed(asked_at, None, peers.len(), Timestamp::now()),
                 }
             }
@@ -77,6 +69,27 @@
     }
 }
 
+/// Tells everybody which bytes `version` consists of.
+fn tell_pinned(
+    shared: &EntryShared,
+    routed: &RoutedInterface,
+    version: &ModelVersion,
+    manifest: WeightManifest,
+) {
+    // The search may have taken seconds. Told with the age that the version had
+    // before it, an entry that hears of it only now would take it for younger and
+    // let older ones answer for too long.
+    let Some(named) = first_unpinned(routed).filter(|named| named.version == *version) else {
+        return;
+    };
+    let pinned = NamedVersion { manifest: Some(manifest.digest), ..named };
+    let manifest = Arc::new(manifest);
+    routed.manifests.keep(manifest.clone());
+    // Goes before the version, so that whoever orders it has it.
+    spread::send_to_peers(shared, &ControlMessage::Manifest(manifest));
+    take_version(shared, routed, &pinned);
+}
+
 /// Asks whoever told of a pinned version for its manifest, if it is missing here.
 pub(crate) fn ask_teller(routed: &RoutedInterface, teller: &WireSender, named: &NamedVersion) {
     let Some(manifest) = named.manifest else {
@@ -100,6 +113,11 @@
     let _ = sender.try_send(message);
 }
 
+fn is_unpinned(routed: &RoutedInterface, version: &ModelVersion) -> bool {
+    first_unpinned(routed).is_some_and(|left| left.version == *version)
+}
+
+/// The newest named version whose bytes are not known, as old as it is now.
 fn first_unpinned(routed: &RoutedInterface) -> Option<NamedVersion> {
     let versions = routed.versions.load();
     let named = versions.named(Timestamp::now());
--- a/crates/testkit/src/platform_site.rs
+++ b/crates/testkit/src/platform_site.rs
@@ -20,7 +20,7 @@
 use crate::{
     ChildProcess, FaultSwitches,
     processes::binary_path,
-    stand_in::{RunningStandIn, limited_origin::RunningOrigin, replica::Replica, rows::StoreRows},
+    stand_in::{RunningStandIn, replica::Replica, rows::StoreRows},
 };
 
 /// Host of every route.
@@ -278,8 +278,9 @@
     })
 }
 
-/// [`config`] with a model service whose weights come from `origin`.
-pub fn model_config(version: u64, model: &str, origin: &RunningOrigin) -> Value {
+/// [`config`] with a model service whose weights come from `origin`, which admits `places`
+/// connections.
+pub fn model_config(version: u64, model: &str, origin: SocketAddr, places: usize) -> Value {
     let mut config = config(version, &["safe"], 1_500);
     let engine = json!({
         "slots": 8, "stride": 1, "models": [{ "name": model }], "step_ms": 7.0,
@@ -288,8 +289,8 @@
     let services = [
         json!({ "name": "guide", "health_path": "/health", "engine": engine }),
         json!({
-            "name": "weights", "origin": origin.addr, "zone": "hall", "link_mbps": 9.0,
-            "max_connections": origin.state.places(),
+            "name": "weights", "origin": origin, "zone": "hall", "link_mbps": 9.0,
+            "max_connections": places,
         }),
     ];
     if let Some(listed) = config["services"].as_array_mut() {
--- a/crates/testkit/src/stand_in/limited_origin.rs
+++ b/crates/testkit/src/stand_in/limited_origin.rs
@@ -67,7 +67,18 @@
         chunks: usize,
         delay: Duration,
     ) -> std::io::Result<RunningOrigin> {
-        let listener = TcpListener::bind(SocketAddr::from((Ipv4Addr::LOCALHOST, 0))).await?;
+        let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        Self::start_at(any, places, chunks, delay).await
+    }
+
+    /// The same at `addr`.
+    pub async fn start_at(
+        addr: SocketAddr,
+        places: usize,
+        chunks: usize,
+        delay: Duration,
+    ) -> std::io::Result<RunningOrigin> {
+        let listener = TcpListener::bind(addr).await?;
         let addr = listener.local_addr()?;
         let state = Arc::new(Self {
             places,
@@ -88,11 +99,6 @@
         self.losses.fetch_add(1, Ordering::SeqCst);
     }
 
-    /// Connections that it admits.
-    pub fn places(&self) -> usize {
-        self.places
-    }
-
     /// Connections that were made so far.
     pub fn served(&self) -> usize {
         self.served.load(Ordering::SeqCst)
--- a/crates/testkit/tests/origin_connections.rs
+++ b/crates/testkit/tests/origin_connections.rs
@@ -14,6 +14,7 @@
     stand_in::limited_origin::{LimitedOrigin, RunningOrigin},
 };
 use cassiawheel_wire::{ControlMessage, HelloMessage, ProcessKind, WireMessage, connect};
+use serde_json::json;
 use smol::{Timer, io::AsyncReadExt, net::TcpListener};
 
 /// Connections that the users' origin admits.
@@ -35,6 +36,9 @@
 /// same time, and the test's own.
 const MOST_READS: usize = 5;
 
+/// Time for which an origin is away.
+const AWAY_TIME: Duration = Duration::from_millis(2_500);
+
 /// Time for a closed connection to be seen at the other end.
 const CLOSE_TIME: Duration = Duration::from_millis(200);
 
@@ -145,7 +149,7 @@
         }
         // All entries know each other before the version is named.
         Timer::after(MEET_TIME).await;
-        site.rows.put("op", "config", &model_config(2, "guide", &origin));
+        site.rows.put("op", "config", &model_config(2, "guide", origin.addr, PLACES));
         let wanted = client_of(&origin).manifest(&version(1)).await?;
         for entry in &site.entries {
             wait_until(async || {
@@ -159,3 +163,34 @@
         Ok(())
     });
 }
+
+/// The origin is away when a version is named, and back seconds later. Who pins the
+/// version tells the others how long ago it was named; told as just named, an entry that
+/// had not heard of it would let older versions answer for those seconds too long.
+#[test]
+fn a_version_that_is_pinned_late_is_told_with_its_age() {
+    run(async {
+        let reserved = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
+        let addr = reserved.local_addr()?;
+        drop(reserved);
+        let site = PlatformSite::start(1, 1).await?;
+        site.rows.put("op", "config", &model_config(2, "guide", addr, PLACES));
+        site.rows.put("op", "version/guide", &json!({ "model": "guide", "version": 2 }));
+
+        let (sender, mut receiver) = connect(site.entries[0].control, INNER_KEY, None).await?;
+        let instance = InstanceId::new("entry-other")?;
+        sender.send(HelloMessage { kind: ProcessKind::Entry, instance, incarnation: 1 }).await?;
+        Timer::after(AWAY_TIME).await;
+        let _origin = LimitedOrigin::start_at(addr, PLACES, CHUNKS, Duration::ZERO).await?;
+        let told = loop {
+            if let WireMessage::Control(ControlMessage::Named(named)) = receiver.recv().await?
+                && named.manifest.is_some()
+            {
+                break named;
+            }
+        };
+        let told_age = Duration::from_millis(told.age_ms);
+        assert!(told_age >= AWAY_TIME, "told as named {told_age:?} ago");
+        Ok(())
+    });
+}
