A claim that is written while its attempt is cancelled is released

Order of events: an agent writes the claim of a sale, the table service is slow; the entry that asked is killed, and the agent cancels the attempt; the write succeeds. The loop looked at the cancellation before it looked at the step, so that a claim that was certain was dropped without a release (a trace of all views showed Written and the refusal in the same millisecond). Ruled out: late records of outcomes, lost answers (release_late covers them). A settled step now goes on to the run, which begins only if it was not cancelled and releases the row otherwise. Test, failing first: a sale is unknown before and made after.

--- a/crates/agent/src/keyed.rs
+++ b/crates/agent/src/keyed.rs
@@ -126,7 +126,12 @@
         let mut step = ClaimStep::Write(ClaimGuard::Absent);
         let mut wait_ms = 0;
         loop {
-            if self.link.latch.is_cancelled() {
+            let goes_on = matches!(step, ClaimStep::Write(_) | ClaimStep::Look);
+            // A claim that is certain goes on to the run, which begins only if it was
+            // not cancelled, and releases the row if it was: given up here, the row
+            // would stay held by an attempt that never runs, and whoever asks again
+            // with the key would be told "unknown" for ever.
+            if goes_on && self.link.latch.is_cancelled() {
                 return Err(RunFailure::NotRun(NotRunReason::Cancelled));
             }
             let view = match step {
--- a/crates/testkit/tests/requests.rs
+++ b/crates/testkit/tests/requests.rs
@@ -123,6 +123,34 @@
     });
 }
 
+/// A caller buys a seat through an entry that is killed while the table service is slow
+/// to write the claim. The agent cancels the sale before its run, and the claim is
+/// written a moment later. It stayed held by an attempt that never ran: whoever asked
+/// again with the key was told "unknown" for ever and could not buy the seat. The agent's
+/// lines showed the claim written and the refusal as cancelled in the same millisecond,
+/// and no release of the row.
+#[test]
+fn a_sale_that_is_cancelled_while_it_is_claimed_can_be_made_again() {
+    run(async {
+        let mut deployment = ledgers(1, 2, Duration::from_millis(5)).await?;
+        let slow = Duration::from_millis(400);
+        deployment.table_switches.set_delay(slow);
+        let first =
+            spawn(send(sale(deployment.entries[0].caller_addr, "lift-7", Duration::from_secs(10))));
+        Timer::after(slow / 2).await;
+        let entry = deployment.entries[0].process.as_mut().expect("the entry runs");
+        entry.kill()?;
+        Timer::after(slow).await;
+        deployment.table_switches.set_delay(Duration::ZERO);
+        assert!(!is_complete(&first.await));
+        let again = sale(deployment.entries[1].caller_addr, "lift-7", Duration::from_secs(10));
+        let verdict = send(again).await;
+        assert!(is_complete(&verdict), "{verdict:?}");
+        assert_eq!(runs_of(&deployment, "lift-7"), 1);
+        Ok(())
+    });
+}
+
 /// An agent dies while a card is charged. Whether the charge went through is not
 /// known, so nobody may be told that it did not, and nobody may charge again,
 /// also not a caller that asks again with the same key.
