--- a/crates/testkit/examples/burst.rs
+++ b/crates/testkit/examples/burst.rs
@@ -1,13 +1,11 @@
 //! Load and experiments on a whole deployment; `docs/burst.md` tells how.
 
-use std::{path::PathBuf, pin::pin};
+use std::path::PathBuf;
 
 use anyhow::Context;
 use argh::FromArgs;
 use cassiawheel_model::settings::parse_settings;
-use cassiawheel_runtime::shutdown::TerminationSignals;
-use cassiawheel_testkit::burst::{BurstOptions, BurstReport, BurstScenario, run_burst};
-use futures_util::future::{Either, select};
+use cassiawheel_testkit::burst::{BurstOptions, BurstScenario, run_until_stopped};
 
 /// Drives a whole deployment by a scenario and judges what it did.
 #[derive(FromArgs)]
@@ -44,7 +42,7 @@
         progress: true,
         plot: args.plot,
     };
-    let report = cassiawheel_runtime::run(THREADS, until_stopped(&scenario, &options))??;
+    let report = cassiawheel_runtime::run(THREADS, run_until_stopped(&scenario, &options))??;
     print!("{report}");
     if args.json {
         println!("{}", serde_json::to_string(&report)?);
@@ -53,17 +51,3 @@
     anyhow::ensure!(broken.is_empty(), "invariants are broken: {broken:?}");
     Ok(())
 }
-
-/// Runs the scenario. When this process is asked to stop, the run is dropped,
-/// and with it the processes that it started; otherwise they would live on.
-async fn until_stopped(
-    scenario: &BurstScenario,
-    options: &BurstOptions,
-) -> anyhow::Result<BurstReport> {
-    let mut signals = TerminationSignals::listen()?;
-    let run = pin!(run_burst(scenario, options));
-    match select(run, pin!(signals.asked())).await {
-        Either::Left((report, _)) => report,
-        Either::Right(_) => anyhow::bail!("stopped before the end"),
-    }
-}
--- a/crates/testkit/src/burst.rs
+++ b/crates/testkit/src/burst.rs
@@ -7,6 +7,7 @@
 //! Whatever is counted comes from what callers and operators were told and
 //! from what the stand-ins did, never from the system's own word.
 
+pub mod draw;
 pub mod drive;
 pub mod faults;
 pub mod figures;
@@ -17,10 +18,12 @@
 pub mod run;
 pub mod scenario;
 pub mod schedule;
+pub mod stop;
 pub mod verdicts;
 
 pub use records::RunRecords;
 pub use report::BurstReport;
 pub use run::{BurstOptions, run_burst};
 pub use scenario::BurstScenario;
+pub use stop::run_until_stopped;
 pub use verdicts::{VerdictCounts, VerdictLimits, judge};
