Threads of an entry no longer take the same last place

Cause: an endpoint was chosen, and counted afterwards. Two threads took the last place of an endpoint; its gate refused one of them, the entry lowered its limit from 32 to 28, and the sales admitted for those places found no endpoint and used up the retry budget (171 and 217 such lines in the two logs).

Ruled out: the store's delay and the change of idle connections (no claim was given up, each refusal was made at the entry with no attempt begun); permits that the gate gives back late (keyed runs give theirs back before the answer).

The test fails in the first burst with the two steps apart and passes with them joined.

--- a/crates/decide/src/cell.rs
+++ b/crates/decide/src/cell.rs
@@ -80,6 +80,15 @@
         self.in_flight.fetch_add(1, Ordering::Relaxed);
     }
 
+    /// Counts a request if fewer than `most` are in progress; false if not.
+    ///
+    /// Looked at and counted in one step: between the two another thread could
+    /// take the same last place.
+    pub fn begin_below(&self, most: u32) -> bool {
+        let next = |count: u32| (count < most).then(|| count + 1);
+        self.in_flight.fetch_update(Ordering::Relaxed, Ordering::Relaxed, next).is_ok()
+    }
+
     /// Counts a request no more.
     pub fn end(&self) {
         self.in_flight.fetch_sub(1, Ordering::Relaxed);
--- a/crates/decide/src/route.rs
+++ b/crates/decide/src/route.rs
@@ -181,13 +181,17 @@
         self.cell.load(now) * LOAD_COST + distance + delay
     }
 
+    /// Requests that this entry may have in progress here for the sake of this one.
+    fn room(&self, query: &RouteQuery<'_>) -> u32 {
+        self.limit(query.max_in_flight, query.now).saturating_add(query.extra_room)
+    }
+
     fn has_room(&self, query: &RouteQuery<'_>) -> bool {
-        let limit = self.limit(query.max_in_flight, query.now).saturating_add(query.extra_room);
         let is_wanted = query.version.is_none_or(|version| self.version.as_ref() == Some(version));
         let is_allowed = query.allowed.is_none_or(|allowed| {
             self.version.as_ref().is_none_or(|version| allowed.contains(version))
         });
-        self.cell.in_flight() < limit
+        self.cell.in_flight() < self.room(query)
             && is_wanted
             && is_allowed
             && !query.excluded.contains(&self.instance)
@@ -343,7 +347,26 @@
         position.is_some_and(|p| routes.candidates[*p].version.as_ref() == version)
     }
 
-    /// Chooses an endpoint.
+    /// Chooses an endpoint and counts the request there.
+    ///
+    /// Threads that choose at the same moment see the same last place. Were both
+    /// to send, the endpoint's gate would refuse one of them, its limit here would
+    /// be lowered for an overload that it never had, and the requests that were
+    /// admitted for the places so lost would find none.
+    pub fn take<'a>(
+        &'a self,
+        query: &RouteQuery<'_>,
+        rng: &mut impl Rng,
+    ) -> Option<RouteChoice<'a>> {
+        loop {
+            let choice = self.choose(query, rng)?;
+            if choice.candidate.cell.begin_below(choice.candidate.room(query)) {
+                return Some(choice);
+            }
+        }
+    }
+
+    /// Chooses an endpoint; the request is not counted there.
     pub fn choose<'a>(
         &'a self,
         query: &RouteQuery<'_>,
--- /dev/null
+++ b/crates/decide/tests/last_place.rs
@@ -0,0 +1,96 @@
+//! Requests that are routed at the same moment by several threads of an entry.
+
+use std::{
+    collections::HashMap,
+    sync::{
+        Arc, Barrier,
+        atomic::{AtomicBool, AtomicU32, Ordering},
+    },
+    thread,
+};
+
+use cassiawheel_decide::{
+    EndpointCell, EndpointPath, RouteCandidate, RouteQuery, RouteSnapshot, ServiceRoutes,
+};
+use cassiawheel_model::{InstanceId, ServiceName, Timestamp};
+use rand::{SeedableRng, rngs::SmallRng};
+
+const NOW: Timestamp = Timestamp(1_000_000);
+
+/// Requests that an endpoint's gate takes.
+const GATE: u32 = 32;
+
+const THREADS: u64 = 4;
+
+/// Bursts after which a race of a few instructions has shown itself.
+const BURSTS: usize = 2_000;
+
+fn endpoint(index: usize) -> RouteCandidate {
+    let cell = EndpointCell::default();
+    cell.set_limit(GATE);
+    RouteCandidate {
+        instance: InstanceId::new(&format!("i-{index}")).expect("valid"),
+        version: None,
+        is_near: index == 0,
+        path: EndpointPath::Agent,
+        cell: Arc::new(cell),
+    }
+}
+
+fn query(service: &ServiceName) -> RouteQuery<'_> {
+    RouteQuery {
+        service,
+        excluded: &[],
+        prefix: None,
+        version: None,
+        allowed: None,
+        extra_room: 0,
+        max_in_flight: GATE,
+        now: NOW,
+    }
+}
+
+/// Visitors who bought at the same moment were refused as if the shop were
+/// overloaded, though every one of them had a place. An entry admitted 64 sales
+/// for two endpoints that take 32 each. Two of its threads looked at an endpoint
+/// with 31, both sent, and its gate refused the 33rd. The entry took that for an
+/// overload and lowered its limit for the endpoint to 28, so that four sales that
+/// were admitted found no endpoint, asked again every ten milliseconds, and used
+/// up what all of the entry's requests may repeat. The log of a refused sale
+/// showed 33 choices of one endpoint and 31 of the other within five
+/// milliseconds, one refusal of each gate, and 171 lines of requests that found
+/// no endpoint.
+#[test]
+fn two_threads_do_not_take_the_same_last_place() {
+    let service = ServiceName::new("ledger").expect("valid");
+    let candidates: Vec<_> = (0..2).map(endpoint).collect();
+    let cells: Vec<_> = candidates.iter().map(|c| c.cell.clone()).collect();
+    let routes = ServiceRoutes::new(candidates, Arc::new(AtomicU32::new(0)));
+    let routes = RouteSnapshot::new(HashMap::from([(service.clone(), routes)]));
+    let (begin, end) = (Barrier::new(THREADS as usize), Barrier::new(THREADS as usize));
+    let overfull = AtomicBool::new(false);
+    thread::scope(|scope| {
+        for seed in 0..THREADS {
+            let (service, routes, cells) = (&service, &routes, &cells);
+            let (begin, end, overfull) = (&begin, &end, &overfull);
+            scope.spawn(move || {
+                let mut rng = SmallRng::seed_from_u64(seed);
+                for _ in 0..BURSTS {
+                    begin.wait();
+                    let mut taken = Vec::new();
+                    while let Some(choice) = routes.take(&query(service), &mut rng) {
+                        taken.push(choice.candidate.cell.clone());
+                    }
+                    end.wait();
+                    if cells.iter().any(|cell| cell.in_flight() != GATE) {
+                        overfull.store(true, Ordering::Relaxed);
+                    }
+                    begin.wait();
+                    taken.iter().for_each(|cell| cell.end());
+                    end.wait();
+                }
+            });
+        }
+    });
+    assert!(!overfull.load(Ordering::Relaxed), "an endpoint got more than its gate takes");
+}
--- a/crates/entry/src/caller/attempts.rs
+++ b/crates/entry/src/caller/attempts.rs
@@ -74,15 +74,15 @@
     }
 }
 
-/// Counts one request at its endpoint and its service.
+/// One request's count at its endpoint and its service.
 pub(crate) struct EndpointLoad {
     cell: Arc<EndpointCell>,
     service: Arc<AtomicU32>,
 }
 
 impl EndpointLoad {
-    fn begin(cell: Arc<EndpointCell>, service: Arc<AtomicU32>) -> Self {
-        cell.begin();
+    /// Takes over a request that is counted at the endpoint already.
+    fn taken(cell: Arc<EndpointCell>, service: Arc<AtomicU32>) -> Self {
         service.fetch_add(1, Ordering::Relaxed);
         Self { cell, service }
     }
@@ -218,14 +218,14 @@
             max_in_flight: target.map_or(0, |target| target.max_in_flight),
             now,
         };
-        let choice = routes.choose(&query, &mut rand::rng());
+        let choice = routes.take(&query, &mut rand::rng());
         let (Some(choice), Some(service)) = (choice, routes.service(&head.service)) else {
             log::info!(target: "route", request:% = head.id, workspace:% = head.workspace, service:% = head.service, revision = preset.revision.0, excluded = self.excluded.len(); "No endpoint for a request.");
             return Err(AttemptEnd::NotRun(no_endpoint(&routes, head)));
         };
         let candidate = choice.candidate;
         log::info!(target: "route", request:% = head.id, workspace:% = head.workspace, endpoint:% = candidate.instance, reason = choice.reason.as_str(), cost = choice.cost, near = candidate.is_near, candidates = choice.candidates, revision = preset.revision.0, attempt = self.tracker.attempts() + 1; "Chose an endpoint.");
-        let load = EndpointLoad::begin(candidate.cell.clone(), service.in_flight().clone());
+        let load = EndpointLoad::taken(candidate.cell.clone(), service.in_flight().clone());
         let (instance, path) = (candidate.instance.clone(), candidate.path);
         let candidate_version = candidate.version.clone();
         let version = match path {
