A preset is asked of one entry at a time, of a near one first

Ruled out: the store's own delay (nine entries of its region had it within 170 ms).

Change: PresetPull decides whom to ask and when; near entries first, one question at a time, another region in turns by rank.

--- /dev/null
+++ b/crates/decide/tests/preset_pull.rs
@@ -0,0 +1,242 @@
+//! Entries that miss a preset and ask others for it, over links that are shared.
+
+use cassiawheel_decide::{PresetPull, PullStep, PullView, ToldRevision};
+use cassiawheel_model::{InstanceId, PresetRevision, Timestamp};
+use rand::{Rng, SeedableRng, rngs::SmallRng, seq::SliceRandom};
+use rstest::rstest;
+
+const REGIONS: usize = 3;
+const ENTRIES_A_REGION: usize = 15;
+const ENTRIES: usize = REGIONS * ENTRIES_A_REGION;
+
+/// A preset with many routes, in bytes.
+const PRESET_BYTES: u64 = 120_000;
+
+/// What weights leave of a link into a region, in bytes per millisecond.
+const FAR_RATE: u64 = 1_000;
+
+/// An entry's own link, in bytes per millisecond.
+const NEAR_RATE: u64 = 5_000;
+
+/// Time between heartbeats.
+const BEAT_MS: u64 = 500;
+
+/// One-way delay within and between regions.
+const NEAR_MS: u64 = 1;
+const FAR_MS: u64 = 12;
+
+const STEP_MS: u64 = 10;
+
+/// When a preset is in force everywhere at the latest, by the aim.
+const APPLY_MS: u64 = 2_000;
+
+const START: u64 = 1_000_000;
+
+/// How an entry asks for a preset of which it heard.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum PullRule {
+    /// Whoever told last is asked again every 250 ms.
+    AskAnew,
+    /// As [`PresetPull`] decides.
+    OneQuestion,
+}
+
+/// Links on which what is sent waits for what was sent before.
+struct SharedLinks {
+    /// Into each region.
+    far: [u64; REGIONS],
+    /// Out of each entry.
+    near: [u64; ENTRIES],
+    far_copies: usize,
+}
+
+struct PulledEntry {
+    region: usize,
+    /// When a copy arrives that is on its way.
+    arrives: Vec<u64>,
+    has_at: Option<u64>,
+    pull: PresetPull<usize>,
+    is_running: bool,
+    asks_again_at: u64,
+    last_teller: Option<usize>,
+    is_frozen: bool,
+}
+
+impl SharedLinks {
+    /// When a copy sent at `now` arrives at `to`; the store stands in the first region.
+    fn send(&mut self, from: Option<usize>, to: usize, now: u64) -> u64 {
+        let region = |entry: usize| entry / ENTRIES_A_REGION;
+        let from_region = from.map_or(0, region);
+        let mut at = now;
+        if let Some(from) = from {
+            self.near[from] = self.near[from].max(at) + PRESET_BYTES / NEAR_RATE;
+            at = self.near[from];
+        }
+        if from_region == region(to) {
+            return at + NEAR_MS;
+        }
+        self.far_copies += 1;
+        let link = &mut self.far[region(to)];
+        *link = (*link).max(at) + PRESET_BYTES / FAR_RATE;
+        *link + FAR_MS
+    }
+}
+
+/// What came of one preset.
+#[derive(Debug)]
+struct SpreadOutcome {
+    /// When the last entry that runs had it, after its acknowledgement.
+    last_ms: u64,
+    far_copies: usize,
+}
+
+fn instance(entry: usize) -> InstanceId {
+    InstanceId::new(&format!("entry-{entry:02}")).expect("valid")
+}
+
+/// Spreads a preset while the store turns away those of `turned_away`.
+fn spread(rule: PullRule, turned_away: &[usize], frozen: &[usize], seed: u64) -> SpreadOutcome {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let (old, new) = (PresetRevision(1), PresetRevision(2));
+    let mut links = SharedLinks { far: [0; REGIONS], near: [0; ENTRIES], far_copies: 0 };
+    let mut entries: Vec<_> = (0..ENTRIES)
+        .map(|entry| PulledEntry {
+            region: entry / ENTRIES_A_REGION,
+            arrives: Vec::new(),
+            has_at: None,
+            pull: PresetPull::default(),
+            is_running: false,
+            asks_again_at: 0,
+            last_teller: None,
+            is_frozen: frozen.contains(&entry),
+        })
+        .collect();
+    let mut order: Vec<_> = (0..ENTRIES).filter(|entry| !turned_away.contains(entry)).collect();
+    order.shuffle(&mut rng);
+    for entry in order {
+        entries[entry].arrives.push(links.send(None, entry, START));
+    }
+    let phases: Vec<u64> = (0..ENTRIES).map(|_| rng.random_range(0..BEAT_MS)).collect();
+    for now in (START..START + 60_000).step_by(STEP_MS as usize) {
+        let told = tell(&mut entries, &phases, now);
+        for entry in 0..ENTRIES {
+            if entries[entry].is_frozen || entries[entry].has_at.is_some() {
+                continue;
+            }
+            let region = entries[entry].region;
+            for teller in told.iter().copied().filter(|teller| *teller != entry) {
+                let is_near = entries[teller].region == region;
+                let (instance, handle) = (instance(teller), teller);
+                let told = ToldRevision { instance, revision: new, is_near, handle };
+                let state = &mut entries[entry];
+                state.is_running |= state.pull.hear(told, old, Timestamp(now));
+                if state.last_teller.replace(teller).is_none() {
+                    state.asks_again_at = now + 250;
+                }
+            }
+            let near_rank = (entry % ENTRIES_A_REGION) as u32;
+            let view = PullView { known: old, near_rank, now: Timestamp(now) };
+            let state = &mut entries[entry];
+            let asked = match rule {
+                PullRule::AskAnew if state.last_teller.is_some() && now >= state.asks_again_at => {
+                    state.asks_again_at = now + 250;
+                    state.last_teller
+                }
+                PullRule::OneQuestion if state.is_running => {
+                    match state.pull.step(view, |_| true, &mut rng) {
+                        PullStep::Ask(teller) => Some(teller),
+                        PullStep::Wait(_) | PullStep::Done => None,
+                    }
+                }
+                PullRule::AskAnew | PullRule::OneQuestion => None,
+            };
+            if let Some(teller) = asked.filter(|teller| !entries[*teller].is_frozen) {
+                let arrives = links.send(Some(teller), entry, now);
+                entries[entry].arrives.push(arrives);
+            }
+        }
+        if entries.iter().all(|entry| entry.is_frozen || entry.has_at.is_some()) {
+            break;
+        }
+    }
+    let running = entries.iter().filter(|entry| !entry.is_frozen);
+    let last = running.map(|entry| entry.has_at.expect("it arrived")).max().expect("some run");
+    SpreadOutcome { last_ms: last - START, far_copies: links.far_copies }
+}
+
+/// Those whose word of the preset arrives now: on adoption, and with each heartbeat.
+///
+/// A frozen entry has adopted it and told so right before.
+fn tell(entries: &mut [PulledEntry], phases: &[u64], now: u64) -> Vec<usize> {
+    let mut told = Vec::new();
+    for (index, entry) in entries.iter_mut().enumerate() {
+        let arrived = entry.arrives.iter().any(|at| *at <= now);
+        if arrived && entry.has_at.is_none() {
+            entry.has_at = Some(now);
+            told.push(index);
+        } else if !entry.is_frozen
+            && entry.has_at.is_some()
+            && (now + phases[index]) % BEAT_MS < STEP_MS
+        {
+            told.push(index);
+        }
+    }
+    told
+}
+
+fn turned_away(seed: u64, count: usize) -> Vec<usize> {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut all: Vec<_> = (0..ENTRIES).collect();
+    all.shuffle(&mut rng);
+    all.truncate(count);
+    all
+}
+
+/// Callers were still answered by the old routes four seconds after a change was
+/// acknowledged. The configuration had grown by many routes, the table service
+/// turned 14 of 45 entries away, and weights filled most of the links between
+/// regions. Whoever heard of the change asked for all of it, from whichever entry
+/// had told last, and asked anew every quarter of a second while the answer was
+/// on its way: 244 asks in some seconds, so that the copies that the table service
+/// had sent waited behind them. The entries in its own region had the change after
+/// 0.3 s, the last of the others after 4.9 s.
+#[test]
+fn a_preset_is_not_asked_for_again_while_it_is_on_its_way() {
+    for seed in 0..20 {
+        let away = turned_away(seed, 14);
+        let anew = spread(PullRule::AskAnew, &away, &[], seed);
+        let asked = spread(PullRule::OneQuestion, &away, &[], seed);
+        println!("seed {seed}: anew {anew:?}, one question {asked:?}");
+        assert!(asked.last_ms <= APPLY_MS, "seed {seed}: {asked:?}");
+        assert!(asked.last_ms * 2 <= anew.last_ms, "seed {seed}: {asked:?}, {anew:?}");
+        assert!(asked.far_copies <= 2 * ENTRIES_A_REGION + 2 * REGIONS, "{asked:?}");
+    }
+}
+
+/// A region whose entries are all turned away gets the preset from another one, by
+/// few copies: who has it first tells the rest.
+#[rstest]
+#[case::one_region(1)]
+#[case::two_regions(2)]
+fn a_region_that_is_turned_away_asks_another_one_few_times(#[case] regions: usize) {
+    let away: Vec<_> = (ENTRIES - regions * ENTRIES_A_REGION..ENTRIES).collect();
+    for seed in 0..20 {
+        let asked = spread(PullRule::OneQuestion, &away, &[], seed);
+        println!("seed {seed}: {asked:?}");
+        let by_rows = (REGIONS - 1 - regions) * ENTRIES_A_REGION;
+        assert!(asked.last_ms <= APPLY_MS, "seed {seed}: {asked:?}");
+        assert!(asked.far_copies <= by_rows + 4 * regions, "seed {seed}: {asked:?}");
+    }
+}
+
+/// Entries that told of a preset and were frozen right after answer nobody.
+#[test]
+fn a_frozen_entry_holds_nobody_up_for_long() {
+    for seed in 0..20 {
+        let away = turned_away(seed, 14);
+        let frozen: Vec<_> = (0..ENTRIES).filter(|entry| !away.contains(entry)).take(3).collect();
+        let asked = spread(PullRule::OneQuestion, &away, &frozen, seed);
+        println!("seed {seed}: {asked:?}");
+        assert!(asked.last_ms <= APPLY_MS, "seed {seed}: {asked:?}");
+    }
+}
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -13,5 +13,6 @@
 pub(crate) mod operators;
 pub(crate) mod orders;
 pub(crate) mod poll;
+mod pull;
 pub(crate) mod spread;
 pub(crate) mod store;
--- /dev/null
+++ b/crates/entry/src/control/pull.rs
@@ -0,0 +1,70 @@
+//! Asking another entry for a preset that it has and this one lacks.
+
+use std::{sync::Arc, time::Duration};
+
+use cassiawheel_decide::{PullStep, PullView, ToldRevision};
+use cassiawheel_model::{PresetRevision, Timestamp};
+use cassiawheel_runtime::spawn;
+use cassiawheel_wire::{ControlMessage, WireSender};
+use smol::Timer;
+
+use super::spread::PeerProcess;
+use crate::{routed::RoutedInterface, shared::EntryShared};
+
+/// Longest sleep between looks whether the preset has come, or somebody near has it.
+const LOOK_TIME: Duration = Duration::from_millis(50);
+
+/// Takes in the revision that another entry tells.
+pub(super) fn hear_revision(
+    shared: &Arc<EntryShared>,
+    routed: &Arc<RoutedInterface>,
+    sender: &WireSender,
+    process: &PeerProcess,
+    revision: PresetRevision,
+) {
+    let told = ToldRevision {
+        instance: process.instance.clone(),
+        revision,
+        is_near: routed.settings.near_domains.contains(&process.failure_domain),
+        handle: sender.clone(),
+    };
+    let begins = routed.pull().hear(told, shared.known_revision(), Timestamp::now());
+    if begins {
+        spawn(pull_preset(shared.clone(), routed.clone())).detach();
+    }
+}
+
+/// Asks until nobody tells of a preset that is newer than the known one.
+async fn pull_preset(shared: Arc<EntryShared>, routed: Arc<RoutedInterface>) {
+    loop {
+        let now = Timestamp::now();
+        let view = PullView {
+            known: shared.known_revision(),
+            near_rank: near_rank(&shared, &routed),
+            now,
+        };
+        let is_open = |sender: &WireSender| !sender.is_closed();
+        let step = routed.pull().step(view, is_open, &mut rand::rng());
+        match step {
+            PullStep::Done => return,
+            PullStep::Ask(sender) => {
+                log::info!(target: "preset", revision = view.known.0; "Asks another entry for a newer preset.");
+                let _ = sender.try_send(ControlMessage::PresetWanted);
+            }
+            PullStep::Wait(until) => {
+                Timer::after(until.remaining(now).min(LOOK_TIME)).await;
+            }
+        }
+    }
+}
+
+/// Entries of the own region that go before this one.
+fn near_rank(shared: &EntryShared, routed: &RoutedInterface) -> u32 {
+    let own = &shared.settings.place.instance;
+    let near = &routed.settings.near_domains;
+    let peers = shared.peers();
+    let before = peers
+        .iter()
+        .filter(|(instance, peer)| *instance < own && near.contains(&peer.advice.failure_domain));
+    before.count() as u32
+}
--- a/crates/entry/src/control/spread.rs
+++ b/crates/entry/src/control/spread.rs
@@ -15,7 +15,7 @@
     rank::{first_ranked, subject_of},
 };
 use cassiawheel_model::{
-    ForcedPreset, InstanceId, PresetRevision, Timestamp, settings::EntrySettings,
+    FailureDomain, ForcedPreset, InstanceId, PresetRevision, Timestamp, settings::EntrySettings,
 };
 use cassiawheel_runtime::spawn;
 use cassiawheel_wire::{
@@ -23,11 +23,8 @@
 };
 use smol::Timer;
 
-use super::{drains, entries, listing, manifests, operators};
-use crate::{
-    routed::RoutedInterface,
-    shared::{EntryShared, PeerLink},
-};
+use super::{drains, entries, listing, manifests, operators, pull};
+use crate::shared::{EntryShared, PeerLink};
 
 /// Time between heartbeats of an entry.
 const BEAT_TIME: Duration = Duration::from_millis(500);
@@ -45,9 +42,6 @@
 /// connected while a third of them is cut.
 const MAX_DIALLED: usize = 12;
 
-/// Time in which the operators' rows bring a preset of which another entry has told.
-const PULL_TIME: Duration = Duration::from_millis(250);
-
 /// Time between looks whether a connection that the other end made is still up.
 const LINKED_TIME: Duration = Duration::from_millis(1_000);
 
@@ -108,11 +102,13 @@
             inner_addr,
         } => {
             note_link(shared, sender, inner_addr);
+            let process = PeerProcess { instance, incarnation, failure_domain };
+            heal(shared, sender, &process, revision);
+            let PeerProcess { instance, failure_domain, .. } = process;
             let advice = AdviceInput { caller_addr, failure_domain, in_flight, leaving };
             let heard_at = Timestamp::now();
             let peer = PeerEntry { advice, incarnation, revision, advised, heard_at };
             shared.peers().hear(&instance, peer);
-            heal(shared, sender, revision);
         }
         ControlMessage::ReportWanted => {
             let _ = sender.try_send(beat_message(shared));
@@ -187,12 +183,15 @@
 }
 
 /// Sends the preset in force to an entry whose heartbeat shows an older one, or
-/// asks it for a newer one.
-fn heal(shared: &Arc<EntryShared>, sender: &WireSender, revision: PresetRevision) {
+/// asks for a newer one.
+fn heal(
+    shared: &Arc<EntryShared>,
+    sender: &WireSender,
+    process: &PeerProcess,
+    revision: PresetRevision,
+) {
     if let Some(routed) = &shared.routed {
-        if revision > shared.known_revision() && !routed.pulling.swap(true, Ordering::AcqRel) {
-            spawn(pull_preset(shared.clone(), routed.clone(), sender.clone(), revision)).detach();
-        }
+        pull::hear_revision(shared, routed, sender, process, revision);
         return;
     }
     if let Some(preset) = shared.force.load_full().filter(|preset| preset.revision > revision) {
@@ -200,24 +199,6 @@
     }
 }
 
-/// Asks another entry for its preset, if the operators' rows do not bring it meanwhile.
-async fn pull_preset(
-    shared: Arc<EntryShared>,
-    routed: Arc<RoutedInterface>,
-    sender: WireSender,
-    revision: PresetRevision,
-) {
-    if shared.force.load().is_some() {
-        Timer::after(PULL_TIME).await;
-    }
-    if shared.known_revision() < revision {
-        log::info!(target: "preset", revision = revision.0; "Asks another entry for a preset.");
-        let _ = sender.try_send(ControlMessage::PresetWanted);
-        Timer::after(PULL_TIME).await;
-    }
-    routed.pulling.store(false, Ordering::Release);
-}
-
 /// The entries that this one dials: the same choice after every restart.
 pub(crate) fn chosen_peers(settings: &EntrySettings) -> Vec<SocketAddr> {
     let names: Vec<_> = settings.peers.iter().map(ToString::to_string).collect();
@@ -302,16 +283,18 @@
 }
 
 /// The process at the other end of a connection.
-struct PeerProcess {
-    instance: InstanceId,
+pub(super) struct PeerProcess {
+    pub(super) instance: InstanceId,
     incarnation: u64,
+    pub(super) failure_domain: FailureDomain,
 }
 
 /// The process that a whole heartbeat comes from.
 fn told_process(message: &ControlMessage) -> Option<PeerProcess> {
     match message {
-        ControlMessage::EntryBeat { instance, incarnation, .. } => {
-            Some(PeerProcess { instance: instance.clone(), incarnation: *incarnation })
+        ControlMessage::EntryBeat { instance, incarnation, failure_domain, .. } => {
+            let (instance, failure_domain) = (instance.clone(), failure_domain.clone());
+            Some(PeerProcess { instance, incarnation: *incarnation, failure_domain })
         }
         _ => None,
     }
@@ -327,9 +310,9 @@
     let now = Timestamp::now();
     let known = other
         .and_then(|other| shared.peers().alive(&other.instance, other.incarnation, in_flight, now));
-    match known {
-        Some(revision) => heal(shared, sender, revision),
-        None => {
+    match (known, other) {
+        (Some(revision), Some(other)) => heal(shared, sender, other, revision),
+        (None, _) | (_, None) => {
             let _ = sender.try_send(ControlMessage::ReportWanted);
         }
     }
--- a/crates/entry/src/routed.rs
+++ b/crates/entry/src/routed.rs
@@ -6,13 +6,15 @@
     net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard,
-        atomic::{AtomicBool, AtomicU64, Ordering},
+        atomic::{AtomicU64, Ordering},
     },
     time::Duration,
 };
 
 use arc_swap::{ArcSwap, ArcSwapOption};
-use cassiawheel_decide::{CallerIndex, EndpointListing, RetryBudget, VersionBook, plan::PlanPace};
+use cassiawheel_decide::{
+    CallerIndex, EndpointListing, PresetPull, RetryBudget, VersionBook, plan::PlanPace,
+};
 use cassiawheel_edge::{
     CallerProtocol, EndpointProtocol, ListingFeed, OperatorFeed, TableStore, WeightSource,
 };
@@ -20,6 +22,7 @@
     EndpointReport, EndpointState, ForcedPreset, ListedEndpoint, ModelVersion, NamedVersion,
     ServiceName, ServiceTarget, Timestamp, settings::RoutedSettings,
 };
+use cassiawheel_wire::WireSender;
 use smol::channel::{Receiver, Sender, bounded};
 
 use crate::{control::manifest_cache::ManifestCache, direct::DirectClient};
@@ -65,10 +68,9 @@
     pub(crate) versions: ArcSwap<VersionBook>,
     /// Manifests of named versions.
     pub(crate) manifests: ManifestCache,
-    /// Whether a preset is being asked of another entry.
-    pub(crate) pulling: AtomicBool,
     versions_changed: (Sender<()>, Receiver<()>),
     listing: Mutex<EndpointListing>,
+    pull: Mutex<PresetPull<WireSender>>,
     entries: Mutex<BTreeSet<SocketAddr>>,
     budgets: ArcSwap<HashMap<ServiceName, Arc<RetryBudget>>>,
     /// Longest patience of a caller by the name of its route, in milliseconds.
@@ -107,7 +109,7 @@
             index: ArcSwapOption::empty(),
             versions: ArcSwap::default(),
             manifests: ManifestCache::default(),
-            pulling: AtomicBool::new(false),
+            pull: Mutex::default(),
             versions_changed: bounded(1),
             entries: Mutex::default(),
             budgets: ArcSwap::default(),
@@ -120,6 +122,11 @@
         self.listing.lock().unwrap_or_else(|poison| poison.into_inner())
     }
 
+    /// The pull of a preset that other entries have and this one lacks.
+    pub(crate) fn pull(&self) -> MutexGuard<'_, PresetPull<WireSender>> {
+        self.pull.lock().unwrap_or_else(|poison| poison.into_inner())
+    }
+
     /// Notes the inner addresses of entries; those that were not known, without the own one.
     pub(crate) fn note_entries(&self, addrs: &[SocketAddr], own: SocketAddr) -> Vec<SocketAddr> {
         let mut known = self.entries.lock().unwrap_or_else(|poison| poison.into_inner());
