Another region is asked for a preset only where rows and neighbours cannot bring it

Hypothesis: an entry that the store answers has its copy on the same link; a far answer only delays it. The store's word, whether the last call was answered, tells such entries from those that are turned away.

Change: PullView::follows_rows; those turned away ask near entries at once.

--- a/crates/decide/src/preset_pull.rs
+++ b/crates/decide/src/preset_pull.rs
@@ -10,16 +10,26 @@
 use cassiawheel_model::{Deadline, InstanceId, PresetRevision, Timestamp};
 use rand::{Rng, seq::IndexedRandom};
 
-/// Time in which the own rows bring a preset of which another entry has told.
+/// Time in which the own rows bring a preset before an entry of the own region is asked.
 ///
-/// Rows come within 100 ms to entries that the table service answers.
+/// Rows come within 100 ms where the table service answers over a free link.
 const OWN_TIME: Duration = Duration::from_millis(250);
 
+/// Time in which the own rows bring it before one of another region is asked.
+///
+/// They cross the same link as the answer would, and fifteen copies of 100 KB that
+/// share 40 Mbit/s with weights take a second. A change must be in force after two.
+const OWN_FAR_TIME: Duration = Duration::from_millis(1_000);
+
+/// The same where the table service does not answer: time in which the rows of
+/// others in the region bring it.
+const NEAR_TIME: Duration = Duration::from_millis(400);
+
 /// Further wait of each entry of a region before one of another region is asked.
 ///
 /// A preset of 300 KB crosses a link between regions of 40 Mbit/s that carries
 /// nothing else in 60 ms. The first that has it serves its whole region.
-const FAR_STEP: Duration = Duration::from_millis(150);
+const FAR_STEP: Duration = Duration::from_millis(100);
 
 /// Entries of a region beyond which the wait grows no more.
 ///
@@ -73,6 +83,8 @@
 pub struct PullView {
     /// The highest revision known here; the lowest one if none is.
     pub known: PresetRevision,
+    /// Whether the table service answers here, so that the own rows bring it too.
+    pub follows_rows: bool,
     /// Entries of the own region that go before this one, in an order that all share.
     pub near_rank: u32,
     /// The present moment.
@@ -194,6 +206,13 @@
 /// Wait from the first word of a newer revision until it is asked for.
 fn own_wait(view: PullView, is_near: bool) -> Duration {
     // Who knows no preset at all serves nobody until it comes.
-    let own = if view.known == PresetRevision::default() { Duration::ZERO } else { OWN_TIME };
+    let has_none = view.known == PresetRevision::default();
+    let own = match (is_near, view.follows_rows) {
+        _ if has_none => Duration::ZERO,
+        (true, true) => OWN_TIME,
+        (true, false) => Duration::ZERO,
+        (false, true) => OWN_FAR_TIME,
+        (false, false) => NEAR_TIME,
+    };
     if is_near { own } else { own + FAR_STEP * view.near_rank.min(MOST_STEPS) }
 }
--- a/crates/decide/tests/preset_pull.rs
+++ b/crates/decide/tests/preset_pull.rs
@@ -135,7 +135,8 @@
                 }
             }
             let near_rank = (entry % ENTRIES_A_REGION) as u32;
-            let view = PullView { known: old, near_rank, now: Timestamp(now) };
+            let follows_rows = !turned_away.contains(&entry);
+            let view = PullView { known: old, follows_rows, near_rank, now: Timestamp(now) };
             let state = &mut entries[entry];
             let asked = match rule {
                 PullRule::AskAnew if state.last_teller.is_some() && now >= state.asks_again_at => {
--- a/crates/entry/src/control/operators.rs
+++ b/crates/entry/src/control/operators.rs
@@ -45,6 +45,7 @@
         match read {
             Ok(page) => {
                 watch.regained();
+                routed.follows_rows.store(true, Ordering::Relaxed);
                 let age = version_age(position, asked_at);
                 position = Some(page.position);
                 asked_at = Some(Timestamp::now());
@@ -57,6 +58,7 @@
             }
             Err(FeedError::Store(error)) => {
                 watch.lost(&error);
+                routed.follows_rows.store(false, Ordering::Relaxed);
                 let wait = rand::rng().random_range(AGAIN_MS);
                 Timer::after(Duration::from_millis(wait)).await;
             }
--- a/crates/entry/src/control/pull.rs
+++ b/crates/entry/src/control/pull.rs
@@ -1,6 +1,9 @@
 //! Asking another entry for a preset that it has and this one lacks.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use cassiawheel_decide::{PullStep, PullView, ToldRevision};
 use cassiawheel_model::{PresetRevision, Timestamp};
@@ -40,6 +43,7 @@
         let now = Timestamp::now();
         let view = PullView {
             known: shared.known_revision(),
+            follows_rows: routed.follows_rows.load(Ordering::Relaxed),
             near_rank: near_rank(&shared, &routed),
             now,
         };
--- a/crates/entry/src/routed.rs
+++ b/crates/entry/src/routed.rs
@@ -6,7 +6,7 @@
     net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::Duration,
 };
@@ -68,6 +68,8 @@
     pub(crate) versions: ArcSwap<VersionBook>,
     /// Manifests of named versions.
     pub(crate) manifests: ManifestCache,
+    /// Whether the last call for the operators' rows was answered.
+    pub(crate) follows_rows: AtomicBool,
     versions_changed: (Sender<()>, Receiver<()>),
     listing: Mutex<EndpointListing>,
     pull: Mutex<PresetPull<WireSender>>,
@@ -109,6 +111,7 @@
             index: ArcSwapOption::empty(),
             versions: ArcSwap::default(),
             manifests: ManifestCache::default(),
+            follows_rows: AtomicBool::new(true),
             pull: Mutex::default(),
             versions_changed: bounded(1),
             entries: Mutex::default(),
