A silent stream that nobody can go on with is waited for

The links of a region that had just lost power were full, the events took longer than the 1.2 s after which another endpoint is asked to go on; none had room, and the entry closed the caller's connection in the same millisecond (its log: "the endpoint fell silent", attempts=1, one with the retry budget of a dark region used up).

Ruled out: the stop of the entry (drain had 5 s left), the change of the preset (the cut comes 1.2 s after the last event on entries with and without one).

Change: where nobody goes on, the stream stays with its endpoint until the deadline; what the splicer holds of a begun event is dropped only once another endpoint goes on. Streams that may not be resumed are no longer cut for a pause.

The test fails without it (connection closed in the middle), passes with it, in both cases.

--- a/crates/entry/src/caller/events.rs
+++ b/crates/entry/src/caller/events.rs
@@ -35,6 +35,13 @@
     Events(Bytes),
     End,
     Cut(String),
+    Silent,
+}
+
+/// What the caller of a stream gets next.
+enum StreamPart {
+    Events(Bytes),
+    End,
 }
 
 /// Reads the events of one answer, over as many endpoints as it takes.
@@ -56,12 +63,12 @@
     let frames = stream::unfold(Some((guard, reader)), |state| async move {
         let (guard, mut reader) = state?;
         match reader.next_or_resumed().await {
-            EventStep::Events(bytes) => Some((Ok(Frame::data(bytes)), Some((guard, reader)))),
-            EventStep::End => {
+            Ok(StreamPart::Events(bytes)) => Some((Ok(Frame::data(bytes)), Some((guard, reader)))),
+            Ok(StreamPart::End) => {
                 guard.count(OutcomeKind::Complete);
                 None
             }
-            EventStep::Cut(detail) => {
+            Err(detail) => {
                 guard.count(OutcomeKind::Unknown);
                 log::warn!(target: "outcome", request:% = reader.attempts.head().id, event:? = reader.splicer.last_id(), attempts = reader.begun.attempts, cause:% = detail; "A stream was cut.");
                 Some((Err(io::Error::other(detail)), None))
@@ -74,25 +81,34 @@
 
 impl EventReader {
     /// The next events; from another endpoint if this one breaks off.
-    async fn next_or_resumed(&mut self) -> EventStep {
+    async fn next_or_resumed(&mut self) -> Result<StreamPart, String> {
         loop {
             match self.next().await {
-                EventStep::Cut(detail) => {
-                    if let Err(detail) = self.resume(detail).await {
-                        return EventStep::Cut(detail);
-                    }
-                }
-                step => return step,
+                EventStep::Events(bytes) => return Ok(StreamPart::Events(bytes)),
+                EventStep::End => return Ok(StreamPart::End),
+                EventStep::Cut(detail) => self.resume(detail).await?,
+                EventStep::Silent => self.resume_or_wait().await,
             }
         }
     }
 
-    /// Has another endpoint go on after the last event that was passed on.
+    /// Has another endpoint go on with a silent stream, if one can.
+    ///
+    /// Silence does not prove that the endpoint is gone: its answer may be whole and
+    /// wait on a full link. A caller whose stream is cut where nobody goes on loses
+    /// what would have arrived, so it stays with the endpoint until its deadline.
+    async fn resume_or_wait(&mut self) {
+        if let Err(cause) = self.resume("the endpoint fell silent".to_owned()).await {
+            log::info!(target: "outcome", request:% = self.attempts.head().id, cause:% = cause; "Waits for a silent stream.");
+        }
+    }
+
+    /// Has another endpoint go on after the last event that was passed on; changes
+    /// nothing if none does.
     async fn resume(&mut self, detail: String) -> Result<(), String> {
         if RepeatGuard::of(self.attempts.head()) != RepeatGuard::Idempotent {
             return Err(detail);
         }
-        self.splicer.break_off();
         self.attempts.last_event = self.splicer.last_id();
         log::info!(target: "outcome", request:% = self.attempts.head().id, event:? = self.attempts.last_event, cause:% = detail; "Resumes a stream.");
         let begun = self.attempts.begin_again(None, detail).await;
@@ -100,6 +116,7 @@
         if begun.status != self.begun.status {
             return Err(format!("another endpoint answered {}", begun.status));
         }
+        self.splicer.break_off();
         self.begun = begun;
         Ok(())
     }
@@ -112,7 +129,7 @@
                 None if left <= PAUSE_TIME => {
                     return EventStep::Cut("the deadline was reached".to_owned());
                 }
-                None => AnswerPart::Cut("the endpoint fell silent".to_owned()),
+                None => return EventStep::Silent,
             };
             match part {
                 AnswerPart::Data(bytes) => match self.splicer.push(&bytes) {
--- a/crates/testkit/src/stand_in/replica.rs
+++ b/crates/testkit/src/stand_in/replica.rs
@@ -32,6 +32,9 @@
 /// Time between two events.
 const EVENT_TIME: Duration = Duration::from_millis(15);
 
+/// Silence in the middle of an event of [`ReplicaMode::Pauses`].
+const SILENCE: Duration = Duration::from_millis(1_700);
+
 /// How the stand-in treats requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum ReplicaMode {
@@ -48,6 +51,8 @@
     Cuts,
     /// Runs the request and never answers.
     Mute,
+    /// Falls silent in the middle of an event and goes on later.
+    Pauses,
 }
 
 /// What the stand-in has done.
@@ -142,7 +147,9 @@
                 Timer::after(Duration::from_secs(60)).await;
                 self.reply(200, &id, full_body("too late"))
             }
-            ReplicaMode::Honest | ReplicaMode::Cuts if parts.uri.path().contains("/stream/") => {
+            ReplicaMode::Honest | ReplicaMode::Cuts | ReplicaMode::Pauses
+                if parts.uri.path().contains("/stream/") =>
+            {
                 let after = text("last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0);
                 let mut reply = self.reply(200, &id, events(after, mode, run));
                 let kind = "text/event-stream".parse().expect("valid");
@@ -173,21 +180,32 @@
 }
 
 fn events(after: u64, mode: ReplicaMode, run: OpenRun) -> ReplyBody {
-    let frames = stream::unfold((after + 1, run), move |(id, run)| async move {
+    let frames = stream::unfold((after + 1, None, run), move |(id, rest, run)| async move {
         if id == BROKEN {
-            return Some((Err(std::io::Error::other("died")), (id, run)));
+            return Some((Err(std::io::Error::other("died")), (id, None, run)));
+        }
+        if let Some(rest) = rest {
+            Timer::after(SILENCE).await;
+            return Some((Ok(Frame::data(rest)), (id + 1, None, run)));
         }
         if id > EVENTS {
             return None;
         }
         Timer::after(EVENT_TIME).await;
         let text = format!("id: {id}\ndata: piece {id}\n\n");
-        if mode == ReplicaMode::Cuts && id == after + 3 {
-            // In the middle of an event; the next step ends the stream.
-            let half = Bytes::from(text[..text.len() / 2].to_owned());
-            return Some((Ok(Frame::data(half)), (BROKEN, run)));
+        let mut event = Bytes::from(text);
+        match mode {
+            ReplicaMode::Cuts if id == after + 3 => {
+                // In the middle of an event; the next step ends the stream.
+                event.truncate(event.len() / 2);
+                Some((Ok(Frame::data(event)), (BROKEN, None, run)))
+            }
+            ReplicaMode::Pauses if id == after + 3 => {
+                let rest = event.split_off(event.len() / 2);
+                Some((Ok(Frame::data(event)), (id, Some(rest), run)))
+            }
+            _ => Some((Ok(Frame::data(event)), (id + 1, None, run))),
         }
-        Some((Ok(Frame::data(Bytes::from(text))), (id + 1, run)))
     });
     BodyExt::boxed(StreamBody::new(frames))
 }
--- a/crates/testkit/tests/platform_path.rs
+++ b/crates/testkit/tests/platform_path.rs
@@ -22,6 +22,9 @@
 /// Generous: entries read the list every half second.
 const LIST_TIME: Duration = Duration::from_millis(1_900);
 
+/// Patience of a caller whose stream pauses for 1.7 s.
+const PATIENT_MS: u64 = 5_000;
+
 fn whole_stream() -> String {
     (1..=EVENTS).map(|id| format!("id: {id}\ndata: piece {id}\n\n")).collect()
 }
@@ -162,6 +165,34 @@
     });
 }
 
+/// Callers of a stream got half of their answer and a closed connection, though the
+/// engine had finished it. Machines of a region had lost their power, so that the
+/// links there were full of what was sent again, and the engine's last events took
+/// longer than 1.2 s. The entry took the engine for dead and looked for another one
+/// to go on; all were full, and it gave the caller up while the rest of the answer
+/// was on its way. Its log showed "the endpoint fell silent" with one attempt in the
+/// same millisecond as the cut, 0.5 s after the engine's run had ended whole.
+#[rstest]
+#[case::there_is_no_other(1)]
+#[case::another_one_is_as_silent(2)]
+fn a_silent_stream_that_nobody_resumes_is_waited_for(#[case] engines: usize) {
+    run(async {
+        let site = PlatformSite::start(engines, 1).await?;
+        site.replicas.iter().for_each(|replica| replica.set_mode(ReplicaMode::Pauses));
+        site.rows.put("op", "config", &config(2, &["stream"], PATIENT_MS));
+        wait_until(async || {
+            let dropped = site.call(SiteCall::new("r-1", "/safe/x")).await?;
+            Ok(dropped.status() == StatusCode::NOT_FOUND)
+        })
+        .await?;
+        let call = SiteCall { patience_ms: PATIENT_MS, ..SiteCall::new("s-1", "/stream/x") };
+        let answer = site.call(call).await?;
+        assert_eq!(answer.status(), StatusCode::OK);
+        assert_eq!(std::str::from_utf8(answer.body())?, whole_stream());
+        Ok(())
+    });
+}
+
 /// A caller hangs up while an engine works for it. The engine is told within
 /// half a second, or it would work for nobody while others wait.
 #[test]
