--- a/crates/testkit/src/burst/run.rs
+++ b/crates/testkit/src/burst/run.rs
@@ -1,31 +1,33 @@
 //! One run from the start of the processes to the report.
 
+mod sampler;
+mod stand_ins;
+
 use std::{
     collections::{BTreeMap, BTreeSet},
     path::PathBuf,
-    sync::{
-        Arc, Mutex, MutexGuard,
-        atomic::{AtomicBool, Ordering},
-    },
+    sync::Arc,
     time::{Duration, Instant},
 };
 
 use anyhow::Context;
 use cassiawheel_model::{
-    ForcedPreset, ModelVersion, PresetName, Timestamp,
+    ModelVersion, PresetName, Timestamp,
     settings::{ControlSettings, TransferSettings},
 };
 use cassiawheel_runtime::spawn;
 use serde_json::Value;
 use smol::{Task, Timer, lock};
 
+use self::sampler::StandInSampler;
+pub use self::{sampler::ReadySample, stand_ins::collect_stand_ins};
 use super::{
     drive::{BurstCaller, CallPlan, caller_seeds},
     faults::{self, FaultEnd, SharedDeployment},
     figures::CallFigures,
     operate::BurstOperator,
     plot,
-    records::{ChangeRecord, ForceSample, HistoryRecord, RequestRecord, RunRecord, RunRecords},
+    records::{ChangeRecord, RequestRecord, RunRecords},
     report::BurstReport,
     scenario::{BurstScenario, FaultKind, PresetChange},
     schedule::draw_arrivals,
@@ -33,14 +35,10 @@
 };
 use crate::{
     Deployment, DeploymentPlan,
-    deployment::MODEL_SERVICE,
-    stand_in::{engine::EngineState, table::TableRows},
     traffic::{ControlBytes, read_control_bytes},
     weights::WeightImage,
 };
 
-/// Time between looks at the stand-ins.
-const SAMPLE_TIME: Duration = Duration::from_millis(20);
 /// Longest time for the processes to know each other and to serve.
 const START_TIME: Duration = Duration::from_secs(60);
 /// Time between progress lines.
@@ -59,99 +57,6 @@
     pub plot: Option<PathBuf>,
 }
 
-/// Replicas that answered from the version in force at a time.
-#[derive(Debug, Clone, Copy)]
-pub struct ReadySample {
-    /// When.
-    pub at: Timestamp,
-    /// How many.
-    pub ready: usize,
-}
-
-/// A change of version and when all wanted replicas answered from it.
-#[derive(Debug, Clone)]
-struct VersionWait {
-    version: String,
-    wanted: usize,
-    forced_at: Instant,
-    waited: Option<Duration>,
-}
-
-/// What was seen at the stand-ins over time.
-#[derive(Debug, Default)]
-struct StandInSamples {
-    forced: Vec<ForceSample>,
-    ready: Vec<ReadySample>,
-    waits: Vec<VersionWait>,
-}
-
-/// Looks at the stand-ins again and again.
-struct StandInSampler {
-    table: Arc<TableRows>,
-    engines: Vec<Arc<EngineState>>,
-    samples: Mutex<StandInSamples>,
-    stopped: AtomicBool,
-}
-
-impl StandInSampler {
-    fn samples(&self) -> MutexGuard<'_, StandInSamples> {
-        self.samples.lock().unwrap_or_else(|poison| poison.into_inner())
-    }
-
-    async fn run(self: Arc<Self>) {
-        while !self.stopped.load(Ordering::Acquire) {
-            self.look();
-            Timer::after(SAMPLE_TIME).await;
-        }
-        self.look();
-    }
-
-    fn look(&self) {
-        let row = self.table.read("force");
-        let preset = row.and_then(|row| serde_json::from_value::<ForcedPreset>(row.value).ok());
-        let Some(preset) = preset else {
-            return;
-        };
-        let mut samples = self.samples();
-        let (revision, change) = (preset.revision.0, preset.change.to_string());
-        let known =
-            samples.forced.last().is_some_and(|s| s.revision == revision && s.change == change);
-        if !known {
-            samples.forced.push(ForceSample { at: Timestamp::now(), revision, change });
-        }
-        let Some(target) = preset.content.services.get(MODEL_SERVICE) else {
-            return;
-        };
-        let version = target.version.as_ref().map(ModelVersion::as_str).unwrap_or_default();
-        let ready = self.ready(version);
-        samples.ready.push(ReadySample { at: Timestamp::now(), ready });
-        let wanted = target.replicas as usize;
-        let same = |wait: &VersionWait| wait.version == version && wait.wanted == wanted;
-        if !samples.waits.last().is_some_and(same) {
-            let (version, forced_at) = (version.to_owned(), Instant::now());
-            samples.waits.push(VersionWait { version, wanted, forced_at, waited: None });
-        }
-        let Some(wait) = samples.waits.last_mut() else {
-            return;
-        };
-        if wait.waited.is_none() && ready >= wanted {
-            wait.waited = Some(wait.forced_at.elapsed());
-        }
-    }
-
-    fn ready(&self, version: &str) -> usize {
-        let has = |engine: &&Arc<EngineState>| {
-            engine.version().is_some_and(|loaded| loaded.as_str() == version)
-        };
-        self.engines.iter().filter(has).count()
-    }
-
-    /// Whether the replicas that the preset in force wants are there.
-    fn is_settled(&self) -> bool {
-        self.samples().waits.last().is_some_and(|wait| wait.waited.is_some())
-    }
-}
-
 /// Runs `scenario` and judges it.
 pub async fn run_burst(
     scenario: &BurstScenario,
@@ -165,12 +70,7 @@
     if options.keep_logs {
         eprintln!("settings and logs are kept in {}", deployment.keep_logs().display());
     }
-    let sampler = Arc::new(StandInSampler {
-        table: deployment.table.clone(),
-        engines: deployment.endpoints.iter().filter_map(|e| e.engine.clone()).collect(),
-        samples: Mutex::default(),
-        stopped: AtomicBool::new(false),
-    });
+    let sampler = StandInSampler::new(&deployment);
     let sampling = spawn(sampler.clone().run());
     let operator = BurstOperator::new(deployment.entries.iter().map(|e| e.admin_addr).collect());
     let mut changes = begin(&deployment, scenario, &operator, options.seed).await?;
@@ -190,8 +90,8 @@
     let driven = run.started.elapsed().as_secs_f64();
     let control_after = run.control_bytes().await;
     let store = run.store_rates(driven).await;
-    settle(&sampler, scenario).await;
-    sampler.stopped.store(true, Ordering::Release);
+    sampler.settle(scenario).await;
+    sampler.stop();
     sampling.await;
 
     let deployment = run.deployment.lock().await;
@@ -214,7 +114,7 @@
     };
     let counts = judge(&records, &limits);
     let (requests, last) = (counts.requests.max(1) as f64, samples.waits.last());
-    let longest = longest_wait(&samples.waits);
+    let longest = samples.longest_wait();
     // The first version goes to replicas that serve nothing yet.
     let bound_s = |first: bool| scenario.rollout_bound(!first).span().as_secs_f64();
     let versions = samples.waits.iter().map(|w| &w.version).collect::<BTreeSet<_>>().len();
@@ -318,63 +218,6 @@
     Ok(changes)
 }
 
-/// Waits for the end state, at most as long as the scenario allows.
-async fn settle(sampler: &StandInSampler, scenario: &BurstScenario) {
-    let end = Instant::now() + Duration::from_secs_f64(scenario.limits.settle_s);
-    while !sampler.is_settled() && Instant::now() < end {
-        Timer::after(SAMPLE_TIME).await;
-    }
-}
-
-/// The version that took longest, by its position, and its seconds.
-fn longest_wait(waits: &[VersionWait]) -> Option<(usize, f64)> {
-    let spans = waits.iter().enumerate();
-    let spans = spans.filter_map(|(index, wait)| Some((index, wait.waited?.as_secs_f64())));
-    spans.max_by(|(_, span), (_, other)| span.total_cmp(other))
-}
-
-/// What the stand-ins know at the end.
-pub fn collect_stand_ins(
-    deployment: &Deployment,
-    model_replicas: usize,
-    app_replicas: usize,
-) -> RunRecords {
-    let names: Vec<_> = deployment.endpoints.iter().map(|e| e.instance.to_string()).collect();
-    let (model, plain) = names.split_at(model_replicas);
-    let (app, web) = plain.split_at(app_replicas);
-    let mut runs = Vec::new();
-    for endpoint in &deployment.endpoints {
-        let name = endpoint.instance.to_string();
-        let begun = endpoint.engine.iter().flat_map(|engine| engine.begun_runs());
-        runs.extend(begun.map(|run| RunRecord {
-            endpoint: name.clone(),
-            request: run.request,
-            text: None,
-            begun_at: run.begun_at,
-        }));
-        let carried = endpoint.ledger.iter().flat_map(|ledger| ledger.calls());
-        runs.extend(carried.map(|call| RunRecord {
-            endpoint: name.clone(),
-            request: call.request,
-            text: Some(String::from_utf8_lossy(&call.body).into_owned()),
-            begun_at: call.begun_at,
-        }));
-    }
-    let history = deployment.table.scan("change/").into_iter().filter_map(|row| {
-        let preset: ForcedPreset = serde_json::from_value(row.value).ok()?;
-        let (revision, change) = (preset.revision.0, preset.change.to_string());
-        Some(HistoryRecord { revision, change })
-    });
-    RunRecords {
-        model_endpoints: model.to_vec(),
-        app_endpoints: app.to_vec(),
-        web_endpoints: web.to_vec(),
-        runs,
-        history: history.collect(),
-        ..RunRecords::default()
-    }
-}
-
 /// Calls of the table per second.
 struct StoreRates {
     reads_per_s: f64,
