--- /dev/null
+++ b/crates/decide/tests/claim_interleavings.rs
@@ -0,0 +1,271 @@
+//! Attempts with one key, in every order that a scheduler draws.
+//!
+//! Several agents are asked to run the same keyed request, each on a thread of its
+//! own. Writes to the table may be lost before or after their effect, or take
+//! effect long after their sender has gone on; attempts may be cancelled at any
+//! moment. The threads take their steps as the agent does.
+
+use cassiawheel_decide::claim::{
+    ClaimGuard, ClaimRecord, ClaimState, ClaimStep, ClaimTracker, ClaimView, RecordedAnswer,
+    ReleaseStep, release_step,
+};
+use cassiawheel_model::{AttemptNonce, Deadline, PresetRevision, Timestamp};
+use rstest::rstest;
+use shuttle::{
+    rand::{Rng, thread_rng},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
+    thread,
+};
+
+const ATTEMPTS: usize = 3;
+const SCHEDULES: usize = 4_000;
+
+/// Preemptions that are enough for the bugs that this test has met.
+const PREEMPTIONS: usize = 4;
+
+/// Steps after which an attempt's time is over.
+const PATIENCE_STEPS: usize = 6;
+
+/// Calls that the table may leave unanswered in one play.
+const LOST_CALLS: usize = 5;
+
+/// An agent that does one thing wrong, to show that the checks can fail.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum AgentFault {
+    /// Runs without looking whether it was cancelled.
+    IgnoresCancel,
+    /// Gives up a claim that it certainly holds, without a release.
+    KeepsCertainClaim,
+    /// Leaves a claim whose write was lost as it is.
+    NeverReleases,
+    /// Writes whatever the row says.
+    IgnoresGuard,
+}
+
+#[derive(Default)]
+struct ClaimRow {
+    record: Option<(ClaimRecord, u64)>,
+    revisions: u64,
+}
+
+struct World {
+    row: Mutex<ClaimRow>,
+    lost: AtomicUsize,
+    runs: AtomicUsize,
+    /// Runs of attempts whose callers were told that they do not run.
+    cancelled_runs: AtomicUsize,
+    /// Writes that take effect after their sender has gone on.
+    late: Mutex<Vec<thread::JoinHandle<()>>>,
+    fault: Option<AgentFault>,
+}
+
+impl World {
+    /// Whether the table fails at this call.
+    fn fails(&self) -> bool {
+        let fails = thread_rng().gen_ratio(1, 4);
+        fails && self.lost.fetch_add(1, Ordering::SeqCst) < LOST_CALLS
+    }
+
+    fn apply(&self, record: &ClaimRecord, guard: ClaimGuard) -> ClaimView {
+        let mut row = self.row.lock().expect("no thread panics");
+        let holds = match (guard, &row.record) {
+            _ if self.fault == Some(AgentFault::IgnoresGuard) => true,
+            (ClaimGuard::Absent, known) => known.is_none(),
+            (ClaimGuard::Revision(wanted), Some((_, revision))) => wanted == *revision,
+            (ClaimGuard::Revision(_), None) => false,
+        };
+        if holds {
+            row.revisions += 1;
+            row.record = Some((record.clone(), row.revisions));
+            return ClaimView::Written(row.revisions);
+        }
+        view_of(&row)
+    }
+
+    /// Writes; the effect or the answer may be lost, or the effect come late.
+    fn write(self: &Arc<Self>, record: &ClaimRecord, guard: ClaimGuard) -> ClaimView {
+        if !self.fails() {
+            return self.apply(record, guard);
+        }
+        match thread_rng().gen_range(0..3) {
+            0 => ClaimView::NoEffect,
+            1 => {
+                self.apply(record, guard);
+                ClaimView::Lost
+            }
+            _ => {
+                let (world, record) = (self.clone(), record.clone());
+                let late = thread::spawn(move || {
+                    world.apply(&record, guard);
+                });
+                self.late.lock().expect("no thread panics").push(late);
+                ClaimView::Lost
+            }
+        }
+    }
+
+    fn look(&self) -> ClaimView {
+        if self.fails() {
+            return ClaimView::Lost;
+        }
+        view_of(&self.row.lock().expect("no thread panics"))
+    }
+
+    /// Writes until the outcome of a held claim is known to stand.
+    fn settle(self: &Arc<Self>, record: &ClaimRecord, revision: u64) {
+        loop {
+            match self.write(record, ClaimGuard::Revision(revision)) {
+                ClaimView::NoEffect | ClaimView::Lost => thread::yield_now(),
+                _ => return,
+            }
+        }
+    }
+
+    /// Sees to it that a write that may yet take effect stands in nobody's way.
+    fn release(self: &Arc<Self>, tracker: &ClaimTracker) {
+        let released = tracker.record_as(ClaimState::Released);
+        let mut view = self.look();
+        loop {
+            view = match release_step(&released.nonce, &view) {
+                ReleaseStep::Done => return,
+                ReleaseStep::Write(guard) => self.write(&released, guard),
+                ReleaseStep::Look => {
+                    thread::yield_now();
+                    self.look()
+                }
+            };
+        }
+    }
+
+    fn attempt(self: &Arc<Self>, number: usize, cancelled: &AtomicBool) {
+        let nonce = AttemptNonce::new(&format!("attempt-{number}")).expect("valid");
+        let mut tracker = ClaimTracker::new(nonce, "same".to_owned(), Deadline(1));
+        let mut step = ClaimStep::Write(ClaimGuard::Absent);
+        for count in 0.. {
+            let goes_on = matches!(step, ClaimStep::Write(_) | ClaimStep::Look);
+            let gives_up = self.fault == Some(AgentFault::KeepsCertainClaim);
+            if (goes_on || gives_up) && cancelled.load(Ordering::SeqCst) {
+                break;
+            }
+            let view = match step {
+                ClaimStep::Write(guard) => {
+                    tracker.begin_write();
+                    self.write(tracker.record(), guard)
+                }
+                ClaimStep::Look => {
+                    thread::yield_now();
+                    self.look()
+                }
+                _ => break,
+            };
+            let now = Timestamp(u64::from(count >= PATIENCE_STEPS));
+            step = tracker.next(view, now);
+        }
+        let releases = self.fault != Some(AgentFault::NeverReleases);
+        if tracker.is_uncertain() && releases {
+            self.release(&tracker);
+        }
+        let ClaimStep::Run(revision) = step else {
+            return;
+        };
+        let is_cancelled = cancelled.swap(true, Ordering::SeqCst);
+        match (is_cancelled, self.fault) {
+            (true, Some(AgentFault::KeepsCertainClaim)) => return,
+            (true, Some(AgentFault::IgnoresCancel)) => {
+                self.cancelled_runs.fetch_add(1, Ordering::SeqCst);
+            }
+            (true, _) => {
+                self.settle(&tracker.record_as(ClaimState::Released), revision);
+                return;
+            }
+            (false, _) => {}
+        }
+        self.runs.fetch_add(1, Ordering::SeqCst);
+        self.settle(&tracker.record_as(ClaimState::Answered(answer())), revision);
+    }
+}
+
+fn view_of(row: &ClaimRow) -> ClaimView {
+    match &row.record {
+        Some((record, revision)) => {
+            ClaimView::Found { record: record.clone(), revision: *revision }
+        }
+        None => ClaimView::Absent,
+    }
+}
+
+fn answer() -> RecordedAnswer {
+    RecordedAnswer {
+        status: 200,
+        content_type: None,
+        headers: Vec::new(),
+        version: None,
+        revision: PresetRevision(1),
+        body: String::new(),
+    }
+}
+
+/// Plays the attempts once and checks what is left.
+fn play(fault: Option<AgentFault>) {
+    let world = Arc::new(World {
+        row: Mutex::new(ClaimRow::default()),
+        lost: AtomicUsize::new(0),
+        runs: AtomicUsize::new(0),
+        cancelled_runs: AtomicUsize::new(0),
+        late: Mutex::new(Vec::new()),
+        fault,
+    });
+    let attempts: Vec<_> = (0..ATTEMPTS)
+        .map(|number| {
+            let cancelled = Arc::new(AtomicBool::new(false));
+            let (world, latch) = (world.clone(), cancelled.clone());
+            let attempt = thread::spawn(move || world.attempt(number, &latch));
+            // The first caller always hangs up, and the last one never does.
+            let hangs_up = number == 0 || number + 1 < ATTEMPTS && thread_rng().gen_bool(0.5);
+            let cancel = hangs_up.then(|| {
+                thread::spawn(move || {
+                    thread::yield_now();
+                    cancelled.swap(true, Ordering::SeqCst)
+                })
+            });
+            (attempt, cancel)
+        })
+        .collect();
+    for (attempt, cancel) in attempts {
+        attempt.join().expect("the attempt ends");
+        if let Some(cancel) = cancel {
+            cancel.join().expect("the caller has hung up");
+        }
+    }
+    let late = std::mem::take(&mut *world.late.lock().expect("no thread panics"));
+    late.into_iter().for_each(|write| write.join().expect("the write ends"));
+    assert!(world.runs.load(Ordering::SeqCst) <= 1, "the request ran twice");
+    let told_apart = world.cancelled_runs.load(Ordering::SeqCst);
+    assert_eq!(told_apart, 0, "a request ran whose caller was told that it does not");
+    let row = world.row.lock().expect("no thread panics");
+    let held = row.record.as_ref().is_some_and(|(record, _)| record.state == ClaimState::Held);
+    assert!(!held, "the key is bound for ever to an attempt that has ended");
+}
+
+/// Whatever the order, the request runs once at most, a caller that was told that
+/// it does not run is told the truth, and the key is free or has its outcome.
+#[test]
+fn a_key_runs_once_and_is_never_bound_for_ever() {
+    shuttle::check_random(|| play(None), SCHEDULES);
+    shuttle::check_pct(|| play(None), SCHEDULES, PREEMPTIONS);
+}
+
+#[rstest]
+#[case::runs_in_spite_of_a_cancel(AgentFault::IgnoresCancel)]
+#[case::keeps_a_certain_claim(AgentFault::KeepsCertainClaim)]
+#[case::never_releases(AgentFault::NeverReleases)]
+#[case::ignores_the_guard(AgentFault::IgnoresGuard)]
+fn an_agent_that_errs_is_found_out(#[case] fault: AgentFault) {
+    let found = std::panic::catch_unwind(|| {
+        shuttle::check_random(move || play(Some(fault)), SCHEDULES);
+    });
+    assert!(found.is_err(), "{fault:?} went unnoticed");
+}
