Links that are cut one way, slow, narrow or reset, in scenarios and the soak

The relay before inner addresses knew one trouble, a link that carries nothing. It now has five, each with a test on a connection of its own.

--- a/crates/testkit/src/burst/draw.rs
+++ b/crates/testkit/src/burst/draw.rs
@@ -33,12 +33,16 @@
 /// Longest wait for the end state, in seconds.
 const SETTLE_S: f64 = 40.0;
 
-const KINDS: [FaultKind; 11] = [
+const KINDS: [FaultKind; 15] = [
     FaultKind::Kill,
     FaultKind::Restart,
     FaultKind::Pause,
     FaultKind::Drain,
     FaultKind::StallLink,
+    FaultKind::CutOut,
+    FaultKind::SlowLink,
+    FaultKind::NarrowLink,
+    FaultKind::ResetLink,
     FaultKind::CorruptChunks,
     FaultKind::StoreDown,
     FaultKind::StoreSlow,
@@ -150,7 +154,11 @@
         | FaultKind::Restart
         | FaultKind::Pause
         | FaultKind::Drain
-        | FaultKind::StallLink => match rng.random_bool(0.4) {
+        | FaultKind::StallLink
+        | FaultKind::CutOut
+        | FaultKind::SlowLink
+        | FaultKind::NarrowLink
+        | FaultKind::ResetLink => match rng.random_bool(0.4) {
             true => format!("entry-{}", rng.random_range(0..scenario.entries)),
             false => format!("endpoint-{}", rng.random_range(0..scenario.endpoints())),
         },
--- a/crates/testkit/src/burst/faults.rs
+++ b/crates/testkit/src/burst/faults.rs
@@ -17,10 +17,18 @@
     records::{FaultRecord, LeaveRecord},
     scenario::{FaultKind, FaultPlan, numbered},
 };
-use crate::{ChildProcess, Deployment};
+use crate::{ChildProcess, Deployment, stand_in::link::LinkTrouble};
 
 /// Wait of the table service before each answer while it is slow.
 pub const SLOW_STORE: Duration = Duration::from_millis(400);
+/// Wait of each piece on a slow link; a round trip takes twice as long.
+const SLOW_LINK: Duration = Duration::from_millis(60);
+
+/// Bytes a second of each connection on a narrow link.
+///
+/// A chunk of 64 KiB takes a second, and heartbeats, orders and answers still pass.
+const NARROW_LINK: u64 = 64 << 10;
+
 /// Longest graceful stop.
 const STOP_TIME: Duration = Duration::from_secs(40);
 
@@ -98,18 +106,24 @@
         FaultKind::Restart | FaultKind::Drain => {
             leave = stop_gracefully(&deployment, &plan).await?;
         }
-        FaultKind::StallLink => {
+        FaultKind::StallLink
+        | FaultKind::CutOut
+        | FaultKind::SlowLink
+        | FaultKind::NarrowLink
+        | FaultKind::ResetLink => {
             touched.push(plan.target.clone());
             let slot = ProcessSlot::parse(&plan.target)?;
             let deployment = deployment.lock().await;
-            deployment.cuts.sever(id, BTreeSet::from([slot.ip(&deployment)]));
+            let side = BTreeSet::from([slot.ip(&deployment)]);
+            deployment.links.begin(id, side, link_trouble(plan.kind));
             drop(deployment);
         }
         FaultKind::Partition => {
             let domain = numbered(&plan.target, "domain-").context("no failure domain")?;
             let deployment = deployment.lock().await;
             let side = domain_processes(&deployment, domain, failure_domains);
-            deployment.cuts.sever(id, side.iter().map(|slot| slot.ip(&deployment)).collect());
+            let side = side.iter().map(|slot| slot.ip(&deployment)).collect();
+            deployment.links.begin(id, side, link_trouble(plan.kind));
             // Requests that cross the border may be cut on either side of it.
             touched = all_names(&deployment);
             drop(deployment);
@@ -121,14 +135,25 @@
             set_switch(&*deployment.lock().await, switch, false);
         }
     }
-    if matches!(plan.kind, FaultKind::StallLink | FaultKind::Partition) {
+    if plan.kind.is_of_links() {
         Timer::after(Duration::from_secs_f64(plan.for_s)).await;
-        deployment.lock().await.cuts.restore(id);
+        deployment.lock().await.links.end(id);
     }
     let fault = FaultRecord { kind: plan.kind, touched, from, until: Timestamp::now() };
     Ok(FaultEnd { fault, leave })
 }
 
+/// What is wrong with the links of a fault's target.
+fn link_trouble(kind: FaultKind) -> LinkTrouble {
+    match kind {
+        FaultKind::CutOut => LinkTrouble::SeveredOut,
+        FaultKind::SlowLink => LinkTrouble::Slow(SLOW_LINK),
+        FaultKind::NarrowLink => LinkTrouble::Narrow(NARROW_LINK),
+        FaultKind::ResetLink => LinkTrouble::Reset,
+        _ => LinkTrouble::Severed,
+    }
+}
+
 async fn stop_hard(deployment: &SharedDeployment, plan: &FaultPlan) -> anyhow::Result<()> {
     let slot = ProcessSlot::parse(&plan.target)?;
     let mut locked = deployment.lock().await;
@@ -219,6 +244,10 @@
         | FaultKind::Pause
         | FaultKind::Drain
         | FaultKind::StallLink
+        | FaultKind::CutOut
+        | FaultKind::SlowLink
+        | FaultKind::NarrowLink
+        | FaultKind::ResetLink
         | FaultKind::VersionChange
         | FaultKind::Partition => {}
     }
--- a/crates/testkit/src/burst/run.rs
+++ b/crates/testkit/src/burst/run.rs
@@ -172,7 +172,7 @@
         plain_agents: scenario.app_replicas,
         web_agents: scenario.web_services,
         failure_domains: scenario.failure_domains,
-        severable_links: scenario.stalls_links(),
+        severable_links: scenario.has_link_faults(),
         origin_bytes_per_s: scenario.origin_bytes_per_s(),
         transfer: TransferSettings {
             mode: scenario.transfer_mode,
--- a/crates/testkit/src/burst/scenario.rs
+++ b/crates/testkit/src/burst/scenario.rs
@@ -105,6 +105,14 @@
     Drain,
     /// The links between this process and the others of the system carry nothing.
     StallLink,
+    /// What this process sends to the others of the system is not carried.
+    CutOut,
+    /// The links between this process and the others of the system are slow.
+    SlowLink,
+    /// The links between this process and the others of the system are narrow.
+    NarrowLink,
+    /// Connections between this process and the others of the system are reset.
+    ResetLink,
     /// Chunks from the origin arrive corrupt.
     CorruptChunks,
     /// The table service answers nothing but errors.
@@ -143,9 +151,38 @@
     /// Whether it may cut requests that are in progress at its target.
     pub fn is_disruptive(self) -> bool {
         match self {
-            Self::Kill | Self::Pause | Self::StallLink | Self::Partition => true,
+            Self::Kill
+            | Self::Pause
+            | Self::StallLink
+            | Self::CutOut
+            | Self::ResetLink
+            | Self::Partition => true,
             Self::Restart
             | Self::Drain
+            | Self::SlowLink
+            | Self::NarrowLink
+            | Self::CorruptChunks
+            | Self::StoreDown
+            | Self::StoreSlow
+            | Self::StoreLostAnswer
+            | Self::OriginDown
+            | Self::VersionChange => false,
+        }
+    }
+
+    /// Whether it affects links between processes of the system.
+    pub fn is_of_links(self) -> bool {
+        match self {
+            Self::StallLink
+            | Self::CutOut
+            | Self::SlowLink
+            | Self::NarrowLink
+            | Self::ResetLink
+            | Self::Partition => true,
+            Self::Kill
+            | Self::Restart
+            | Self::Pause
+            | Self::Drain
             | Self::CorruptChunks
             | Self::StoreDown
             | Self::StoreSlow
@@ -177,10 +214,9 @@
         (self.origin_copies_per_window * self.model_bytes as f64 / self.window_s) as u64
     }
 
-    /// Whether links have to be stallable.
-    pub fn stalls_links(&self) -> bool {
-        let stalls = |kind| matches!(kind, FaultKind::StallLink | FaultKind::Partition);
-        self.faults.iter().any(|fault| stalls(fault.kind))
+    /// Whether something goes wrong with links.
+    pub fn has_link_faults(&self) -> bool {
+        self.faults.iter().any(|fault| fault.kind.is_of_links())
     }
 
     /// What bounds a rollout to replicas that serve callers, or serve nothing yet.
--- a/crates/testkit/src/burst/scenario/check.rs
+++ b/crates/testkit/src/burst/scenario/check.rs
@@ -152,10 +152,15 @@
         let entry = numbered(target, "entry-").is_some_and(|index| index < self.entries);
         let endpoint = numbered(target, "endpoint-").is_some_and(|index| index < self.endpoints());
         let (holds, message) = match fault.kind {
-            FaultKind::Kill | FaultKind::Restart | FaultKind::Pause | FaultKind::StallLink => {
-                (entry || endpoint, "must be entry-N or endpoint-N of this scenario")
-            }
-            FaultKind::Drain => {
+            FaultKind::Kill
+            | FaultKind::Restart
+            | FaultKind::Pause
+            | FaultKind::Drain
+            | FaultKind::StallLink
+            | FaultKind::CutOut
+            | FaultKind::SlowLink
+            | FaultKind::NarrowLink
+            | FaultKind::ResetLink => {
                 (entry || endpoint, "must be entry-N or endpoint-N of this scenario")
             }
             FaultKind::CorruptChunks | FaultKind::OriginDown => {
--- a/crates/testkit/src/deployment.rs
+++ b/crates/testkit/src/deployment.rs
@@ -30,7 +30,7 @@
 use crate::{
     ChildProcess, FaultSwitches,
     stand_in::{
-        RunningStandIn, engine::EngineState, instances::InstanceRows, link::LinkCuts,
+        RunningStandIn, engine::EngineState, instances::InstanceRows, link::LinkFaults,
         origin::OriginImages, plain::PlainLedger, table::TableRows,
     },
 };
@@ -176,8 +176,8 @@
     pub endpoints: Vec<TestEndpoint>,
     /// The entries.
     pub entries: Vec<TestEntry>,
-    /// Links that carry nothing; of use only with severable links.
-    pub cuts: Arc<LinkCuts>,
+    /// Links with which something is wrong; of use only with severable links.
+    pub links: Arc<LinkFaults>,
     client: HttpClient,
     folder: TempDir,
     _stand_ins: Vec<RunningStandIn>,
@@ -207,8 +207,8 @@
             instances.serve(platform.instances, Arc::default()).await?,
         ];
         let layout = DeploymentLayout { plan, net, platform, folder: folder.path() };
-        let cuts = Arc::new(LinkCuts::default());
-        let relays = layout.start_relays(&cuts).await?;
+        let links = Arc::new(LinkFaults::default());
+        let relays = layout.start_relays(&links).await?;
         let mut entries = Vec::new();
         for index in 0..plan.entries {
             entries.push(layout.start_entry(index)?);
@@ -227,7 +227,7 @@
             instances,
             endpoints,
             entries,
-            cuts,
+            links,
             client,
             folder,
             _stand_ins: stand_ins,
--- a/crates/testkit/src/deployment/layout.rs
+++ b/crates/testkit/src/deployment/layout.rs
@@ -27,7 +27,7 @@
     stand_in::{
         RunningStandIn,
         engine::EngineState,
-        link::{self, LinkCuts},
+        link::{self, LinkFaults},
         plain::PlainLedger,
         table::TableRows,
     },
@@ -115,7 +115,10 @@
         (0..self.plan.entries).map(move |index| self.addr(FIRST_ENTRY + index as u8, port))
     }
 
-    pub(super) async fn start_relays(&self, cuts: &Arc<LinkCuts>) -> anyhow::Result<Vec<Task<()>>> {
+    pub(super) async fn start_relays(
+        &self,
+        links: &Arc<LinkFaults>,
+    ) -> anyhow::Result<Vec<Task<()>>> {
         let mut relays = Vec::new();
         if !self.plan.severable_links {
             return Ok(relays);
@@ -124,7 +127,7 @@
         let agents = (0..self.plan.endpoints()).map(|index| FIRST_AGENT + index as u8);
         for host in entries.chain(agents) {
             let (listen, target) = (self.addr(host, RELAY_PORT), self.addr(host, INNER_PORT));
-            relays.push(link::relay(listen, target, cuts.clone()).await?);
+            relays.push(link::relay(listen, target, links.clone()).await?);
         }
         Ok(relays)
     }
--- a/crates/testkit/src/stand_in/link.rs
+++ b/crates/testkit/src/stand_in/link.rs
@@ -1,8 +1,7 @@
 //! Stand-in of the links between instances: a relay before each inner address.
 //!
 //! The system's processes dial from their own instance's address, so a relay
-//! can tell which link a connection uses. A severed link carries nothing but
-//! is not closed, as when a switch drops packets.
+//! can tell which link a connection uses, and what is wrong with it now.
 
 use std::{
     collections::BTreeSet,
@@ -25,13 +24,28 @@
 /// Bytes carried at a time.
 const BUFFER_BYTES: usize = 64 << 10;
 
-/// The links that carry nothing now.
+/// What is wrong with a link.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LinkTrouble {
+    /// It carries nothing but is not closed, as when a switch drops packets.
+    Severed,
+    /// What leaves the side that has the trouble is not carried; what comes is.
+    SeveredOut,
+    /// Each piece, of at most 64 KiB, waits for this long.
+    Slow(Duration),
+    /// Each connection carries at most so many bytes a second in each direction.
+    Narrow(u64),
+    /// Each connection ends with the next byte.
+    Reset,
+}
+
+/// The links with which something is wrong now.
 #[derive(Debug, Default)]
-pub struct LinkCuts {
-    cuts: Mutex<Vec<LinkCut>>,
+pub struct LinkFaults {
+    faults: Mutex<Vec<LinkFault>>,
 }
 
-/// The two ends of a link.
+/// One direction of a link.
 #[derive(Debug, Clone, Copy)]
 struct LinkEnds {
     from: IpAddr,
@@ -39,29 +53,70 @@
 }
 
 #[derive(Debug)]
-struct LinkCut {
+struct LinkFault {
     id: usize,
     side: BTreeSet<IpAddr>,
+    trouble: LinkTrouble,
+}
+
+impl LinkEnds {
+    fn reversed(self) -> Self {
+        Self { from: self.to, to: self.from }
+    }
+}
+
+impl LinkFault {
+    fn touches(&self, ends: LinkEnds) -> bool {
+        let (leaves, stays) = (self.side.contains(&ends.from), self.side.contains(&ends.to));
+        match self.trouble {
+            LinkTrouble::SeveredOut => leaves && !stays,
+            _ => leaves != stays,
+        }
+    }
 }
 
-impl LinkCuts {
-    /// Severs each link between an instance of `side` and another one.
-    pub fn sever(&self, id: usize, side: BTreeSet<IpAddr>) {
-        self.lock().push(LinkCut { id, side });
+impl LinkFaults {
+    /// Brings `trouble` to each link between an instance of `side` and another one.
+    pub fn begin(&self, id: usize, side: BTreeSet<IpAddr>, trouble: LinkTrouble) {
+        self.lock().push(LinkFault { id, side, trouble });
     }
 
-    /// Lets the links of `id` carry again.
-    pub fn restore(&self, id: usize) {
-        self.lock().retain(|cut| cut.id != id);
+    /// Ends the trouble of `id`.
+    pub fn end(&self, id: usize) {
+        self.lock().retain(|fault| fault.id != id);
     }
 
-    fn severs(&self, ends: LinkEnds) -> bool {
-        let cuts = self.lock();
-        cuts.iter().any(|cut| cut.side.contains(&ends.from) != cut.side.contains(&ends.to))
+    fn troubles(&self, ends: LinkEnds) -> Vec<LinkTrouble> {
+        let faults = self.lock();
+        faults.iter().filter(|fault| fault.touches(ends)).map(|fault| fault.trouble).collect()
     }
 
-    fn lock(&self) -> MutexGuard<'_, Vec<LinkCut>> {
-        self.cuts.lock().unwrap_or_else(|poison| poison.into_inner())
+    /// Completes once the link has carried `bytes`; false if it resets the connection.
+    async fn carry(&self, ends: LinkEnds, bytes: usize) -> bool {
+        let severs = |trouble: &LinkTrouble| {
+            matches!(trouble, LinkTrouble::Severed | LinkTrouble::SeveredOut)
+        };
+        let mut troubles = self.troubles(ends);
+        while troubles.iter().any(severs) {
+            Timer::after(LOOK_AGAIN).await;
+            troubles = self.troubles(ends);
+        }
+        for trouble in troubles {
+            match trouble {
+                LinkTrouble::Severed | LinkTrouble::SeveredOut => {}
+                LinkTrouble::Slow(span) => drop(Timer::after(span).await),
+                LinkTrouble::Narrow(rate) => {
+                    let span = Duration::from_secs_f64(bytes as f64 / rate.max(1) as f64);
+                    Timer::after(span).await;
+                }
+                LinkTrouble::Reset => return false,
+            }
+        }
+        true
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Vec<LinkFault>> {
+        self.faults.lock().unwrap_or_else(|poison| poison.into_inner())
     }
 }
 
@@ -69,7 +124,7 @@
 pub async fn relay(
     listen: SocketAddr,
     target: SocketAddr,
-    cuts: Arc<LinkCuts>,
+    faults: Arc<LinkFaults>,
 ) -> std::io::Result<Task<()>> {
     let listener = TcpListener::bind(listen).await?;
     Ok(spawn(async move {
@@ -78,41 +133,35 @@
                 Timer::after(LOOK_AGAIN).await;
                 continue;
             };
-            spawn(join(stream, remote.ip(), target, cuts.clone())).detach();
+            spawn(join(stream, remote.ip(), target, faults.clone())).detach();
         }
     }))
 }
 
 /// Joins one connection; when either end closes, so does the other.
-async fn join(near: TcpStream, from: IpAddr, target: SocketAddr, cuts: Arc<LinkCuts>) {
+async fn join(near: TcpStream, from: IpAddr, target: SocketAddr, faults: Arc<LinkFaults>) {
     let ends = LinkEnds { from, to: target.ip() };
-    carried(&cuts, ends).await;
+    if !faults.carry(ends, 0).await {
+        return;
+    }
     let Ok(far) = TcpStream::connect(target).await else {
         return;
     };
     let _ = near.set_nodelay(true);
     let _ = far.set_nodelay(true);
-    let out = copy(near.clone(), far.clone(), ends, &cuts);
-    let back = copy(far, near, ends, &cuts);
+    let out = copy(near.clone(), far.clone(), ends, &faults);
+    let back = copy(far, near, ends.reversed(), &faults);
     select(pin!(out), pin!(back)).await;
 }
 
-async fn copy(mut from: TcpStream, mut to: TcpStream, ends: LinkEnds, cuts: &LinkCuts) {
+async fn copy(mut from: TcpStream, mut to: TcpStream, ends: LinkEnds, faults: &LinkFaults) {
     let mut buffer = vec![0; BUFFER_BYTES];
     while let Ok(count) = from.read(&mut buffer).await
         && count > 0
     {
-        carried(cuts, ends).await;
-        if to.write_all(&buffer[..count]).await.is_err() {
+        if !faults.carry(ends, count).await || to.write_all(&buffer[..count]).await.is_err() {
             return;
         }
     }
-    carried(cuts, ends).await;
-}
-
-/// Completes once the link carries.
-async fn carried(cuts: &LinkCuts, ends: LinkEnds) {
-    while cuts.severs(ends) {
-        Timer::after(LOOK_AGAIN).await;
-    }
+    faults.carry(ends, 0).await;
 }
--- a/crates/testkit/tests/burst_scenario.rs
+++ b/crates/testkit/tests/burst_scenario.rs
@@ -20,6 +20,7 @@
 
 #[rstest]
 #[case("smoke.json")]
+#[case("sale-cancelled-while-claimed.json")]
 #[case("hanbit-gate-opening.json")]
 #[case("lindwurm-all-day.json")]
 #[case("faults-in-pairs.json")]
--- a/crates/testkit/tests/burst_smoke.rs
+++ b/crates/testkit/tests/burst_smoke.rs
@@ -5,17 +5,18 @@
     net::{IpAddr, Ipv4Addr},
     path::Path,
     sync::Arc,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use cassiawheel_model::settings::parse_settings;
 use cassiawheel_runtime::timeout;
 use cassiawheel_testkit::{
     burst::{BurstOptions, BurstScenario, run_burst, schedule::draw_arrivals},
-    stand_in::link::{LinkCuts, relay},
+    stand_in::link::{LinkFaults, LinkTrouble, relay},
 };
 use rstest::rstest;
 use smol::{
+    Task,
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
 };
@@ -43,31 +44,106 @@
     assert!(drawing.contains("<polyline"), "the plot has no lines");
 }
 
-/// A switch drops everything between two instances and closes nothing. Bytes
-/// wait, and arrive once the link carries again.
-#[rstest]
-fn a_severed_link_carries_nothing_until_it_is_restored() {
-    let test = async {
-        let here = IpAddr::V4(Ipv4Addr::LOCALHOST);
+/// A connection through a relay: the caller's end, the endpoint's, and what is wrong.
+struct RelayedLink {
+    caller: TcpStream,
+    endpoint: TcpStream,
+    links: Arc<LinkFaults>,
+    _relay: Task<()>,
+}
+
+impl RelayedLink {
+    async fn new() -> anyhow::Result<Self> {
         let there = IpAddr::V4(Ipv4Addr::new(127, 0, 0, 2));
         let far = TcpListener::bind((there, 0)).await?;
-        let cuts = Arc::new(LinkCuts::default());
+        let links = Arc::new(LinkFaults::default());
         let free = std::net::TcpListener::bind((there, 0))?.local_addr()?;
-        let _relay = relay(free, far.local_addr()?, cuts.clone()).await?;
+        let relay = relay(free, far.local_addr()?, links.clone()).await?;
         let mut caller = TcpStream::connect(free).await?;
         let (mut endpoint, _) = far.accept().await?;
+        carry(&mut caller, &mut endpoint, 1).await?;
+        Ok(Self { caller, endpoint, links, _relay: relay })
+    }
+
+    /// Brings trouble to what the caller's instance sends to others, and gets.
+    fn begin(&self, trouble: LinkTrouble) {
+        let here = IpAddr::V4(Ipv4Addr::LOCALHOST);
+        self.links.begin(1, BTreeSet::from([here]), trouble);
+    }
+}
+
+/// Sends `count` bytes and waits for them; how long it took.
+async fn carry(from: &mut TcpStream, to: &mut TcpStream, count: usize) -> anyhow::Result<Duration> {
+    let begun = Instant::now();
+    let mut bytes = vec![7; count];
+    from.write_all(&bytes).await?;
+    to.read_exact(&mut bytes).await?;
+    Ok(begun.elapsed())
+}
+
+fn run(test: impl Future<Output = anyhow::Result<()>>) {
+    let outcome = cassiawheel_runtime::run(2, timeout(Duration::from_secs(20), test));
+    outcome.expect("the executor runs").expect("in time").expect("the test passes");
+}
+
+/// A switch drops everything between two instances and closes nothing. Bytes
+/// wait, and arrive once the link carries again.
+#[rstest]
+fn a_severed_link_carries_nothing_until_it_is_restored() {
+    run(async {
+        let mut link = RelayedLink::new().await?;
+        link.begin(LinkTrouble::Severed);
+        link.caller.write_all(b"b").await?;
         let mut byte = [0];
-        caller.write_all(b"a").await?;
-        endpoint.read_exact(&mut byte).await?;
-        cuts.sever(1, BTreeSet::from([here]));
-        caller.write_all(b"b").await?;
-        let early = timeout(Duration::from_millis(200), endpoint.read_exact(&mut byte)).await;
+        let early = timeout(Duration::from_millis(200), link.endpoint.read_exact(&mut byte)).await;
         anyhow::ensure!(early.is_none(), "a severed link carried a byte");
-        cuts.restore(1);
-        endpoint.read_exact(&mut byte).await?;
-        anyhow::Ok(byte)
-    };
-    let outcome = cassiawheel_runtime::run(2, timeout(Duration::from_secs(20), test));
-    let byte = outcome.expect("the executor runs").expect("in time").expect("carried");
-    assert_eq!(&byte, b"b");
+        link.links.end(1);
+        link.endpoint.read_exact(&mut byte).await?;
+        anyhow::ensure!(&byte == b"b", "another byte came");
+        Ok(())
+    });
+}
+
+/// What one side sends is lost on the way, and what it gets arrives.
+#[rstest]
+fn a_link_that_is_cut_one_way_carries_the_other() {
+    run(async {
+        let mut link = RelayedLink::new().await?;
+        link.begin(LinkTrouble::SeveredOut);
+        carry(&mut link.endpoint, &mut link.caller, 1).await?;
+        let sent = carry(&mut link.caller, &mut link.endpoint, 1);
+        let early = timeout(Duration::from_millis(200), sent).await;
+        anyhow::ensure!(early.is_none(), "the cut direction carried a byte");
+        Ok(())
+    });
+}
+
+/// What is sent over a slow or narrow link arrives whole and later.
+#[rstest]
+#[case::slow(LinkTrouble::Slow(Duration::from_millis(150)), 1)]
+#[case::narrow(LinkTrouble::Narrow(100_000), 20_000)]
+fn a_troubled_link_takes_longer(#[case] trouble: LinkTrouble, #[case] count: usize) {
+    run(async {
+        let mut link = RelayedLink::new().await?;
+        link.begin(trouble);
+        let took = carry(&mut link.caller, &mut link.endpoint, count).await?;
+        anyhow::ensure!(took >= Duration::from_millis(140), "took only {took:?}");
+        Ok(())
+    });
+}
+
+/// Both ends see that the connection is gone.
+#[rstest]
+fn a_reset_link_ends_its_connections() {
+    run(async {
+        let mut link = RelayedLink::new().await?;
+        link.begin(LinkTrouble::Reset);
+        link.caller.write_all(b"b").await?;
+        let mut byte = [0];
+        let came = link.endpoint.read(&mut byte).await.unwrap_or(0);
+        anyhow::ensure!(came == 0, "a byte came");
+        let back = link.caller.read(&mut byte).await.unwrap_or(0);
+        anyhow::ensure!(back == 0, "the caller's end is still open");
+        Ok(())
+    });
 }
