What a fault happens to is told in one place

The kinds that hit one process stood in three lists: where a plan is checked, drawn and applied. FaultKind::target tells it; what a seed draws is unchanged.

--- a/crates/testkit/src/burst/draw.rs
+++ b/crates/testkit/src/burst/draw.rs
@@ -8,8 +8,8 @@
 use rand::{Rng, SeedableRng, rngs::SmallRng, seq::IndexedRandom};
 
 use super::scenario::{
-    ArrivalPlan, BurstScenario, CallMix, FaultKind, FaultPlan, LimitPlan, PresetChange, RateBurst,
-    RateStep, WorkspaceShare,
+    ArrivalPlan, BurstScenario, CallMix, FaultKind, FaultPlan, FaultTarget, LimitPlan,
+    PresetChange, RateBurst, RateStep, WorkspaceShare,
 };
 
 /// Shortest run that is drawn, in seconds: the first preset, a fault and its end.
@@ -143,22 +143,12 @@
 }
 
 fn draw_target(rng: &mut SmallRng, scenario: &BurstScenario, kind: FaultKind) -> String {
-    match kind {
-        FaultKind::CorruptChunks | FaultKind::OriginDown => "origin".to_owned(),
-        FaultKind::StoreDown | FaultKind::StoreSlow | FaultKind::StoreLostAnswer => {
-            "store".to_owned()
-        }
-        FaultKind::Partition => format!("domain-{}", rng.random_range(0..scenario.failure_domains)),
-        FaultKind::VersionChange => VERSIONS[0].to_owned(),
-        FaultKind::Kill
-        | FaultKind::Restart
-        | FaultKind::Pause
-        | FaultKind::Drain
-        | FaultKind::StallLink
-        | FaultKind::CutOut
-        | FaultKind::SlowLink
-        | FaultKind::NarrowLink
-        | FaultKind::ResetLink => match rng.random_bool(0.4) {
+    match kind.target() {
+        FaultTarget::Origin => "origin".to_owned(),
+        FaultTarget::Store => "store".to_owned(),
+        FaultTarget::Domain => format!("domain-{}", rng.random_range(0..scenario.failure_domains)),
+        FaultTarget::Version => VERSIONS[0].to_owned(),
+        FaultTarget::Process => match rng.random_bool(0.4) {
             true => format!("entry-{}", rng.random_range(0..scenario.entries)),
             false => format!("endpoint-{}", rng.random_range(0..scenario.endpoints())),
         },
--- a/crates/testkit/src/burst/faults.rs
+++ b/crates/testkit/src/burst/faults.rs
@@ -106,18 +106,6 @@
         FaultKind::Restart | FaultKind::Drain => {
             leave = stop_gracefully(&deployment, &plan).await?;
         }
-        FaultKind::StallLink
-        | FaultKind::CutOut
-        | FaultKind::SlowLink
-        | FaultKind::NarrowLink
-        | FaultKind::ResetLink => {
-            touched.push(plan.target.clone());
-            let slot = ProcessSlot::parse(&plan.target)?;
-            let deployment = deployment.lock().await;
-            let side = BTreeSet::from([slot.ip(&deployment)]);
-            deployment.links.begin(id, side, link_trouble(plan.kind));
-            drop(deployment);
-        }
         FaultKind::Partition => {
             let domain = numbered(&plan.target, "domain-").context("no failure domain")?;
             let deployment = deployment.lock().await;
@@ -128,6 +116,14 @@
             touched = all_names(&deployment);
             drop(deployment);
         }
+        kind if kind.is_of_links() => {
+            touched.push(plan.target.clone());
+            let slot = ProcessSlot::parse(&plan.target)?;
+            let deployment = deployment.lock().await;
+            let side = BTreeSet::from([slot.ip(&deployment)]);
+            deployment.links.begin(id, side, link_trouble(plan.kind));
+            drop(deployment);
+        }
         FaultKind::VersionChange => {}
         switch => {
             set_switch(&*deployment.lock().await, switch, true);
--- a/crates/testkit/src/burst/scenario.rs
+++ b/crates/testkit/src/burst/scenario.rs
@@ -129,6 +129,21 @@
     Partition,
 }
 
+/// What a fault happens to, as its plan names it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FaultTarget {
+    /// A process: `entry-N` or `endpoint-N`.
+    Process,
+    /// A failure domain: `domain-N`.
+    Domain,
+    /// The table service: `store`.
+    Store,
+    /// The origin of weights: `origin`.
+    Origin,
+    /// A version by its name.
+    Version,
+}
+
 /// Bounds of the invariants.
 #[apply(record!)]
 #[serde(deny_unknown_fields, default)]
@@ -170,31 +185,41 @@
         }
     }
 
-    /// Whether it affects links between processes of the system.
-    pub fn is_of_links(self) -> bool {
+    /// What it happens to.
+    pub fn target(self) -> FaultTarget {
         match self {
-            Self::StallLink
-            | Self::CutOut
-            | Self::SlowLink
-            | Self::NarrowLink
-            | Self::ResetLink
-            | Self::Partition => true,
             Self::Kill
             | Self::Restart
             | Self::Pause
             | Self::Drain
-            | Self::CorruptChunks
-            | Self::StoreDown
-            | Self::StoreSlow
-            | Self::StoreLostAnswer
-            | Self::OriginDown
-            | Self::VersionChange => false,
+            | Self::StallLink
+            | Self::CutOut
+            | Self::SlowLink
+            | Self::NarrowLink
+            | Self::ResetLink => FaultTarget::Process,
+            Self::Partition => FaultTarget::Domain,
+            Self::StoreDown | Self::StoreSlow | Self::StoreLostAnswer => FaultTarget::Store,
+            Self::CorruptChunks | Self::OriginDown => FaultTarget::Origin,
+            Self::VersionChange => FaultTarget::Version,
         }
     }
 
+    /// Whether it affects links between processes of the system.
+    pub fn is_of_links(self) -> bool {
+        matches!(
+            self,
+            Self::StallLink
+                | Self::CutOut
+                | Self::SlowLink
+                | Self::NarrowLink
+                | Self::ResetLink
+                | Self::Partition
+        )
+    }
+
     /// Whether it affects the table service.
     pub fn is_of_store(self) -> bool {
-        matches!(self, Self::StoreDown | Self::StoreSlow | Self::StoreLostAnswer)
+        self.target() == FaultTarget::Store
     }
 }
 
--- a/crates/testkit/src/burst/scenario/check.rs
+++ b/crates/testkit/src/burst/scenario/check.rs
@@ -6,7 +6,7 @@
 };
 
 use super::{
-    ArrivalPlan, BurstScenario, FaultKind, FaultPlan, LimitPlan, PresetChange,
+    ArrivalPlan, BurstScenario, FaultKind, FaultPlan, FaultTarget, LimitPlan, PresetChange,
     default_origin_copies, numbered,
 };
 
@@ -151,29 +151,17 @@
         let target = fault.target.as_str();
         let entry = numbered(target, "entry-").is_some_and(|index| index < self.entries);
         let endpoint = numbered(target, "endpoint-").is_some_and(|index| index < self.endpoints());
-        let (holds, message) = match fault.kind {
-            FaultKind::Kill
-            | FaultKind::Restart
-            | FaultKind::Pause
-            | FaultKind::Drain
-            | FaultKind::StallLink
-            | FaultKind::CutOut
-            | FaultKind::SlowLink
-            | FaultKind::NarrowLink
-            | FaultKind::ResetLink => {
+        let (holds, message) = match fault.kind.target() {
+            FaultTarget::Process => {
                 (entry || endpoint, "must be entry-N or endpoint-N of this scenario")
             }
-            FaultKind::CorruptChunks | FaultKind::OriginDown => {
-                (target == "origin", "must be origin")
-            }
-            FaultKind::StoreDown | FaultKind::StoreSlow | FaultKind::StoreLostAnswer => {
-                (target == "store", "must be store")
-            }
-            FaultKind::VersionChange => (
+            FaultTarget::Origin => (target == "origin", "must be origin"),
+            FaultTarget::Store => (target == "store", "must be store"),
+            FaultTarget::Version => (
                 ModelVersion::new(target).is_ok(),
                 "must be the version that the operator asks for",
             ),
-            FaultKind::Partition => (
+            FaultTarget::Domain => (
                 numbered(target, "domain-").is_some_and(|index| index < self.failure_domains),
                 "must be domain-N of this scenario",
             ),
