--- a/crates/decide/tests/preset_pull.rs
+++ b/crates/decide/tests/preset_pull.rs
@@ -30,8 +30,17 @@
 /// When a preset is in force everywhere at the latest, by the aim.
 const APPLY_MS: u64 = 2_000;
 
+/// Time after which the former rule asked again.
+const ASK_AGAIN_MS: u64 = 250;
+
+/// Longest play.
+const LONGEST_MS: u64 = 60_000;
+
 const START: u64 = 1_000_000;
 
+const OLD: PresetRevision = PresetRevision(1);
+const NEW: PresetRevision = PresetRevision(2);
+
 /// How an entry asks for a preset of which it heard.
 #[derive(Debug, Clone, Copy, PartialEq)]
 enum PullRule {
@@ -94,69 +103,82 @@
     InstanceId::new(&format!("entry-{entry:02}")).expect("valid")
 }
 
-/// Spreads a preset while the store turns away those of `turned_away`.
-fn spread(rule: PullRule, turned_away: &[usize], frozen: &[usize], seed: u64) -> SpreadOutcome {
-    let mut rng = SmallRng::seed_from_u64(seed);
-    let (old, new) = (PresetRevision(1), PresetRevision(2));
-    let mut links = SharedLinks { far: [0; REGIONS], near: [0; ENTRIES], far_copies: 0 };
-    let mut entries: Vec<_> = (0..ENTRIES)
-        .map(|entry| PulledEntry {
-            region: entry / ENTRIES_A_REGION,
+impl PulledEntry {
+    fn new(number: usize, is_frozen: bool) -> Self {
+        Self {
+            region: number / ENTRIES_A_REGION,
             arrives: Vec::new(),
             has_at: None,
             pull: PresetPull::default(),
             is_running: false,
             asks_again_at: 0,
             last_teller: None,
-            is_frozen: frozen.contains(&entry),
-        })
-        .collect();
+            is_frozen,
+        }
+    }
+
+    /// Hears of the preset from `teller`.
+    fn hear(&mut self, teller: usize, now: u64) {
+        let told = ToldRevision {
+            instance: instance(teller),
+            revision: NEW,
+            is_near: self.region == teller / ENTRIES_A_REGION,
+            handle: teller,
+        };
+        self.is_running |= self.pull.hear(told, OLD, Timestamp(now));
+        if self.last_teller.replace(teller).is_none() {
+            self.asks_again_at = now + ASK_AGAIN_MS;
+        }
+    }
+
+    /// Whom it asks now.
+    fn asks(&mut self, rule: PullRule, view: PullView, rng: &mut SmallRng) -> Option<usize> {
+        match rule {
+            PullRule::AskAnew if self.last_teller.is_some() && view.now.0 >= self.asks_again_at => {
+                self.asks_again_at = view.now.0 + ASK_AGAIN_MS;
+                self.last_teller
+            }
+            PullRule::OneQuestion if self.is_running => match self.pull.step(view, |_| true, rng) {
+                PullStep::Ask(teller) => Some(teller),
+                PullStep::Wait(_) | PullStep::Done => None,
+            },
+            PullRule::AskAnew | PullRule::OneQuestion => None,
+        }
+    }
+}
+
+/// Spreads a preset while the store turns away those of `turned_away`.
+fn spread(rule: PullRule, turned_away: &[usize], frozen: &[usize], seed: u64) -> SpreadOutcome {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut links = SharedLinks { far: [0; REGIONS], near: [0; ENTRIES], far_copies: 0 };
+    let mut entries: Vec<_> =
+        (0..ENTRIES).map(|entry| PulledEntry::new(entry, frozen.contains(&entry))).collect();
     let mut order: Vec<_> = (0..ENTRIES).filter(|entry| !turned_away.contains(entry)).collect();
     order.shuffle(&mut rng);
     for entry in order {
         entries[entry].arrives.push(links.send(None, entry, START));
     }
     let phases: Vec<u64> = (0..ENTRIES).map(|_| rng.random_range(0..BEAT_MS)).collect();
-    for now in (START..START + 60_000).step_by(STEP_MS as usize) {
+    let lacks = |entry: &PulledEntry| !entry.is_frozen && entry.has_at.is_none();
+    for now in (START..START + LONGEST_MS).step_by(STEP_MS as usize) {
         let told = tell(&mut entries, &phases, now);
-        for entry in 0..ENTRIES {
-            if entries[entry].is_frozen || entries[entry].has_at.is_some() {
+        for number in 0..ENTRIES {
+            if !lacks(&entries[number]) {
                 continue;
             }
-            let region = entries[entry].region;
-            for teller in told.iter().copied().filter(|teller| *teller != entry) {
-                let is_near = entries[teller].region == region;
-                let (instance, handle) = (instance(teller), teller);
-                let told = ToldRevision { instance, revision: new, is_near, handle };
-                let state = &mut entries[entry];
-                state.is_running |= state.pull.hear(told, old, Timestamp(now));
-                if state.last_teller.replace(teller).is_none() {
-                    state.asks_again_at = now + 250;
-                }
+            for teller in told.iter().copied().filter(|teller| *teller != number) {
+                entries[number].hear(teller, now);
             }
-            let near_rank = (entry % ENTRIES_A_REGION) as u32;
-            let follows_rows = !turned_away.contains(&entry);
-            let view = PullView { known: old, follows_rows, near_rank, now: Timestamp(now) };
-            let state = &mut entries[entry];
-            let asked = match rule {
-                PullRule::AskAnew if state.last_teller.is_some() && now >= state.asks_again_at => {
-                    state.asks_again_at = now + 250;
-                    state.last_teller
-                }
-                PullRule::OneQuestion if state.is_running => {
-                    match state.pull.step(view, |_| true, &mut rng) {
-                        PullStep::Ask(teller) => Some(teller),
-                        PullStep::Wait(_) | PullStep::Done => None,
-                    }
-                }
-                PullRule::AskAnew | PullRule::OneQuestion => None,
-            };
+            let near_rank = (number % ENTRIES_A_REGION) as u32;
+            let follows_rows = !turned_away.contains(&number);
+            let view = PullView { known: OLD, follows_rows, near_rank, now: Timestamp(now) };
+            let asked = entries[number].asks(rule, view, &mut rng);
             if let Some(teller) = asked.filter(|teller| !entries[*teller].is_frozen) {
-                let arrives = links.send(Some(teller), entry, now);
-                entries[entry].arrives.push(arrives);
+                let arrives = links.send(Some(teller), number, now);
+                entries[number].arrives.push(arrives);
             }
         }
-        if entries.iter().all(|entry| entry.is_frozen || entry.has_at.is_some()) {
+        if !entries.iter().any(lacks) {
             break;
         }
     }
