--- a/crates/entry/src/caller/events.rs
+++ b/crates/entry/src/caller/events.rs
@@ -38,12 +38,6 @@
     Silent,
 }
 
-/// What the caller of a stream gets next.
-enum StreamPart {
-    Events(Bytes),
-    End,
-}
-
 /// Reads the events of one answer, over as many endpoints as it takes.
 struct EventReader {
     attempts: RequestAttempts,
@@ -63,8 +57,8 @@
     let frames = stream::unfold(Some((guard, reader)), |state| async move {
         let (guard, mut reader) = state?;
         match reader.next_or_resumed().await {
-            Ok(StreamPart::Events(bytes)) => Some((Ok(Frame::data(bytes)), Some((guard, reader)))),
-            Ok(StreamPart::End) => {
+            Ok(Some(events)) => Some((Ok(Frame::data(events)), Some((guard, reader)))),
+            Ok(None) => {
                 guard.count(OutcomeKind::Complete);
                 None
             }
@@ -80,12 +74,12 @@
 }
 
 impl EventReader {
-    /// The next events; from another endpoint if this one breaks off.
-    async fn next_or_resumed(&mut self) -> Result<StreamPart, String> {
+    /// The next events, from another endpoint if this one breaks off; none at the end.
+    async fn next_or_resumed(&mut self) -> Result<Option<Bytes>, String> {
         loop {
             match self.next().await {
-                EventStep::Events(bytes) => return Ok(StreamPart::Events(bytes)),
-                EventStep::End => return Ok(StreamPart::End),
+                EventStep::Events(bytes) => return Ok(Some(bytes)),
+                EventStep::End => return Ok(None),
                 EventStep::Cut(detail) => self.resume(detail).await?,
                 EventStep::Silent => self.resume_or_wait().await,
             }
