A heartbeat's sender is named, not built and taken apart again

Each whole heartbeat of an entry made a PeerProcess only to hand two of its fields on. heal and the pull take these; behaviour is unchanged.

--- a/crates/entry/src/control/pull.rs
+++ b/crates/entry/src/control/pull.rs
@@ -6,12 +6,11 @@
 };
 
 use cassiawheel_decide::{PullStep, PullView, ToldRevision};
-use cassiawheel_model::{PresetRevision, Timestamp};
+use cassiawheel_model::{FailureDomain, InstanceId, PresetRevision, Timestamp};
 use cassiawheel_runtime::spawn;
 use cassiawheel_wire::{ControlMessage, WireSender};
 use smol::Timer;
 
-use super::spread::PeerProcess;
 use crate::{routed::RoutedInterface, shared::EntryShared};
 
 /// Longest sleep between looks whether the preset has come, or somebody near has it.
@@ -22,13 +21,14 @@
     shared: &Arc<EntryShared>,
     routed: &Arc<RoutedInterface>,
     sender: &WireSender,
-    process: &PeerProcess,
+    instance: &InstanceId,
+    failure_domain: &FailureDomain,
     revision: PresetRevision,
 ) {
     let told = ToldRevision {
-        instance: process.instance.clone(),
+        instance: instance.clone(),
         revision,
-        is_near: routed.settings.near_domains.contains(&process.failure_domain),
+        is_near: routed.settings.near_domains.contains(failure_domain),
         handle: sender.clone(),
     };
     let begins = routed.pull().hear(told, shared.known_revision(), Timestamp::now());
--- a/crates/entry/src/control/spread.rs
+++ b/crates/entry/src/control/spread.rs
@@ -102,9 +102,7 @@
             inner_addr,
         } => {
             note_link(shared, sender, inner_addr);
-            let process = PeerProcess { instance, incarnation, failure_domain };
-            heal(shared, sender, &process, revision);
-            let PeerProcess { instance, failure_domain, .. } = process;
+            heal(shared, sender, &instance, &failure_domain, revision);
             let advice = AdviceInput { caller_addr, failure_domain, in_flight, leaving };
             let heard_at = Timestamp::now();
             let peer = PeerEntry { advice, incarnation, revision, advised, heard_at };
@@ -187,11 +185,12 @@
 fn heal(
     shared: &Arc<EntryShared>,
     sender: &WireSender,
-    process: &PeerProcess,
+    instance: &InstanceId,
+    failure_domain: &FailureDomain,
     revision: PresetRevision,
 ) {
     if let Some(routed) = &shared.routed {
-        pull::hear_revision(shared, routed, sender, process, revision);
+        pull::hear_revision(shared, routed, sender, instance, failure_domain, revision);
         return;
     }
     if let Some(preset) = shared.force.load_full().filter(|preset| preset.revision > revision) {
@@ -283,10 +282,10 @@
 }
 
 /// The process at the other end of a connection.
-pub(super) struct PeerProcess {
-    pub(super) instance: InstanceId,
+struct PeerProcess {
+    instance: InstanceId,
     incarnation: u64,
-    pub(super) failure_domain: FailureDomain,
+    failure_domain: FailureDomain,
 }
 
 /// The process that a whole heartbeat comes from.
@@ -311,7 +310,9 @@
     let known = other
         .and_then(|other| shared.peers().alive(&other.instance, other.incarnation, in_flight, now));
     match (known, other) {
-        (Some(revision), Some(other)) => heal(shared, sender, other, revision),
+        (Some(revision), Some(other)) => {
+            heal(shared, sender, &other.instance, &other.failure_domain, revision);
+        }
         (None, _) | (_, None) => {
             let _ = sender.try_send(ControlMessage::ReportWanted);
         }
