The word of an entry on a manifest waits in one channel

A slot under a lock beside a wake channel held the last word; a channel of one place, in which a newer word replaces the older, does the same.

--- a/crates/agent/src/transfer/told.rs
+++ b/crates/agent/src/transfer/told.rs
@@ -5,10 +5,7 @@
 //! connections a hundred agents would crowd each other out, and other agents
 //! know nothing yet.
 
-use std::{
-    sync::{Arc, Mutex},
-    time::Duration,
-};
+use std::{sync::Arc, time::Duration};
 
 use cassiawheel_model::{ManifestDigest, WeightManifest};
 use cassiawheel_runtime::timeout;
@@ -39,36 +36,30 @@
 
 /// The last word of any entry.
 pub(crate) struct ToldManifest {
-    word: Mutex<Option<ManifestWord>>,
-    told: (Sender<()>, Receiver<()>),
+    word: (Sender<ManifestWord>, Receiver<ManifestWord>),
 }
 
 impl Default for ToldManifest {
     fn default() -> Self {
-        Self { word: Mutex::default(), told: bounded(1) }
+        Self { word: bounded(1) }
     }
 }
 
 impl ToldManifest {
-    /// Takes the word of an entry.
+    /// Takes the word of an entry; it replaces one that nobody waited for.
     pub(crate) fn hear(&self, word: ManifestWord) {
-        *self.word.lock().unwrap_or_else(|poison| poison.into_inner()) = Some(word);
-        let _ = self.told.0.try_send(());
+        let _ = self.word.0.force_send(word);
     }
 
     /// The next word on the manifest with `digest`; none if that entry does not have it.
     async fn word_on(&self, digest: ManifestDigest) -> Option<Arc<WeightManifest>> {
         loop {
-            let word = self.word.lock().unwrap_or_else(|poison| poison.into_inner()).take();
-            match word {
-                Some(ManifestWord::Known(manifest)) if manifest.digest == digest => {
+            match self.word.1.recv().await.ok()? {
+                ManifestWord::Known(manifest) if manifest.digest == digest => {
                     return Some(manifest);
                 }
-                Some(ManifestWord::Unknown(unknown)) if unknown == digest => return None,
-                Some(_) => {}
-                None => {
-                    let _ = self.told.1.recv().await;
-                }
+                ManifestWord::Unknown(unknown) if unknown == digest => return None,
+                ManifestWord::Known(_) | ManifestWord::Unknown(_) => {}
             }
         }
     }
