Faults of links are begun and ended in one arm

Partition stood in an arm of its own, before a guard that held for it as well, and the end of both was looked for once more behind the match. One arm begins, waits and ends; link_side tells whose links they are.

--- a/crates/testkit/src/burst/faults.rs
+++ b/crates/testkit/src/burst/faults.rs
@@ -106,23 +106,18 @@
         FaultKind::Restart | FaultKind::Drain => {
             leave = stop_gracefully(&deployment, &plan).await?;
         }
-        FaultKind::Partition => {
-            let domain = numbered(&plan.target, "domain-").context("no failure domain")?;
-            let deployment = deployment.lock().await;
-            let side = domain_processes(&deployment, domain, failure_domains);
-            let side = side.iter().map(|slot| slot.ip(&deployment)).collect();
-            deployment.links.begin(id, side, link_trouble(plan.kind));
-            // Requests that cross the border may be cut on either side of it.
-            touched = all_names(&deployment);
-            drop(deployment);
-        }
         kind if kind.is_of_links() => {
-            touched.push(plan.target.clone());
-            let slot = ProcessSlot::parse(&plan.target)?;
-            let deployment = deployment.lock().await;
-            let side = BTreeSet::from([slot.ip(&deployment)]);
-            deployment.links.begin(id, side, link_trouble(plan.kind));
-            drop(deployment);
+            let locked = deployment.lock().await;
+            let side = link_side(&locked, &plan, failure_domains)?;
+            locked.links.begin(id, side, link_trouble(kind));
+            touched = match kind {
+                // Requests that cross the border may be cut on either side of it.
+                FaultKind::Partition => all_names(&locked),
+                _ => vec![plan.target.clone()],
+            };
+            drop(locked);
+            Timer::after(Duration::from_secs_f64(plan.for_s)).await;
+            deployment.lock().await.links.end(id);
         }
         FaultKind::VersionChange => {}
         switch => {
@@ -131,14 +126,26 @@
             set_switch(&*deployment.lock().await, switch, false);
         }
     }
-    if plan.kind.is_of_links() {
-        Timer::after(Duration::from_secs_f64(plan.for_s)).await;
-        deployment.lock().await.links.end(id);
-    }
     let fault = FaultRecord { kind: plan.kind, touched, from, until: Timestamp::now() };
     Ok(FaultEnd { fault, leave })
 }
 
+/// The instances on one side of the links that a fault is of.
+fn link_side(
+    deployment: &Deployment,
+    plan: &FaultPlan,
+    failure_domains: usize,
+) -> anyhow::Result<BTreeSet<IpAddr>> {
+    let slots = match plan.kind {
+        FaultKind::Partition => {
+            let domain = numbered(&plan.target, "domain-").context("no failure domain")?;
+            domain_processes(deployment, domain, failure_domains)
+        }
+        _ => vec![ProcessSlot::parse(&plan.target)?],
+    };
+    Ok(slots.iter().map(|slot| slot.ip(deployment)).collect())
+}
+
 /// What is wrong with the links of a fault's target.
 fn link_trouble(kind: FaultKind) -> LinkTrouble {
     match kind {
