--- a/crates/agent/src/endpoint.rs
+++ b/crates/agent/src/endpoint.rs
@@ -1,7 +1,6 @@
 //! State that the parts of an agent share.
 
 use std::{
-    collections::BTreeSet,
     net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard,
@@ -10,7 +9,7 @@
     time::Duration,
 };
 
-use cassiawheel_decide::{GateState, LoadPace, PresetHolder, StartHold, ToldReport};
+use cassiawheel_decide::{EntryChoice, GateState, LoadPace, PresetHolder, StartHold, ToldReport};
 use cassiawheel_edge::{ModelEngine, TableStore, WeightSource};
 use cassiawheel_model::{EndpointState, LoadReport, Timestamp, settings::AgentSettings};
 use cassiawheel_runtime::timeout;
@@ -59,7 +58,9 @@
     last_report: Mutex<Option<ToldReport>>,
     load: Mutex<LoadReport>,
     entries: Mutex<Vec<EntryLink>>,
-    met: Mutex<BTreeSet<SocketAddr>>,
+    known_entries: Mutex<EntryChoice>,
+    entries_changed: (Sender<()>, Receiver<()>),
+    reports: AtomicU64,
     attempts: AtomicU64,
     open: AtomicU32,
     released: (Sender<()>, Receiver<()>),
@@ -81,7 +82,9 @@
             last_report: Mutex::default(),
             load: Mutex::new(LoadReport { in_flight: 0, queued: 0, measured_at: now }),
             entries: Mutex::default(),
-            met: Mutex::default(),
+            known_entries: Mutex::default(),
+            entries_changed: bounded(1),
+            reports: AtomicU64::new(0),
             engine_fencing: AtomicU64::new(0),
             attempts: AtomicU64::new(0),
             open: AtomicU32::new(0),
@@ -151,10 +154,24 @@
         self.entries.lock().unwrap_or_else(|poison| poison.into_inner())
     }
 
-    /// Notes the inner addresses of entries; those that were not known.
-    pub(crate) fn note_entries(&self, addrs: &[SocketAddr]) -> Vec<SocketAddr> {
-        let mut known = self.met.lock().unwrap_or_else(|poison| poison.into_inner());
-        addrs.iter().copied().filter(|addr| known.insert(*addr)).collect()
+    /// The entries that this agent may connect to.
+    pub(crate) fn entry_choice(&self) -> MutexGuard<'_, EntryChoice> {
+        self.known_entries.lock().unwrap_or_else(|poison| poison.into_inner())
+    }
+
+    /// Has the connections to entries looked at.
+    pub(crate) fn note_entries_changed(&self) {
+        let _ = self.entries_changed.0.try_send(());
+    }
+
+    /// Completes after the next [`Self::note_entries_changed`].
+    pub(crate) async fn entries_changed(&self) {
+        let _ = self.entries_changed.1.recv().await;
+    }
+
+    /// A number that rises with each whole report.
+    pub(crate) fn next_report(&self) -> u64 {
+        self.reports.fetch_add(1, Ordering::Relaxed) + 1
     }
 
     /// A number that no other attempt of this process has.
@@ -192,6 +209,8 @@
 
 /// A connection to an entry, and when it wants to hear the load.
 pub(crate) struct EntryLink {
+    /// Where it was dialled.
+    pub(crate) addr: SocketAddr,
     /// Messages to it.
     pub(crate) sender: WireSender,
     /// When it wants to hear the load.
--- /dev/null
+++ b/crates/agent/src/entry_choice.rs
@@ -0,0 +1,136 @@
+//! Choosing the entries to be connected to, where entries tell which there are.
+
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+
+use cassiawheel_decide::rank::subject_of;
+use cassiawheel_edge::{ENTRY_ROWS, EntryRow, StoreError};
+use cassiawheel_model::Timestamp;
+use cassiawheel_runtime::{spawn, timeout};
+use cassiawheel_wire::{ControlMessage, HelloMessage, ProcessKind, WireMessage, connect};
+use rand::{Rng, seq::SliceRandom};
+use smol::{Task, Timer};
+
+use crate::{endpoint::EndpointShared, entry_link::keep_connected};
+
+/// Longest time between looks whether the choice has changed.
+const LOOK_TIME: Duration = Duration::from_millis(250);
+
+/// Longest wait for the list of one entry.
+const ASK_TIME: Duration = Duration::from_millis(600);
+
+/// Wait before entries are asked again, in milliseconds; drawn anew each time.
+const AGAIN_MS: std::ops::Range<u64> = 50..150;
+
+/// Rounds without an answer after which the table service is asked.
+const ROUNDS: u32 = 3;
+
+/// Keeps connections to the chosen entries for ever.
+pub(crate) async fn keep_chosen(shared: Arc<EndpointShared>) {
+    let subject = subject_of(shared.settings.place.instance.as_str());
+    let mut kept: BTreeMap<SocketAddr, Task<()>> = BTreeMap::new();
+    loop {
+        if shared.entry_choice().is_empty() {
+            find_entries(&shared).await;
+        }
+        let count = shared.settings.entry_links;
+        let chosen = shared.entry_choice().chosen(subject, count, Timestamp::now());
+        if chosen.is_empty() {
+            // All that were told are out of reach; others may run by now.
+            shared.entry_choice().clear();
+            continue;
+        }
+        for addr in &chosen {
+            let is_kept = kept.get(addr).is_some_and(|task| !task.is_finished());
+            if !is_kept {
+                kept.insert(*addr, spawn(keep_connected(shared.clone(), *addr)));
+            }
+        }
+        // A surplus connection goes once another one can take its place.
+        let connected = open_addrs(&shared);
+        if chosen.iter().any(|addr| connected.contains(addr)) {
+            let surplus: Vec<_> =
+                kept.keys().copied().filter(|addr| !chosen.contains(addr)).collect();
+            for addr in surplus {
+                kept.remove(&addr);
+                disconnect(&shared, addr);
+            }
+        }
+        timeout(LOOK_TIME, shared.entries_changed()).await;
+    }
+}
+
+fn open_addrs(shared: &EndpointShared) -> Vec<SocketAddr> {
+    let entries = shared.entries();
+    let open = entries.iter().filter(|entry| !entry.sender.is_closed());
+    open.map(|entry| entry.addr).collect()
+}
+
+fn disconnect(shared: &EndpointShared, addr: SocketAddr) {
+    shared.entries().retain(|entry| {
+        let stays = entry.addr != addr;
+        if !stays {
+            entry.sender.close();
+        }
+        stays
+    });
+    shared.transfer.forget_peers_of(addr);
+}
+
+/// Asks the entries of the settings, then the table service, which entries there are.
+async fn find_entries(shared: &Arc<EndpointShared>) {
+    for _ in 0..ROUNDS {
+        let mut seeds = shared.settings.entries.clone();
+        seeds.shuffle(&mut rand::rng());
+        for seed in seeds {
+            let told = timeout(ASK_TIME, ask_entry(shared, seed)).await.flatten();
+            if let Some(told) = told.filter(|told| !told.is_empty()) {
+                shared.entry_choice().tell(told);
+                return;
+            }
+        }
+        let wait = rand::rng().random_range(AGAIN_MS);
+        Timer::after(Duration::from_millis(wait)).await;
+    }
+    match read_rows(shared).await {
+        Ok(addrs) => {
+            log::info!(target: "link", entries = addrs.len(); "Looked entries up.");
+            shared.entry_choice().tell(addrs);
+        }
+        Err(error) => {
+            log::warn!(target: "link", cause:% = error; "Entries cannot be looked up.");
+        }
+    }
+}
+
+/// The entries of the own region that have left their addresses; all if it has none.
+async fn read_rows(shared: &EndpointShared) -> Result<Vec<SocketAddr>, StoreError> {
+    let rows = shared.table.scan(ENTRY_ROWS).await?;
+    let rows: Vec<_> = rows.iter().filter_map(EntryRow::read).collect();
+    let own = &shared.settings.place.region;
+    let near = rows.iter().filter(|row| row.region.as_ref() == Some(own));
+    let near: Vec<_> = near.map(|row| row.inner_addr).collect();
+    let all = || rows.iter().map(|row| row.inner_addr).collect();
+    Ok(if near.is_empty() { all() } else { near })
+}
+
+async fn ask_entry(shared: &EndpointShared, addr: SocketAddr) -> Option<Vec<SocketAddr>> {
+    let local = Some(shared.settings.listen_inner.ip());
+    let (sender, mut receiver) = connect(addr, &shared.settings.inner_key, local).await.ok()?;
+    let hello = HelloMessage {
+        kind: ProcessKind::Agent,
+        instance: shared.settings.place.instance.clone(),
+        incarnation: shared.incarnation,
+    };
+    sender.send(hello).await.ok()?;
+    let region = shared.settings.place.region.clone();
+    sender.send(ControlMessage::EntriesWanted { region }).await.ok()?;
+    let mut told = None;
+    while let Ok(message) = receiver.recv().await {
+        if let WireMessage::Control(ControlMessage::Entries(addrs)) = message {
+            told = Some(addrs);
+            break;
+        }
+    }
+    sender.close();
+    told
+}
--- a/crates/agent/src/entry_link.rs
+++ b/crates/agent/src/entry_link.rs
@@ -8,8 +8,6 @@
 
 use bytes::Bytes;
 use cassiawheel_decide::{LoadPace, RunLatch};
-use cassiawheel_edge::ENTRY_ROWS;
-
 use cassiawheel_model::{EndpointState, PresetRevision, Repeatability, RequestHead, Timestamp};
 use cassiawheel_runtime::spawn;
 use cassiawheel_wire::{
@@ -31,40 +29,6 @@
 /// First wait between two attempts to connect, in milliseconds.
 const MIN_BACKOFF_MS: u64 = 50;
 
-/// Time between looks whether any entry is connected.
-const FIND_TIME: Duration = Duration::from_millis(1_000);
-
-/// Keeps connections to the entries at `addrs`, as far as there are none yet.
-pub(crate) fn meet(shared: &Arc<EndpointShared>, addrs: &[SocketAddr]) {
-    for addr in shared.note_entries(addrs) {
-        spawn(keep_connected(shared.clone(), addr)).detach();
-    }
-}
-
-/// Looks entries up in the table service for as long as none is connected.
-///
-/// The settings name some that may all be gone; an agent that kept to them
-/// would never get an order again.
-pub(crate) async fn find_entries(shared: Arc<EndpointShared>) {
-    loop {
-        Timer::after(FIND_TIME).await;
-        if shared.entries().iter().any(|entry| !entry.sender.is_closed()) {
-            continue;
-        }
-        match shared.table.scan(ENTRY_ROWS).await {
-            Ok(rows) => {
-                let keys = rows.iter().filter_map(|row| row.key.strip_prefix(ENTRY_ROWS));
-                let addrs: Vec<SocketAddr> = keys.filter_map(|addr| addr.parse().ok()).collect();
-                log::info!(target: "link", entries = addrs.len(); "Looked entries up.");
-                meet(&shared, &addrs);
-            }
-            Err(error) => {
-                log::warn!(target: "link", cause:% = error; "Entries cannot be looked up.");
-            }
-        }
-    }
-}
-
 /// Keeps a connection to the entry at `addr`.
 pub(crate) async fn keep_connected(shared: Arc<EndpointShared>, addr: SocketAddr) {
     let mut backoff = MIN_BACKOFF_MS;
@@ -75,8 +39,11 @@
                 backoff = MIN_BACKOFF_MS;
                 let ended = converse(&shared, addr, sender, receiver).await;
                 log::info!(target: "link", entry:% = addr, cause:% = ended; "Connection to an entry ended.");
+                shared.note_entries_changed();
             }
             Err(error) => {
+                shared.entry_choice().avoid(addr, Timestamp::now());
+                shared.note_entries_changed();
                 shared.start_hold().heard(addr);
                 log::debug!(target: "link", entry:% = addr, cause:% = error; "Cannot reach an entry.");
             }
@@ -115,7 +82,8 @@
         return error;
     }
     let pace = LoadPace::each_heartbeat();
-    shared.entries().push(EntryLink { sender: sender.clone(), pace });
+    shared.entries().push(EntryLink { addr, sender: sender.clone(), pace });
+    shared.note_entries_changed();
     // An entry that restarted with the table service down may know no preset.
     if let Some(preset) = shared.holder().current().cloned() {
         let _ = sender.try_send(ControlMessage::Force(preset));
@@ -167,7 +135,10 @@
         }
         ControlMessage::ReportWanted => report::send_report_to(shared, sender),
         ControlMessage::LoadWanted { every_ms } => set_pace(shared, sender, every_ms),
-        ControlMessage::Entries(addrs) => meet(shared, &addrs),
+        ControlMessage::Entries(addrs) => {
+            shared.entry_choice().tell(addrs);
+            shared.note_entries_changed();
+        }
         ControlMessage::Report(_)
         | ControlMessage::Beat(_)
         | ControlMessage::Leaving { .. }
@@ -178,6 +149,10 @@
         | ControlMessage::Named(_)
         | ControlMessage::Listing { .. }
         | ControlMessage::ListingWanted
+        | ControlMessage::EntriesWanted { .. }
+        | ControlMessage::Gossip(_)
+        | ControlMessage::Flood(_)
+        | ControlMessage::Orders(_)
         | ControlMessage::ManifestWanted { .. } => {}
     }
 }
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -5,6 +5,7 @@
 //! system reaches that engine.
 
 mod endpoint;
+mod entry_choice;
 mod entry_link;
 mod exchange;
 mod keyed;
--- a/crates/agent/src/report.rs
+++ b/crates/agent/src/report.rs
@@ -24,6 +24,7 @@
     EndpointReport {
         instance: settings.place.instance.clone(),
         incarnation: shared.incarnation,
+        sequence: 0,
         region: settings.place.region.clone(),
         failure_domain: settings.place.failure_domain.clone(),
         service: settings.engine.service.clone(),
@@ -55,8 +56,8 @@
 pub(crate) fn send_report_to(shared: &EndpointShared, sender: &WireSender) {
     // Locked so that a report of an earlier state cannot be queued after it.
     let _last = shared.last_report();
-    let message = ControlMessage::Report(Box::new(build_report(shared)));
-    let _ = sender.try_send(message);
+    let report = numbered(shared, build_report(shared));
+    let _ = sender.try_send(ControlMessage::Report(Box::new(report)));
 }
 
 /// Sends the load if the last whole report still holds, else a new one.
@@ -77,13 +78,18 @@
 /// reports that overtook each other would leave the entries with the older
 /// state, and the beats that follow would confirm it for ever.
 fn send_whole(shared: &EndpointShared, last: &mut Option<ToldReport>, report: EndpointReport) {
-    let message = ControlMessage::Report(Box::new(report.clone()));
+    let message = ControlMessage::Report(Box::new(numbered(shared, report.clone())));
     let reached_all = send_to_entries(shared, &message);
     // An entry whose queue was full would take the next beats for the state
     // before this one, and might route to an endpoint that switches.
     *last = reached_all.then(|| ToldReport::new(report, Timestamp::now()));
 }
 
+/// `report` with a number by which entries tell it from older ones.
+fn numbered(shared: &EndpointShared, report: EndpointReport) -> EndpointReport {
+    EndpointReport { sequence: shared.next_report(), ..report }
+}
+
 /// Queues `message` for every connected entry; false if a queue was full.
 fn send_to_entries(shared: &EndpointShared, message: &ControlMessage) -> bool {
     let mut reached_all = true;
--- a/crates/agent/src/serve.rs
+++ b/crates/agent/src/serve.rs
@@ -15,7 +15,8 @@
 use smol::net::TcpListener;
 
 use crate::{
-    endpoint::EndpointShared, entry_link, exchange, metrics::AgentMetrics, report, transfer,
+    endpoint::EndpointShared, entry_choice, entry_link, exchange, metrics::AgentMetrics, report,
+    transfer,
 };
 
 /// Time for the last answers to leave the sockets.
@@ -70,8 +71,7 @@
     if shared.settings.engine.role == EndpointRole::Model {
         exchange::resume_engine(&shared).await;
     }
-    entry_link::meet(&shared, &chosen_entries(&shared.settings));
-    spawn(entry_link::find_entries(shared.clone())).detach();
+    connect_to_entries(&shared);
     spawn(exchange::follow_orders(shared.clone())).detach();
     spawn(report::report_regularly(shared.clone())).detach();
     log::info!(target: "process", instance:% = shared.settings.place.instance, inner:% = shared.settings.listen_inner; "The agent runs.");
@@ -89,6 +89,17 @@
     end.into_result(left)
 }
 
+/// Connects to the entries that the settings name, or to those that they tell of.
+fn connect_to_entries(shared: &Arc<EndpointShared>) {
+    if shared.settings.engine.is_direct() {
+        spawn(entry_choice::keep_chosen(shared.clone())).detach();
+        return;
+    }
+    for addr in chosen_entries(&shared.settings) {
+        spawn(entry_link::keep_connected(shared.clone(), addr)).detach();
+    }
+}
+
 async fn bind(addr: std::net::SocketAddr, path: &str) -> anyhow::Result<TcpListener> {
     TcpListener::bind(addr).await.with_context(|| format!("{path}: cannot listen at {addr}"))
 }
--- /dev/null
+++ b/crates/decide/src/flood.rs
@@ -0,0 +1,60 @@
+//! Which messages that go to every entry have been seen already.
+
+use std::collections::HashMap;
+
+use cassiawheel_model::InstanceId;
+
+/// Messages before the newest of a process that can still be told apart.
+const WINDOW: u64 = 64;
+
+/// The messages of each process that this one has passed on.
+#[derive(Debug, Default)]
+pub struct FloodFilter {
+    seen: HashMap<InstanceId, SeenNumbers>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct SeenNumbers {
+    incarnation: u64,
+    newest: u64,
+    /// Bit `n` tells whether the message `n` numbers before the newest was seen.
+    bits: u64,
+}
+
+impl FloodFilter {
+    /// Notes a message; true if it is seen for the first time.
+    ///
+    /// One that lies so far behind the newest that it cannot be told apart is
+    /// taken for a repetition.
+    pub fn note(&mut self, origin: &InstanceId, incarnation: u64, number: u64) -> bool {
+        let fresh = SeenNumbers { incarnation, newest: number, bits: 1 };
+        let Some(seen) = self.seen.get_mut(origin) else {
+            self.seen.insert(origin.clone(), fresh);
+            return true;
+        };
+        if incarnation != seen.incarnation {
+            let is_later = incarnation > seen.incarnation;
+            if is_later {
+                *seen = fresh;
+            }
+            return is_later;
+        }
+        if number > seen.newest {
+            let step = number - seen.newest;
+            seen.bits = if step < WINDOW { seen.bits << step | 1 } else { 1 };
+            seen.newest = number;
+            return true;
+        }
+        let behind = seen.newest - number;
+        let is_news = behind < WINDOW && seen.bits & (1 << behind) == 0;
+        if is_news {
+            seen.bits |= 1 << behind;
+        }
+        is_news
+    }
+
+    /// Forgets processes that are gone.
+    pub fn keep_only(&mut self, is_present: impl Fn(&InstanceId) -> bool) {
+        self.seen.retain(|origin, _| is_present(origin));
+    }
+}
--- /dev/null
+++ b/crates/decide/src/gossip.rs
@@ -0,0 +1,222 @@
+//! Records, reports and loads that an entry keeps and passes on to its neighbours.
+//!
+//! Every item that is newer than the known one gets the next number of a count
+//! of changes. A link remembers the number up to which its other end was sent
+//! everything, so that a new link gets the whole state and an old one only what
+//! changed, and nothing goes back over the link that it came from.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::Duration,
+};
+
+use cassiawheel_model::{EndpointReport, EntryRecord, InstanceId, LoadRow, Timestamp};
+
+use crate::rank::subject_of;
+
+/// Most records, and most reports, that are kept.
+const MAX_KEPT: usize = 16_384;
+
+/// Most loads in one message.
+const MAX_LOADS: usize = 512;
+
+/// Time for which an item is kept that no reachable process stands for.
+///
+/// Longer than any message can be delayed, so that a late copy of it is known to be old.
+const KEEP_TIME: Duration = Duration::from_secs(60);
+
+/// Age at which a load is of no use to anyone, in milliseconds.
+const MAX_LOAD_AGE_MS: u64 = 2_000;
+
+/// Number of a link within its process.
+pub type LinkNumber = u64;
+
+/// Up to which change the other end of a link has been sent everything.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct LinkMark {
+    state: u64,
+    loads: u64,
+}
+
+/// What one entry knows of the others and of all endpoints.
+#[derive(Debug, Default)]
+pub struct GossipStore {
+    records: BTreeMap<InstanceId, KeptItem<EntryRecord>>,
+    reports: BTreeMap<InstanceId, KeptItem<EndpointReport>>,
+    loads: HashMap<u64, KnownLoad>,
+    changes: u64,
+}
+
+/// An item with its change and the links over which it has come.
+#[derive(Debug)]
+struct KeptItem<T> {
+    item: T,
+    change: u64,
+    sources: Vec<LinkNumber>,
+    heard_at: Timestamp,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct KnownLoad {
+    load: u32,
+    measured_at: Timestamp,
+    change: u64,
+    source: Option<LinkNumber>,
+}
+
+impl<T: Clone> KeptItem<T> {
+    fn is_due(&self, mark: u64, link: LinkNumber) -> bool {
+        self.change > mark && !self.sources.contains(&link)
+    }
+}
+
+impl<T> KeptItem<T> {
+    /// Notes that the other end of a link has the item as well.
+    fn note_source(&mut self, source: Option<LinkNumber>) {
+        self.sources.extend(source.filter(|source| !self.sources.contains(source)));
+    }
+}
+
+impl GossipStore {
+    /// Takes in a record; true if it is newer than the known one.
+    pub fn keep_record(
+        &mut self,
+        record: EntryRecord,
+        source: Option<LinkNumber>,
+        now: Timestamp,
+    ) -> bool {
+        let has_room = self.records.len() < MAX_KEPT;
+        let known = self.records.get_mut(&record.instance);
+        let is_news = known.as_ref().map_or(has_room, |known| record.is_newer(&known.item));
+        if let Some(known) = known.filter(|known| !known.item.is_newer(&record)) {
+            known.note_source(source);
+        }
+        if is_news {
+            self.changes += 1;
+            let instance = record.instance.clone();
+            let (change, sources) = (self.changes, source.into_iter().collect());
+            let kept = KeptItem { item: record, change, sources, heard_at: now };
+            self.records.insert(instance, kept);
+        }
+        is_news
+    }
+
+    /// Takes in a report; true if it is newer than the known one.
+    pub fn keep_report(
+        &mut self,
+        report: EndpointReport,
+        source: Option<LinkNumber>,
+        now: Timestamp,
+    ) -> bool {
+        let has_room = self.reports.len() < MAX_KEPT;
+        let known = self.reports.get_mut(&report.instance);
+        let is_news = known.as_ref().map_or(has_room, |known| report.is_newer(&known.item));
+        if let Some(known) = known.filter(|known| !known.item.is_newer(&report)) {
+            known.note_source(source);
+        }
+        if is_news {
+            self.changes += 1;
+            let instance = report.instance.clone();
+            let (change, sources) = (self.changes, source.into_iter().collect());
+            let kept = KeptItem { item: report, change, sources, heard_at: now };
+            self.reports.insert(instance, kept);
+        }
+        is_news
+    }
+
+    /// Takes in a load; true if it was measured more than `step_ms` after the known one.
+    pub fn keep_load(
+        &mut self,
+        row: LoadRow,
+        step_ms: u64,
+        source: Option<LinkNumber>,
+        now: Timestamp,
+    ) -> bool {
+        let age_ms = u64::from(row.age_ms);
+        let measured_at = Timestamp(now.0.saturating_sub(age_ms));
+        let known = self.loads.get(&row.subject);
+        let is_later = known.is_none_or(|known| measured_at.0 > known.measured_at.0 + step_ms);
+        let has_room = known.is_some() || self.loads.len() < 2 * MAX_KEPT;
+        let is_news = is_later && has_room && age_ms < MAX_LOAD_AGE_MS;
+        if is_news {
+            self.changes += 1;
+            let change = self.changes;
+            let known = KnownLoad { load: row.load, measured_at, change, source };
+            self.loads.insert(row.subject, known);
+        }
+        is_news
+    }
+
+    /// The load of a process, if it is recent.
+    pub fn load_of(&self, instance: &InstanceId, now: Timestamp) -> Option<u32> {
+        let known = self.loads.get(&subject_of(instance.as_str()))?;
+        let age_ms = now.0.saturating_sub(known.measured_at.0);
+        (age_ms < MAX_LOAD_AGE_MS).then_some(known.load)
+    }
+
+    /// Records and reports that `link` has to be sent, and its mark after that.
+    pub fn state_since(
+        &self,
+        mark: LinkMark,
+        link: LinkNumber,
+    ) -> (Vec<EntryRecord>, Vec<EndpointReport>, LinkMark) {
+        if mark.state == self.changes {
+            return (Vec::new(), Vec::new(), mark);
+        }
+        let records = self.records.values().filter(|kept| kept.is_due(mark.state, link));
+        let records = records.map(|kept| kept.item.clone()).collect();
+        let reports = self.reports.values().filter(|kept| kept.is_due(mark.state, link));
+        let reports = reports.map(|kept| kept.item.clone()).collect();
+        (records, reports, LinkMark { state: self.changes, ..mark })
+    }
+
+    /// Loads that `link` has to be sent, and its mark after that.
+    ///
+    /// Those that have waited longest go first if one message cannot hold them all.
+    pub fn loads_since(
+        &self,
+        mark: LinkMark,
+        link: LinkNumber,
+        now: Timestamp,
+    ) -> (Vec<LoadRow>, LinkMark) {
+        let is_due = |known: &KnownLoad| known.change > mark.loads && known.source != Some(link);
+        let mut due: Vec<_> = self.loads.iter().filter(|(_, known)| is_due(known)).collect();
+        due.sort_unstable_by_key(|(_, known)| known.change);
+        let is_cut = due.len() > MAX_LOADS;
+        due.truncate(MAX_LOADS);
+        let last = due.last().map_or(mark.loads, |(_, known)| known.change);
+        let loads = if is_cut { last } else { self.changes };
+        let rows = due.into_iter().filter_map(|(subject, known)| {
+            let age_ms = now.0.saturating_sub(known.measured_at.0);
+            (age_ms < MAX_LOAD_AGE_MS).then_some(LoadRow {
+                subject: *subject,
+                load: known.load,
+                age_ms: age_ms as u32,
+            })
+        });
+        (rows.collect(), LinkMark { loads, ..mark })
+    }
+
+    /// All records.
+    pub fn records(&self) -> impl Iterator<Item = &EntryRecord> {
+        self.records.values().map(|kept| &kept.item)
+    }
+
+    /// The record of one entry.
+    pub fn record(&self, instance: &InstanceId) -> Option<&EntryRecord> {
+        self.records.get(instance).map(|kept| &kept.item)
+    }
+
+    /// The report of one endpoint.
+    pub fn report(&self, instance: &InstanceId) -> Option<&EndpointReport> {
+        self.reports.get(instance).map(|kept| &kept.item)
+    }
+
+    /// Drops what is old and stands for no process that `is_present`.
+    pub fn expire(&mut self, now: Timestamp, is_present: impl Fn(&InstanceId) -> bool) {
+        let is_old = |heard_at: Timestamp| now.since(heard_at) > KEEP_TIME;
+        self.records.retain(|name, kept| is_present(name) || !is_old(kept.heard_at));
+        self.reports.retain(|name, kept| is_present(name) || !is_old(kept.heard_at));
+        self.loads.retain(|_, known| now.0.saturating_sub(known.measured_at.0) < MAX_LOAD_AGE_MS);
+    }
+}
--- a/crates/decide/src/plan.rs
+++ b/crates/decide/src/plan.rs
@@ -63,7 +63,8 @@
 }
 
 impl PlannedOrder {
-    fn is_turn(&self) -> bool {
+    /// Whether the endpoint is to exchange its weights while it serves others.
+    pub fn is_turn(&self) -> bool {
         self.reason == PlanReason::TurnToSwitch
     }
 }
--- a/crates/decide/src/roster.rs
+++ b/crates/decide/src/roster.rs
@@ -22,6 +22,10 @@
 pub struct EndpointRoster {
     members: BTreeMap<InstanceId, RosterMember>,
     marks: LeavingMarks,
+    /// Endpoints whose agents are connected to some entry; none if each agent is
+    /// connected to this one.
+    attached: Option<HashSet<InstanceId>>,
+    changes: u64,
 }
 
 /// One endpoint.
@@ -98,11 +102,38 @@
         if known.is_some_and(|incarnation| incarnation > report.incarnation) {
             return false;
         }
+        if known != Some(report.incarnation) {
+            self.changes += 1;
+        }
         let member = RosterMember { heard_at: now, report };
         self.members.insert(member.report.instance.clone(), member);
         true
     }
 
+    /// Takes the endpoints whose agents are connected to some entry; true if they changed.
+    pub fn attach(&mut self, instances: HashSet<InstanceId>) -> bool {
+        let changed = self.attached.as_ref() != Some(&instances);
+        if changed {
+            self.changes += 1;
+            self.attached = Some(instances);
+        }
+        changed
+    }
+
+    /// Drops the reports of endpoints that `is_known` does not hold for.
+    pub fn keep_only(&mut self, is_known: impl Fn(&InstanceId) -> bool) {
+        self.members.retain(|instance, _| is_known(instance));
+    }
+
+    /// Counts the changes of who is a member.
+    pub fn changes(&self) -> u64 {
+        self.changes
+    }
+
+    fn is_attached(&self, instance: &InstanceId) -> bool {
+        self.attached.as_ref().is_none_or(|attached| attached.contains(instance))
+    }
+
     /// Takes a beat: the last report of this process holds but for its load.
     ///
     /// `None` if there is no such report, as after a pause in which the
@@ -142,6 +173,7 @@
     pub fn forget(&mut self, instance: &InstanceId, incarnation: u64) {
         let known = self.members.get(instance).map(|member| member.report.incarnation);
         if known == Some(incarnation) {
+            self.changes += 1;
             self.members.remove(instance);
         }
     }
@@ -154,6 +186,7 @@
             .filter(|(_, member)| member.heard_at < oldest)
             .map(|(instance, _)| instance.clone())
             .collect();
+        self.changes += silent.len() as u64;
         for instance in &silent {
             self.members.remove(instance);
         }
@@ -169,12 +202,12 @@
 
     /// One endpoint.
     pub fn member(&self, instance: &InstanceId) -> Option<&RosterMember> {
-        self.members.get(instance)
+        self.members.get(instance).filter(|_| self.is_attached(instance))
     }
 
     /// All endpoints in the order of their names.
     pub fn members(&self) -> impl Iterator<Item = &RosterMember> {
-        self.members.values()
+        self.members.values().filter(|member| self.is_attached(&member.report.instance))
     }
 }
 
@@ -192,6 +225,16 @@
         self.peers.insert(instance.clone(), peer);
     }
 
+    /// Takes the entries that can be reached; all others are forgotten.
+    pub fn replace(&mut self, peers: Vec<(InstanceId, PeerEntry)>, now: Timestamp) {
+        self.peers.clear();
+        for (instance, peer) in peers {
+            self.hear(&instance, peer);
+        }
+        let peers = &self.peers;
+        self.marks.expire(now, |instance| peers.contains_key(instance));
+    }
+
     /// Takes a short heartbeat: the last whole one of this process holds but for
     /// the requests in progress. The revision in that one, or `None` if there is
     /// no such heartbeat.
--- a/crates/decide/tests/control_traffic.rs
+++ b/crates/decide/tests/control_traffic.rs
@@ -29,6 +29,7 @@
     EndpointReport {
         instance: InstanceId::new("endpoint-1").expect("valid"),
         incarnation: 1,
+        sequence: 0,
         region: RegionName::new("region").expect("valid"),
         failure_domain: FailureDomain::new("domain").expect("valid"),
         service: ServiceName::new("desk").expect("valid"),
--- a/crates/decide/tests/plan.rs
+++ b/crates/decide/tests/plan.rs
@@ -56,6 +56,7 @@
     EndpointReport {
         instance: InstanceId::new(&format!("endpoint-{index}")).expect("valid"),
         incarnation: 1,
+        sequence: 0,
         region: RegionName::new("region").expect("valid"),
         failure_domain: FailureDomain::new(&format!("domain-{}", index % 3)).expect("valid"),
         service: ServiceName::new("desk").expect("valid"),
--- a/crates/decide/tests/roster.rs
+++ b/crates/decide/tests/roster.rs
@@ -28,6 +28,7 @@
     EndpointReport {
         instance: instance(index),
         incarnation,
+        sequence: 0,
         region: RegionName::new("region").expect("valid"),
         failure_domain: FailureDomain::new("domain").expect("valid"),
         service: ServiceName::new("desk").expect("valid"),
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod endpoints;
 pub mod engine;
 pub mod engine_http;
+pub mod entry_rows;
 pub mod feed;
 pub mod instances;
 pub mod origin_client;
@@ -23,13 +24,12 @@
 pub use endpoints::{AnswerMarks, EndpointLeg, EndpointProtocol, ToldLoad};
 pub use engine::{EngineAnswer, EngineError, EngineStatus, LoadOrder, ModelEngine, StagedBits};
 pub use engine_http::HttpEngine;
+pub use entry_rows::{ENTRY_ROWS, EntryRow};
 pub use feed::{FeedError, FeedPage, FeedSource, ListingFeed, OperatorFeed, OperatorRow};
 pub use instances::{HttpInstances, InstanceList, ListedInstance, ListedState};
 pub use origin_client::{ORIGIN_METRICS, OriginClient};
 pub use store_error::StoreError;
-pub use table::{
-    ENTRY_ROWS, TableGuard, TableRow, TableStore, TableWrite, WriteResult, WriteVerdict,
-};
+pub use table::{TableGuard, TableRow, TableStore, TableWrite, WriteResult, WriteVerdict};
 pub use table_http::HttpTable;
 pub use weights::{HttpWeights, WeightError, WeightSource};
 
--- a/crates/edge/src/table.rs
+++ b/crates/edge/src/table.rs
@@ -8,9 +8,6 @@
 
 use crate::{EdgeFuture, StoreError};
 
-/// What the keys of the rows begin with in which entries leave their inner addresses.
-pub const ENTRY_ROWS: &str = "entries/";
-
 /// One row.
 #[apply(record!)]
 pub struct TableRow {
--- a/crates/entry/src/caller.rs
+++ b/crates/entry/src/caller.rs
@@ -100,7 +100,22 @@
         leaving: shared.leaving.load(Ordering::Acquire) || !shared.is_advised(),
     };
     let mut entries = vec![own];
-    entries.extend(shared.peers().values().map(|peer| peer.advice.clone()));
+    let Some(routed) = &shared.routed else {
+        entries.extend(shared.peers().values().map(|peer| peer.advice.clone()));
+        return entries;
+    };
+    let peers: Vec<_> = shared
+        .peers()
+        .iter()
+        .map(|(instance, peer)| (instance.clone(), peer.advice.clone()))
+        .collect();
+    let now = Timestamp::now();
+    let state = routed.overlay.lock();
+    let others = peers.into_iter().map(|(instance, advice)| {
+        let in_flight = state.store.load_of(&instance, now).unwrap_or_default();
+        AdviceInput { in_flight, ..advice }
+    });
+    entries.extend(others);
     entries
 }
 
--- /dev/null
+++ b/crates/entry/src/control/gossip.rs
@@ -0,0 +1,316 @@
+//! Passing records, reports and loads on to the neighbours, and taking in theirs.
+
+use std::{
+    collections::HashSet,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+
+use cassiawheel_decide::{LinkNumber, PeerEntry, advice::AdviceInput, rank::subject_of, row_duty};
+use cassiawheel_model::{
+    Deadline, EndpointReport, EntryRecord, GossipNews, InstanceId, LoadReport, LoadRow,
+    PresetRevision, Timestamp,
+};
+use cassiawheel_runtime::timeout;
+use cassiawheel_wire::ControlMessage;
+use smol::Timer;
+
+use crate::{overlay::OverlayState, routed::RoutedInterface, shared::EntryShared};
+
+/// Shortest time between two messages over a link, so that a burst of changes shares them.
+const BATCH_TIME: Duration = Duration::from_millis(20);
+
+/// The same after a message with many items.
+///
+/// When all start together most of what an entry would pass on reaches its
+/// neighbours another way in this time.
+const LONG_BATCH_TIME: Duration = Duration::from_millis(80);
+
+/// Items in a message from which on they are many.
+const MANY_ITEMS: usize = 12;
+
+/// Time between messages with loads to an entry of the own region.
+const NEAR_LOAD_TIME: Duration = Duration::from_millis(200);
+
+/// Time between messages with loads to an entry of another region.
+///
+/// Two of them may be lost before the link counts as silent.
+const FAR_LOAD_TIME: Duration = Duration::from_millis(600);
+
+/// Differences in age below this are taken for the same measurement, in milliseconds.
+const NEAR_STEP_MS: u64 = 60;
+
+/// The same for loads that come from another region, in milliseconds.
+///
+/// Several links bring the same load; one copy of it in this time is enough.
+const FAR_STEP_MS: u64 = 900;
+
+/// Time between looks whether the own record has changed.
+const LOOK_TIME: Duration = Duration::from_millis(50);
+
+/// Shortest time between two versions of the own record that only add to it.
+///
+/// Processes that start together connect to each other within a second; a
+/// version for each connection would be told to every entry.
+const ADD_TIME: Duration = Duration::from_millis(400);
+
+/// Shortest time between two versions of the own record.
+const RENEW_TIME: Duration = Duration::from_millis(100);
+
+/// Requests in progress below which an entry's load is of no use to the others.
+const WORTH_TELLING: u32 = 16;
+
+/// Parts of a version by which progress is passed on.
+const PROGRESS_PARTS: u32 = 4;
+
+/// Sends the neighbours what has changed, for ever.
+pub(crate) async fn pass_on_changes(shared: Arc<EntryShared>, routed: Arc<RoutedInterface>) {
+    loop {
+        timeout(LOOK_TIME, routed.overlay.changed()).await;
+        refresh_own(&shared, &routed);
+        let sent = send_news(&shared, &routed, Timestamp::now());
+        let span = if sent > MANY_ITEMS { LONG_BATCH_TIME } else { BATCH_TIME };
+        Timer::after(span).await;
+    }
+}
+
+/// Sends each neighbour what it lacks; the most records and reports that one of them got.
+fn send_news(shared: &EntryShared, routed: &RoutedInterface, now: Timestamp) -> usize {
+    let revision = shared.force.load().as_ref().map(|p| p.revision).unwrap_or_default();
+    let load = shared.in_flight.load(Ordering::Relaxed);
+    let mut state = routed.overlay.lock();
+    if load >= WORTH_TELLING {
+        let subject = subject_of(shared.settings.place.instance.as_str());
+        let row = LoadRow { subject, load, age_ms: 0 };
+        state.store.keep_load(row, FAR_STEP_MS, None, now);
+    }
+    let OverlayState { store, links, .. } = &mut *state;
+    let mut most = 0;
+    for link in links {
+        let (records, reports, mut mark) = store.state_since(link.mark, link.number);
+        let loads_are_due = link.loads_at.is_past(now);
+        most = most.max(records.len() + reports.len());
+        if records.is_empty() && reports.is_empty() && !loads_are_due {
+            link.mark = mark;
+            continue;
+        }
+        let mut news = GossipNews { revision, records, reports, loads: Vec::new() };
+        let mut loads_at = link.loads_at;
+        if loads_are_due {
+            (news.loads, mark) = store.loads_since(mark, link.number, now);
+            let is_far = store
+                .record(&link.instance)
+                .is_some_and(|record| record.region != shared.settings.place.region);
+            let span = if is_far { FAR_LOAD_TIME } else { NEAR_LOAD_TIME };
+            loads_at = now.deadline_after(span);
+        }
+        // What a full queue does not take is sent with the next message.
+        if let Ok(true) = link.sender.try_send(ControlMessage::Gossip(Box::new(news))) {
+            link.mark = mark;
+            link.loads_at = loads_at;
+        }
+    }
+    most
+}
+
+/// Has every neighbour told the present revision at once.
+pub(crate) fn tell_revision(routed: &RoutedInterface) {
+    for link in &mut routed.overlay.lock().links {
+        link.loads_at = Deadline(0);
+    }
+    routed.overlay.note_change();
+}
+
+/// Renews the own record if something in it has changed.
+pub(crate) fn refresh_own(shared: &EntryShared, routed: &RoutedInterface) {
+    let settings = &shared.settings;
+    let links = shared.links.load();
+    let mut agents: Vec<InstanceId> = links.keys().cloned().collect();
+    agents.sort_unstable();
+    let advised = shared.is_advised();
+    let mut state = routed.overlay.lock();
+    let known = state.store.record(&settings.place.instance);
+    let record = EntryRecord {
+        instance: settings.place.instance.clone(),
+        incarnation: shared.incarnation,
+        sequence: known.map_or(0, |known| known.sequence),
+        region: settings.place.region.clone(),
+        failure_domain: settings.place.failure_domain.clone(),
+        inner_addr: settings.listen.inner,
+        caller_addr: settings.listen.caller,
+        leaving: shared.is_leaving(),
+        advised,
+        follows_rows: routed.follows_rows.load(Ordering::Relaxed),
+        neighbours: state.neighbours(),
+        agents,
+    };
+    if known == Some(&record) {
+        return;
+    }
+    let now = Timestamp::now();
+    let span = known.map_or(Duration::ZERO, |known| renew_time(known, &record));
+    if state.renewed_at.is_none_or(|renewed_at| now.since(renewed_at) >= span) {
+        let record = EntryRecord { sequence: record.sequence + 1, ..record };
+        state.store.keep_record(record, None, now);
+        state.renewed_at = Some(now);
+        routed.overlay.note_change();
+    }
+    drop(state);
+    take_membership(shared, routed);
+}
+
+/// Time since the last version after which `record` replaces `known`.
+fn renew_time(known: &EntryRecord, record: &EntryRecord) -> Duration {
+    let keeps = |old: &[InstanceId], new: &[InstanceId]| old.iter().all(|name| new.contains(name));
+    let only_adds = known.leaving == record.leaving
+        && known.follows_rows == record.follows_rows
+        && keeps(&known.neighbours, &record.neighbours)
+        && keeps(&known.agents, &record.agents);
+    if only_adds { ADD_TIME } else { RENEW_TIME }
+}
+
+/// Takes in what the entry at the other end of the link `source` has sent.
+pub(crate) fn take_news(
+    shared: &Arc<EntryShared>,
+    routed: &Arc<RoutedInterface>,
+    source: LinkNumber,
+    news: GossipNews,
+) {
+    let own = &shared.settings.place.instance;
+    let now = Timestamp::now();
+    let mut state = routed.overlay.lock();
+    let mut membership_changed = false;
+    for record in news.records.into_iter().filter(|record| record.instance != *own) {
+        let place = (record.inner_addr, Some(record.region.clone()));
+        if state.store.keep_record(record, Some(source), now) {
+            state.note_entries(std::iter::once(place));
+            membership_changed = true;
+        }
+    }
+    let mut reports = Vec::new();
+    for report in news.reports {
+        if state.store.keep_report(report.clone(), Some(source), now) {
+            reports.push(report);
+        }
+    }
+    let is_far = state.links.iter().find(|link| link.number == source).is_some_and(|link| {
+        let record = state.store.record(&link.instance);
+        record.is_some_and(|record| record.region != shared.settings.place.region)
+    });
+    let step_ms = if is_far { FAR_STEP_MS } else { NEAR_STEP_MS };
+    let mut loads = news.loads;
+    loads.retain(|row| state.store.keep_load(*row, step_ms, Some(source), now));
+    drop(state);
+    if membership_changed || !reports.is_empty() {
+        routed.overlay.note_change();
+    }
+    take_reports(shared, reports, now);
+    if membership_changed {
+        take_membership(shared, routed);
+    }
+    hear_loads(routed, &loads, now);
+}
+
+fn take_reports(shared: &EntryShared, reports: Vec<EndpointReport>, now: Timestamp) {
+    if reports.is_empty() {
+        return;
+    }
+    let mut roster = shared.roster();
+    let mut changed = false;
+    for report in reports {
+        let known = roster.member(&report.instance).map(|member| &member.report.state);
+        let is_change = known != Some(&report.state);
+        changed |= roster.hear(report, now) && is_change;
+    }
+    drop(roster);
+    shared.plan_stale.store(true, Ordering::Release);
+    if changed {
+        shared.rebuild_routes();
+    }
+}
+
+/// Takes loads into the cells of the endpoints that they are of.
+fn hear_loads(routed: &RoutedInterface, rows: &[LoadRow], now: Timestamp) {
+    let cells = routed.load_cells.load();
+    for row in rows {
+        if let Some(cell) = cells.get(&row.subject) {
+            let measured_at = Timestamp(now.0.saturating_sub(u64::from(row.age_ms)));
+            let load = LoadReport { in_flight: row.load, queued: 0, measured_at };
+            cell.hear(&load, cell.hard_limit());
+        }
+    }
+}
+
+/// Keeps the load of an endpoint whose agent is connected here, for the other entries.
+pub(crate) fn keep_load(routed: &RoutedInterface, instance: &InstanceId, load: &LoadReport) {
+    let row = LoadRow {
+        subject: subject_of(instance.as_str()),
+        load: load.in_flight + load.queued,
+        age_ms: 0,
+    };
+    routed.overlay.lock().store.keep_load(row, NEAR_STEP_MS, None, Timestamp::now());
+}
+
+/// Keeps the report of an agent that is connected here, if other entries need it.
+pub(crate) fn keep_report(routed: &RoutedInterface, report: &EndpointReport) {
+    let mut state = routed.overlay.lock();
+    if !state.store.report(&report.instance).is_none_or(|known| matters(known, report)) {
+        return;
+    }
+    if state.store.keep_report(report.clone(), None, Timestamp::now()) {
+        drop(state);
+        routed.overlay.note_change();
+    }
+}
+
+/// Whether `report` tells more than a load and some chunks.
+fn matters(known: &EndpointReport, report: &EndpointReport) -> bool {
+    let part = |report: &EndpointReport| {
+        let staged = report.staged.as_ref()?;
+        let part = staged.chunks_ready * PROGRESS_PARTS / staged.chunks_total.max(1);
+        Some((staged.manifest, part))
+    };
+    let same = EndpointReport {
+        load: report.load,
+        sequence: report.sequence,
+        staged: report.staged.clone(),
+        ..known.clone()
+    };
+    same != *report || part(known) != part(report)
+}
+
+/// Works out from the records who is present.
+fn take_membership(shared: &EntryShared, routed: &RoutedInterface) {
+    let own = &shared.settings.place.instance;
+    let now = Timestamp::now();
+    let state = routed.overlay.lock();
+    let present = state.present(own);
+    routed.set_row_duty(row_duty(own, &present));
+    let others = present.iter().filter(|record| record.instance != *own);
+    let connected = shared.links.load();
+    let attached = others.clone().flat_map(|record| record.agents.iter());
+    let attached: HashSet<_> = attached.chain(connected.keys()).cloned().collect();
+    let peers = others.map(|record| (record.instance.clone(), peer_of(record, now))).collect();
+    shared.peers().replace(peers, now);
+    drop(state);
+    if shared.roster().attach(attached) {
+        shared.plan_stale.store(true, Ordering::Release);
+        shared.rebuild_routes();
+    }
+}
+
+fn peer_of(record: &EntryRecord, now: Timestamp) -> PeerEntry {
+    let advice = AdviceInput {
+        caller_addr: record.caller_addr,
+        failure_domain: record.failure_domain.clone(),
+        in_flight: 0,
+        leaving: record.leaving,
+    };
+    PeerEntry {
+        advice,
+        incarnation: record.incarnation,
+        revision: PresetRevision::default(),
+        advised: record.advised,
+        heard_at: now,
+    }
+}
--- a/crates/entry/src/control/introduce.rs
+++ b/crates/entry/src/control/introduce.rs
@@ -6,10 +6,7 @@
     time::Duration,
 };
 
-use cassiawheel_decide::{
-    AgentPlace, acquaintances,
-    rank::{first_ranked, subject_of},
-};
+use cassiawheel_decide::{AgentPlace, acquaintances};
 use cassiawheel_model::{Deadline, EndpointRole, InstanceId, ServiceName, Timestamp};
 use cassiawheel_wire::{ControlMessage, message::EndpointAddress};
 use smol::Timer;
@@ -25,23 +22,9 @@
 /// urgent, and a list of forty is four kilobytes.
 const AGAIN_TIME: Duration = Duration::from_millis(1_000);
 
-/// Entries that tell an agent of the others, where all are connected to it.
-///
-/// Lists from all 45 entries of a large deployment filled the links between its
-/// regions. Three are enough: two may be cut off from the agent or gone.
-const TELLERS: usize = 3;
-
 /// Agents by service, each with what it has to know of the others.
 type ServiceAgents = HashMap<ServiceName, Vec<EndpointAddress>>;
 
-/// What the words to agents follow from.
-#[derive(PartialEq, Default)]
-struct KnownFleet {
-    agents: ServiceAgents,
-    /// The entries of which three tell; none if each tells its own agents.
-    tellers: Option<Vec<InstanceId>>,
-}
-
 /// What an agent was told last, and over which connection.
 struct ToldPeers {
     link: Arc<AgentLink>,
@@ -52,7 +35,9 @@
 #[derive(Default)]
 struct FleetWords {
     told: HashMap<InstanceId, ToldPeers>,
-    known: KnownFleet,
+    known: ServiceAgents,
+    /// The state of the roster that the last look was made at.
+    looked_at: Option<(u64, usize)>,
     /// When agents that have been told may be told again; at once at first.
     again_at: Option<Deadline>,
 }
@@ -77,13 +62,18 @@
         self.told.retain(|instance, last| {
             links.get(instance).is_some_and(|link| Arc::ptr_eq(link, &last.link))
         });
-        let fleet = KnownFleet::of(shared);
+        let looked_at = Some((shared.roster().changes(), links.len()));
+        let all_told = links.keys().all(|instance| self.told.contains_key(instance));
+        if looked_at == self.looked_at && all_told {
+            return;
+        }
+        let fleet = agents_by_service(shared);
         let all_are_due = fleet != self.known && self.again_at.is_none_or(|at| at.is_past(now));
-        for agents in fleet.agents.values() {
+        for agents in fleet.values() {
             for agent in agents {
                 let is_due = all_are_due || !self.told.contains_key(&agent.instance);
                 if let Some(link) = links.get(&agent.instance).filter(|_| is_due) {
-                    self.tell(link, agent, fleet.peers_of(agent, agents, shared));
+                    self.tell(link, agent, chosen_peers(agent, agents));
                 }
             }
         }
@@ -91,6 +81,9 @@
             self.again_at = Some(now.deadline_after(AGAIN_TIME));
             self.known = fleet;
         }
+        if !all_are_due && self.again_at.is_none_or(|at| at.is_past(now)) {
+            self.looked_at = looked_at;
+        }
     }
 
     fn tell(
@@ -110,40 +103,6 @@
     }
 }
 
-impl KnownFleet {
-    fn of(shared: &EntryShared) -> Self {
-        let tellers = shared.routed.as_ref().map(|_| {
-            let others = shared.peers();
-            let others = others.iter().map(|(instance, _)| instance.clone());
-            others.chain([shared.settings.place.instance.clone()]).collect()
-        });
-        Self { agents: agents_by_service(shared), tellers }
-    }
-
-    /// What this entry tells `agent`; nothing if others do.
-    fn peers_of(
-        &self,
-        agent: &EndpointAddress,
-        agents: &[EndpointAddress],
-        shared: &EntryShared,
-    ) -> Vec<EndpointAddress> {
-        match self.is_told_by(agent, &shared.settings.place.instance) {
-            true => chosen_peers(agent, agents),
-            false => Vec::new(),
-        }
-    }
-
-    /// Whether `entry` is one of those that tell `agent`.
-    fn is_told_by(&self, agent: &EndpointAddress, entry: &InstanceId) -> bool {
-        let Some(tellers) = &self.tellers else {
-            return true;
-        };
-        let names = tellers.iter().map(InstanceId::as_str);
-        let subject = subject_of(agent.instance.as_str());
-        first_ranked(subject, names, TELLERS).contains(&entry.as_str())
-    }
-}
-
 fn agents_by_service(shared: &EntryShared) -> ServiceAgents {
     let mut by_service = ServiceAgents::new();
     for member in shared.roster().members() {
--- /dev/null
+++ b/crates/entry/src/control/links.rs
@@ -0,0 +1,259 @@
+//! Links to other entries: which ones are kept, and what passes over them.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
+
+use cassiawheel_decide::{EntryPlace, LinkNumber, chosen_links};
+use cassiawheel_model::{Deadline, RegionName, Timestamp};
+use cassiawheel_runtime::{spawn, timeout};
+use cassiawheel_wire::{
+    ControlMessage, HelloMessage, ProcessKind, WireMessage, WireReceiver, WireSender, connect,
+};
+use rand::Rng;
+use smol::{Task, Timer};
+
+use super::{gossip, listing, spread};
+use crate::{overlay::entries_for, routed::RoutedInterface, shared::EntryShared};
+
+/// Time between looks whether links are to be made or ended.
+const LOOK_TIME: Duration = Duration::from_millis(150);
+
+/// Longest wait for a connection to another entry, and for its hello.
+const CONNECT_TIME: Duration = Duration::from_millis(1_000);
+
+/// Time for which a link that is no longer chosen is kept, in case the choice changes back.
+const SURPLUS_TIME: Duration = Duration::from_secs(4);
+
+/// Time between repetitions of the named versions to the neighbours.
+const REPEAT_TIME: Duration = Duration::from_secs(3);
+
+/// Time between looks for state of processes that are gone.
+const EXPIRE_TIME: Duration = Duration::from_secs(5);
+
+/// Wait before the next entry is dialled while there is no link, in milliseconds.
+const ALONE_MS: std::ops::Range<u64> = 50..150;
+
+/// The links that this entry keeps.
+#[derive(Default)]
+struct KeptLinks {
+    dialling: BTreeMap<SocketAddr, Task<()>>,
+    /// Links that are no longer chosen, and until when they are kept.
+    surplus: BTreeMap<SocketAddr, Deadline>,
+    told_agents: BTreeMap<RegionName, Vec<SocketAddr>>,
+}
+
+/// Keeps the chosen links up, for ever.
+pub(crate) async fn keep_links(shared: Arc<EntryShared>, routed: Arc<RoutedInterface>) {
+    let seeds = shared.settings.peers.iter().map(|seed| (*seed, None));
+    routed.overlay.lock().note_entries(seeds);
+    let mut kept = KeptLinks::default();
+    let mut repeat_at = Timestamp::now().deadline_after(REPEAT_TIME);
+    let mut expire_at = Timestamp::now().deadline_after(EXPIRE_TIME);
+    loop {
+        let now = Timestamp::now();
+        kept.renew(&shared, &routed, now);
+        kept.tell_agents(&shared, &routed);
+        if repeat_at.is_past(now) {
+            repeat_at = now.deadline_after(REPEAT_TIME);
+            repeat_versions(&routed);
+        }
+        if expire_at.is_past(now) {
+            expire_at = now.deadline_after(EXPIRE_TIME);
+            routed.overlay.lock().expire(&shared.settings.place.instance, now);
+        }
+        Timer::after(LOOK_TIME).await;
+    }
+}
+
+impl KeptLinks {
+    fn renew(&mut self, shared: &Arc<EntryShared>, routed: &Arc<RoutedInterface>, now: Timestamp) {
+        self.dialling.retain(|_, task| !task.is_finished());
+        let chosen = chosen_now(shared, routed, now);
+        for addr in &chosen {
+            let is_linked = routed.overlay.lock().is_linked(*addr);
+            if !is_linked && !self.dialling.contains_key(addr) {
+                let task = spawn(dial(shared.clone(), routed.clone(), *addr));
+                self.dialling.insert(*addr, task);
+            }
+        }
+        self.end_surplus(routed, &chosen, now);
+    }
+
+    /// Ends links that this end made and that have not been chosen for a while.
+    fn end_surplus(
+        &mut self,
+        routed: &RoutedInterface,
+        chosen: &BTreeSet<SocketAddr>,
+        now: Timestamp,
+    ) {
+        let state = routed.overlay.lock();
+        let dialled: BTreeSet<_> = state.links.iter().filter_map(|link| link.dialled).collect();
+        self.surplus.retain(|addr, _| dialled.contains(addr) && !chosen.contains(addr));
+        for addr in dialled.difference(chosen) {
+            let until = self.surplus.entry(*addr).or_insert(now.deadline_after(SURPLUS_TIME));
+            if until.is_past(now) {
+                let links = state.links.iter().filter(|link| link.dialled == Some(*addr));
+                links.for_each(|link| link.sender.close());
+            }
+        }
+    }
+
+    /// Tells the connected agents which entries they may connect to, where that has changed.
+    fn tell_agents(&mut self, shared: &EntryShared, routed: &RoutedInterface) {
+        let links = shared.links.load();
+        let roster = shared.roster();
+        let region_of = |instance| roster.member(instance).map(|m| m.report.region.clone());
+        let agents: Vec<_> =
+            links.iter().filter_map(|(name, link)| Some((region_of(name)?, link))).collect();
+        drop(roster);
+        let state = routed.overlay.lock();
+        let present = state.present(&shared.settings.place.instance);
+        let regions: BTreeSet<_> = agents.iter().map(|(region, _)| region.clone()).collect();
+        let lists: BTreeMap<_, _> = regions
+            .into_iter()
+            .map(|region| (region.clone(), entries_for(&present, &region)))
+            .collect();
+        drop(state);
+        for (region, link) in agents {
+            let list = &lists[&region];
+            if self.told_agents.get(&region) != Some(list) {
+                let _ = link.sender.try_send(ControlMessage::Entries(list.clone()));
+            }
+        }
+        self.told_agents = lists;
+    }
+}
+
+/// The entries that links are wanted to; any that is known while there is none.
+fn chosen_now(
+    shared: &EntryShared,
+    routed: &RoutedInterface,
+    now: Timestamp,
+) -> BTreeSet<SocketAddr> {
+    let settings = &shared.settings;
+    let own =
+        EntryPlace { inner_addr: settings.listen.inner, region: settings.place.region.clone() };
+    let state = routed.overlay.lock();
+    let candidates = state.candidates(&settings.place.instance, now);
+    let mut chosen = chosen_links(&own, &candidates);
+    if state.links.is_empty() {
+        // The settings name entries whose regions are told by themselves only.
+        chosen.extend(state.unplaced().into_iter().filter(|addr| *addr != own.inner_addr));
+    }
+    chosen
+}
+
+/// Makes a link to the entry at `addr` and keeps it until it ends.
+async fn dial(shared: Arc<EntryShared>, routed: Arc<RoutedInterface>, addr: SocketAddr) {
+    let local = Some(shared.settings.listen.inner.ip());
+    let connected = timeout(CONNECT_TIME, connect(addr, &shared.settings.inner_key, local)).await;
+    let Some(Ok((sender, mut receiver))) = connected else {
+        routed.overlay.lock().avoid(addr, Timestamp::now());
+        let wait = rand::rng().random_range(ALONE_MS);
+        Timer::after(Duration::from_millis(wait)).await;
+        return;
+    };
+    let _ = sender.try_send(own_hello(&shared));
+    match timeout(CONNECT_TIME, receiver.recv()).await {
+        Some(Ok(WireMessage::Hello(hello))) if hello.kind == ProcessKind::Entry => {
+            converse(&shared, &routed, sender, receiver, hello, Some(addr)).await;
+        }
+        Some(Ok(_) | Err(_)) | None => {
+            sender.close();
+            routed.overlay.lock().avoid(addr, Timestamp::now());
+        }
+    }
+}
+
+/// Answers the hello of an entry that dialled.
+pub(crate) async fn accept(
+    shared: &Arc<EntryShared>,
+    routed: &Arc<RoutedInterface>,
+    sender: WireSender,
+    receiver: WireReceiver,
+    hello: HelloMessage,
+) {
+    let _ = sender.try_send(own_hello(shared));
+    converse(shared, routed, sender, receiver, hello, None).await;
+}
+
+fn own_hello(shared: &EntryShared) -> HelloMessage {
+    HelloMessage {
+        kind: ProcessKind::Entry,
+        instance: shared.settings.place.instance.clone(),
+        incarnation: shared.incarnation,
+    }
+}
+
+/// Takes in what comes over a link until it ends or falls silent.
+async fn converse(
+    shared: &Arc<EntryShared>,
+    routed: &Arc<RoutedInterface>,
+    sender: WireSender,
+    mut receiver: WireReceiver,
+    other: HelloMessage,
+    dialled: Option<SocketAddr>,
+) {
+    let silence = Duration::from_millis(shared.settings.control.heartbeat_timeout_ms);
+    let number = routed.overlay.lock().add_link(sender.clone(), other.instance.clone(), dialled);
+    greet(routed, &sender);
+    gossip::refresh_own(shared, routed);
+    routed.overlay.note_change();
+    while let Some(Ok(message)) = timeout(silence, receiver.recv()).await {
+        if let WireMessage::Control(message) = message {
+            handle(shared, routed, &sender, (number, &other), message);
+        }
+    }
+    sender.close();
+    routed.overlay.lock().remove_link(number);
+    log::info!(target: "overlay", entry:% = other.instance; "A link to an entry ended.");
+    gossip::refresh_own(shared, routed);
+}
+
+fn handle(
+    shared: &Arc<EntryShared>,
+    routed: &Arc<RoutedInterface>,
+    sender: &WireSender,
+    (number, other): (LinkNumber, &HelloMessage),
+    message: ControlMessage,
+) {
+    match message {
+        ControlMessage::Gossip(news) => {
+            let revision = news.revision;
+            gossip::take_news(shared, routed, number, *news);
+            spread::pull_from(shared, routed, sender, &other.instance, revision);
+        }
+        ControlMessage::Flood(message) => {
+            if routed.overlay.relay(&message, number) {
+                spread::handle_peer(shared, sender, message.content);
+            }
+        }
+        message => spread::handle_peer(shared, sender, message),
+    }
+}
+
+/// Tells the entry at the other end of a new link what gossip does not carry.
+fn greet(routed: &Arc<RoutedInterface>, sender: &WireSender) {
+    for named in routed.versions.load().named(Timestamp::now()) {
+        let _ = sender.try_send(ControlMessage::Named(named));
+    }
+    let knows_list = routed.listing().position() > 0;
+    if !knows_list {
+        spawn(listing::ask_until_known(routed.clone(), sender.clone())).detach();
+    }
+}
+
+/// Repeats the named versions to the neighbours, in case a full queue swallowed one.
+fn repeat_versions(routed: &RoutedInterface) {
+    let named = routed.versions.load().named(Timestamp::now());
+    let state = routed.overlay.lock();
+    for link in &state.links {
+        for version in &named {
+            let _ = link.sender.try_send(ControlMessage::Named(version.clone()));
+        }
+    }
+}
--- a/crates/entry/src/control/membership.rs
+++ b/crates/entry/src/control/membership.rs
@@ -14,7 +14,7 @@
 /// Time between reads of the platform's list.
 const LIST_TIME: Duration = Duration::from_secs(1);
 
-/// Drops endpoints and entries whose heartbeats stopped.
+/// Drops endpoints and entries whose heartbeats stopped, where every one is connected here.
 pub(crate) async fn expire_silent(shared: Arc<EntryShared>) {
     let timeout = shared.settings.control.heartbeat_timeout_ms;
     loop {
--- a/crates/entry/src/control/operators.rs
+++ b/crates/entry/src/control/operators.rs
@@ -1,15 +1,16 @@
 //! Following the operators' rows: the preset in force and named versions.
 //!
-//! Every entry follows them by itself, so that a change reaches it in
-//! milliseconds, and hears of what it missed from the heartbeats of the others.
+//! Every entry reads them at its start. From then on some entries follow them for
+//! all others, which hear of a change from their neighbours.
 
 use std::{
     sync::{Arc, atomic::Ordering},
     time::Duration,
 };
 
+use cassiawheel_decide::RowDuty;
 use cassiawheel_edge::{FeedError, FeedPage, OperatorRow};
-use cassiawheel_model::{AgeSource, NamedVersion, Timestamp};
+use cassiawheel_model::{AgeSource, Deadline, NamedVersion, Timestamp};
 use cassiawheel_wire::ControlMessage;
 use rand::Rng;
 use smol::Timer;
@@ -21,7 +22,16 @@
 ///
 /// Bounds the time in which a connection that has gone silent is not noticed;
 /// until then the other entries' heartbeats tell of changes.
-const WAIT_TIME: Duration = Duration::from_secs(8);
+const WAIT_TIME: Duration = Duration::from_secs(3);
+
+/// Time between calls while the table service turns this entry away and answers others.
+const PROBE_TIME: Duration = Duration::from_secs(2);
+
+/// Time between looks whether this entry has to follow the rows.
+const LOOK_TIME: Duration = Duration::from_millis(50);
+
+/// Time since the last answer up to which a change counts as observed when it was made.
+const OBSERVED_TIME: Duration = Duration::from_millis(300);
 
 /// Waits after a failed call, in milliseconds; drawn anew each time.
 const AGAIN_MS: std::ops::Range<u64> = 150..400;
@@ -37,16 +47,28 @@
     let mut watch = DependencyWatch::new("operators");
     let mut position = None;
     let mut asked_at: Option<Timestamp> = None;
+    let mut probe_at = Deadline(0);
     loop {
+        let began_at = Timestamp::now();
+        let is_due = match routed.row_duty() {
+            RowDuty::Follow => true,
+            RowDuty::Probe => probe_at.is_past(began_at),
+            RowDuty::Rest => position.is_none(),
+        };
+        if !is_due {
+            Timer::after(LOOK_TIME).await;
+            continue;
+        }
+        let wait = if routed.row_duty() == RowDuty::Probe { Duration::ZERO } else { WAIT_TIME };
         let read = match position {
-            Some(position) => routed.operators.read_changes(position, WAIT_TIME).await,
+            Some(position) => routed.operators.read_changes(position, wait).await,
             None => routed.operators.read_all().await,
         };
         match read {
             Ok(page) => {
                 watch.regained();
                 routed.follows_rows.store(true, Ordering::Relaxed);
-                let age = version_age(position, asked_at);
+                let age = version_age(position, asked_at, began_at);
                 position = Some(page.position);
                 asked_at = Some(Timestamp::now());
                 take_page(&shared, &routed, page, age);
@@ -59,6 +81,7 @@
             Err(FeedError::Store(error)) => {
                 watch.lost(&error);
                 routed.follows_rows.store(false, Ordering::Relaxed);
+                probe_at = Timestamp::now().deadline_after(PROBE_TIME);
                 let wait = rand::rng().random_range(AGAIN_MS);
                 Timer::after(Duration::from_millis(wait)).await;
             }
@@ -67,13 +90,18 @@
 }
 
 /// How old a version may be that a read brings, and how that is known.
-fn version_age(position: Option<u64>, asked_at: Option<Timestamp>) -> (Duration, AgeSource) {
+fn version_age(
+    position: Option<u64>,
+    asked_at: Option<Timestamp>,
+    began_at: Timestamp,
+) -> (Duration, AgeSource) {
+    let is_followed = |asked_at: Timestamp| began_at.since(asked_at) < OBSERVED_TIME;
     match (position, asked_at) {
         // Changes come as they are made.
-        (Some(_), _) => (Duration::ZERO, AgeSource::Observed),
+        (Some(_), Some(asked_at)) if is_followed(asked_at) => (Duration::ZERO, AgeSource::Observed),
         // It was named at some time since the last read.
-        (None, Some(asked_at)) => (Timestamp::now().since(asked_at), AgeSource::Assumed),
-        (None, None) => (FOUND_AGE, AgeSource::Assumed),
+        (_, Some(asked_at)) => (Timestamp::now().since(asked_at), AgeSource::Assumed),
+        (_, None) => (FOUND_AGE, AgeSource::Assumed),
     }
 }
 
@@ -104,5 +132,5 @@
     }
     log::info!(target: "preset", version:% = named.version, manifest:? = named.manifest, age_ms = named.age_ms, age_source:? = named.age_source; "A version is named.");
     shared.plan_stale.store(true, Ordering::Release);
-    spread::send_to_peers(shared, &ControlMessage::Named(named.clone()));
+    routed.overlay.send_to_neighbours(&ControlMessage::Named(named.clone()));
 }
--- a/crates/entry/src/control/orders.rs
+++ b/crates/entry/src/control/orders.rs
@@ -5,6 +5,7 @@
 //! its report shows it, so that a lost push heals by itself.
 
 use std::{
+    collections::HashMap,
     sync::{Arc, atomic::Ordering},
     time::Duration,
 };
@@ -13,11 +14,14 @@
     TurnLedger,
     plan::{PlanInput, PlannedOrder, plan_orders},
 };
-use cassiawheel_model::{PresetRevision, Timestamp};
-use cassiawheel_wire::{ControlMessage, message::WeightOrder};
+use cassiawheel_model::{InstanceId, PresetRevision, Timestamp};
+use cassiawheel_wire::{
+    ControlMessage,
+    message::{EndpointOrder, WeightOrder},
+};
 use smol::Timer;
 
-use super::ahead::staged_now;
+use super::{ahead::staged_now, spread};
 use crate::{link::AgentLink, shared::EntryShared};
 
 /// Time after which orders are planned again though nothing has changed, so that
@@ -43,21 +47,20 @@
 pub(crate) async fn plan_regularly(shared: Arc<EntryShared>) {
     let mut repeat_at = Timestamp::now().deadline_after(REPEAT_TIME);
     let mut turns = TurnLedger::default();
+    let mut sent = SentOrders::default();
     loop {
         Timer::after(PLAN_TIME).await;
         let now = Timestamp::now();
         if shared.plan_stale.swap(false, Ordering::AcqRel) || repeat_at.is_past(now) {
             repeat_at = now.deadline_after(REPEAT_TIME);
             let planned = due_orders(&shared);
-            let released = match &shared.routed {
-                Some(_) => turns.release(planned, shared.own_rank(), now),
-                // Agents are connected to a few entries only, and each of these
-                // has to give them their orders.
-                None => planned,
-            };
-            for order in released {
-                send_order(&shared, order);
+            if shared.routed.is_none() {
+                planned.into_iter().for_each(|order| send_order(&shared, order));
+                continue;
             }
+            let mut released = turns.release(planned, shared.own_rank(), now);
+            released.retain(|order| sent.note(order, now));
+            give_orders(&shared, released);
         }
     }
 }
@@ -85,14 +88,71 @@
     }
 }
 
+/// The orders that were given last, and when.
+#[derive(Default)]
+struct SentOrders {
+    sent: HashMap<InstanceId, (u64, Timestamp)>,
+}
+
+impl SentOrders {
+    /// Notes an order; false if it was given a moment ago and cannot show in a report yet.
+    fn note(&mut self, order: &PlannedOrder, now: Timestamp) -> bool {
+        let last = self.sent.get(&order.instance);
+        let is_news = last.is_none_or(|(fencing, sent_at)| {
+            *fencing != order.fencing || now.since(*sent_at) >= REPEAT_TIME
+        });
+        if is_news {
+            self.sent.insert(order.instance.clone(), (order.fencing, now));
+        }
+        is_news
+    }
+}
+
+/// Gives orders to the agents that are connected here, and has the turns to
+/// switch given by the other entries as well.
+///
+/// Every entry derives all other orders for its own agents.
+fn give_orders(shared: &EntryShared, released: Vec<PlannedOrder>) {
+    let mut turns = Vec::new();
+    for planned in released {
+        let instance = planned.instance.clone();
+        if planned.is_turn() {
+            turns.push(EndpointOrder { instance, order: order_of(shared, &planned) });
+        }
+        send_order(shared, planned);
+    }
+    if !turns.is_empty() {
+        spread::send_to_peers(shared, &ControlMessage::Orders(turns));
+    }
+}
+
+/// Gives the orders of another entry to the agents that are connected here.
+pub(crate) fn deliver(shared: &EntryShared, orders: Vec<EndpointOrder>) {
+    let links = shared.links.load();
+    for EndpointOrder { instance, order } in orders {
+        if let Some(link) = links.get(&instance) {
+            let _ = link.sender.try_send(ControlMessage::Order(order));
+        }
+    }
+}
+
 fn send_order(shared: &EntryShared, planned: PlannedOrder) {
     let links = shared.links.load();
     let Some(link) = links.get(&planned.instance) else {
         return;
     };
-    let PlannedOrder { instance, version, manifest, fencing, serve, reason } = planned;
+    let order = order_of(shared, &planned);
+    let PlannedOrder { instance, version, fencing, serve, reason, .. } = planned;
     log::info!(target: "place", instance:% = instance, version:% = version, fencing = fencing, serve = serve, reason:? = reason; "Orders an endpoint.");
-    let origin = shared.origin_place();
-    let order = WeightOrder { version, manifest, fencing, serve, origin };
     let _ = link.sender.try_send(ControlMessage::Order(order));
 }
+
+fn order_of(shared: &EntryShared, planned: &PlannedOrder) -> WeightOrder {
+    WeightOrder {
+        version: planned.version.clone(),
+        manifest: planned.manifest,
+        fencing: planned.fencing,
+        serve: planned.serve,
+        origin: shared.origin_place(),
+    }
+}
--- a/crates/entry/src/control/spread.rs
+++ b/crates/entry/src/control/spread.rs
@@ -15,16 +15,18 @@
     rank::{first_ranked, subject_of},
 };
 use cassiawheel_model::{
-    FailureDomain, ForcedPreset, InstanceId, PresetRevision, Timestamp, settings::EntrySettings,
+    ForcedPreset, InstanceId, PresetRevision, Timestamp, settings::EntrySettings,
 };
-use cassiawheel_runtime::spawn;
 use cassiawheel_wire::{
     ControlMessage, HelloMessage, ProcessKind, WireMessage, WireReceiver, WireSender, connect,
 };
 use smol::Timer;
 
-use super::{drains, entries, listing, manifests, operators, pull};
-use crate::shared::{EntryShared, PeerLink};
+use super::{drains, gossip, listing, manifests, operators, orders, pull};
+use crate::{
+    routed::RoutedInterface,
+    shared::{EntryShared, PeerLink},
+};
 
 /// Time between heartbeats of an entry.
 const BEAT_TIME: Duration = Duration::from_millis(500);
@@ -71,7 +73,9 @@
         // is some fifty kilobytes; pushed from each entry to each other it
         // would be most of the traffic between regions. The heartbeat tells
         // that there is a newer preset, and who lacks it asks.
-        send_to_peers(shared, &beat_message(shared));
+        if let Some(routed) = &shared.routed {
+            gossip::tell_revision(routed);
+        }
         return;
     }
     let message = ControlMessage::Force(preset.clone());
@@ -81,8 +85,14 @@
     send_to_peers(shared, &message);
 }
 
-/// Sends to every connected entry, whichever end dialled.
+/// Sends to every other entry: over the links that it has with each of them, or
+/// from neighbour to neighbour.
 pub(crate) fn send_to_peers(shared: &EntryShared, message: &ControlMessage) {
+    if let Some(routed) = &shared.routed {
+        let own = &shared.settings.place.instance;
+        routed.overlay.flood(own, shared.incarnation, message.clone());
+        return;
+    }
     shared.peer_links().retain(|peer| peer.sender.try_send(message.clone()).is_ok());
 }
 
@@ -102,7 +112,7 @@
             inner_addr,
         } => {
             note_link(shared, sender, inner_addr);
-            heal(shared, sender, &instance, &failure_domain, revision);
+            heal(shared, sender, revision);
             let advice = AdviceInput { caller_addr, failure_domain, in_flight, leaving };
             let heard_at = Timestamp::now();
             let peer = PeerEntry { advice, incarnation, revision, advised, heard_at };
@@ -112,8 +122,7 @@
             let _ = sender.try_send(beat_message(shared));
         }
         ControlMessage::Leaving { instance, incarnation } => {
-            shared.peers().leave(&instance, incarnation, Timestamp::now());
-            log::info!(target: "roster", instance:% = instance; "An entry leaves.");
+            take_leaving(shared, &instance, incarnation);
         }
         ControlMessage::Drain { instance } => drains::drain_here(shared, &instance),
         ControlMessage::PresetWanted => {
@@ -126,17 +135,32 @@
         | ControlMessage::ListingWanted
         | ControlMessage::ManifestWanted { .. }
         | ControlMessage::Manifest(_)
-        | ControlMessage::Entries(_) => handle_routed(shared, sender, message),
+        | ControlMessage::Orders(_) => handle_routed(shared, sender, message),
         ControlMessage::Report(_)
         | ControlMessage::Beat(_)
         | ControlMessage::LoadWanted { .. }
         | ControlMessage::EntryAlive { .. }
         | ControlMessage::Order(_)
         | ControlMessage::Peers(_)
+        | ControlMessage::Entries(_)
+        | ControlMessage::EntriesWanted { .. }
+        | ControlMessage::Gossip(_)
+        | ControlMessage::Flood(_)
         | ControlMessage::ManifestUnknown { .. } => {}
     }
 }
 
+/// Takes the word of an entry or an agent that it leaves.
+fn take_leaving(shared: &EntryShared, instance: &InstanceId, incarnation: u64) {
+    let now = Timestamp::now();
+    shared.peers().leave(instance, incarnation, now);
+    log::info!(target: "roster", instance:% = instance; "A process leaves.");
+    if shared.routed.is_some() {
+        shared.roster().leave(instance, incarnation, now);
+        shared.rebuild_routes();
+    }
+}
+
 /// Handles what only entries tell each other whose callers are routed by a table.
 fn handle_routed(shared: &Arc<EntryShared>, sender: &WireSender, message: ControlMessage) {
     let Some(routed) = &shared.routed else {
@@ -157,21 +181,17 @@
             listing::hear_listing(shared, routed, sender, news);
         }
         ControlMessage::ListingWanted => listing::send_whole(routed, sender),
-        ControlMessage::Entries(addrs) => entries::meet(shared, routed, &addrs),
+        ControlMessage::Orders(orders) => orders::deliver(shared, orders),
         _ => {}
     }
 }
 
 /// Notes which entry is at the other end of a connection.
-fn note_link(shared: &Arc<EntryShared>, sender: &WireSender, addr: SocketAddr) {
+fn note_link(shared: &EntryShared, sender: &WireSender, addr: SocketAddr) {
     let mut links = shared.peer_links();
     if let Some(link) = links.iter_mut().find(|link| link.sender.is_same(sender)) {
         link.addr = Some(addr);
     }
-    drop(links);
-    if let Some(routed) = &shared.routed {
-        entries::meet(shared, routed, &[addr]);
-    }
 }
 
 /// Whether a connection to the entry at `addr` is up, whichever end made it.
@@ -182,19 +202,25 @@
 
 /// Sends the preset in force to an entry whose heartbeat shows an older one, or
 /// asks for a newer one.
-fn heal(
+fn heal(shared: &EntryShared, sender: &WireSender, revision: PresetRevision) {
+    if let Some(preset) = shared.force.load_full().filter(|preset| preset.revision > revision) {
+        let _ = sender.try_send(ControlMessage::Force(preset));
+    }
+}
+
+/// Asks a neighbour for the preset in force if it has a newer one.
+pub(crate) fn pull_from(
     shared: &Arc<EntryShared>,
+    routed: &Arc<RoutedInterface>,
     sender: &WireSender,
     instance: &InstanceId,
-    failure_domain: &FailureDomain,
     revision: PresetRevision,
 ) {
-    if let Some(routed) = &shared.routed {
-        pull::hear_revision(shared, routed, sender, instance, failure_domain, revision);
-        return;
-    }
-    if let Some(preset) = shared.force.load_full().filter(|preset| preset.revision > revision) {
-        let _ = sender.try_send(ControlMessage::Force(preset));
+    let state = routed.overlay.lock();
+    let domain = state.store.record(instance).map(|record| record.failure_domain.clone());
+    drop(state);
+    if let Some(domain) = domain {
+        pull::hear_revision(shared, routed, sender, instance, &domain, revision);
     }
 }
 
@@ -265,19 +291,8 @@
 
 /// Tells an entry at the other end of a new connection what it may lack.
 fn greet(shared: &EntryShared, sender: &WireSender) {
-    let Some(routed) = &shared.routed else {
-        if let Some(preset) = shared.force.load_full() {
-            let _ = sender.try_send(ControlMessage::Force(preset));
-        }
-        return;
-    };
-    for named in routed.versions.load().named(Timestamp::now()) {
-        let _ = sender.try_send(ControlMessage::Named(named));
-    }
-    let _ = sender.try_send(ControlMessage::Entries(routed.known_entries()));
-    let knows_list = routed.listing().position() > 0;
-    if !knows_list {
-        spawn(listing::ask_until_known(routed.clone(), sender.clone())).detach();
+    if let Some(preset) = shared.force.load_full() {
+        let _ = sender.try_send(ControlMessage::Force(preset));
     }
 }
 
@@ -285,15 +300,13 @@
 struct PeerProcess {
     instance: InstanceId,
     incarnation: u64,
-    failure_domain: FailureDomain,
 }
 
 /// The process that a whole heartbeat comes from.
 fn told_process(message: &ControlMessage) -> Option<PeerProcess> {
     match message {
-        ControlMessage::EntryBeat { instance, incarnation, failure_domain, .. } => {
-            let (instance, failure_domain) = (instance.clone(), failure_domain.clone());
-            Some(PeerProcess { instance, incarnation: *incarnation, failure_domain })
+        ControlMessage::EntryBeat { instance, incarnation, .. } => {
+            Some(PeerProcess { instance: instance.clone(), incarnation: *incarnation })
         }
         _ => None,
     }
@@ -301,7 +314,7 @@
 
 /// Takes a short heartbeat of `other`; asks for a whole one if it was dropped meanwhile.
 fn hear_alive(
-    shared: &Arc<EntryShared>,
+    shared: &EntryShared,
     sender: &WireSender,
     other: Option<&PeerProcess>,
     in_flight: u32,
@@ -309,11 +322,9 @@
     let now = Timestamp::now();
     let known = other
         .and_then(|other| shared.peers().alive(&other.instance, other.incarnation, in_flight, now));
-    match (known, other) {
-        (Some(revision), Some(other)) => {
-            heal(shared, sender, &other.instance, &other.failure_domain, revision);
-        }
-        (None, _) | (_, None) => {
+    match known {
+        Some(revision) => heal(shared, sender, revision),
+        None => {
             let _ = sender.try_send(ControlMessage::ReportWanted);
         }
     }
@@ -373,4 +384,7 @@
     let instance: InstanceId = shared.settings.place.instance.clone();
     let incarnation = shared.incarnation;
     send_to_peers(shared, &ControlMessage::Leaving { instance, incarnation });
+    if let Some(routed) = &shared.routed {
+        gossip::refresh_own(shared, routed);
+    }
 }
--- a/crates/entry/src/inner.rs
+++ b/crates/entry/src/inner.rs
@@ -13,8 +13,9 @@
 use smol::net::{TcpListener, TcpStream};
 
 use crate::{
-    control::{manifests, orders, spread},
+    control::{gossip, links, manifests, orders, spread},
     link::AgentLink,
+    overlay::entries_for,
     shared::EntryShared,
 };
 
@@ -52,7 +53,10 @@
     };
     match hello.kind {
         ProcessKind::Agent => serve_agent(&shared, hello, sender, receiver).await,
-        ProcessKind::Entry => spread::converse(&shared, sender, receiver, None).await,
+        ProcessKind::Entry => match &shared.routed {
+            Some(routed) => links::accept(&shared, routed, sender, receiver, hello).await,
+            None => spread::converse(&shared, sender, receiver, None).await,
+        },
     }
 }
 
@@ -69,15 +73,32 @@
     mut receiver: WireReceiver,
 ) {
     let link = Arc::new(AgentLink::new(hello.instance, hello.incarnation, sender));
-    shared.add_link(link.clone());
-    orders::send_preset(shared, &link, PresetRevision::default());
-    if let Some(routed) = &shared.routed {
-        let _ = link.sender.try_send(ControlMessage::Entries(routed.known_entries()));
+    // An agent that is to choose its entries only asks which there are.
+    let mut is_added = shared.routed.is_none();
+    if is_added {
+        shared.add_link(link.clone());
     }
+    orders::send_preset(shared, &link, PresetRevision::default());
+    let silence = Duration::from_millis(shared.settings.control.heartbeat_timeout_ms);
     let mut region = None;
     loop {
-        match receiver.recv().await {
+        let received = match &shared.routed {
+            Some(_) => timeout(silence, receiver.recv()).await,
+            None => Some(receiver.recv().await),
+        };
+        let Some(received) = received else {
+            log::warn!(target: "roster", instance:% = link.instance; "An endpoint is silent.");
+            break;
+        };
+        match received {
+            Ok(WireMessage::Control(ControlMessage::EntriesWanted { region })) => {
+                answer_entries(shared, &link, &region);
+            }
             Ok(WireMessage::Control(message)) => {
+                if !is_added && matches!(message, ControlMessage::Report(_)) {
+                    shared.add_link(link.clone());
+                    is_added = true;
+                }
                 if let (None, ControlMessage::Report(report)) = (&region, &message) {
                     ask_for_loads(shared, &link, &report.region);
                     region = Some(report.region.clone());
@@ -93,7 +114,19 @@
         }
     }
     link.close();
-    shared.remove_link(&link);
+    if is_added {
+        shared.remove_link(&link);
+    }
+}
+
+/// Tells an agent which entries it may connect to.
+fn answer_entries(shared: &EntryShared, link: &AgentLink, region: &RegionName) {
+    let Some(routed) = &shared.routed else {
+        return;
+    };
+    let state = routed.overlay.lock();
+    let present = state.present(&shared.settings.place.instance);
+    let _ = link.sender.try_send(ControlMessage::Entries(entries_for(&present, region)));
 }
 
 /// Asks an agent of another region for fewer loads.
@@ -113,6 +146,12 @@
         ControlMessage::Leaving { instance, incarnation } if instance == link.instance => {
             shared.roster().leave(&instance, incarnation, Timestamp::now());
             shared.rebuild_routes();
+            if shared.routed.is_some() {
+                spread::send_to_peers(
+                    shared,
+                    &ControlMessage::Leaving { instance: instance.clone(), incarnation },
+                );
+            }
             log::info!(target: "roster", instance:% = instance; "An endpoint leaves.");
         }
         ControlMessage::Force(preset) => spread::adopt(shared, &preset),
@@ -134,7 +173,11 @@
         | ControlMessage::ListingWanted
         | ControlMessage::Manifest(_)
         | ControlMessage::ManifestUnknown { .. }
-        | ControlMessage::Entries(_) => {}
+        | ControlMessage::Entries(_)
+        | ControlMessage::EntriesWanted { .. }
+        | ControlMessage::Gossip(_)
+        | ControlMessage::Flood(_)
+        | ControlMessage::Orders(_) => {}
     }
 }
 
@@ -150,6 +193,9 @@
     };
     // Heals a push that a full queue swallowed.
     orders::send_preset(shared, link, revision);
+    if let Some(routed) = &shared.routed {
+        gossip::keep_load(routed, &link.instance, &load);
+    }
     shared.hear_load(&link.instance, &load, limit);
 }
 
@@ -164,10 +210,16 @@
     let mut roster = shared.roster();
     let known = roster.member(&instance).map(|member| member.report.state.clone());
     let changed = known.as_ref() != Some(&report.state);
+    let told = shared.routed.is_some().then(|| report.clone());
     if !roster.hear(report, Timestamp::now()) {
         return;
     }
     drop(roster);
+    if let (Some(routed), Some(report)) = (&shared.routed, told) {
+        gossip::keep_report(routed, &report);
+        // Requests may go to the endpoint as soon as it counts as connected.
+        gossip::refresh_own(shared, routed);
+    }
     shared.plan_stale.store(true, Ordering::Release);
     shared.hear_load(&instance, &load, limit);
     if changed {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -14,6 +14,7 @@
 mod inner;
 mod link;
 mod metrics;
+mod overlay;
 mod routed;
 mod serve;
 mod shared;
--- /dev/null
+++ b/crates/entry/src/overlay.rs
@@ -0,0 +1,224 @@
+//! Links between entries: what each of them has been sent, and what is known through them.
+
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap, HashSet},
+    net::SocketAddr,
+    sync::{Mutex, MutexGuard},
+    time::Duration,
+};
+
+use cassiawheel_decide::{
+    EntryPlace, FloodFilter, GossipStore, LinkMark, LinkNumber, reachable_entries,
+};
+use cassiawheel_model::{Deadline, EntryRecord, InstanceId, RegionName, Timestamp};
+use cassiawheel_wire::{ControlMessage, WireSender, message::FloodMessage};
+use smol::channel::{Receiver, Sender, bounded};
+
+/// Time for which an entry that could not be reached is left out of the choice of links.
+const AVOID_TIME: Duration = Duration::from_secs(3);
+
+/// Links between entries.
+pub(crate) struct Overlay {
+    state: Mutex<OverlayState>,
+    changed: (Sender<()>, Receiver<()>),
+}
+
+/// Everything behind the lock.
+#[derive(Default)]
+pub(crate) struct OverlayState {
+    /// Records, reports and loads.
+    pub(crate) store: GossipStore,
+    /// Links that are up.
+    pub(crate) links: Vec<OverlayLink>,
+    /// Entries that may run, with their regions where these are known.
+    known: BTreeMap<SocketAddr, Option<RegionName>>,
+    /// Entries that are left out of the choice of links, and until when.
+    avoided: HashMap<SocketAddr, Deadline>,
+    /// When the own record was renewed last.
+    pub(crate) renewed_at: Option<Timestamp>,
+    flooded: FloodFilter,
+    flood_number: u64,
+    link_number: LinkNumber,
+}
+
+/// A link to another entry.
+pub(crate) struct OverlayLink {
+    /// Names the link within this process.
+    pub(crate) number: LinkNumber,
+    /// Messages to the other end.
+    pub(crate) sender: WireSender,
+    /// The entry at the other end.
+    pub(crate) instance: InstanceId,
+    /// Where it was dialled, if this end did so.
+    pub(crate) dialled: Option<SocketAddr>,
+    /// What the other end has been sent.
+    pub(crate) mark: LinkMark,
+    /// When loads are due.
+    pub(crate) loads_at: Deadline,
+}
+
+impl Default for Overlay {
+    fn default() -> Self {
+        Self { state: Mutex::default(), changed: bounded(1) }
+    }
+}
+
+impl Overlay {
+    /// The state.
+    pub(crate) fn lock(&self) -> MutexGuard<'_, OverlayState> {
+        self.state.lock().unwrap_or_else(|poison| poison.into_inner())
+    }
+
+    /// Has what changed sent to the neighbours.
+    pub(crate) fn note_change(&self) {
+        let _ = self.changed.0.try_send(());
+    }
+
+    /// Completes after the next [`Self::note_change`].
+    pub(crate) async fn changed(&self) {
+        let _ = self.changed.1.recv().await;
+    }
+
+    /// Sends `content` to every entry.
+    pub(crate) fn flood(&self, origin: &InstanceId, incarnation: u64, content: ControlMessage) {
+        let mut state = self.lock();
+        state.flood_number += 1;
+        let number = state.flood_number;
+        state.flooded.note(origin, incarnation, number);
+        let message = FloodMessage { origin: origin.clone(), incarnation, number, content };
+        state.pass_on(&message, None);
+    }
+
+    /// Sends `message` to every neighbour.
+    ///
+    /// For what each receiver passes on itself if it is new there.
+    pub(crate) fn send_to_neighbours(&self, message: &ControlMessage) {
+        for link in &self.lock().links {
+            let _ = link.sender.try_send(message.clone());
+        }
+    }
+
+    /// Passes a message on; false if that was done already.
+    pub(crate) fn relay(&self, message: &FloodMessage, source: LinkNumber) -> bool {
+        let mut state = self.lock();
+        let is_news = state.flooded.note(&message.origin, message.incarnation, message.number);
+        if is_news {
+            state.pass_on(message, Some(source));
+        }
+        is_news
+    }
+}
+
+impl OverlayState {
+    fn pass_on(&self, message: &FloodMessage, source: Option<LinkNumber>) {
+        for link in self.links.iter().filter(|link| Some(link.number) != source) {
+            let message = ControlMessage::Flood(Box::new(message.clone()));
+            if let Ok(false) = link.sender.try_send(message) {
+                log::warn!(target: "overlay", entry:% = link.instance; "The queue of a link is full.");
+            }
+        }
+    }
+
+    /// Adds a link; its number.
+    pub(crate) fn add_link(
+        &mut self,
+        sender: WireSender,
+        instance: InstanceId,
+        dialled: Option<SocketAddr>,
+    ) -> LinkNumber {
+        self.link_number += 1;
+        let number = self.link_number;
+        let (mark, loads_at) = (LinkMark::default(), Deadline(0));
+        self.links.push(OverlayLink { number, sender, instance, dialled, mark, loads_at });
+        number
+    }
+
+    /// Removes a link that has ended.
+    pub(crate) fn remove_link(&mut self, number: LinkNumber) {
+        self.links.retain(|link| link.number != number);
+    }
+
+    /// Entries at the other ends of the links, in the order of their names.
+    pub(crate) fn neighbours(&self) -> Vec<InstanceId> {
+        let names: BTreeSet<_> = self.links.iter().map(|link| link.instance.clone()).collect();
+        names.into_iter().collect()
+    }
+
+    /// Whether a link to the entry at `addr` is up, whichever end made it.
+    pub(crate) fn is_linked(&self, addr: SocketAddr) -> bool {
+        self.links.iter().any(|link| {
+            let told = || self.store.record(&link.instance).map(|record| record.inner_addr);
+            link.dialled == Some(addr) || told() == Some(addr)
+        })
+    }
+
+    /// Notes the addresses of entries, and their regions where these are known.
+    pub(crate) fn note_entries(
+        &mut self,
+        places: impl Iterator<Item = (SocketAddr, Option<RegionName>)>,
+    ) {
+        for (addr, region) in places {
+            let known = self.known.entry(addr).or_default();
+            *known = region.or(known.take());
+        }
+    }
+
+    /// Leaves an entry that cannot be reached out of the choice of links for a while.
+    pub(crate) fn avoid(&mut self, addr: SocketAddr, now: Timestamp) {
+        self.avoided.insert(addr, now.deadline_after(AVOID_TIME));
+    }
+
+    /// Addresses without a known region, such as those of the settings.
+    pub(crate) fn unplaced(&self) -> Vec<SocketAddr> {
+        let unplaced = self.known.iter().filter(|(_, region)| region.is_none());
+        unplaced.map(|(addr, _)| *addr).collect()
+    }
+
+    /// Entries that links may be made to.
+    pub(crate) fn candidates(&self, own: &InstanceId, now: Timestamp) -> Vec<EntryPlace> {
+        let present = self.present(own);
+        let reached: HashMap<_, _> =
+            present.iter().map(|record| (record.inner_addr, record)).collect();
+        let is_avoided =
+            |addr: &SocketAddr| self.avoided.get(addr).is_some_and(|until| !until.is_past(now));
+        let placed = self.known.iter().filter_map(|(addr, region)| Some((*addr, region.clone()?)));
+        let placed = placed.filter(|(addr, _)| !reached.contains_key(addr) && !is_avoided(addr));
+        let reached = present.iter().filter(|record| !record.leaving);
+        let reached = reached.map(|record| (record.inner_addr, record.region.clone()));
+        let places = reached.chain(placed);
+        places.map(|(inner_addr, region)| EntryPlace { inner_addr, region }).collect()
+    }
+
+    /// The records of the entries that can be reached.
+    pub(crate) fn present(&self, own: &InstanceId) -> Vec<&EntryRecord> {
+        let reached = reachable_entries(own, self.store.records());
+        self.store.records().filter(|record| reached.contains(&record.instance)).collect()
+    }
+
+    /// Forgets what stands for no process that can be reached.
+    pub(crate) fn expire(&mut self, own: &InstanceId, now: Timestamp) {
+        let present = self.present(own);
+        let names: HashSet<InstanceId> = present
+            .iter()
+            .flat_map(|record| record.agents.iter().chain([&record.instance]))
+            .cloned()
+            .collect();
+        self.store.expire(now, |instance| names.contains(instance));
+        let store = &self.store;
+        self.flooded.keep_only(|origin| store.record(origin).is_some());
+        self.avoided.retain(|_, until| !until.is_past(now));
+    }
+}
+
+/// The inner addresses that an agent of `region` may connect to.
+///
+/// Those of its region; all of them where it has none.
+pub(crate) fn entries_for(present: &[&EntryRecord], region: &RegionName) -> Vec<SocketAddr> {
+    let stays = |record: &&&EntryRecord| !record.leaving;
+    let near = present.iter().filter(stays).filter(|record| record.region == *region);
+    let near: Vec<_> = near.map(|record| record.inner_addr).collect();
+    match near.is_empty() {
+        true => present.iter().filter(stays).map(|record| record.inner_addr).collect(),
+        false => near,
+    }
+}
--- a/crates/entry/src/routed.rs
+++ b/crates/entry/src/routed.rs
@@ -2,7 +2,7 @@
 //! table of the preset in force and endpoints are reached directly.
 
 use std::{
-    collections::{BTreeSet, HashMap},
+    collections::HashMap,
     net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard,
@@ -13,7 +13,8 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use cassiawheel_decide::{
-    CallerIndex, EndpointListing, PresetPull, RetryBudget, VersionBook, plan::PlanPace,
+    CallerIndex, EndpointCell, EndpointListing, PresetPull, RetryBudget, RowDuty, VersionBook,
+    plan::PlanPace,
 };
 use cassiawheel_edge::{
     CallerProtocol, EndpointProtocol, ListingFeed, OperatorFeed, TableStore, WeightSource,
@@ -25,7 +26,7 @@
 use cassiawheel_wire::WireSender;
 use smol::channel::{Receiver, Sender, bounded};
 
-use crate::{control::manifest_cache::ManifestCache, direct::DirectClient};
+use crate::{control::manifest_cache::ManifestCache, direct::DirectClient, overlay::Overlay};
 
 /// Entries among which the retries of a service are shared at least.
 ///
@@ -70,10 +71,14 @@
     pub(crate) manifests: ManifestCache,
     /// Whether the last call for the operators' rows was answered.
     pub(crate) follows_rows: AtomicBool,
+    row_duty: Mutex<RowDuty>,
     versions_changed: (Sender<()>, Receiver<()>),
     listing: Mutex<EndpointListing>,
     pull: Mutex<PresetPull<WireSender>>,
-    entries: Mutex<BTreeSet<SocketAddr>>,
+    /// Links to other entries.
+    pub(crate) overlay: Overlay,
+    /// Cells of endpoints by the hashes of their agents; read without a lock.
+    pub(crate) load_cells: ArcSwap<HashMap<u64, Arc<EndpointCell>>>,
     budgets: ArcSwap<HashMap<ServiceName, Arc<RetryBudget>>>,
     /// Longest patience of a caller by the name of its route, in milliseconds.
     patience: ArcSwap<HashMap<String, Arc<AtomicU64>>>,
@@ -112,9 +117,11 @@
             versions: ArcSwap::default(),
             manifests: ManifestCache::default(),
             follows_rows: AtomicBool::new(true),
+            row_duty: Mutex::new(RowDuty::Follow),
             pull: Mutex::default(),
             versions_changed: bounded(1),
-            entries: Mutex::default(),
+            overlay: Overlay::default(),
+            load_cells: ArcSwap::default(),
             budgets: ArcSwap::default(),
             patience: ArcSwap::default(),
         }
@@ -130,15 +137,14 @@
         self.pull.lock().unwrap_or_else(|poison| poison.into_inner())
     }
 
-    /// Notes the inner addresses of entries; those that were not known, without the own one.
-    pub(crate) fn note_entries(&self, addrs: &[SocketAddr], own: SocketAddr) -> Vec<SocketAddr> {
-        let mut known = self.entries.lock().unwrap_or_else(|poison| poison.into_inner());
-        addrs.iter().copied().filter(|addr| *addr != own && known.insert(*addr)).collect()
+    /// What this entry does about the operators' rows.
+    pub(crate) fn row_duty(&self) -> RowDuty {
+        *self.row_duty.lock().unwrap_or_else(|poison| poison.into_inner())
     }
 
-    /// Inner addresses of all entries that are known.
-    pub(crate) fn known_entries(&self) -> Vec<SocketAddr> {
-        self.entries.lock().unwrap_or_else(|poison| poison.into_inner()).iter().copied().collect()
+    /// Changes what this entry does about the operators' rows.
+    pub(crate) fn set_row_duty(&self, duty: RowDuty) {
+        *self.row_duty.lock().unwrap_or_else(|poison| poison.into_inner()) = duty;
     }
 
     /// Takes up the routes and keys of the preset that is in force from now on.
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -25,7 +25,8 @@
 use crate::{
     admin, caller,
     control::{
-        entries, introduce, listing, manifests, membership, operators, orders, poll, spread,
+        entries, gossip, introduce, links, listing, manifests, membership, operators, orders, poll,
+        spread,
     },
     inner::serve_inner,
     metrics::EntryMetrics,
@@ -148,8 +149,6 @@
 
 /// Starts whatever keeps the preset in force and the membership up to date.
 fn start_control(shared: &Arc<EntryShared>) {
-    spawn(spread::beat(shared.clone())).detach();
-    spawn(membership::expire_silent(shared.clone())).detach();
     spawn(introduce::introduce_agents(shared.clone())).detach();
     spawn(orders::plan_regularly(shared.clone())).detach();
     spawn(spread::settle(shared.clone())).detach();
@@ -165,6 +164,8 @@
     spawn(listing::follow_listing(shared.clone(), routed.clone())).detach();
     spawn(manifests::pin_versions(shared.clone(), routed.clone())).detach();
     spawn(entries::register(shared.clone(), routed.clone())).detach();
+    spawn(links::keep_links(shared.clone(), routed.clone())).detach();
+    spawn(gossip::pass_on_changes(shared.clone(), routed.clone())).detach();
 }
 
 /// Reads the platform's services again and again.
@@ -172,6 +173,8 @@
     let platform = &shared.settings.platform;
     let span = Duration::from_millis(platform.timeout_ms);
     let list = Arc::new(HttpInstances::new(HttpClient::default(), platform.instances, span));
+    spawn(spread::beat(shared.clone())).detach();
+    spawn(membership::expire_silent(shared.clone())).detach();
     spawn(poll::poll_force(shared.clone())).detach();
     spawn(membership::follow_list(shared.clone(), list)).detach();
     for peer in spread::chosen_peers(&shared.settings) {
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -13,7 +13,7 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use cassiawheel_decide::{
     Adoption, EndpointPath, EndpointRoster, EntryRoster, PresetHolder, RetryBudget, RouteCandidate,
-    RouteSnapshot, ServiceRoutes, StartHold,
+    RouteSnapshot, ServiceRoutes, StartHold, rank::subject_of,
 };
 use cassiawheel_edge::{TableStore, WeightSource};
 use cassiawheel_model::{
@@ -327,7 +327,10 @@
         });
         // The agent may have connected again before the old connection's end
         // was noticed; without this look it would vanish until its next report.
-        if !self.links.load().contains_key(&link.instance) {
+        if let Some(routed) = &self.routed {
+            // Another entry may still be connected to the agent.
+            routed.overlay.note_change();
+        } else if !self.links.load().contains_key(&link.instance) {
             self.roster().forget(&link.instance, link.incarnation);
             self.rebuild_routes();
         }
@@ -439,6 +442,7 @@
         let Some(preset) = self.force.load_full() else {
             return services;
         };
+        let mut load_cells = HashMap::new();
         let reports = reports_by_endpoint(roster.members().map(|member| &member.report));
         let listing = routed.listing();
         for candidate in direct_candidates(&listing, &preset, &reports) {
@@ -449,6 +453,9 @@
             }
             let cell = cells.of(&listed.instance);
             cell.set_limit(candidate.limit);
+            if let Some(report) = reports.get(&listed.addr) {
+                load_cells.insert(subject_of(report.instance.as_str()), cell.clone());
+            }
             services.entry(listed.service.clone()).or_default().push(RouteCandidate {
                 instance: listed.instance.clone(),
                 version: candidate.version,
@@ -460,6 +467,7 @@
         let listed: HashSet<_> = listing.endpoints().map(|listed| &listed.instance).collect();
         routed.direct.keep_only(|instance| listed.contains(instance));
         cells.lives.keep_only(|instance| listed.contains(instance));
+        routed.load_cells.store(Arc::new(load_cells));
         services
     }
 
--- a/crates/model/src/endpoint.rs
+++ b/crates/model/src/endpoint.rs
@@ -58,6 +58,9 @@
     pub instance: InstanceId,
     /// Distinguishes processes that run one after another at the same instance.
     pub incarnation: u64,
+    /// Rises with each whole report within one incarnation.
+    #[serde(default)]
+    pub sequence: u64,
     /// Where it stands.
     pub region: RegionName,
     /// Where it stands inside the region.
@@ -91,6 +94,13 @@
     pub limit: u32,
 }
 
+impl EndpointReport {
+    /// Whether this report replaces `known`.
+    pub fn is_newer(&self, known: &Self) -> bool {
+        (self.incarnation, self.sequence) > (known.incarnation, known.sequence)
+    }
+}
+
 /// How much of a manifest an endpoint holds.
 #[apply(record!)]
 #[derive(Eq)]
--- /dev/null
+++ b/crates/model/src/gossip.rs
@@ -0,0 +1,85 @@
+//! State that entries pass on to each other over a bounded number of links.
+
+use std::net::SocketAddr;
+
+use macro_rules_attribute::apply;
+
+use crate::{EndpointReport, FailureDomain, InstanceId, PresetRevision, RegionName};
+
+/// What an entry tells about itself and its links.
+#[apply(record!)]
+#[derive(Eq)]
+pub struct EntryRecord {
+    /// The entry.
+    pub instance: InstanceId,
+    /// Distinguishes processes that run one after another at the instance.
+    pub incarnation: u64,
+    /// Rises with each change of the record within one incarnation.
+    pub sequence: u64,
+    /// Its region.
+    pub region: RegionName,
+    /// Where it stands inside the region.
+    pub failure_domain: FailureDomain,
+    /// Where our own processes reach it.
+    pub inner_addr: SocketAddr,
+    /// Where callers reach it.
+    pub caller_addr: SocketAddr,
+    /// Whether it leaves.
+    pub leaving: bool,
+    /// Whether callers may be sent there.
+    pub advised: bool,
+    /// Whether the table service answers it.
+    pub follows_rows: bool,
+    /// Entries at the other ends of its links.
+    pub neighbours: Vec<InstanceId>,
+    /// Agents that are connected to it.
+    pub agents: Vec<InstanceId>,
+}
+
+/// Load of one process, named by the hash of its instance.
+///
+/// Written as a list without names: most of what entries tell each other is loads.
+#[apply(record!)]
+#[derive(Copy, Eq)]
+#[serde(from = "(u64, u32, u32)", into = "(u64, u32, u32)")]
+pub struct LoadRow {
+    /// Hash of the instance's name.
+    pub subject: u64,
+    /// Requests in progress and waiting.
+    pub load: u32,
+    /// Time since it was measured, in milliseconds.
+    pub age_ms: u32,
+}
+
+/// One message between two neighbours; also their heartbeat.
+#[apply(record!)]
+#[derive(Default)]
+pub struct GossipNews {
+    /// The highest preset revision that the sender has adopted.
+    pub revision: PresetRevision,
+    /// Entries whose records changed.
+    pub records: Vec<EntryRecord>,
+    /// Endpoints whose reports changed.
+    pub reports: Vec<EndpointReport>,
+    /// Loads that were measured since the last message.
+    pub loads: Vec<LoadRow>,
+}
+
+impl From<(u64, u32, u32)> for LoadRow {
+    fn from((subject, load, age_ms): (u64, u32, u32)) -> Self {
+        Self { subject, load, age_ms }
+    }
+}
+
+impl From<LoadRow> for (u64, u32, u32) {
+    fn from(row: LoadRow) -> Self {
+        (row.subject, row.load, row.age_ms)
+    }
+}
+
+impl EntryRecord {
+    /// Whether this record replaces `known`.
+    pub fn is_newer(&self, known: &Self) -> bool {
+        (self.incarnation, self.sequence) > (known.incarnation, known.sequence)
+    }
+}
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod endpoint;
 pub mod finding;
 pub mod flags;
+pub mod gossip;
 pub mod header;
 pub mod ids;
 pub mod listing;
@@ -25,6 +26,7 @@
 pub use callers::{CallerLimits, CallerTable, RouteKind, RouteRule, RouteShare};
 pub use endpoint::{EndpointReport, EndpointRole, EndpointState, LoadReport, StagedWeights};
 pub use finding::{FindingList, FindingPlace};
+pub use gossip::{EntryRecord, GossipNews, LoadRow};
 pub use header::HeaderField;
 pub use ids::{
     AttemptNonce, ChangeId, ChunkDigest, FailureDomain, InstanceId, LeaseHolder, ManifestDigest,
--- a/crates/testkit/src/samples.rs
+++ b/crates/testkit/src/samples.rs
@@ -17,6 +17,7 @@
     let report = EndpointReport {
         instance: InstanceId::new("samcheok-hall-model-7")?,
         incarnation: NOW.0,
+        sequence: 0,
         region: RegionName::new("gangwon")?,
         failure_domain: FailureDomain::new("samcheok-hall")?,
         service: ServiceName::new("desk")?,
--- a/crates/testkit/src/stand_in/peer.rs
+++ b/crates/testkit/src/stand_in/peer.rs
@@ -82,6 +82,7 @@
     Ok(EndpointReport {
         instance: InstanceId::new("lying-peer")?,
         incarnation: 1,
+        sequence: 0,
         region: RegionName::new("region-1")?,
         failure_domain: FailureDomain::new("domain-0")?,
         service: ServiceName::new(plan.service)?,
--- a/crates/testkit/tests/origin_connections.rs
+++ b/crates/testkit/tests/origin_connections.rs
@@ -8,12 +8,15 @@
 use cassiawheel_edge::WeightSource;
 use cassiawheel_model::{InstanceId, ModelVersion, WeightManifest};
 use cassiawheel_platform::PlatformOrigin;
+use cassiawheel_runtime::spawn;
 use cassiawheel_testkit::{
     PlatformSite,
     platform_site::{model_config, wait_until},
     stand_in::limited_origin::{LimitedOrigin, RunningOrigin},
 };
-use cassiawheel_wire::{ControlMessage, HelloMessage, ProcessKind, WireMessage, connect};
+use cassiawheel_wire::{
+    ControlMessage, HelloMessage, ProcessKind, WireMessage, WireSender, connect,
+};
 use serde_json::json;
 use smol::{Timer, io::AsyncReadExt, net::TcpListener};
 
@@ -39,6 +42,9 @@
 /// Time for which an origin is away.
 const AWAY_TIME: Duration = Duration::from_millis(2_500);
 
+/// Time between heartbeats of an entry.
+const HEARTBEAT_TIME: Duration = Duration::from_millis(200);
+
 /// Time for a closed connection to be seen at the other end.
 const CLOSE_TIME: Duration = Duration::from_millis(200);
 
@@ -126,6 +132,13 @@
     }
 }
 
+/// Sends what keeps a link between entries up.
+async fn send_heartbeats(sender: WireSender) {
+    while sender.send(ControlMessage::Gossip(Box::default())).await.is_ok() {
+        Timer::after(HEARTBEAT_TIME).await;
+    }
+}
+
 #[derive(Debug, PartialEq)]
 enum Told {
     Whole(WeightManifest),
@@ -180,6 +193,7 @@
         let (sender, mut receiver) = connect(site.entries[0].control, INNER_KEY, None).await?;
         let instance = InstanceId::new("entry-other")?;
         sender.send(HelloMessage { kind: ProcessKind::Entry, instance, incarnation: 1 }).await?;
+        let _heartbeats = spawn(send_heartbeats(sender));
         Timer::after(AWAY_TIME).await;
         let _origin = LimitedOrigin::start_at(addr, PLACES, CHUNKS, Duration::ZERO).await?;
         let told = loop {
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -8,7 +8,7 @@
 use macro_rules_attribute::apply;
 
 pub use chunk::{ChunkMessage, ChunkRefusal};
-pub use control::{ControlMessage, EndpointAddress, WeightOrder};
+pub use control::{ControlMessage, EndpointAddress, EndpointOrder, FloodMessage, WeightOrder};
 pub use request::RequestMessage;
 
 use cassiawheel_model::record;
--- a/crates/wire/src/message/control.rs
+++ b/crates/wire/src/message/control.rs
@@ -3,8 +3,9 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use cassiawheel_model::{
-    EndpointReport, FailureDomain, ForcedPreset, InstanceId, ListedRow, LoadReport, ManifestDigest,
-    ModelVersion, NamedVersion, OriginPlace, PresetRevision, RegionName, WeightManifest, record,
+    EndpointReport, FailureDomain, ForcedPreset, GossipNews, InstanceId, ListedRow, LoadReport,
+    ManifestDigest, ModelVersion, NamedVersion, OriginPlace, PresetRevision, RegionName,
+    WeightManifest, record,
 };
 use macro_rules_attribute::apply;
 
@@ -97,8 +98,42 @@
         /// Its digest.
         manifest: ManifestDigest,
     },
-    /// Entry to entry or agent: inner addresses of entries that the sender knows.
+    /// Entry to agent: inner addresses of the entries that it may connect to.
     Entries(Vec<SocketAddr>),
+    /// Agent to entry: the entries of this region are wanted.
+    EntriesWanted {
+        /// The agent's region.
+        region: RegionName,
+    },
+    /// Entry to entry: what changed since the last message over this link.
+    Gossip(Box<GossipNews>),
+    /// Entry to entry: a message for every entry.
+    Flood(Box<FloodMessage>),
+    /// Entry to entry: orders for the agents that are connected to the receiver.
+    Orders(Vec<EndpointOrder>),
+}
+
+/// A message that each entry passes on to its neighbours once.
+#[apply(record!)]
+pub struct FloodMessage {
+    /// Who sent it first.
+    pub origin: InstanceId,
+    /// Distinguishes processes that run one after another there.
+    pub incarnation: u64,
+    /// Rises with each message of that process.
+    pub number: u64,
+    /// The message.
+    pub content: ControlMessage,
+}
+
+/// An order and the endpoint that it is for.
+#[apply(record!)]
+#[derive(Eq)]
+pub struct EndpointOrder {
+    /// The endpoint.
+    pub instance: InstanceId,
+    /// The order.
+    pub order: WeightOrder,
 }
 
 /// Which weights an endpoint has to hold.
