A version that is read after an outage of the store counts as just named again

Cause: with few readers of the operators' rows the age of a version was assumed from the reader's last answer.

Ruled out: the overlay; the seconds before the outage's end were as before.

Change: who waited for changes sees them as they are made, also when its calls failed; only an entry that takes over from others assumes two seconds.

--- a/crates/entry/src/control/operators.rs
+++ b/crates/entry/src/control/operators.rs
@@ -8,7 +8,7 @@
     time::Duration,
 };
 
-use cassiawheel_decide::RowDuty;
+use cassiawheel_decide::{FollowedRows, RowDuty};
 use cassiawheel_edge::{FeedError, FeedPage, OperatorRow};
 use cassiawheel_model::{AgeSource, Deadline, NamedVersion, Timestamp};
 use cassiawheel_wire::ControlMessage;
@@ -30,37 +30,28 @@
 /// Time between looks whether this entry has to follow the rows.
 const LOOK_TIME: Duration = Duration::from_millis(50);
 
-/// Time since the last answer up to which a change counts as observed when it was made.
-const OBSERVED_TIME: Duration = Duration::from_millis(300);
-
 /// Waits after a failed call, in milliseconds; drawn anew each time.
 const AGAIN_MS: std::ops::Range<u64> = 150..400;
 
-/// Age that a version is taken to have if this process finds it at its start.
-///
-/// Nobody tells when it was named. Taking it for fresh could let older
-/// versions answer for too long; the other entries correct the guess.
-const FOUND_AGE: Duration = Duration::from_millis(3_500);
-
 /// Follows the operators' rows for ever.
 pub(crate) async fn follow_operators(shared: Arc<EntryShared>, routed: Arc<RoutedInterface>) {
     let mut watch = DependencyWatch::new("operators");
-    let mut position = None;
-    let mut asked_at: Option<Timestamp> = None;
+    let mut followed = FollowedRows::default();
     let mut probe_at = Deadline(0);
     loop {
         let began_at = Timestamp::now();
         let is_due = match routed.row_duty() {
             RowDuty::Follow => true,
             RowDuty::Probe => probe_at.is_past(began_at),
-            RowDuty::Rest => position.is_none(),
+            RowDuty::Rest => followed.position.is_none(),
         };
         if !is_due {
+            followed = FollowedRows { until: Some(began_at), by_others: true, ..followed };
             Timer::after(LOOK_TIME).await;
             continue;
         }
         let wait = if routed.row_duty() == RowDuty::Probe { Duration::ZERO } else { WAIT_TIME };
-        let read = match position {
+        let read = match followed.position {
             Some(position) => routed.operators.read_changes(position, wait).await,
             None => routed.operators.read_all().await,
         };
@@ -68,15 +59,16 @@
             Ok(page) => {
                 watch.regained();
                 routed.follows_rows.store(true, Ordering::Relaxed);
-                let age = version_age(position, asked_at, began_at);
-                position = Some(page.position);
-                asked_at = Some(Timestamp::now());
+                let now = Timestamp::now();
+                let age = followed.version_age(now);
+                let position = Some(page.position);
+                followed = FollowedRows { position, until: Some(now), by_others: false };
                 take_page(&shared, &routed, page, age);
                 shared.start_hold().heard(shared.settings.platform.table);
             }
             Err(FeedError::HistoryLost) => {
-                log::info!(target: "preset", position:? = position; "The history of the operators' rows is gone; reads all of them.");
-                position = None;
+                log::info!(target: "preset", position:? = followed.position; "The history of the operators' rows is gone; reads all of them.");
+                followed.position = None;
             }
             Err(FeedError::Store(error)) => {
                 watch.lost(&error);
@@ -89,22 +81,6 @@
     }
 }
 
-/// How old a version may be that a read brings, and how that is known.
-fn version_age(
-    position: Option<u64>,
-    asked_at: Option<Timestamp>,
-    began_at: Timestamp,
-) -> (Duration, AgeSource) {
-    let is_followed = |asked_at: Timestamp| began_at.since(asked_at) < OBSERVED_TIME;
-    match (position, asked_at) {
-        // Changes come as they are made.
-        (Some(_), Some(asked_at)) if is_followed(asked_at) => (Duration::ZERO, AgeSource::Observed),
-        // It was named at some time since the last read.
-        (_, Some(asked_at)) => (Timestamp::now().since(asked_at), AgeSource::Assumed),
-        (_, None) => (FOUND_AGE, AgeSource::Assumed),
-    }
-}
-
 fn take_page(
     shared: &EntryShared,
     routed: &RoutedInterface,
