--- a/crates/entry/src/control/operators.rs
+++ b/crates/entry/src/control/operators.rs
@@ -50,7 +50,9 @@
             Timer::after(LOOK_TIME).await;
             continue;
         }
-        let wait = if routed.row_duty() == RowDuty::Probe { Duration::ZERO } else { WAIT_TIME };
+        // A connection that has gone silent is noticed sooner without a wait.
+        let is_answered = routed.follows_rows.load(Ordering::Relaxed);
+        let wait = if is_answered { WAIT_TIME } else { Duration::ZERO };
         let read = match followed.position {
             Some(position) => routed.operators.read_changes(position, wait).await,
             None => routed.operators.read_all().await,
