Entries that have just started do not read the list again for all; names of the overlay

Change: for its first 1.5 s an entry without neighbours, whose settings name others, reads as the last in rank. Functions of the overlay have the field's names; merging records and reports shares its code.

--- a/crates/agent/src/entry_choice.rs
+++ b/crates/agent/src/entry_choice.rs
@@ -1,4 +1,4 @@
-//! Choosing the entries to be connected to, where entries tell which there are.
+//! Choosing the entries to be connected to, where entries send the candidates.
 
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
@@ -15,7 +15,7 @@
 /// Longest time between looks whether the choice has changed.
 const LOOK_TIME: Duration = Duration::from_millis(250);
 
-/// Longest wait for the list of one entry.
+/// Longest wait for the candidates of one entry.
 const ASK_TIME: Duration = Duration::from_millis(600);
 
 /// Wait before entries are asked again, in milliseconds; drawn anew each time.
@@ -35,7 +35,7 @@
         let count = shared.settings.entry_links;
         let chosen = shared.entry_choice().chosen(subject, count, Timestamp::now());
         if chosen.is_empty() {
-            // All that were told are out of reach; others may run by now.
+            // No candidate can be reached; others may run by now.
             shared.entry_choice().clear();
             continue;
         }
@@ -82,9 +82,9 @@
         let mut seeds = shared.settings.entries.clone();
         seeds.shuffle(&mut rand::rng());
         for seed in seeds {
-            let told = timeout(ASK_TIME, ask_entry(shared, seed)).await.flatten();
-            if let Some(told) = told.filter(|told| !told.is_empty()) {
-                shared.entry_choice().tell(told);
+            let addrs = timeout(ASK_TIME, ask_entry(shared, seed)).await.flatten();
+            if let Some(addrs) = addrs.filter(|addrs| !addrs.is_empty()) {
+                shared.entry_choice().set_candidates(addrs);
                 return;
             }
         }
@@ -94,7 +94,7 @@
     match read_rows(shared).await {
         Ok(addrs) => {
             log::info!(target: "link", entries = addrs.len(); "Looked entries up.");
-            shared.entry_choice().tell(addrs);
+            shared.entry_choice().set_candidates(addrs);
         }
         Err(error) => {
             log::warn!(target: "link", cause:% = error; "Entries cannot be looked up.");
@@ -124,13 +124,13 @@
     sender.send(hello).await.ok()?;
     let region = shared.settings.place.region.clone();
     sender.send(ControlMessage::EntriesWanted { region }).await.ok()?;
-    let mut told = None;
+    let mut candidates = None;
     while let Ok(message) = receiver.recv().await {
         if let WireMessage::Control(ControlMessage::Entries(addrs)) = message {
-            told = Some(addrs);
+            candidates = Some(addrs);
             break;
         }
     }
     sender.close();
-    told
+    candidates
 }
--- a/crates/agent/src/entry_link.rs
+++ b/crates/agent/src/entry_link.rs
@@ -136,7 +136,7 @@
         ControlMessage::ReportWanted => report::send_report_to(shared, sender),
         ControlMessage::LoadWanted { every_ms } => set_pace(shared, sender, every_ms),
         ControlMessage::Entries(addrs) => {
-            shared.entry_choice().tell(addrs);
+            shared.entry_choice().set_candidates(addrs);
             shared.note_entries_changed();
         }
         ControlMessage::Report(_)
--- a/crates/decide/src/flood.rs
+++ b/crates/decide/src/flood.rs
@@ -4,7 +4,7 @@
 
 use cassiawheel_model::InstanceId;
 
-/// Messages before the newest of a process that can still be told apart.
+/// Messages before the newest of a process for which duplicates are detected.
 const WINDOW: u64 = 64;
 
 /// The messages of each process that this one has passed on.
@@ -24,8 +24,7 @@
 impl FloodFilter {
     /// Notes a message; true if it is seen for the first time.
     ///
-    /// One that lies so far behind the newest that it cannot be told apart is
-    /// taken for a repetition.
+    /// A message that lies further behind the newest than the window counts as a duplicate.
     pub fn note(&mut self, origin: &InstanceId, incarnation: u64, number: u64) -> bool {
         let fresh = SeenNumbers { incarnation, newest: number, bits: 1 };
         let Some(seen) = self.seen.get_mut(origin) else {
--- a/crates/decide/src/gossip.rs
+++ b/crates/decide/src/gossip.rs
@@ -38,7 +38,7 @@
     loads: u64,
 }
 
-/// What one entry knows of the others and of all endpoints.
+/// Records, reports and loads as one entry has them.
 #[derive(Debug, Default)]
 pub struct GossipStore {
     records: BTreeMap<InstanceId, KeptItem<EntryRecord>>,
@@ -64,68 +64,85 @@
     source: Option<LinkNumber>,
 }
 
-impl<T: Clone> KeptItem<T> {
+/// How an item has come, and the number that it gets if it is new.
+#[derive(Debug, Clone, Copy)]
+struct Arrival {
+    change: u64,
+    source: Option<LinkNumber>,
+    now: Timestamp,
+}
+
+impl<T> KeptItem<T> {
+    fn new(item: T, Arrival { change, source, now }: Arrival) -> Self {
+        Self { item, change, sources: source.into_iter().collect(), heard_at: now }
+    }
+
+    /// Replaces the item if `item` is newer; a copy tells that its sender needs none.
+    fn merge(&mut self, item: T, is_newer: fn(&T, &T) -> bool, arrival: Arrival) -> bool {
+        if is_newer(&item, &self.item) {
+            *self = Self::new(item, arrival);
+            return true;
+        }
+        if !is_newer(&self.item, &item) {
+            let new_source = arrival.source.filter(|source| !self.sources.contains(source));
+            self.sources.extend(new_source);
+        }
+        false
+    }
+
     fn is_due(&self, mark: u64, link: LinkNumber) -> bool {
         self.change > mark && !self.sources.contains(&link)
     }
 }
 
-impl<T> KeptItem<T> {
-    /// Notes that the other end of a link has the item as well.
-    fn note_source(&mut self, source: Option<LinkNumber>) {
-        self.sources.extend(source.filter(|source| !self.sources.contains(source)));
+fn insert_new<T>(
+    items: &mut BTreeMap<InstanceId, KeptItem<T>>,
+    instance: InstanceId,
+    item: T,
+    arrival: Arrival,
+) -> bool {
+    let has_room = items.len() < MAX_KEPT;
+    if has_room {
+        items.insert(instance, KeptItem::new(item, arrival));
     }
+    has_room
 }
 
 impl GossipStore {
     /// Takes in a record; true if it is newer than the known one.
-    pub fn keep_record(
+    pub fn merge_record(
         &mut self,
         record: EntryRecord,
         source: Option<LinkNumber>,
         now: Timestamp,
     ) -> bool {
-        let has_room = self.records.len() < MAX_KEPT;
-        let known = self.records.get_mut(&record.instance);
-        let is_news = known.as_ref().map_or(has_room, |known| record.is_newer(&known.item));
-        if let Some(known) = known.filter(|known| !known.item.is_newer(&record)) {
-            known.note_source(source);
-        }
-        if is_news {
-            self.changes += 1;
-            let instance = record.instance.clone();
-            let (change, sources) = (self.changes, source.into_iter().collect());
-            let kept = KeptItem { item: record, change, sources, heard_at: now };
-            self.records.insert(instance, kept);
-        }
+        let arrival = Arrival { change: self.changes + 1, source, now };
+        let is_news = match self.records.get_mut(&record.instance) {
+            Some(known) => known.merge(record, EntryRecord::is_newer, arrival),
+            None => insert_new(&mut self.records, record.instance.clone(), record, arrival),
+        };
+        self.changes += u64::from(is_news);
         is_news
     }
 
     /// Takes in a report; true if it is newer than the known one.
-    pub fn keep_report(
+    pub fn merge_report(
         &mut self,
         report: EndpointReport,
         source: Option<LinkNumber>,
         now: Timestamp,
     ) -> bool {
-        let has_room = self.reports.len() < MAX_KEPT;
-        let known = self.reports.get_mut(&report.instance);
-        let is_news = known.as_ref().map_or(has_room, |known| report.is_newer(&known.item));
-        if let Some(known) = known.filter(|known| !known.item.is_newer(&report)) {
-            known.note_source(source);
-        }
-        if is_news {
-            self.changes += 1;
-            let instance = report.instance.clone();
-            let (change, sources) = (self.changes, source.into_iter().collect());
-            let kept = KeptItem { item: report, change, sources, heard_at: now };
-            self.reports.insert(instance, kept);
-        }
+        let arrival = Arrival { change: self.changes + 1, source, now };
+        let is_news = match self.reports.get_mut(&report.instance) {
+            Some(known) => known.merge(report, EndpointReport::is_newer, arrival),
+            None => insert_new(&mut self.reports, report.instance.clone(), report, arrival),
+        };
+        self.changes += u64::from(is_news);
         is_news
     }
 
     /// Takes in a load; true if it was measured more than `step_ms` after the known one.
-    pub fn keep_load(
+    pub fn merge_load(
         &mut self,
         row: LoadRow,
         step_ms: u64,
@@ -207,6 +224,11 @@
         self.records.get(instance).map(|kept| &kept.item)
     }
 
+    /// All reports.
+    pub fn reports(&self) -> impl Iterator<Item = &EndpointReport> {
+        self.reports.values().map(|kept| &kept.item)
+    }
+
     /// The report of one endpoint.
     pub fn report(&self, instance: &InstanceId) -> Option<&EndpointReport> {
         self.reports.get(instance).map(|kept| &kept.item)
--- a/crates/decide/src/overlay.rs
+++ b/crates/decide/src/overlay.rs
@@ -4,8 +4,8 @@
 //! to those 3, 9, 27, … places on, so that a message passes few links to reach
 //! all of them and each entry has a number of links that grows with the
 //! logarithm of their number. Each two regions are joined by a few links between
-//! the entries that rank first for this pair. Every entry works its links out
-//! from the entries that it knows; nothing is agreed.
+//! the entries that rank first for this pair. Every entry computes its links
+//! from its own view of the membership; there is no agreement protocol.
 //!
 //! An entry counts as present while a path of links leads to it that both ends
 //! of each link confirm. Who stops, or is cut off, is so gone for all others as
--- a/crates/decide/src/roster.rs
+++ b/crates/decide/src/roster.rs
@@ -120,9 +120,11 @@
         changed
     }
 
-    /// Drops the reports of endpoints that `is_known` does not hold for.
-    pub fn keep_only(&mut self, is_known: impl Fn(&InstanceId) -> bool) {
+    /// Drops the reports of endpoints that `is_known` does not hold for, and old marks.
+    pub fn keep_only(&mut self, is_known: impl Fn(&InstanceId) -> bool, now: Timestamp) {
         self.members.retain(|instance, _| is_known(instance));
+        let members = &self.members;
+        self.marks.expire(now, |instance| members.contains_key(instance));
     }
 
     /// Counts the changes of who is a member.
--- a/crates/decide/tests/overlay.rs
+++ b/crates/decide/tests/overlay.rs
@@ -112,7 +112,7 @@
             neighbours: process.links.keys().map(|other| name(*other)).collect(),
             agents: Vec::new(),
         };
-        process.store.keep_record(record, None, self.now);
+        process.store.merge_record(record, None, self.now);
     }
 
     /// Every living entry sends each neighbour what changed.
@@ -145,11 +145,11 @@
             }
             let store = &mut self.processes[to].store;
             for record in records {
-                store.keep_record(record, Some(from as LinkNumber), self.now);
+                store.merge_record(record, Some(from as LinkNumber), self.now);
             }
             for row in loads {
                 let row = LoadRow { age_ms: row.age_ms + ROUND_MS as u32, ..row };
-                store.keep_load(row, ROUND_MS, Some(from as LinkNumber), self.now);
+                store.merge_load(row, ROUND_MS, Some(from as LinkNumber), self.now);
             }
         }
     }
@@ -261,7 +261,7 @@
                 let subject = subject_of(name(index).as_str());
                 let row = LoadRow { subject, load: step, age_ms: 0 };
                 let now = fleet.now;
-                fleet.processes[index].store.keep_load(row, 0, None, now);
+                fleet.processes[index].store.merge_load(row, 0, None, now);
             }
             fleet.round();
         }
@@ -299,11 +299,11 @@
     let mut store = GossipStore::default();
     let subject = subject_of(name(1).as_str());
     let row = |load, age_ms| LoadRow { subject, load, age_ms };
-    assert!(store.keep_load(row(3, 0), 40, None, Timestamp(1_000)));
-    assert!(!store.keep_load(row(9, 60), 40, Some(2), Timestamp(1_050)), "measured before");
-    assert!(!store.keep_load(row(9, 30), 40, Some(2), Timestamp(1_050)), "the same one");
+    assert!(store.merge_load(row(3, 0), 40, None, Timestamp(1_000)));
+    assert!(!store.merge_load(row(9, 60), 40, Some(2), Timestamp(1_050)), "measured before");
+    assert!(!store.merge_load(row(9, 30), 40, Some(2), Timestamp(1_050)), "the same one");
     assert_eq!(store.load_of(&name(1), Timestamp(1_050)), Some(3));
-    assert!(store.keep_load(row(5, 0), 40, Some(2), Timestamp(1_200)));
+    assert!(store.merge_load(row(5, 0), 40, Some(2), Timestamp(1_200)));
     assert_eq!(store.load_of(&name(1), Timestamp(1_250)), Some(5));
     assert_eq!(store.load_of(&name(1), Timestamp(9_000)), None, "nobody has told it lately");
 }
@@ -315,7 +315,7 @@
     for agent in 0..300 {
         let subject = subject_of(&format!("agent-{agent}"));
         let mut choice = EntryChoice::default();
-        choice.tell((0..30).map(addr).collect());
+        choice.set_candidates((0..30).map(addr).collect());
         let chosen = choice.chosen(subject, 4, Timestamp(0));
         assert_eq!(chosen.len(), 4);
         choice.avoid(chosen[0], Timestamp(0));
--- a/crates/decide/tests/roster.rs
+++ b/crates/decide/tests/roster.rs
@@ -259,3 +259,22 @@
     roster.expire(Timestamp(25), Timestamp(40));
     assert_eq!(roster.values().map(|peer| peer.advice.in_flight).collect::<Vec<_>>(), [4]);
 }
+
+/// Guards against endpoints that stay in the roster for ever once their agents are gone,
+/// and against one whose agent is connected to another entry and does not count.
+#[test]
+fn an_endpoint_counts_while_its_agent_is_connected_to_some_entry() {
+    let mut roster = EndpointRoster::default();
+    let names = |roster: &EndpointRoster| -> Vec<_> {
+        roster.members().map(|member| member.report.instance.clone()).collect()
+    };
+    assert!(roster.hear(report(0, 1), Timestamp(10)));
+    assert!(roster.hear(report(1, 1), Timestamp(10)));
+    assert!(roster.attach(HashSet::from([instance(0)])));
+    assert_eq!(names(&roster), [instance(0)]);
+    assert!(!roster.attach(HashSet::from([instance(0)])), "no change");
+    assert!(roster.attach(HashSet::from([instance(0), instance(1)])));
+    assert_eq!(names(&roster), [instance(0), instance(1)], "its report was kept");
+    roster.keep_only(|name| *name == instance(1), Timestamp(20));
+    assert_eq!(names(&roster), [instance(1)]);
+}
--- a/crates/entry/src/control/gossip.rs
+++ b/crates/entry/src/control/gossip.rs
@@ -51,14 +51,14 @@
 /// Shortest time between two versions of the own record that only add to it.
 ///
 /// Processes that start together connect to each other within a second; a
-/// version for each connection would be told to every entry.
+/// version for each connection would reach every entry.
 const ADD_TIME: Duration = Duration::from_millis(400);
 
 /// Shortest time between two versions of the own record.
 const RENEW_TIME: Duration = Duration::from_millis(100);
 
 /// Requests in progress below which an entry's load is of no use to the others.
-const WORTH_TELLING: u32 = 16;
+const MIN_PUBLISHED_LOAD: u32 = 16;
 
 /// Parts of a version by which progress is passed on.
 const PROGRESS_PARTS: u32 = 4;
@@ -79,10 +79,10 @@
     let revision = shared.force.load().as_ref().map(|p| p.revision).unwrap_or_default();
     let load = shared.in_flight.load(Ordering::Relaxed);
     let mut state = routed.overlay.lock();
-    if load >= WORTH_TELLING {
+    if load >= MIN_PUBLISHED_LOAD {
         let subject = subject_of(shared.settings.place.instance.as_str());
         let row = LoadRow { subject, load, age_ms: 0 };
-        state.store.keep_load(row, FAR_STEP_MS, None, now);
+        state.store.merge_load(row, FAR_STEP_MS, None, now);
     }
     let OverlayState { store, links, .. } = &mut *state;
     let mut most = 0;
@@ -113,8 +113,8 @@
     most
 }
 
-/// Has every neighbour told the present revision at once.
-pub(crate) fn tell_revision(routed: &RoutedInterface) {
+/// Makes the present revision due to every neighbour at once.
+pub(crate) fn announce_revision(routed: &RoutedInterface) {
     for link in &mut routed.overlay.lock().links {
         link.loads_at = Deadline(0);
     }
@@ -151,12 +151,12 @@
     let span = known.map_or(Duration::ZERO, |known| renew_time(known, &record));
     if state.renewed_at.is_none_or(|renewed_at| now.since(renewed_at) >= span) {
         let record = EntryRecord { sequence: record.sequence + 1, ..record };
-        state.store.keep_record(record, None, now);
+        state.store.merge_record(record, None, now);
         state.renewed_at = Some(now);
         routed.overlay.note_change();
     }
     drop(state);
-    take_membership(shared, routed);
+    refresh_membership(shared, routed);
 }
 
 /// Time since the last version after which `record` replaces `known`.
@@ -170,7 +170,7 @@
 }
 
 /// Takes in what the entry at the other end of the link `source` has sent.
-pub(crate) fn take_news(
+pub(crate) fn merge_news(
     shared: &Arc<EntryShared>,
     routed: &Arc<RoutedInterface>,
     source: LinkNumber,
@@ -182,14 +182,14 @@
     let mut membership_changed = false;
     for record in news.records.into_iter().filter(|record| record.instance != *own) {
         let place = (record.inner_addr, Some(record.region.clone()));
-        if state.store.keep_record(record, Some(source), now) {
+        if state.store.merge_record(record, Some(source), now) {
             state.note_entries(std::iter::once(place));
             membership_changed = true;
         }
     }
     let mut reports = Vec::new();
     for report in news.reports {
-        if state.store.keep_report(report.clone(), Some(source), now) {
+        if state.store.merge_report(report.clone(), Some(source), now) {
             reports.push(report);
         }
     }
@@ -199,19 +199,19 @@
     });
     let step_ms = if is_far { FAR_STEP_MS } else { NEAR_STEP_MS };
     let mut loads = news.loads;
-    loads.retain(|row| state.store.keep_load(*row, step_ms, Some(source), now));
+    loads.retain(|row| state.store.merge_load(*row, step_ms, Some(source), now));
     drop(state);
     if membership_changed || !reports.is_empty() {
         routed.overlay.note_change();
     }
-    take_reports(shared, reports, now);
+    apply_reports(shared, reports, now);
     if membership_changed {
-        take_membership(shared, routed);
+        refresh_membership(shared, routed);
     }
-    hear_loads(routed, &loads, now);
+    apply_loads(routed, &loads, now);
 }
 
-fn take_reports(shared: &EntryShared, reports: Vec<EndpointReport>, now: Timestamp) {
+fn apply_reports(shared: &EntryShared, reports: Vec<EndpointReport>, now: Timestamp) {
     if reports.is_empty() {
         return;
     }
@@ -230,7 +230,7 @@
 }
 
 /// Takes loads into the cells of the endpoints that they are of.
-fn hear_loads(routed: &RoutedInterface, rows: &[LoadRow], now: Timestamp) {
+fn apply_loads(routed: &RoutedInterface, rows: &[LoadRow], now: Timestamp) {
     let cells = routed.load_cells.load();
     for row in rows {
         if let Some(cell) = cells.get(&row.subject) {
@@ -242,29 +242,29 @@
 }
 
 /// Keeps the load of an endpoint whose agent is connected here, for the other entries.
-pub(crate) fn keep_load(routed: &RoutedInterface, instance: &InstanceId, load: &LoadReport) {
+pub(crate) fn publish_load(routed: &RoutedInterface, instance: &InstanceId, load: &LoadReport) {
     let row = LoadRow {
         subject: subject_of(instance.as_str()),
         load: load.in_flight + load.queued,
         age_ms: 0,
     };
-    routed.overlay.lock().store.keep_load(row, NEAR_STEP_MS, None, Timestamp::now());
+    routed.overlay.lock().store.merge_load(row, NEAR_STEP_MS, None, Timestamp::now());
 }
 
 /// Keeps the report of an agent that is connected here, if other entries need it.
-pub(crate) fn keep_report(routed: &RoutedInterface, report: &EndpointReport) {
+pub(crate) fn publish_report(routed: &RoutedInterface, report: &EndpointReport) {
     let mut state = routed.overlay.lock();
-    if !state.store.report(&report.instance).is_none_or(|known| matters(known, report)) {
+    if !state.store.report(&report.instance).is_none_or(|known| is_significant(known, report)) {
         return;
     }
-    if state.store.keep_report(report.clone(), None, Timestamp::now()) {
+    if state.store.merge_report(report.clone(), None, Timestamp::now()) {
         drop(state);
         routed.overlay.note_change();
     }
 }
 
 /// Whether `report` tells more than a load and some chunks.
-fn matters(known: &EndpointReport, report: &EndpointReport) -> bool {
+fn is_significant(known: &EndpointReport, report: &EndpointReport) -> bool {
     let part = |report: &EndpointReport| {
         let staged = report.staged.as_ref()?;
         let part = staged.chunks_ready * PROGRESS_PARTS / staged.chunks_total.max(1);
@@ -280,7 +280,7 @@
 }
 
 /// Works out from the records who is present.
-fn take_membership(shared: &EntryShared, routed: &RoutedInterface) {
+fn refresh_membership(shared: &EntryShared, routed: &RoutedInterface) {
     let own = &shared.settings.place.instance;
     let now = Timestamp::now();
     let state = routed.overlay.lock();
--- a/crates/entry/src/control/links.rs
+++ b/crates/entry/src/control/links.rs
@@ -43,7 +43,7 @@
     dialling: BTreeMap<SocketAddr, Task<()>>,
     /// Links that are no longer chosen, and until when they are kept.
     surplus: BTreeMap<SocketAddr, Deadline>,
-    told_agents: BTreeMap<RegionName, Vec<SocketAddr>>,
+    sent_lists: BTreeMap<RegionName, Vec<SocketAddr>>,
 }
 
 /// Keeps the chosen links up, for ever.
@@ -56,19 +56,29 @@
     loop {
         let now = Timestamp::now();
         kept.renew(&shared, &routed, now);
-        kept.tell_agents(&shared, &routed);
+        kept.send_entry_lists(&shared, &routed);
         if repeat_at.is_past(now) {
             repeat_at = now.deadline_after(REPEAT_TIME);
             repeat_versions(&routed);
         }
         if expire_at.is_past(now) {
             expire_at = now.deadline_after(EXPIRE_TIME);
-            routed.overlay.lock().expire(&shared.settings.place.instance, now);
+            expire(&shared, &routed, now);
         }
         Timer::after(LOOK_TIME).await;
     }
 }
 
+/// Drops the state of processes that are gone.
+fn expire(shared: &EntryShared, routed: &RoutedInterface, now: Timestamp) {
+    let mut state = routed.overlay.lock();
+    state.expire(&shared.settings.place.instance, now);
+    let reported: BTreeSet<_> =
+        state.store.reports().map(|report| report.instance.clone()).collect();
+    drop(state);
+    shared.roster().keep_only(|instance| reported.contains(instance), now);
+}
+
 impl KeptLinks {
     fn renew(&mut self, shared: &Arc<EntryShared>, routed: &Arc<RoutedInterface>, now: Timestamp) {
         self.dialling.retain(|_, task| !task.is_finished());
@@ -102,8 +112,8 @@
         }
     }
 
-    /// Tells the connected agents which entries they may connect to, where that has changed.
-    fn tell_agents(&mut self, shared: &EntryShared, routed: &RoutedInterface) {
+    /// Sends the connected agents the entries that they may connect to, where these have changed.
+    fn send_entry_lists(&mut self, shared: &EntryShared, routed: &RoutedInterface) {
         let links = shared.links.load();
         let roster = shared.roster();
         let region_of = |instance| roster.member(instance).map(|m| m.report.region.clone());
@@ -120,11 +130,11 @@
         drop(state);
         for (region, link) in agents {
             let list = &lists[&region];
-            if self.told_agents.get(&region) != Some(list) {
+            if self.sent_lists.get(&region) != Some(list) {
                 let _ = link.sender.try_send(ControlMessage::Entries(list.clone()));
             }
         }
-        self.told_agents = lists;
+        self.sent_lists = lists;
     }
 }
 
@@ -141,7 +151,7 @@
     let candidates = state.candidates(&settings.place.instance, now);
     let mut chosen = chosen_links(&own, &candidates);
     if state.links.is_empty() {
-        // The settings name entries whose regions are told by themselves only.
+        // The regions of entries from the settings are not known before they are linked.
         chosen.extend(state.unplaced().into_iter().filter(|addr| *addr != own.inner_addr));
     }
     chosen
@@ -224,7 +234,7 @@
     match message {
         ControlMessage::Gossip(news) => {
             let revision = news.revision;
-            gossip::take_news(shared, routed, number, *news);
+            gossip::merge_news(shared, routed, number, *news);
             spread::pull_from(shared, routed, sender, &other.instance, revision);
         }
         ControlMessage::Flood(message) => {
@@ -236,18 +246,18 @@
     }
 }
 
-/// Tells the entry at the other end of a new link what gossip does not carry.
+/// Sends the entry at the other end of a new link what gossip does not carry.
 fn greet(routed: &Arc<RoutedInterface>, sender: &WireSender) {
     for named in routed.versions.load().named(Timestamp::now()) {
         let _ = sender.try_send(ControlMessage::Named(named));
     }
-    let knows_list = routed.listing().position() > 0;
-    if !knows_list {
+    let has_listing = routed.listing().position() > 0;
+    if !has_listing {
         spawn(listing::ask_until_known(routed.clone(), sender.clone())).detach();
     }
 }
 
-/// Repeats the named versions to the neighbours, in case a full queue swallowed one.
+/// Repeats the named versions to the neighbours, in case a full queue dropped one.
 fn repeat_versions(routed: &RoutedInterface) {
     let named = routed.versions.load().named(Timestamp::now());
     let state = routed.overlay.lock();
--- a/crates/entry/src/control/listing.rs
+++ b/crates/entry/src/control/listing.rs
@@ -18,6 +18,9 @@
 /// Time between looks whether something is known of the list.
 const ASK_TIME: Duration = Duration::from_millis(100);
 
+/// Time in which an entry that starts with others gets to know them.
+const SETTLE_TIME: Duration = Duration::from_millis(1_500);
+
 /// Waits after a failed read, in milliseconds; drawn anew each time.
 const AGAIN_MS: std::ops::Range<u64> = 200..500;
 
@@ -29,7 +32,7 @@
     loop {
         let now = Timestamp::now();
         settle(&shared, &routed, now);
-        let due = routed.listing().read_at(shared.own_rank()).max(again_at);
+        let due = routed.listing().read_at(read_rank(&shared, now)).max(again_at);
         if !due.is_past(now) {
             Timer::after(due.remaining(now).min(LOOK_TIME)).await;
             continue;
@@ -55,6 +58,18 @@
     }
 }
 
+/// Which entry this is in the order of those that read the list for all.
+///
+/// An entry that has just started has no neighbours and would take itself for the first.
+/// If all that start together read again for that reason, each would send the others
+/// whatever had registered meanwhile.
+fn read_rank(shared: &EntryShared, now: Timestamp) -> u32 {
+    let has_others = !shared.settings.peers.is_empty();
+    let is_new = now.since(Timestamp(shared.incarnation)) < SETTLE_TIME;
+    let is_alone = shared.peers().values().next().is_none();
+    if has_others && is_new && is_alone { u32::MAX } else { shared.own_rank() }
+}
+
 fn take_page(
     shared: &EntryShared,
     routed: &RoutedInterface,
--- a/crates/entry/src/control/spread.rs
+++ b/crates/entry/src/control/spread.rs
@@ -74,7 +74,7 @@
         // would be most of the traffic between regions. The heartbeat tells
         // that there is a newer preset, and who lacks it asks.
         if let Some(routed) = &shared.routed {
-            gossip::tell_revision(routed);
+            gossip::announce_revision(routed);
         }
         return;
     }
--- a/crates/entry/src/inner.rs
+++ b/crates/entry/src/inner.rs
@@ -73,7 +73,7 @@
     mut receiver: WireReceiver,
 ) {
     let link = Arc::new(AgentLink::new(hello.instance, hello.incarnation, sender));
-    // An agent that is to choose its entries only asks which there are.
+    // An agent without candidates connects only to request them.
     let mut is_added = shared.routed.is_none();
     if is_added {
         shared.add_link(link.clone());
@@ -119,7 +119,7 @@
     }
 }
 
-/// Tells an agent which entries it may connect to.
+/// Sends an agent the entries that it may connect to.
 fn answer_entries(shared: &EntryShared, link: &AgentLink, region: &RegionName) {
     let Some(routed) = &shared.routed else {
         return;
@@ -194,7 +194,7 @@
     // Heals a push that a full queue swallowed.
     orders::send_preset(shared, link, revision);
     if let Some(routed) = &shared.routed {
-        gossip::keep_load(routed, &link.instance, &load);
+        gossip::publish_load(routed, &link.instance, &load);
     }
     shared.hear_load(&link.instance, &load, limit);
 }
@@ -216,7 +216,7 @@
     }
     drop(roster);
     if let (Some(routed), Some(report)) = (&shared.routed, told) {
-        gossip::keep_report(routed, &report);
+        gossip::publish_report(routed, &report);
         // Requests may go to the endpoint as soon as it counts as connected.
         gossip::refresh_own(shared, routed);
     }
--- a/crates/entry/src/overlay.rs
+++ b/crates/entry/src/overlay.rs
@@ -147,8 +147,8 @@
     /// Whether a link to the entry at `addr` is up, whichever end made it.
     pub(crate) fn is_linked(&self, addr: SocketAddr) -> bool {
         self.links.iter().any(|link| {
-            let told = || self.store.record(&link.instance).map(|record| record.inner_addr);
-            link.dialled == Some(addr) || told() == Some(addr)
+            let inner_addr = || self.store.record(&link.instance).map(|record| record.inner_addr);
+            link.dialled == Some(addr) || inner_addr() == Some(addr)
         })
     }
 
