--- a/crates/decide/src/preset_pull.rs
+++ b/crates/decide/src/preset_pull.rs
@@ -1,7 +1,7 @@
 //! From which other entry a preset is asked.
 //!
-//! Every entry follows the operators' rows by itself and hears of what it
-//! missed. A preset with many routes is some hundred kilobytes, and what all
+//! Some entries follow the operators' rows; the others learn of a new revision from
+//! their neighbours. A preset with many routes is some hundred kilobytes, and what all
 //! entries ask of each other at once shares the links between regions: asked for
 //! again while it is on its way, it takes seconds instead of milliseconds.
 
--- a/crates/entry/src/control/spread.rs
+++ b/crates/entry/src/control/spread.rs
@@ -68,14 +68,10 @@
 }
 
 fn push_everywhere(shared: &EntryShared, preset: &Arc<ForcedPreset>) {
-    if shared.routed.is_some() {
-        // Each entry follows the operators' rows by itself. A table of routes
-        // is some fifty kilobytes; pushed from each entry to each other it
-        // would be most of the traffic between regions. The heartbeat tells
-        // that there is a newer preset, and who lacks it asks.
-        if let Some(routed) = &shared.routed {
-            gossip::announce_revision(routed);
-        }
+    if let Some(routed) = &shared.routed {
+        // A table of routes is large, and some neighbours have it already:
+        // only its revision is pushed, and who lacks it pulls it.
+        gossip::announce_revision(routed);
         return;
     }
     let message = ControlMessage::Force(preset.clone());
