One hello a process, one rule for the entries near an agent, one look whether a link is far

The hello of an agent stood in three places and that of an entry in two; the fallback from the entries of a region to all of them at an agent and at an entry; the look whether a neighbour stands in another region twice in one file. Each is one function now. Comments of the overlay use the field's terms.

No change of behaviour is meant.

--- a/crates/agent/src/endpoint.rs
+++ b/crates/agent/src/endpoint.rs
@@ -13,7 +13,7 @@
 use cassiawheel_edge::{ModelEngine, TableStore, WeightSource};
 use cassiawheel_model::{EndpointState, LoadReport, Timestamp, settings::AgentSettings};
 use cassiawheel_runtime::timeout;
-use cassiawheel_wire::{WireSender, message::WeightOrder};
+use cassiawheel_wire::{HelloMessage, ProcessKind, WireSender, message::WeightOrder};
 use smol::channel::{Receiver, Sender, bounded};
 
 use crate::{
@@ -169,6 +169,15 @@
         let _ = self.entries_changed.1.recv().await;
     }
 
+    /// What opens a conversation with another process.
+    pub(crate) fn hello(&self) -> HelloMessage {
+        HelloMessage {
+            kind: ProcessKind::Agent,
+            instance: self.settings.place.instance.clone(),
+            incarnation: self.incarnation,
+        }
+    }
+
     /// A number that rises with each whole report.
     pub(crate) fn next_report(&self) -> u64 {
         self.reports.fetch_add(1, Ordering::Relaxed) + 1
--- a/crates/agent/src/entry_choice.rs
+++ b/crates/agent/src/entry_choice.rs
@@ -2,11 +2,11 @@
 
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
-use cassiawheel_decide::rank::subject_of;
+use cassiawheel_decide::{near_or_all, rank::subject_of};
 use cassiawheel_edge::{ENTRY_ROWS, EntryRow, StoreError};
 use cassiawheel_model::Timestamp;
 use cassiawheel_runtime::{spawn, timeout};
-use cassiawheel_wire::{ControlMessage, HelloMessage, ProcessKind, WireMessage, connect};
+use cassiawheel_wire::{ControlMessage, WireMessage, connect};
 use rand::{Rng, seq::SliceRandom};
 use smol::{Task, Timer};
 
@@ -18,10 +18,10 @@
 /// Longest wait for the candidates of one entry.
 const ASK_TIME: Duration = Duration::from_millis(600);
 
-/// Wait before entries are asked again, in milliseconds; drawn anew each time.
+/// Wait before the seeds are queried again, in milliseconds; drawn anew each time.
 const AGAIN_MS: std::ops::Range<u64> = 50..150;
 
-/// Rounds without an answer after which the table service is asked.
+/// Rounds without an answer after which the table service is queried.
 const ROUNDS: u32 = 3;
 
 /// Keeps connections to the chosen entries for ever.
@@ -76,7 +76,7 @@
     shared.transfer.forget_peers_of(addr);
 }
 
-/// Asks the entries of the settings, then the table service, which entries there are.
+/// Queries the seeds, then the table service, for candidates.
 async fn find_entries(shared: &Arc<EndpointShared>) {
     for _ in 0..ROUNDS {
         let mut seeds = shared.settings.entries.clone();
@@ -106,22 +106,14 @@
 async fn read_rows(shared: &EndpointShared) -> Result<Vec<SocketAddr>, StoreError> {
     let rows = shared.table.scan(ENTRY_ROWS).await?;
     let rows: Vec<_> = rows.iter().filter_map(EntryRow::read).collect();
-    let own = &shared.settings.place.region;
-    let near = rows.iter().filter(|row| row.region.as_ref() == Some(own));
-    let near: Vec<_> = near.map(|row| row.inner_addr).collect();
-    let all = || rows.iter().map(|row| row.inner_addr).collect();
-    Ok(if near.is_empty() { all() } else { near })
+    let places = rows.iter().map(|row| (row.inner_addr, row.region.as_ref()));
+    Ok(near_or_all(&shared.settings.place.region, places))
 }
 
 async fn ask_entry(shared: &EndpointShared, addr: SocketAddr) -> Option<Vec<SocketAddr>> {
     let local = Some(shared.settings.listen_inner.ip());
     let (sender, mut receiver) = connect(addr, &shared.settings.inner_key, local).await.ok()?;
-    let hello = HelloMessage {
-        kind: ProcessKind::Agent,
-        instance: shared.settings.place.instance.clone(),
-        incarnation: shared.incarnation,
-    };
-    sender.send(hello).await.ok()?;
+    sender.send(shared.hello()).await.ok()?;
     let region = shared.settings.place.region.clone();
     sender.send(ControlMessage::EntriesWanted { region }).await.ok()?;
     let mut candidates = None;
--- a/crates/agent/src/entry_link.rs
+++ b/crates/agent/src/entry_link.rs
@@ -11,8 +11,7 @@
 use cassiawheel_model::{EndpointState, PresetRevision, Repeatability, RequestHead, Timestamp};
 use cassiawheel_runtime::spawn;
 use cassiawheel_wire::{
-    ControlMessage, HelloMessage, ProcessKind, RequestMessage, WireError, WireMessage,
-    WireReceiver, WireSender, connect,
+    ControlMessage, RequestMessage, WireError, WireMessage, WireReceiver, WireSender, connect,
 };
 use rand::Rng;
 use smol::{Task, Timer, channel::Sender};
@@ -73,12 +72,7 @@
     sender: WireSender,
     mut receiver: WireReceiver,
 ) -> WireError {
-    let hello = HelloMessage {
-        kind: ProcessKind::Agent,
-        instance: shared.settings.place.instance.clone(),
-        incarnation: shared.incarnation,
-    };
-    if let Err(error) = sender.send(hello).await {
+    if let Err(error) = sender.send(shared.hello()).await {
         return error;
     }
     let pace = LoadPace::each_heartbeat();
--- a/crates/agent/src/report.rs
+++ b/crates/agent/src/report.rs
@@ -85,7 +85,7 @@
     *last = reached_all.then(|| ToldReport::new(report, Timestamp::now()));
 }
 
-/// `report` with a number by which entries tell it from older ones.
+/// `report` with the next sequence number.
 fn numbered(shared: &EndpointShared, report: EndpointReport) -> EndpointReport {
     EndpointReport { sequence: shared.next_report(), ..report }
 }
--- a/crates/agent/src/serve.rs
+++ b/crates/agent/src/serve.rs
@@ -89,7 +89,7 @@
     end.into_result(left)
 }
 
-/// Connects to the entries that the settings name, or to those that they tell of.
+/// Connects to the entries of the settings, or uses them as seeds where requests bypass the agent.
 fn connect_to_entries(shared: &Arc<EndpointShared>) {
     if shared.settings.engine.is_direct() {
         spawn(entry_choice::keep_chosen(shared.clone())).detach();
--- a/crates/agent/src/transfer/peer.rs
+++ b/crates/agent/src/transfer/peer.rs
@@ -12,7 +12,7 @@
 use cassiawheel_model::{InstanceId, ManifestDigest, WeightManifest, flags::set_positions};
 use cassiawheel_runtime::timeout;
 use cassiawheel_wire::{
-    ChunkMessage, HelloMessage, ProcessKind, WireMessage, WireReceiver, WireSender, connect,
+    ChunkMessage, WireMessage, WireReceiver, WireSender, connect,
     message::{ChunkRefusal, EndpointAddress},
 };
 use smol::{
@@ -124,12 +124,7 @@
             if events.send(up).await.is_err() {
                 return;
             }
-            let hello = HelloMessage {
-                kind: ProcessKind::Agent,
-                instance: shared.settings.place.instance.clone(),
-                incarnation: shared.incarnation,
-            };
-            if client.sender.send(hello).await.is_ok() {
+            if client.sender.send(shared.hello()).await.is_ok() {
                 listen(&client, receiver, &peer.instance, manifest, chunks, &events).await;
             }
             client.sender.close();
--- a/crates/decide/src/flood.rs
+++ b/crates/decide/src/flood.rs
@@ -17,7 +17,7 @@
 struct SeenNumbers {
     incarnation: u64,
     newest: u64,
-    /// Bit `n` tells whether the message `n` numbers before the newest was seen.
+    /// Bit `n` is set if the message `n` numbers before the newest was seen.
     bits: u64,
 }
 
--- a/crates/decide/src/followed_rows.rs
+++ b/crates/decide/src/followed_rows.rs
@@ -1,8 +1,8 @@
 //! How old a version may be that a read of the operators' rows brings.
 //!
-//! A version is named when its row is written, and nobody tells when that was. Who waits
-//! for changes sees them as they are made; who did not has to assume an age. One that is
-//! assumed too high takes older versions out of service before their time.
+//! Rows carry no time of writing. A waiting read returns a change as it is made; for any
+//! other read the age is an assumption. One that is too high takes older versions out of
+//! service before their time.
 
 use std::time::Duration;
 
@@ -10,11 +10,10 @@
 
 /// Age that a version is taken to have if this process finds it at its start.
 ///
-/// Taking it for fresh could let older
-/// versions answer for too long; the other entries correct the guess.
+/// Zero could let older versions answer for too long; the other entries correct the value.
 const FOUND_AGE: Duration = Duration::from_millis(3_500);
 
-/// Longest time in which nobody notices that the entries that followed the rows have stopped.
+/// Longest time until the end of the entries that followed the rows is detected.
 const UNNOTICED_TIME: Duration = Duration::from_secs(2);
 
 /// Until when the rows were followed, before the read that is under way.
--- a/crates/decide/src/gossip.rs
+++ b/crates/decide/src/gossip.rs
@@ -77,7 +77,7 @@
         Self { item, change, sources: source.into_iter().collect(), heard_at: now }
     }
 
-    /// Replaces the item if `item` is newer; a copy tells that its sender needs none.
+    /// Replaces the item if `item` is newer; the sender of an equal copy is a further source.
     fn merge(&mut self, item: T, is_newer: fn(&T, &T) -> bool, arrival: Arrival) -> bool {
         if is_newer(&item, &self.item) {
             *self = Self::new(item, arrival);
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -61,7 +61,7 @@
 pub use listing::{EndpointListing, ListingNews};
 pub use lives::EndpointLives;
 pub use manifest_search::{ManifestSearch, SearchStep};
-pub use overlay::{EntryPlace, RowDuty, chosen_links, reachable_entries, row_duty};
+pub use overlay::{EntryPlace, RowDuty, chosen_links, near_or_all, reachable_entries, row_duty};
 pub use preset_pull::{PresetPull, PullStep, PullView, ToldRevision};
 pub use repeats::RepeatSchedule;
 pub use retry::{AttemptEnd, RepeatGuard, RetryBudget, RetryStep, RetryTracker};
--- a/crates/decide/src/overlay.rs
+++ b/crates/decide/src/overlay.rs
@@ -26,7 +26,7 @@
 /// Links between each two regions.
 const BRIDGES: usize = 3;
 
-/// An entry as far as the choice of links needs to know it.
+/// Address and region of an entry, the input of the choice of links.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub struct EntryPlace {
     /// Where our own processes reach it.
@@ -83,12 +83,25 @@
     ranked.into_iter().map(|(_, addr)| addr).collect()
 }
 
+/// The entries of `region` among `places`; all of them where it has none.
+pub fn near_or_all<'a>(
+    region: &RegionName,
+    places: impl Iterator<Item = (SocketAddr, Option<&'a RegionName>)> + Clone,
+) -> Vec<SocketAddr> {
+    let near = places.clone().filter(|(_, other)| *other == Some(region));
+    let near: Vec<_> = near.map(|(addr, _)| addr).collect();
+    match near.is_empty() {
+        true => places.map(|(addr, _)| addr).collect(),
+        false => near,
+    }
+}
+
 /// What an entry does about the operators' rows.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RowDuty {
     /// It follows them for all.
     Follow,
-    /// The table service has turned it away, while others are answered; it tries now and then.
+    /// The table service rejects its calls but not those of others; it retries at intervals.
     Probe,
     /// Others follow them.
     Rest,
--- a/crates/edge/src/entry_rows.rs
+++ b/crates/edge/src/entry_rows.rs
@@ -15,7 +15,7 @@
 pub struct EntryRow {
     /// Where our own processes reach it.
     pub inner_addr: SocketAddr,
-    /// Its region, where the row tells it.
+    /// Its region, if the row has one.
     pub region: Option<RegionName>,
 }
 
--- a/crates/entry/src/control/gossip.rs
+++ b/crates/entry/src/control/gossip.rs
@@ -15,7 +15,11 @@
 use cassiawheel_wire::ControlMessage;
 use smol::Timer;
 
-use crate::{overlay::OverlayState, routed::RoutedInterface, shared::EntryShared};
+use crate::{
+    overlay::{OverlayState, is_far},
+    routed::RoutedInterface,
+    shared::EntryShared,
+};
 
 /// Shortest time between two messages over a link, so that a burst of changes shares them.
 const BATCH_TIME: Duration = Duration::from_millis(20);
@@ -98,9 +102,7 @@
         let mut loads_at = link.loads_at;
         if loads_are_due {
             (news.loads, mark) = store.loads_since(mark, link.number, now);
-            let is_far = store
-                .record(&link.instance)
-                .is_some_and(|record| record.region != shared.settings.place.region);
+            let is_far = is_far(store, &link.instance, &shared.settings.place.region);
             let span = if is_far { FAR_LOAD_TIME } else { NEAR_LOAD_TIME };
             loads_at = now.deadline_after(span);
         }
@@ -193,10 +195,7 @@
             reports.push(report);
         }
     }
-    let is_far = state.links.iter().find(|link| link.number == source).is_some_and(|link| {
-        let record = state.store.record(&link.instance);
-        record.is_some_and(|record| record.region != shared.settings.place.region)
-    });
+    let is_far = state.is_far(source, &shared.settings.place.region);
     let step_ms = if is_far { FAR_STEP_MS } else { NEAR_STEP_MS };
     let mut loads = news.loads;
     loads.retain(|row| state.store.merge_load(*row, step_ms, Some(source), now));
@@ -263,7 +262,7 @@
     }
 }
 
-/// Whether `report` tells more than a load and some chunks.
+/// Whether `report` differs from `known` by more than its load and some chunks.
 fn is_significant(known: &EndpointReport, report: &EndpointReport) -> bool {
     let part = |report: &EndpointReport| {
         let staged = report.staged.as_ref()?;
--- a/crates/entry/src/control/links.rs
+++ b/crates/entry/src/control/links.rs
@@ -167,7 +167,7 @@
         Timer::after(Duration::from_millis(wait)).await;
         return;
     };
-    let _ = sender.try_send(own_hello(&shared));
+    let _ = sender.try_send(shared.hello());
     match timeout(CONNECT_TIME, receiver.recv()).await {
         Some(Ok(WireMessage::Hello(hello))) if hello.kind == ProcessKind::Entry => {
             converse(&shared, &routed, sender, receiver, hello, Some(addr)).await;
@@ -187,18 +187,10 @@
     receiver: WireReceiver,
     hello: HelloMessage,
 ) {
-    let _ = sender.try_send(own_hello(shared));
+    let _ = sender.try_send(shared.hello());
     converse(shared, routed, sender, receiver, hello, None).await;
 }
 
-fn own_hello(shared: &EntryShared) -> HelloMessage {
-    HelloMessage {
-        kind: ProcessKind::Entry,
-        instance: shared.settings.place.instance.clone(),
-        incarnation: shared.incarnation,
-    }
-}
-
 /// Takes in what comes over a link until it ends or falls silent.
 async fn converse(
     shared: &Arc<EntryShared>,
--- a/crates/entry/src/control/listing.rs
+++ b/crates/entry/src/control/listing.rs
@@ -18,7 +18,7 @@
 /// Time between looks whether something is known of the list.
 const ASK_TIME: Duration = Duration::from_millis(100);
 
-/// Time in which an entry that starts with others gets to know them.
+/// Time after its start within which an entry discovers the others.
 const SETTLE_TIME: Duration = Duration::from_millis(1_500);
 
 /// Waits after a failed read, in milliseconds; drawn anew each time.
--- a/crates/entry/src/control/operators.rs
+++ b/crates/entry/src/control/operators.rs
@@ -1,7 +1,7 @@
 //! Following the operators' rows: the preset in force and named versions.
 //!
 //! Every entry reads them at its start. From then on some entries follow them for
-//! all others, which hear of a change from their neighbours.
+//! all others, which receive changes from their neighbours.
 
 use std::{
     sync::{Arc, atomic::Ordering},
@@ -24,7 +24,7 @@
 /// until then the other entries' heartbeats tell of changes.
 const WAIT_TIME: Duration = Duration::from_secs(3);
 
-/// Time between calls while the table service turns this entry away and answers others.
+/// Time between calls while the table service rejects this entry but not others.
 const PROBE_TIME: Duration = Duration::from_secs(2);
 
 /// Time between looks whether this entry has to follow the rows.
--- a/crates/entry/src/control/spread.rs
+++ b/crates/entry/src/control/spread.rs
@@ -17,9 +17,7 @@
 use cassiawheel_model::{
     ForcedPreset, InstanceId, PresetRevision, Timestamp, settings::EntrySettings,
 };
-use cassiawheel_wire::{
-    ControlMessage, HelloMessage, ProcessKind, WireMessage, WireReceiver, WireSender, connect,
-};
+use cassiawheel_wire::{ControlMessage, WireMessage, WireReceiver, WireSender, connect};
 use smol::Timer;
 
 use super::{drains, gossip, listing, manifests, operators, orders, pull};
@@ -146,7 +144,7 @@
     }
 }
 
-/// Takes the word of an entry or an agent that it leaves.
+/// Marks an entry or an agent as leaving.
 fn take_leaving(shared: &EntryShared, instance: &InstanceId, incarnation: u64) {
     let now = Timestamp::now();
     shared.peers().leave(instance, incarnation, now);
@@ -204,7 +202,7 @@
     }
 }
 
-/// Asks a neighbour for the preset in force if it has a newer one.
+/// Pulls the preset in force from a neighbour that has a newer one.
 pub(crate) fn pull_from(
     shared: &Arc<EntryShared>,
     routed: &Arc<RoutedInterface>,
@@ -240,12 +238,7 @@
         }
         match connect(addr, &shared.settings.inner_key, local).await {
             Ok((sender, receiver)) => {
-                let hello = HelloMessage {
-                    kind: ProcessKind::Entry,
-                    instance: shared.settings.place.instance.clone(),
-                    incarnation: shared.incarnation,
-                };
-                let _ = sender.try_send(hello);
+                let _ = sender.try_send(shared.hello());
                 converse(&shared, sender, receiver, Some(addr)).await;
             }
             Err(_) => shared.start_hold().heard(addr),
--- a/crates/entry/src/overlay.rs
+++ b/crates/entry/src/overlay.rs
@@ -8,7 +8,7 @@
 };
 
 use cassiawheel_decide::{
-    EntryPlace, FloodFilter, GossipStore, LinkMark, LinkNumber, reachable_entries,
+    EntryPlace, FloodFilter, GossipStore, LinkMark, LinkNumber, near_or_all, reachable_entries,
 };
 use cassiawheel_model::{Deadline, EntryRecord, InstanceId, RegionName, Timestamp};
 use cassiawheel_wire::{ControlMessage, WireSender, message::FloodMessage};
@@ -119,6 +119,12 @@
         }
     }
 
+    /// Whether the entry at the other end of a link stands in another region than `own`.
+    pub(crate) fn is_far(&self, number: LinkNumber, own: &RegionName) -> bool {
+        let link = self.links.iter().find(|link| link.number == number);
+        link.is_some_and(|link| is_far(&self.store, &link.instance, own))
+    }
+
     /// Adds a link; its number.
     pub(crate) fn add_link(
         &mut self,
@@ -210,15 +216,15 @@
     }
 }
 
+/// Whether the entry at `instance` is known to stand in another region than `own`.
+pub(crate) fn is_far(store: &GossipStore, instance: &InstanceId, own: &RegionName) -> bool {
+    store.record(instance).is_some_and(|record| record.region != *own)
+}
+
 /// The inner addresses that an agent of `region` may connect to.
 ///
 /// Those of its region; all of them where it has none.
 pub(crate) fn entries_for(present: &[&EntryRecord], region: &RegionName) -> Vec<SocketAddr> {
-    let stays = |record: &&&EntryRecord| !record.leaving;
-    let near = present.iter().filter(stays).filter(|record| record.region == *region);
-    let near: Vec<_> = near.map(|record| record.inner_addr).collect();
-    match near.is_empty() {
-        true => present.iter().filter(stays).map(|record| record.inner_addr).collect(),
-        false => near,
-    }
+    let staying = present.iter().filter(|record| !record.leaving);
+    near_or_all(region, staying.map(|record| (record.inner_addr, Some(&record.region))))
 }
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -20,7 +20,7 @@
     Deadline, EndpointState, ForcedPreset, InstanceId, LoadReport, ModelVersion, OriginPlace,
     PresetRevision, RequestId, ServiceName, Timestamp, settings::EntrySettings,
 };
-use cassiawheel_wire::WireSender;
+use cassiawheel_wire::{HelloMessage, ProcessKind, WireSender};
 
 use crate::{
     admin::progress::ProgressMarks,
@@ -157,6 +157,15 @@
         self.peer_links.lock().unwrap_or_else(|poison| poison.into_inner())
     }
 
+    /// What opens a conversation with another process.
+    pub(crate) fn hello(&self) -> HelloMessage {
+        HelloMessage {
+            kind: ProcessKind::Entry,
+            instance: self.settings.place.instance.clone(),
+            incarnation: self.incarnation,
+        }
+    }
+
     /// Whether this entry leaves.
     pub(crate) fn is_leaving(&self) -> bool {
         self.leaving.load(Ordering::Acquire)
--- a/crates/model/src/gossip.rs
+++ b/crates/model/src/gossip.rs
@@ -6,7 +6,7 @@
 
 use crate::{EndpointReport, FailureDomain, InstanceId, PresetRevision, RegionName};
 
-/// What an entry tells about itself and its links.
+/// The link-state record of an entry.
 #[apply(record!)]
 #[derive(Eq)]
 pub struct EntryRecord {
@@ -38,7 +38,7 @@
 
 /// Load of one process, named by the hash of its instance.
 ///
-/// Written as a list without names: most of what entries tell each other is loads.
+/// Serialised without field names: loads are most of the traffic between entries.
 #[apply(record!)]
 #[derive(Copy, Eq)]
 #[serde(from = "(u64, u32, u32)", into = "(u64, u32, u32)")]
