An entry keeps its own slots and adds its part of the free ones

Cause: 43 entries see the same free slots in reports some 200 ms old, and each admitted requests for all of them. On the whole load of the shifted deployment (485 streams a second for 45 engines of 12 slots) answers of engines began after 623 ms in the middle and 1,086 ms for a quarter, where 400 and 500 ms are the aims. Ruled out: a lack of engines (380 streams a second are carried), the choice among engines by reported load (the ones that looked idlest were the slowest: cost below 30, median 888 ms).

Change: what an entry may have in flight is what it had when the engines last reported, and its part of what was free; beyond a quarter of all slots the free ones stay open to all.

--- a/crates/decide/src/endpoint_tracker.rs
+++ b/crates/decide/src/endpoint_tracker.rs
@@ -83,6 +83,8 @@
 pub struct EndpointTracker {
     in_flight: AtomicU32,
     report: AtomicU64,
+    /// Requests of this entry in flight when the last report arrived.
+    own_at_report: AtomicU32,
     hard_limit: AtomicU32,
     limit: AtomicU32,
     cut_at: AtomicU64,
@@ -199,13 +201,20 @@
     /// Applies a load report of the endpoint and the limit of its gate.
     pub fn apply_report(&self, load: &LoadReport, limit: u32) {
         // The report includes this entry's requests; the rest belongs to other entries.
-        let others = (load.in_flight + load.queued).saturating_sub(self.in_flight());
+        let own = self.in_flight();
+        let others = (load.in_flight + load.queued).saturating_sub(own);
+        self.own_at_report.store(own, Ordering::Relaxed);
         let measured_at = load.measured_at.0 & ((1 << TIME_BITS) - 1);
         let others = u64::from(others.min(u32::from(u16::MAX)));
         self.report.store(others << TIME_BITS | measured_at, Ordering::Relaxed);
         self.set_hard_limit(limit);
     }
 
+    /// Requests of this entry that were in flight when the last report arrived.
+    pub fn own_at_report(&self) -> u32 {
+        self.own_at_report.load(Ordering::Relaxed)
+    }
+
     /// Maximum of requests that the endpoint accepts, by its own report.
     pub fn hard_limit(&self) -> u32 {
         self.hard_limit.load(Ordering::Relaxed)
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod roster;
 pub mod route;
 pub mod select;
+pub mod slot_share;
 pub mod switch_stagger;
 pub mod versions;
 
@@ -78,5 +79,6 @@
 pub use select::{
     ChunkBits, ChunkPicker, ChunkSource, FetchFailure, FetchOrder, PeerLocation, PickerSettings,
 };
+pub use slot_share::{SlotCompetitor, SlotShare};
 pub use switch_stagger::SwitchStagger;
 pub use versions::{VersionRecord, VersionRegistry};
--- a/crates/decide/src/route.rs
+++ b/crates/decide/src/route.rs
@@ -24,6 +24,7 @@
 use crate::{
     affinity::{PrefixRing, bounded_load},
     endpoint_tracker::EndpointTracker,
+    slot_share::{SlotCompetitor, SlotShare},
 };
 
 /// How requests reach an endpoint.
@@ -232,10 +233,23 @@
     }
 
     /// Requests that this entry may have in flight at all endpoints together.
-    pub fn capacity(&self, max_in_flight: u32, now: Timestamp) -> u32 {
+    pub fn capacity(&self, max_in_flight: u32, competitor: SlotCompetitor, now: Timestamp) -> u32 {
         let usable = self.candidates.iter();
         let usable = usable.filter(|c| !c.tracker.is_ejected(now) && !c.is_slow(now));
-        usable.map(|c| c.limit(max_in_flight, now)).sum()
+        let mut slots = SlotShare::default();
+        for candidate in usable {
+            let tracker = &candidate.tracker;
+            match candidate.path {
+                EndpointPath::Direct(_) if !tracker.is_paced() => {
+                    let limit = tracker.limit().min(max_in_flight);
+                    slots.add_endpoint(limit, tracker.own_at_report(), tracker.recent_others(now));
+                }
+                EndpointPath::Direct(_) | EndpointPath::Agent => {
+                    slots.add_reserved(candidate.limit(max_in_flight, now));
+                }
+            }
+        }
+        slots.capacity(competitor)
     }
 
     /// Records a failed attempt at `instance`; true if it was ejected.
--- a/crates/decide/tests/direct_routing.rs
+++ b/crates/decide/tests/direct_routing.rs
@@ -7,7 +7,7 @@
 
 use cassiawheel_decide::{
     EndpointPace, EndpointPath, EndpointTracker, RouteCandidate, RouteQuery, RouteSnapshot,
-    ServiceRoutes,
+    ServiceRoutes, SlotCompetitor,
 };
 use cassiawheel_model::{InstanceId, LoadReport, ModelVersion, ServiceName, Timestamp};
 use rand::{SeedableRng, rngs::SmallRng};
@@ -93,7 +93,7 @@
     let chosen = endpoints.choices(&endpoints.query(at(500)));
     assert_eq!(chosen, [0, 100]);
     let routes = endpoints.routes.service(&endpoints.service).expect("known");
-    assert_eq!(routes.capacity(1_024, at(500)), SLOTS);
+    assert_eq!(routes.capacity(1_024, SlotCompetitor::ALONE, at(500)), SLOTS);
 }
 
 /// Guards against losing a request whose endpoint failed while all others are full. First-time
--- a/crates/decide/tests/overload.rs
+++ b/crates/decide/tests/overload.rs
@@ -13,7 +13,7 @@
 use cassiawheel_decide::{
     AdmitTicket, AdmitTier, AdmitVerdict, AttemptFailure, EndpointPath, EndpointTracker, GateState,
     RepeatGuard, RetryBudget, RetryStep, RetryTracker, RouteCandidate, RouteQuery, RouteSnapshot,
-    ServiceAdmission, ServiceRoutes,
+    ServiceAdmission, ServiceRoutes, SlotCompetitor,
 };
 use cassiawheel_model::{
     Deadline, InstanceId, LoadReport, NotRunReason, PresetRevision, PriorityClass, ServiceName,
@@ -126,7 +126,11 @@
     }
 
     fn capacity(&self, service: &ServiceName, now: Timestamp) -> u32 {
-        self.snapshot.service(service).expect("the service").capacity(LIMIT, now)
+        self.snapshot.service(service).expect("the service").capacity(
+            LIMIT,
+            SlotCompetitor::ALONE,
+            now,
+        )
     }
 }
 
--- a/crates/entry/src/caller/admit.rs
+++ b/crates/entry/src/caller/admit.rs
@@ -59,9 +59,10 @@
         let preset = shared.active_preset.load();
         let target = preset.as_ref().and_then(|preset| preset.content.services.get(service));
         let max_in_flight = target.map_or(0, |target| target.max_in_flight);
+        let competitor = shared.slot_competitor(now);
         let routes = shared.routes.load();
-        let capacity =
-            routes.service(service).map_or(0, |routes| routes.capacity(max_in_flight, now));
+        let routes = routes.service(service);
+        let capacity = routes.map_or(0, |r| r.capacity(max_in_flight, competitor, now));
         self.capacity.store(capacity, Ordering::Relaxed);
         self.measured_at.store(now.0, Ordering::Relaxed);
         capacity
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -13,7 +13,7 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use cassiawheel_decide::{
     Adoption, EndpointPath, EndpointRoster, EntryRoster, PresetHolder, RetryBudget, RouteCandidate,
-    RouteSnapshot, ServiceRoutes, StartHold, rank::subject_of,
+    RouteSnapshot, ServiceRoutes, SlotCompetitor, StartHold, rank::subject_of,
 };
 use cassiawheel_edge::{TableStore, WeightSource};
 use cassiawheel_model::{
@@ -193,6 +193,12 @@
         }
     }
 
+    /// Returns this entry as one of those that use the same endpoints.
+    pub(crate) fn slot_competitor(&self, now: Timestamp) -> SlotCompetitor {
+        let instance_hash = subject_of(self.settings.place.instance.as_str());
+        SlotCompetitor::new(self.peers().values().count() + 1, instance_hash, now)
+    }
+
     /// Returns the only versions that may answer requests for `service` now.
     ///
     /// None unless a newer version was named long enough ago that older ones may no longer answer.
