A request takes the slot in which one of its entry's requests has ended

Cause: of a slot that has just become free only the entry whose request ended there knows; all others learn of it with the next report, and then together. The choice by lowest reported cost left such slots idle and sent many requests to the endpoints that had looked free.

Change: an endpoint without a gate at which the entry has fewer requests than at the last report comes first.

--- a/crates/decide/src/route.rs
+++ b/crates/decide/src/route.rs
@@ -59,6 +59,8 @@
     near: Vec<u32>,
     /// Positions of the endpoints that advertise a rate limit.
     paced: Vec<u32>,
+    /// Whether requests reach any of them directly.
+    has_direct: bool,
     positions: HashMap<InstanceId, usize>,
     /// Built on the first prompt with a prefix: services without prefix caches need no ring, and
     /// every state change creates a new snapshot.
@@ -98,6 +100,8 @@
 pub enum RouteReason {
     /// The endpoint has probably cached the prompt's prefix.
     PrefixAffinity,
+    /// A request of this entry has ended there since the endpoint's last report.
+    ReusedSlot,
     /// The endpoint has the lowest cost of those sampled.
     LeastCost,
     /// The endpoint advertises a rate limit, and a request is due now.
@@ -154,6 +158,7 @@
     pub fn as_str(self) -> &'static str {
         match self {
             Self::PrefixAffinity => "prefix-affinity",
+            Self::ReusedSlot => "reused-slot",
             Self::LeastCost => "least-cost",
             Self::NamedLimit => "named-limit",
             Self::FirstWithRoom => "first-with-room",
@@ -192,6 +197,15 @@
         self.tracker.load(now) * LOAD_COST + distance + delay
     }
 
+    /// Whether a request of this entry has ended at the endpoint since its last report. Only this
+    /// entry knows of that slot, where no gate protects the endpoint.
+    fn has_reusable_slot(&self) -> bool {
+        match self.path {
+            EndpointPath::Agent => false,
+            EndpointPath::Direct(_) => self.tracker.in_flight() < self.tracker.own_at_report(),
+        }
+    }
+
     /// Requests that this entry may have in flight at the endpoint, including the extra capacity of
     /// the query.
     fn capacity(&self, query: &RouteQuery<'_>) -> u32 {
@@ -224,7 +238,8 @@
         let paced = paced.map(|(position, _)| position as u32).collect();
         let positions =
             candidates.iter().enumerate().map(|(p, c)| (c.instance.clone(), p)).collect();
-        Self { candidates, near, paced, positions, ring: OnceLock::new(), in_flight }
+        let has_direct = candidates.iter().any(|c| matches!(c.path, EndpointPath::Direct(_)));
+        Self { candidates, near, paced, has_direct, positions, ring: OnceLock::new(), in_flight }
     }
 
     /// Count of this entry's in-flight requests at all endpoints.
@@ -278,6 +293,12 @@
         if let Some(candidate) = query.prefix.and_then(|prefix| self.prefix_owner(prefix, query)) {
             return Some(self.choice(candidate, RouteReason::PrefixAffinity, query));
         }
+        let is_reusable = |c: &RouteCandidate| c.has_reusable_slot() && c.is_usable(query);
+        if self.has_direct
+            && let Some(candidate) = self.scan(rng, is_reusable)
+        {
+            return Some(self.choice(candidate, RouteReason::ReusedSlot, query));
+        }
         let drawn = self.initial_draws(rng);
         let drawn = drawn.into_iter().flatten().filter(|c| c.is_usable(query));
         let drawn = drawn.min_by_key(|c| c.cost(query.now));
--- a/crates/decide/tests/direct_routing.rs
+++ b/crates/decide/tests/direct_routing.rs
@@ -220,3 +220,16 @@
     assert!(!(0..50).any(|step| chosen(1_000 + step * 10)), "slow");
     assert!(chosen(2_100), "overdue");
 }
+
+/// Guards against leaving the slot of an ended request to entries that learn of it later, and
+/// against sending many requests to the endpoints that their last reports show as free.
+#[test]
+fn the_slot_of_an_ended_request_is_used_again() {
+    let endpoints = Endpoints::serving(&[1, 1, 1, 1]);
+    endpoints.trackers[3].acquire();
+    endpoints.report(3, SLOTS, NOW);
+    endpoints.trackers[3].release();
+    assert_eq!(endpoints.choices(&endpoints.query(at(100))), [0, 0, 0, 100]);
+    endpoints.trackers[3].acquire();
+    assert_eq!(endpoints.choices(&endpoints.query(at(100)))[3], 0);
+}
