Engines begin first-time requests before those that come back

A caller that was refused and returns has missed its aim; in the engine's queue it made others miss theirs. It is now sent with the lowest priority.

--- a/crates/entry/src/caller/dispatch.rs
+++ b/crates/entry/src/caller/dispatch.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use cassiawheel_decide::{AttemptFailure, EndpointPath, EndpointTracker, RepeatGuard};
+use cassiawheel_decide::{AdmitTier, AttemptFailure, EndpointPath, EndpointTracker, RepeatGuard};
 use cassiawheel_edge::{ForwardMetadata, ReportedLoad};
 use cassiawheel_model::{
     Deadline, HeaderField, InstanceId, LoadReport, ModelVersion, NotRunReason, PresetRevision,
@@ -216,7 +216,7 @@
         workspace: sent.request.workspace.as_ref(),
         version: head.version.as_ref(),
         last_event: sent.last_event,
-        is_low_priority: false,
+        is_low_priority: sent.request.tier == AdmitTier::Returned,
     };
     let (fields, body) = (&sent.request.fields, &sent.request.body);
     let response = routed.direct.send(target, head, fields, body, &forward).await?;
