A twelfth of the slots is left free for what entries do not see of each other

An endpoint with one request too many lets all that follow wait for some 125 ms, one with one too few loses a twelfth of its work. Since these plays the headroom of a single entry is none, that of nine entries 8/9 of a twelfth.

--- a/crates/decide/src/route.rs
+++ b/crates/decide/src/route.rs
@@ -251,7 +251,7 @@
     pub fn capacity(&self, max_in_flight: u32, competitor: SlotCompetitor, now: Timestamp) -> u32 {
         let usable = self.candidates.iter();
         let usable = usable.filter(|c| !c.tracker.is_ejected(now) && !c.is_slow(now));
-        let mut slots = SlotShare::default();
+        let mut slots = SlotShare::new(competitor);
         for candidate in usable {
             let tracker = &candidate.tracker;
             match candidate.path {
@@ -264,7 +264,7 @@
                 }
             }
         }
-        slots.capacity(competitor)
+        slots.capacity()
     }
 
     /// Records a failed attempt at `instance`; true if it was ejected.
--- a/crates/decide/src/slot_share.rs
+++ b/crates/decide/src/slot_share.rs
@@ -12,6 +12,10 @@
 /// open to every entry, so that callers who arrive at one entry at once are not refused.
 const DIVIDED_FRACTION: f64 = 0.25;
 
+/// Fraction of the slots that is left free for what entries cannot see of each other: an endpoint
+/// that gets one request too many lets all those that come after it wait.
+const HEADROOM_FRACTION: f64 = 1.0 / 12.0;
+
 /// Interval at which the rounding of an entry's part changes, in milliseconds.
 const ROUNDING_INTERVAL_MS: u64 = 200;
 
@@ -37,17 +41,28 @@
         let intervals = (now.0 / ROUNDING_INTERVAL_MS) as f64;
         Self { entries: entries.max(1), rounding: (phase + intervals * ROUNDING_STEP).fract() }
     }
+
+    /// Fraction of the slots to leave free.
+    fn headroom(&self) -> f64 {
+        HEADROOM_FRACTION * (1.0 - 1.0 / self.entries as f64)
+    }
 }
 
 /// Slots of one service as one entry sees them.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Copy)]
 pub struct SlotShare {
+    competitor: SlotCompetitor,
     kept: f64,
     free: f64,
     total: f64,
 }
 
 impl SlotShare {
+    /// Creates the share of an entry, without slots.
+    pub fn new(competitor: SlotCompetitor) -> Self {
+        Self { competitor, kept: 0.0, free: 0.0, total: 0.0 }
+    }
+
     /// Adds slots that the entry may use whatever other entries do.
     pub fn add_reserved(&mut self, slots: u32) {
         self.kept += f64::from(slots);
@@ -56,7 +71,8 @@
     /// Adds an endpoint with `limit` slots. By its last report, `own` requests of this entry and
     /// `others` of other entries were in flight there.
     pub fn add_endpoint(&mut self, limit: u32, own: u32, others: u32) {
-        let (limit, own, others) = (f64::from(limit), f64::from(own), f64::from(others));
+        let limit = f64::from(limit) * (1.0 - self.competitor.headroom());
+        let (own, others) = (f64::from(own), f64::from(others));
         let used = own + others;
         self.total += limit;
         if used > limit {
@@ -69,10 +85,10 @@
 
     /// Requests that the entry may have in flight at all endpoints together; zero if there are no
     /// slots.
-    pub fn capacity(&self, competitor: SlotCompetitor) -> u32 {
-        let part = self.free / competitor.entries as f64;
+    pub fn capacity(&self) -> u32 {
+        let part = self.free / self.competitor.entries as f64;
         let open = self.free - self.total * DIVIDED_FRACTION;
-        let capacity = (self.kept + part.max(open) + competitor.rounding) as u32;
+        let capacity = (self.kept + part.max(open) + self.competitor.rounding) as u32;
         // An entry that holds no slot would otherwise never get one from the others.
         capacity.max(u32::from(self.total > 0.0))
     }
--- a/crates/decide/tests/shared_slots.rs
+++ b/crates/decide/tests/shared_slots.rs
@@ -411,14 +411,14 @@
     let now = timestamp(0);
     let mut capacity = 0;
     for entry in 0..ENTRIES {
-        let mut slots = SlotShare::default();
+        let hash = (u64::MAX / ENTRIES as u64) * entry as u64;
+        let mut slots = SlotShare::new(SlotCompetitor::new(ENTRIES, hash, now));
         for engine in 0..ENGINES {
             // Each engine has two free slots; the others are spread over the entries.
             let own = u32::from(entry < 10 && engine % 2 == 0);
             slots.add_endpoint(SLOTS, own, SLOTS - 2 - own);
         }
-        let hash = (u64::MAX / ENTRIES as u64) * entry as u64;
-        capacity += slots.capacity(SlotCompetitor::new(ENTRIES, hash, now));
+        capacity += slots.capacity();
     }
     let own: u32 = 10 * ENGINES.div_ceil(2) as u32;
     let free = 2 * ENGINES as u32;
@@ -431,7 +431,7 @@
 /// Guards against an entry that holds slots of an overfull endpoint and gives none of them up.
 #[test]
 fn entries_give_up_the_same_fraction_of_an_overfull_endpoint() {
-    let mut slots = SlotShare::default();
+    let mut slots = SlotShare::new(SlotCompetitor::ALONE);
     slots.add_endpoint(SLOTS, 12, 12);
-    assert!(slots.capacity(SlotCompetitor::ALONE) <= SLOTS / 2);
+    assert!(slots.capacity() <= SLOTS / 2);
 }
