--- a/crates/decide/tests/shared_slots.rs
+++ b/crates/decide/tests/shared_slots.rs
@@ -6,10 +6,7 @@
 use std::{
     cmp::Reverse,
     collections::{BinaryHeap, HashMap, VecDeque},
-    sync::{
-        Arc,
-        atomic::{AtomicU32, Ordering},
-    },
+    sync::{Arc, atomic::AtomicU32},
 };
 
 use cassiawheel_decide::{
