Requests with homes are served in their home regions only

Cause: nothing read the regions that a route or tenant names, so a request with homes went to any endpoint of its service, and the answers to callers named entries of any region once their own domain had none.

Ruled out: a check beside the choice. It would refuse a request whose first draw lies abroad although an endpoint at home is free; the homes are part of the candidates' filter instead, next to version and exclusion.

Change: HomeRegions in the domain types, on routes and workspaces; both bind, an empty intersection is refused at once (no-home). Candidates carry their region. Advice ranks entries by domain, region and homes; entries outside are named only if there are no others.

--- a/crates/decide/benches/route.rs
+++ b/crates/decide/benches/route.rs
@@ -6,7 +6,7 @@
 use cassiawheel_decide::{
     EndpointPath, EndpointTracker, RouteCandidate, RouteQuery, RouteSnapshot, ServiceRoutes,
 };
-use cassiawheel_model::{InstanceId, LoadReport, ModelVersion, ServiceName, Timestamp};
+use cassiawheel_model::{EVERYWHERE, InstanceId, LoadReport, ModelVersion, ServiceName, Timestamp};
 use criterion::{BenchmarkId, Criterion};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
@@ -33,6 +33,7 @@
         instance: InstanceId::new(&format!("endpoint-{index}")).expect("an instance"),
         version: Some(version.clone()),
         is_near: index % 8 == 0,
+        region: None,
         path: EndpointPath::Agent,
         tracker: tracker.clone(),
     };
@@ -54,6 +55,7 @@
             version: None,
             allowed: None,
             allowed_far: None,
+            homes: &EVERYWHERE,
             extra_capacity: 0,
             max_in_flight: 32,
             now: NOW,
--- a/crates/decide/src/advice.rs
+++ b/crates/decide/src/advice.rs
@@ -5,7 +5,7 @@
 
 use std::net::SocketAddr;
 
-use cassiawheel_model::{Deadline, FailureDomain, record};
+use cassiawheel_model::{Deadline, FailureDomain, HomeRegions, RegionName, record};
 use macro_rules_attribute::apply;
 use rand::Rng;
 
@@ -16,6 +16,8 @@
     pub caller_addr: SocketAddr,
     /// Failure domain of the entry.
     pub failure_domain: FailureDomain,
+    /// Region of the entry, if it is known.
+    pub region: Option<RegionName>,
     /// Requests in flight at the entry.
     pub in_flight: u32,
     /// Whether the entry is leaving and must not be advised.
@@ -31,10 +33,39 @@
     pub valid_until: Deadline,
 }
 
-/// Selects at most `count` entries for a caller in `own_domain`.
+/// Where a caller is, and where its requests may be served.
+#[derive(Debug, Clone, Copy)]
+pub struct CallerLocation<'a> {
+    /// Failure domain of the caller.
+    pub failure_domain: &'a FailureDomain,
+    /// Region of the caller, if it is known.
+    pub region: Option<&'a RegionName>,
+    /// Home regions that all apply to the caller's requests.
+    pub homes: &'a [&'a HomeRegions],
+}
+
+impl CallerLocation<'_> {
+    /// Rank of an entry by its location; entries of the highest rank are outside of all homes.
+    fn rank(&self, entry: &EntryCandidate) -> u32 {
+        let region = entry.region.as_ref();
+        match () {
+            () if entry.failure_domain == *self.failure_domain => 0,
+            () if self.region.is_some() && region == self.region => 1,
+            () if self.homes.iter().all(|homes| homes.contains(region)) => 2,
+            () => OUTSIDE_RANK,
+        }
+    }
+}
+
+/// Rank of entries that are neither in the caller's region nor in a home of its requests.
+const OUTSIDE_RANK: u32 = 3;
+
+/// Selects at most `count` entries for a caller.
+///
+/// Entries outside the caller's region and its homes are used only if there are no others.
 pub fn advise(
     entries: &[EntryCandidate],
-    own_domain: &FailureDomain,
+    caller: CallerLocation<'_>,
     count: usize,
     valid_until: Deadline,
     rng: &mut impl Rng,
@@ -43,11 +74,14 @@
         .iter()
         .filter(|entry| !entry.leaving)
         .map(|entry| {
-            let is_remote = entry.failure_domain != *own_domain;
-            (is_remote, entry.in_flight / LOAD_STEP, rng.random::<u32>(), entry.caller_addr)
+            let rank = caller.rank(entry);
+            (rank, entry.in_flight / LOAD_STEP, rng.random::<u32>(), entry.caller_addr)
         })
         .collect();
     ranked.sort_unstable();
+    if ranked.first().is_some_and(|(rank, ..)| *rank < OUTSIDE_RANK) {
+        ranked.retain(|(rank, ..)| *rank < OUTSIDE_RANK);
+    }
     let addresses = ranked.into_iter().take(count).map(|(.., addr)| addr).collect();
     EntryAdvice { addresses, valid_until }
 }
--- a/crates/decide/src/caller_index.rs
+++ b/crates/decide/src/caller_index.rs
@@ -6,7 +6,7 @@
 
 use std::{collections::HashMap, sync::Arc};
 
-use cassiawheel_model::{CallerTable, RouteRule, ServiceName, WorkspaceId};
+use cassiawheel_model::{CallerTable, HomeRegions, RouteRule, ServiceName, WorkspaceId};
 
 /// Index of the routes and keys of one preset.
 #[derive(Debug, Clone)]
@@ -56,6 +56,22 @@
         }
         Ok(known)
     }
+
+    /// Regions in which requests on the route may be served for `workspace`; `None` if the route
+    /// and the workspace have no home in common.
+    pub fn homes(&self, rule: &RouteRule, workspace: Option<&WorkspaceId>) -> Option<HomeRegions> {
+        match workspace.and_then(|workspace| self.table.workspace_homes.get(workspace)) {
+            Some(homes) => rule.homes.intersection(homes),
+            None => Some(rule.homes.clone()),
+        }
+    }
+
+    /// Home regions of the routes of `host` that are restricted to some.
+    pub fn host_homes(&self, host: &str) -> Vec<&HomeRegions> {
+        let positions = self.hosts.get(host).into_iter().flat_map(HashMap::values);
+        let homes = positions.filter_map(|position| Some(&self.table.routes.get(*position)?.homes));
+        homes.filter(|homes| !homes.is_unrestricted()).collect()
+    }
 }
 
 /// Picks a service of the route by weight; `point` is a uniform random number.
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -44,7 +44,7 @@
 pub mod versions;
 
 pub use admit::{AdmitTicket, AdmitTier, AdmitVerdict, ServiceAdmission};
-pub use advice::{EntryAdvice, EntryCandidate, advise};
+pub use advice::{CallerLocation, EntryAdvice, EntryCandidate, advise};
 pub use caller_index::{CallerIndex, UnknownKey, pick_service};
 pub use change::{
     ChangeAnswer, ChangeOutcome, ChangeRecord, ChangeRequest, ChangeStep, ChangeWriter, ForceRow,
--- a/crates/decide/src/route.rs
+++ b/crates/decide/src/route.rs
@@ -18,7 +18,9 @@
     },
 };
 
-use cassiawheel_model::{InstanceId, ModelVersion, ServiceName, Timestamp};
+use cassiawheel_model::{
+    HomeRegions, InstanceId, ModelVersion, RegionName, ServiceName, Timestamp,
+};
 use rand::Rng;
 
 use crate::{
@@ -46,6 +48,8 @@
     /// Whether it is close to the entry, so that traffic between them crosses no shared and
     /// expensive link between regions.
     pub is_near: bool,
+    /// Region of the endpoint; `None` if it is unknown.
+    pub region: Option<RegionName>,
     /// How requests reach it.
     pub path: EndpointPath,
     /// Load and health of the endpoint as this entry sees them.
@@ -89,6 +93,8 @@
     pub allowed: Option<&'a [ModelVersion]>,
     /// The same for endpoints that are not near, which requests may reach late.
     pub allowed_far: Option<&'a [ModelVersion]>,
+    /// Regions in which the request may be served.
+    pub homes: &'a HomeRegions,
     /// Requests above an endpoint's limit that are allowed for this request.
     pub extra_capacity: u32,
     /// Limit of in-flight requests at one endpoint from the preset in force.
@@ -234,6 +240,7 @@
             && self.tracker.is_due(query.now)
             && is_version
             && is_allowed
+            && query.homes.contains(self.region.as_ref())
             && !query.excluded.contains(&self.instance)
     }
 
--- a/crates/decide/tests/caller_index.rs
+++ b/crates/decide/tests/caller_index.rs
@@ -4,7 +4,8 @@
 
 use cassiawheel_decide::{CallerIndex, UnknownKey, pick_service};
 use cassiawheel_model::{
-    CallerLimits, CallerTable, RouteKind, RouteRule, RouteShare, ServiceName, WorkspaceId,
+    CallerLimits, CallerTable, HomeRegions, RouteKind, RouteRule, RouteShare, ServiceName,
+    WorkspaceId,
 };
 use rstest::rstest;
 
@@ -25,6 +26,7 @@
         aim_ms: 100,
         max_attempts: 2,
         is_public,
+        homes: HomeRegions::default(),
     }
 }
 
@@ -32,7 +34,13 @@
     let keys = BTreeMap::from([("key-one".to_owned(), WorkspaceId::new("one").expect("valid"))]);
     let limits =
         CallerLimits { head_bytes: 16_384, body_bytes: 1 << 20, head_ms: 3_000, idle_ms: 15_000 };
-    CallerIndex::new(Arc::new(CallerTable { routes, keys, needs_key: true, limits }))
+    CallerIndex::new(Arc::new(CallerTable {
+        routes,
+        keys,
+        workspace_homes: BTreeMap::new(),
+        needs_key: true,
+        limits,
+    }))
 }
 
 /// The longest matching prefix wins, a prefix ends at a slash, and each host has its own routes.
--- a/crates/decide/tests/direct_routing.rs
+++ b/crates/decide/tests/direct_routing.rs
@@ -9,7 +9,7 @@
     EndpointPace, EndpointPath, EndpointTracker, RouteCandidate, RouteQuery, RouteSnapshot,
     ServiceRoutes, SlotCompetitor,
 };
-use cassiawheel_model::{InstanceId, LoadReport, ModelVersion, ServiceName, Timestamp};
+use cassiawheel_model::{EVERYWHERE, InstanceId, LoadReport, ModelVersion, ServiceName, Timestamp};
 use rand::{SeedableRng, rngs::SmallRng};
 
 const NOW: Timestamp = Timestamp(1_000_000);
@@ -37,6 +37,7 @@
                 instance: InstanceId::new(&format!("i-{index}")).expect("valid"),
                 version: Some(version(numbers[index])),
                 is_near: index % 2 == 0,
+                region: None,
                 path: EndpointPath::Direct("10.0.0.1:8001".parse().expect("valid")),
                 tracker: tracker.clone(),
             }
@@ -55,6 +56,7 @@
             version: None,
             allowed: None,
             allowed_far: None,
+            homes: &EVERYWHERE,
             extra_capacity: 0,
             max_in_flight: 1_024,
             now,
--- a/crates/decide/tests/last_place.rs
+++ b/crates/decide/tests/last_place.rs
@@ -12,7 +12,7 @@
 use cassiawheel_decide::{
     EndpointPath, EndpointTracker, RouteCandidate, RouteQuery, RouteSnapshot, ServiceRoutes,
 };
-use cassiawheel_model::{InstanceId, ServiceName, Timestamp};
+use cassiawheel_model::{EVERYWHERE, InstanceId, ServiceName, Timestamp};
 use rand::{SeedableRng, rngs::SmallRng};
 
 const NOW: Timestamp = Timestamp(1_000_000);
@@ -32,6 +32,7 @@
         instance: InstanceId::new(&format!("i-{index}")).expect("valid"),
         version: None,
         is_near: index == 0,
+        region: None,
         path: EndpointPath::Agent,
         tracker: Arc::new(tracker),
     }
@@ -45,6 +46,7 @@
         version: None,
         allowed: None,
         allowed_far: None,
+        homes: &EVERYWHERE,
         extra_capacity: 0,
         max_in_flight: GATE,
         now: NOW,
--- a/crates/decide/tests/overload.rs
+++ b/crates/decide/tests/overload.rs
@@ -16,8 +16,8 @@
     ServiceAdmission, ServiceRoutes, SlotCompetitor,
 };
 use cassiawheel_model::{
-    Deadline, InstanceId, LoadReport, NotRunReason, PresetRevision, PriorityClass, ServiceName,
-    Timestamp, WorkspaceId,
+    Deadline, EVERYWHERE, InstanceId, LoadReport, NotRunReason, PresetRevision, PriorityClass,
+    ServiceName, Timestamp, WorkspaceId,
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
@@ -110,6 +110,7 @@
             instance: name.clone(),
             version: None,
             is_near: false,
+            region: None,
             path: EndpointPath::Agent,
             tracker: tracker.clone(),
         };
@@ -250,6 +251,7 @@
             version: None,
             allowed: None,
             allowed_far: None,
+            homes: &EVERYWHERE,
             extra_capacity: 0,
             max_in_flight: LIMIT,
             now: timestamp(self.now),
--- a/crates/decide/tests/roster.rs
+++ b/crates/decide/tests/roster.rs
@@ -179,7 +179,8 @@
 
 fn peer(incarnation: u64, leaving: bool, last_seen: u64) -> PeerEntry {
     let failure_domain = FailureDomain::new("domain").expect("valid");
-    let advice = EntryCandidate { caller_addr: addr(), failure_domain, in_flight: 0, leaving };
+    let advice =
+        EntryCandidate { caller_addr: addr(), failure_domain, region: None, in_flight: 0, leaving };
     let last_seen = Timestamp(last_seen);
     PeerEntry { advice, incarnation, revision: PresetRevision(1), advised: true, last_seen }
 }
--- a/crates/decide/tests/routing.rs
+++ b/crates/decide/tests/routing.rs
@@ -15,7 +15,8 @@
     affinity::prefix_digest,
 };
 use cassiawheel_model::{
-    Deadline, InstanceId, LoadReport, ModelVersion, NotRunReason, ServiceName, Timestamp,
+    Deadline, EVERYWHERE, InstanceId, LoadReport, ModelVersion, NotRunReason, ServiceName,
+    Timestamp,
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
@@ -56,6 +57,7 @@
             instance: names[index].clone(),
             version: version.clone(),
             is_near: index % 4 == 0,
+            region: None,
             path: EndpointPath::Agent,
             tracker: tracker.clone(),
         };
@@ -92,6 +94,7 @@
                     version: None,
                     allowed: None,
                     allowed_far: None,
+                    homes: &EVERYWHERE,
                     extra_capacity: 0,
                     max_in_flight: 64,
                     now,
--- a/crates/decide/tests/shared_slots.rs
+++ b/crates/decide/tests/shared_slots.rs
@@ -14,7 +14,7 @@
     RouteQuery, RouteSnapshot, ServiceAdmission, ServiceRoutes, SlotCompetitor, SlotShare,
 };
 use cassiawheel_model::{
-    InstanceId, LoadReport, PriorityClass, ServiceName, Timestamp, WorkspaceId,
+    EVERYWHERE, InstanceId, LoadReport, PriorityClass, ServiceName, Timestamp, WorkspaceId,
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
@@ -111,6 +111,7 @@
                 instance: InstanceId::new(&format!("i-{index}")).expect("valid"),
                 version: None,
                 is_near: index % 3 == 0,
+                region: None,
                 path: EndpointPath::Direct("10.0.0.1:8001".parse().expect("valid")),
                 tracker: tracker.clone(),
             }
@@ -266,6 +267,7 @@
             version: None,
             allowed: None,
             allowed_far: None,
+            homes: &EVERYWHERE,
             extra_capacity: 0,
             max_in_flight: SLOTS,
             now: timestamp(self.now),
--- a/crates/edge/src/callers.rs
+++ b/crates/edge/src/callers.rs
@@ -49,6 +49,8 @@
     pub failure_domain: Option<String>,
     /// Region of the caller, if it names one.
     pub region: Option<String>,
+    /// Host that the caller wants to reach, if it names one.
+    pub host: Option<String>,
 }
 
 /// Parses requests of callers and encodes what an entry answers itself.
--- a/crates/entry/src/caller.rs
+++ b/crates/entry/src/caller.rs
@@ -23,7 +23,7 @@
     time::Duration,
 };
 
-use cassiawheel_decide::{advice::EntryCandidate, advise};
+use cassiawheel_decide::{CallerLocation, advice::EntryCandidate, advise};
 use cassiawheel_model::{OutcomeKind, Timestamp};
 use cassiawheel_runtime::http::{ReplyBody, error_reply, json_reply};
 use hyper::{Request, Response, StatusCode, body::Incoming};
@@ -86,8 +86,13 @@
     let span = Duration::from_millis(settings.caller.advice_ms);
     let valid_until = Timestamp::now().deadline_after(span);
     let count = settings.caller.advice_addresses;
-    let domain = &settings.place.failure_domain;
-    json_reply(StatusCode::OK, &advise(&entries, domain, count, valid_until, &mut rand::rng()))
+    let place = &settings.place;
+    let location = CallerLocation {
+        failure_domain: &place.failure_domain,
+        region: Some(&place.region),
+        homes: &[],
+    };
+    json_reply(StatusCode::OK, &advise(&entries, location, count, valid_until, &mut rand::rng()))
 }
 
 /// This entry and its known peers, as input for the advice to callers.
@@ -96,6 +101,7 @@
     let own = EntryCandidate {
         caller_addr: settings.listen.caller,
         failure_domain: settings.place.failure_domain.clone(),
+        region: Some(settings.place.region.clone()),
         in_flight: shared.in_flight.load(Ordering::Relaxed),
         leaving: shared.leaving.load(Ordering::Acquire) || !shared.is_advised(),
     };
--- a/crates/entry/src/caller/attempts.rs
+++ b/crates/entry/src/caller/attempts.rs
@@ -241,6 +241,7 @@
             version: self.version.as_ref(),
             allowed: allowed.as_deref(),
             allowed_far: allowed_far.as_deref(),
+            homes: &self.request.homes,
             extra_capacity: if self.tracker.attempts() > 0 && self.request.is_direct() {
                 RETRY_EXTRA_SLOTS
             } else {
--- a/crates/entry/src/caller/identify.rs
+++ b/crates/entry/src/caller/identify.rs
@@ -6,8 +6,8 @@
 use cassiawheel_decide::{AdmitTier, affinity::prefix_digest, idempotency::repeatability};
 use cassiawheel_edge::engine_http::end_to_end_headers;
 use cassiawheel_model::{
-    Deadline, PresetRevision, PriorityClass, RequestDigest, RequestHead, RequestKey, ServiceName,
-    Timestamp, WorkspaceId,
+    Deadline, HomeRegions, PresetRevision, PriorityClass, RequestDigest, RequestHead, RequestKey,
+    ServiceName, Timestamp, WorkspaceId,
 };
 use cassiawheel_runtime::http::{BodyError, ReplyBody, error_reply, read_body_within};
 use hyper::{HeaderMap, Request, Response, StatusCode, body::Incoming, header::CONTENT_TYPE};
@@ -45,6 +45,8 @@
     pub(crate) fields: HeaderMap,
     /// Workspace that is sent to endpoints.
     pub(crate) workspace: Option<WorkspaceId>,
+    /// Regions in which the request may be served.
+    pub(crate) homes: HomeRegions,
     /// Maximum number of endpoints that the request is sent to.
     pub(crate) max_attempts: u32,
     /// Time by which the request should be admitted; bounds the wait in the admission queue.
@@ -153,6 +155,7 @@
         body,
         digest: OnceLock::new(),
         fields: HeaderMap::new(),
+        homes: HomeRegions::default(),
         max_attempts: settings.max_attempts,
         form: ResponseForm::WithOutcome,
         last_event: None,
--- a/crates/entry/src/caller/routed.rs
+++ b/crates/entry/src/caller/routed.rs
@@ -8,7 +8,7 @@
     time::Duration,
 };
 
-use cassiawheel_decide::{AdmitTier, CallerIndex, advise, pick_service};
+use cassiawheel_decide::{AdmitTier, CallerIndex, CallerLocation, advise, pick_service};
 use cassiawheel_edge::CallerHead;
 use cassiawheel_model::{
     NotRunReason, OutcomeKind, PresetRevision, PriorityClass, Repeatability, RequestHead,
@@ -59,6 +59,8 @@
     NoRoute,
     /// The API key is not valid for the route.
     UnknownKey,
+    /// No region is a home of both the route and the workspace.
+    NoHome,
     /// The head or body is invalid.
     Bad(StatusCode, String),
 }
@@ -136,9 +138,17 @@
     let own = &shared.settings.place.failure_domain;
     let requested = query.failure_domain.and_then(|name| name.parse().ok());
     let domain = requested.as_ref().unwrap_or(own);
+    let region = query.region.and_then(|name| name.parse().ok());
+    let index = routed.index.load();
+    let host = query.host.map(|host| host.to_ascii_lowercase());
+    let homes = index.as_ref().zip(host).map(|(index, host)| index.host_homes(&host));
+    let homes = homes.unwrap_or_default();
+    let location =
+        CallerLocation { failure_domain: domain, region: region.as_ref(), homes: &homes };
     let ttl = Duration::from_millis(settings.advice_ms);
     let valid_until = Timestamp::now().deadline_after(ttl);
-    let advice = advise(&entries, domain, settings.advice_addresses, valid_until, &mut rand::rng());
+    let advice =
+        advise(&entries, location, settings.advice_addresses, valid_until, &mut rand::rng());
     let near = entries.iter().filter(|e| e.failure_domain == *domain && !e.leaving).count();
     let count = if near > 0 { near } else { advice.addresses.len() };
     let addresses = &advice.addresses[..count.min(advice.addresses.len())];
@@ -181,6 +191,7 @@
         .workspace(rule, caller.key.as_deref())
         .map_err(|_| CallerRefusal::UnknownKey)?
         .cloned();
+    let homes = index.homes(rule, workspace.as_ref()).ok_or(CallerRefusal::NoHome)?;
     let head = request_head(&parts, &caller, rule, workspace.as_ref(), now)?;
     let is_first =
         caller.timeout.is_none_or(|caller_timeout| routed.is_first_try(&rule.name, caller_timeout));
@@ -194,6 +205,7 @@
         digest: OnceLock::new(),
         fields: routed.callers.end_to_end(&parts.headers),
         workspace,
+        homes,
         max_attempts: rule.max_attempts.max(1),
         admit_by: now.deadline_after(Duration::from_millis(rule.aim_ms / AIM_DIVISOR)),
         form: match rule.kind {
@@ -278,6 +290,11 @@
             Self::UnknownKey => {
                 error_reply(StatusCode::UNAUTHORIZED, "unknown-key", "the key is not valid")
             }
+            Self::NoHome => {
+                let status = StatusCode::SERVICE_UNAVAILABLE;
+                let message = "the route and the workspace have no home region in common";
+                error_reply(status, NotRunReason::NoHome.code(), message)
+            }
             Self::Bad(status, message) => error_reply(status, "bad-request", message),
         }
     }
--- a/crates/entry/src/control/gossip.rs
+++ b/crates/entry/src/control/gossip.rs
@@ -328,6 +328,7 @@
     let advice = EntryCandidate {
         caller_addr: record.caller_addr,
         failure_domain: record.failure_domain.clone(),
+        region: Some(record.region.clone()),
         in_flight: 0,
         leaving: record.leaving,
     };
--- a/crates/entry/src/control/peers.rs
+++ b/crates/entry/src/control/peers.rs
@@ -109,7 +109,8 @@
         } => {
             record_link_addr(shared, sender, inner_addr);
             send_if_newer(shared, sender, revision);
-            let advice = EntryCandidate { caller_addr, failure_domain, in_flight, leaving };
+            let region = None;
+            let advice = EntryCandidate { caller_addr, failure_domain, region, in_flight, leaving };
             let last_seen = Timestamp::now();
             let peer = PeerEntry { advice, incarnation, revision, advised, last_seen };
             shared.peers().apply_heartbeat(&instance, peer);
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -442,6 +442,7 @@
                 instance: report.instance.clone(),
                 version: version.clone(),
                 is_near: report.failure_domain == *own_domain,
+                region: Some(report.region.clone()),
                 path: EndpointPath::Agent,
                 tracker,
             });
@@ -478,6 +479,7 @@
                 instance: listed.instance.clone(),
                 version: candidate.version,
                 is_near: routed.settings.near_domains.contains(&listed.failure_domain),
+                region: routed.settings.regions.get(&listed.failure_domain).cloned(),
                 path: EndpointPath::Direct(listed.addr),
                 tracker,
             });
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod flags;
 pub mod gossip;
 pub mod header;
+pub mod home;
 pub mod ids;
 pub mod listing;
 pub mod manifest;
@@ -32,6 +33,7 @@
     QuarantinedRequest,
 };
 pub use header::HeaderField;
+pub use home::{EVERYWHERE, HomeRegions};
 pub use ids::{
     AttemptNonce, ChangeId, ChunkDigest, FailureDomain, InstanceId, LeaseHolder, ManifestDigest,
     ModelVersion, OperatorName, PresetName, RegionName, RequestId, RequestKey, ServiceName,
--- a/crates/model/src/outcome.rs
+++ b/crates/model/src/outcome.rs
@@ -50,6 +50,8 @@
     ConnectFailed,
     /// Several endpoints have ended while they ran the same request.
     Quarantined,
+    /// No region is a home of both the route and the workspace.
+    NoHome,
 }
 
 impl NotRunReason {
@@ -69,7 +71,8 @@
             | Self::KeyConflict
             | Self::UnknownService
             | Self::Cancelled
-            | Self::Quarantined => false,
+            | Self::Quarantined
+            | Self::NoHome => false,
         }
     }
 
@@ -90,6 +93,7 @@
             Self::Cancelled => "cancelled",
             Self::ConnectFailed => "connect-failed",
             Self::Quarantined => "quarantined",
+            Self::NoHome => "no-home",
         }
     }
 }
--- a/crates/model/src/routing.rs
+++ b/crates/model/src/routing.rs
@@ -7,7 +7,7 @@
 
 use macro_rules_attribute::apply;
 
-use crate::{ServiceName, WorkspaceId};
+use crate::{HomeRegions, ServiceName, WorkspaceId};
 
 /// Whether requests of a route may be retried, and how they are answered.
 #[apply(label!)]
@@ -55,6 +55,9 @@
     pub max_attempts: u32,
     /// Whether the route is open to callers without a key.
     pub is_public: bool,
+    /// Regions in which the route's requests may be served.
+    #[serde(default)]
+    pub homes: HomeRegions,
 }
 
 /// Size limits and timeouts of callers' connections.
@@ -79,6 +82,9 @@
     pub routes: Vec<RouteRule>,
     /// Workspaces by the API keys of their callers.
     pub keys: BTreeMap<String, WorkspaceId>,
+    /// Home regions of the workspaces that are restricted to some.
+    #[serde(default)]
+    pub workspace_homes: BTreeMap<WorkspaceId, HomeRegions>,
     /// Whether callers of routes that are not public need a key.
     pub needs_key: bool,
     /// Limits of callers' connections.
--- a/crates/model/src/settings/routing.rs
+++ b/crates/model/src/settings/routing.rs
@@ -1,10 +1,13 @@
 //! Settings of an entry that routes requests by the table of the preset in force.
 
-use std::{collections::BTreeSet, net::SocketAddr};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+};
 
 use macro_rules_attribute::apply;
 
-use crate::FailureDomain;
+use crate::{FailureDomain, RegionName};
 
 /// Settings in addition to [`super::EntrySettings`], derived from the platform's configuration.
 #[apply(record!)]
@@ -15,6 +18,8 @@
     pub listen_advice: SocketAddr,
     /// Failure domains in the entry's own region.
     pub near_domains: BTreeSet<FailureDomain>,
+    /// Regions by failure domain.
+    pub regions: BTreeMap<FailureDomain, RegionName>,
     /// Number of executor threads, one for each core available to the process.
     pub threads: usize,
     /// Time within which every endpoint has to serve a requested version, in milliseconds.
