Endpoints of an evacuated failure domain get no requests

Cause: rows op/evacuate/ZONE were not read, so an emptied zone got requests to the end of its evacuation.

Ways: flooding each order like a named version, which is lost with a full queue until the resend after 3 s; or orders as gossiped state with a cursor for each link, which a new link receives whole. The second was built: an entry that lost power or was cut off gets the orders with its first message. The highest position in the store applies, so late copies change nothing; a read of all rows ends the evacuations that it no longer contains.

--- a/crates/edge/src/feed.rs
+++ b/crates/edge/src/feed.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use cassiawheel_model::{ForcedPreset, ListedRow, TargetVersion};
+use cassiawheel_model::{EvacuationOrder, ForcedPreset, ListedRow, TargetVersion};
 
 use crate::{EdgeFuture, StoreError};
 
@@ -49,6 +49,8 @@
     Preset(Box<ForcedPreset>),
     /// A version that was assigned to a model.
     Version(TargetVersion),
+    /// An evacuation of a failure domain, or its end.
+    Evacuation(EvacuationOrder),
     /// A row that cannot be parsed, with the reason.
     Invalid(String),
 }
--- a/crates/entry/src/control/gossip.rs
+++ b/crates/entry/src/control/gossip.rs
@@ -15,6 +15,7 @@
 use cassiawheel_wire::ControlMessage;
 use smol::Timer;
 
+use super::operators;
 use crate::{
     limits::update_paces,
     overlay::{OverlayState, is_in_other_region},
@@ -100,20 +101,31 @@
         let (rows, crash_cursor) = crashes.rows_since(link.crash_cursor, link.number, now);
         let (limits, limit_cursor) =
             routed.limits.rate_limits().rows_since(link.limit_cursor, link.number, now);
+        let (evacuations, evacuation_cursor) =
+            routed.evacuations().orders_since(link.evacuation_cursor, link.number);
         max_items = max_items.max(records.len() + reports.len());
         if records.is_empty()
             && reports.is_empty()
             && rows.is_empty()
             && limits.is_empty()
+            && evacuations.is_empty()
             && !loads_are_due
         {
             link.cursor = cursor;
             link.crash_cursor = crash_cursor;
             link.limit_cursor = limit_cursor;
+            link.evacuation_cursor = evacuation_cursor;
             continue;
         }
-        let mut delta =
-            GossipDelta { revision, records, reports, loads: Vec::new(), crashes: rows, limits };
+        let mut delta = GossipDelta {
+            revision,
+            records,
+            reports,
+            loads: Vec::new(),
+            crashes: rows,
+            limits,
+            evacuations,
+        };
         let mut loads_at = link.loads_at;
         if loads_are_due {
             (delta.loads, cursor) = store.loads_since(cursor, link.number, now);
@@ -127,6 +139,7 @@
             link.cursor = cursor;
             link.crash_cursor = crash_cursor;
             link.limit_cursor = limit_cursor;
+            link.evacuation_cursor = evacuation_cursor;
             link.loads_at = loads_at;
         }
     }
@@ -223,6 +236,9 @@
     crashes.retain(|row| state.crashes.record(*row, Some(source), now));
     routed.crashes.apply_rows(&state.crashes, &crashes, Some(source));
     drop(state);
+    for order in delta.evacuations {
+        operators::apply_evacuation(shared, routed, order, Some(source));
+    }
     let mut limits = delta.limits;
     limits.retain(|row| routed.limits.merge_row(*row, source, now));
     let has_updates = !reports.is_empty() || !crashes.is_empty() || !limits.is_empty();
--- a/crates/entry/src/control/operators.rs
+++ b/crates/entry/src/control/operators.rs
@@ -8,9 +8,9 @@
     time::Duration,
 };
 
-use cassiawheel_decide::{FeedRole, FollowedRows};
+use cassiawheel_decide::{FeedRole, FollowedRows, LinkId};
 use cassiawheel_edge::{FeedError, FeedPage, OperatorRow};
-use cassiawheel_model::{AgeSource, Deadline, TargetVersion, Timestamp};
+use cassiawheel_model::{AgeSource, Deadline, EvacuationOrder, TargetVersion, Timestamp};
 use cassiawheel_wire::ControlMessage;
 use rand::Rng;
 use smol::Timer;
@@ -63,6 +63,9 @@
                 routed.follows_rows.store(true, Ordering::Relaxed);
                 let now = Timestamp::now();
                 let age = followed.version_age(now);
+                if followed.position.is_none() {
+                    end_missing_evacuations(&shared, &routed, &page);
+                }
                 let position = Some(page.position);
                 followed = FollowedRows { position, until: Some(now), by_others: false };
                 apply_page(&shared, &routed, page, age);
@@ -96,6 +99,7 @@
                 let named = TargetVersion { age_ms: age.as_millis() as u64, age_source, ..named };
                 apply_version(shared, routed, &named);
             }
+            OperatorRow::Evacuation(order) => apply_evacuation(shared, routed, order, None),
             OperatorRow::Invalid(detail) => {
                 log::error!(target: "preset", cause:% = detail; "Cannot decode an operator's row.");
             }
@@ -103,6 +107,38 @@
     }
 }
 
+/// Ends the evacuations whose rows a read of all rows no longer contains.
+fn end_missing_evacuations(
+    shared: &EntryShared,
+    routed: &RoutedState,
+    page: &FeedPage<OperatorRow>,
+) {
+    let listed = page.rows.iter().filter_map(|row| match row {
+        OperatorRow::Evacuation(order) => Some(order.failure_domain.clone()),
+        OperatorRow::Preset(_) | OperatorRow::Version(_) | OperatorRow::Invalid(_) => None,
+    });
+    let listed: Vec<_> = listed.collect();
+    let ended = routed.evacuations().ended_by(&listed, page.position);
+    for order in ended {
+        apply_evacuation(shared, routed, order, None);
+    }
+}
+
+/// Applies an evacuation or its end and, if it is new, sends it to the neighbours.
+pub(crate) fn apply_evacuation(
+    shared: &EntryShared,
+    routed: &RoutedState,
+    order: EvacuationOrder,
+    source: Option<LinkId>,
+) {
+    if !routed.evacuations().merge(order.clone(), source, Timestamp::now()) {
+        return;
+    }
+    log::info!(target: "preset", domain:% = order.failure_domain, position = order.position, active = order.is_active; "The evacuation of a failure domain changed.");
+    shared.rebuild_routes();
+    routed.overlay.notify_change();
+}
+
 /// Adds a named version and, if it is new, sends it to the neighbours.
 pub(crate) fn apply_version(shared: &EntryShared, routed: &RoutedState, named: &TargetVersion) {
     if !routed.add_version(named) {
--- a/crates/entry/src/overlay.rs
+++ b/crates/entry/src/overlay.rs
@@ -62,6 +62,8 @@
     pub(crate) crash_cursor: u64,
     /// Change number up to which rate limits were sent to the other end.
     pub(crate) limit_cursor: u64,
+    /// Change number up to which evacuations were sent to the other end.
+    pub(crate) evacuation_cursor: u64,
 }
 
 impl Default for Overlay {
@@ -147,7 +149,7 @@
         self.link_number += 1;
         let number = self.link_number;
         let (cursor, loads_at) = (LinkCursor::default(), Deadline(0));
-        let (crash_cursor, limit_cursor) = (0, 0);
+        let (crash_cursor, limit_cursor, evacuation_cursor) = (0, 0, 0);
         let link = OverlayLink {
             number,
             sender,
@@ -157,6 +159,7 @@
             loads_at,
             crash_cursor,
             limit_cursor,
+            evacuation_cursor,
         };
         self.links.push(link);
         number
--- a/crates/entry/src/routed.rs
+++ b/crates/entry/src/routed.rs
@@ -13,8 +13,8 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use cassiawheel_decide::{
-    CallerIndex, EndpointListing, EndpointTracker, FeedRole, PresetPull, RetryBudget,
-    VersionRegistry, plan::RolloutSchedule,
+    CallerIndex, EndpointListing, EndpointTracker, EvacuationTable, FeedRole, PresetPull,
+    RetryBudget, VersionRegistry, plan::RolloutSchedule,
 };
 use cassiawheel_edge::{
     CallerProtocol, EndpointFeed, EndpointProtocol, OperatorFeed, TableStore, WeightSource,
@@ -83,6 +83,7 @@
     pub(crate) overlay: Overlay,
     /// Rate limits that endpoints advertise.
     pub(crate) limits: Arc<LimitTracker>,
+    evacuations: Mutex<EvacuationTable>,
     /// Verdicts on requests during which endpoints have crashed.
     pub(crate) crashes: Arc<VerdictCache>,
     /// Load counters of endpoints by the hash of their agent's instance; read without a lock.
@@ -132,6 +133,7 @@
             versions_changed: bounded(1),
             overlay,
             limits,
+            evacuations: Mutex::default(),
             crashes: Arc::default(),
             counters_by_agent: ArcSwap::default(),
             budgets: ArcSwap::default(),
@@ -144,6 +146,11 @@
         self.listing.lock().unwrap_or_else(|poison| poison.into_inner())
     }
 
+    /// Locks the evacuations that operators have ordered.
+    pub(crate) fn evacuations(&self) -> MutexGuard<'_, EvacuationTable> {
+        self.evacuations.lock().unwrap_or_else(|poison| poison.into_inner())
+    }
+
     /// Locks the pull of a preset that other entries have and this one lacks.
     pub(crate) fn pull(&self) -> MutexGuard<'_, PresetPull<WireSender>> {
         self.pull.lock().unwrap_or_else(|poison| poison.into_inner())
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -464,8 +464,12 @@
         let mut counters_by_agent = HashMap::new();
         let reports = reports_by_endpoint(roster.members().map(|member| &member.report));
         let listing = routed.listing();
+        let evacuations = routed.evacuations();
         for candidate in direct_candidates(&listing, &preset, &reports) {
             let listed = candidate.listed;
+            if evacuations.is_evacuated(&listed.failure_domain) {
+                continue;
+            }
             if counters.processes.observe_start(&listed.instance, listed.born_at) {
                 counters.reset(&listed.instance);
                 routed.direct.retain_listed(|instance| *instance != listed.instance);
--- a/crates/model/src/gossip.rs
+++ b/crates/model/src/gossip.rs
@@ -5,8 +5,8 @@
 use macro_rules_attribute::apply;
 
 use crate::{
-    EndpointReport, FailureDomain, InstanceId, NamedLimit, PresetRevision, RegionName,
-    RequestDigest, Timestamp,
+    EndpointReport, EvacuationOrder, FailureDomain, InstanceId, NamedLimit, PresetRevision,
+    RegionName, RequestDigest, Timestamp,
 };
 
 /// Link-state record of an entry; the one with the highest incarnation and sequence applies.
@@ -131,6 +131,8 @@
     pub crashes: Vec<CrashRecord>,
     /// Rate limits of endpoints that changed or were confirmed.
     pub limits: Vec<LimitRecord>,
+    /// Evacuations that operators have ordered or ended.
+    pub evacuations: Vec<EvacuationOrder>,
 }
 
 impl CrashEvent {
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -8,6 +8,7 @@
 mod derives;
 
 pub mod endpoint;
+pub mod evacuation;
 pub mod finding;
 pub mod flags;
 pub mod gossip;
@@ -27,6 +28,7 @@
 pub use endpoint::{
     EndpointReport, EndpointRole, EndpointState, LoadReport, NamedLimit, StagedWeights,
 };
+pub use evacuation::EvacuationOrder;
 pub use finding::{FindingList, InputFinding};
 pub use gossip::{
     CrashEvent, CrashRecord, EntryRecord, GossipDelta, LimitRecord, LimitState, LoadRecord,
