Cold endpoints get a bounded rate from all entries together

Cause: an endpoint that has just started is idle in every entry's view, so all entries send to it at once; a cold one tolerates only so many requests a second. Its row says for how long it is cold.

Change: while an endpoint is cold it is paced like one that names a limit: a few entries of its failure domain send at the rate between them, all others nothing. The rate is at most half of the bound, because each part of a partitioned network chooses holders of its own. Endpoints of a domain whose evacuation has just ended count as cold for the service's cold time, since their rows may not show it yet.

--- a/crates/decide/src/endpoint_tracker.rs
+++ b/crates/decide/src/endpoint_tracker.rs
@@ -65,6 +65,11 @@
     /// Allows no request.
     pub const ZERO: Self = Self { interval_us: u64::MAX, first_us: u64::MAX };
 
+    /// Returns the slower of two paces.
+    pub fn slower(self, other: Self) -> Self {
+        if other.interval_us > self.interval_us { other } else { self }
+    }
+
     /// Pace of `rate` requests per second.
     pub fn from_rate(rate: f64) -> Self {
         // The cast saturates: a rate close to zero allows no request.
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -70,7 +70,7 @@
 pub use peering::{AgentLocation, chunk_peers};
 pub use preset_holder::{Adoption, PresetHolder, StartHold};
 pub use preset_pull::{PeerRevision, PresetPull, PullStep, PullView};
-pub use rate_limits::{HolderRank, RateLimits};
+pub use rate_limits::{ColdBound, HolderRank, RateLimits};
 pub use restarts::RestartDetector;
 pub use resync::ResyncSchedule;
 pub use retry::{AttemptFailure, RepeatGuard, RetryBudget, RetryStep, RetryTracker};
--- a/crates/decide/src/listing.rs
+++ b/crates/decide/src/listing.rs
@@ -60,6 +60,8 @@
     outage_ms: u64,
     /// Until when a requested snapshot is expected from another entry.
     snapshot_until: Deadline,
+    /// Until when endpoints are cold, by their newest rows.
+    cold_until: HashMap<InstanceId, Deadline>,
 }
 
 impl EndpointListing {
@@ -72,6 +74,7 @@
             grace: HashMap::new(),
             outage_ms: heartbeat_ms,
             snapshot_until: Deadline(0),
+            cold_until: HashMap::new(),
         }
     }
 
@@ -90,6 +93,11 @@
         self.rows.values().filter_map(|row| row.endpoint.as_ref())
     }
 
+    /// Returns until when an endpoint is cold; `None` if it never was by its newest row.
+    pub fn cold_until(&self, instance: &InstanceId) -> Option<Deadline> {
+        self.cold_until.get(instance).copied()
+    }
+
     /// Returns the newest endpoint at each address, of services for which `is_known` holds.
     ///
     /// After a power loss the rows of the former processes remain until these have missed
@@ -165,7 +173,7 @@
         }
         let grace = &self.grace;
         update.rows.retain(|row| row.endpoint.is_some() || !grace.contains_key(&row.instance));
-        self.take_rows(&update.rows);
+        self.take_rows(&update.rows, update.asked_at);
         self.advance(&update);
         update
     }
@@ -182,7 +190,7 @@
             let position = update.position;
             self.rows.retain(|instance, row| row.position > position || kept.contains(&instance));
         }
-        self.take_rows(&update.rows);
+        self.take_rows(&update.rows, update.asked_at);
         self.advance(update);
         true
     }
@@ -200,7 +208,7 @@
             self.grace.remove(&instance);
             let row =
                 ListedRow { instance, position: self.position, endpoint: None, is_unusable: false };
-            self.take_rows(std::slice::from_ref(&row));
+            self.take_rows(std::slice::from_ref(&row), now);
             removed.push(row);
         }
         removed
@@ -242,7 +250,7 @@
         }
     }
 
-    fn take_rows(&mut self, rows: &[ListedRow]) {
+    fn take_rows(&mut self, rows: &[ListedRow], asked_at: Timestamp) {
         for row in rows {
             let is_old = self.rows.get(&row.instance).is_some_and(|known| {
                 // Repeating a row does not restore an endpoint removed by `forget`.
@@ -255,7 +263,24 @@
             if row.endpoint.is_some() || row.is_unusable {
                 self.grace.remove(&row.instance);
             }
-            self.rows.insert(row.instance.clone(), row.clone());
+            let known = self.rows.insert(row.instance.clone(), row.clone());
+            // A copy of a known row may come from a later read; the time since the row was written
+            // is what counts.
+            if known.is_none_or(|known| known.position < row.position) {
+                self.update_cold(row, asked_at);
+            }
+        }
+    }
+
+    fn update_cold(&mut self, row: &ListedRow, asked_at: Timestamp) {
+        match row.endpoint.as_ref().map(|endpoint| endpoint.cold_ms) {
+            None | Some(0) => {
+                self.cold_until.remove(&row.instance);
+            }
+            Some(cold_ms) => {
+                let until = asked_at.deadline_after(Duration::from_millis(cold_ms));
+                self.cold_until.insert(row.instance.clone(), until);
+            }
         }
     }
 
--- a/crates/decide/src/rate_limits.rs
+++ b/crates/decide/src/rate_limits.rs
@@ -92,6 +92,43 @@
     pub phase: f64,
 }
 
+impl HolderRank {
+    /// Pace of this entry at an endpoint that accepts `rate` requests per second from all entries,
+    /// with `extra` holders in addition to the usual ones.
+    fn pace(&self, rate: f64, extra: usize) -> EndpointPace {
+        let wanted = (rate / MIN_HOLDER_RATE) as usize;
+        let holders = wanted.clamp(1, MAX_HOLDERS) + extra;
+        let holders = holders.min(self.candidates.max(1));
+        if self.rank >= holders {
+            return EndpointPace::ZERO;
+        }
+        let fraction = (self.rank + 1) as f64 / holders as f64;
+        EndpointPace::from_rate(rate.max(MIN_RATE) / holders as f64).with_first_delay(fraction)
+    }
+}
+
+/// Bound on the requests that a cold endpoint gets in one second.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ColdBound {
+    /// Rate that the endpoint tolerates, in requests per second.
+    pub rate: f64,
+    /// Factor by which one second may exceed the rate.
+    pub overshoot: f64,
+    /// Requests of one second that are allowed in addition.
+    pub slack: f64,
+}
+
+impl ColdBound {
+    /// Pace of the entry `holder` at a cold endpoint.
+    ///
+    /// All entries together use at most half of the bound: while the network is partitioned, each
+    /// part chooses holders of its own.
+    pub fn pace(self, holder: HolderRank) -> EndpointPace {
+        let bound = self.rate * self.overshoot + self.slack;
+        holder.pace(self.rate.min(bound / 2.0), 0)
+    }
+}
+
 impl RateLimits {
     /// Whether no limit is known.
     pub fn is_empty(&self) -> bool {
@@ -170,17 +207,8 @@
         let known = self.limits.get(&endpoint)?;
         match known.state {
             LimitState::Named(limit) => {
-                let wanted = (limit.rate() / MIN_HOLDER_RATE) as usize;
-                let holders = wanted.clamp(1, MAX_HOLDERS) + known.missed_confirmations(limit, now);
-                let holders = holders.min(holder.candidates.max(1));
-                Some(match holder.rank < holders {
-                    true => {
-                        let rate = limit.rate().max(MIN_RATE) / holders as f64;
-                        let fraction = (holder.rank + 1) as f64 / holders as f64;
-                        EndpointPace::from_rate(rate).with_first_delay(fraction)
-                    }
-                    false => EndpointPace::ZERO,
-                })
+                let missed = known.missed_confirmations(limit, now);
+                Some(holder.pace(limit.rate(), missed))
             }
             LimitState::Ended(limit) => {
                 let doublings = doublings(known.observed_at, now);
--- a/crates/decide/tests/caller_index.rs
+++ b/crates/decide/tests/caller_index.rs
@@ -38,6 +38,7 @@
         routes,
         keys,
         workspace_homes: BTreeMap::new(),
+        cold_limits: BTreeMap::new(),
         needs_key: true,
         limits,
     }))
--- a/crates/decide/tests/listing.rs
+++ b/crates/decide/tests/listing.rs
@@ -26,6 +26,7 @@
         failure_domain: FailureDomain::new("hall").expect("valid"),
         slots: 16,
         is_leaving,
+        cold_ms: 0,
         born_at: None,
         version: None,
     }
--- a/crates/entry/src/limits.rs
+++ b/crates/entry/src/limits.rs
@@ -3,7 +3,7 @@
 //! `response → rate limits → neighbours`, and `rate limits, present entries → paces`
 
 use std::{
-    collections::HashSet,
+    collections::{HashMap, HashSet},
     sync::{
         Mutex, MutexGuard,
         atomic::{AtomicBool, AtomicU64, Ordering},
@@ -12,11 +12,11 @@
 };
 
 use cassiawheel_decide::{
-    HolderRank, RateLimits,
+    ColdBound, EndpointListing, EndpointPace, EvacuationTable, HolderRank, RateLimits,
     rank::{rendezvous_weight, subject_of},
 };
 use cassiawheel_model::{
-    EntryRecord, FailureDomain, InstanceId, LimitRecord, NamedLimit, Timestamp,
+    EntryRecord, FailureDomain, InstanceId, LimitRecord, ListedEndpoint, NamedLimit, Timestamp,
 };
 use smol::channel::Sender;
 
@@ -29,6 +29,8 @@
 pub(crate) struct LimitTracker {
     rate_limits: Mutex<RateLimits>,
     has_limits: AtomicBool,
+    /// Whether an endpoint is cold.
+    has_cold: AtomicBool,
     /// Time at which the paces were last updated, in milliseconds.
     paced_at: AtomicU64,
     /// Wakes the task that sends changes to neighbours and updates the paces.
@@ -41,6 +43,7 @@
         Self {
             rate_limits: Mutex::default(),
             has_limits: AtomicBool::new(false),
+            has_cold: AtomicBool::new(false),
             paced_at: AtomicU64::new(0),
             waker,
         }
@@ -52,6 +55,13 @@
         let _ = self.waker.try_send(());
     }
 
+    /// Records that an endpoint is cold, so that its pace has to be determined.
+    pub(crate) fn notify_cold(&self) {
+        self.has_cold.store(true, Ordering::Relaxed);
+        self.paced_at.store(0, Ordering::Relaxed);
+        let _ = self.waker.try_send(());
+    }
+
     /// Locks the advertised rate limits.
     pub(crate) fn rate_limits(&self) -> MutexGuard<'_, RateLimits> {
         self.rate_limits.lock().unwrap_or_else(|poison| poison.into_inner())
@@ -94,12 +104,38 @@
     }
 }
 
-/// Updates the pace of each endpoint that advertises a limit or recently did.
+/// Returns the bound on requests to an endpoint that is cold; `None` if it is not.
+///
+/// The endpoints of an evacuated domain may have become cold before they are used again, and their
+/// rows may not show it yet.
+pub(crate) fn cold_bound(
+    routed: &RoutedState,
+    listing: &EndpointListing,
+    evacuations: &EvacuationTable,
+    listed: &ListedEndpoint,
+    now: Timestamp,
+) -> Option<ColdBound> {
+    let index = routed.index.load();
+    let cold = *index.as_ref()?.table().cold_limits.get(&listed.service)?;
+    let after_evacuation = evacuations
+        .ended_at(&listed.failure_domain)
+        .map(|ended_at| ended_at.deadline_after(Duration::from_millis(cold.duration_ms)));
+    let until = listing.cold_until(&listed.instance).max(after_evacuation)?;
+    let settings = &routed.settings;
+    (!until.is_past(now)).then(|| ColdBound {
+        rate: cold.limit.rate(),
+        overshoot: settings.cold_overshoot,
+        slack: settings.cold_slack,
+    })
+}
+
+/// Updates the pace of each endpoint that is cold, advertises a limit or recently did.
 pub(crate) fn update_paces(shared: &EntryShared, routed: &RoutedState, now: Timestamp) {
     let limits = &routed.limits;
     let update_at =
         Timestamp(limits.paced_at.load(Ordering::Relaxed)).deadline_after(PACE_INTERVAL);
-    if !limits.has_limits.load(Ordering::Relaxed) || !update_at.is_past(now) {
+    let has_cold = limits.has_cold.load(Ordering::Relaxed);
+    if !has_cold && !limits.has_limits.load(Ordering::Relaxed) || !update_at.is_past(now) {
         return;
     }
     limits.paced_at.store(now.0, Ordering::Relaxed);
@@ -108,25 +144,39 @@
     let present = state.present(own);
     let present: Vec<_> = present.into_iter().filter(|record| !record.leaving).collect();
     let listing = routed.listing();
+    let evacuations = routed.evacuations();
     let rate_limits = limits.rate_limits();
     let routes = shared.routes.load();
+    let listed: HashMap<_, _> =
+        listing.endpoints().map(|listed| (&listed.instance, listed)).collect();
     let mut is_change = false;
+    let cold: HashMap<_, _> = listing
+        .endpoints()
+        .filter_map(|listed| {
+            let bound = cold_bound(routed, &listing, &evacuations, listed, now)?;
+            Some((&listed.instance, bound))
+        })
+        .collect();
     for candidate in routes.candidates() {
         let subject = subject_of(candidate.instance.as_str());
-        if !rate_limits.contains(subject) {
+        let listed = listed.get(&candidate.instance).copied();
+        let cold = cold.get(&candidate.instance);
+        if cold.is_none() && !rate_limits.contains(subject) {
             is_change |= candidate.tracker.is_paced();
             candidate.tracker.set_pace(None, now);
             continue;
         }
-        let listed = listing.endpoints().find(|listed| listed.instance == candidate.instance);
         let domain = listed.map(|listed| &listed.failure_domain);
         let rank = holder_rank(subject, domain, own, &present);
-        let pace = rate_limits.pace(subject, rank, now);
+        let paces = [rate_limits.pace(subject, rank, now), cold.map(|bound| bound.pace(rank))];
+        let pace = paces.into_iter().flatten().reduce(EndpointPace::slower);
         is_change |= pace.is_some() != candidate.tracker.is_paced();
         candidate.tracker.set_pace(pace, now);
     }
     shared.metrics.limited.set(rate_limits.advertised_count() as i64);
-    drop((rate_limits, listing, state));
+    limits.has_cold.store(!cold.is_empty(), Ordering::Relaxed);
+    drop((cold, listed));
+    drop((rate_limits, evacuations, listing, state));
     if is_change {
         shared.rebuild_routes();
     }
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -12,8 +12,8 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use cassiawheel_decide::{
-    Adoption, EndpointPath, EndpointRoster, EntryRoster, PresetHolder, RetryBudget, RouteCandidate,
-    RouteSnapshot, ServiceRoutes, SlotCompetitor, StartHold, rank::subject_of,
+    Adoption, EndpointPace, EndpointPath, EndpointRoster, EntryRoster, PresetHolder, RetryBudget,
+    RouteCandidate, RouteSnapshot, ServiceRoutes, SlotCompetitor, StartHold, rank::subject_of,
 };
 use cassiawheel_edge::{TableStore, WeightSource};
 use cassiawheel_model::{
@@ -27,6 +27,7 @@
     caller::EntryAdmission,
     control::{peers, staging::StagingRow, store::MeteredTable},
     counters::CounterRegistry,
+    limits::cold_bound,
     link::AgentLink,
     metrics::EntryMetrics,
     routed::{RoutedState, direct_candidates, reports_by_endpoint},
@@ -465,6 +466,7 @@
         let reports = reports_by_endpoint(roster.members().map(|member| &member.report));
         let listing = routed.listing();
         let evacuations = routed.evacuations();
+        let now = Timestamp::now();
         for candidate in direct_candidates(&listing, &preset, &reports) {
             let listed = candidate.listed;
             if evacuations.is_evacuated(&listed.failure_domain) {
@@ -476,6 +478,13 @@
             }
             let tracker = counters.endpoint(&listed.instance);
             tracker.set_hard_limit(candidate.limit);
+            if !tracker.is_paced()
+                && cold_bound(routed, &listing, &evacuations, listed, now).is_some()
+            {
+                // No request is sent until this entry's share of the limit is known.
+                tracker.set_pace(Some(EndpointPace::ZERO), now);
+                routed.limits.notify_cold();
+            }
             if let Some(report) = reports.get(&listed.addr) {
                 counters_by_agent.insert(subject_of(report.instance.as_str()), tracker.clone());
             }
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -46,6 +46,6 @@
 pub use outcome::{NotRunReason, OutcomeKind, RequestOutcome};
 pub use preset::{ForcedPreset, PresetContent, PresetRevision, ServiceKind, ServiceTarget};
 pub use request::{PriorityClass, Repeatability, RequestDigest, RequestHead};
-pub use routing::{CallerLimits, CallerTable, RouteKind, RouteRule, RouteShare};
+pub use routing::{CallerLimits, CallerTable, ColdLimit, RouteKind, RouteRule, RouteShare};
 pub use target::{AgeSource, EngineProfile, ModelName, OriginPlace, TargetVersion};
 pub use time::{Deadline, Timestamp};
--- a/crates/model/src/listing.rs
+++ b/crates/model/src/listing.rs
@@ -23,6 +23,9 @@
     pub slots: u32,
     /// Whether the endpoint is shutting down and must receive no new requests.
     pub is_leaving: bool,
+    /// How long the endpoint stays cold from the writing of its row, in milliseconds.
+    #[serde(default)]
+    pub cold_ms: u64,
     /// Start time of the process as reported by itself. A process with a later start time has no
     /// state of an earlier one, even under the same name.
     #[serde(default)]
--- a/crates/model/src/routing.rs
+++ b/crates/model/src/routing.rs
@@ -7,7 +7,7 @@
 
 use macro_rules_attribute::apply;
 
-use crate::{HomeRegions, ServiceName, WorkspaceId};
+use crate::{HomeRegions, NamedLimit, ServiceName, WorkspaceId};
 
 /// Whether requests of a route may be retried, and how they are answered.
 #[apply(label!)]
@@ -74,6 +74,16 @@
     pub idle_ms: u64,
 }
 
+/// Load that an endpoint tolerates after its start, from all entries together.
+#[apply(record!)]
+#[derive(Copy, Eq)]
+pub struct ColdLimit {
+    /// How long an endpoint stays cold, in milliseconds.
+    pub duration_ms: u64,
+    /// Rate of requests that a cold endpoint tolerates.
+    pub limit: NamedLimit,
+}
+
 /// Routes, API keys and limits of callers under one preset.
 #[apply(record!)]
 #[derive(Eq)]
@@ -87,6 +97,9 @@
     pub workspace_homes: BTreeMap<WorkspaceId, HomeRegions>,
     /// Whether callers of routes that are not public need a key.
     pub needs_key: bool,
+    /// Limits of cold endpoints, by service.
+    #[serde(default)]
+    pub cold_limits: BTreeMap<ServiceName, ColdLimit>,
     /// Limits of callers' connections.
     pub limits: CallerLimits,
 }
