Refusals by switching endpoints use up no attempts

Cause: endpoints switch in waves, and the three attempts of a request may each meet an endpoint of the wave that has just begun: the caller is told "not run, switching" although endpoints serve.

Ruled out: more attempts for every failure, which multiplies the load of endpoints that are full. A switching endpoint refuses without work.

Change: up to twelve such refusals do not count as attempts, and the endpoint stays a candidate. The backoff and the deadline hold as before.

The new test fails on the code before: the third refusal ended the request.

--- a/crates/decide/src/retry.rs
+++ b/crates/decide/src/retry.rs
@@ -27,7 +27,8 @@
 pub enum RetryStep {
     /// Try another endpoint at this time.
     Retry(Deadline),
-    /// Try again under the newer preset at this time; the endpoint itself is healthy.
+    /// Try again at this time, also at the same endpoint: it switches weights, or it knows a newer
+    /// preset.
     Reroute(Deadline),
     /// Give up and report this failure to the caller.
     Stop(AttemptFailure),
@@ -61,12 +62,19 @@
 /// Upper bound of the backoff, in milliseconds.
 const MAX_BACKOFF_MS: u64 = 200;
 
+/// Refusals by endpoints that switch weights which do not count as attempts.
+///
+/// Endpoints switch in waves, so an attempt may meet the next wave just after the last one has
+/// finished. With the backoff, this many refusals span about a second.
+const MAX_SWITCHING_REFUSALS: u32 = 12;
+
 /// Retry state of one request.
 #[derive(Debug, Clone)]
 pub struct RetryTracker {
     guard: RepeatGuard,
     deadline: Deadline,
     attempts: u32,
+    switching_refusals: u32,
     max_attempts: u32,
     unknown: Option<String>,
     refused: Option<NotRunReason>,
@@ -75,7 +83,15 @@
 impl RetryTracker {
     /// Creates the state of a request without attempts.
     pub fn new(guard: RepeatGuard, deadline: Deadline, max_attempts: u32) -> Self {
-        Self { guard, deadline, attempts: 0, max_attempts, unknown: None, refused: None }
+        Self {
+            guard,
+            deadline,
+            attempts: 0,
+            switching_refusals: 0,
+            max_attempts,
+            unknown: None,
+            refused: None,
+        }
     }
 
     /// Counts the start of an attempt.
@@ -102,13 +118,17 @@
             AttemptFailure::Unanswered(_) => false,
         };
         let stale = end == AttemptFailure::NotRun(NotRunReason::StaleRevision);
+        let switching = end == AttemptFailure::NotRun(NotRunReason::Switching)
+            && self.switching_refusals < MAX_SWITCHING_REFUSALS;
+        self.switching_refusals += u32::from(switching);
         self.record(end.clone());
         let next_at = self.next_at(now, rng);
-        let exhausted = self.attempts >= self.max_attempts || next_at >= self.deadline;
+        let counted = self.attempts.saturating_sub(self.switching_refusals);
+        let exhausted = counted >= self.max_attempts || next_at >= self.deadline;
         if !may_repeat || exhausted || !budget.withdraw() {
             return self.stop(end);
         }
-        if stale { RetryStep::Reroute(next_at) } else { RetryStep::Retry(next_at) }
+        if stale || switching { RetryStep::Reroute(next_at) } else { RetryStep::Retry(next_at) }
     }
 
     fn record(&mut self, end: AttemptFailure) {
--- a/crates/decide/tests/retry.rs
+++ b/crates/decide/tests/retry.rs
@@ -120,3 +120,23 @@
     budgets[0].set_burst(slack / 9.0);
     assert_eq!(retries(&budgets[0]), 0, "a larger share is earned and not given");
 }
+
+/// Guards against refusing a request during a rollout although endpoints serve: each attempt meets
+/// an endpoint of the wave that has just begun to switch.
+#[test]
+fn refusals_by_switching_endpoints_use_up_no_attempts() {
+    let mut request = TestRequest::new(RepeatGuard::None);
+    for _ in 0..6 {
+        let step = request.after(refused(NotRunReason::Switching));
+        assert!(matches!(step, RetryStep::Reroute(_)), "{step:?}");
+    }
+    // Other failures still count, and waiting ends at some point.
+    assert!(matches!(request.after(refused(NotRunReason::Overloaded)), RetryStep::Retry(_)));
+    let mut rest = 0;
+    while let RetryStep::Reroute(_) | RetryStep::Retry(_) =
+        request.after(refused(NotRunReason::Switching))
+    {
+        rest += 1;
+    }
+    assert!(rest <= 20, "{rest} further attempts");
+}
