The stand-in of an endpoint refuses connections from its crash on

Cause of the known red test a_request_that_ends_endpoints_reaches_few_of_them: a crash of the stand-in broke its connections at once, but its listener was closed only when the accept loop ran next. On a busy machine an entry that probed the address in between found it open and counted no crash, so the request was sent on. A process that crashes closes both together.

Ruled out: the entry's probe itself; it is right to take an open port for a process that lives.

Change: the stand-in shuts its listening socket down before its connections break. The new test connects while no other task can run; before the change it gets a connection.

--- a/crates/testkit/src/stand_in.rs
+++ b/crates/testkit/src/stand_in.rs
@@ -11,7 +11,12 @@
 pub mod rows;
 pub mod table;
 
-use std::{collections::HashMap, future::Future, net::SocketAddr, sync::Arc};
+use std::{
+    collections::HashMap,
+    future::Future,
+    net::{Shutdown, SocketAddr},
+    sync::Arc,
+};
 
 use cassiawheel_runtime::{
     ShutdownSignal, ShutdownTrigger,
@@ -20,6 +25,7 @@
 };
 use hyper::{Request, Response, StatusCode, Uri, body::Incoming};
 use smol::net::TcpListener;
+use socket2::SockRef;
 
 use crate::FaultSwitches;
 
@@ -28,11 +34,17 @@
 pub struct RunningStandIn {
     /// Address on which it listens.
     pub addr: SocketAddr,
+    listener: TcpListener,
     trigger: ShutdownTrigger,
 }
 
 impl Drop for RunningStandIn {
     fn drop(&mut self) {
+        // The accept loop closes its listener only when it runs next. Connections have to be refused
+        // from now on, as after the end of a process.
+        if let Err(error) = SockRef::from(&self.listener).shutdown(Shutdown::Both) {
+            log::warn!(target: "stand-in", addr:% = self.addr, cause:% = error; "Cannot close a listener.");
+        }
         self.trigger.fire();
     }
 }
@@ -52,7 +64,7 @@
     let (trigger, shutdown): (ShutdownTrigger, ShutdownSignal) = ShutdownTrigger::new();
     let limits = ListenerLimits { connections: 4_096, ..ListenerLimits::default() };
     let handler = Arc::new(handler);
-    spawn(serve(listener, limits, shutdown, move |request, _| {
+    spawn(serve(listener.clone(), limits, shutdown, move |request, _| {
         let (switches, handler) = (switches.clone(), handler.clone());
         async move {
             let delay = switches.delay();
@@ -71,7 +83,7 @@
         }
     }))
     .detach();
-    Ok(RunningStandIn { addr, trigger })
+    Ok(RunningStandIn { addr, listener, trigger })
 }
 
 /// Parses the query string into names and values, without percent-decoding.
--- a/crates/testkit/tests/crashing_requests.rs
+++ b/crates/testkit/tests/crashing_requests.rs
@@ -1,10 +1,10 @@
 //! Requests that crash every endpoint which starts to run them, on the users' platform.
 
-use std::time::Duration;
+use std::{io::ErrorKind, net::TcpStream, time::Duration};
 
 use cassiawheel_edge::HttpClient;
 use cassiawheel_model::{Deadline, Timestamp};
-use cassiawheel_testkit::{PlatformSite, SiteCall};
+use cassiawheel_testkit::{PlatformSite, SiteCall, stand_in::replica::Replica};
 use http_body_util::BodyExt;
 use hyper::StatusCode;
 use smol::Timer;
@@ -33,6 +33,22 @@
     Ok(body.collect().await.is_ok().then_some(head.status))
 }
 
+/// An endpoint that has crashed must refuse connections at once; otherwise an entry that probes it
+/// counts no crash, and the request reaches further endpoints.
+#[test]
+fn a_crashed_endpoint_refuses_connections_at_once() {
+    let test = async {
+        let replica = Replica::new("i-1");
+        let addr = replica.serve("127.0.0.1:0".parse()?).await?;
+        replica.end();
+        // The only thread of the executor is busy here, so no other task has run since.
+        let refused = TcpStream::connect(addr).err().map(|error| error.kind());
+        assert_eq!(refused, Some(ErrorKind::ConnectionRefused));
+        anyhow::Ok(())
+    };
+    cassiawheel_runtime::run(1, test).expect("the executor runs").expect("the test passes");
+}
+
 /// A request that crashes endpoints must be quarantined at every entry after a few crashes.
 #[test]
 fn a_request_that_ends_endpoints_reaches_few_of_them() {
