A version bridges the time until a newer one arrives

Cause: with two versions named seconds apart and the origin away between them, nobody serves for three to five seconds. While the manifest of version 3 could not be read (6.7 s), no orders were planned at all.

Ruled out: slow orders or manifests while the origin answers (18 ms).

Change, from known figures (least time of a copy, both deadlines, what an endpoint holds): all endpoints complete a version of which a quarter is staged if there is not time for three attempts at the newest; half of them then keep it until the newest is complete somewhere and switch to it 6 s before the older one ends (3 s if half of the newest has arrived). An idle endpoint completes and serves a version if that gains 300 ms. The newest version with a known manifest is planned.

The expectation of a_mostly_staged_version_is_completed changes from six to all twelve endpoints: the rest would compete for the origin.

--- a/crates/decide/src/plan.rs
+++ b/crates/decide/src/plan.rs
@@ -28,6 +28,7 @@
 
 pub use self::schedule::{RolloutSchedule, ScheduledVersion};
 use self::{
+    schedule::FleetProgress,
     service::ServicePlan,
     weights::{FULLY_HELD, WantedWeights, held_percent},
 };
@@ -100,10 +101,7 @@
             ahead: ahead.filter(|ahead| ahead.manifest != wanted.manifest),
             max_concurrent: max_concurrent_switches(target, selected.len()),
             schedule: input.rollout,
-            intermediate: match input.rollout {
-                Some(schedule) => schedule.intermediate_endpoints(&selected),
-                None => BTreeSet::new(),
-            },
+            fleet: fleet_progress(wanted, input.rollout, &selected),
             selected,
         };
         orders.extend(service.orders());
@@ -111,6 +109,22 @@
     orders
 }
 
+fn fleet_progress(
+    wanted: WantedWeights<'_>,
+    rollout: Option<&RolloutSchedule>,
+    selected: &[&EndpointReport],
+) -> FleetProgress {
+    let percents = selected.iter().map(|report| held_percent(report, wanted));
+    FleetProgress {
+        newest: Some(wanted.manifest),
+        newest_percent: percents.max().unwrap_or_default(),
+        intermediate: match rollout {
+            Some(schedule) => schedule.intermediate_endpoints(selected),
+            None => BTreeSet::new(),
+        },
+    }
+}
+
 /// How many of `count` endpoints may be out of service at a time, at least one.
 fn max_concurrent_switches(target: &ServiceTarget, count: usize) -> usize {
     let serving = (count as u64 * u64::from(target.serving_percent)).div_ceil(100);
--- a/crates/decide/src/plan/schedule.rs
+++ b/crates/decide/src/plan/schedule.rs
@@ -6,7 +6,7 @@
     Deadline, EndpointReport, EndpointState, InstanceId, ManifestDigest, ModelVersion, Timestamp,
 };
 
-use super::weights::{WantedWeights, held_percent};
+use super::weights::{FULLY_HELD, WantedWeights, held_percent};
 use crate::rank::{rendezvous_weight, subject_of};
 
 /// Deadlines of the named versions of one model, and the versions past theirs.
@@ -16,10 +16,22 @@
     pub versions: Vec<ScheduledVersion>,
     /// Versions that must no longer answer; an endpoint with one of them counts as idle.
     pub retired: Vec<ModelVersion>,
+    /// Least time in which a whole version can be fetched from the origin, in milliseconds.
+    pub copy_ms: u64,
     /// Current time.
     pub now: Timestamp,
 }
 
+/// Progress of all endpoints of a service.
+pub(super) struct FleetProgress {
+    /// Manifest of the newest version.
+    pub(super) newest: Option<ManifestDigest>,
+    /// Largest percentage of the newest version that an endpoint holds.
+    pub(super) newest_percent: u32,
+    /// Endpoints that may serve an intermediate version before the newest.
+    pub(super) intermediate: BTreeSet<InstanceId>,
+}
+
 /// A named version and the deadline after which no older version may answer.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ScheduledVersion {
@@ -40,7 +52,24 @@
 const MIN_SERVING_MS: u64 = 3_000;
 
 /// Percentage of a version from which its transfer is completed although a newer one is named.
-const COMPLETION_PERCENT: u32 = 50;
+const COMPLETION_PERCENT: u32 = 25;
+
+/// Shortest time between the deadlines of two versions in which the first one can serve, in
+/// milliseconds.
+const MIN_GAP_MS: u64 = 1_000;
+
+/// Percentage of the newest version from which it is expected to arrive in time.
+const NEARLY_ARRIVED_PERCENT: u32 = 50;
+
+/// Fetches and switches in succession for which there has to be time before an older version is
+/// dropped in favour of the newest: the origin may fail during the first of them.
+const ATTEMPTS_IN_TIME: u64 = 3;
+
+/// Time in which an idle engine loads staged weights, in milliseconds.
+const LOAD_MS: u64 = 400;
+
+/// Shortest time that serving a version has to gain, in milliseconds.
+const MIN_GAIN_MS: u64 = 300;
 
 /// Typical duration of a switch, in milliseconds.
 ///
@@ -81,35 +110,77 @@
         self.versions.iter().position(|known| known.version == *version).unwrap_or(0)
     }
 
-    /// Returns the intermediate version, older than the newest, to serve next, if any.
+    /// Returns the intermediate version, older than the newest, to complete or serve next, if any.
     ///
-    /// A version may be superseded when most of it is staged. If all endpoints dropped it
-    /// for the newest one, none would serve anything between the deadline of their
-    /// current version and the arrival of the newest. Endpoints that hold most of the
-    /// intermediate version complete it if that deadline is close.
+    /// A version may be superseded before it serves. If all endpoints dropped it for the newest
+    /// one, none would serve anything between the deadline of their current version and the arrival
+    /// of the newest, which takes long if the origin becomes unavailable.
     pub(super) fn intermediate_version(
         &self,
         report: &EndpointReport,
+        fleet: &FleetProgress,
     ) -> Option<WantedWeights<'_>> {
         let staged = report.staged.as_ref()?;
-        let is_empty = report.state == EndpointState::Empty;
         let mut candidates = self.versions.windows(2).skip(self.version_index(report) + 1);
         let pair = candidates.rfind(|pair| pair[0].manifest == Some(staged.manifest))?;
         let weights = WantedWeights { version: &pair[0].version, manifest: staged.manifest };
-        let is_mostly_staged = held_percent(report, weights) >= COMPLETION_PERCENT;
-        (is_mostly_staged && self.is_worthwhile(&pair[0], &pair[1], is_empty)).then_some(weights)
+        let held = held_percent(report, weights);
+        let is_idle = report.state == EndpointState::Empty || self.is_retired(report);
+        let switch_ms = if is_idle { LOAD_MS } else { SWITCH_MS };
+        let end_ms = self.remaining_ms(pair[0].exclusive_from);
+        // An endpoint that stages this version holds nothing of the newest one.
+        let newest_ms = self.fetch_ms(held) + self.copy_ms + switch_ms;
+        let is_useful = match self.fetch_ms(held) + switch_ms <= end_ms {
+            true => self.is_reserve(pair),
+            false => self.serving_gain_ms(held, switch_ms, pair) >= MIN_GAIN_MS,
+        };
+        let is_chosen = match held < FULLY_HELD {
+            true => report.ordered != fleet.newest && (is_idle || held >= COMPLETION_PERCENT),
+            // Each has to finish its requests before it can switch again.
+            false => {
+                newest_ms >= self.remaining_ms(pair[1].exclusive_from)
+                    || fleet.intermediate.contains(&report.instance)
+            }
+        };
+        let is_outdated = fleet.newest_percent == FULLY_HELD && !is_idle;
+        (is_useful && is_chosen && !is_outdated).then_some(weights)
     }
 
-    /// Whether serving `version` is worthwhile until only `next` may answer.
-    fn is_worthwhile(
-        &self,
-        version: &ScheduledVersion,
-        next: &ScheduledVersion,
-        is_empty: bool,
-    ) -> bool {
-        let remaining_ms = |deadline: Deadline| deadline.remaining(self.now).as_millis() as u64;
-        let is_urgent = is_empty || remaining_ms(version.exclusive_from) < FETCH_AND_SWITCH_MS;
-        is_urgent && remaining_ms(next.exclusive_from) >= MIN_SERVING_MS
+    /// Time for which the first version of `pair` serves between its predecessor and the newest
+    /// version, less the time by which it delays the newest, in milliseconds.
+    fn serving_gain_ms(&self, held: u32, switch_ms: u64, pair: &[ScheduledVersion]) -> u64 {
+        let fetch_ms = self.fetch_ms(held);
+        let from_ms = (fetch_ms + switch_ms).max(self.remaining_ms(pair[0].exclusive_from));
+        let until_ms =
+            self.remaining_ms(pair[1].exclusive_from).min(fetch_ms + self.copy_ms + switch_ms);
+        until_ms.saturating_sub(from_ms + fetch_ms)
+    }
+
+    /// Whether the first version of `pair` is kept in case the newest one does not arrive in time.
+    fn is_reserve(&self, pair: &[ScheduledVersion]) -> bool {
+        let gap_ms = pair[1].exclusive_from.0.saturating_sub(pair[0].exclusive_from.0);
+        let needed_ms = ATTEMPTS_IN_TIME * (self.copy_ms + SWITCH_MS);
+        gap_ms >= MIN_GAP_MS && self.remaining_ms(pair[0].exclusive_from) <= needed_ms
+    }
+
+    /// Whether endpoints have to begin their switch to the version that they hold although the
+    /// newest one is still expected.
+    pub(super) fn is_bridge_due(&self, manifest: ManifestDigest, fleet: &FleetProgress) -> bool {
+        let version = self.versions.iter().find(|version| version.manifest == Some(manifest));
+        let limit_ms = match fleet.newest_percent < NEARLY_ARRIVED_PERCENT {
+            true => FETCH_AND_SWITCH_MS,
+            false => MIN_SERVING_MS,
+        };
+        version.is_some_and(|version| self.remaining_ms(version.exclusive_from) < limit_ms)
+    }
+
+    fn remaining_ms(&self, deadline: Deadline) -> u64 {
+        deadline.remaining(self.now).as_millis() as u64
+    }
+
+    /// Least time until an endpoint that holds `held` percent of a version holds all of it.
+    fn fetch_ms(&self, held: u32) -> u64 {
+        self.copy_ms * u64::from(FULLY_HELD - held.min(FULLY_HELD)) / u64::from(FULLY_HELD)
     }
 
     /// Returns the endpoints that may serve an intermediate version: half of all, first
--- a/crates/decide/src/plan/service.rs
+++ b/crates/decide/src/plan/service.rs
@@ -1,12 +1,12 @@
 //! Orders for the endpoints of one service.
 
-use std::{cmp::Reverse, collections::BTreeSet};
+use std::cmp::Reverse;
 
-use cassiawheel_model::{EndpointReport, EndpointState, InstanceId, PresetRevision};
+use cassiawheel_model::{EndpointReport, EndpointState, PresetRevision};
 
 use super::{
     PlanReason, PlannedOrder,
-    schedule::RolloutSchedule,
+    schedule::{FleetProgress, RolloutSchedule},
     weights::{WantedWeights, has_staged, is_ordered, is_serving, serves},
     window::SwitchWindow,
 };
@@ -23,8 +23,7 @@
     pub(super) max_concurrent: usize,
     pub(super) schedule: Option<&'a RolloutSchedule>,
     pub(super) selected: Vec<&'a EndpointReport>,
-    /// Endpoints that may serve an intermediate version before the newest.
-    pub(super) intermediate: BTreeSet<InstanceId>,
+    pub(super) fleet: FleetProgress,
 }
 
 impl ServicePlan<'_> {
@@ -83,8 +82,9 @@
 
     /// The weights that the endpoint should serve next.
     fn target(&self, report: &EndpointReport) -> WantedWeights<'_> {
-        let version = self.schedule.and_then(|schedule| schedule.intermediate_version(report));
-        version.filter(|_| self.intermediate.contains(&report.instance)).unwrap_or(self.wanted)
+        let schedule = self.schedule;
+        let version = schedule.and_then(|s| s.intermediate_version(report, &self.fleet));
+        version.unwrap_or(self.wanted)
     }
 
     fn order_for(&self, report: &EndpointReport, may_switch: bool) -> Option<PlannedOrder> {
@@ -106,6 +106,7 @@
             EndpointState::Serving { .. } if !has_staged(report, target.manifest) => {
                 (target, false, PlanReason::StageWhileServing)
             }
+            EndpointState::Serving { .. } if self.is_held_back(target) => return None,
             EndpointState::Serving { .. } if may_switch => (target, true, PlanReason::TurnToSwitch),
             EndpointState::Serving { .. } => return None,
         };
@@ -115,6 +116,12 @@
         self.order(report, weights, serve, reason)
     }
 
+    /// Whether endpoints that hold an intermediate version do not need to serve it yet.
+    fn is_held_back(&self, target: WantedWeights<'_>) -> bool {
+        target.manifest != self.wanted.manifest
+            && self.schedule.is_some_and(|s| !s.is_bridge_due(target.manifest, &self.fleet))
+    }
+
     /// Order for an endpoint that serves the wanted version.
     ///
     /// An engine that serves callers directly may have loaded its version before its
--- a/crates/decide/src/versions.rs
+++ b/crates/decide/src/versions.rs
@@ -15,6 +15,9 @@
 /// Versions kept for each model; older ones have long been replaced.
 const MAX_VERSIONS: usize = 8;
 
+/// Assumed time in which a version can be fetched, in milliseconds.
+const DEFAULT_COPY_MS: u64 = 3_000;
+
 /// A named version of a model and its deadline.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct VersionRecord {
@@ -64,6 +67,13 @@
         true
     }
 
+    /// Returns the newest version of `model` whose manifest is known.
+    ///
+    /// Until the manifest of a newer one has been read, no endpoint can fetch it.
+    pub fn newest_pinned(&self, model: &str) -> Option<&VersionRecord> {
+        self.models.get(model)?.iter().rfind(|known| known.manifest.is_some())
+    }
+
     /// Returns the newest version of `model`.
     pub fn newest(&self, model: &str) -> Option<&VersionRecord> {
         self.models.get(model)?.last()
@@ -100,7 +110,12 @@
             manifest: known.manifest,
             exclusive_from: known.exclusive_from,
         });
-        Some(RolloutSchedule { versions: scheduled.collect(), retired, now })
+        Some(RolloutSchedule {
+            versions: scheduled.collect(),
+            retired,
+            copy_ms: DEFAULT_COPY_MS,
+            now,
+        })
     }
 
     /// Returns all recorded versions with their age, to be sent to other processes.
--- a/crates/decide/tests/plan.rs
+++ b/crates/decide/tests/plan.rs
@@ -356,6 +356,7 @@
     RolloutSchedule {
         versions: paced.collect(),
         retired: retired.iter().map(|name| version(name)).collect(),
+        copy_ms: 3_000,
         now: Timestamp(10_000),
     }
 }
@@ -526,10 +527,11 @@
     assert!(step.iter().all(|order| order.serve) && newest.iter().all(|order| !order.serve));
 }
 
-/// A version of which most is staged when a newer one is named is completed. One that has
-/// hardly begun is dropped in favour of the newest.
+/// A version of which a part is staged when a newer one is named is completed by all endpoints:
+/// others would compete with them for the origin. One that has hardly begun is dropped in favour
+/// of the newest.
 #[rstest]
-#[case(CHUNKS * 3 / 4, 6)]
+#[case(CHUNKS * 3 / 4, 12)]
 #[case(CHUNKS / 4, 0)]
 fn a_mostly_staged_version_is_completed(#[case] ready: u32, #[case] finished: usize) {
     let orders = superseded(ready, [0, 4_800, 8_800]);
--- a/crates/entry/src/routed.rs
+++ b/crates/entry/src/routed.rs
@@ -20,8 +20,8 @@
     CallerProtocol, EndpointFeed, EndpointProtocol, OperatorFeed, TableStore, WeightSource,
 };
 use cassiawheel_model::{
-    EndpointReport, EndpointState, ForcedPreset, ListedEndpoint, ModelVersion, ServiceName,
-    ServiceTarget, TargetVersion, Timestamp, settings::RoutingSettings,
+    EndpointReport, EndpointState, EngineProfile, ForcedPreset, ListedEndpoint, ModelVersion,
+    ServiceName, ServiceTarget, TargetVersion, Timestamp, settings::RoutingSettings,
 };
 use cassiawheel_wire::WireSender;
 use smol::channel::{Receiver, Sender, bounded};
@@ -228,7 +228,21 @@
     ) -> Option<RolloutSchedule> {
         let mut targets = preset.content.services.values();
         let engine = targets.find_map(|target| target.engine.as_ref())?;
-        self.versions.load().schedule(&engine.model, now)
+        let versions = self.versions.load();
+        let mut schedule = versions.schedule(&engine.model, now)?;
+        if let Some(copy_ms) = self.copy_ms(&versions, engine) {
+            schedule.copy_ms = copy_ms;
+        }
+        Some(schedule)
+    }
+
+    /// Time in which the origin can send the newest version, in milliseconds.
+    fn copy_ms(&self, versions: &VersionRegistry, engine: &EngineProfile) -> Option<u64> {
+        let origin = engine.origin.as_ref().filter(|origin| origin.bytes_per_s > 0)?;
+        let digest = versions.newest_pinned(&engine.model)?.manifest?;
+        let manifest = self.manifests.find(digest)?;
+        let bytes: u64 = manifest.chunks.iter().map(|chunk| u64::from(chunk.bytes)).sum();
+        Some(bytes * 1_000 / origin.bytes_per_s)
     }
 
     /// Returns `preset` with the versions that were named since it was stored.
@@ -238,7 +252,9 @@
         planned.content.callers = None;
         for target in planned.content.services.values_mut() {
             let model = target.engine.as_ref().map(|engine| engine.model.as_str());
-            if let Some(wanted) = model.and_then(|model| versions.newest(model)) {
+            let wanted = model
+                .and_then(|model| versions.newest_pinned(model).or_else(|| versions.newest(model)));
+            if let Some(wanted) = wanted {
                 target.version = Some(wanted.version.clone());
                 target.manifest = wanted.manifest;
             }
