Orders are planned in n log n steps

Cause: the endpoints that hold a version were selected one by one, each with a pass over all remaining ones, although without a limit of spares all are selected; ranks were hashed anew for each comparison. Every entry plans up to 20 times a second. At 503 endpoints a plan took 6.0 ms: 12 % of a core.

Change: without a limit all endpoints are taken as they are; sort keys are computed once.

--- a/crates/decide/src/plan.rs
+++ b/crates/decide/src/plan.rs
@@ -146,10 +146,13 @@
         reports.iter().copied().filter(|report| report.service == *service).collect();
     let limit = match target.spares {
         Some(spares) => target.replicas.saturating_add(spares) as usize,
-        None => remaining.len(),
+        None => usize::MAX,
     };
+    if limit >= remaining.len() {
+        return remaining;
+    }
     let subject = subject_of(service.as_str());
-    remaining.sort_by_key(|report| {
+    remaining.sort_by_cached_key(|report| {
         let rank = rendezvous_weight(subject, report.instance.as_str());
         (held_percent(report, wanted), rank)
     });
--- a/crates/decide/src/plan/schedule.rs
+++ b/crates/decide/src/plan/schedule.rs
@@ -196,7 +196,7 @@
     ) -> BTreeSet<InstanceId> {
         let mut ranked = selected.to_vec();
         let subject = subject_of(&self.versions.len().to_string());
-        ranked.sort_by_key(|report| {
+        ranked.sort_by_cached_key(|report| {
             let rank = rendezvous_weight(subject, report.instance.as_str());
             (Reverse(self.version_index(report)), Reverse(rank))
         });
--- a/crates/decide/src/plan/service.rs
+++ b/crates/decide/src/plan/service.rs
@@ -30,7 +30,7 @@
     pub(super) fn orders(mut self) -> Vec<PlannedOrder> {
         let subject = subject_of(&self.wanted.manifest.to_string());
         let schedule = self.schedule;
-        self.selected.sort_by_key(|report| {
+        self.selected.sort_by_cached_key(|report| {
             let index = schedule.map_or(0, |schedule| schedule.version_index(report));
             (index, Reverse(rendezvous_weight(subject, report.instance.as_str())))
         });
