Entries offer records and reports instead of sending them over every link

Cause: each item went over all links of an entry unless one of them had delivered it before.

Ways: fewer versions of a record by longer intervals, which delays what others know of a process; sending over fewer links, which makes paths long; offering versions, which the receiver answers with what it lacks, over one link at a time. The last was built. Up to two due items are still sent at once, so that single changes take no further round trip; between regions only items of the sender's own region are.

Older processes do not know offers: all processes of a deployment have to be replaced together.

--- a/crates/decide/src/gossip.rs
+++ b/crates/decide/src/gossip.rs
@@ -3,13 +3,18 @@
 //! Each item that is newer than the known one gets the next change number. A link keeps the number
 //! up to which its peer is current. A new link thus receives the whole state and an existing one
 //! only changes, and no item is sent back over the link that delivered it.
+//!
+//! Where the peer probably has an item from another link, its version is offered instead, and the
+//! peer requests the item if it lacks it ([`crate::item_requests`]).
 
 use std::{
     collections::{BTreeMap, HashMap},
     time::Duration,
 };
 
-use cassiawheel_model::{EndpointReport, EntryRecord, InstanceId, LoadRecord, Timestamp};
+use cassiawheel_model::{
+    EndpointReport, EntryRecord, InstanceId, ItemVersion, LoadRecord, RegionName, Timestamp,
+};
 
 use crate::rank::subject_of;
 
@@ -43,7 +48,24 @@
     records: BTreeMap<InstanceId, StoredItem<EntryRecord>>,
     reports: BTreeMap<InstanceId, StoredItem<EndpointReport>>,
     loads: HashMap<u64, KnownLoad>,
+    /// Names of the instances with a record or report, by their hashes.
+    names: HashMap<u64, InstanceId>,
+    /// Number of changes of records and reports.
     changes: u64,
+    load_changes: u64,
+}
+
+/// Records and reports that are due on a link.
+#[derive(Debug, Default)]
+pub struct DueState {
+    /// Records to send.
+    pub records: Vec<EntryRecord>,
+    /// Reports to send.
+    pub reports: Vec<EndpointReport>,
+    /// Versions to offer.
+    pub offers: Vec<ItemVersion>,
+    /// Cursor of the link afterwards.
+    pub cursor: LinkCursor,
 }
 
 /// An item with its change number and the links that delivered it.
@@ -89,11 +111,37 @@
         false
     }
 
+    /// Whether `offered` is newer than `known`; the sender of an equal one becomes a source.
+    fn compare(&mut self, known: (u64, u64), offered: (u64, u64), link: LinkId) -> bool {
+        if known == offered && !self.sources.contains(&link) {
+            self.sources.push(link);
+        }
+        offered > known
+    }
+
     fn is_due(&self, cursor: u64, link: LinkId) -> bool {
         self.change > cursor && !self.sources.contains(&link)
     }
 }
 
+/// Version of a record.
+pub fn record_version(record: &EntryRecord) -> ItemVersion {
+    ItemVersion {
+        instance_hash: subject_of(record.instance.as_str()),
+        incarnation: record.incarnation,
+        sequence: record.sequence,
+    }
+}
+
+/// Version of a report.
+pub fn report_version(report: &EndpointReport) -> ItemVersion {
+    ItemVersion {
+        instance_hash: subject_of(report.instance.as_str()),
+        incarnation: report.incarnation,
+        sequence: report.sequence,
+    }
+}
+
 fn insert_new<T>(
     items: &mut BTreeMap<InstanceId, StoredItem<T>>,
     instance: InstanceId,
@@ -118,7 +166,11 @@
         let arrival = Arrival { change: self.changes + 1, source, now };
         let is_new = match self.records.get_mut(&record.instance) {
             Some(known) => known.merge(record, EntryRecord::is_newer_than, arrival),
-            None => insert_new(&mut self.records, record.instance.clone(), record, arrival),
+            None => {
+                let name = record.instance.clone();
+                self.names.insert(subject_of(name.as_str()), name.clone());
+                insert_new(&mut self.records, name, record, arrival)
+            }
         };
         self.changes += u64::from(is_new);
         is_new
@@ -134,7 +186,11 @@
         let arrival = Arrival { change: self.changes + 1, source, now };
         let is_new = match self.reports.get_mut(&report.instance) {
             Some(known) => known.merge(report, EndpointReport::is_newer_than, arrival),
-            None => insert_new(&mut self.reports, report.instance.clone(), report, arrival),
+            None => {
+                let name = report.instance.clone();
+                self.names.insert(subject_of(name.as_str()), name.clone());
+                insert_new(&mut self.reports, name, report, arrival)
+            }
         };
         self.changes += u64::from(is_new);
         is_new
@@ -155,8 +211,8 @@
         let has_room = known.is_some() || self.loads.len() < 2 * MAX_ITEMS;
         let is_new = is_later && has_room && age_ms < MAX_LOAD_AGE_MS;
         if is_new {
-            self.changes += 1;
-            let change = self.changes;
+            self.load_changes += 1;
+            let change = self.load_changes;
             let known = KnownLoad { load: row.load, measured_at, change, source };
             self.loads.insert(row.instance_hash, known);
         }
@@ -170,20 +226,69 @@
         (age_ms < MAX_LOAD_AGE_MS).then_some(known.load)
     }
 
-    /// Records and reports to send over `link`, and its cursor afterwards.
+    /// Number of records and reports that are due on `link`.
+    pub fn due_count(&self, cursor: LinkCursor, link: LinkId) -> usize {
+        if cursor.state == self.changes {
+            return 0;
+        }
+        let records = self.records.values().filter(|stored| stored.is_due(cursor.state, link));
+        let reports = self.reports.values().filter(|stored| stored.is_due(cursor.state, link));
+        records.count() + reports.count()
+    }
+
+    /// Records and reports to send over `link`; those of regions for which `is_eager` is false are
+    /// offered instead.
     pub fn state_since(
         &self,
         cursor: LinkCursor,
         link: LinkId,
-    ) -> (Vec<EntryRecord>, Vec<EndpointReport>, LinkCursor) {
+        is_eager: impl Fn(&RegionName) -> bool,
+    ) -> DueState {
+        let mut due = DueState { cursor, ..DueState::default() };
         if cursor.state == self.changes {
-            return (Vec::new(), Vec::new(), cursor);
+            return due;
         }
-        let records = self.records.values().filter(|stored| stored.is_due(cursor.state, link));
-        let records = records.map(|stored| stored.item.clone()).collect();
-        let reports = self.reports.values().filter(|stored| stored.is_due(cursor.state, link));
-        let reports = reports.map(|stored| stored.item.clone()).collect();
-        (records, reports, LinkCursor { state: self.changes, ..cursor })
+        for stored in self.records.values().filter(|stored| stored.is_due(cursor.state, link)) {
+            match is_eager(&stored.item.region) {
+                true => due.records.push(stored.item.clone()),
+                false => due.offers.push(record_version(&stored.item)),
+            }
+        }
+        for stored in self.reports.values().filter(|stored| stored.is_due(cursor.state, link)) {
+            match is_eager(&stored.item.region) {
+                true => due.reports.push(stored.item.clone()),
+                false => due.offers.push(report_version(&stored.item)),
+            }
+        }
+        due.cursor.state = self.changes;
+        due
+    }
+
+    /// Records and reports of the instances with these hashes.
+    pub fn items(&self, hashes: &[u64]) -> (Vec<EntryRecord>, Vec<EndpointReport>) {
+        let names = || hashes.iter().filter_map(|hash| self.names.get(hash));
+        let records = names().filter_map(|name| self.record(name)).cloned().collect();
+        let reports = names().filter_map(|name| self.report(name)).cloned().collect();
+        (records, reports)
+    }
+
+    /// Whether the item that `link` offers is missing here or older.
+    ///
+    /// An equal item is not sent over that link any more.
+    pub fn lacks(&mut self, offer: ItemVersion, link: LinkId) -> bool {
+        let Some(name) = self.names.get(&offer.instance_hash) else {
+            return true;
+        };
+        let offered = (offer.incarnation, offer.sequence);
+        if let Some(known) = self.records.get_mut(name) {
+            let version = record_version(&known.item);
+            return known.compare((version.incarnation, version.sequence), offered, link);
+        }
+        if let Some(known) = self.reports.get_mut(name) {
+            let version = report_version(&known.item);
+            return known.compare((version.incarnation, version.sequence), offered, link);
+        }
+        true
     }
 
     /// Loads to send over `link`, and its cursor afterwards.
@@ -201,7 +306,7 @@
         let is_truncated = due.len() > MAX_LOADS;
         due.truncate(MAX_LOADS);
         let last = due.last().map_or(cursor.loads, |(_, known)| known.change);
-        let loads = if is_truncated { last } else { self.changes };
+        let loads = if is_truncated { last } else { self.load_changes };
         let rows = due.into_iter().filter_map(|(subject, known)| {
             let age_ms = now.0.saturating_sub(known.measured_at.0);
             (age_ms < MAX_LOAD_AGE_MS).then_some(LoadRecord {
@@ -249,5 +354,7 @@
         self.records.retain(|name, stored| is_present(name) || !is_old(stored.received_at));
         self.reports.retain(|name, stored| is_present(name) || !is_old(stored.received_at));
         self.loads.retain(|_, known| now.0.saturating_sub(known.measured_at.0) < MAX_LOAD_AGE_MS);
+        let (records, reports) = (&self.records, &self.reports);
+        self.names.retain(|_, name| records.contains_key(name) || reports.contains_key(name));
     }
 }
--- a/crates/decide/tests/overlay.rs
+++ b/crates/decide/tests/overlay.rs
@@ -130,7 +130,8 @@
             let process = &mut self.processes[index];
             for (other, cursor) in &mut process.links {
                 let link = *other as LinkId;
-                let (records, _, next) = process.store.state_since(*cursor, link);
+                let due = process.store.state_since(*cursor, link, |_| true);
+                let (records, next) = (due.records, due.cursor);
                 let (loads, next) = process.store.loads_since(next, link, self.now);
                 if self.rng.random_bool(full) {
                     continue;
--- a/crates/entry/src/control/gossip.rs
+++ b/crates/entry/src/control/gossip.rs
@@ -6,10 +6,16 @@
     time::Duration,
 };
 
-use cassiawheel_decide::{LinkId, PeerEntry, advice::EntryCandidate, feed_role, rank::subject_of};
+use cassiawheel_decide::{
+    DueState, LinkId, PeerEntry,
+    advice::EntryCandidate,
+    feed_role,
+    gossip::{record_version, report_version},
+    rank::subject_of,
+};
 use cassiawheel_model::{
     Deadline, EndpointReport, EntryRecord, GossipDelta, InstanceId, LoadRecord, LoadReport,
-    PresetRevision, Timestamp,
+    PresetRevision, RegionName, Timestamp,
 };
 use cassiawheel_runtime::timeout;
 use cassiawheel_wire::ControlMessage;
@@ -35,6 +41,12 @@
 /// Number of records and reports above which a message is large.
 const LARGE_MESSAGE_ITEMS: usize = 12;
 
+/// Number of due records and reports up to which they are sent at once instead of offered.
+///
+/// Single changes arrive without a further round trip; a burst of them arrives once instead of
+/// over every link.
+const MAX_EAGER_ITEMS: usize = 2;
+
 /// Interval between messages with loads to an entry in the same region.
 const LOCAL_LOAD_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -94,10 +106,22 @@
         let row = LoadRecord { instance_hash, load, age_ms: 0 };
         state.store.merge_load(row, REMOTE_AGE_TOLERANCE_MS, None, now);
     }
-    let OverlayState { store, crashes, links, .. } = &mut *state;
+    let own_region = &shared.settings.place.region;
+    let OverlayState { store, crashes, links, item_requests, .. } = &mut *state;
     let mut max_items = 0;
     for link in links {
-        let (records, reports, mut cursor) = store.state_since(link.cursor, link.number);
+        let is_in_other_region = is_in_other_region(store, &link.instance, own_region);
+        // While many processes start together, or where another path is shorter, the other end
+        // probably has an item already.
+        let is_small = store.due_count(link.cursor, link.number) <= MAX_EAGER_ITEMS;
+        let is_eager =
+            |region: &RegionName| is_small && (!is_in_other_region || region == own_region);
+        let DueState { mut records, mut reports, offers, mut cursor } =
+            store.state_since(link.cursor, link.number, is_eager);
+        let (more_records, more_reports) = store.items(&link.requested);
+        records.extend(more_records);
+        reports.extend(more_reports);
+        let wanted = item_requests.due(link.number, now);
         let loads_are_due = link.loads_at.is_past(now);
         let (rows, crash_cursor) = crashes.rows_since(link.crash_cursor, link.number, now);
         let (limits, limit_cursor) =
@@ -109,6 +133,8 @@
             && reports.is_empty()
             && rows.is_empty()
             && limits.is_empty()
+            && offers.is_empty()
+            && wanted.is_empty()
             && evacuations.is_empty()
             && !loads_are_due
         {
@@ -125,19 +151,20 @@
             loads: Vec::new(),
             crashes: rows,
             limits,
+            offers,
+            wanted,
             evacuations,
         };
         let mut loads_at = link.loads_at;
         if loads_are_due {
             (delta.loads, cursor) = store.loads_since(cursor, link.number, now);
-            let is_in_other_region =
-                is_in_other_region(store, &link.instance, &shared.settings.place.region);
             let span = if is_in_other_region { REMOTE_LOAD_INTERVAL } else { LOCAL_LOAD_INTERVAL };
             loads_at = now.deadline_after(span);
         }
         // If the queue is full, the items are sent with the next message.
         if let Ok(true) = link.sender.try_send(ControlMessage::Gossip(Box::new(delta))) {
             link.cursor = cursor;
+            link.requested.clear();
             link.crash_cursor = crash_cursor;
             link.limit_cursor = limit_cursor;
             link.evacuation_cursor = evacuation_cursor;
@@ -215,7 +242,17 @@
     let now = Timestamp::now();
     let mut state = routed.overlay.lock();
     let mut membership_changed = false;
+    let has_requests = !delta.offers.is_empty() || !delta.wanted.is_empty();
+    for offer in delta.offers {
+        if state.store.lacks(offer, source) {
+            state.item_requests.offer(offer, source);
+        }
+    }
+    if let Some(link) = state.links.iter_mut().find(|link| link.number == source) {
+        link.requested.extend(delta.wanted);
+    }
     for record in delta.records.into_iter().filter(|record| record.instance != *own) {
+        state.item_requests.received(record_version(&record));
         let place = (record.inner_addr, Some(record.region.clone()));
         if state.store.merge_record(record, Some(source), now) {
             state.add_known_entries(std::iter::once(place));
@@ -224,6 +261,7 @@
     }
     let mut reports = Vec::new();
     for report in delta.reports {
+        state.item_requests.received(report_version(&report));
         if state.store.merge_report(report.clone(), Some(source), now) {
             reports.push(report);
         }
@@ -248,7 +286,7 @@
         routed.overlay.membership_stale.store(true, Ordering::Release);
     }
     derive_stale_state(shared, routed);
-    if membership_changed || has_updates {
+    if membership_changed || has_updates || has_requests {
         routed.overlay.notify_change();
     }
     apply_loads(routed, &loads, now);
--- a/crates/entry/src/overlay.rs
+++ b/crates/entry/src/overlay.rs
@@ -8,8 +8,8 @@
 };
 
 use cassiawheel_decide::{
-    CrashTracker, EntryLocation, FloodFilter, GossipStore, LinkCursor, LinkId, reachable_entries,
-    same_region_or_all,
+    CrashTracker, EntryLocation, FloodFilter, GossipStore, ItemRequests, LinkCursor, LinkId,
+    reachable_entries, same_region_or_all,
 };
 use cassiawheel_model::{Deadline, EntryRecord, InstanceId, RegionName, Timestamp};
 use cassiawheel_wire::{ControlMessage, WireSender, message::FloodMessage};
@@ -38,6 +38,8 @@
 pub(crate) struct OverlayState {
     /// Entry records, endpoint reports and loads.
     pub(crate) store: GossipStore,
+    /// Offered items that this entry lacks.
+    pub(crate) item_requests: ItemRequests,
     /// Requests during which endpoints have crashed.
     pub(crate) crashes: CrashTracker,
     /// Open links.
@@ -71,6 +73,8 @@
     pub(crate) crash_cursor: u64,
     /// Change number up to which rate limits were sent to the other end.
     pub(crate) limit_cursor: u64,
+    /// Instances whose items the other end has requested.
+    pub(crate) requested: Vec<u64>,
     /// Change number up to which evacuations were sent to the other end.
     pub(crate) evacuation_cursor: u64,
 }
@@ -189,6 +193,7 @@
             loads_at,
             crash_cursor,
             limit_cursor,
+            requested: Vec::new(),
             evacuation_cursor,
         };
         self.links.push(link);
@@ -198,6 +203,7 @@
     /// Removes a link that has ended.
     pub(crate) fn remove_link(&mut self, number: LinkId) {
         self.links.retain(|link| link.number != number);
+        self.item_requests.remove_link(number);
     }
 
     /// Returns the entries at the other ends of the links, sorted by name.
--- a/crates/model/src/gossip.rs
+++ b/crates/model/src/gossip.rs
@@ -54,6 +54,21 @@
     pub age_ms: u32,
 }
 
+/// Version of a record or report, sent in place of it to a peer that may have it already.
+///
+/// Serialised without field names, since many of them are sent when processes start together.
+#[apply(record!)]
+#[derive(Copy, Eq)]
+#[serde(from = "(u64, u64, u64)", into = "(u64, u64, u64)")]
+pub struct ItemVersion {
+    /// Hash of the name of the instance that the item is about.
+    pub instance_hash: u64,
+    /// Incarnation of the item.
+    pub incarnation: u64,
+    /// Sequence number within the incarnation.
+    pub sequence: u64,
+}
+
 /// What happened to one run of a request.
 #[apply(label!)]
 #[serde(rename_all = "kebab-case")]
@@ -131,6 +146,10 @@
     pub crashes: Vec<CrashRecord>,
     /// Rate limits of endpoints that changed or were confirmed.
     pub limits: Vec<LimitRecord>,
+    /// Versions of further records and reports that the sender has.
+    pub offers: Vec<ItemVersion>,
+    /// Hashes of the instances whose record or report the sender requests.
+    pub wanted: Vec<u64>,
     /// Evacuations that operators have ordered or ended.
     pub evacuations: Vec<EvacuationOrder>,
 }
@@ -145,6 +164,18 @@
     }
 }
 
+impl From<(u64, u64, u64)> for ItemVersion {
+    fn from((instance_hash, incarnation, sequence): (u64, u64, u64)) -> Self {
+        Self { instance_hash, incarnation, sequence }
+    }
+}
+
+impl From<ItemVersion> for (u64, u64, u64) {
+    fn from(version: ItemVersion) -> Self {
+        (version.instance_hash, version.incarnation, version.sequence)
+    }
+}
+
 impl From<(u64, u32, u32)> for LoadRecord {
     fn from((instance_hash, load, age_ms): (u64, u32, u32)) -> Self {
         Self { instance_hash, load, age_ms }
