At the first start entries take preset and list from their neighbours

Cause: each entry read the operators' rows, the list of endpoints (two pages from 500 rows on) and the rows of all entries when it started, and wrote its own row; all write to one partition, which takes 150 writes a second, so that most writes of a fleet were refused and repeated together with the scan. The lead of the fleet (483 entries) made 5,237 calls.

Ruled out: waiting after every start. After an outage the neighbours may have nothing either, and each wait would delay the return.

Failed registrations back off exponentially.

--- a/crates/entry/src/control/entries.rs
+++ b/crates/entry/src/control/entries.rs
@@ -13,14 +13,28 @@
 use super::dependency::DependencyMonitor;
 use crate::{routed::RoutedState, shared::EntryShared};
 
-/// Random delay before a failed call is retried, in milliseconds.
+/// Random delay before a failed call is retried, in milliseconds; doubled with each failure.
 const RETRY_DELAY_MS: std::ops::Range<u64> = 300..900;
 
+/// Maximum number of doublings of that delay.
+const MAX_DOUBLINGS: u32 = 3;
+
 /// Stores this entry's address and records the addresses that other entries have stored.
 pub(crate) async fn register(shared: Arc<EntryShared>, routed: Arc<RoutedState>) {
     let mut monitor = DependencyMonitor::new("registry");
+    // All entries write to one partition, which takes a limited number of writes a second.
+    let spread_ms = 2 * routed.settings.first_read_ms;
+    let first_wait_ms = rand::rng().random_range(0..=spread_ms);
+    Timer::after(Duration::from_millis(first_wait_ms)).await;
+    let mut doublings = 0;
     loop {
-        match scan_and_write(&shared).await {
+        let is_linked = !routed.overlay.lock().links.is_empty();
+        let registered = match spread_ms > 0 && is_linked {
+            // The others are known from the gossip of the neighbours.
+            true => write_row(&shared, TableGuard::Absent).await.map(|()| Vec::new()),
+            false => scan_and_write(&shared).await,
+        };
+        match registered {
             Ok(places) => {
                 monitor.record_success();
                 routed.overlay.lock().add_known_entries(places.into_iter());
@@ -28,11 +42,21 @@
             }
             Err(error) => monitor.record_failure(&error),
         }
-        let wait = rand::rng().random_range(RETRY_DELAY_MS);
-        Timer::after(Duration::from_millis(wait)).await;
+        let wait_ms = rand::rng().random_range(RETRY_DELAY_MS) << doublings;
+        doublings = (doublings + 1).min(MAX_DOUBLINGS);
+        Timer::after(Duration::from_millis(wait_ms)).await;
     }
 }
 
+/// Writes this entry's row. A conflict means that the row already exists, so it is no error.
+async fn write_row(shared: &EntryShared, guard: TableGuard) -> Result<(), StoreError> {
+    let place = &shared.settings.place;
+    let inner = shared.settings.listen.inner;
+    let (key, value) = EntryRow::encode(inner, &place.instance, &place.region);
+    shared.table.write(&[TableWrite { key, guard, value }], true).await?;
+    Ok(())
+}
+
 async fn scan_and_write(
     shared: &EntryShared,
 ) -> Result<Vec<(SocketAddr, Option<RegionName>)>, StoreError> {
@@ -45,10 +69,9 @@
         return Ok(places);
     }
     let place = &shared.settings.place;
-    let (key, value) = EntryRow::encode(inner, &place.instance, &place.region);
+    let (key, _) = EntryRow::encode(inner, &place.instance, &place.region);
     let known = rows.iter().find(|row| row.key == key);
     let guard = known.map_or(TableGuard::Absent, |row| TableGuard::Revision(row.revision));
-    // A conflict means that the row already exists, so it is no error.
-    table.write(&[TableWrite { key, guard, value }], true).await?;
+    write_row(shared, guard).await?;
     Ok(places)
 }
--- a/crates/entry/src/control/listing.rs
+++ b/crates/entry/src/control/listing.rs
@@ -27,7 +27,8 @@
 /// Follows the list; runs until the process ends.
 pub(crate) async fn follow_listing(shared: Arc<EntryShared>, routed: Arc<RoutedState>) {
     let mut monitor = DependencyMonitor::new("list");
-    let mut retry_at = Timestamp::now().deadline_after(Duration::ZERO);
+    let first_read = Duration::from_millis(routed.settings.first_read_ms);
+    let mut retry_at = Timestamp(shared.incarnation).deadline_after(first_read);
     let mut history_lost = false;
     loop {
         let now = Timestamp::now();
--- a/crates/entry/src/control/operators.rs
+++ b/crates/entry/src/control/operators.rs
@@ -10,7 +10,9 @@
 
 use cassiawheel_decide::{FeedRole, FollowedRows, LinkId};
 use cassiawheel_edge::{FeedError, FeedPage, OperatorRow};
-use cassiawheel_model::{AgeSource, Deadline, EvacuationOrder, TargetVersion, Timestamp};
+use cassiawheel_model::{
+    AgeSource, Deadline, EvacuationOrder, PresetRevision, TargetVersion, Timestamp,
+};
 use cassiawheel_wire::ControlMessage;
 use rand::Rng;
 use smol::Timer;
@@ -43,8 +45,9 @@
         let is_due = match routed.feed_role() {
             FeedRole::Follow => true,
             FeedRole::Probe => probe_at.is_past(started_at),
-            FeedRole::Standby => followed.position.is_none(),
+            FeedRole::Standby => followed.position.is_none() && !has_copy(&shared, &routed),
         };
+        let is_due = is_due && !awaits_copy(&shared, &routed, started_at);
         if !is_due {
             followed = FollowedRows { until: Some(started_at), by_others: true, ..followed };
             Timer::after(DUTY_CHECK_INTERVAL).await;
@@ -86,6 +89,18 @@
     }
 }
 
+/// Whether another entry has sent the preset, at the first start of the system.
+fn has_copy(shared: &EntryShared, routed: &RoutedState) -> bool {
+    routed.settings.first_read_ms > 0 && shared.known_revision() > PresetRevision::default()
+}
+
+/// Whether this entry still waits for another one to send the preset.
+fn awaits_copy(shared: &EntryShared, routed: &RoutedState, now: Timestamp) -> bool {
+    let wait = Duration::from_millis(routed.settings.first_read_ms);
+    let read_at = Timestamp(shared.incarnation).deadline_after(wait);
+    !read_at.is_past(now) && shared.known_revision() == PresetRevision::default()
+}
+
 fn apply_page(
     shared: &EntryShared,
     routed: &RoutedState,
--- a/crates/model/src/settings/routing.rs
+++ b/crates/model/src/settings/routing.rs
@@ -26,6 +26,9 @@
     pub version_ms: u64,
     /// Heartbeat interval of listed endpoints, in milliseconds.
     pub list_heartbeat_ms: u64,
+    /// How long an entry waits after its start for the copies of others before it reads the
+    /// platform's store itself, in milliseconds.
+    pub first_read_ms: u64,
     /// Retry budget of a service as a ratio of its requests, over all entries.
     pub retry_ratio: f64,
     /// Retries of a service that are allowed in addition to the ratio, over all entries.
