--- a/crates/decide/tests/item_requests.rs
+++ b/crates/decide/tests/item_requests.rs
@@ -129,16 +129,16 @@
                 entry.store.merge_record(record(index, published[index]), None, now);
             }
         }
-        for from in 0..count {
-            for link in 0..entries[from].links.len() {
-                let message = entries[from].send(link, offers, now);
+        for entry in &mut entries {
+            for link in 0..entry.links.len() {
+                let message = entry.send(link, offers, now);
                 let delay = rng.random_range(1..3);
                 // A link that loses a message breaks; the next one begins with the whole state.
                 if rng.random_ratio(lost_percent, 10_000) {
-                    entries[from].links[link].cursor = LinkCursor::default();
+                    entry.links[link].cursor = LinkCursor::default();
                     continue;
                 }
-                entries[from].links[link].in_flight.push_back((round + delay, message));
+                entry.links[link].in_flight.push_back((round + delay, message));
             }
         }
         for from in 0..count {
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -3,6 +3,7 @@
 pub(crate) mod change;
 pub(crate) mod chunk_peers;
 pub(crate) mod dependency;
+mod derived;
 pub(crate) mod drains;
 pub(crate) mod entries;
 pub(crate) mod gossip;
--- a/crates/entry/src/control/gossip.rs
+++ b/crates/entry/src/control/gossip.rs
@@ -1,27 +1,27 @@
 //! Gossip with neighbours: entry records, endpoint reports and loads.
 
 use std::{
-    collections::HashSet,
     sync::{Arc, atomic::Ordering},
     time::Duration,
 };
 
 use cassiawheel_decide::{
-    DueState, LinkId, PeerEntry,
-    advice::EntryCandidate,
-    feed_role,
+    DueState, LinkId,
     gossip::{record_version, report_version},
     rank::subject_of,
 };
 use cassiawheel_model::{
     Deadline, EndpointReport, EntryRecord, GossipDelta, InstanceId, LoadRecord, LoadReport,
-    PresetRevision, RegionName, Timestamp,
+    RegionName, Timestamp,
 };
 use cassiawheel_runtime::timeout;
 use cassiawheel_wire::ControlMessage;
 use smol::Timer;
 
-use super::operators;
+use super::{
+    derived::{derive_stale_state, refresh_membership},
+    operators,
+};
 use crate::{
     limits::update_paces,
     overlay::{OverlayState, is_in_other_region},
@@ -364,56 +364,3 @@
     };
     expected != *report || progress_step(known) != progress_step(report)
 }
-
-/// Derives membership and routes if they are stale and were not derived just before.
-fn derive_stale_state(shared: &EntryShared, routed: &RoutedState) {
-    let overlay = &routed.overlay;
-    let is_stale = overlay.membership_stale.load(Ordering::Acquire)
-        || overlay.routes_stale.load(Ordering::Acquire);
-    if !is_stale || !overlay.begin_derivation(Timestamp::now()) {
-        return;
-    }
-    if overlay.membership_stale.swap(false, Ordering::AcqRel) {
-        refresh_membership(shared, routed);
-    }
-    if overlay.routes_stale.swap(false, Ordering::AcqRel) {
-        shared.rebuild_routes();
-    }
-}
-
-/// Derives the present entries and agents from the records.
-fn refresh_membership(shared: &EntryShared, routed: &RoutedState) {
-    let own = &shared.settings.place.instance;
-    let now = Timestamp::now();
-    let state = routed.overlay.lock();
-    let present = state.present(own);
-    routed.set_feed_role(feed_role(own, &present));
-    let others = present.iter().filter(|record| record.instance != *own);
-    let connected = shared.links.load();
-    let attached = others.clone().flat_map(|record| record.agents.iter());
-    let attached: HashSet<_> = attached.chain(connected.keys()).cloned().collect();
-    let peers = others.map(|record| (record.instance.clone(), peer_entry(record, now))).collect();
-    shared.peers().replace(peers, now);
-    drop(state);
-    if shared.roster().set_attached(attached) {
-        shared.plan_stale.store(true, Ordering::Release);
-        routed.overlay.routes_stale.store(true, Ordering::Release);
-    }
-}
-
-fn peer_entry(record: &EntryRecord, now: Timestamp) -> PeerEntry {
-    let advice = EntryCandidate {
-        caller_addr: record.caller_addr,
-        failure_domain: record.failure_domain.clone(),
-        region: Some(record.region.clone()),
-        in_flight: 0,
-        leaving: record.leaving,
-    };
-    PeerEntry {
-        advice,
-        incarnation: record.incarnation,
-        revision: PresetRevision::default(),
-        advised: record.advised,
-        last_seen: now,
-    }
-}
--- a/crates/entry/src/limits.rs
+++ b/crates/entry/src/limits.rs
@@ -2,6 +2,8 @@
 //!
 //! `response → rate limits → neighbours`, and `rate limits, present entries → paces`
 
+mod cold;
+
 use std::{
     collections::{HashMap, HashSet},
     sync::{
@@ -12,14 +14,15 @@
 };
 
 use cassiawheel_decide::{
-    ColdBound, EndpointListing, EndpointPace, EvacuationTable, HolderRank, RateLimits,
+    EndpointPace, HolderRank, RateLimits,
     rank::{rendezvous_weight, subject_of},
 };
 use cassiawheel_model::{
-    EntryRecord, FailureDomain, InstanceId, LimitRecord, ListedEndpoint, NamedLimit, Timestamp,
+    EntryRecord, FailureDomain, InstanceId, LimitRecord, NamedLimit, Timestamp,
 };
 use smol::channel::Sender;
 
+pub(crate) use self::cold::cold_bound;
 use crate::{routed::RoutedState, shared::EntryShared};
 
 /// Shortest time between two updates of the paces of all endpoints.
@@ -104,31 +107,6 @@
     }
 }
 
-/// Returns the bound on requests to an endpoint that is cold; `None` if it is not.
-///
-/// The endpoints of an evacuated domain may have become cold before they are used again, and their
-/// rows may not show it yet.
-pub(crate) fn cold_bound(
-    routed: &RoutedState,
-    listing: &EndpointListing,
-    evacuations: &EvacuationTable,
-    listed: &ListedEndpoint,
-    now: Timestamp,
-) -> Option<ColdBound> {
-    let index = routed.index.load();
-    let cold = *index.as_ref()?.table().cold_limits.get(&listed.service)?;
-    let after_evacuation = evacuations
-        .ended_at(&listed.failure_domain)
-        .map(|ended_at| ended_at.deadline_after(Duration::from_millis(cold.duration_ms)));
-    let until = listing.cold_until(&listed.instance).max(after_evacuation)?;
-    let settings = &routed.settings;
-    (!until.is_past(now)).then(|| ColdBound {
-        rate: cold.limit.rate(),
-        overshoot: settings.cold_overshoot,
-        slack: settings.cold_slack,
-    })
-}
-
 /// Updates the pace of each endpoint that is cold, advertises a limit or recently did.
 pub(crate) fn update_paces(shared: &EntryShared, routed: &RoutedState, now: Timestamp) {
     let limits = &routed.limits;
