Reachable entries are derived once for each change of the records

Cause: the breadth-first search over all records (1.2 ms at 483 entries) ran for each list of entries that an agent asks for, each check of the links (150 ms) and each derivation of membership; at the first start, when all agents ask the three seeds, thousands of times there.

Change: its result is kept until a record changes. The pause between two derivations is 150 us for each known process (148 ms at 986), as one derivation of membership and routes takes 2 us a process.

--- a/crates/decide/src/gossip.rs
+++ b/crates/decide/src/gossip.rs
@@ -53,6 +53,7 @@
     /// Number of changes of records and reports.
     changes: u64,
     load_changes: u64,
+    record_changes: u64,
 }
 
 /// Records and reports that are due on a link.
@@ -173,6 +174,7 @@
             }
         };
         self.changes += u64::from(is_new);
+        self.record_changes += u64::from(is_new);
         is_new
     }
 
@@ -318,6 +320,11 @@
         (rows.collect(), LinkCursor { loads, ..cursor })
     }
 
+    /// Number of changes of records so far; zero while none is known.
+    pub fn record_changes(&self) -> u64 {
+        self.record_changes
+    }
+
     /// Number of known records and reports.
     pub fn len(&self) -> usize {
         self.records.len() + self.reports.len()
@@ -351,7 +358,9 @@
     /// Removes outdated loads, and old items of processes for which `is_present` is false.
     pub fn expire(&mut self, now: Timestamp, is_present: impl Fn(&InstanceId) -> bool) {
         let is_old = |received_at: Timestamp| now.since(received_at) > RETENTION_TIME;
+        let records_before = self.records.len();
         self.records.retain(|name, stored| is_present(name) || !is_old(stored.received_at));
+        self.record_changes += (records_before - self.records.len()) as u64;
         self.reports.retain(|name, stored| is_present(name) || !is_old(stored.received_at));
         self.loads.retain(|_, known| now.0.saturating_sub(known.measured_at.0) < MAX_LOAD_AGE_MS);
         let (records, reports) = (&self.records, &self.reports);
--- a/crates/entry/src/overlay.rs
+++ b/crates/entry/src/overlay.rs
@@ -1,6 +1,7 @@
 //! Overlay network of entries: its links and the state received over them.
 
 use std::{
+    cell::RefCell,
     collections::{BTreeMap, BTreeSet, HashMap, HashSet},
     net::SocketAddr,
     sync::{Mutex, MutexGuard, atomic::AtomicBool},
@@ -19,7 +20,7 @@
 const AVOID_TIME: Duration = Duration::from_secs(3);
 
 /// Pause after the derivation of membership and routes, for each known process.
-const DERIVE_PAUSE: Duration = Duration::from_micros(50);
+const DERIVE_PAUSE: Duration = Duration::from_micros(150);
 
 /// Overlay of links between entries.
 pub(crate) struct Overlay {
@@ -38,6 +39,8 @@
 pub(crate) struct OverlayState {
     /// Entry records, endpoint reports and loads.
     pub(crate) store: GossipStore,
+    /// Reachable entries, with the number of record changes that they were derived from.
+    reachable: RefCell<(u64, BTreeSet<InstanceId>)>,
     /// Offered items that this entry lacks.
     pub(crate) item_requests: ItemRequests,
     /// Requests during which endpoints have crashed.
@@ -259,7 +262,13 @@
 
     /// Returns the records of the entries that are reachable through the overlay.
     pub(crate) fn present(&self, own: &InstanceId) -> Vec<&EntryRecord> {
-        let reachable = reachable_entries(own, self.store.records());
+        let mut derived = self.reachable.borrow_mut();
+        let changes = self.store.record_changes();
+        if derived.0 != changes {
+            let reachable = reachable_entries(own, self.store.records());
+            *derived = (changes, reachable.into_iter().cloned().collect());
+        }
+        let reachable = &derived.1;
         self.store.records().filter(|record| reachable.contains(&record.instance)).collect()
     }
 
