--- a/crates/edge/src/endpoints.rs
+++ b/crates/edge/src/endpoints.rs
@@ -37,6 +37,10 @@
     pub load: Option<ReportedLoad>,
     /// Rate limit of the endpoint, in requests per second from all entries together.
     pub limit: Option<NamedLimit>,
+    /// Whether the endpoint states that it is leaving.
+    pub is_leaving: bool,
+    /// Whether the endpoint asks this entry to send nothing for a while.
+    pub rest: RestRequest,
     /// Time for which the endpoint keeps an idle connection open.
     pub idle_timeout: Option<Duration>,
     /// Whether the endpoint closes the connection after the response.
@@ -45,6 +49,18 @@
     pub is_stream: bool,
 }
 
+/// Request of an endpoint that an entry send it nothing for a while.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub enum RestRequest {
+    /// The response asks for no rest.
+    #[default]
+    None,
+    /// The endpoint asks for no requests for this long after its response.
+    For(Duration),
+    /// The field cannot be parsed; it has this value.
+    Invalid(String),
+}
+
 /// Load of an endpoint, as reported in a response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ReportedLoad {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -21,7 +21,9 @@
 
 pub use callers::{AdviceQuery, CallerHead, CallerProtocol, GenerationSize, HeaderError};
 pub use client::{ClientError, HttpClient};
-pub use endpoints::{EndpointProtocol, ForwardMetadata, ReportedLoad, ResponseMetadata};
+pub use endpoints::{
+    EndpointProtocol, ForwardMetadata, ReportedLoad, ResponseMetadata, RestRequest,
+};
 pub use engine::{EngineError, EngineResponse, EngineStatus, LoadOrder, ModelEngine, StagedBitmap};
 pub use engine_http::HttpEngine;
 pub use entry_rows::{ENTRY_KEY_PREFIX, EntryRow};
--- a/crates/entry/src/direct.rs
+++ b/crates/entry/src/direct.rs
@@ -10,7 +10,7 @@
 
 use bytes::Bytes;
 use cassiawheel_decide::AttemptFailure;
-use cassiawheel_edge::{EndpointProtocol, ForwardMetadata, ResponseMetadata};
+use cassiawheel_edge::{EndpointProtocol, ForwardMetadata, ResponseMetadata, RestRequest};
 use cassiawheel_model::{InstanceId, NotRunReason, Repeatability, RequestHead, Timestamp};
 use cassiawheel_runtime::{spawn, timeout};
 use http_body_util::{BodyExt, Full, Limited};
@@ -90,6 +90,7 @@
         let (reply, connection) = self.exchange(target, head, request).await?;
         let (parts, body) = reply.into_parts();
         let metadata = self.protocol.read_metadata(&parts);
+        log_statements(target.instance, head, &metadata);
         // Refusals are skipped unless they state a limit: they may come from another process, or
         // from one that has not checked its limit.
         if metadata.limit.is_some() || !metadata.not_run {
@@ -164,6 +165,22 @@
     }
 }
 
+/// Logs what an endpoint states about itself in a response.
+fn log_statements(instance: &InstanceId, head: &RequestHead, metadata: &ResponseMetadata) {
+    if metadata.is_leaving {
+        log::debug!(target: "direct", request:% = head.id, endpoint:% = instance; "An answer states that its endpoint is leaving.");
+    }
+    match &metadata.rest {
+        RestRequest::None => {}
+        RestRequest::For(span) => {
+            log::info!(target: "direct", request:% = head.id, endpoint:% = instance, rest_ms = span.as_millis() as u64; "An endpoint refused a request and asks for rest.");
+        }
+        RestRequest::Invalid(value) => {
+            log::warn!(target: "direct", request:% = head.id, endpoint:% = instance, value:% = value; "An endpoint asks for a rest that is no number of seconds.");
+        }
+    }
+}
+
 /// Checks that the response belongs to this request and comes from the endpoint itself.
 fn check_head(
     head: &RequestHead,
--- a/crates/testkit/src/stand_in/replica.rs
+++ b/crates/testkit/src/stand_in/replica.rs
@@ -72,6 +72,17 @@
     pub id: String,
 }
 
+/// A refusal that asked for rest.
+#[derive(Debug, Clone)]
+pub struct RestRecord {
+    /// Time of the refusal.
+    pub at: Timestamp,
+    /// Attempt id of the refused request.
+    pub id: String,
+    /// Value of the `Retry-After` field.
+    pub value: String,
+}
+
 /// State of the endpoint: its mode, and the requests that it has received and run.
 #[derive(Debug)]
 pub struct Replica {
@@ -82,6 +93,9 @@
     heads: Mutex<Vec<HeaderMap>>,
     fatal: Mutex<Vec<Timestamp>>,
     limit: Mutex<Option<f64>>,
+    leaving: AtomicBool,
+    rest: Mutex<Option<String>>,
+    rests: Mutex<Vec<RestRecord>>,
     arrivals: Mutex<Vec<RequestArrival>>,
     open: Arc<AtomicUsize>,
     ended: Arc<AtomicBool>,
@@ -107,6 +121,9 @@
             heads: Mutex::default(),
             fatal: Mutex::default(),
             limit: Mutex::default(),
+            leaving: AtomicBool::new(false),
+            rest: Mutex::default(),
+            rests: Mutex::default(),
             arrivals: Mutex::default(),
             open: Arc::default(),
             ended: Arc::default(),
@@ -167,6 +184,21 @@
         *self.limit.lock().unwrap_or_else(|poison| poison.into_inner()) = rate;
     }
 
+    /// States in every answer from now on that it is leaving.
+    pub fn announce_leaving(&self) {
+        self.leaving.store(true, Ordering::SeqCst);
+    }
+
+    /// Refuses every request from now on with this `Retry-After` value; `None` ends the refusals.
+    pub fn set_rest(&self, value: Option<&str>) {
+        *self.rest.lock().unwrap_or_else(|poison| poison.into_inner()) = value.map(str::to_owned);
+    }
+
+    /// All refusals that asked for rest.
+    pub fn rests(&self) -> Vec<RestRecord> {
+        self.rests.lock().unwrap_or_else(|poison| poison.into_inner()).clone()
+    }
+
     /// All requests that arrived, including refused ones.
     pub fn arrivals(&self) -> Vec<RequestArrival> {
         self.arrivals.lock().unwrap_or_else(|poison| poison.into_inner()).clone()
@@ -196,6 +228,9 @@
         if text("x-cassiawheel-expect-replica") != Some(self.id.as_str()) {
             return self.reply(421, &id, full_body(""));
         }
+        if let Some(reply) = self.refuse_for_rest(&id) {
+            return reply;
+        }
         let mode = *self.mode.lock().unwrap_or_else(|poison| poison.into_inner());
         if mode == ReplicaMode::Refuses {
             let mut reply = self.reply(503, &id, full_body(""));
@@ -244,6 +279,16 @@
         }
     }
 
+    fn refuse_for_rest(&self, id: &str) -> Option<Response<ReplyBody>> {
+        let value = self.rest.lock().unwrap_or_else(|poison| poison.into_inner()).clone()?;
+        let mut reply = self.reply(503, id, full_body(""));
+        reply.headers_mut().insert("x-cassiawheel-not-executed", "1".parse().expect("valid"));
+        reply.headers_mut().insert("retry-after", value.parse().expect("valid"));
+        let record = RestRecord { at: Timestamp::now(), id: id.to_owned(), value };
+        self.rests.lock().unwrap_or_else(|poison| poison.into_inner()).push(record);
+        Some(reply)
+    }
+
     fn reply(&self, status: u16, id: &str, body: ReplyBody) -> Response<ReplyBody> {
         let mut reply = Response::new(body);
         *reply.status_mut() = StatusCode::from_u16(status).unwrap_or_default();
@@ -256,6 +301,9 @@
         put("x-cassiawheel-replica-load", "1,0,8");
         put("keep-alive", "timeout=5");
         let limit = *self.limit.lock().unwrap_or_else(|poison| poison.into_inner());
+        if self.leaving.load(Ordering::SeqCst) {
+            put("server-leaving", "1");
+        }
         if let Some(rate) = limit {
             put("server-limit", &rate.to_string());
         }
