Failing test: after the store's return from an older copy, the list is stuck

The stand-in of the store can return to an earlier copy; positions are given out again and the era in its answers rises. A departure that is written after the return does not reach the entries while positions are below the known one (case 1), and not at all where they have overtaken it unseen (case 2). Endpoints registered since the copy, departures before it and the preset in force hold and have to go on holding.

--- a/crates/testkit/src/stand_in/rows.rs
+++ b/crates/testkit/src/stand_in/rows.rs
@@ -1,4 +1,7 @@
 //! Stand-in of the platform's store: versioned rows, conditional writes and a change feed.
+//!
+//! It can return to an earlier copy of its rows. Positions after the copy are then given out again,
+//! and the era that every answer states is one higher.
 
 use std::{
     collections::{BTreeMap, HashMap},
@@ -20,6 +23,9 @@
 /// Largest request body, in bytes.
 const MAX_CALL_BYTES: usize = 1 << 20;
 
+/// Era before the first return to a copy.
+const FIRST_ERA: u64 = 1;
+
 /// Interval at which a waiting feed request checks for changes.
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 
@@ -32,8 +38,14 @@
     inner: Mutex<StoreInner>,
 }
 
-#[derive(Debug, Default)]
+/// An earlier state of the rows.
+#[derive(Debug, Clone)]
+pub struct StoreCopy(StoreInner);
+
+#[derive(Debug, Clone, Default)]
 struct StoreInner {
+    /// Number of returns to an earlier copy.
+    returns: u64,
     position: u64,
     rows: BTreeMap<RowName, StoredRow>,
     /// Changes since the last compaction, oldest first.
@@ -88,6 +100,18 @@
         inner.compacted = inner.position;
     }
 
+    /// Copies the rows.
+    pub fn copy(&self) -> StoreCopy {
+        StoreCopy(self.lock().clone())
+    }
+
+    /// Returns to `copy`: every change since then is gone, and the next era begins.
+    pub fn return_to(&self, copy: &StoreCopy) {
+        let mut inner = self.lock();
+        let (returns, calls) = (inner.returns + 1, inner.calls);
+        *inner = StoreInner { returns, calls, ..copy.0.clone() };
+    }
+
     /// Number of requests so far.
     pub fn calls(&self) -> u64 {
         self.lock().calls
@@ -106,6 +130,13 @@
 
     async fn handle(&self, request: Request<Incoming>) -> Response<ReplyBody> {
         self.lock().calls += 1;
+        let mut reply = self.answer(request).await;
+        let era = FIRST_ERA + self.lock().returns;
+        reply.headers_mut().insert("store-era", era.into());
+        reply
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> Response<ReplyBody> {
         let query = query_of(request.uri());
         match (request.method(), request.uri().path()) {
             (&Method::GET, "/v1/rows-get") => self.get(&query),
@@ -140,7 +171,7 @@
         loop {
             {
                 let inner = self.lock();
-                if after < inner.compacted {
+                if after < inner.compacted || after > inner.position {
                     return error_reply(StatusCode::GONE, "gone", "the history is gone");
                 }
                 let changed = inner.history.iter();
