An endpoint that states in an answer that it leaves gets no new requests

What callers saw: nothing yet; requests went on to an endpoint for seconds after it had announced its end, and would have been cut off with it. Cause: departures were a property of the list's rows alone, so with the store away no entry could learn of one, although the endpoint said it in each answer.

Departures are now a fact of their own, about one process of an endpoint, whichever way it is learned: a row, any answer but a 421 (which may come from another process at the address), or a neighbour. It holds until a process with a later start time appears; a row does not take it back. It spreads like other gossip, and a new link brings all, so an entry that starts knows it as well. An endpoint that has announced its departure also counts as planned when it ends, so its runs are no evidence against a request.

--- a/crates/decide/benches/route.rs
+++ b/crates/decide/benches/route.rs
@@ -30,6 +30,7 @@
 fn snapshot(service: &ServiceName, trackers: &[Arc<EndpointTracker>]) -> RouteSnapshot {
     let version = ModelVersion::new("v1").expect("a version");
     let candidate = |(index, tracker): (usize, &Arc<EndpointTracker>)| RouteCandidate {
+        born_at: None,
         instance: InstanceId::new(&format!("endpoint-{index}")).expect("an instance"),
         version: Some(version.clone()),
         is_near: index % 8 == 0,
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod change;
 pub mod claim;
 pub mod crash_tracker;
+pub mod departures;
 pub mod endpoint_tracker;
 pub mod entry_selector;
 pub mod evacuation;
@@ -53,6 +54,7 @@
 };
 pub use claim::{ClaimRecord, ClaimReply, ClaimState, ClaimStep, ClaimTracker};
 pub use crash_tracker::{BAR_DURATION, CrashTracker, CrashVerdict};
+pub use departures::DepartureTable;
 pub use endpoint_tracker::{EndpointPace, EndpointTracker};
 pub use entry_selector::EntrySelector;
 pub use evacuation::EvacuationTable;
--- a/crates/decide/src/route.rs
+++ b/crates/decide/src/route.rs
@@ -52,6 +52,8 @@
     pub region: Option<RegionName>,
     /// How requests reach it.
     pub path: EndpointPath,
+    /// Start time of the endpoint's process, if it reports it.
+    pub born_at: Option<Timestamp>,
     /// Load and health of the endpoint as this entry sees them.
     pub tracker: Arc<EndpointTracker>,
 }
--- a/crates/decide/tests/direct_routing.rs
+++ b/crates/decide/tests/direct_routing.rs
@@ -34,6 +34,7 @@
         let candidate = |(index, tracker): (usize, &Arc<EndpointTracker>)| {
             tracker.set_hard_limit(SLOTS);
             RouteCandidate {
+                born_at: None,
                 instance: InstanceId::new(&format!("i-{index}")).expect("valid"),
                 version: Some(version(numbers[index])),
                 is_near: index % 2 == 0,
--- a/crates/decide/tests/homes.rs
+++ b/crates/decide/tests/homes.rs
@@ -37,6 +37,7 @@
         let tracker = Arc::new(EndpointTracker::default());
         tracker.set_hard_limit(slots);
         RouteCandidate {
+            born_at: None,
             instance: InstanceId::new(&format!("i-{index}")).expect("valid"),
             version: None,
             is_near: index == 0,
--- a/crates/decide/tests/last_place.rs
+++ b/crates/decide/tests/last_place.rs
@@ -29,6 +29,7 @@
     let tracker = EndpointTracker::default();
     tracker.set_hard_limit(GATE);
     RouteCandidate {
+        born_at: None,
         instance: InstanceId::new(&format!("i-{index}")).expect("valid"),
         version: None,
         is_near: index == 0,
--- a/crates/decide/tests/overload.rs
+++ b/crates/decide/tests/overload.rs
@@ -107,6 +107,7 @@
     fn new(service: &ServiceName, names: &[InstanceId]) -> Self {
         let trackers: Vec<_> = names.iter().map(|_| Arc::new(EndpointTracker::default())).collect();
         let candidate = |(name, tracker): (&InstanceId, &Arc<EndpointTracker>)| RouteCandidate {
+            born_at: None,
             instance: name.clone(),
             version: None,
             is_near: false,
--- a/crates/decide/tests/routing.rs
+++ b/crates/decide/tests/routing.rs
@@ -54,6 +54,7 @@
         let names: Vec<_> = (0..ENDPOINTS).map(name).collect();
         let version = ModelVersion::new("v1").ok();
         let candidate = |(index, tracker): (usize, &Arc<EndpointTracker>)| RouteCandidate {
+            born_at: None,
             instance: names[index].clone(),
             version: version.clone(),
             is_near: index % 4 == 0,
--- a/crates/decide/tests/shared_slots.rs
+++ b/crates/decide/tests/shared_slots.rs
@@ -108,6 +108,7 @@
         let candidate = |(index, tracker): (usize, &Arc<EndpointTracker>)| {
             tracker.set_hard_limit(SLOTS);
             RouteCandidate {
+                born_at: None,
                 instance: InstanceId::new(&format!("i-{index}")).expect("valid"),
                 version: None,
                 is_near: index % 3 == 0,
--- a/crates/entry/src/caller/attempts.rs
+++ b/crates/entry/src/caller/attempts.rs
@@ -260,6 +260,7 @@
         log::info!(target: "route", request:% = head.id, workspace:% = head.workspace, endpoint:% = candidate.instance, reason = choice.reason.as_str(), cost = choice.cost, near = candidate.is_near, candidates = choice.candidates, revision = preset.revision.0, attempt = self.tracker.attempts() + 1; "Chose an endpoint.");
         let load = LoadGuard::adopt(candidate.tracker.clone(), service.in_flight().clone());
         let (instance, path) = (candidate.instance.clone(), candidate.path);
+        let born_at = candidate.born_at;
         let candidate_version = candidate.version.clone();
         let version = match path {
             EndpointPath::Agent => candidate.version.clone(),
@@ -273,6 +274,7 @@
         let routed = RequestHead { revision: preset.revision, version, ..head.clone() };
         let sent = DispatchedRequest {
             instance: &instance,
+            born_at,
             head: &routed,
             request: &self.request,
             last_event: self.last_event,
--- a/crates/entry/src/caller/crash_detection.rs
+++ b/crates/entry/src/caller/crash_detection.rs
@@ -98,7 +98,12 @@
 /// Whether an endpoint is leaving as planned or has already left.
 fn has_left(routed: &RoutedState, instance: &InstanceId) -> bool {
     let listing = routed.listing();
-    !listing.endpoints().any(|listed| listed.instance == *instance && !listed.is_leaving)
+    let departures = routed.departures.table();
+    !listing.endpoints().any(|listed| {
+        let is_leaving =
+            listed.is_leaving || departures.is_leaving(&listed.instance, listed.born_at);
+        listed.instance == *instance && !is_leaving
+    })
 }
 
 /// Whether `addr` refuses connections; false if it does not respond within the timeout.
--- a/crates/entry/src/caller/dispatch.rs
+++ b/crates/entry/src/caller/dispatch.rs
@@ -31,6 +31,8 @@
 pub(super) struct DispatchedRequest<'a> {
     /// Endpoint that receives the request.
     pub(super) instance: &'a InstanceId,
+    /// Start time of the endpoint's process, if it reports it.
+    pub(super) born_at: Option<Timestamp>,
     /// Request head under the preset that was used for routing.
     pub(super) head: &'a RequestHead,
     /// The request with its body and header fields.
@@ -188,7 +190,7 @@
             dispatch_through_agent(link, sent.head, &sent.request.body).await?
         }
         (EndpointPath::Direct(addr), Some(routed)) => {
-            let target = DirectTarget { instance: sent.instance, addr };
+            let target = DirectTarget { instance: sent.instance, addr, born_at: sent.born_at };
             dispatch_direct(routed, target, sent, tracker).await?
         }
         // Direct paths come only from the platform's list, which is not read in this mode.
--- a/crates/entry/src/control/derived.rs
+++ b/crates/entry/src/control/derived.rs
@@ -10,6 +10,10 @@
 /// Derives membership and routes if they are stale and were not derived just before.
 pub(super) fn derive_stale_state(shared: &EntryShared, routed: &RoutedState) {
     let overlay = &routed.overlay;
+    if routed.departures.take_stale() {
+        // Departures are rare, and each further request to such an endpoint counts.
+        shared.rebuild_routes();
+    }
     let is_stale = overlay.membership_stale.load(Ordering::Acquire)
         || overlay.routes_stale.load(Ordering::Acquire);
     if !is_stale || !overlay.begin_derivation(Timestamp::now()) {
--- a/crates/entry/src/control/gossip.rs
+++ b/crates/entry/src/control/gossip.rs
@@ -128,6 +128,8 @@
             routed.limits.rate_limits().rows_since(link.limit_cursor, link.number, now);
         let (evacuations, evacuation_cursor) =
             routed.evacuations().orders_since(link.evacuation_cursor, link.number);
+        let (departures, departure_cursor) =
+            routed.departures.table().departures_since(link.departure_cursor, link.number);
         max_items = max_items.max(records.len() + reports.len());
         if records.is_empty()
             && reports.is_empty()
@@ -136,12 +138,14 @@
             && offers.is_empty()
             && wanted.is_empty()
             && evacuations.is_empty()
+            && departures.is_empty()
             && !loads_are_due
         {
             link.cursor = cursor;
             link.crash_cursor = crash_cursor;
             link.limit_cursor = limit_cursor;
             link.evacuation_cursor = evacuation_cursor;
+            link.departure_cursor = departure_cursor;
             continue;
         }
         let mut delta = GossipDelta {
@@ -154,6 +158,7 @@
             offers,
             wanted,
             evacuations,
+            departures,
         };
         let mut loads_at = link.loads_at;
         if loads_are_due {
@@ -168,6 +173,7 @@
             link.crash_cursor = crash_cursor;
             link.limit_cursor = limit_cursor;
             link.evacuation_cursor = evacuation_cursor;
+            link.departure_cursor = departure_cursor;
             link.loads_at = loads_at;
         }
     }
@@ -275,6 +281,7 @@
     crashes.retain(|row| state.crashes.record(*row, Some(source), now));
     routed.crashes.apply_rows(&state.crashes, &crashes, Some(source));
     drop(state);
+    routed.departures.merge(&delta.departures, source, now);
     for order in delta.evacuations {
         operators::apply_evacuation(shared, routed, order, Some(source));
     }
--- a/crates/entry/src/control/links.rs
+++ b/crates/entry/src/control/links.rs
@@ -17,7 +17,9 @@
 use smol::{Task, Timer};
 
 use super::{gossip, listing, peers};
-use crate::{limits, overlay::entry_addrs_for, routed::RoutedState, shared::EntryShared};
+use crate::{
+    departures, limits, overlay::entry_addrs_for, routed::RoutedState, shared::EntryShared,
+};
 
 /// Interval between checks whether links have to be opened or closed.
 const CHECK_INTERVAL: Duration = Duration::from_millis(150);
@@ -80,6 +82,7 @@
         state.store.reports().map(|report| report.instance.clone()).collect();
     drop(state);
     limits::expire(routed, now);
+    departures::expire(routed, now);
     shared.roster().keep_only(|instance| reported.contains(instance), now);
 }
 
--- a/crates/entry/src/direct.rs
+++ b/crates/entry/src/direct.rs
@@ -17,7 +17,7 @@
 use hyper::{HeaderMap, Request, Response, StatusCode, body::Incoming, http::response::Parts};
 
 use self::pool::{ConnectionPool, EndpointConnection};
-use crate::limits::LimitTracker;
+use crate::{departures::DepartureMonitor, limits::LimitTracker};
 
 /// Largest body of a refusal that is read to reuse the connection, in bytes.
 const MAX_REFUSAL_BYTES: usize = 16 << 10;
@@ -26,6 +26,7 @@
 pub(crate) struct DirectClient {
     protocol: Arc<dyn EndpointProtocol>,
     limits: Arc<LimitTracker>,
+    departures: Arc<DepartureMonitor>,
     pool: ConnectionPool,
 }
 
@@ -36,6 +37,8 @@
     pub(crate) instance: &'a InstanceId,
     /// Address to connect to.
     pub(crate) addr: SocketAddr,
+    /// Start time of the endpoint's process, if it reports it.
+    pub(crate) born_at: Option<Timestamp>,
 }
 
 /// Head of a response and the stream of its rest.
@@ -68,8 +71,12 @@
 
 impl DirectClient {
     /// Creates a client without connections.
-    pub(crate) fn new(protocol: Arc<dyn EndpointProtocol>, limits: Arc<LimitTracker>) -> Self {
-        Self { protocol, limits, pool: ConnectionPool::default() }
+    pub(crate) fn new(
+        protocol: Arc<dyn EndpointProtocol>,
+        limits: Arc<LimitTracker>,
+        departures: Arc<DepartureMonitor>,
+    ) -> Self {
+        Self { protocol, limits, departures, pool: ConnectionPool::default() }
     }
 
     /// Closes the connections of endpoints for which `is_listed` is false.
@@ -91,6 +98,9 @@
         let (parts, body) = reply.into_parts();
         let metadata = self.protocol.read_metadata(&parts);
         log_statements(target.instance, head, &metadata);
+        if metadata.is_leaving {
+            self.departures.observe_answer(target.instance, target.born_at);
+        }
         // Refusals are skipped unless they state a limit: they may come from another process, or
         // from one that has not checked its limit.
         if metadata.limit.is_some() || !metadata.not_run {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -10,6 +10,7 @@
 mod control;
 mod counters;
 mod crashes;
+mod departures;
 mod direct;
 mod inner;
 mod limits;
--- a/crates/entry/src/overlay.rs
+++ b/crates/entry/src/overlay.rs
@@ -80,6 +80,8 @@
     pub(crate) requested: Vec<u64>,
     /// Change number up to which evacuations were sent to the other end.
     pub(crate) evacuation_cursor: u64,
+    /// Change number up to which departures were sent to the other end.
+    pub(crate) departure_cursor: u64,
 }
 
 impl Default for Overlay {
@@ -186,7 +188,7 @@
         self.link_number += 1;
         let number = self.link_number;
         let (cursor, loads_at) = (LinkCursor::default(), Deadline(0));
-        let (crash_cursor, limit_cursor, evacuation_cursor) = (0, 0, 0);
+        let (crash_cursor, limit_cursor, evacuation_cursor, departure_cursor) = (0, 0, 0, 0);
         let link = OverlayLink {
             number,
             sender,
@@ -198,6 +200,7 @@
             limit_cursor,
             requested: Vec::new(),
             evacuation_cursor,
+            departure_cursor,
         };
         self.links.push(link);
         number
--- a/crates/entry/src/routed.rs
+++ b/crates/entry/src/routed.rs
@@ -27,8 +27,8 @@
 use smol::channel::{Receiver, Sender, bounded};
 
 use crate::{
-    control::manifest_cache::ManifestCache, crashes::VerdictCache, direct::DirectClient,
-    limits::LimitTracker, overlay::Overlay,
+    control::manifest_cache::ManifestCache, crashes::VerdictCache, departures::DepartureMonitor,
+    direct::DirectClient, limits::LimitTracker, overlay::Overlay,
 };
 
 /// Minimum number of entries among which the retries of a service are divided.
@@ -83,6 +83,8 @@
     pub(crate) overlay: Overlay,
     /// Rate limits that endpoints advertise.
     pub(crate) limits: Arc<LimitTracker>,
+    /// Endpoints that leave.
+    pub(crate) departures: Arc<DepartureMonitor>,
     evacuations: Mutex<EvacuationTable>,
     /// Verdicts on requests during which endpoints have crashed.
     pub(crate) crashes: Arc<VerdictCache>,
@@ -114,6 +116,8 @@
     pub(crate) fn new(adapters: RoutedAdapters) -> Self {
         let overlay = Overlay::default();
         let limits = Arc::new(LimitTracker::new(overlay.waker()));
+        let departures = Arc::new(DepartureMonitor::new(overlay.waker()));
+        let direct = DirectClient::new(adapters.endpoints, limits.clone(), departures.clone());
         let mut listing = EndpointListing::new(adapters.settings.list_heartbeat_ms);
         // The first read of the list starts together with the process.
         listing.begin_snapshot_request(Timestamp::now());
@@ -121,7 +125,7 @@
             listing: Mutex::new(listing),
             settings: adapters.settings,
             callers: adapters.callers,
-            direct: Arc::new(DirectClient::new(adapters.endpoints, limits.clone())),
+            direct: Arc::new(direct),
             operators: adapters.operators,
             list: adapters.list,
             index: ArcSwapOption::empty(),
@@ -133,6 +137,7 @@
             versions_changed: bounded(1),
             overlay,
             limits,
+            departures,
             evacuations: Mutex::default(),
             crashes: Arc::default(),
             counters_by_agent: ArcSwap::default(),
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -445,6 +445,7 @@
                 is_near: report.failure_domain == *own_domain,
                 region: Some(report.region.clone()),
                 path: EndpointPath::Agent,
+                born_at: None,
                 tracker,
             });
         }
@@ -467,8 +468,13 @@
         let listing = routed.listing();
         let evacuations = routed.evacuations();
         let now = Timestamp::now();
+        routed.departures.observe_rows(&listing, now);
+        let departures = routed.departures.table();
         for candidate in direct_candidates(&listing, &preset, &reports) {
             let listed = candidate.listed;
+            if departures.is_leaving(&listed.instance, listed.born_at) {
+                continue;
+            }
             if evacuations.is_evacuated(&listed.failure_domain) {
                 continue;
             }
@@ -494,6 +500,7 @@
                 is_near: routed.settings.near_domains.contains(&listed.failure_domain),
                 region: routed.settings.regions.get(&listed.failure_domain).cloned(),
                 path: EndpointPath::Direct(listed.addr),
+                born_at: listed.born_at,
                 tracker,
             });
         }
--- a/crates/model/src/gossip.rs
+++ b/crates/model/src/gossip.rs
@@ -119,6 +119,17 @@
     pub age_ms: u32,
 }
 
+/// An endpoint process that has announced that it leaves.
+#[apply(record!)]
+#[derive(Copy, Eq)]
+pub struct DepartureRecord {
+    /// Hash of the endpoint's instance.
+    pub endpoint: u64,
+    /// Start time of the process, if the endpoint reports it.
+    #[serde(default)]
+    pub born_at: Option<Timestamp>,
+}
+
 /// A request that is not sent to any endpoint, as stored in a row of the table service.
 #[apply(record!)]
 #[derive(Copy, Eq)]
@@ -152,6 +163,8 @@
     pub wanted: Vec<u64>,
     /// Evacuations that operators have ordered or ended.
     pub evacuations: Vec<EvacuationOrder>,
+    /// Endpoints that have announced that they leave.
+    pub departures: Vec<DepartureRecord>,
 }
 
 impl CrashEvent {
--- a/crates/testkit/tests/store_eras.rs
+++ b/crates/testkit/tests/store_eras.rs
@@ -178,9 +178,8 @@
         }
         let before: Vec<_> = site.replicas.iter().map(|r| r.arrivals().len()).collect();
         assert_eq!(load(&site, 20, "after").await?, 0);
-        for index in 0..2 {
-            let now = site.replicas[index].arrivals().len();
-            assert_eq!(now, before[index], "endpoint {index} leaves");
+        for (replica, before) in site.replicas.iter().zip(before).take(2) {
+            assert_eq!(replica.arrivals().len(), before, "endpoint {} leaves", replica.id);
         }
         Ok(())
     });
