An endpoint that asks for rest gets none of this entry's requests until it ends

What callers saw: late answers and refusals while five of sixteen engines shed load; each request could meet two of them and was then refused. Cause: the rest in a refusal was not read. A refusal ends at once, so the endpoint had nothing in progress, looked idle, and its low cost attracted more requests than before.

The latest end that the endpoint stated holds, in its tracker, which is kept while the endpoint is missing from the routes. A resting endpoint is not eligible for any attempt, not even as a last resort, and counts as no capacity in admission. After the end one request probes it, another one a second later if that one is not answered; the adaptive limit starts at one, so that requests return gradually. Each entry adds a random delay of up to an eighth of the rest, half a second at most. Where all endpoints rest, callers are refused at once with the reason resting and told when the first rest ends, spread over up to a second.

Ruled out: a rest per service (others serve on), a rest shared by all entries as a ban (the endpoint asks the one entry that it refuses).

--- a/crates/decide/src/endpoint_tracker.rs
+++ b/crates/decide/src/endpoint_tracker.rs
@@ -3,10 +3,15 @@
 //! Requests read and update a tracker without a lock. It outlives the route snapshots that refer to
 //! it, so that a membership change keeps the measured state.
 
-use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::{
+    sync::atomic::{AtomicU32, AtomicU64, Ordering},
+    time::Duration,
+};
 
 use cassiawheel_model::{LoadReport, Timestamp};
 
+use crate::endpoint_rest::EndpointRest;
+
 /// Age up to which a load report counts in full where no gate protects the endpoint, in
 /// milliseconds.
 ///
@@ -106,6 +111,7 @@
     interval_us: AtomicU64,
     /// When the next request may be sent, in microseconds.
     next_at_us: AtomicU64,
+    rest: EndpointRest,
 }
 
 impl EndpointTracker {
@@ -190,13 +196,27 @@
         self.next_at_us.fetch_update(Ordering::Relaxed, Ordering::Relaxed, next).is_ok()
     }
 
-    /// Counts a request if fewer than `max_in_flight` are in flight and the pace allows it; false
-    /// if not.
+    /// Rest that the endpoint has asked for.
+    pub fn rest(&self) -> &EndpointRest {
+        &self.rest
+    }
+
+    /// Records that the endpoint asked for `span` of rest; true if it was not resting.
+    ///
+    /// The limit starts anew, so that requests return to the endpoint gradually. `spread` is that of
+    /// [`EndpointRest::begin`].
+    pub fn begin_rest(&self, span: Duration, spread: f64, now: Timestamp) -> bool {
+        self.limit.store(LIMIT_SCALE, Ordering::Relaxed);
+        self.rest.begin(span, spread, now)
+    }
+
+    /// Counts a request if fewer than `max_in_flight` are in flight, and pace and rest allow it;
+    /// false if not.
     pub fn try_acquire_paced(&self, max_in_flight: u32, now: Timestamp) -> bool {
         if !self.try_acquire(max_in_flight) {
             return false;
         }
-        let is_taken = self.take_slot(now);
+        let is_taken = self.rest.take(now) && self.take_slot(now);
         if !is_taken {
             self.release();
         }
--- a/crates/decide/src/route.rs
+++ b/crates/decide/src/route.rs
@@ -19,7 +19,7 @@
 };
 
 use cassiawheel_model::{
-    HomeRegions, InstanceId, ModelVersion, RegionName, ServiceName, Timestamp,
+    Deadline, HomeRegions, InstanceId, ModelVersion, RegionName, ServiceName, Timestamp,
 };
 use rand::Rng;
 
@@ -240,6 +240,7 @@
         });
         self.tracker.in_flight() < self.capacity(query)
             && self.tracker.is_due(query.now)
+            && self.tracker.rest().is_due(query.now)
             && is_version
             && is_allowed
             && query.homes.contains(self.region.as_ref())
@@ -273,6 +274,7 @@
     pub fn capacity(&self, max_in_flight: u32, competitor: SlotCompetitor, now: Timestamp) -> u32 {
         let usable = self.candidates.iter();
         let usable = usable.filter(|c| !c.tracker.is_ejected(now) && !c.is_slow(now));
+        let usable = usable.filter(|c| c.tracker.rest().is_due(now));
         let mut slots = SlotShare::new(competitor);
         for candidate in usable {
             let tracker = &candidate.tracker;
@@ -289,6 +291,16 @@
         slots.capacity()
     }
 
+    /// When the first endpoint may get a request again, if all have asked for rest.
+    pub fn rest_end(&self, now: Timestamp) -> Option<Deadline> {
+        let resting = |c: &RouteCandidate| {
+            let next_at = c.tracker.rest().next_at()?;
+            (!c.tracker.rest().is_due(now)).then_some(next_at)
+        };
+        let ends: Option<Vec<_>> = self.candidates.iter().map(resting).collect();
+        ends?.into_iter().min()
+    }
+
     /// Records a failed attempt at `instance`; true if it was ejected.
     pub fn record_failure(&self, instance: &InstanceId, now: Timestamp) -> bool {
         let Some(position) = self.positions.get(instance) else {
@@ -442,6 +454,11 @@
         position.is_some_and(|p| routes.candidates[*p].version.as_ref() == version)
     }
 
+    /// Number of endpoints that have asked for rest and get no requests now.
+    pub fn resting(&self, now: Timestamp) -> usize {
+        self.candidates().filter(|c| !c.tracker.rest().is_due(now)).count()
+    }
+
     /// All endpoints of all services.
     pub fn candidates(&self) -> impl Iterator<Item = &RouteCandidate> {
         self.services.values().flat_map(|service| &service.candidates)
--- a/crates/entry/src/caller/attempts.rs
+++ b/crates/entry/src/caller/attempts.rs
@@ -17,6 +17,7 @@
     RequestHead, RequestOutcome, ServiceKind, Timestamp,
 };
 use hyper::HeaderMap;
+use rand::Rng;
 use smol::Timer;
 
 use super::{
@@ -36,6 +37,13 @@
 /// two for each of them.
 const RETRY_EXTRA_SLOTS: u32 = 4;
 
+/// Divisor of the time until the first endpoint's rest ends that gives the time over which refused
+/// callers are spread.
+const REST_SPREAD_DIVISOR: u32 = 2;
+
+/// Longest time over which callers that were refused while all endpoints rest are spread.
+const MAX_REST_SPREAD: Duration = Duration::from_millis(1_000);
+
 /// Time that a request may take on a full link to another region.
 ///
 /// A request that is withdrawn meanwhile still arrives, so a version that may not answer by then
@@ -216,13 +224,30 @@
             }
             RetryStep::Stop(end) => {
                 let (revision, attempts) = (self.revision, self.tracker.attempts());
-                return Err(FailedRequest { outcome: final_outcome(end), revision, attempts });
+                let outcome = self.while_resting(&end).unwrap_or_else(|| final_outcome(end));
+                return Err(FailedRequest { outcome, revision, attempts });
             }
         };
         Timer::after(next_at.remaining(Timestamp::now())).await;
         Ok(())
     }
 
+    /// Outcome of a refused request if every endpoint has asked for rest.
+    fn while_resting(&self, end: &AttemptFailure) -> Option<RequestOutcome> {
+        let AttemptFailure::NotRun(NotRunReason::Overloaded | NotRunReason::NoEndpoint) = end
+        else {
+            return None;
+        };
+        let now = Timestamp::now();
+        let routes = self.shared.routes.load();
+        let rest_end = routes.service(&self.head().service)?.rest_end(now)?;
+        // Callers that were refused together must not return together.
+        let max_spread = (rest_end.remaining(now) / REST_SPREAD_DIVISOR).min(MAX_REST_SPREAD);
+        let spread = max_spread.mul_f64(rand::rng().random_range(0.0..1.0));
+        let retry_at = Timestamp(rest_end.0).deadline_after(spread);
+        Some(RequestOutcome::NotRun { reason: NotRunReason::Resting, retry_at })
+    }
+
     async fn route_and_dispatch(
         &mut self,
         preset: &ForcedPreset,
--- a/crates/entry/src/caller/dispatch.rs
+++ b/crates/entry/src/caller/dispatch.rs
@@ -190,7 +190,8 @@
             dispatch_through_agent(link, sent.head, &sent.request.body).await?
         }
         (EndpointPath::Direct(addr), Some(routed)) => {
-            let target = DirectTarget { instance: sent.instance, addr, born_at: sent.born_at };
+            let target =
+                DirectTarget { instance: sent.instance, addr, born_at: sent.born_at, tracker };
             dispatch_direct(routed, target, sent, tracker).await?
         }
         // Direct paths come only from the platform's list, which is not read in this mode.
--- a/crates/entry/src/caller/routed.rs
+++ b/crates/entry/src/caller/routed.rs
@@ -311,9 +311,10 @@
     let mut reply = error_reply(status, error, message);
     if let Some(wait_ms) = wait_ms {
         let wait = match failed.outcome {
-            RequestOutcome::NotRun { reason: NotRunReason::Quarantined, .. } => {
-                Duration::from_millis(wait_ms)
-            }
+            RequestOutcome::NotRun {
+                reason: NotRunReason::Quarantined | NotRunReason::Resting,
+                ..
+            } => Duration::from_millis(wait_ms),
             _ => OVERLOAD_RETRY_DELAY,
         };
         let wait_s = format!("{:.3}", wait.as_secs_f64());
--- a/crates/entry/src/counters.rs
+++ b/crates/entry/src/counters.rs
@@ -7,7 +7,7 @@
 };
 
 use cassiawheel_decide::{EndpointTracker, RestartDetector};
-use cassiawheel_model::{InstanceId, ServiceName};
+use cassiawheel_model::{InstanceId, ServiceName, Timestamp};
 
 /// Trackers of all endpoints and request counts of all services.
 #[derive(Debug, Default)]
@@ -35,7 +35,11 @@
     }
 
     /// Drops trackers of endpoints that neither a snapshot nor a request refers to.
-    pub(crate) fn drop_unused(&mut self) {
-        self.endpoints.retain(|_, tracker| Arc::strong_count(tracker) > 1);
+    ///
+    /// An endpoint that rests may be missing from snapshots for a while, for example during a
+    /// switch of versions, and the rest still applies afterwards.
+    pub(crate) fn drop_unused(&mut self, now: Timestamp) {
+        self.endpoints
+            .retain(|_, tracker| Arc::strong_count(tracker) > 1 || !tracker.rest().is_due(now));
     }
 }
--- a/crates/entry/src/direct.rs
+++ b/crates/entry/src/direct.rs
@@ -9,12 +9,13 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use bytes::Bytes;
-use cassiawheel_decide::AttemptFailure;
+use cassiawheel_decide::{AttemptFailure, EndpointTracker};
 use cassiawheel_edge::{EndpointProtocol, ForwardMetadata, ResponseMetadata, RestRequest};
 use cassiawheel_model::{InstanceId, NotRunReason, Repeatability, RequestHead, Timestamp};
 use cassiawheel_runtime::{spawn, timeout};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{HeaderMap, Request, Response, StatusCode, body::Incoming, http::response::Parts};
+use rand::Rng;
 
 use self::pool::{ConnectionPool, EndpointConnection};
 use crate::{departures::DepartureMonitor, limits::LimitTracker};
@@ -39,6 +40,8 @@
     pub(crate) addr: SocketAddr,
     /// Start time of the endpoint's process, if it reports it.
     pub(crate) born_at: Option<Timestamp>,
+    /// Load and health of the endpoint.
+    pub(crate) tracker: &'a EndpointTracker,
 }
 
 /// Head of a response and the stream of its rest.
@@ -97,10 +100,7 @@
         let (reply, connection) = self.exchange(target, head, request).await?;
         let (parts, body) = reply.into_parts();
         let metadata = self.protocol.read_metadata(&parts);
-        log_statements(target.instance, head, &metadata);
-        if metadata.is_leaving {
-            self.departures.observe_answer(target.instance, target.born_at);
-        }
+        self.apply_statements(target, head, &parts, &metadata);
         // Refusals are skipped unless they state a limit: they may come from another process, or
         // from one that has not checked its limit.
         if metadata.limit.is_some() || !metadata.not_run {
@@ -123,6 +123,39 @@
         }
     }
 
+    /// Applies what the endpoint states about itself in a response.
+    fn apply_statements(
+        &self,
+        target: DirectTarget<'_>,
+        head: &RequestHead,
+        parts: &Parts,
+        metadata: &ResponseMetadata,
+    ) {
+        let (endpoint, now) = (target.instance, Timestamp::now());
+        if metadata.is_leaving {
+            log::debug!(target: "direct", request:% = head.id, endpoint:% = endpoint; "An answer states that its endpoint is leaving.");
+            self.departures.observe_answer(endpoint, target.born_at);
+        }
+        match &metadata.rest {
+            RestRequest::For(span) => {
+                let spread = rand::rng().random_range(0.0..1.0);
+                let rest_ms = span.as_millis() as u64;
+                if target.tracker.begin_rest(*span, spread, now) {
+                    log::info!(target: "direct", request:% = head.id, endpoint:% = endpoint, rest_ms = rest_ms; "An endpoint asks for rest.");
+                }
+                return;
+            }
+            RestRequest::Invalid(value) => {
+                log::warn!(target: "direct", request:% = head.id, endpoint:% = endpoint, value:% = value; "An endpoint asks for a rest that is no number of seconds.");
+            }
+            RestRequest::None => {}
+        }
+        // A 421 may come from another process at the endpoint's address.
+        if parts.status != StatusCode::MISDIRECTED_REQUEST && target.tracker.rest().end(now) {
+            log::info!(target: "direct", request:% = head.id, endpoint:% = endpoint; "An endpoint answers again after its rest.");
+        }
+    }
+
     fn request(
         &self,
         head: &RequestHead,
@@ -175,22 +208,6 @@
     }
 }
 
-/// Logs what an endpoint states about itself in a response.
-fn log_statements(instance: &InstanceId, head: &RequestHead, metadata: &ResponseMetadata) {
-    if metadata.is_leaving {
-        log::debug!(target: "direct", request:% = head.id, endpoint:% = instance; "An answer states that its endpoint is leaving.");
-    }
-    match &metadata.rest {
-        RestRequest::None => {}
-        RestRequest::For(span) => {
-            log::info!(target: "direct", request:% = head.id, endpoint:% = instance, rest_ms = span.as_millis() as u64; "An endpoint refused a request and asks for rest.");
-        }
-        RestRequest::Invalid(value) => {
-            log::warn!(target: "direct", request:% = head.id, endpoint:% = instance, value:% = value; "An endpoint asks for a rest that is no number of seconds.");
-        }
-    }
-}
-
 /// Checks that the response belongs to this request and comes from the endpoint itself.
 fn check_head(
     head: &RequestHead,
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -411,7 +411,7 @@
             Some(routed) => self.listed_candidates(routed, &roster, &mut counters),
             None => self.reported_candidates(&roster, &mut counters),
         };
-        counters.drop_unused();
+        counters.drop_unused(Timestamp::now());
         let routed = services.into_iter().map(|(service, candidates)| {
             let in_flight = counters.service(&service);
             (service, ServiceRoutes::new(candidates, in_flight))
--- a/crates/model/src/outcome.rs
+++ b/crates/model/src/outcome.rs
@@ -52,6 +52,8 @@
     Quarantined,
     /// No region is a home of both the route and the workspace.
     NoHome,
+    /// Every endpoint of the service has asked for rest.
+    Resting,
 }
 
 impl NotRunReason {
@@ -72,7 +74,8 @@
             | Self::UnknownService
             | Self::Cancelled
             | Self::Quarantined
-            | Self::NoHome => false,
+            | Self::NoHome
+            | Self::Resting => false,
         }
     }
 
@@ -94,6 +97,7 @@
             Self::ConnectFailed => "connect-failed",
             Self::Quarantined => "quarantined",
             Self::NoHome => "no-home",
+            Self::Resting => "resting",
         }
     }
 }
