Positions of the store are compared within their era only

What callers saw: requests to an endpoint 2.1 to 2.8 s after its departure was acknowledged. Cause: after its return from an older copy the store gives positions out again, and the list took each row with a lower position than the known one for an old one. Where the counter overtakes the known position between two reads there is no error at all, and the changes below it are never read.

Answers state the era. A position now has a meaning together with its era: a read that continues from a position of another era counts as lost history, and an answer of an earlier era than one before is refused. The list begins anew with an era, with what the copy may not undo: endpoints that were removed stay so until they write again, those that the copy lacks get the grace period at each entry, departures hold. The message between entries carries the era as a further field; a sender without it is taken to be of the receiver's era, as before.

Evacuations were ordered by the same positions: an order in the new era was ignored, and the end of an older one could return. They are ordered by era and position; one that the copy lacks holds for 30 s, and one that had ended does not return with the copy.

Ruled out: that the list was not read (each refused read was followed by a whole one), that the row was late (acknowledged at 21.805 s).

--- a/crates/decide/src/evacuation.rs
+++ b/crates/decide/src/evacuation.rs
@@ -1,19 +1,24 @@
 //! Failure domains that operators have evacuated.
 //!
 //! Orders arrive from the operators' rows and from neighbours, in any order. The one with the
-//! highest position in the store applies, so a late copy never reverts a newer order. Like other
+//! highest position in the store applies, so a late copy never reverts a newer order. If the store
+//! returns from a copy that is older than an order, the order still holds until the operators have
+//! had time to write it again. Like other
 //! state that entries gossip, each order gets a change number, and a link keeps the number up to
 //! which its peer is current.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, time::Duration};
 
-use cassiawheel_model::{EvacuationOrder, FailureDomain, Timestamp};
+use cassiawheel_model::{Deadline, EvacuationOrder, FailureDomain, StorePosition, Timestamp};
 
 use crate::gossip::LinkId;
 
 /// Maximum number of failure domains with an order.
 const MAX_DOMAINS: usize = 1_024;
 
+/// Time for which an evacuation holds that the store has lost.
+const HOLD_TIME: Duration = Duration::from_secs(30);
+
 /// Newest order of each failure domain.
 #[derive(Debug, Default)]
 pub struct EvacuationTable {
@@ -24,11 +29,23 @@
 #[derive(Debug)]
 struct KnownOrder {
     order: EvacuationOrder,
+    /// Position of the last order that was active, within its era.
+    active_at: Option<u64>,
+    /// Until when an order that the store's copy lacks still holds.
+    held_until: Option<Deadline>,
     change: u64,
     source: Option<LinkId>,
     received_at: Timestamp,
 }
 
+impl KnownOrder {
+    /// Whether `order` is the one that this end followed, as a copy of the store repeats it.
+    fn was_ended_before(&self, order: &EvacuationOrder) -> bool {
+        let is_repeated = order.is_active && self.active_at == Some(order.position);
+        is_repeated && !self.order.is_active && order.era > self.order.era
+    }
+}
+
 impl EvacuationTable {
     /// Whether the endpoints of `domain` must receive no requests.
     pub fn is_evacuated(&self, domain: &FailureDomain) -> bool {
@@ -49,26 +66,68 @@
         now: Timestamp,
     ) -> bool {
         let is_new = match self.orders.get(&order.failure_domain) {
-            Some(known) => order.is_newer_than(&known.order),
+            Some(known) => order.is_newer_than(&known.order) && !known.was_ended_before(&order),
             None => self.orders.len() < MAX_DOMAINS,
         };
         if is_new {
             self.changes += 1;
             let domain = order.failure_domain.clone();
-            let known = KnownOrder { order, change: self.changes, source, received_at: now };
+            let before = self.orders.get(&domain).and_then(|known| known.active_at);
+            let active_at = if order.is_active { Some(order.position) } else { before };
+            let known = KnownOrder {
+                order,
+                active_at,
+                held_until: None,
+                change: self.changes,
+                source,
+                received_at: now,
+            };
             self.orders.insert(domain, known);
         }
         is_new
     }
 
     /// Returns the ends of evacuations that a read of all rows up to `position` no longer contains.
-    pub fn ended_by(&self, listed: &[FailureDomain], position: u64) -> Vec<EvacuationOrder> {
-        let active = self.orders.values().map(|known| &known.order).filter(|o| o.is_active);
-        let missing = active.filter(|o| o.position <= position);
-        let missing = missing.filter(|order| !listed.contains(&order.failure_domain));
-        missing
-            .map(|order| EvacuationOrder { position, is_active: false, ..order.clone() })
-            .collect()
+    ///
+    /// An evacuation of an earlier era is held first: the store's copy may be older than it, and
+    /// operators write again what was lost.
+    pub fn ended_by(
+        &mut self,
+        listed: &[FailureDomain],
+        position: StorePosition,
+        now: Timestamp,
+    ) -> Vec<EvacuationOrder> {
+        let mut ended = Vec::new();
+        for known in self.orders.values_mut().filter(|known| known.order.is_active) {
+            let order = &known.order;
+            let ordered_at = StorePosition { era: order.era, version: order.position };
+            if ordered_at > position || listed.contains(&order.failure_domain) {
+                continue;
+            }
+            if order.era < position.era {
+                known.held_until.get_or_insert(now.deadline_after(HOLD_TIME));
+                continue;
+            }
+            ended.push(EvacuationOrder {
+                position: position.version,
+                is_active: false,
+                ..order.clone()
+            });
+        }
+        ended
+    }
+
+    /// Returns the ends of evacuations that have not been ordered again in the era of `position`.
+    pub fn ended_holds(&self, position: StorePosition, now: Timestamp) -> Vec<EvacuationOrder> {
+        let held = self.orders.values();
+        let over = held.filter(|known| known.held_until.is_some_and(|until| until.is_past(now)));
+        over.map(|known| EvacuationOrder {
+            era: position.era,
+            position: position.version,
+            is_active: false,
+            ..known.order.clone()
+        })
+        .collect()
     }
 
     /// Orders to send over `link`, and the change number up to which it is current afterwards.
--- a/crates/decide/src/followed_rows.rs
+++ b/crates/decide/src/followed_rows.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use cassiawheel_model::{AgeSource, Timestamp};
+use cassiawheel_model::{AgeSource, StorePosition, Timestamp};
 
 /// Assumed age of a version that this process reads when it starts.
 ///
@@ -20,7 +20,7 @@
 #[derive(Debug, Clone, Copy, Default)]
 pub struct FollowedRows {
     /// Position of this entry in the change history, if it has read the rows.
-    pub position: Option<u64>,
+    pub position: Option<StorePosition>,
     /// The last time at which this entry or others followed them.
     pub until: Option<Timestamp>,
     /// Whether other entries followed them until then.
--- a/crates/decide/src/listing.rs
+++ b/crates/decide/src/listing.rs
@@ -5,8 +5,13 @@
 //! would make hundreds of calls a second. The entry with the first rank reads at a fixed
 //! interval. The others read only when their copy is stale, each rank a step later than
 //! the one before, so no coordination is needed when a reader fails.
+//!
+//! Positions belong to an era of the store. When it returns from an older copy, the rows of
+//! the copy replace nothing that is known to be over, and endpoints that the copy lacks get
+//! a grace period in which to register again.
 
 use std::{
+    cmp::Ordering,
     collections::{BTreeMap, HashMap},
     net::SocketAddr,
     time::Duration,
@@ -46,15 +51,19 @@
     pub position: u64,
     /// When the read of the platform's list was sent.
     pub asked_at: Timestamp,
+    /// Era of the store to which the positions belong.
+    pub era: u64,
 }
 
 /// An entry's copy of the list of endpoints.
 #[derive(Debug, Clone)]
 pub struct EndpointListing {
+    /// Newest rows; those of an earlier era have position zero.
     rows: BTreeMap<InstanceId, ListedRow>,
+    era: u64,
     position: u64,
     asked_at: Option<Timestamp>,
-    /// Endpoints whose rows vanished during an outage, with the end of their grace period.
+    /// Endpoints whose rows vanished during an outage or with an era, with the end of their grace period.
     grace: HashMap<InstanceId, Deadline>,
     /// Longest time between two reads in which no row can have expired, in milliseconds.
     outage_ms: u64,
@@ -69,6 +78,7 @@
     pub fn new(heartbeat_ms: u64) -> Self {
         Self {
             rows: BTreeMap::new(),
+            era: 0,
             position: 0,
             asked_at: None,
             grace: HashMap::new(),
@@ -83,6 +93,11 @@
         self.position
     }
 
+    /// Returns the era of the store to which the position belongs.
+    pub fn era(&self) -> u64 {
+        self.era
+    }
+
     /// Returns when the read that gave the current state was sent.
     pub fn asked_at(&self) -> Option<Timestamp> {
         self.asked_at
@@ -141,7 +156,7 @@
     pub fn snapshot(&self) -> Option<ListingUpdate> {
         let rows = self.rows.values().cloned().collect();
         let asked_at = self.asked_at?;
-        Some(ListingUpdate { rows, base: 0, position: self.position, asked_at })
+        Some(ListingUpdate { rows, base: 0, position: self.position, asked_at, era: self.era })
     }
 
     /// Returns whether to request a snapshot from another entry now, and if so records it.
@@ -160,10 +175,14 @@
     }
 
     /// Applies a read of the platform's list; returns the update for the other entries.
+    ///
+    /// The read is of the current era, or all rows of a later one.
     pub fn apply_read(&mut self, mut update: ListingUpdate, now: Timestamp) -> ListingUpdate {
-        let after_outage = self.asked_at.is_some_and(|asked_at| {
-            update.asked_at.since(asked_at).as_millis() as u64 > self.outage_ms
-        });
+        let is_new_era = update.era > self.era;
+        if is_new_era {
+            self.begin_era(update.era);
+        }
+        let after_outage = is_new_era || self.follows_outage(update.asked_at);
         if update.base == 0 {
             let vanished = self.vanished(&update);
             update.rows.extend(vanished);
@@ -179,22 +198,48 @@
     }
 
     /// Applies the update of another entry; returns false if its base is not known here.
+    ///
+    /// An update of an earlier era is ignored: its sender learns of the later one soon.
     pub fn apply_update(&mut self, update: &ListingUpdate) -> bool {
-        if update.base > self.position {
-            return false;
-        }
-        if update.base == 0 && update.position > self.position {
-            // The update is the whole list: older rows that it does not contain have been
-            // removed.
-            let kept: Vec<_> = update.rows.iter().map(|row| &row.instance).collect();
-            let position = update.position;
-            self.rows.retain(|instance, row| row.position > position || kept.contains(&instance));
+        match update.era.cmp(&self.era) {
+            Ordering::Less => return true,
+            Ordering::Greater if update.base > 0 => return false,
+            Ordering::Greater => {
+                self.begin_era(update.era);
+                let vanished = self.vanished(update);
+                self.begin_grace(&vanished, update.asked_at);
+            }
+            Ordering::Equal if update.base > self.position => return false,
+            Ordering::Equal if update.base == 0 && update.position > self.position => {
+                self.drop_missing(update);
+            }
+            Ordering::Equal => {}
         }
         self.take_rows(&update.rows, update.asked_at);
         self.advance(update);
         true
     }
 
+    /// Removes rows that a newer copy of the whole list does not contain.
+    fn drop_missing(&mut self, update: &ListingUpdate) {
+        let kept: Vec<_> = update.rows.iter().map(|row| &row.instance).collect();
+        let position = update.position;
+        self.rows.retain(|instance, row| row.position > position || kept.contains(&instance));
+    }
+
+    /// Begins an era, in which every position is newer than all before.
+    fn begin_era(&mut self, era: u64) {
+        self.era = era;
+        self.position = 0;
+        self.rows.values_mut().for_each(|row| row.position = 0);
+    }
+
+    /// Whether rows can have expired since the last read because the list could not be written.
+    fn follows_outage(&self, asked_at: Timestamp) -> bool {
+        let since_last = self.asked_at.map(|last| asked_at.since(last).as_millis() as u64);
+        since_last.is_some_and(|span_ms| span_ms > self.outage_ms)
+    }
+
     /// Removes endpoints whose grace period has ended; returns the rows for the other entries.
     pub fn expire_missing(&mut self, now: Timestamp) -> Vec<ListedRow> {
         let expired: Vec<_> = self
@@ -214,6 +259,11 @@
         removed
     }
 
+    /// Returns the endpoints whose rows vanished during an outage or with an era.
+    pub fn in_grace(&self) -> Vec<InstanceId> {
+        self.grace.keys().cloned().collect()
+    }
+
     /// Removes an endpoint whose address is now used by another process.
     pub fn forget(&mut self, instance: &InstanceId) -> bool {
         self.grace.remove(instance);
@@ -252,6 +302,13 @@
 
     fn take_rows(&mut self, rows: &[ListedRow], asked_at: Timestamp) {
         for row in rows {
+            // A copy may be older than the removal of a row, which its endpoint then does not
+            // renew. An endpoint that is alive does, and that write has a higher position.
+            let removed = self.rows.get_mut(&row.instance);
+            if let Some(known) = removed.filter(|k| k.position == 0 && k.endpoint.is_none()) {
+                known.position = row.position;
+                continue;
+            }
             let is_old = self.rows.get(&row.instance).is_some_and(|known| {
                 // Repeating a row does not restore an endpoint removed by `forget`.
                 let is_repeated = known.position == row.position && known.endpoint.is_none();
@@ -266,7 +323,11 @@
             let known = self.rows.insert(row.instance.clone(), row.clone());
             // A copy of a known row may come from a later read; the time since the row was written
             // is what counts.
-            if known.is_none_or(|known| known.position < row.position) {
+            let is_written = known.is_none_or(|known| match known.position {
+                0 => known.endpoint != row.endpoint,
+                position => position < row.position,
+            });
+            if is_written {
                 self.update_cold(row, asked_at);
             }
         }
--- a/crates/decide/tests/evacuation.rs
+++ b/crates/decide/tests/evacuation.rs
@@ -1,7 +1,7 @@
 //! Evacuations spread among entries that learn of them in any order.
 
 use cassiawheel_decide::EvacuationTable;
-use cassiawheel_model::{EvacuationOrder, FailureDomain, Timestamp};
+use cassiawheel_model::{EvacuationOrder, FailureDomain, StorePosition, Timestamp};
 use rand::{Rng, SeedableRng, rngs::SmallRng, seq::SliceRandom};
 
 const NOW: Timestamp = Timestamp(1_000_000);
@@ -12,7 +12,11 @@
 }
 
 fn order(name: &str, position: u64, is_active: bool) -> EvacuationOrder {
-    EvacuationOrder { failure_domain: domain(name), position, is_active }
+    EvacuationOrder { failure_domain: domain(name), era: 1, position, is_active }
+}
+
+fn position(era: u64, version: u64) -> StorePosition {
+    StorePosition { era, version }
 }
 
 /// Entries in a ring, each with the cursors of its links to both neighbours.
@@ -83,7 +87,7 @@
     for (name, position) in [("gone", 5), ("kept", 6), ("newer", 12)] {
         table.merge(order(name, position, true), None, NOW);
     }
-    let ended = table.ended_by(&[domain("kept")], 10);
+    let ended = table.ended_by(&[domain("kept")], position(1, 10), NOW);
     assert_eq!(ended, [order("gone", 10, false)]);
     for order in ended {
         assert!(table.merge(order, None, NOW));
@@ -94,3 +98,35 @@
     // A copy of the order that was ended arrives late.
     assert!(!table.merge(order("gone", 5, true), None, NOW));
 }
+
+/// Guards against an evacuation that is undone because the store's copy is older than it, and
+/// against one that nobody ends because its end was lost as well.
+#[test]
+fn an_evacuation_that_the_copy_lacks_holds_for_a_while() {
+    let mut table = EvacuationTable::default();
+    table.merge(order("hall", 50, true), None, NOW);
+    assert!(table.ended_by(&[], position(2, 41), NOW).is_empty());
+    assert!(table.ended_holds(position(2, 42), NOW).is_empty());
+    assert!(table.is_evacuated(&domain("hall")));
+    let later = Timestamp(NOW.0 + 60_000);
+    let ended = table.ended_holds(position(2, 90), later);
+    assert_eq!(ended, [EvacuationOrder { era: 2, ..order("hall", 90, false) }]);
+    // The operators have written it again meanwhile.
+    table.merge(EvacuationOrder { era: 2, ..order("hall", 43, true) }, None, NOW);
+    assert!(table.ended_holds(position(2, 90), later).is_empty());
+    assert!(table.is_evacuated(&domain("hall")));
+}
+
+/// Guards against an evacuation that has ended and returns with the store's copy, and against a new
+/// one that is ignored because its position is lower than that of the end.
+#[test]
+fn an_ended_evacuation_does_not_return_with_the_copy() {
+    let mut table = EvacuationTable::default();
+    table.merge(order("hall", 30, true), None, NOW);
+    table.merge(order("hall", 50, false), None, NOW);
+    let copy = EvacuationOrder { era: 2, ..order("hall", 30, true) };
+    assert!(!table.merge(copy, None, NOW));
+    assert!(!table.is_evacuated(&domain("hall")));
+    assert!(table.merge(EvacuationOrder { era: 2, ..order("hall", 42, true) }, None, NOW));
+    assert!(table.is_evacuated(&domain("hall")));
+}
--- a/crates/decide/tests/followed_rows.rs
+++ b/crates/decide/tests/followed_rows.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use cassiawheel_decide::FollowedRows;
-use cassiawheel_model::{AgeSource, Timestamp};
+use cassiawheel_model::{AgeSource, StorePosition, Timestamp};
 use rstest::rstest;
 
 /// Guards against all engines going out of service after an outage of the table service,
@@ -21,6 +21,7 @@
     #[case] age_ms: u64,
     #[case] source: AgeSource,
 ) {
+    let position = position.map(|version| StorePosition { era: 1, version });
     let followed = FollowedRows { position, until: until_ms.map(Timestamp), by_others };
     let age = followed.version_age(Timestamp(10_000));
     assert_eq!(age, (Duration::from_millis(age_ms), source));
--- a/crates/decide/tests/listing.rs
+++ b/crates/decide/tests/listing.rs
@@ -42,7 +42,7 @@
 }
 
 fn update(rows: Vec<ListedRow>, base: u64, position: u64, asked_at: Timestamp) -> ListingUpdate {
-    ListingUpdate { rows, base, position, asked_at }
+    ListingUpdate { rows, base, position, asked_at, era: 0 }
 }
 
 fn names(listing: &EndpointListing) -> Vec<String> {
@@ -180,3 +180,76 @@
     assert!(!listing.begin_snapshot_request(Timestamp(1_200)));
     assert!(listing.begin_snapshot_request(Timestamp(1_250)));
 }
+
+fn in_era(update: ListingUpdate, era: u64) -> ListingUpdate {
+    ListingUpdate { era, ..update }
+}
+
+/// Guards against rows of a new era that are taken for old since their positions are lower.
+#[test]
+fn a_later_era_is_newer_than_any_position() {
+    let mut listing = read(vec![row("a", 57), row("b", 60)], 60);
+    let leaves = ListedRow { endpoint: Some(endpoint("a", true)), ..row("a", 41) };
+    let whole = in_era(update(vec![leaves, row("b", 38)], 0, 41, at(500)), 2);
+    let published = listing.apply_read(whole, at(500));
+    assert!(listing.endpoints().any(|endpoint| endpoint.is_leaving));
+    let mut other = read(vec![row("a", 57), row("b", 60)], 60);
+    assert!(other.apply_update(&published));
+    assert!(other.endpoints().any(|endpoint| endpoint.is_leaving));
+    assert_eq!((other.era(), other.position()), (2, 41));
+}
+
+/// Guards against an answer or a message of an earlier era that arrives late.
+#[test]
+fn an_earlier_era_changes_nothing() {
+    let mut listing = read(vec![row("a", 57)], 57);
+    listing.apply_read(in_era(update(vec![row("a", 40)], 0, 41, at(500)), 2), at(500));
+    assert!(listing.apply_update(&update(vec![gone("a", 58)], 57, 58, at(450))));
+    assert!(listing.apply_update(&update(Vec::new(), 0, 90, at(450))));
+    assert_eq!(names(&listing), ["a"]);
+    assert_eq!((listing.era(), listing.position()), (2, 41));
+}
+
+/// Guards against changes of a later era that are applied to rows of an earlier one.
+#[test]
+fn changes_of_a_later_era_need_the_whole_list_first() {
+    let mut listing = read(vec![row("a", 57)], 57);
+    let change = in_era(update(vec![gone("a", 43)], 42, 43, at(600)), 2);
+    assert!(!listing.apply_update(&change), "the whole list is requested");
+    assert_eq!(names(&listing), ["a"]);
+}
+
+/// Guards against refusing the callers of endpoints that registered after the copy was made, and
+/// against keeping those that do not come back.
+#[test]
+fn endpoints_that_the_copy_lacks_may_return() {
+    let mut listing = read(vec![row("a", 3), row("b", 55), row("c", 56)], 56);
+    let whole = in_era(update(vec![row("a", 3)], 0, 41, at(400)), 2);
+    let published = listing.apply_read(whole, at(400));
+    assert_eq!(names(&listing), ["a", "b", "c"]);
+    let mut other = read(vec![row("a", 3), row("b", 55), row("c", 56)], 56);
+    assert!(other.apply_update(&published));
+    assert_eq!(names(&other), ["a", "b", "c"], "the others keep them as well");
+    let renewed = in_era(update(vec![row("b", 43)], 41, 43, at(900)), 2);
+    listing.apply_read(renewed.clone(), at(900));
+    assert!(other.apply_update(&renewed));
+    for listing in [&mut listing, &mut other] {
+        listing.expire_missing(at(3_000));
+        assert_eq!(names(listing), ["a", "b"]);
+    }
+}
+
+/// Guards against an endpoint that had left and returns with the row of an older copy.
+#[test]
+fn a_removed_endpoint_does_not_return_with_the_copy() {
+    let mut listing = read(vec![row("a", 3), row("b", 4)], 4);
+    listing.apply_read(update(vec![gone("b", 50)], 4, 50, at(500)), at(500));
+    let whole = in_era(update(vec![row("a", 3), row("b", 4)], 0, 41, at(1_000)), 2);
+    listing.apply_read(whole.clone(), at(1_000));
+    assert_eq!(names(&listing), ["a"]);
+    listing.apply_update(&whole);
+    assert_eq!(names(&listing), ["a"]);
+    // An endpoint that is alive after all renews its row.
+    listing.apply_read(in_era(update(vec![row("b", 42)], 41, 42, at(1_500)), 2), at(1_500));
+    assert_eq!(names(&listing), ["a", "b"]);
+}
--- a/crates/edge/src/feed.rs
+++ b/crates/edge/src/feed.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use cassiawheel_model::{EvacuationOrder, ForcedPreset, ListedRow, TargetVersion};
+use cassiawheel_model::{EvacuationOrder, ForcedPreset, ListedRow, StorePosition, TargetVersion};
 
 use crate::{EdgeFuture, StoreError};
 
@@ -12,7 +12,7 @@
     /// The rows; removed rows are contained as tombstones if the row type has them.
     pub rows: Vec<T>,
     /// Position to continue from; increases with every write to the platform's store.
-    pub position: u64,
+    pub position: StorePosition,
 }
 
 /// Why a change feed cannot be followed.
@@ -35,9 +35,11 @@
     fn read_all(&self) -> EdgeFuture<'_, Result<FeedPage<Self::Row>, FeedError>>;
 
     /// Reads rows that changed after `position`; waits at most `wait` for the first change.
+    ///
+    /// Fails with [`FeedError::HistoryLost`] if the store has begun another era since.
     fn read_changes(
         &self,
-        position: u64,
+        position: StorePosition,
         wait: Duration,
     ) -> EdgeFuture<'_, Result<FeedPage<Self::Row>, FeedError>>;
 }
--- a/crates/entry/src/control/listing.rs
+++ b/crates/entry/src/control/listing.rs
@@ -4,7 +4,7 @@
 
 use cassiawheel_decide::ListingUpdate;
 use cassiawheel_edge::{FeedError, FeedPage};
-use cassiawheel_model::{ListedEndpoint, ListedRow, Timestamp};
+use cassiawheel_model::{ListedEndpoint, ListedRow, StorePosition, Timestamp};
 use cassiawheel_wire::{ControlMessage, WireSender};
 use rand::Rng;
 use smol::Timer;
@@ -38,10 +38,16 @@
             Timer::after(next_read_at.remaining(now).min(TURN_CHECK_INTERVAL)).await;
             continue;
         }
-        let base = if history_lost { 0 } else { routed.listing().position() };
+        let (era, base) = {
+            let listing = routed.listing();
+            (listing.era(), if history_lost { 0 } else { listing.position() })
+        };
         let read = match base {
             0 => routed.list.read_all().await,
-            _ => routed.list.read_changes(base, Duration::ZERO).await,
+            version => {
+                let position = StorePosition { era, version };
+                routed.list.read_changes(position, Duration::ZERO).await
+            }
         };
         match read {
             Ok(page) => {
@@ -78,11 +84,20 @@
     base: u64,
     asked_at: Timestamp,
 ) {
-    let update = ListingUpdate { rows: page.rows, base, position: page.position, asked_at };
+    let StorePosition { era, version: position } = page.position;
+    let update = ListingUpdate { rows: page.rows, base, position, asked_at, era };
     let now = Timestamp::now();
     let mut listing = routed.listing();
+    if era < listing.era() {
+        log::info!(target: "list", era = era, known = listing.era(); "Ignored a read of an earlier era of the store.");
+        return;
+    }
+    if era > listing.era() && listing.position() > 0 {
+        log::warn!(target: "list", era = era, position = position, known_era = listing.era(), known_position = listing.position(); "The store has returned from an older copy.");
+    }
     let is_first = listing.position() == 0;
     let before: Vec<_> = listing.endpoints().cloned().collect();
+    let in_grace = listing.in_grace();
     let to_send = listing.apply_read(update, now);
     let changed = !listing.endpoints().eq(before.iter());
     drop(listing);
@@ -90,6 +105,9 @@
     // already follow the list. If each of 45 entries that start together sent the whole list, it
     // would fill the links between regions for seconds.
     if !is_first {
+        // A row that returns unchanged ends the grace period of its endpoint at the others as well.
+        let before: Vec<_> =
+            before.into_iter().filter(|known| !in_grace.contains(&known.instance)).collect();
         send_changes(shared, to_send, &before);
     }
     if changed {
@@ -109,6 +127,7 @@
         base: update.base,
         position: update.position,
         age_ms: Timestamp::now().since(update.asked_at).as_millis() as u64,
+        era: Some(update.era),
     };
     peers::send_to_peers(shared, &message);
 }
@@ -116,12 +135,13 @@
 fn expire_missing(shared: &EntryShared, routed: &RoutedState, now: Timestamp) {
     let mut listing = routed.listing();
     let rows = listing.expire_missing(now);
-    let (position, asked_at) = (listing.position(), listing.asked_at());
+    let (position, asked_at, era) = (listing.position(), listing.asked_at(), listing.era());
     drop(listing);
     let Some(asked_at) = asked_at.filter(|_| !rows.is_empty()) else {
         return;
     };
-    send_changes(shared, ListingUpdate { rows, base: position, position, asked_at }, &[]);
+    let update = ListingUpdate { rows, base: position, position, asked_at, era };
+    send_changes(shared, update, &[]);
     log_change(shared, routed, "not-returned");
 }
 
@@ -169,15 +189,16 @@
         return;
     };
     let age_ms = Timestamp::now().since(whole.asked_at).as_millis() as u64;
-    let (rows, position) = (whole.rows, whole.position);
-    let _ = sender.try_send(ControlMessage::Listing { rows, base: 0, position, age_ms });
+    let (rows, position, era) = (whole.rows, whole.position, Some(whole.era));
+    let _ = sender.try_send(ControlMessage::Listing { rows, base: 0, position, age_ms, era });
 }
 
 fn log_change(shared: &EntryShared, routed: &RoutedState, source: &str) {
     let listing = routed.listing();
-    let (position, count) = (listing.position(), listing.endpoints().count());
+    let (era, position) = (listing.era(), listing.position());
+    let count = listing.endpoints().count();
     let leaving = listing.endpoints().filter(|listed| listed.is_leaving).count();
     drop(listing);
-    log::info!(target: "list", position = position, endpoints = count, leaving = leaving, source = source; "The list of endpoints changed.");
+    log::info!(target: "list", position = position, era = era, endpoints = count, leaving = leaving, source = source; "The list of endpoints changed.");
     shared.rebuild_routes();
 }
--- a/crates/entry/src/control/operators.rs
+++ b/crates/entry/src/control/operators.rs
@@ -69,6 +69,10 @@
                 if followed.position.is_none() {
                     end_missing_evacuations(&shared, &routed, &page);
                 }
+                let ended = routed.evacuations().ended_holds(page.position, now);
+                for order in ended {
+                    apply_evacuation(&shared, &routed, order, None);
+                }
                 let position = Some(page.position);
                 followed = FollowedRows { position, until: Some(now), by_others: false };
                 apply_page(&shared, &routed, page, age);
@@ -133,7 +137,7 @@
         OperatorRow::Preset(_) | OperatorRow::Version(_) | OperatorRow::Invalid(_) => None,
     });
     let listed: Vec<_> = listed.collect();
-    let ended = routed.evacuations().ended_by(&listed, page.position);
+    let ended = routed.evacuations().ended_by(&listed, page.position, Timestamp::now());
     for order in ended {
         apply_evacuation(shared, routed, order, None);
     }
--- a/crates/model/src/evacuation.rs
+++ b/crates/model/src/evacuation.rs
@@ -10,7 +10,10 @@
 pub struct EvacuationOrder {
     /// Failure domain that the order is for.
     pub failure_domain: FailureDomain,
-    /// Position of the operators' write in the store; a newer order has a higher one.
+    /// Era of the store in which the order was written.
+    #[serde(default)]
+    pub era: u64,
+    /// Position of the operators' write in the store; within an era a newer order has a higher one.
     pub position: u64,
     /// Whether the endpoints of the domain must receive no requests.
     pub is_active: bool,
@@ -19,6 +22,7 @@
 impl EvacuationOrder {
     /// Whether this order supersedes `known`.
     pub fn is_newer_than(&self, known: &Self) -> bool {
-        (self.position, !self.is_active) > (known.position, !known.is_active)
+        let order = |order: &Self| (order.era, order.position, !order.is_active);
+        order(self) > order(known)
     }
 }
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod listing;
 pub mod manifest;
 pub mod outcome;
+pub mod position;
 pub mod preset;
 pub mod request;
 pub mod routing;
@@ -44,6 +45,7 @@
 pub use listing::{ListedEndpoint, ListedRow};
 pub use manifest::{ChunkEntry, ChunkHash, ManifestError, WeightManifest};
 pub use outcome::{NotRunReason, OutcomeKind, RequestOutcome};
+pub use position::StorePosition;
 pub use preset::{ForcedPreset, PresetContent, PresetRevision, ServiceKind, ServiceTarget};
 pub use request::{PriorityClass, Repeatability, RequestDigest, RequestHead};
 pub use routing::{CallerLimits, CallerTable, ColdLimit, RouteKind, RouteRule, RouteShare};
--- a/crates/model/src/listing.rs
+++ b/crates/model/src/listing.rs
@@ -40,7 +40,8 @@
 pub struct ListedRow {
     /// Instance of the endpoint.
     pub instance: InstanceId,
-    /// Position in the sequence of writes to the list; a newer row has a higher one.
+    /// Position in the sequence of writes to the list; within an era of the store, a newer row has
+    /// a higher one.
     pub position: u64,
     /// Content of the row, unless it was removed or is unusable.
     pub endpoint: Option<ListedEndpoint>,
--- a/crates/wire/src/message/control.rs
+++ b/crates/wire/src/message/control.rs
@@ -83,6 +83,9 @@
         position: u64,
         /// Time since the list was read from the platform, in milliseconds.
         age_ms: u64,
+        /// Era of the store to which the positions belong; missing from senders without eras.
+        #[serde(default)]
+        era: Option<u64>,
     },
     /// Entry to entry: requests the complete list.
     ListingWanted,
