Rows of this system that a return of the store has lost are written again

Cause: an entry stored its address once, and quarantined requests were stored only when an own run found one.

The list tells every entry of the era.

--- a/crates/entry/src/control/quarantine.rs
+++ b/crates/entry/src/control/quarantine.rs
@@ -23,17 +23,19 @@
 /// Interval between two tries.
 const RETRY_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Reads the barred requests once after the start, and adds those found by own runs.
+/// Reads the barred requests once after the start, adds those found by own runs, and stores all of
+/// them again when the store has returned from a copy that may lack them.
 pub(crate) async fn sync_barred(shared: Arc<EntryShared>, routed: Arc<RoutedState>) {
     let read_at = Timestamp::now().deadline_after(LINK_SETUP_TIME);
     let (mut is_read, mut is_due) = (false, false);
+    let mut stored_era = 0;
     loop {
-        if is_read && !is_due {
-            routed.crashes.await_own_barred().await;
-            is_due = true;
-        } else {
-            is_due |= timeout(RETRY_INTERVAL, routed.crashes.await_own_barred()).await.is_some();
-        }
+        is_due |= timeout(RETRY_INTERVAL, routed.crashes.await_own_barred()).await.is_some();
+        let era = routed.listing().era();
+        let is_new_era = stored_era > 0 && era > stored_era;
+        stored_era = era;
+        is_due |=
+            is_new_era && !routed.crashes.is_empty() && routed.feed_role() == FeedRole::Follow;
         if !is_read && read_at.is_past(Timestamp::now()) {
             is_read = routed.feed_role() != FeedRole::Follow || read_barred(&shared, &routed).await;
         }
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -164,7 +164,7 @@
     spawn(operators::follow_operators(shared.clone(), routed.clone())).detach();
     spawn(listing::follow_listing(shared.clone(), routed.clone())).detach();
     spawn(manifests::pin_versions(shared.clone(), routed.clone())).detach();
-    spawn(entries::register(shared.clone(), routed.clone())).detach();
+    spawn(entries::keep_registered(shared.clone(), routed.clone())).detach();
     spawn(links::maintain_links(shared.clone(), routed.clone())).detach();
     spawn(gossip::send_changes(shared.clone(), routed.clone())).detach();
     spawn(quarantine::sync_barred(shared.clone(), routed.clone())).detach();
--- a/crates/testkit/tests/store_eras.rs
+++ b/crates/testkit/tests/store_eras.rs
@@ -184,3 +184,63 @@
         Ok(())
     });
 }
+
+/// Guards against rows of this system that are gone with the copy and that nobody writes again.
+#[test]
+fn entries_register_again_after_the_return() {
+    run(async {
+        let mut site = PlatformSite::prepare(2).await?;
+        let copy = site.rows.copy();
+        for _ in 0..3 {
+            site.add_entry()?;
+        }
+        for entry in &site.entries {
+            site.wait_ready(entry, true).await?;
+        }
+        let registered = || {
+            let keys = site.rows.keys("cassiawheel");
+            keys.iter().filter(|key| key.starts_with("entries/")).count()
+        };
+        wait_until(async || Ok(registered() == 3)).await?;
+        return_to(&site, &copy).await;
+        assert_eq!(registered(), 0);
+        wait_until(async || Ok(registered() == 3)).await
+    });
+}
+
+/// Guards against a request that is quarantined and reaches endpoints again, since the row that
+/// says so is gone with the copy when all entries lose power.
+#[test]
+fn a_quarantine_survives_the_return_and_a_loss_of_power() {
+    run(async {
+        let mut site = PlatformSite::start(8, 2).await?;
+        let copy = site.rows.copy();
+        let client = HttpClient::default();
+        for number in 0..8 {
+            let id = format!("fatal-{number}");
+            let request = site.request(number % 2, SiteCall::new(&id, "/safe/fatal"))?;
+            let _ = client.send_and_read(request, CALL_TIME).await;
+        }
+        let is_stored = || site.rows.keys("cassiawheel").iter().any(|key| key == "quarantine");
+        wait_until(async || Ok(is_stored())).await?;
+        return_to(&site, &copy).await;
+        wait_until(async || Ok(is_stored())).await?;
+        for entry in 0..2 {
+            site.entries[entry].process.kill()?;
+        }
+        for entry in 0..2 {
+            site.restart_entry(entry)?;
+        }
+        for entry in &site.entries {
+            site.wait_ready(entry, true).await?;
+        }
+        Timer::after(PROPAGATION_TIME).await;
+        let ended = site.ended();
+        for entry in 0..2 {
+            let request = site.request(entry, SiteCall::new("again", "/safe/fatal"))?;
+            let _ = client.send_and_read(request, CALL_TIME).await;
+        }
+        assert_eq!(site.ended(), ended, "the request is quarantined");
+        Ok(())
+    });
+}
