A former process does not return with the row of an older copy

A copy of the store may hold the row of a process whose successor, under the same name, is already known. The row of a later era replaced the successor's, so a departure of the former process would have taken the successor out of service until it wrote its row again. The known row is kept unless the one of the copy is of the same process or a later one. The test fails before.

--- a/crates/decide/src/listing.rs
+++ b/crates/decide/src/listing.rs
@@ -302,10 +302,8 @@
 
     fn take_rows(&mut self, rows: &[ListedRow], asked_at: Timestamp) {
         for row in rows {
-            // A copy may be older than the removal of a row, which its endpoint then does not
-            // renew. An endpoint that is alive does, and that write has a higher position.
-            let removed = self.rows.get_mut(&row.instance);
-            if let Some(known) = removed.filter(|k| k.position == 0 && k.endpoint.is_none()) {
+            let known = self.rows.get_mut(&row.instance);
+            if let Some(known) = known.filter(|known| is_outdated_copy(known, row)) {
                 known.position = row.position;
                 continue;
             }
@@ -350,3 +348,17 @@
         self.asked_at = self.asked_at.max(Some(update.asked_at));
     }
 }
+
+/// Whether `row`, read in a later era than `known`, is older than it.
+///
+/// The store's copy may be older than the removal of a row or the start of a later process. An
+/// endpoint that is alive soon writes its row again, at a higher position.
+fn is_outdated_copy(known: &ListedRow, row: &ListedRow) -> bool {
+    if known.position > 0 {
+        return false;
+    }
+    let Some(endpoint) = &known.endpoint else {
+        return true;
+    };
+    row.endpoint.as_ref().is_some_and(|copy| copy.born_at < endpoint.born_at)
+}
--- a/crates/decide/tests/listing.rs
+++ b/crates/decide/tests/listing.rs
@@ -253,3 +253,20 @@
     listing.apply_read(in_era(update(vec![row("b", 42)], 41, 42, at(1_500)), 2), at(1_500));
     assert_eq!(names(&listing), ["a", "b"]);
 }
+
+/// Guards against a process that takes the place of a later one under its name with the copy.
+#[test]
+fn a_former_process_does_not_return_with_the_copy() {
+    let born = |name: &str, position: u64, born_at: u64| {
+        let endpoint =
+            ListedEndpoint { born_at: Some(Timestamp(born_at)), ..endpoint(name, false) };
+        ListedRow { endpoint: Some(endpoint), ..row(name, position) }
+    };
+    let mut listing = read(vec![born("a", 50, 9_000)], 50);
+    let whole = in_era(update(vec![born("a", 3, 4_000)], 0, 41, at(500)), 2);
+    listing.apply_read(whole, at(500));
+    let born_at = |listing: &EndpointListing| listing.endpoints().next().and_then(|e| e.born_at);
+    assert_eq!(born_at(&listing), Some(Timestamp(9_000)));
+    listing.apply_read(in_era(update(vec![born("a", 43, 9_500)], 41, 43, at(900)), 2), at(900));
+    assert_eq!(born_at(&listing), Some(Timestamp(9_500)));
+}
