The soak draws departures, rests and returns of the store

Endpoints announce in their answers that they leave, ask for rests of drawn lengths, and the store goes away and returns from a copy of the last seconds, after which operators and endpoints repeat what they had written, each within a second. Two verdicts: no undisturbed entry sends to an endpoint later than two seconds after its first announcement, by answer or by an acknowledged row, and none sends more than two requests within a rest. Each is shown to fail on a record with one thing wrong.

--- a/crates/testkit/src/platform_site.rs
+++ b/crates/testkit/src/platform_site.rs
@@ -156,14 +156,15 @@
     }
 
     /// Lists an endpoint as draining and adds another one, unless it is listed no more. The
-    /// draining endpoint goes on serving.
-    pub async fn release(&mut self, index: usize) -> anyhow::Result<()> {
+    /// draining endpoint goes on serving. Returns whether it was listed.
+    pub async fn release(&mut self, index: usize) -> anyhow::Result<bool> {
         let is_listed = self.rows.keys("servers").contains(&self.replicas[index].id);
-        if is_listed && !self.replicas[index].has_ended() {
+        let is_released = is_listed && !self.replicas[index].has_ended();
+        if is_released {
             self.set_state(index, "draining");
             self.add_replica(&format!("i-{}", self.replicas.len())).await?;
         }
-        Ok(())
+        Ok(is_released)
     }
 
     /// Number of endpoints that have crashed.
--- a/crates/testkit/src/site_soak.rs
+++ b/crates/testkit/src/site_soak.rs
@@ -1,10 +1,13 @@
 //! Randomised soak runs on a stand-in of the platform.
 //!
-//! A run sends a request that crashes endpoints and has endpoints announce rate limits,
-//! while entries and endpoints are killed, frozen or drained and the store fails.
+//! A run sends a request that crashes endpoints and has endpoints announce rate limits, departures
+//! and rests, while entries and endpoints are killed, frozen or drained and the store fails or
+//! returns from an older copy.
 //!
 //! `seed → events → callers and faults → record → verdicts`
 
+mod statements;
+
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -15,7 +18,11 @@
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use smol::Timer;
 
-use crate::{PlatformSite, SiteCall};
+pub use self::statements::RestSpan;
+use crate::{
+    PlatformSite, SiteCall,
+    stand_in::rows::{LostChange, StoreCopy},
+};
 
 /// Time without a disturbance after which the attempts of an entry count for the rules, and
 /// time after its first announcement from which a limit has to be kept.
@@ -36,6 +43,15 @@
 /// Step after which all entries may be killed at once: quarantines are in the store by then.
 const KILL_STEP: usize = 120;
 
+/// Number of steps between two copies of the store.
+const COPY_STEPS: usize = 60;
+
+/// Time for which the store is away before it returns from a copy.
+const RETURN_TIME: Duration = Duration::from_millis(300);
+
+/// Time after which an endpoint that has announced its departure gets no new requests.
+const DRAIN_TIME: Duration = Duration::from_secs(2);
+
 /// Timeout of a caller.
 const CALL_TIME: Duration = Duration::from_secs(3);
 
@@ -47,6 +63,8 @@
 pub struct AttemptRecord {
     /// Id of the attempt.
     pub id: String,
+    /// Index of the entry that it was sent to.
+    pub entry: usize,
     /// Whether it is the fatal request.
     pub is_fatal: bool,
     /// Time at which it was sent.
@@ -96,6 +114,10 @@
     pub runs: Vec<String>,
     /// Time at which the fatal request crashed it; none if it did not.
     pub ended_at: Option<Timestamp>,
+    /// Time from which it gets no new requests, once it has announced that it leaves.
+    pub closed_from: Option<Timestamp>,
+    /// Rests that it has asked for.
+    pub rests: Vec<RestSpan>,
 }
 
 /// Answers to callers and arrivals at endpoints during one run.
@@ -120,6 +142,10 @@
     pub false_refusals: usize,
     /// Answers with status 200 that belong to another request.
     pub wrong_answers: usize,
+    /// Requests of undisturbed entries that reached an endpoint after its departure.
+    pub after_departure: usize,
+    /// Rests in which an undisturbed entry sent an endpoint more than is allowed.
+    pub broken_rests: usize,
 }
 
 impl SiteRecord {
@@ -153,6 +179,8 @@
                 .count(),
             false_refusals: refusals.filter(|(attempt, _)| ran(&attempt.id)).count(),
             wrong_answers: whole.filter(|(attempt, body)| !body.contains(&attempt.id)).count(),
+            after_departure: self.endpoints.iter().map(|e| e.after_departure(&undisturbed)).sum(),
+            broken_rests: self.endpoints.iter().map(|e| e.broken_rests(&attempt)).sum(),
         }
     }
 }
@@ -184,11 +212,20 @@
     paused: Vec<(usize, Deadline)>,
     limits: Vec<LimitSpan>,
     calls: Vec<(usize, smol::Task<AttemptRecord>)>,
+    /// Copy that the store returns from next.
+    copy: StoreCopy,
+    /// Changes that operators and endpoints repeat after a return, each with its time.
+    repeats: Vec<(LostChange, Deadline)>,
+    /// Endpoints that ask for rest, each with the time at which they serve again.
+    resting: Vec<(usize, Deadline)>,
+    /// Endpoints drained by their rows, each with the time at which entries could know.
+    drained: Vec<(usize, Timestamp)>,
 }
 
 /// Runs a soak of length `span` with `entries` entries; `seed` determines its events.
 pub async fn run_soak(seed: u64, entries: usize, span: Duration) -> anyhow::Result<SiteRecord> {
     let site = PlatformSite::start(entries + 4, entries).await?;
+    let copy = site.rows.copy();
     let mut run = SoakRun {
         disturbed: vec![Timestamp::now(); entries],
         site,
@@ -196,6 +233,10 @@
         paused: Vec::new(),
         limits: Vec::new(),
         calls: Vec::new(),
+        copy,
+        repeats: Vec::new(),
+        resting: Vec::new(),
+        drained: Vec::new(),
     };
     let until = Timestamp::now().deadline_after(span);
     let mut number = 0;
@@ -222,10 +263,22 @@
         if self.rng.random_bool(0.015) {
             self.change_limit();
         }
+        if self.rng.random_bool(0.02) {
+            self.change_statement();
+        }
         if number.is_multiple_of(20) {
             self.site.replace_ended().await?;
         }
+        if number.is_multiple_of(COPY_STEPS) {
+            self.copy = self.site.rows.copy();
+        }
         let now = Timestamp::now();
+        for (lost, _) in self.repeats.extract_if(.., |(_, at)| at.is_past(now)) {
+            self.site.rows.repeat(lost);
+        }
+        for (endpoint, _) in self.resting.extract_if(.., |(_, until)| until.is_past(now)) {
+            self.site.replicas[endpoint].set_rest(None);
+        }
         for (entry, _) in self.paused.extract_if(.., |(_, until)| until.is_past(now)) {
             self.site.entries[entry].process.resume()?;
             self.disturbed[entry] = now;
@@ -248,6 +301,46 @@
         self.site.replicas[endpoint].set_limit(rate);
     }
 
+    /// Has a random endpoint announce that it leaves, or ask for rest for a while.
+    fn change_statement(&mut self) {
+        let endpoint = self.rng.random_range(0..self.site.replicas.len());
+        let replica = &self.site.replicas[endpoint];
+        if self.rng.random_bool(0.2) {
+            replica.announce_leaving();
+            return;
+        }
+        let rest_s = self.rng.random_range(0.3..3.0);
+        replica.set_rest(Some(&format!("{rest_s:.2}")));
+        let span = Duration::from_millis(self.rng.random_range(500..4_000));
+        self.resting.push((endpoint, Timestamp::now().deadline_after(span)));
+    }
+
+    /// Returns the store from the last copy after a moment without it. Operators and endpoints
+    /// repeat what they have written since, each within a second.
+    async fn return_store(&mut self) {
+        self.site.store_faults.set_down(true);
+        Timer::after(RETURN_TIME).await;
+        let now = Timestamp::now();
+        let repeated = ["op", "servers"];
+        for lost in self.site.rows.return_to(&self.copy) {
+            if repeated.contains(&lost.table()) {
+                let wait = Duration::from_millis(self.rng.random_range(0..1_000));
+                self.repeats.push((lost, now.deadline_after(wait)));
+            }
+        }
+        self.site.store_faults.set_down(false);
+        self.drained.retain(|(_, at)| at.deadline_after(STABLE_TIME).is_past(now));
+    }
+
+    /// Time from which an endpoint that has announced its departure gets no new requests.
+    fn closed_from(&self, endpoint: usize) -> Option<Timestamp> {
+        let by_row = self.drained.iter().find(|(drained, _)| *drained == endpoint);
+        let by_row = by_row.map(|(_, at)| *at);
+        let announced = [by_row, self.site.replicas[endpoint].left_at()];
+        let first = announced.into_iter().flatten().min()?;
+        Some(Timestamp(first.deadline_after(DRAIN_TIME).0))
+    }
+
     /// Kills and restarts every entry, to simulate a power loss.
     fn kill_all(&mut self) -> anyhow::Result<()> {
         for entry in 0..self.site.entries.len() {
@@ -265,7 +358,7 @@
         let now = Timestamp::now();
         let entry = self.rng.random_range(0..self.site.entries.len());
         let is_paused = self.paused.iter().any(|(paused, _)| *paused == entry);
-        match self.rng.random_range(0..8) {
+        match self.rng.random_range(0..9) {
             0 if !is_paused => {
                 self.site.entries[entry].process.kill()?;
                 self.site.restart_entry(entry)?;
@@ -280,12 +373,16 @@
             2 => {
                 let is_down = self.site.store_faults.is_down();
                 self.site.store_faults.set_down(!is_down);
+                self.drained.retain(|(_, at)| at.deadline_after(STABLE_TIME).is_past(now));
             }
             3 if number > KILL_STEP => self.kill_all()?,
             4 => {
                 let endpoint = self.rng.random_range(0..self.site.replicas.len());
-                self.site.release(endpoint).await?;
+                if self.site.release(endpoint).await? && !self.site.store_faults.is_down() {
+                    self.drained.push((endpoint, now));
+                }
             }
+            5 => self.return_store().await,
             _ => {
                 let endpoint = self.rng.random_range(0..self.site.replicas.len());
                 self.site.replicas[endpoint].end();
@@ -299,7 +396,7 @@
         let request = self.site.request(entry, SiteCall::new(&id, &path))?;
         let sent_at = Timestamp::now();
         let undisturbed = self.disturbed[entry].deadline_after(STABLE_TIME).is_past(sent_at);
-        let record = AttemptRecord { id, is_fatal, sent_at, undisturbed, answer: None };
+        let record = AttemptRecord { id, entry, is_fatal, sent_at, undisturbed, answer: None };
         let call = spawn(async move {
             let answer = HttpClient::default().send_and_read(request, CALL_TIME).await;
             let read_answer = |answer: Response<Bytes>| {
@@ -330,6 +427,8 @@
                 arrivals: replica.arrivals().into_iter().map(|a| (a.at, a.id)).collect(),
                 runs: replica.runs().into_keys().collect(),
                 ended_at: fatal.first().copied().filter(|_| replica.has_ended()),
+                closed_from: self.closed_from(index),
+                rests: replica.rests().iter().filter_map(RestSpan::new).collect(),
             });
         }
         Ok(record)
--- /dev/null
+++ b/crates/testkit/src/site_soak/statements.rs
@@ -0,0 +1,68 @@
+//! Verdicts on what endpoints state about themselves: that they leave, or that they need rest.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use cassiawheel_model::{Deadline, Timestamp};
+
+use super::{AttemptRecord, EndpointRecord};
+use crate::stand_in::replica::RestRecord;
+
+/// Time after a refusal from which the entry has to keep the rest.
+const LEARN_TIME: Duration = Duration::from_millis(500);
+
+/// Most requests of one entry that an endpoint may get within a rest.
+const MOST_IN_REST: usize = 2;
+
+/// A rest that an endpoint asked the sender of one attempt for.
+#[derive(Debug, Clone)]
+pub struct RestSpan {
+    /// Id of the refused attempt.
+    pub id: String,
+    /// Time from which the rest has to be kept.
+    pub from: Timestamp,
+    /// End of the rest.
+    pub until: Deadline,
+}
+
+impl RestSpan {
+    /// The rest that a refusal asked for; none if its value is no number of seconds.
+    pub fn new(refusal: &RestRecord) -> Option<Self> {
+        let span = Duration::try_from_secs_f64(refusal.value.parse().ok()?).ok()?;
+        Some(Self {
+            id: refusal.id.clone(),
+            from: Timestamp(refusal.at.deadline_after(LEARN_TIME).0),
+            until: refusal.at.deadline_after(span),
+        })
+    }
+}
+
+impl EndpointRecord {
+    /// Counts the requests of undisturbed entries after the endpoint was closed to new ones.
+    pub(super) fn after_departure(&self, undisturbed: &impl Fn(&str) -> bool) -> usize {
+        let Some(closed_from) = self.closed_from else {
+            return 0;
+        };
+        let late = self.arrivals.iter().filter(|(at, _)| *at > closed_from);
+        late.filter(|(_, id)| undisturbed(id)).count()
+    }
+
+    /// Counts the rests within which the entry that was asked sent too many requests.
+    pub(super) fn broken_rests<'a>(
+        &self,
+        attempt: &impl Fn(&str) -> Option<&'a AttemptRecord>,
+    ) -> usize {
+        let mut arrivals: BTreeMap<usize, Vec<Timestamp>> = BTreeMap::new();
+        for (at, id) in &self.arrivals {
+            if let Some(attempt) = attempt(id).filter(|attempt| attempt.undisturbed) {
+                arrivals.entry(attempt.entry).or_default().push(*at);
+            }
+        }
+        let is_broken = |rest: &&RestSpan| {
+            let own = attempt(&rest.id).and_then(|attempt| arrivals.get(&attempt.entry));
+            let within = own.into_iter().flatten();
+            let within = within.filter(|at| **at >= rest.from && !rest.until.is_past(**at));
+            within.count() > MOST_IN_REST
+        };
+        self.rests.iter().filter(is_broken).count()
+    }
+}
--- a/crates/testkit/src/stand_in/replica.rs
+++ b/crates/testkit/src/stand_in/replica.rs
@@ -94,6 +94,7 @@
     fatal: Mutex<Vec<Timestamp>>,
     limit: Mutex<Option<f64>>,
     leaving: AtomicBool,
+    left_at: Mutex<Option<Timestamp>>,
     rest: Mutex<Option<String>>,
     rests: Mutex<Vec<RestRecord>>,
     arrivals: Mutex<Vec<RequestArrival>>,
@@ -122,6 +123,7 @@
             fatal: Mutex::default(),
             limit: Mutex::default(),
             leaving: AtomicBool::new(false),
+            left_at: Mutex::default(),
             rest: Mutex::default(),
             rests: Mutex::default(),
             arrivals: Mutex::default(),
@@ -189,6 +191,11 @@
         self.leaving.store(true, Ordering::SeqCst);
     }
 
+    /// Time of the first answer that stated that it is leaving; none before.
+    pub fn left_at(&self) -> Option<Timestamp> {
+        *self.left_at.lock().unwrap_or_else(|poison| poison.into_inner())
+    }
+
     /// Refuses every request from now on with this `Retry-After` value; `None` ends the refusals.
     pub fn set_rest(&self, value: Option<&str>) {
         *self.rest.lock().unwrap_or_else(|poison| poison.into_inner()) = value.map(str::to_owned);
@@ -303,6 +310,8 @@
         let limit = *self.limit.lock().unwrap_or_else(|poison| poison.into_inner());
         if self.leaving.load(Ordering::SeqCst) {
             put("server-leaving", "1");
+            let mut left_at = self.left_at.lock().unwrap_or_else(|poison| poison.into_inner());
+            left_at.get_or_insert(Timestamp::now());
         }
         if let Some(rate) = limit {
             put("server-limit", &rate.to_string());
--- a/crates/testkit/src/stand_in/rows.rs
+++ b/crates/testkit/src/stand_in/rows.rs
@@ -4,7 +4,7 @@
 //! and the era that every answer states is one higher.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard},
     time::Duration,
@@ -42,6 +42,22 @@
 #[derive(Debug, Clone)]
 pub struct StoreCopy(StoreInner);
 
+/// A change that is gone since the store has returned to an earlier copy.
+#[derive(Debug, Clone)]
+pub struct LostChange {
+    /// Position of the copy, after which all changes are newer.
+    copied_at: u64,
+    name: RowName,
+    value: Option<String>,
+}
+
+impl LostChange {
+    /// Table of the row.
+    pub fn table(&self) -> &str {
+        &self.name.0
+    }
+}
+
 #[derive(Debug, Clone, Default)]
 struct StoreInner {
     /// Number of returns to an earlier copy.
@@ -105,11 +121,32 @@
         StoreCopy(self.lock().clone())
     }
 
-    /// Returns to `copy`: every change since then is gone, and the next era begins.
-    pub fn return_to(&self, copy: &StoreCopy) {
+    /// Returns to `copy`: every change since then is gone, and the next era begins. Returns the
+    /// changes that are gone.
+    pub fn return_to(&self, copy: &StoreCopy) -> Vec<LostChange> {
         let mut inner = self.lock();
         let (returns, calls) = (inner.returns + 1, inner.calls);
-        *inner = StoreInner { returns, calls, ..copy.0.clone() };
+        let before =
+            std::mem::replace(&mut *inner, StoreInner { returns, calls, ..copy.0.clone() });
+        let value =
+            |rows: &StoreInner, name: &RowName| rows.rows.get(name).map(|r| r.value.clone());
+        let names: BTreeSet<_> = before.rows.keys().chain(copy.0.rows.keys()).cloned().collect();
+        let lost = names.into_iter().filter(|name| value(&before, name) != value(&copy.0, name));
+        let copied_at = copy.0.position;
+        lost.map(|name| {
+            let value = value(&before, &name).flatten();
+            LostChange { copied_at, name, value }
+        })
+        .collect()
+    }
+
+    /// Makes a change again that a return has lost, unless its row has changed since.
+    pub fn repeat(&self, lost: LostChange) {
+        let mut inner = self.lock();
+        let is_newer = inner.rows.get(&lost.name).is_some_and(|row| row.position > lost.copied_at);
+        if !is_newer {
+            inner.change(lost.name, lost.value);
+        }
     }
 
     /// Number of requests so far.
--- a/crates/testkit/tests/site_soak.rs
+++ b/crates/testkit/tests/site_soak.rs
@@ -3,9 +3,9 @@
 
 use std::time::Duration;
 
-use cassiawheel_model::Timestamp;
+use cassiawheel_model::{Deadline, Timestamp};
 use cassiawheel_testkit::site_soak::{
-    AttemptRecord, EndpointRecord, LimitSpan, SiteRecord, SiteVerdicts, run_soak,
+    AttemptRecord, EndpointRecord, LimitSpan, RestSpan, SiteRecord, SiteVerdicts, run_soak,
 };
 use hyper::StatusCode;
 use rstest::rstest;
@@ -63,6 +63,7 @@
         let answer = Some((StatusCode::OK, format!("/safe/{id}")));
         day.attempts.push(AttemptRecord {
             id,
+            entry: number as usize % 2,
             is_fatal: false,
             sent_at,
             undisturbed: true,
@@ -77,7 +78,9 @@
             ..EndpointRecord::default()
         });
         let answer = Some((StatusCode::BAD_GATEWAY, String::new()));
-        day.attempts.push(AttemptRecord { id, is_fatal: true, sent_at, undisturbed: true, answer });
+        let (is_fatal, undisturbed) = (true, true);
+        let record = AttemptRecord { id, entry: 0, is_fatal, sent_at, undisturbed, answer };
+        day.attempts.push(record);
     }
     day.endpoints.push(limited);
     day
@@ -120,4 +123,18 @@
     let mut day = valid_day();
     day.attempts[5].answer = Some((StatusCode::OK, "/safe/r-4".to_owned()));
     assert_eq!(day.judge(), SiteVerdicts { wrong_answers: 1, ..none });
+
+    let mut day = valid_day();
+    day.endpoints[3].closed_from = Some(at(32_400));
+    assert_eq!(day.judge(), SiteVerdicts { after_departure: 1, ..none });
+    day.attempts[59].undisturbed = false;
+    assert_eq!(day.judge(), none, "an entry that was disturbed is exempt");
+
+    let mut day = valid_day();
+    let rest =
+        |until| RestSpan { id: "r-1".to_owned(), from: at(4_000), until: Deadline(at(until).0) };
+    day.endpoints[3].rests.push(rest(6_500));
+    assert_eq!(day.judge(), none, "two requests of this entry, and two of another one");
+    day.endpoints[3].rests.push(rest(6_600));
+    assert_eq!(day.judge(), SiteVerdicts { broken_rests: 1, ..none });
 }
