A return of the store is passed on as changes

After a return the first reader sent the whole list to every entry: at 7,300 endpoints 1 to 2 MB over each link, which would delay what callers wait for. Nearly all rows are the same as before. The update of a new era now states the era and position that it is based on, and holds the rows that differ and the endpoints that the copy lacks; an entry that lacks the base requests the list as for any other gap. Rows keep the era of their position, so that two processes at one address stay in order across a return. An answer without the header counts as of the latest era.

Without a network: an entry takes over a return from the changes; the test of two processes at one address fails if rows of a former era lose their order.

--- a/crates/decide/src/listing.rs
+++ b/crates/decide/src/listing.rs
@@ -17,7 +17,9 @@
     time::Duration,
 };
 
-use cassiawheel_model::{Deadline, InstanceId, ListedEndpoint, ListedRow, ServiceName, Timestamp};
+use cassiawheel_model::{
+    Deadline, InstanceId, ListedEndpoint, ListedRow, ServiceName, StorePosition, Timestamp,
+};
 
 /// Interval between two reads of the entry with the first rank.
 ///
@@ -47,6 +49,8 @@
     pub rows: Vec<ListedRow>,
     /// Position of the list to which the rows apply.
     pub base: u64,
+    /// Era of the store to which the base belongs.
+    pub base_era: u64,
     /// Position of the list once the rows are applied.
     pub position: u64,
     /// When the read of the platform's list was sent.
@@ -55,11 +59,35 @@
     pub era: u64,
 }
 
+/// Newest row of an endpoint.
+#[derive(Debug, Clone)]
+struct KnownRow {
+    row: ListedRow,
+    /// Era of the store to which the row's position belongs.
+    era: u64,
+}
+
+impl KnownRow {
+    fn position(&self) -> StorePosition {
+        StorePosition { era: self.era, version: self.row.position }
+    }
+
+    /// Whether `row`, read in a later era, is older than this one.
+    ///
+    /// The store's copy may be older than the removal of a row or the start of a later process. An
+    /// endpoint that is alive soon writes its row again, at a higher position.
+    fn outdates_copy(&self, row: &ListedRow) -> bool {
+        let Some(endpoint) = &self.row.endpoint else {
+            return true;
+        };
+        row.endpoint.as_ref().is_some_and(|copy| copy.born_at < endpoint.born_at)
+    }
+}
+
 /// An entry's copy of the list of endpoints.
 #[derive(Debug, Clone)]
 pub struct EndpointListing {
-    /// Newest rows; those of an earlier era have position zero.
-    rows: BTreeMap<InstanceId, ListedRow>,
+    rows: BTreeMap<InstanceId, KnownRow>,
     era: u64,
     position: u64,
     asked_at: Option<Timestamp>,
@@ -105,7 +133,7 @@
 
     /// Returns the listed endpoints.
     pub fn endpoints(&self) -> impl Iterator<Item = &ListedEndpoint> {
-        self.rows.values().filter_map(|row| row.endpoint.as_ref())
+        self.rows.values().filter_map(|known| known.row.endpoint.as_ref())
     }
 
     /// Returns until when an endpoint is cold; `None` if it never was by its newest row.
@@ -121,14 +149,15 @@
     /// for seconds after the recovery. Two processes never share an address, so the older
     /// row belongs to a process that is gone.
     pub fn latest_per_addr(&self, is_known: impl Fn(&ServiceName) -> bool) -> Vec<&ListedEndpoint> {
-        let mut newest: HashMap<SocketAddr, (u64, &ListedEndpoint)> = HashMap::new();
-        for row in self.rows.values() {
-            let Some(endpoint) = row.endpoint.as_ref().filter(|e| is_known(&e.service)) else {
+        let mut newest: HashMap<SocketAddr, (StorePosition, &ListedEndpoint)> = HashMap::new();
+        for known in self.rows.values() {
+            let endpoint = known.row.endpoint.as_ref().filter(|e| is_known(&e.service));
+            let Some(endpoint) = endpoint else {
                 continue;
             };
-            let latest = newest.entry(endpoint.addr).or_insert((row.position, endpoint));
-            if row.position > latest.0 {
-                *latest = (row.position, endpoint);
+            let latest = newest.entry(endpoint.addr).or_insert((known.position(), endpoint));
+            if known.position() > latest.0 {
+                *latest = (known.position(), endpoint);
             }
         }
         let mut present: Vec<_> = newest.into_values().map(|(_, endpoint)| endpoint).collect();
@@ -138,8 +167,8 @@
 
     /// Returns the newest endpoint of `service` at `addr`.
     pub fn latest_at(&self, service: &ServiceName, addr: SocketAddr) -> Option<&ListedEndpoint> {
-        let rows =
-            self.rows.values().filter_map(|row| Some((row.position, row.endpoint.as_ref()?)));
+        let rows = self.rows.values();
+        let rows = rows.filter_map(|known| Some((known.position(), known.row.endpoint.as_ref()?)));
         let candidates = rows.filter(|(_, e)| e.addr == addr && e.service == *service);
         candidates.max_by_key(|(position, _)| *position).map(|(_, endpoint)| endpoint)
     }
@@ -154,9 +183,18 @@
 
     /// Returns the whole list, for an entry that lacks the base of an update.
     pub fn snapshot(&self) -> Option<ListingUpdate> {
-        let rows = self.rows.values().cloned().collect();
-        let asked_at = self.asked_at?;
-        Some(ListingUpdate { rows, base: 0, position: self.position, asked_at, era: self.era })
+        let era = self.era;
+        // Positions of an earlier era would be taken for those of this one.
+        let position = |known: &KnownRow| if known.era < era { 0 } else { known.row.position };
+        let row = |known: &KnownRow| ListedRow { position: position(known), ..known.row.clone() };
+        Some(ListingUpdate {
+            rows: self.rows.values().map(row).collect(),
+            base: 0,
+            base_era: era,
+            position: self.position,
+            asked_at: self.asked_at?,
+            era,
+        })
     }
 
     /// Returns whether to request a snapshot from another entry now, and if so records it.
@@ -176,13 +214,16 @@
 
     /// Applies a read of the platform's list; returns the update for the other entries.
     ///
-    /// The read is of the current era, or all rows of a later one.
+    /// The read is of the current era, or all rows of a later one. The update of a new era is based
+    /// on the last position of the one before: most rows are the same, and sending all of them to
+    /// every entry would fill the links between regions.
     pub fn apply_read(&mut self, mut update: ListingUpdate, now: Timestamp) -> ListingUpdate {
+        let before = StorePosition { era: self.era, version: self.position };
         let is_new_era = update.era > self.era;
+        let after_outage = is_new_era || self.follows_outage(update.asked_at);
         if is_new_era {
             self.begin_era(update.era);
         }
-        let after_outage = is_new_era || self.follows_outage(update.asked_at);
         if update.base == 0 {
             let vanished = self.vanished(&update);
             update.rows.extend(vanished);
@@ -190,10 +231,14 @@
         if after_outage {
             self.begin_grace(&update.rows, now);
         }
-        let grace = &self.grace;
-        update.rows.retain(|row| row.endpoint.is_some() || !grace.contains_key(&row.instance));
-        self.take_rows(&update.rows, update.asked_at);
+        self.take_unless_in_grace(&update.rows, update.asked_at);
         self.advance(&update);
+        if is_new_era && before.version > 0 {
+            (update.base_era, update.base) = (before.era, before.version);
+        } else {
+            let grace = &self.grace;
+            update.rows.retain(|row| row.endpoint.is_some() || !grace.contains_key(&row.instance));
+        }
         update
     }
 
@@ -201,21 +246,28 @@
     ///
     /// An update of an earlier era is ignored: its sender learns of the later one soon.
     pub fn apply_update(&mut self, update: &ListingUpdate) -> bool {
+        let is_base_known =
+            update.base == 0 || (update.base_era == self.era && update.base <= self.position);
         match update.era.cmp(&self.era) {
             Ordering::Less => return true,
-            Ordering::Greater if update.base > 0 => return false,
+            _ if !is_base_known => return false,
             Ordering::Greater => {
                 self.begin_era(update.era);
-                let vanished = self.vanished(update);
+                let vanished = match update.base {
+                    0 => self.vanished(update),
+                    _ => update.rows.clone(),
+                };
                 self.begin_grace(&vanished, update.asked_at);
             }
-            Ordering::Equal if update.base > self.position => return false,
             Ordering::Equal if update.base == 0 && update.position > self.position => {
                 self.drop_missing(update);
             }
             Ordering::Equal => {}
         }
-        self.take_rows(&update.rows, update.asked_at);
+        match update.era > update.base_era {
+            true => self.take_unless_in_grace(&update.rows, update.asked_at),
+            false => self.take_rows(&update.rows, update.asked_at),
+        }
         self.advance(update);
         true
     }
@@ -224,14 +276,15 @@
     fn drop_missing(&mut self, update: &ListingUpdate) {
         let kept: Vec<_> = update.rows.iter().map(|row| &row.instance).collect();
         let position = update.position;
-        self.rows.retain(|instance, row| row.position > position || kept.contains(&instance));
+        let newer_than = StorePosition { era: self.era, version: position };
+        self.rows
+            .retain(|instance, known| known.position() > newer_than || kept.contains(&instance));
     }
 
     /// Begins an era, in which every position is newer than all before.
     fn begin_era(&mut self, era: u64) {
         self.era = era;
         self.position = 0;
-        self.rows.values_mut().for_each(|row| row.position = 0);
     }
 
     /// Whether rows can have expired since the last read because the list could not be written.
@@ -268,16 +321,16 @@
     pub fn forget(&mut self, instance: &InstanceId) -> bool {
         self.grace.remove(instance);
         match self.rows.get_mut(instance) {
-            Some(row) => row.endpoint.take().is_some(),
+            Some(known) => known.row.endpoint.take().is_some(),
             None => false,
         }
     }
 
     fn vanished(&self, update: &ListingUpdate) -> Vec<ListedRow> {
-        let known = self.rows.values().filter(|row| row.endpoint.is_some());
+        let known = self.rows.values().map(|known| &known.row);
         let listed = |row: &ListedRow| update.rows.iter().any(|new| new.instance == row.instance);
         known
-            .filter(|row| !listed(row))
+            .filter(|row| row.endpoint.is_some() && !listed(row))
             .map(|row| ListedRow {
                 instance: row.instance.clone(),
                 position: update.position,
@@ -292,40 +345,51 @@
         let until = now.deadline_after(GRACE_PERIOD);
         // An unusable row has been written, so it has not expired.
         for row in rows.iter().filter(|row| row.endpoint.is_none() && !row.is_unusable) {
-            let is_known =
-                self.rows.get(&row.instance).is_some_and(|known| known.endpoint.is_some());
-            if is_known {
+            let known = self.rows.get(&row.instance);
+            if known.is_some_and(|known| known.row.endpoint.is_some()) {
                 self.grace.entry(row.instance.clone()).or_insert(until);
             }
         }
     }
 
+    /// Takes the rows, but for removals of endpoints that are in their grace period.
+    fn take_unless_in_grace(&mut self, rows: &[ListedRow], asked_at: Timestamp) {
+        let grace = &self.grace;
+        let is_taken =
+            |row: &&ListedRow| row.endpoint.is_some() || !grace.contains_key(&row.instance);
+        let taken: Vec<_> = rows.iter().filter(is_taken).cloned().collect();
+        self.take_rows(&taken, asked_at);
+    }
+
     fn take_rows(&mut self, rows: &[ListedRow], asked_at: Timestamp) {
+        let era = self.era;
         for row in rows {
-            let known = self.rows.get_mut(&row.instance);
-            if let Some(known) = known.filter(|known| is_outdated_copy(known, row)) {
-                known.position = row.position;
-                continue;
-            }
-            let is_old = self.rows.get(&row.instance).is_some_and(|known| {
+            if let Some(known) = self.rows.get_mut(&row.instance) {
+                if known.era < era && known.outdates_copy(row) {
+                    known.era = era;
+                    known.row.position = row.position;
+                    continue;
+                }
+                // Its order relative to other rows of the earlier era still holds.
+                if known.era < era && row.endpoint.is_some() && known.row.endpoint == row.endpoint {
+                    self.grace.remove(&row.instance);
+                    continue;
+                }
                 // Repeating a row does not restore an endpoint removed by `forget`.
-                let is_repeated = known.position == row.position && known.endpoint.is_none();
-                known.position > row.position || is_repeated
-            });
-            if is_old {
-                continue;
+                let is_repeated =
+                    known.row.position == row.position && known.row.endpoint.is_none();
+                if known.era == era && (known.row.position > row.position || is_repeated) {
+                    continue;
+                }
             }
             if row.endpoint.is_some() || row.is_unusable {
                 self.grace.remove(&row.instance);
             }
-            let known = self.rows.insert(row.instance.clone(), row.clone());
+            let known = self.rows.insert(row.instance.clone(), KnownRow { row: row.clone(), era });
             // A copy of a known row may come from a later read; the time since the row was written
             // is what counts.
-            let is_written = known.is_none_or(|known| match known.position {
-                0 => known.endpoint != row.endpoint,
-                position => position < row.position,
-            });
-            if is_written {
+            let position = StorePosition { era, version: row.position };
+            if known.is_none_or(|known| known.position() < position) {
                 self.update_cold(row, asked_at);
             }
         }
@@ -348,17 +412,3 @@
         self.asked_at = self.asked_at.max(Some(update.asked_at));
     }
 }
-
-/// Whether `row`, read in a later era than `known`, is older than it.
-///
-/// The store's copy may be older than the removal of a row or the start of a later process. An
-/// endpoint that is alive soon writes its row again, at a higher position.
-fn is_outdated_copy(known: &ListedRow, row: &ListedRow) -> bool {
-    if known.position > 0 {
-        return false;
-    }
-    let Some(endpoint) = &known.endpoint else {
-        return true;
-    };
-    row.endpoint.as_ref().is_some_and(|copy| copy.born_at < endpoint.born_at)
-}
--- a/crates/decide/tests/listing.rs
+++ b/crates/decide/tests/listing.rs
@@ -42,7 +42,7 @@
 }
 
 fn update(rows: Vec<ListedRow>, base: u64, position: u64, asked_at: Timestamp) -> ListingUpdate {
-    ListingUpdate { rows, base, position, asked_at, era: 0 }
+    ListingUpdate { rows, base, base_era: 0, position, asked_at, era: 0 }
 }
 
 fn names(listing: &EndpointListing) -> Vec<String> {
@@ -182,7 +182,7 @@
 }
 
 fn in_era(update: ListingUpdate, era: u64) -> ListingUpdate {
-    ListingUpdate { era, ..update }
+    ListingUpdate { base_era: era, era, ..update }
 }
 
 /// Guards against rows of a new era that are taken for old since their positions are lower.
@@ -197,6 +197,8 @@
     assert!(other.apply_update(&published));
     assert!(other.endpoints().any(|endpoint| endpoint.is_leaving));
     assert_eq!((other.era(), other.position()), (2, 41));
+    // An entry that lacks the rows before the return has to request all.
+    assert!(!read(vec![row("a", 30)], 30).apply_update(&published));
 }
 
 /// Guards against an answer or a message of an earlier era that arrives late.
@@ -270,3 +272,21 @@
     listing.apply_read(in_era(update(vec![born("a", 43, 9_500)], 41, 43, at(900)), 2), at(900));
     assert_eq!(born_at(&listing), Some(Timestamp(9_500)));
 }
+
+/// Guards against former processes that hide later ones at their addresses, because the copy holds
+/// the rows of the former ones only.
+#[test]
+fn the_newest_process_at_an_address_stays_current_in_a_new_era() {
+    let mut later = endpoint("z", false);
+    later.addr = endpoint("a", false).addr;
+    let later = ListedRow { endpoint: Some(later), ..row("z", 50) };
+    let mut listing = read(vec![row("a", 3), later.clone()], 50);
+    let mut other = read(vec![row("a", 3), later], 50);
+    let whole = in_era(update(vec![row("a", 3)], 0, 41, at(500)), 2);
+    assert!(other.apply_update(&listing.apply_read(whole, at(500))));
+    for listing in [listing, other] {
+        let present = listing.latest_per_addr(|_| true);
+        let present: Vec<_> = present.iter().map(|endpoint| endpoint.instance.as_str()).collect();
+        assert_eq!(present, ["z"]);
+    }
+}
--- a/crates/entry/src/control/entries.rs
+++ b/crates/entry/src/control/entries.rs
@@ -41,7 +41,7 @@
         let entries = shared.peers().values().count() as u32 + 1;
         let wait = (REWRITE_INTERVAL * entries).mul_f64(rand::rng().random_range(0.0..1.0));
         Timer::after(wait).await;
-        log::info!(target: "registry", era = era; "Storing this entry's address again.");
+        log::info!(target: "overlay", era = era; "Storing this entry's address again.");
         write_until_done(&shared).await;
     }
 }
--- a/crates/entry/src/control/listing.rs
+++ b/crates/entry/src/control/listing.rs
@@ -85,7 +85,7 @@
     asked_at: Timestamp,
 ) {
     let StorePosition { era, version: position } = page.position;
-    let update = ListingUpdate { rows: page.rows, base, position, asked_at, era };
+    let update = ListingUpdate { rows: page.rows, base, base_era: era, position, asked_at, era };
     let now = Timestamp::now();
     let mut listing = routed.listing();
     if era < listing.era() {
@@ -128,6 +128,7 @@
         position: update.position,
         age_ms: Timestamp::now().since(update.asked_at).as_millis() as u64,
         era: Some(update.era),
+        base_era: (update.base_era != update.era).then_some(update.base_era),
     };
     peers::send_to_peers(shared, &message);
 }
@@ -140,7 +141,7 @@
     let Some(asked_at) = asked_at.filter(|_| !rows.is_empty()) else {
         return;
     };
-    let update = ListingUpdate { rows, base: position, position, asked_at, era };
+    let update = ListingUpdate { rows, base: position, base_era: era, position, asked_at, era };
     send_changes(shared, update, &[]);
     log_change(shared, routed, "not-returned");
 }
@@ -189,8 +190,14 @@
         return;
     };
     let age_ms = Timestamp::now().since(whole.asked_at).as_millis() as u64;
-    let (rows, position, era) = (whole.rows, whole.position, Some(whole.era));
-    let _ = sender.try_send(ControlMessage::Listing { rows, base: 0, position, age_ms, era });
+    let _ = sender.try_send(ControlMessage::Listing {
+        rows: whole.rows,
+        base: 0,
+        position: whole.position,
+        age_ms,
+        era: Some(whole.era),
+        base_era: None,
+    });
 }
 
 fn log_change(shared: &EntryShared, routed: &RoutedState, source: &str) {
--- a/crates/wire/src/message/control.rs
+++ b/crates/wire/src/message/control.rs
@@ -86,6 +86,9 @@
         /// Era of the store to which the positions belong; missing from senders without eras.
         #[serde(default)]
         era: Option<u64>,
+        /// Era to which the base belongs, if it is another one.
+        #[serde(default)]
+        base_era: Option<u64>,
     },
     /// Entry to entry: requests the complete list.
     ListingWanted,
