Requests in progress at a resting endpoint take no slots of the others

Admission counted a resting endpoint as nothing, but its requests in progress were still active, so as many slots of the other endpoints stayed unused until they had ended. They count as reserved now. A rest that is no number of seconds is reported once for each process of an endpoint, since an endpoint that refuses everything would fill the log. The test of the capacity fails before.

--- a/crates/decide/src/endpoint_rest.rs
+++ b/crates/decide/src/endpoint_rest.rs
@@ -5,7 +5,7 @@
 //! that is no such refusal.
 
 use std::{
-    sync::atomic::{AtomicU64, Ordering},
+    sync::atomic::{AtomicBool, AtomicU64, Ordering},
     time::Duration,
 };
 
@@ -27,10 +27,12 @@
     ends_at: AtomicU64,
     /// When the next request may be sent, in milliseconds.
     next_at: AtomicU64,
+    /// Whether a rest that cannot be parsed has been reported.
+    has_invalid: AtomicBool,
 }
 
 impl EndpointRest {
-    /// Records that the endpoint asked for `span` of rest; true if it was not resting.
+    /// Records that the endpoint asked for `span` of rest; true if no earlier rest is under way.
     ///
     /// `spread` between 0 and 1 delays the first probe, so that entries which were refused together
     /// do not return together.
@@ -38,8 +40,8 @@
         let ends_at = now.deadline_after(span);
         let delay = (span / SPREAD_DIVISOR).min(MAX_SPREAD).mul_f64(spread);
         let next_at = Timestamp(ends_at.0).deadline_after(delay);
-        self.ends_at.fetch_max(ends_at.0, Ordering::Relaxed);
-        let before = self.next_at.fetch_max(next_at.0, Ordering::Relaxed);
+        let before = self.ends_at.fetch_max(ends_at.0, Ordering::Relaxed);
+        self.next_at.fetch_max(next_at.0, Ordering::Relaxed);
         before <= now.0
     }
 
@@ -59,6 +61,11 @@
         ended.is_ok()
     }
 
+    /// Records a rest that cannot be parsed; true for the first one, which is reported.
+    pub fn record_invalid(&self) -> bool {
+        !self.has_invalid.swap(true, Ordering::Relaxed)
+    }
+
     /// Whether the endpoint has asked for rest and has not answered a request since its end.
     pub fn is_active(&self) -> bool {
         self.ends_at.load(Ordering::Relaxed) != 0
--- a/crates/decide/src/endpoint_tracker.rs
+++ b/crates/decide/src/endpoint_tracker.rs
@@ -201,7 +201,7 @@
         &self.rest
     }
 
-    /// Records that the endpoint asked for `span` of rest; true if it was not resting.
+    /// Records that the endpoint asked for `span` of rest; true if no earlier rest is under way.
     ///
     /// The limit starts anew, so that requests return to the endpoint gradually. `spread` is that of
     /// [`EndpointRest::begin`].
--- a/crates/decide/src/route.rs
+++ b/crates/decide/src/route.rs
@@ -274,11 +274,12 @@
     pub fn capacity(&self, max_in_flight: u32, competitor: SlotCompetitor, now: Timestamp) -> u32 {
         let usable = self.candidates.iter();
         let usable = usable.filter(|c| !c.tracker.is_ejected(now) && !c.is_slow(now));
-        let usable = usable.filter(|c| c.tracker.rest().is_due(now));
         let mut slots = SlotShare::new(competitor);
         for candidate in usable {
             let tracker = &candidate.tracker;
             match candidate.path {
+                // What is in progress there is finished; it takes no slots of the others.
+                _ if !tracker.rest().is_due(now) => slots.add_reserved(tracker.in_flight()),
                 EndpointPath::Direct(_) if !tracker.is_paced() => {
                     let limit = tracker.limit().min(max_in_flight);
                     slots.add_endpoint(limit, tracker.own_at_report(), tracker.recent_others(now));
--- a/crates/decide/tests/direct_routing.rs
+++ b/crates/decide/tests/direct_routing.rs
@@ -3,13 +3,16 @@
 use std::{
     collections::HashMap,
     sync::{Arc, atomic::AtomicU32},
+    time::Duration,
 };
 
 use cassiawheel_decide::{
     EndpointPace, EndpointPath, EndpointTracker, RouteCandidate, RouteQuery, RouteSnapshot,
     ServiceRoutes, SlotCompetitor,
 };
-use cassiawheel_model::{EVERYWHERE, InstanceId, LoadReport, ModelVersion, ServiceName, Timestamp};
+use cassiawheel_model::{
+    Deadline, EVERYWHERE, InstanceId, LoadReport, ModelVersion, ServiceName, Timestamp,
+};
 use rand::{SeedableRng, rngs::SmallRng};
 
 const NOW: Timestamp = Timestamp(1_000_000);
@@ -265,3 +268,20 @@
     let chosen = endpoints.choices(&endpoints.query(at(100)));
     assert!(chosen[0] > 0 && chosen[2] > 0, "{chosen:?}");
 }
+
+/// Guards against requests for an endpoint that rests, also as a last resort, and against its
+/// requests in progress that take the slots of the others.
+#[test]
+fn an_endpoint_that_rests_is_no_capacity() {
+    let endpoints = Endpoints::serving(&[1, 1]);
+    let rests = &endpoints.trackers[0];
+    (0..5).for_each(|_| rests.acquire());
+    rests.begin_rest(Duration::from_secs(3), 0.0, NOW);
+    assert_eq!(endpoints.choices(&endpoints.query(at(100))), [0, 100]);
+    let routes = endpoints.routes.service(&endpoints.service).expect("a service");
+    assert_eq!(routes.capacity(1_024, SlotCompetitor::ALONE, at(100)), SLOTS + 5);
+    assert_eq!(routes.rest_end(at(100)), None);
+    endpoints.trackers[1].begin_rest(Duration::from_secs(1), 0.0, at(100));
+    assert_eq!(endpoints.choices(&endpoints.query(at(200))), [0, 0]);
+    assert_eq!(routes.rest_end(at(200)), Some(Deadline(at(1_100).0)));
+}
--- a/crates/entry/src/direct.rs
+++ b/crates/entry/src/direct.rs
@@ -145,10 +145,10 @@
                 }
                 return;
             }
-            RestRequest::Invalid(value) => {
+            RestRequest::Invalid(value) if target.tracker.rest().record_invalid() => {
                 log::warn!(target: "direct", request:% = head.id, endpoint:% = endpoint, value:% = value; "An endpoint asks for a rest that is no number of seconds.");
             }
-            RestRequest::None => {}
+            RestRequest::Invalid(_) | RestRequest::None => {}
         }
         // A 421 may come from another process at the endpoint's address.
         if parts.status != StatusCode::MISDIRECTED_REQUEST && target.tracker.rest().end(now) {
