--- a/crates/model/src/gossip.rs
+++ b/crates/model/src/gossip.rs
@@ -164,6 +164,7 @@
     /// Evacuations that operators have ordered or ended.
     pub evacuations: Vec<EvacuationOrder>,
     /// Endpoints that have announced that they leave.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
     pub departures: Vec<DepartureRecord>,
 }
 
