--- a/crates/decide/src/endpoint_rest.rs
+++ b/crates/decide/src/endpoint_backoff.rs
@@ -1,8 +1,8 @@
-//! Rest that an endpoint has asked this entry for.
+//! Backoff that an endpoint has requested from this entry.
 //!
-//! A refusal may ask for no more requests for some time. The latest end that was stated applies.
-//! When it has passed, one request probes the endpoint; the next ones follow only after an answer
-//! that is no such refusal.
+//! A refusal may state for how long the endpoint wants no further requests. The latest end that was
+//! stated applies. After it, one request probes the endpoint; further ones follow only after an
+//! answer that requests no backoff.
 
 use std::{
     sync::atomic::{AtomicBool, AtomicU64, Ordering},
@@ -14,41 +14,40 @@
 /// Time after which another request probes an endpoint that has not answered the last probe.
 const PROBE_INTERVAL: Duration = Duration::from_millis(1_000);
 
-/// Divisor of a rest that gives the longest additional delay of the first probe.
-const SPREAD_DIVISOR: u32 = 8;
+/// Divisor of a backoff that gives the longest additional delay of the first probe.
+const JITTER_DIVISOR: u32 = 8;
 
 /// Longest additional delay of the first probe.
-const MAX_SPREAD: Duration = Duration::from_millis(500);
+const MAX_JITTER: Duration = Duration::from_millis(500);
 
-/// Rest of one endpoint; zero deadlines mean that it has asked for none.
+/// Backoff of one endpoint; both deadlines are zero if none was requested.
 #[derive(Debug, Default)]
-pub struct EndpointRest {
-    /// End of the rest that the endpoint stated last, in milliseconds.
+pub struct EndpointBackoff {
+    /// Latest end that the endpoint has stated, in milliseconds.
     ends_at: AtomicU64,
     /// When the next request may be sent, in milliseconds.
     next_at: AtomicU64,
-    /// Whether a rest that cannot be parsed has been reported.
+    /// Whether a backoff that cannot be parsed has been reported.
     has_invalid: AtomicBool,
 }
 
-impl EndpointRest {
-    /// Records that the endpoint asked for `span` of rest; true if no earlier rest is under way.
+impl EndpointBackoff {
+    /// Starts a backoff of `span`; true unless an earlier one has not ended.
     ///
-    /// `spread` between 0 and 1 delays the first probe, so that entries which were refused together
-    /// do not return together.
-    pub fn begin(&self, span: Duration, spread: f64, now: Timestamp) -> bool {
+    /// `jitter` between 0 and 1 delays the first probe, so that entries which were refused at the
+    /// same time do not all return at the same time.
+    pub fn begin(&self, span: Duration, jitter: f64, now: Timestamp) -> bool {
         let ends_at = now.deadline_after(span);
-        let delay = (span / SPREAD_DIVISOR).min(MAX_SPREAD).mul_f64(spread);
+        let delay = (span / JITTER_DIVISOR).min(MAX_JITTER).mul_f64(jitter);
         let next_at = Timestamp(ends_at.0).deadline_after(delay);
         let before = self.ends_at.fetch_max(ends_at.0, Ordering::Relaxed);
         self.next_at.fetch_max(next_at.0, Ordering::Relaxed);
         before <= now.0
     }
 
-    /// Records an answer that asks for no rest; true if it ended the rest.
+    /// Records an answer that requests no backoff; true if it completes an expired one.
     ///
-    /// Answers to requests that were sent before the refusal arrive during the rest and do not end
-    /// it.
+    /// An answer that arrives before the end belongs to a request sent before the refusal.
     pub fn end(&self, now: Timestamp) -> bool {
         let ends_at = self.ends_at.load(Ordering::Relaxed);
         if ends_at == 0 || now.0 < ends_at {
@@ -61,12 +60,12 @@
         ended.is_ok()
     }
 
-    /// Records a rest that cannot be parsed; true for the first one, which is reported.
+    /// Records a backoff that cannot be parsed; true for the first one, which is reported.
     pub fn record_invalid(&self) -> bool {
         !self.has_invalid.swap(true, Ordering::Relaxed)
     }
 
-    /// Whether the endpoint has asked for rest and has not answered a request since its end.
+    /// Whether a backoff was requested and no answer has completed it.
     pub fn is_active(&self) -> bool {
         self.ends_at.load(Ordering::Relaxed) != 0
     }
@@ -77,7 +76,7 @@
         now.0 >= next_at.max(self.ends_at.load(Ordering::Relaxed))
     }
 
-    /// When the next request may be sent, if the endpoint has asked for rest.
+    /// When the next request may be sent; none without a backoff.
     pub fn next_at(&self) -> Option<Deadline> {
         self.is_active().then(|| Deadline(self.next_at.load(Ordering::Relaxed)))
     }
--- a/crates/decide/src/endpoint_tracker.rs
+++ b/crates/decide/src/endpoint_tracker.rs
@@ -10,7 +10,7 @@
 
 use cassiawheel_model::{LoadReport, Timestamp};
 
-use crate::endpoint_rest::EndpointRest;
+use crate::endpoint_backoff::EndpointBackoff;
 
 /// Age up to which a load report counts in full where no gate protects the endpoint, in
 /// milliseconds.
@@ -111,7 +111,7 @@
     interval_us: AtomicU64,
     /// When the next request may be sent, in microseconds.
     next_at_us: AtomicU64,
-    rest: EndpointRest,
+    backoff: EndpointBackoff,
 }
 
 impl EndpointTracker {
@@ -196,27 +196,26 @@
         self.next_at_us.fetch_update(Ordering::Relaxed, Ordering::Relaxed, next).is_ok()
     }
 
-    /// Rest that the endpoint has asked for.
-    pub fn rest(&self) -> &EndpointRest {
-        &self.rest
+    /// Backoff that the endpoint has requested.
+    pub fn backoff(&self) -> &EndpointBackoff {
+        &self.backoff
     }
 
-    /// Records that the endpoint asked for `span` of rest; true if no earlier rest is under way.
+    /// Starts a backoff as [`EndpointBackoff::begin`] does.
     ///
-    /// The limit starts anew, so that requests return to the endpoint gradually. `spread` is that of
-    /// [`EndpointRest::begin`].
-    pub fn begin_rest(&self, span: Duration, spread: f64, now: Timestamp) -> bool {
+    /// The adaptive limit is reset, so that requests return to the endpoint gradually.
+    pub fn begin_backoff(&self, span: Duration, jitter: f64, now: Timestamp) -> bool {
         self.limit.store(LIMIT_SCALE, Ordering::Relaxed);
-        self.rest.begin(span, spread, now)
+        self.backoff.begin(span, jitter, now)
     }
 
-    /// Counts a request if fewer than `max_in_flight` are in flight, and pace and rest allow it;
+    /// Counts a request if fewer than `max_in_flight` are in flight, and pace and backoff allow it;
     /// false if not.
     pub fn try_acquire_paced(&self, max_in_flight: u32, now: Timestamp) -> bool {
         if !self.try_acquire(max_in_flight) {
             return false;
         }
-        let is_taken = self.rest.take(now) && self.take_slot(now);
+        let is_taken = self.backoff.take(now) && self.take_slot(now);
         if !is_taken {
             self.release();
         }
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -13,7 +13,7 @@
 pub mod claim;
 pub mod crash_tracker;
 pub mod departures;
-pub mod endpoint_rest;
+pub mod endpoint_backoff;
 pub mod endpoint_tracker;
 pub mod entry_selector;
 pub mod evacuation;
@@ -56,7 +56,7 @@
 pub use claim::{ClaimRecord, ClaimReply, ClaimState, ClaimStep, ClaimTracker};
 pub use crash_tracker::{BAR_DURATION, CrashTracker, CrashVerdict};
 pub use departures::DepartureTable;
-pub use endpoint_rest::EndpointRest;
+pub use endpoint_backoff::EndpointBackoff;
 pub use endpoint_tracker::{EndpointPace, EndpointTracker};
 pub use entry_selector::EntrySelector;
 pub use evacuation::EvacuationTable;
--- a/crates/decide/src/route.rs
+++ b/crates/decide/src/route.rs
@@ -240,7 +240,7 @@
         });
         self.tracker.in_flight() < self.capacity(query)
             && self.tracker.is_due(query.now)
-            && self.tracker.rest().is_due(query.now)
+            && self.tracker.backoff().is_due(query.now)
             && is_version
             && is_allowed
             && query.homes.contains(self.region.as_ref())
@@ -278,8 +278,8 @@
         for candidate in usable {
             let tracker = &candidate.tracker;
             match candidate.path {
-                // What is in progress there is finished; it takes no slots of the others.
-                _ if !tracker.rest().is_due(now) => slots.add_reserved(tracker.in_flight()),
+                // Requests in progress there use no slots of the other endpoints.
+                _ if !tracker.backoff().is_due(now) => slots.add_reserved(tracker.in_flight()),
                 EndpointPath::Direct(_) if !tracker.is_paced() => {
                     let limit = tracker.limit().min(max_in_flight);
                     slots.add_endpoint(limit, tracker.own_at_report(), tracker.recent_others(now));
@@ -292,13 +292,13 @@
         slots.capacity()
     }
 
-    /// When the first endpoint may get a request again, if all have asked for rest.
-    pub fn rest_end(&self, now: Timestamp) -> Option<Deadline> {
-        let resting = |c: &RouteCandidate| {
-            let next_at = c.tracker.rest().next_at()?;
-            (!c.tracker.rest().is_due(now)).then_some(next_at)
+    /// When the first endpoint may get a request again, if all have requested backoff.
+    pub fn backoff_end(&self, now: Timestamp) -> Option<Deadline> {
+        let end = |c: &RouteCandidate| {
+            let next_at = c.tracker.backoff().next_at()?;
+            (!c.tracker.backoff().is_due(now)).then_some(next_at)
         };
-        let ends: Option<Vec<_>> = self.candidates.iter().map(resting).collect();
+        let ends: Option<Vec<_>> = self.candidates.iter().map(end).collect();
         ends?.into_iter().min()
     }
 
@@ -455,9 +455,9 @@
         position.is_some_and(|p| routes.candidates[*p].version.as_ref() == version)
     }
 
-    /// Number of endpoints that have asked for rest and get no requests now.
-    pub fn resting(&self, now: Timestamp) -> usize {
-        self.candidates().filter(|c| !c.tracker.rest().is_due(now)).count()
+    /// Number of endpoints that get no requests now because they have requested backoff.
+    pub fn backed_off(&self, now: Timestamp) -> usize {
+        self.candidates().filter(|c| !c.tracker.backoff().is_due(now)).count()
     }
 
     /// All endpoints of all services.
--- a/crates/decide/tests/direct_routing.rs
+++ b/crates/decide/tests/direct_routing.rs
@@ -269,19 +269,19 @@
     assert!(chosen[0] > 0 && chosen[2] > 0, "{chosen:?}");
 }
 
-/// Guards against requests for an endpoint that rests, also as a last resort, and against its
+/// Guards against requests for an endpoint in backoff, also as a last resort, and against its
 /// requests in progress that take the slots of the others.
 #[test]
-fn an_endpoint_that_rests_is_no_capacity() {
+fn an_endpoint_in_backoff_is_no_capacity() {
     let endpoints = Endpoints::serving(&[1, 1]);
-    let rests = &endpoints.trackers[0];
-    (0..5).for_each(|_| rests.acquire());
-    rests.begin_rest(Duration::from_secs(3), 0.0, NOW);
+    let backed_off = &endpoints.trackers[0];
+    (0..5).for_each(|_| backed_off.acquire());
+    backed_off.begin_backoff(Duration::from_secs(3), 0.0, NOW);
     assert_eq!(endpoints.choices(&endpoints.query(at(100))), [0, 100]);
     let routes = endpoints.routes.service(&endpoints.service).expect("a service");
     assert_eq!(routes.capacity(1_024, SlotCompetitor::ALONE, at(100)), SLOTS + 5);
-    assert_eq!(routes.rest_end(at(100)), None);
-    endpoints.trackers[1].begin_rest(Duration::from_secs(1), 0.0, at(100));
+    assert_eq!(routes.backoff_end(at(100)), None);
+    endpoints.trackers[1].begin_backoff(Duration::from_secs(1), 0.0, at(100));
     assert_eq!(endpoints.choices(&endpoints.query(at(200))), [0, 0]);
-    assert_eq!(routes.rest_end(at(200)), Some(Deadline(at(1_100).0)));
+    assert_eq!(routes.backoff_end(at(200)), Some(Deadline(at(1_100).0)));
 }
--- a/crates/edge/src/endpoints.rs
+++ b/crates/edge/src/endpoints.rs
@@ -39,8 +39,8 @@
     pub limit: Option<NamedLimit>,
     /// Whether the endpoint states that it is leaving.
     pub is_leaving: bool,
-    /// Whether the endpoint asks this entry to send nothing for a while.
-    pub rest: RestRequest,
+    /// Backoff that the endpoint requests from this entry.
+    pub backoff: BackoffRequest,
     /// Time for which the endpoint keeps an idle connection open.
     pub idle_timeout: Option<Duration>,
     /// Whether the endpoint closes the connection after the response.
@@ -49,13 +49,13 @@
     pub is_stream: bool,
 }
 
-/// Request of an endpoint that an entry send it nothing for a while.
+/// Backoff that an endpoint requests with a refusal.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
-pub enum RestRequest {
-    /// The response asks for no rest.
+pub enum BackoffRequest {
+    /// The response requests none.
     #[default]
     None,
-    /// The endpoint asks for no requests for this long after its response.
+    /// The endpoint wants no requests for this long after its response.
     For(Duration),
     /// The field cannot be parsed; it has this value.
     Invalid(String),
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -22,7 +22,7 @@
 pub use callers::{AdviceQuery, CallerHead, CallerProtocol, GenerationSize, HeaderError};
 pub use client::{ClientError, HttpClient};
 pub use endpoints::{
-    EndpointProtocol, ForwardMetadata, ReportedLoad, ResponseMetadata, RestRequest,
+    BackoffRequest, EndpointProtocol, ForwardMetadata, ReportedLoad, ResponseMetadata,
 };
 pub use engine::{EngineError, EngineResponse, EngineStatus, LoadOrder, ModelEngine, StagedBitmap};
 pub use engine_http::HttpEngine;
--- a/crates/entry/src/caller/attempts.rs
+++ b/crates/entry/src/caller/attempts.rs
@@ -37,12 +37,12 @@
 /// two for each of them.
 const RETRY_EXTRA_SLOTS: u32 = 4;
 
-/// Divisor of the time until the first endpoint's rest ends that gives the time over which refused
-/// callers are spread.
-const REST_SPREAD_DIVISOR: u32 = 2;
+/// Divisor of the time until the first endpoint's backoff ends that gives the range of the jitter
+/// added to a caller's retry delay.
+const JITTER_DIVISOR: u32 = 2;
 
-/// Longest time over which callers that were refused while all endpoints rest are spread.
-const MAX_REST_SPREAD: Duration = Duration::from_millis(1_000);
+/// Longest jitter added to a caller's retry delay.
+const MAX_JITTER: Duration = Duration::from_millis(1_000);
 
 /// Time that a request may take on a full link to another region.
 ///
@@ -224,7 +224,7 @@
             }
             RetryStep::Stop(end) => {
                 let (revision, attempts) = (self.revision, self.tracker.attempts());
-                let outcome = self.while_resting(&end).unwrap_or_else(|| final_outcome(end));
+                let outcome = self.backed_off(&end).unwrap_or_else(|| final_outcome(end));
                 return Err(FailedRequest { outcome, revision, attempts });
             }
         };
@@ -232,20 +232,20 @@
         Ok(())
     }
 
-    /// Outcome of a refused request if every endpoint has asked for rest.
-    fn while_resting(&self, end: &AttemptFailure) -> Option<RequestOutcome> {
+    /// Outcome of a refused request if every endpoint has requested backoff.
+    fn backed_off(&self, end: &AttemptFailure) -> Option<RequestOutcome> {
         let AttemptFailure::NotRun(NotRunReason::Overloaded | NotRunReason::NoEndpoint) = end
         else {
             return None;
         };
         let now = Timestamp::now();
         let routes = self.shared.routes.load();
-        let rest_end = routes.service(&self.head().service)?.rest_end(now)?;
-        // Callers that were refused together must not return together.
-        let max_spread = (rest_end.remaining(now) / REST_SPREAD_DIVISOR).min(MAX_REST_SPREAD);
-        let spread = max_spread.mul_f64(rand::rng().random_range(0.0..1.0));
-        let retry_at = Timestamp(rest_end.0).deadline_after(spread);
-        Some(RequestOutcome::NotRun { reason: NotRunReason::Resting, retry_at })
+        let backoff_end = routes.service(&self.head().service)?.backoff_end(now)?;
+        // Callers that are refused at the same time must not all return at the same time.
+        let max_jitter = (backoff_end.remaining(now) / JITTER_DIVISOR).min(MAX_JITTER);
+        let jitter = max_jitter.mul_f64(rand::rng().random_range(0.0..1.0));
+        let retry_at = Timestamp(backoff_end.0).deadline_after(jitter);
+        Some(RequestOutcome::NotRun { reason: NotRunReason::BackedOff, retry_at })
     }
 
     async fn route_and_dispatch(
--- a/crates/entry/src/caller/routed.rs
+++ b/crates/entry/src/caller/routed.rs
@@ -312,7 +312,7 @@
     if let Some(wait_ms) = wait_ms {
         let wait = match failed.outcome {
             RequestOutcome::NotRun {
-                reason: NotRunReason::Quarantined | NotRunReason::Resting,
+                reason: NotRunReason::Quarantined | NotRunReason::BackedOff,
                 ..
             } => Duration::from_millis(wait_ms),
             _ => OVERLOAD_RETRY_DELAY,
--- a/crates/entry/src/control/links.rs
+++ b/crates/entry/src/control/links.rs
@@ -83,7 +83,7 @@
     drop(state);
     limits::expire(routed, now);
     departures::expire(routed, now);
-    shared.metrics.resting.set(shared.routes.load().resting(now) as i64);
+    shared.metrics.backed_off.set(shared.routes.load().backed_off(now) as i64);
     shared.roster().keep_only(|instance| reported.contains(instance), now);
 }
 
--- a/crates/entry/src/counters.rs
+++ b/crates/entry/src/counters.rs
@@ -36,10 +36,10 @@
 
     /// Drops trackers of endpoints that neither a snapshot nor a request refers to.
     ///
-    /// An endpoint that rests may be missing from snapshots for a while, for example during a
-    /// switch of versions, and the rest still applies afterwards.
+    /// An endpoint may be missing from snapshots for a while, for example during a switch of
+    /// versions, and a backoff that it has requested still applies afterwards.
     pub(crate) fn drop_unused(&mut self, now: Timestamp) {
         self.endpoints
-            .retain(|_, tracker| Arc::strong_count(tracker) > 1 || !tracker.rest().is_due(now));
+            .retain(|_, tracker| Arc::strong_count(tracker) > 1 || !tracker.backoff().is_due(now));
     }
 }
--- a/crates/entry/src/direct.rs
+++ b/crates/entry/src/direct.rs
@@ -10,7 +10,7 @@
 
 use bytes::Bytes;
 use cassiawheel_decide::{AttemptFailure, EndpointTracker};
-use cassiawheel_edge::{EndpointProtocol, ForwardMetadata, ResponseMetadata, RestRequest};
+use cassiawheel_edge::{BackoffRequest, EndpointProtocol, ForwardMetadata, ResponseMetadata};
 use cassiawheel_model::{InstanceId, NotRunReason, Repeatability, RequestHead, Timestamp};
 use cassiawheel_runtime::{spawn, timeout};
 use http_body_util::{BodyExt, Full, Limited};
@@ -136,23 +136,23 @@
             log::debug!(target: "direct", request:% = head.id, endpoint:% = endpoint; "An answer states that its endpoint is leaving.");
             self.departures.observe_answer(endpoint, target.born_at);
         }
-        match &metadata.rest {
-            RestRequest::For(span) => {
-                let spread = rand::rng().random_range(0.0..1.0);
-                let rest_ms = span.as_millis() as u64;
-                if target.tracker.begin_rest(*span, spread, now) {
-                    log::info!(target: "direct", request:% = head.id, endpoint:% = endpoint, rest_ms = rest_ms; "An endpoint asks for rest.");
+        match &metadata.backoff {
+            BackoffRequest::For(span) => {
+                let jitter = rand::rng().random_range(0.0..1.0);
+                let backoff_ms = span.as_millis() as u64;
+                if target.tracker.begin_backoff(*span, jitter, now) {
+                    log::info!(target: "direct", request:% = head.id, endpoint:% = endpoint, backoff_ms = backoff_ms; "An endpoint requests backoff.");
                 }
                 return;
             }
-            RestRequest::Invalid(value) if target.tracker.rest().record_invalid() => {
-                log::warn!(target: "direct", request:% = head.id, endpoint:% = endpoint, value:% = value; "An endpoint asks for a rest that is no number of seconds.");
+            BackoffRequest::Invalid(value) if target.tracker.backoff().record_invalid() => {
+                log::warn!(target: "direct", request:% = head.id, endpoint:% = endpoint, value:% = value; "An endpoint requests a backoff that is no number of seconds.");
             }
-            RestRequest::Invalid(_) | RestRequest::None => {}
+            BackoffRequest::Invalid(_) | BackoffRequest::None => {}
         }
         // A 421 may come from another process at the endpoint's address.
-        if parts.status != StatusCode::MISDIRECTED_REQUEST && target.tracker.rest().end(now) {
-            log::info!(target: "direct", request:% = head.id, endpoint:% = endpoint; "An endpoint answers again after its rest.");
+        if parts.status != StatusCode::MISDIRECTED_REQUEST && target.tracker.backoff().end(now) {
+            log::info!(target: "direct", request:% = head.id, endpoint:% = endpoint; "An endpoint answers again after its backoff.");
         }
     }
 
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -12,8 +12,8 @@
     pub(crate) quarantined: IntCounter,
     /// Number of endpoints that advertise a rate limit.
     pub(crate) limited: IntGauge,
-    /// Number of endpoints that have asked this entry for rest.
-    pub(crate) resting: IntGauge,
+    /// Number of endpoints that get no requests because they have requested backoff.
+    pub(crate) backed_off: IntGauge,
     /// Number of requests in progress.
     pub(crate) in_flight: IntGauge,
     /// Revision of the active preset.
@@ -43,9 +43,9 @@
                 "Requests refused since several endpoints have ended under the same request",
             )?,
             limited: IntGauge::new(name("limited_endpoints"), "Endpoints that name a limit")?,
-            resting: IntGauge::new(
-                name("resting_endpoints"),
-                "Endpoints that have asked this entry for rest",
+            backed_off: IntGauge::new(
+                name("backed_off_endpoints"),
+                "Endpoints that get no requests since they have requested backoff",
             )?,
             in_flight: IntGauge::new(name("in_flight"), "Requests in progress")?,
             revision: IntGauge::new(name("revision"), "Revision of the preset in force")?,
@@ -66,7 +66,7 @@
         registry.register(Box::new(metrics.admin_refused.clone()))?;
         registry.register(Box::new(metrics.quarantined.clone()))?;
         registry.register(Box::new(metrics.limited.clone()))?;
-        registry.register(Box::new(metrics.resting.clone()))?;
+        registry.register(Box::new(metrics.backed_off.clone()))?;
         registry.register(Box::new(metrics.outcomes.clone()))?;
         registry.register(Box::new(metrics.attempts.clone()))?;
         registry.register(Box::new(metrics.in_flight.clone()))?;
--- a/crates/model/src/outcome.rs
+++ b/crates/model/src/outcome.rs
@@ -52,8 +52,8 @@
     Quarantined,
     /// No region is a home of both the route and the workspace.
     NoHome,
-    /// Every endpoint of the service has asked for rest.
-    Resting,
+    /// Every endpoint of the service has requested backoff.
+    BackedOff,
 }
 
 impl NotRunReason {
@@ -75,7 +75,7 @@
             | Self::Cancelled
             | Self::Quarantined
             | Self::NoHome
-            | Self::Resting => false,
+            | Self::BackedOff => false,
         }
     }
 
@@ -97,7 +97,7 @@
             Self::ConnectFailed => "connect-failed",
             Self::Quarantined => "quarantined",
             Self::NoHome => "no-home",
-            Self::Resting => "resting",
+            Self::BackedOff => "backed-off",
         }
     }
 }
--- a/crates/testkit/src/platform_site.rs
+++ b/crates/testkit/src/platform_site.rs
@@ -39,6 +39,9 @@
 /// Interval at which a condition is checked.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 
+/// Interval between two requests of a load to one entry.
+const LOAD_INTERVAL: Duration = Duration::from_millis(10);
+
 /// Longest wait for a condition to hold.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -279,6 +282,25 @@
         Ok(request.body(Full::new(Bytes::from_static(b"a seat")))?)
     }
 
+    /// Sends requests on `route` to every entry in turn for `span`; returns how many were not
+    /// answered with 200. Each id begins with the index of its entry.
+    pub async fn load(&self, route: &str, span: Duration, name: &str) -> anyhow::Result<usize> {
+        let client = HttpClient::default();
+        let until = Timestamp::now().deadline_after(span);
+        let (mut number, mut failed) = (0, 0);
+        while !until.is_past(Timestamp::now()) {
+            for entry in 0..self.entries.len() {
+                number += 1;
+                let (id, path) = (format!("{entry}-{name}-{number}"), format!("/{route}/{number}"));
+                let request = self.request(entry, SiteCall::new(&id, &path))?;
+                let answer = client.send_and_read(request, WAIT_TIMEOUT).await?;
+                failed += usize::from(answer.status() != StatusCode::OK);
+            }
+            Timer::after(LOAD_INTERVAL).await;
+        }
+        Ok(failed)
+    }
+
     /// Number of runs of a request, over all endpoints.
     pub fn runs_of(&self, id: &str) -> u32 {
         let runs = self.replicas.iter().filter_map(|replica| replica.runs().get(id).copied());
--- a/crates/testkit/src/site_soak.rs
+++ b/crates/testkit/src/site_soak.rs
@@ -1,7 +1,7 @@
 //! Randomised soak runs on a stand-in of the platform.
 //!
 //! A run sends a request that crashes endpoints and has endpoints announce rate limits, departures
-//! and rests, while entries and endpoints are killed, frozen or drained and the store fails or
+//! and backoffs, while entries and endpoints are killed, frozen or drained and the store fails or
 //! returns from an older copy.
 //!
 //! `seed → events → callers and faults → record → verdicts`
@@ -18,7 +18,7 @@
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use smol::Timer;
 
-pub use self::statements::RestSpan;
+pub use self::statements::BackoffSpan;
 use crate::{
     PlatformSite, SiteCall,
     stand_in::rows::{LostChange, StoreCopy},
@@ -116,8 +116,8 @@
     pub ended_at: Option<Timestamp>,
     /// Time from which it gets no new requests, once it has announced that it leaves.
     pub closed_from: Option<Timestamp>,
-    /// Rests that it has asked for.
-    pub rests: Vec<RestSpan>,
+    /// Backoffs that it has requested.
+    pub backoffs: Vec<BackoffSpan>,
 }
 
 /// Answers to callers and arrivals at endpoints during one run.
@@ -144,8 +144,8 @@
     pub wrong_answers: usize,
     /// Requests of undisturbed entries that reached an endpoint after its departure.
     pub after_departure: usize,
-    /// Rests in which an undisturbed entry sent an endpoint more than is allowed.
-    pub broken_rests: usize,
+    /// Backoffs during which an undisturbed entry sent an endpoint more than is allowed.
+    pub broken_backoffs: usize,
 }
 
 impl SiteRecord {
@@ -180,7 +180,7 @@
             false_refusals: refusals.filter(|(attempt, _)| ran(&attempt.id)).count(),
             wrong_answers: whole.filter(|(attempt, body)| !body.contains(&attempt.id)).count(),
             after_departure: self.endpoints.iter().map(|e| e.after_departure(&undisturbed)).sum(),
-            broken_rests: self.endpoints.iter().map(|e| e.broken_rests(&attempt)).sum(),
+            broken_backoffs: self.endpoints.iter().map(|e| e.broken_backoffs(&attempt)).sum(),
         }
     }
 }
@@ -216,8 +216,8 @@
     copy: StoreCopy,
     /// Changes that operators and endpoints repeat after a return, each with its time.
     repeats: Vec<(LostChange, Deadline)>,
-    /// Endpoints that ask for rest, each with the time at which they serve again.
-    resting: Vec<(usize, Deadline)>,
+    /// Endpoints that request backoff, each with the time at which they serve again.
+    refusing: Vec<(usize, Deadline)>,
     /// Endpoints drained by their rows, each with the time at which entries could know.
     drained: Vec<(usize, Timestamp)>,
 }
@@ -235,7 +235,7 @@
         calls: Vec::new(),
         copy,
         repeats: Vec::new(),
-        resting: Vec::new(),
+        refusing: Vec::new(),
         drained: Vec::new(),
     };
     let until = Timestamp::now().deadline_after(span);
@@ -276,8 +276,8 @@
         for (lost, _) in self.repeats.extract_if(.., |(_, at)| at.is_past(now)) {
             self.site.rows.repeat(lost);
         }
-        for (endpoint, _) in self.resting.extract_if(.., |(_, until)| until.is_past(now)) {
-            self.site.replicas[endpoint].set_rest(None);
+        for (endpoint, _) in self.refusing.extract_if(.., |(_, until)| until.is_past(now)) {
+            self.site.replicas[endpoint].set_backoff(None);
         }
         for (entry, _) in self.paused.extract_if(.., |(_, until)| until.is_past(now)) {
             self.site.entries[entry].process.resume()?;
@@ -301,7 +301,7 @@
         self.site.replicas[endpoint].set_limit(rate);
     }
 
-    /// Has a random endpoint announce that it leaves, or ask for rest for a while.
+    /// Has a random endpoint announce that it leaves, or request backoff for a while.
     fn change_statement(&mut self) {
         let endpoint = self.rng.random_range(0..self.site.replicas.len());
         let replica = &self.site.replicas[endpoint];
@@ -309,10 +309,10 @@
             replica.announce_leaving();
             return;
         }
-        let rest_s = self.rng.random_range(0.3..3.0);
-        replica.set_rest(Some(&format!("{rest_s:.2}")));
+        let backoff_s = self.rng.random_range(0.3..3.0);
+        replica.set_backoff(Some(&format!("{backoff_s:.2}")));
         let span = Duration::from_millis(self.rng.random_range(500..4_000));
-        self.resting.push((endpoint, Timestamp::now().deadline_after(span)));
+        self.refusing.push((endpoint, Timestamp::now().deadline_after(span)));
     }
 
     /// Returns the store from the last copy after a moment without it. Operators and endpoints
@@ -428,7 +428,7 @@
                 runs: replica.runs().into_keys().collect(),
                 ended_at: fatal.first().copied().filter(|_| replica.has_ended()),
                 closed_from: self.closed_from(index),
-                rests: replica.rests().iter().filter_map(RestSpan::new).collect(),
+                backoffs: replica.backoffs().iter().filter_map(BackoffSpan::new).collect(),
             });
         }
         Ok(record)
--- a/crates/testkit/src/site_soak/statements.rs
+++ b/crates/testkit/src/site_soak/statements.rs
@@ -1,32 +1,32 @@
-//! Verdicts on what endpoints state about themselves: that they leave, or that they need rest.
+//! Verdicts on what endpoints state about themselves: that they leave, or that they request backoff.
 
 use std::{collections::BTreeMap, time::Duration};
 
 use cassiawheel_model::{Deadline, Timestamp};
 
 use super::{AttemptRecord, EndpointRecord};
-use crate::stand_in::replica::RestRecord;
+use crate::stand_in::replica::BackoffRecord;
 
-/// Time after a refusal from which the entry has to keep the rest.
+/// Time after a refusal from which the entry has to keep the backoff.
 const LEARN_TIME: Duration = Duration::from_millis(500);
 
-/// Most requests of one entry that an endpoint may get within a rest.
-const MOST_IN_REST: usize = 2;
+/// Most requests of one entry that an endpoint may get during a backoff.
+const MOST_IN_BACKOFF: usize = 2;
 
-/// A rest that an endpoint asked the sender of one attempt for.
+/// A backoff that an endpoint requested from the sender of one attempt.
 #[derive(Debug, Clone)]
-pub struct RestSpan {
+pub struct BackoffSpan {
     /// Id of the refused attempt.
     pub id: String,
-    /// Time from which the rest has to be kept.
+    /// Time from which the backoff has to be kept.
     pub from: Timestamp,
-    /// End of the rest.
+    /// End of the backoff.
     pub until: Deadline,
 }
 
-impl RestSpan {
-    /// The rest that a refusal asked for; none if its value is no number of seconds.
-    pub fn new(refusal: &RestRecord) -> Option<Self> {
+impl BackoffSpan {
+    /// The backoff that a refusal requested; none if its value is no number of seconds.
+    pub fn new(refusal: &BackoffRecord) -> Option<Self> {
         let span = Duration::try_from_secs_f64(refusal.value.parse().ok()?).ok()?;
         Some(Self {
             id: refusal.id.clone(),
@@ -46,8 +46,8 @@
         late.filter(|(_, id)| undisturbed(id)).count()
     }
 
-    /// Counts the rests within which the entry that was asked sent too many requests.
-    pub(super) fn broken_rests<'a>(
+    /// Counts the backoffs during which the refused entry sent too many requests.
+    pub(super) fn broken_backoffs<'a>(
         &self,
         attempt: &impl Fn(&str) -> Option<&'a AttemptRecord>,
     ) -> usize {
@@ -57,12 +57,12 @@
                 arrivals.entry(attempt.entry).or_default().push(*at);
             }
         }
-        let is_broken = |rest: &&RestSpan| {
-            let own = attempt(&rest.id).and_then(|attempt| arrivals.get(&attempt.entry));
+        let is_broken = |backoff: &&BackoffSpan| {
+            let own = attempt(&backoff.id).and_then(|attempt| arrivals.get(&attempt.entry));
             let within = own.into_iter().flatten();
-            let within = within.filter(|at| **at >= rest.from && !rest.until.is_past(**at));
-            within.count() > MOST_IN_REST
+            let within = within.filter(|at| **at >= backoff.from && !backoff.until.is_past(**at));
+            within.count() > MOST_IN_BACKOFF
         };
-        self.rests.iter().filter(is_broken).count()
+        self.backoffs.iter().filter(is_broken).count()
     }
 }
--- a/crates/testkit/src/stand_in/replica.rs
+++ b/crates/testkit/src/stand_in/replica.rs
@@ -72,9 +72,9 @@
     pub id: String,
 }
 
-/// A refusal that asked for rest.
+/// A refusal that requested backoff.
 #[derive(Debug, Clone)]
-pub struct RestRecord {
+pub struct BackoffRecord {
     /// Time of the refusal.
     pub at: Timestamp,
     /// Attempt id of the refused request.
@@ -95,8 +95,8 @@
     limit: Mutex<Option<f64>>,
     leaving: AtomicBool,
     left_at: Mutex<Option<Timestamp>>,
-    rest: Mutex<Option<String>>,
-    rests: Mutex<Vec<RestRecord>>,
+    backoff: Mutex<Option<String>>,
+    backoffs: Mutex<Vec<BackoffRecord>>,
     arrivals: Mutex<Vec<RequestArrival>>,
     open: Arc<AtomicUsize>,
     ended: Arc<AtomicBool>,
@@ -124,8 +124,8 @@
             limit: Mutex::default(),
             leaving: AtomicBool::new(false),
             left_at: Mutex::default(),
-            rest: Mutex::default(),
-            rests: Mutex::default(),
+            backoff: Mutex::default(),
+            backoffs: Mutex::default(),
             arrivals: Mutex::default(),
             open: Arc::default(),
             ended: Arc::default(),
@@ -197,13 +197,14 @@
     }
 
     /// Refuses every request from now on with this `Retry-After` value; `None` ends the refusals.
-    pub fn set_rest(&self, value: Option<&str>) {
-        *self.rest.lock().unwrap_or_else(|poison| poison.into_inner()) = value.map(str::to_owned);
+    pub fn set_backoff(&self, value: Option<&str>) {
+        *self.backoff.lock().unwrap_or_else(|poison| poison.into_inner()) =
+            value.map(str::to_owned);
     }
 
-    /// All refusals that asked for rest.
-    pub fn rests(&self) -> Vec<RestRecord> {
-        self.rests.lock().unwrap_or_else(|poison| poison.into_inner()).clone()
+    /// All refusals that requested backoff.
+    pub fn backoffs(&self) -> Vec<BackoffRecord> {
+        self.backoffs.lock().unwrap_or_else(|poison| poison.into_inner()).clone()
     }
 
     /// All requests that arrived, including refused ones.
@@ -235,7 +236,7 @@
         if text("x-cassiawheel-expect-replica") != Some(self.id.as_str()) {
             return self.reply(421, &id, full_body(""));
         }
-        if let Some(reply) = self.refuse_for_rest(&id) {
+        if let Some(reply) = self.refuse_with_backoff(&id) {
             return reply;
         }
         let mode = *self.mode.lock().unwrap_or_else(|poison| poison.into_inner());
@@ -286,13 +287,13 @@
         }
     }
 
-    fn refuse_for_rest(&self, id: &str) -> Option<Response<ReplyBody>> {
-        let value = self.rest.lock().unwrap_or_else(|poison| poison.into_inner()).clone()?;
+    fn refuse_with_backoff(&self, id: &str) -> Option<Response<ReplyBody>> {
+        let value = self.backoff.lock().unwrap_or_else(|poison| poison.into_inner()).clone()?;
         let mut reply = self.reply(503, id, full_body(""));
         reply.headers_mut().insert("x-cassiawheel-not-executed", "1".parse().expect("valid"));
         reply.headers_mut().insert("retry-after", value.parse().expect("valid"));
-        let record = RestRecord { at: Timestamp::now(), id: id.to_owned(), value };
-        self.rests.lock().unwrap_or_else(|poison| poison.into_inner()).push(record);
+        let record = BackoffRecord { at: Timestamp::now(), id: id.to_owned(), value };
+        self.backoffs.lock().unwrap_or_else(|poison| poison.into_inner()).push(record);
         Some(reply)
     }
 
--- a/crates/testkit/tests/leaving_endpoints.rs
+++ b/crates/testkit/tests/leaving_endpoints.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use cassiawheel_edge::HttpClient;
-use cassiawheel_model::Timestamp;
 use cassiawheel_testkit::{PlatformSite, SiteCall};
 use hyper::StatusCode;
 use rstest::rstest;
@@ -16,35 +15,9 @@
 /// Time within which the departure has reached every entry.
 const PROPAGATION_TIME: Duration = Duration::from_secs(1);
 
-/// Interval between two requests to one entry.
-const REQUEST_INTERVAL: Duration = Duration::from_millis(20);
-
 /// Timeout of a request.
 const CALL_TIME: Duration = Duration::from_secs(3);
 
-/// Sends requests on `route` to every entry for `span`; returns how many were not served.
-async fn load(
-    site: &PlatformSite,
-    route: &str,
-    span: Duration,
-    name: &str,
-) -> anyhow::Result<usize> {
-    let client = HttpClient::default();
-    let until = Timestamp::now().deadline_after(span);
-    let (mut number, mut failed) = (0, 0);
-    while !until.is_past(Timestamp::now()) {
-        for entry in 0..site.entries.len() {
-            number += 1;
-            let (id, path) = (format!("{name}-{number}"), format!("/{route}/{name}-{number}"));
-            let request = site.request(entry, SiteCall::new(&id, &path))?;
-            let answer = client.send_and_read(request, CALL_TIME).await?;
-            failed += usize::from(answer.status() != StatusCode::OK);
-        }
-        Timer::after(REQUEST_INTERVAL).await;
-    }
-    Ok(failed)
-}
-
 /// Guards against entries that learn of a departure only from the list, which nobody can read
 /// while the store is down.
 #[rstest]
@@ -54,12 +27,12 @@
 fn an_endpoint_that_states_it_leaves_gets_no_new_requests(#[case] route: &str) {
     run(async {
         let site = PlatformSite::start(4, 3).await?;
-        load(&site, route, Duration::from_millis(500), "before").await?;
+        site.load(route, Duration::from_millis(500), "before").await?;
         site.store_faults.set_down(true);
         site.replicas[0].announce_leaving();
-        load(&site, route, PROPAGATION_TIME, "learns").await?;
+        site.load(route, PROPAGATION_TIME, "learns").await?;
         let before = site.replicas[0].arrivals().len();
-        let failed = load(&site, route, Duration::from_secs(2), "after").await?;
+        let failed = site.load(route, Duration::from_secs(2), "after").await?;
         let late = site.replicas[0].arrivals().len() - before;
         assert_eq!(late, 0, "requests reached an endpoint that leaves");
         assert_eq!(failed, 0, "the others serve");
--- a/crates/testkit/tests/site_soak.rs
+++ b/crates/testkit/tests/site_soak.rs
@@ -5,7 +5,7 @@
 
 use cassiawheel_model::{Deadline, Timestamp};
 use cassiawheel_testkit::site_soak::{
-    AttemptRecord, EndpointRecord, LimitSpan, RestSpan, SiteRecord, SiteVerdicts, run_soak,
+    AttemptRecord, BackoffSpan, EndpointRecord, LimitSpan, SiteRecord, SiteVerdicts, run_soak,
 };
 use hyper::StatusCode;
 use rstest::rstest;
@@ -131,10 +131,10 @@
     assert_eq!(day.judge(), none, "an entry that was disturbed is exempt");
 
     let mut day = valid_day();
-    let rest =
-        |until| RestSpan { id: "r-1".to_owned(), from: at(4_000), until: Deadline(at(until).0) };
-    day.endpoints[3].rests.push(rest(6_500));
+    let backoff =
+        |until| BackoffSpan { id: "r-1".to_owned(), from: at(4_000), until: Deadline(at(until).0) };
+    day.endpoints[3].backoffs.push(backoff(6_500));
     assert_eq!(day.judge(), none, "two requests of this entry, and two of another one");
-    day.endpoints[3].rests.push(rest(6_600));
-    assert_eq!(day.judge(), SiteVerdicts { broken_rests: 1, ..none });
+    day.endpoints[3].backoffs.push(backoff(6_600));
+    assert_eq!(day.judge(), SiteVerdicts { broken_backoffs: 1, ..none });
 }
