A whole list of another entry restores endpoints that have returned

An entry that was cut off while the store returned kept an endpoint removed that it had removed before: it took the row in another entry's whole list for that of the store's copy, and the row is not sent again while it does not change. The sender has already compared the copy with what it knew, so a whole list replaces rows of earlier eras. The test fails before.

--- a/crates/decide/src/listing.rs
+++ b/crates/decide/src/listing.rs
@@ -264,6 +264,9 @@
             }
             Ordering::Equal => {}
         }
+        if update.base == 0 {
+            self.rebase_rows();
+        }
         match update.era > update.base_era {
             true => self.take_unless_in_grace(&update.rows, update.asked_at),
             false => self.take_rows(&update.rows, update.asked_at),
@@ -287,6 +290,17 @@
         self.position = 0;
     }
 
+    /// Makes rows of earlier eras older than every row of this one.
+    ///
+    /// The sender of a whole list has already compared the store's copy with what it knew. Rows that
+    /// it has restored since are not sent again, so they must not be taken for those of the copy.
+    fn rebase_rows(&mut self) {
+        for known in self.rows.values_mut().filter(|known| known.era < self.era) {
+            known.era = self.era;
+            known.row.position = 0;
+        }
+    }
+
     /// Whether rows can have expired since the last read because the list could not be written.
     fn follows_outage(&self, asked_at: Timestamp) -> bool {
         let since_last = self.asked_at.map(|last| asked_at.since(last).as_millis() as u64);
--- a/crates/decide/tests/listing.rs
+++ b/crates/decide/tests/listing.rs
@@ -290,3 +290,14 @@
         assert_eq!(present, ["z"]);
     }
 }
+
+/// Guards against an entry that was cut off during a return and never gets back an endpoint that
+/// it had removed before, because the whole list is taken for the store's copy.
+#[test]
+fn a_whole_list_of_another_entry_restores_what_has_returned() {
+    let mut listing = read(vec![row("a", 3), row("b", 4)], 4);
+    listing.apply_read(update(vec![gone("b", 50)], 4, 50, at(500)), at(500));
+    let whole = in_era(update(vec![row("a", 3), row("b", 57)], 0, 60, at(9_000)), 2);
+    assert!(listing.apply_update(&whole));
+    assert_eq!(names(&listing), ["a", "b"]);
+}
