Requests whose caller disconnects are counted and logged by stage

Logs could not tell where a request was when its caller left: between the choice of an endpoint and the beginning of the answer there is no line, and a caller that leaves left none at all. Each request now has a stage (admission, pending, sending, waiting, relaying); a request that is dropped without an outcome is logged with it and counted in cassiawheel_entry_abandoned_total.

--- a/crates/entry/src/caller.rs
+++ b/crates/entry/src/caller.rs
@@ -14,21 +14,26 @@
 mod identify;
 mod outcome;
 mod passthrough;
+mod progress;
 mod relay;
 mod routed;
 
 use std::{
     net::SocketAddr,
-    sync::{Arc, atomic::Ordering},
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
     time::Duration,
 };
 
 use cassiawheel_decide::{CallerLocation, advice::EntryCandidate, advise};
-use cassiawheel_model::{OutcomeKind, Timestamp};
+use cassiawheel_model::{OutcomeKind, RequestHead, Timestamp};
 use cassiawheel_runtime::http::{ReplyBody, error_reply, json_reply};
 use hyper::{Request, Response, StatusCode, body::Incoming};
 
 pub(crate) use admit::EntryAdmission;
+pub(crate) use progress::{RequestProgress, RequestStage};
 pub(crate) use routed::{accept as accept_routed, answer_advice, answer_ready};
 
 use self::{
@@ -61,7 +66,7 @@
         Ok(identified) => identified,
         Err(error) => return error.reply(),
     };
-    let mut guard = RequestGuard::begin(shared.clone());
+    let mut guard = RequestGuard::begin(shared.clone(), &identified.head);
     match admit::admit(&shared, &identified).await {
         Ok(permit) => guard.permit = permit,
         Err(reason) => {
@@ -70,7 +75,7 @@
             return outcome::failure_reply(&identified.head, &failed);
         }
     }
-    let mut attempts = RequestAttempts::new(shared, identified);
+    let mut attempts = RequestAttempts::new(shared, identified, guard.progress());
     match attempts.begin().await {
         Ok(response) => relay::relay_reply(guard, attempts, response).await,
         Err(failed) => {
@@ -129,23 +134,43 @@
 pub(crate) struct RequestGuard {
     shared: Arc<EntryShared>,
     permit: Option<AdmitPermit>,
+    progress: Arc<RequestProgress>,
+    has_outcome: AtomicBool,
 }
 
 impl RequestGuard {
-    fn begin(shared: Arc<EntryShared>) -> Self {
+    fn begin(shared: Arc<EntryShared>, head: &RequestHead) -> Self {
         shared.in_flight.fetch_add(1, Ordering::Relaxed);
         shared.metrics.in_flight.inc();
-        Self { shared, permit: None }
+        let progress = Arc::new(RequestProgress::new(head.id.clone(), Timestamp::now()));
+        Self { shared, permit: None, progress, has_outcome: AtomicBool::new(false) }
+    }
+
+    /// Progress of the request.
+    pub(crate) fn progress(&self) -> Arc<RequestProgress> {
+        self.progress.clone()
     }
 
     /// Records the outcome of the request in the metrics.
     pub(crate) fn count_outcome(&self, kind: OutcomeKind) {
+        self.has_outcome.store(true, Ordering::Relaxed);
         self.shared.metrics.count_outcome(kind);
     }
+
+    /// Records that the caller has disconnected before the request had an outcome.
+    fn record_abandoned(&self) {
+        let stage = self.progress.stage();
+        self.shared.metrics.count_abandoned(stage);
+        let after_ms = Timestamp::now().since(self.progress.began_at()).as_millis() as u64;
+        log::info!(target: "outcome", request:% = self.progress.request(), stage = stage.as_str(), after_ms = after_ms; "The caller of a request has disconnected.");
+    }
 }
 
 impl Drop for RequestGuard {
     fn drop(&mut self) {
+        if !self.has_outcome.load(Ordering::Relaxed) {
+            self.record_abandoned();
+        }
         drop(self.permit.take());
         self.shared.in_flight.fetch_sub(1, Ordering::Relaxed);
         self.shared.metrics.in_flight.dec();
--- a/crates/entry/src/caller/attempts.rs
+++ b/crates/entry/src/caller/attempts.rs
@@ -24,6 +24,7 @@
     crash_detection::{LostRun, RunTarget, await_turn, record_answered, record_lost_run},
     dispatch::{AttemptStream, DispatchedRequest, ResponseHead, dispatch},
     identify::IdentifiedRequest,
+    progress::{RequestProgress, RequestStage},
 };
 use crate::{crashes::SuspectRun, shared::EntryShared};
 
@@ -130,11 +131,16 @@
     revision: PresetRevision,
     /// Delays other runs of a suspect request, one during which endpoints have crashed.
     suspect_run: Option<SuspectRun>,
+    progress: Arc<RequestProgress>,
 }
 
 impl RequestAttempts {
     /// Prepares the attempts of a request and adds it to the retry budget.
-    pub(crate) fn new(shared: Arc<EntryShared>, request: IdentifiedRequest) -> Self {
+    pub(crate) fn new(
+        shared: Arc<EntryShared>,
+        request: IdentifiedRequest,
+        progress: Arc<RequestProgress>,
+    ) -> Self {
         let head = &request.head;
         let tracker = RetryTracker::new(RepeatGuard::of(head), head.deadline, request.max_attempts);
         let budget = shared.retry_budget(&head.service);
@@ -149,6 +155,7 @@
             version: None,
             revision: PresetRevision::default(),
             suspect_run: None,
+            progress,
         }
     }
 
@@ -202,6 +209,7 @@
         let preset =
             preset_in_force(&self.shared, &self.request.head).map_err(AttemptFailure::NotRun)?;
         self.revision = preset.revision;
+        self.progress.enter(RequestStage::Pending);
         self.suspect_run = None;
         let admitted = await_turn(&self.shared, &self.request).await;
         self.suspect_run = admitted.map_err(AttemptFailure::NotRun)?;
@@ -303,6 +311,7 @@
             head: &routed,
             request: &self.request,
             last_event: self.last_event,
+            progress: &self.progress,
         };
         let start_by = shared.start_by(&head.service, candidate_version.as_ref());
         let response: ResponseHead =
@@ -317,6 +326,7 @@
                 }
             };
         load.tracker.record_success();
+        self.progress.enter(RequestStage::Relaying);
         let delay_ms = Timestamp::now().since(now).as_millis() as u64;
         log::info!(target: "answer", request:% = self.request.head.id, endpoint:% = instance, status = response.status, delay_ms = delay_ms; "An answer begins.");
         Ok(StartedResponse {
--- a/crates/entry/src/caller/dispatch.rs
+++ b/crates/entry/src/caller/dispatch.rs
@@ -19,9 +19,12 @@
     header::{CONTENT_TYPE, HeaderName, HeaderValue},
 };
 
-use super::identify::IdentifiedRequest;
+use super::{
+    identify::IdentifiedRequest,
+    progress::{RequestProgress, RequestStage},
+};
 use crate::{
-    direct::{DirectPart, DirectStream, DirectTarget},
+    direct::{DirectPart, DirectRequest, DirectStream, DirectTarget},
     link::{AgentLink, LinkStream},
     routed::RoutedState,
     shared::EntryShared,
@@ -39,6 +42,8 @@
     pub(super) request: &'a IdentifiedRequest,
     /// Id of the last event that the caller has received.
     pub(super) last_event: Option<u64>,
+    /// Stage of the request.
+    pub(super) progress: &'a RequestProgress,
 }
 
 /// Head of a response and the stream of its rest.
@@ -187,6 +192,7 @@
     let mut response = match (path, &shared.routed) {
         (EndpointPath::Agent, _) => {
             let link = shared.links.load().get(sent.instance).cloned();
+            sent.progress.enter(RequestStage::Waiting);
             dispatch_through_agent(link, sent.head, &sent.request.body).await?
         }
         (EndpointPath::Direct(addr), Some(routed)) => {
@@ -221,8 +227,14 @@
         last_event: sent.last_event,
         is_low_priority: sent.request.tier == AdmitTier::Returned,
     };
-    let (fields, body) = (&sent.request.fields, &sent.request.body);
-    let response = routed.direct.send(target, head, fields, body, &forward).await?;
+    let request = DirectRequest {
+        head,
+        fields: &sent.request.fields,
+        body: &sent.request.body,
+        forward,
+        progress: sent.progress,
+    };
+    let response = routed.direct.send(target, request).await?;
     if let Some(load) = response.metadata.load {
         tracker.apply_report(&load_report(load), tracker.hard_limit());
     }
--- a/crates/entry/src/caller/routed.rs
+++ b/crates/entry/src/caller/routed.rs
@@ -84,7 +84,7 @@
 }
 
 async fn answer(shared: Arc<EntryShared>, request: IdentifiedRequest) -> Response<ReplyBody> {
-    let mut guard = RequestGuard::begin(shared.clone());
+    let mut guard = RequestGuard::begin(shared.clone(), &request.head);
     // A quarantined request is refused before admission because it would use a slot for nothing.
     let admitted = match crash_detection::refuse_barred(&shared, &request) {
         Ok(()) => admit::admit(&shared, &request).await,
@@ -98,7 +98,7 @@
             return failure_reply(&request.head, &failed);
         }
     }
-    let mut attempts = RequestAttempts::new(shared, request);
+    let mut attempts = RequestAttempts::new(shared, request, guard.progress());
     match attempts.begin().await {
         Ok(response) => relay_reply(guard, attempts, response).await,
         Err(failed) => {
--- a/crates/entry/src/direct.rs
+++ b/crates/entry/src/direct.rs
@@ -18,7 +18,11 @@
 use rand::Rng;
 
 use self::pool::{ConnectionPool, EndpointConnection};
-use crate::{departures::DepartureMonitor, limits::LimitTracker};
+use crate::{
+    caller::{RequestProgress, RequestStage},
+    departures::DepartureMonitor,
+    limits::LimitTracker,
+};
 
 /// Largest body of a refusal that is read to reuse the connection, in bytes.
 const MAX_REFUSAL_BYTES: usize = 16 << 10;
@@ -44,6 +48,21 @@
     pub(crate) tracker: &'a EndpointTracker,
 }
 
+/// A request to send to an endpoint.
+#[derive(Clone, Copy)]
+pub(crate) struct DirectRequest<'a> {
+    /// Routing data.
+    pub(crate) head: &'a RequestHead,
+    /// End-to-end header fields of the caller.
+    pub(crate) fields: &'a HeaderMap,
+    /// Request body.
+    pub(crate) body: &'a Bytes,
+    /// Metadata for the endpoint.
+    pub(crate) forward: ForwardMetadata<'a>,
+    /// Stage of the request.
+    pub(crate) progress: &'a RequestProgress,
+}
+
 /// Head of a response and the stream of its rest.
 pub(crate) struct DirectResponse {
     /// Status and header fields.
@@ -91,13 +110,10 @@
     pub(crate) async fn send(
         self: &Arc<Self>,
         target: DirectTarget<'_>,
-        head: &RequestHead,
-        fields: &HeaderMap,
-        body: &Bytes,
-        forward: &ForwardMetadata<'_>,
+        sent: DirectRequest<'_>,
     ) -> Result<DirectResponse, AttemptFailure> {
-        let request = self.request(head, fields, body, forward)?;
-        let (reply, connection) = self.exchange(target, head, request).await?;
+        let head = sent.head;
+        let (reply, connection) = self.exchange(target, sent).await?;
         let (parts, body) = reply.into_parts();
         let metadata = self.protocol.read_metadata(&parts);
         self.apply_statements(target, head, &parts, &metadata);
@@ -156,20 +172,15 @@
         }
     }
 
-    fn request(
-        &self,
-        head: &RequestHead,
-        fields: &HeaderMap,
-        body: &Bytes,
-        forward: &ForwardMetadata<'_>,
-    ) -> Result<Request<Full<Bytes>>, AttemptFailure> {
+    fn request(&self, sent: DirectRequest<'_>) -> Result<Request<Full<Bytes>>, AttemptFailure> {
+        let head = sent.head;
         let request = Request::builder().method(head.method.as_str()).uri(head.path.as_str());
-        let mut request = request.body(Full::new(body.clone())).map_err(|error| {
+        let mut request = request.body(Full::new(sent.body.clone())).map_err(|error| {
             log::error!(target: "direct", request:% = head.id, cause:% = error; "Cannot build a request.");
             AttemptFailure::NotRun(NotRunReason::ConnectFailed)
         })?;
-        *request.headers_mut() = fields.clone();
-        self.protocol.write_metadata(request.headers_mut(), forward);
+        *request.headers_mut() = sent.fields.clone();
+        self.protocol.write_metadata(request.headers_mut(), &sent.forward);
         Ok(request)
     }
 
@@ -180,11 +191,13 @@
     async fn exchange(
         &self,
         target: DirectTarget<'_>,
-        head: &RequestHead,
-        mut request: Request<Full<Bytes>>,
+        sent: DirectRequest<'_>,
     ) -> Result<(Response<Incoming>, EndpointConnection), AttemptFailure> {
+        let head = sent.head;
+        let mut request = self.request(sent)?;
         if head.repeat == Repeatability::Idempotent {
             while let Some(mut connection) = self.pool.take(target.instance, Timestamp::now()) {
+                sent.progress.enter(RequestStage::Waiting);
                 match connection.send(request, head.deadline).await {
                     Ok(reply) => return Ok((reply, connection)),
                     Err(failure) => match failure.unsent {
@@ -194,10 +207,12 @@
                 }
             }
         }
+        sent.progress.enter(RequestStage::Sending);
         let mut connection = pool::connect(target, head.deadline).await.map_err(|detail| {
             log::info!(target: "direct", request:% = head.id, endpoint:% = target.instance, cause:% = detail; "Cannot connect to an endpoint.");
             AttemptFailure::NotRun(NotRunReason::ConnectFailed)
         })?;
+        sent.progress.enter(RequestStage::Waiting);
         match connection.send(request, head.deadline).await {
             Ok(reply) => Ok((reply, connection)),
             Err(failure) if failure.unsent.is_some() => {
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -3,9 +3,12 @@
 use cassiawheel_model::OutcomeKind;
 use prometheus::{IntCounter, IntCounterVec, IntGauge, Opts, Registry};
 
+use crate::caller::RequestStage;
+
 /// Counters and gauges of an entry.
 pub(crate) struct EntryMetrics {
     outcomes: IntCounterVec,
+    abandoned: IntCounterVec,
     /// Number of attempts sent to endpoints.
     pub(crate) attempts: IntCounter,
     /// Requests refused because endpoints crashed while running the same request.
@@ -37,6 +40,10 @@
                 Opts::new(name("outcomes_total"), "Requests by outcome"),
                 &["outcome"],
             )?,
+            abandoned: IntCounterVec::new(
+                Opts::new(name("abandoned_total"), "Requests whose caller disconnected, by stage"),
+                &["stage"],
+            )?,
             attempts: IntCounter::new(name("attempts_total"), "Attempts sent to endpoints")?,
             quarantined: IntCounter::new(
                 name("quarantined_total"),
@@ -68,6 +75,7 @@
         registry.register(Box::new(metrics.limited.clone()))?;
         registry.register(Box::new(metrics.backed_off.clone()))?;
         registry.register(Box::new(metrics.outcomes.clone()))?;
+        registry.register(Box::new(metrics.abandoned.clone()))?;
         registry.register(Box::new(metrics.attempts.clone()))?;
         registry.register(Box::new(metrics.in_flight.clone()))?;
         registry.register(Box::new(metrics.revision.clone()))?;
@@ -86,4 +94,9 @@
         };
         self.outcomes.with_label_values(&[label]).inc();
     }
+
+    /// Counts a request whose caller disconnected at `stage`.
+    pub(crate) fn count_abandoned(&self, stage: RequestStage) {
+        self.abandoned.with_label_values(&[stage.as_str()]).inc();
+    }
 }
