A caller that disconnects is noticed behind bytes of its next request

Callers saw nothing; engines worked for callers that had left, until the route's timeout, and their slots were missing to others.

Cause: the HTTP library notices the end of a connection by reading, and does not read while bytes of a next request are in its buffer. A watch polled beside the connection reads on, up to 64 KB, whenever the library has not itself been left waiting for bytes; it costs no system call otherwise. The library gets what was read ahead first.

Ruled out: closes and resets without such bytes, in all stages (they passed before). Left: more than 64 KB of further requests hide a close as before.

--- a/crates/runtime/src/http.rs
+++ b/crates/runtime/src/http.rs
@@ -5,6 +5,7 @@
 //! a slow or greedy client occupies only one connection for a limited time. Size
 //! and time of a body are limited where it is read.
 
+mod close_watch;
 mod write_timeout;
 
 use std::{
@@ -25,6 +26,7 @@
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 
 use crate::{ShutdownSignal, listener::accept_connections, timeout};
+use close_watch::WatchedSocket;
 use write_timeout::WriteTimeoutSocket;
 
 /// Body of responses.
@@ -93,6 +95,8 @@
         async move { Ok::<_, Infallible>(reply.await) }
     });
     let socket = WriteTimeoutSocket::new(stream, limits.write_timeout);
+    let (socket, watch) = WatchedSocket::new(socket);
+    let mut closed = pin!(watch.closed());
     let mut connection = pin!(
         hyper::server::conn::http1::Builder::new()
             .timer(SmolTimer::new())
@@ -100,12 +104,11 @@
             .max_buf_size(limits.head_bytes.max(MIN_HEAD_BYTES))
             .serve_connection(FuturesIo::new(socket), service)
     );
-    match select(connection.as_mut(), pin!(shutdown.wait())).await {
-        Either::Left(_) => {}
-        Either::Right(_) => {
-            connection.as_mut().graceful_shutdown();
-            let _ = connection.await;
-        }
+    let ended = select(connection.as_mut(), closed.as_mut());
+    let is_stopping = matches!(select(ended, pin!(shutdown.wait())).await, Either::Right(_));
+    if is_stopping {
+        connection.as_mut().graceful_shutdown();
+        select(connection, closed).await;
     }
 }
 
