A restarted entry sends no second burst of retries

Cause: the retry budget of an entry was kept by its process. Each process that starts began with its full share of the slack, though the process before it had used the same share within the window. What the rule counts belongs to the place of the entry.

Change: a process starts without a burst, and gets it once the window that the platform names has passed since its start; until then it earns retries by its requests alone. Where no window is named, bursts are there at once.

--- a/crates/decide/src/retry.rs
+++ b/crates/decide/src/retry.rs
@@ -1,7 +1,7 @@
 //! Retry policy: whether and when a failed attempt is followed by another.
 
 use std::{
-    sync::atomic::{AtomicU32, Ordering},
+    sync::atomic::{AtomicBool, AtomicU32, Ordering},
     time::Duration,
 };
 
@@ -181,6 +181,9 @@
 ///
 /// When most endpoints refuse, unbounded retries would multiply the load that made them refuse. In
 /// any period, an entry sends at most its burst plus a fixed ratio of its requests as retries.
+///
+/// The burst belongs to the place of an entry, not to its process: a former process there may just
+/// have used it. A process that starts has none until the period is over.
 #[derive(Debug)]
 pub struct RetryBudget {
     /// Tokens that each request adds, in thousandths.
@@ -188,6 +191,8 @@
     /// Maximum number of saved tokens, in thousandths.
     burst: AtomicU32,
     balance: AtomicU32,
+    /// Whether the first burst was added.
+    has_burst: AtomicBool,
 }
 
 impl Default for RetryBudget {
@@ -199,11 +204,25 @@
 impl RetryBudget {
     /// Creates a full budget of `ratio` retries per request and at most `burst` at once.
     pub fn new(ratio: f64, burst: f64) -> Self {
-        let burst = (burst * f64::from(RETRY_COST)) as u32;
+        let budget = Self::starting(ratio, burst);
+        budget.grant_burst();
+        budget
+    }
+
+    /// Creates the budget of a process that has just started, without a burst.
+    pub fn starting(ratio: f64, burst: f64) -> Self {
         Self {
             deposit: (ratio * f64::from(RETRY_COST)) as u32,
-            burst: AtomicU32::new(burst),
-            balance: AtomicU32::new(burst),
+            burst: AtomicU32::new((burst * f64::from(RETRY_COST)) as u32),
+            balance: AtomicU32::new(0),
+            has_burst: AtomicBool::new(false),
+        }
+    }
+
+    /// Fills the budget, the first time only.
+    pub fn grant_burst(&self) {
+        if !self.has_burst.swap(true, Ordering::Relaxed) {
+            self.balance.fetch_max(self.burst.load(Ordering::Relaxed), Ordering::Relaxed);
         }
     }
 
--- a/crates/decide/tests/retry.rs
+++ b/crates/decide/tests/retry.rs
@@ -121,6 +121,40 @@
     assert_eq!(retries(&budgets[0]), 0, "a larger share is earned and not given");
 }
 
+/// Guards against entries that restart, each with a new burst: nine entries are killed three times
+/// while every attempt fails.
+#[test]
+fn restarted_entries_send_no_second_burst() {
+    let (ratio, slack, entries, requests) = (0.2, 106.0, 9, 20);
+    let mut retries = 0;
+    for _ in 0..entries {
+        for start in 0..4 {
+            let budget = match start {
+                0 => RetryBudget::new(ratio, slack / f64::from(entries)),
+                _ => RetryBudget::starting(ratio, slack / f64::from(entries)),
+            };
+            for _ in 0..requests {
+                budget.deposit();
+                retries += u32::from(budget.withdraw());
+            }
+        }
+    }
+    let allowed = ratio * f64::from(entries * 4 * requests) + slack;
+    assert!(f64::from(retries) <= allowed, "{retries} retries in one window, allowed {allowed}");
+}
+
+/// Guards against an entry that never sends a burst after its start.
+#[test]
+fn a_started_entry_gets_its_burst_once() {
+    let budget = RetryBudget::starting(0.2, 5.0);
+    assert!(!budget.withdraw(), "a former process may have used the burst");
+    budget.grant_burst();
+    budget.grant_burst();
+    assert_eq!((0..100).take_while(|_| budget.withdraw()).count(), 5);
+    budget.grant_burst();
+    assert!(!budget.withdraw(), "the burst was granted before");
+}
+
 /// Guards against refusing a request during a rollout although endpoints serve: each attempt meets
 /// an endpoint of the wave that has just begun to switch.
 #[test]
--- a/crates/entry/src/routed.rs
+++ b/crates/entry/src/routed.rs
@@ -20,8 +20,8 @@
     CallerProtocol, EndpointFeed, EndpointProtocol, OperatorFeed, TableStore, WeightSource,
 };
 use cassiawheel_model::{
-    EndpointReport, EndpointState, EngineProfile, ForcedPreset, ListedEndpoint, ModelVersion,
-    ServiceName, ServiceTarget, TargetVersion, Timestamp, settings::RoutingSettings,
+    Deadline, EndpointReport, EndpointState, EngineProfile, ForcedPreset, ListedEndpoint,
+    ModelVersion, ServiceName, ServiceTarget, TargetVersion, Timestamp, settings::RoutingSettings,
 };
 use cassiawheel_wire::WireSender;
 use smol::channel::{Receiver, Sender, bounded};
@@ -91,6 +91,8 @@
     /// Load counters of endpoints by the hash of their agent's instance; read without a lock.
     pub(crate) counters_by_agent: ArcSwap<HashMap<u64, Arc<EndpointTracker>>>,
     budgets: ArcSwap<HashMap<ServiceName, Arc<RetryBudget>>>,
+    /// From when on this process may send the bursts of its retry budgets.
+    retry_bursts_from: Deadline,
     /// Longest caller timeout seen on each route, in milliseconds.
     caller_timeouts: ArcSwap<HashMap<String, Arc<AtomicU64>>>,
 }
@@ -119,9 +121,12 @@
         let departures = Arc::new(DepartureMonitor::new(overlay.waker()));
         let direct = DirectClient::new(adapters.endpoints, limits.clone(), departures.clone());
         let mut listing = EndpointListing::new(adapters.settings.list_heartbeat_ms);
+        let now = Timestamp::now();
         // The first read of the list starts together with the process.
-        listing.begin_snapshot_request(Timestamp::now());
+        listing.begin_snapshot_request(now);
+        let retry_window = Duration::from_millis(adapters.settings.retry_window_ms);
         Self {
+            retry_bursts_from: now.deadline_after(retry_window),
             listing: Mutex::new(listing),
             settings: adapters.settings,
             callers: adapters.callers,
@@ -270,11 +275,19 @@
     /// Returns the retry budget of `service`: this entry's share of the retries of all entries.
     pub(crate) fn retry_budget(&self, service: &ServiceName, entries: usize) -> Arc<RetryBudget> {
         let burst = self.settings.retry_slack / entries.max(MIN_BUDGET_SHARES) as f64;
-        if let Some(budget) = self.budgets.load().get(service) {
-            budget.set_burst(burst);
-            return budget.clone();
+        let budget = match self.budgets.load().get(service) {
+            Some(budget) => budget.clone(),
+            None => self.add_retry_budget(service, burst),
+        };
+        budget.set_burst(burst);
+        if self.retry_bursts_from.is_past(Timestamp::now()) {
+            budget.grant_burst();
         }
-        let new_budget = Arc::new(RetryBudget::new(self.settings.retry_ratio, burst));
+        budget
+    }
+
+    fn add_retry_budget(&self, service: &ServiceName, burst: f64) -> Arc<RetryBudget> {
+        let new_budget = Arc::new(RetryBudget::starting(self.settings.retry_ratio, burst));
         self.budgets.rcu(|known| {
             let mut known = HashMap::clone(known);
             known.entry(service.clone()).or_insert_with(|| new_budget.clone());
--- a/crates/model/src/settings/routing.rs
+++ b/crates/model/src/settings/routing.rs
@@ -33,6 +33,8 @@
     pub retry_ratio: f64,
     /// Retries of a service that are allowed in addition to the ratio, over all entries.
     pub retry_slack: f64,
+    /// Period over which the retries of a service are counted, in milliseconds.
+    pub retry_window_ms: u64,
     /// Factor by which the requests of one second at a cold endpoint may exceed its limit.
     pub cold_overshoot: f64,
     /// Requests of one second at a cold endpoint that are allowed in addition.
