The parts of a prompt are read, and logged when an endpoint is lost

Nothing told whether two requests under which endpoints crashed have a part of their prompts in common. The ids of the parts but for the last, which is the request's own, are in the line of a lost endpoint.

--- a/crates/edge/src/callers.rs
+++ b/crates/edge/src/callers.rs
@@ -21,6 +21,8 @@
     pub last_event: Option<u64>,
     /// Token counts, if the request is a generation.
     pub generation_size: Option<GenerationSize>,
+    /// Ids of the parts of the prompt that other requests may share, in order.
+    pub shared_parts: Vec<String>,
 }
 
 /// Token counts of a generation request.
--- a/crates/entry/src/caller/crash_detection.rs
+++ b/crates/entry/src/caller/crash_detection.rs
@@ -62,7 +62,8 @@
     let instance = &lost.target.instance;
     let digest = request.digest();
     let has_ended = !has_left(routed, instance) && refuses_connections(addr).await;
-    log::info!(target: "direct", request:% = request.head.id, digest:% = digest, endpoint:% = instance, answering = lost.answering, ended = has_ended, cause:% = cause; "Lost an endpoint while it ran a request.");
+    let parts = request.shared_parts.join(",");
+    log::info!(target: "direct", request:% = request.head.id, digest:% = digest, parts:% = parts, endpoint:% = instance, answering = lost.answering, ended = has_ended, cause:% = cause; "Lost an endpoint while it ran a request.");
     if has_ended {
         let endpoint = subject_of(instance.as_str());
         let event = match lost.answering {
--- a/crates/entry/src/caller/identify.rs
+++ b/crates/entry/src/caller/identify.rs
@@ -41,6 +41,8 @@
     pub(crate) body: Bytes,
     /// Digest for crash detection, computed when first needed.
     pub(crate) digest: OnceLock<RequestDigest>,
+    /// Ids of the parts of the prompt that other requests may share.
+    pub(crate) shared_parts: Vec<String>,
     /// Further header fields, used when endpoints are reached directly.
     pub(crate) fields: HeaderMap,
     /// Workspace that is sent to endpoints.
@@ -154,6 +156,7 @@
         head,
         body,
         digest: OnceLock::new(),
+        shared_parts: Vec::new(),
         fields: HeaderMap::new(),
         homes: HomeRegions::default(),
         max_attempts: settings.max_attempts,
--- a/crates/entry/src/caller/routed.rs
+++ b/crates/entry/src/caller/routed.rs
@@ -203,6 +203,7 @@
         head,
         body,
         digest: OnceLock::new(),
+        shared_parts: caller.shared_parts,
         fields: routed.callers.end_to_end(&parts.headers),
         workspace,
         homes,
