--- a/crates/testkit/src/platform_site.rs
+++ b/crates/testkit/src/platform_site.rs
@@ -91,12 +91,14 @@
     pub key: Option<&'a str>,
     /// Deadline that is sent with the request, in milliseconds.
     pub patience_ms: u64,
+    /// Parts of the prompt, if the request has one.
+    pub prompt: Option<&'a str>,
 }
 
 impl<'a> SiteCall<'a> {
     /// A request with the key of the workspace and a deadline of two seconds.
     pub fn new(id: &'a str, path: &'a str) -> Self {
-        Self { id, path, key: Some(KEY), patience_ms: 2_000 }
+        Self { id, path, key: Some(KEY), patience_ms: 2_000, prompt: None }
     }
 }
 
@@ -279,6 +281,9 @@
         if let Some(key) = call.key {
             request = request.header("x-cassiawheel-key", key);
         }
+        if let Some(prompt) = call.prompt {
+            request = request.header("x-cassiawheel-prompt-prefix", prompt);
+        }
         Ok(request.body(Full::new(Bytes::from_static(b"a seat")))?)
     }
 
--- a/crates/testkit/src/stand_in/replica.rs
+++ b/crates/testkit/src/stand_in/replica.rs
@@ -2,7 +2,7 @@
 //!
 //! It adds its replica stamp to its answers, counts the runs of each request,
 //! serves resumable event streams and injects faults on demand. A request whose
-//! path contains [`FATAL_PATH`] crashes it.
+//! path contains [`FATAL_PATH`] or whose prompt contains [`FATAL_PART`] crashes it.
 
 use std::{
     collections::HashMap,
@@ -28,6 +28,9 @@
 /// A request whose path contains this crashes the endpoint when it runs.
 pub const FATAL_PATH: &str = "fatal";
 
+/// A prompt with this part, unless it is the last one, crashes the endpoint when it is answered.
+pub const FATAL_PART: &str = "dead";
+
 /// Time from the start of a fatal request until the endpoint crashes.
 const FATAL_TIME: Duration = Duration::from_millis(40);
 
@@ -258,7 +261,10 @@
             .entry(id.clone())
             .or_default() += 1;
         self.heads.lock().unwrap_or_else(|poison| poison.into_inner()).push(parts.headers.clone());
-        if parts.uri.path().contains(FATAL_PATH) {
+        let is_fatal_part = |part: &str| part.split(':').next() == Some(FATAL_PART);
+        let prompt = text("x-cassiawheel-prompt-prefix").and_then(|prompt| prompt.rsplit_once(','));
+        let has_fatal_part = prompt.is_some_and(|(shared, _)| shared.split(',').any(is_fatal_part));
+        if has_fatal_part || parts.uri.path().contains(FATAL_PATH) {
             self.fatal().push(Timestamp::now());
             Timer::after(FATAL_TIME).await;
             self.end();
