A part of prompts that crashes endpoints is quarantined

Cause: evidence was kept by the digest of a whole request. A part of the prompt crashed each engine that began to answer it, in requests that were all new, so each of them started unsuspected, and bystanders gathered as much evidence as the guilty ones (641 digests, two barred).

Change: each shared part of a prompt is tracked beside the request, with a digest of its own, through the same tracker, gossip and row of the table. What is popular is present at most crashes, so evidence for a part counts as well: a complete answer clears it; a part that any entry knows from an answer of the last ten minutes needs twice the weight; crashes of three endpoints at about the same time have a common cause and count against no part; a part that was absent from two thirds of the crashes meanwhile is not barred. Suspect parts are not delayed and take no turns.

Ruled out: bystanders that end engines (digests differ), new engines under load (the first eight to end had served for long).

--- a/crates/decide/src/crash_tracker.rs
+++ b/crates/decide/src/crash_tracker.rs
@@ -13,6 +13,13 @@
 //!
 //! This protects against a caller that repeats a request which crashes every endpoint that runs it,
 //! at any entry and at several at once.
+//!
+//! The parts of prompts that requests share are tracked in the same way, each with a digest of its
+//! own. Popular parts are present at most crashes, so the evidence for them counts as well: a part
+//! that is known from a complete answer needs twice the weight, and crashes of several endpoints at
+//! the same time, which have a common cause, count against no part. Suspect parts are not delayed.
+
+mod endpoint_crashes;
 
 use std::{
     cmp::Reverse,
@@ -24,6 +31,7 @@
     CrashEvent, CrashRecord, Deadline, QuarantinedRequest, RequestDigest, Timestamp,
 };
 
+use self::endpoint_crashes::EndpointCrashes;
 use crate::gossip::LinkId;
 
 /// Weight of a crash before any part of the answer had arrived.
@@ -35,6 +43,10 @@
 /// Weight from which a request is barred: three crashes before an answer, or six in all.
 const BARRED_WEIGHT: u32 = 3 * START_WEIGHT;
 
+/// Divisor of the crashes of all endpoints: a part of prompts is barred only if it was present at
+/// that many of them.
+const PRESENCE_DIVISOR: usize = 3;
+
 /// Time since the last crash for which a request is barred, and for which crashes count.
 pub const BAR_DURATION: Duration = Duration::from_secs(600);
 
@@ -83,11 +95,14 @@
 #[derive(Debug, Default)]
 pub struct CrashTracker {
     requests: HashMap<RequestDigest, SuspectRequest>,
+    endpoint_crashes: EndpointCrashes,
     changes: u64,
 }
 
 #[derive(Debug, Default)]
 struct SuspectRequest {
+    /// Whether it is a part of a prompt.
+    is_prompt_part: bool,
     crashes: Vec<RecordedEvent>,
     begun: Option<RecordedEvent>,
     answered: Option<RecordedEvent>,
@@ -100,6 +115,8 @@
     at: Timestamp,
     change: u64,
     source: Option<LinkId>,
+    /// Whether several endpoints crashed at the same time.
+    has_common_cause: bool,
 }
 
 impl CrashVerdict {
@@ -142,10 +159,11 @@
             CrashEvent::Begun => replace_if_later(&mut self.begun, record),
             CrashEvent::Answered => {
                 let clears = self.counted_crashes().any(|crash| crash.at <= record.at);
-                if clears {
+                let is_news = clears || self.is_prompt_part && self.answered.is_none();
+                if is_news {
                     self.answered = Some(record);
                 }
-                clears
+                is_news
             }
             CrashEvent::EndedAtStart(_) | CrashEvent::EndedInAnswer(_) | CrashEvent::Barred => {
                 self.record_crash(record)
@@ -168,13 +186,35 @@
     /// Crashes that no complete answer has cleared.
     fn counted_crashes(&self) -> impl Iterator<Item = &RecordedEvent> {
         let answered_at = self.answered.map_or(Timestamp(0), |answered| answered.at);
-        self.crashes.iter().filter(move |crash| crash.at > answered_at)
+        let is_prompt_part = self.is_prompt_part;
+        self.crashes
+            .iter()
+            .filter(move |crash| crash.at > answered_at)
+            .filter(move |crash| !(is_prompt_part && crash.has_common_cause))
     }
 
     fn weight(&self) -> u32 {
         self.counted_crashes().map(RecordedEvent::weight).sum()
     }
 
+    /// Whether the evidence bars the request, beside all crashes of endpoints.
+    fn is_barred(&self, all: &EndpointCrashes) -> bool {
+        if !self.is_prompt_part {
+            return self.weight() >= BARRED_WEIGHT;
+        }
+        let is_known_good = self.answered.is_some();
+        let barred_weight = if is_known_good { 2 * BARRED_WEIGHT } else { BARRED_WEIGHT };
+        self.weight() >= barred_weight && self.explains(all)
+    }
+
+    /// Whether the part was present at enough of the crashes since it was first accused. Crashes
+    /// that go on without it have another cause.
+    fn explains(&self, all: &EndpointCrashes) -> bool {
+        let first = self.counted_crashes().map(|crash| crash.at).min();
+        let crashes = first.map_or(0, |first| all.count_single(first, self.last_crash()));
+        self.counted_crashes().count() * PRESENCE_DIVISOR >= crashes
+    }
+
     fn last_crash(&self) -> Timestamp {
         self.counted_crashes().map(|crash| crash.at).max().unwrap_or(Timestamp(0))
     }
@@ -188,11 +228,13 @@
         remote_run.map_or(settled_at, |begun| begun.at.deadline_after(RUN_TIME).max(settled_at))
     }
 
-    fn verdict(&self) -> CrashVerdict {
+    fn verdict(&self, all: &EndpointCrashes) -> CrashVerdict {
         let last = self.last_crash();
         match self.weight() {
             0 | ANSWER_WEIGHT => CrashVerdict::Clear,
-            BARRED_WEIGHT.. => CrashVerdict::Barred { until: last.deadline_after(BAR_DURATION) },
+            _ if self.is_barred(all) => {
+                CrashVerdict::Barred { until: last.deadline_after(BAR_DURATION) }
+            }
             _ => CrashVerdict::Suspect {
                 is_local: self.counted_crashes().count() == 1
                     && self.counted_crashes().all(|crash| crash.source.is_none()),
@@ -225,13 +267,26 @@
         if at.deadline_after(BAR_DURATION).is_past(now) {
             return false;
         }
-        let record = RecordedEvent { event: row.event, at, change: self.changes + 1, source };
+        if let Some(endpoint) = row.event.endpoint_hash() {
+            self.record_endpoint_crash(endpoint, at);
+        }
+        let record = RecordedEvent {
+            event: row.event,
+            at,
+            change: self.changes + 1,
+            source,
+            has_common_cause: self.endpoint_crashes.has_common_cause(at),
+        };
+        let is_prompt_part = row.digest.is_prompt_part();
         let is_new = match self.requests.entry(row.digest) {
             Entry::Occupied(known) => known.into_mut().apply(record),
             Entry::Vacant(_) if matches!(row.event, CrashEvent::Begun | CrashEvent::Answered) => {
                 false
             }
-            Entry::Vacant(vacant) => vacant.insert(SuspectRequest::default()).apply(record),
+            Entry::Vacant(vacant) => {
+                let subject = SuspectRequest { is_prompt_part, ..SuspectRequest::default() };
+                vacant.insert(subject).apply(record)
+            }
         };
         self.changes += u64::from(is_new);
         if self.requests.len() > MAX_REQUESTS {
@@ -240,6 +295,17 @@
         is_new
     }
 
+    /// Records that an endpoint process has crashed, whatever ran there.
+    fn record_endpoint_crash(&mut self, endpoint: u64, at: Timestamp) {
+        let all = &mut self.endpoint_crashes;
+        if !all.record(endpoint, at) || !all.has_common_cause(at) {
+            return;
+        }
+        for crash in self.requests.values_mut().flat_map(|request| &mut request.crashes) {
+            crash.has_common_cause |= all.has_common_cause(crash.at);
+        }
+    }
+
     fn evict_least(&mut self, newest: RequestDigest) {
         let others = self.requests.iter().filter(|(digest, _)| **digest != newest);
         let least = others.min_by_key(|(_, request)| (request.weight(), request.last_crash()));
@@ -250,13 +316,15 @@
 
     /// Assessment of one request.
     pub fn verdict(&self, digest: RequestDigest) -> CrashVerdict {
-        self.requests.get(&digest).map_or(CrashVerdict::Clear, SuspectRequest::verdict)
+        let request = self.requests.get(&digest);
+        request.map_or(CrashVerdict::Clear, |request| request.verdict(&self.endpoint_crashes))
     }
 
     /// Assessment of every tracked request.
     pub fn verdicts(&self) -> HashMap<RequestDigest, CrashVerdict> {
         let requests = self.requests.iter();
-        requests.map(|(digest, request)| (*digest, request.verdict())).collect()
+        let all = &self.endpoint_crashes;
+        requests.map(|(digest, request)| (*digest, request.verdict(all))).collect()
     }
 
     /// Returns `stored` with the missing bars added and the expired ones removed; `None` if there
@@ -271,7 +339,8 @@
         let is_stored =
             |digest: &RequestDigest| stored.iter().any(|bar| bar.digest == *digest && !is_old(bar));
         let barred = self.requests.iter().filter(|(digest, request)| {
-            matches!(request.verdict(), CrashVerdict::Barred { .. }) && !is_stored(digest)
+            let verdict = request.verdict(&self.endpoint_crashes);
+            matches!(verdict, CrashVerdict::Barred { .. }) && !is_stored(digest)
         });
         let added = barred.map(|(digest, request)| QuarantinedRequest {
             digest: *digest,
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod admit;
 pub mod advice;
 pub mod affinity;
+mod answered_parts;
 pub mod budget;
 pub mod caller_index;
 pub mod change;
@@ -51,6 +52,7 @@
 
 pub use admit::{AdmitTicket, AdmitTier, AdmitVerdict, ServiceAdmission};
 pub use advice::{CallerLocation, EntryAdvice, EntryCandidate, advise};
+pub use answered_parts::AnsweredParts;
 pub use caller_index::{CallerIndex, UnknownKey, pick_service};
 pub use change::{
     ChangeAnswer, ChangeOutcome, ChangeRecord, ChangeRequest, ChangeStep, ChangeWriter, ForceRow,
--- a/crates/entry/src/caller/crash_detection.rs
+++ b/crates/entry/src/caller/crash_detection.rs
@@ -62,7 +62,7 @@
     let instance = &lost.target.instance;
     let digest = request.digest();
     let has_ended = !has_left(routed, instance) && refuses_connections(addr).await;
-    let parts = request.shared_parts.join(",");
+    let parts = request.shared_part_ids();
     log::info!(target: "direct", request:% = request.head.id, digest:% = digest, parts:% = parts, endpoint:% = instance, answering = lost.answering, ended = has_ended, cause:% = cause; "Lost an endpoint while it ran a request.");
     if has_ended {
         let endpoint = subject_of(instance.as_str());
@@ -71,17 +71,38 @@
             false => CrashEvent::EndedAtStart(endpoint),
         };
         record(routed, digest, event, ended_at);
+        for part in &request.shared_parts {
+            record(routed, part.digest, event, ended_at);
+            if let Some(CrashVerdict::Barred { .. }) = routed.crashes.verdict(part.digest) {
+                log::warn!(target: "quarantine", request:% = request.head.id, part:% = part.id, digest:% = part.digest; "Endpoints crash while answering prompts with this part.");
+            }
+        }
     }
 }
 
-/// Records that a suspect request was answered completely.
+/// Records that a request was answered completely, which clears it and the parts of its prompt.
 pub(super) fn record_answered(shared: &EntryShared, request: &IdentifiedRequest) {
-    let Some(routed) = shared.routed.as_ref().filter(|routed| !routed.crashes.is_empty()) else {
+    let Some(routed) = &shared.routed else {
         return;
     };
-    let digest = request.digest();
-    if routed.crashes.verdict(digest).is_some() {
-        record(routed, digest, CrashEvent::Answered, Timestamp::now());
+    let now = Timestamp::now();
+    for part in &request.shared_parts {
+        routed.crashes.answered_parts().record(part.digest, now);
+    }
+    if routed.crashes.is_empty() {
+        return;
+    }
+    if routed.crashes.verdict(request.digest()).is_some() {
+        record(routed, request.digest(), CrashEvent::Answered, now);
+    }
+    for part in &request.shared_parts {
+        // Popular parts are answered all the time, and one answer clears a part.
+        match routed.crashes.verdict(part.digest) {
+            None | Some(CrashVerdict::Clear) => {}
+            Some(CrashVerdict::Suspect { .. } | CrashVerdict::Barred { .. }) => {
+                record(routed, part.digest, CrashEvent::Answered, now);
+            }
+        }
     }
 }
 
@@ -90,6 +111,7 @@
     let row = CrashRecord { digest, event, age_ms: now.since(at).as_millis() as u32 };
     let mut state = routed.overlay.lock();
     if state.crashes.record(row, None, now) {
+        routed.crashes.add_known_answers(&mut state.crashes, &[row], now);
         routed.crashes.apply_rows(&state.crashes, &[row], None);
         drop(state);
         routed.overlay.notify_change();
@@ -113,7 +135,8 @@
     matches!(dialled, Some(Err(error)) if error.kind() == ErrorKind::ConnectionRefused)
 }
 
-/// Refuses a request that is quarantined because endpoints crashed while running it.
+/// Refuses a request that is quarantined, or a part of its prompt, because endpoints crashed while
+/// running it.
 pub(super) fn refuse_barred(
     shared: &EntryShared,
     request: &IdentifiedRequest,
@@ -121,15 +144,19 @@
     let Some(routed) = shared.routed.as_ref().filter(|routed| !routed.crashes.is_empty()) else {
         return Ok(());
     };
-    let digest = request.digest();
-    let Some(CrashVerdict::Barred { until }) = routed.crashes.verdict(digest) else {
-        return Ok(());
+    let now = Timestamp::now();
+    let is_barred = |digest: RequestDigest| match routed.crashes.verdict(digest) {
+        Some(CrashVerdict::Barred { until }) => !until.is_past(now),
+        Some(CrashVerdict::Clear | CrashVerdict::Suspect { .. }) | None => false,
     };
-    if until.is_past(Timestamp::now()) {
+    let digest = request.digest();
+    let part = request.shared_parts.iter().find(|part| is_barred(part.digest));
+    if part.is_none() && !is_barred(digest) {
         return Ok(());
     }
     shared.metrics.quarantined.inc();
-    log::info!(target: "quarantine", request:% = request.head.id, digest:% = digest; "Refused a quarantined request.");
+    let part = part.map_or("", |part| part.id.as_str());
+    log::info!(target: "quarantine", request:% = request.head.id, digest:% = digest, part = part; "Refused a quarantined request.");
     Err(NotRunReason::Quarantined)
 }
 
@@ -143,6 +170,7 @@
     let Some(routed) = shared.routed.as_ref().filter(|routed| !routed.crashes.is_empty()) else {
         return Ok(None);
     };
+    refuse_barred(shared, request)?;
     let digest = request.digest();
     if routed.crashes.verdict(digest).is_none() {
         return Ok(None);
@@ -155,12 +183,10 @@
         if request.head.deadline.is_past(now) {
             return Err(NotRunReason::DeadlineTooClose);
         }
+        // A part of the prompt may be barred while the request waits.
+        refuse_barred(shared, request)?;
         match routed.crashes.verdict(digest) {
-            None | Some(CrashVerdict::Clear) => return Ok(None),
-            Some(CrashVerdict::Barred { .. }) => {
-                refuse_barred(shared, request)?;
-                return Ok(None);
-            }
+            None | Some(CrashVerdict::Clear | CrashVerdict::Barred { .. }) => return Ok(None),
             Some(verdict) if verdict.not_before(rank, entries).is_past(now) => {
                 if let Some(run) = routed.crashes.begin_suspect_run(digest) {
                     record(routed, digest, CrashEvent::Begun, now);
--- a/crates/entry/src/caller/identify.rs
+++ b/crates/entry/src/caller/identify.rs
@@ -41,8 +41,8 @@
     pub(crate) body: Bytes,
     /// Digest for crash detection, computed when first needed.
     pub(crate) digest: OnceLock<RequestDigest>,
-    /// Ids of the parts of the prompt that other requests may share.
-    pub(crate) shared_parts: Vec<String>,
+    /// Parts of the prompt that other requests may share.
+    pub(crate) shared_parts: Vec<PromptPart>,
     /// Further header fields, used when endpoints are reached directly.
     pub(crate) fields: HeaderMap,
     /// Workspace that is sent to endpoints.
@@ -61,6 +61,15 @@
     pub(crate) tier: AdmitTier,
 }
 
+/// A part of a prompt that other requests may share.
+#[derive(Debug, Clone)]
+pub(crate) struct PromptPart {
+    /// Id of the part, as the caller names it.
+    pub(crate) id: String,
+    /// Digest for crash detection.
+    pub(crate) digest: RequestDigest,
+}
+
 /// Format in which a response is sent to the caller.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum ResponseForm {
@@ -78,6 +87,12 @@
         *self.digest.get_or_init(|| RequestDigest::of(&self.head, &self.body))
     }
 
+    /// Ids of the shared parts of the prompt, for logs.
+    pub(crate) fn shared_part_ids(&self) -> String {
+        let ids: Vec<_> = self.shared_parts.iter().map(|part| part.id.as_str()).collect();
+        ids.join(",")
+    }
+
     /// Whether endpoints are reached directly instead of through an agent.
     pub(crate) fn is_direct(&self) -> bool {
         self.form != ResponseForm::WithOutcome
--- a/crates/entry/src/caller/routed.rs
+++ b/crates/entry/src/caller/routed.rs
@@ -11,8 +11,8 @@
 use cassiawheel_decide::{AdmitTier, CallerIndex, CallerLocation, advise, pick_service};
 use cassiawheel_edge::CallerHead;
 use cassiawheel_model::{
-    NotRunReason, OutcomeKind, PresetRevision, PriorityClass, Repeatability, RequestHead,
-    RequestOutcome, RouteKind, RouteRule, Timestamp, WorkspaceId,
+    NotRunReason, OutcomeKind, PresetRevision, PriorityClass, Repeatability, RequestDigest,
+    RequestHead, RequestOutcome, RouteKind, RouteRule, Timestamp, WorkspaceId,
 };
 use cassiawheel_runtime::http::{BodyError, ReplyBody, error_reply, full_body, read_body_within};
 use hyper::{
@@ -27,7 +27,7 @@
     RequestGuard, admit, advice_candidates,
     attempts::{FailedRequest, RequestAttempts, StartedResponse},
     crash_detection, events,
-    identify::{IdentifiedRequest, ResponseForm},
+    identify::{IdentifiedRequest, PromptPart, ResponseForm},
     outcome, passthrough,
 };
 use crate::{routed::RoutedState, shared::EntryShared};
@@ -193,6 +193,11 @@
         .cloned();
     let homes = index.homes(rule, workspace.as_ref()).ok_or(CallerRefusal::NoHome)?;
     let head = request_head(&parts, &caller, rule, workspace.as_ref(), now)?;
+    let shared_parts = caller
+        .shared_parts
+        .into_iter()
+        .map(|id| PromptPart { digest: RequestDigest::of_prompt_part(&head.service, &id), id });
+    let shared_parts = shared_parts.collect();
     let is_first =
         caller.timeout.is_none_or(|caller_timeout| routed.is_first_try(&rule.name, caller_timeout));
     let limits = index.table().limits;
@@ -203,7 +208,7 @@
         head,
         body,
         digest: OnceLock::new(),
-        shared_parts: caller.shared_parts,
+        shared_parts,
         fields: routed.callers.end_to_end(&parts.headers),
         workspace,
         homes,
--- a/crates/entry/src/control/gossip.rs
+++ b/crates/entry/src/control/gossip.rs
@@ -279,6 +279,7 @@
     loads.retain(|row| state.store.merge_load(*row, tolerance_ms, Some(source), now));
     let mut crashes = delta.crashes;
     crashes.retain(|row| state.crashes.record(*row, Some(source), now));
+    routed.crashes.add_known_answers(&mut state.crashes, &crashes, now);
     routed.crashes.apply_rows(&state.crashes, &crashes, Some(source));
     drop(state);
     routed.departures.merge(&delta.departures, source, now);
--- a/crates/entry/src/crashes.rs
+++ b/crates/entry/src/crashes.rs
@@ -10,12 +10,15 @@
 };
 
 use arc_swap::ArcSwap;
-use cassiawheel_decide::{CrashTracker, CrashVerdict, LinkId, rank::rendezvous_weight};
-use cassiawheel_model::{CrashEvent, CrashRecord, InstanceId, RequestDigest};
+use cassiawheel_decide::{
+    AnsweredParts, CrashTracker, CrashVerdict, LinkId, rank::rendezvous_weight,
+};
+use cassiawheel_model::{CrashEvent, CrashRecord, InstanceId, RequestDigest, Timestamp};
 use smol::channel::{Receiver, Sender, bounded};
 
 /// Lock-free copy of the verdicts on requests, and the runs of suspect requests at this entry.
 pub(crate) struct VerdictCache {
+    answered_parts: AnsweredParts,
     verdicts: ArcSwap<HashMap<RequestDigest, CrashVerdict>>,
     running: Mutex<HashSet<RequestDigest>>,
     own_barred: (Sender<()>, Receiver<()>),
@@ -35,7 +38,12 @@
 
 impl Default for VerdictCache {
     fn default() -> Self {
-        Self { verdicts: ArcSwap::default(), running: Mutex::default(), own_barred: bounded(1) }
+        Self {
+            answered_parts: AnsweredParts::default(),
+            verdicts: ArcSwap::default(),
+            running: Mutex::default(),
+            own_barred: bounded(1),
+        }
     }
 }
 
@@ -55,6 +63,28 @@
         self.verdicts.load().get(&digest).copied()
     }
 
+    /// Prompt parts that this entry has seen answered completely.
+    pub(crate) fn answered_parts(&self) -> &AnsweredParts {
+        &self.answered_parts
+    }
+
+    /// Adds what this entry knows in favour of prompt parts that `rows` accuse.
+    pub(crate) fn add_known_answers(
+        &self,
+        tracker: &mut CrashTracker,
+        rows: &[CrashRecord],
+        now: Timestamp,
+    ) {
+        let accused = rows.iter().filter(|row| row.event.endpoint_hash().is_some());
+        for row in accused.filter(|row| row.digest.is_prompt_part()) {
+            if let Some(age) = self.answered_parts.age(row.digest, now) {
+                let age_ms = age.as_millis() as u32;
+                let answer = CrashRecord { event: CrashEvent::Answered, age_ms, ..*row };
+                tracker.record(answer, None, now);
+            }
+        }
+    }
+
     /// Updates the verdicts from `tracker` after `rows` changed it.
     ///
     /// `source` is the link that the rows came from; none for rows from a run at this entry.
--- a/crates/model/src/request.rs
+++ b/crates/model/src/request.rs
@@ -71,7 +71,11 @@
 /// Length of a [`RequestDigest`], in bytes.
 const DIGEST_BYTES: usize = 16;
 
-/// Digest of a request's content, equal for all retries by its caller.
+/// Bit of the last byte that tells the digests of prompt parts from those of requests.
+const PROMPT_PART_BIT: u8 = 1;
+
+/// Digest of a request's content, equal for all retries by its caller, or of a part of a prompt,
+/// equal for all requests with that part.
 #[apply(label!)]
 #[serde(transparent)]
 pub struct RequestDigest([u8; DIGEST_BYTES]);
@@ -85,11 +89,33 @@
             hasher.update(part.as_bytes());
         }
         hasher.update(body);
+        let mut digest = Self::finish(&hasher);
+        digest.0[DIGEST_BYTES - 1] &= !PROMPT_PART_BIT;
+        digest
+    }
+
+    /// Computes the digest of a part of a prompt to a service.
+    pub fn of_prompt_part(service: &ServiceName, part: &str) -> Self {
+        let mut hasher = blake3::Hasher::new();
+        hasher.update(&(service.as_str().len() as u64).to_le_bytes());
+        hasher.update(service.as_str().as_bytes());
+        hasher.update(part.as_bytes());
+        let mut digest = Self::finish(&hasher);
+        digest.0[DIGEST_BYTES - 1] |= PROMPT_PART_BIT;
+        digest
+    }
+
+    fn finish(hasher: &blake3::Hasher) -> Self {
         let mut bytes = [0; DIGEST_BYTES];
         bytes.copy_from_slice(&hasher.finalize().as_bytes()[..DIGEST_BYTES]);
         Self(bytes)
     }
 
+    /// Whether it is the digest of a part of a prompt.
+    pub fn is_prompt_part(self) -> bool {
+        self.0[DIGEST_BYTES - 1] & PROMPT_PART_BIT != 0
+    }
+
     /// Key of the request for rendezvous hashing.
     pub fn rendezvous_key(self) -> u64 {
         let [a, b, c, d, e, f, g, h, ..] = self.0;
