An event stream that ends before its first event is no complete stream

An answer may come without length or chunks and end with its connection. Such a stream is now lost: the request goes on at another endpoint, and the endpoint is checked for a crash. The same holds for a stream that ends inside an event, which was resumed before, but was no evidence of a crash. An answer that ends with its connection is no evidence in favour of a request, as a crash may have ended it.

--- a/crates/entry/src/caller/attempts.rs
+++ b/crates/entry/src/caller/attempts.rs
@@ -68,6 +68,8 @@
     pub(crate) revision: PresetRevision,
     /// Whether this is the recorded response of an earlier run.
     pub(crate) replayed: bool,
+    /// Whether the response has a length or chunks, and does not end with its connection.
+    is_delimited: bool,
     /// Number of attempts made.
     pub(crate) attempts: u32,
     /// Endpoint that produces the response.
@@ -217,8 +219,11 @@
     }
 
     /// Records that the response was complete.
-    pub(crate) fn record_answered(&self) {
-        record_answered(&self.shared, &self.request);
+    pub(crate) fn record_answered(&self, response: &StartedResponse) {
+        // A response that ends with its connection may have been cut off by a crash.
+        if response.is_delimited {
+            record_answered(&self.shared, &self.request);
+        }
     }
 
     /// Waits for the next attempt, or fails if no retry is allowed.
@@ -336,6 +341,7 @@
             version: response.version,
             revision: response.revision,
             replayed: response.replayed,
+            is_delimited: response.is_delimited,
             attempts: self.tracker.attempts(),
             target: RunTarget { instance, path },
             _load: load,
--- a/crates/entry/src/caller/dispatch.rs
+++ b/crates/entry/src/caller/dispatch.rs
@@ -16,7 +16,7 @@
 use cassiawheel_wire::RequestMessage;
 use hyper::{
     HeaderMap,
-    header::{CONTENT_TYPE, HeaderName, HeaderValue},
+    header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderName, HeaderValue, TRANSFER_ENCODING},
 };
 
 use super::{
@@ -54,6 +54,8 @@
     pub(super) version: Option<ModelVersion>,
     pub(super) revision: PresetRevision,
     pub(super) replayed: bool,
+    /// Whether the response has a length or chunks, and does not end with its connection.
+    pub(super) is_delimited: bool,
 }
 
 /// One part of a response.
@@ -206,7 +208,9 @@
         }
     };
     if sent.head.repeat == Repeatability::Idempotent {
-        await_first_part(&mut response.stream, sent.head).await?;
+        let is_event_stream = sent.request.has_events() && (200..300).contains(&response.status);
+        let may_be_empty = response.is_delimited || sent.last_event.is_some() || !is_event_stream;
+        await_first_part(&mut response.stream, sent.head, may_be_empty).await?;
     }
     Ok(response)
 }
@@ -238,7 +242,11 @@
     if let Some(load) = response.metadata.load {
         tracker.apply_report(&load_report(load), tracker.hard_limit());
     }
+    let headers = &response.parts.headers;
+    let is_delimited =
+        headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING);
     Ok(ResponseHead {
+        is_delimited,
         status: response.parts.status.as_u16(),
         headers: routed.callers.end_to_end(&response.parts.headers),
         stream: AttemptStream::new(StreamKind::Direct(Box::new(response.stream))),
@@ -271,10 +279,14 @@
 async fn await_first_part(
     stream: &mut AttemptStream,
     routed: &RequestHead,
+    may_be_empty: bool,
 ) -> Result<(), AttemptFailure> {
     let span = routed.deadline.remaining(Timestamp::now());
     match timeout(span, stream.peek()).await {
         Some(ResponsePart::Cut(detail)) => Err(AttemptFailure::Lost(detail.clone())),
+        Some(ResponsePart::End(_)) if !may_be_empty => {
+            Err(AttemptFailure::Lost("the connection ended before the first event".to_owned()))
+        }
         Some(ResponsePart::Data(_) | ResponsePart::End(_)) => Ok(()),
         None => Err(AttemptFailure::Unknown("no answer before the deadline".to_owned())),
     }
@@ -309,7 +321,8 @@
             }
             let headers = header_map(&headers, content_type.as_deref());
             let stream = AttemptStream::new(StreamKind::Link(stream));
-            Ok(ResponseHead { stream, status, headers, version, revision, replayed })
+            let is_delimited = true;
+            Ok(ResponseHead { stream, status, headers, version, revision, replayed, is_delimited })
         }
         Some(RequestMessage::Refused { reason, .. }) => Err(AttemptFailure::NotRun(reason)),
         Some(RequestMessage::Failed { detail, .. }) => Err(match RepeatGuard::of(routed) {
--- a/crates/entry/src/caller/events.rs
+++ b/crates/entry/src/caller/events.rs
@@ -58,7 +58,7 @@
         match reader.next_or_resumed().await {
             Ok(Some(events)) => Some((Ok(Frame::data(events)), Some((guard, reader)))),
             Ok(None) => {
-                reader.attempts.record_answered();
+                reader.attempts.record_answered(&reader.response);
                 guard.count_outcome(OutcomeKind::Complete);
                 None
             }
@@ -133,7 +133,7 @@
                 ResponsePart::End(_) => {
                     return match self.splicer.finish() {
                         Ok(()) => EventStep::End,
-                        Err(error) => cut(error),
+                        Err(error) => EventStep::Cut(AttemptFailure::Lost(error.to_string())),
                     };
                 }
                 ResponsePart::Cut(detail) => return EventStep::Cut(AttemptFailure::Lost(detail)),
--- a/crates/entry/src/caller/identify.rs
+++ b/crates/entry/src/caller/identify.rs
@@ -93,6 +93,11 @@
         ids.join(",")
     }
 
+    /// Whether the response is a stream of events.
+    pub(crate) fn has_events(&self) -> bool {
+        self.form == ResponseForm::Events
+    }
+
     /// Whether endpoints are reached directly instead of through an agent.
     pub(crate) fn is_direct(&self) -> bool {
         self.form != ResponseForm::WithOutcome
--- a/crates/entry/src/caller/passthrough.rs
+++ b/crates/entry/src/caller/passthrough.rs
@@ -32,7 +32,7 @@
     loop {
         let end = match read_whole(&attempts, &mut response).await {
             Ok(body) => {
-                attempts.record_answered();
+                attempts.record_answered(&response);
                 guard.count_outcome(OutcomeKind::Complete);
                 return reply_with(&response, full_body(body));
             }
