The soak draws prompts with a part that crashes endpoints

Requests whose prompts share a fatal part come at all entries, beside the fatal request, kills, pauses, releases and returns of the store; sound requests share their other parts.

--- a/crates/testkit/src/site_soak.rs
+++ b/crates/testkit/src/site_soak.rs
@@ -1,7 +1,7 @@
 //! Randomised soak runs on a stand-in of the platform.
 //!
-//! A run sends a request that crashes endpoints and has endpoints announce rate limits, departures
-//! and backoffs, while entries and endpoints are killed, frozen or drained and the store fails or
+//! A run sends a request that crashes endpoints and prompts with a part that crashes them, and has
+//! endpoints announce rate limits, departures and backoffs, while entries and endpoints are killed, frozen or drained and the store fails or
 //! returns from an older copy.
 //!
 //! `seed → events → callers and faults → record → verdicts`
@@ -21,7 +21,10 @@
 pub use self::statements::BackoffSpan;
 use crate::{
     PlatformSite, SiteCall,
-    stand_in::rows::{LostChange, StoreCopy},
+    stand_in::{
+        replica::FATAL_PART,
+        rows::{LostChange, StoreCopy},
+    },
 };
 
 /// Time without a disturbance after which the attempts of an entry count for the rules, and
@@ -43,9 +46,15 @@
 /// Step after which all entries may be killed at once: quarantines are in the store by then.
 const KILL_STEP: usize = 120;
 
+/// Step from which prompts with a fatal part are sent.
+const PARTS_FROM_STEP: usize = 40;
+
 /// Number of steps between two copies of the store.
 const COPY_STEPS: usize = 60;
 
+/// Number of prompt parts that sound requests share.
+const TOPICS: u32 = 20;
+
 /// Time for which the store is away before it returns from a copy.
 const RETURN_TIME: Duration = Duration::from_millis(300);
 
@@ -58,6 +67,23 @@
 /// Path of the request that crashes endpoints (the fatal request).
 const FATAL_CALL: &str = "/safe/fatal";
 
+/// Crashes by a fatal part after which it has to be known.
+const FATAL_PART_CRASHES: usize = 5;
+
+/// Arrivals of a fatal part that are tolerated afterwards.
+const MAX_LATE_PARTS: usize = 3;
+
+/// What a caller sends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CallKind {
+    /// A request that harms nobody.
+    Sound,
+    /// The fatal request.
+    FatalRequest,
+    /// A request whose prompt has a fatal part.
+    FatalPart,
+}
+
 /// An attempt of a caller and its answer.
 #[derive(Debug, Clone)]
 pub struct AttemptRecord {
@@ -65,8 +91,8 @@
     pub id: String,
     /// Index of the entry that it was sent to.
     pub entry: usize,
-    /// Whether it is the fatal request.
-    pub is_fatal: bool,
+    /// What was sent.
+    pub kind: CallKind,
     /// Time at which it was sent.
     pub sent_at: Timestamp,
     /// Whether its entry had run undisturbed for [`STABLE_TIME`] before it was sent, and was
@@ -114,6 +140,8 @@
     pub runs: Vec<String>,
     /// Time at which the fatal request crashed it; none if it did not.
     pub ended_at: Option<Timestamp>,
+    /// Time at which a fatal part crashed it; none if it did not.
+    pub ended_by_part_at: Option<Timestamp>,
     /// Time from which it gets no new requests, once it has announced that it leaves.
     pub closed_from: Option<Timestamp>,
     /// Backoffs that it has requested.
@@ -134,6 +162,9 @@
 pub struct SiteVerdicts {
     /// Arrivals of the fatal request later than [`SPREAD_TIME`] after the third crash.
     pub late_sends: usize,
+    /// Arrivals of fatal parts, beyond those tolerated, later than [`STABLE_TIME`] after the crash by
+    /// which the part has to be known.
+    pub late_parts: usize,
     /// Windows in which undisturbed entries sent an endpoint more than its limit.
     pub over_limit: usize,
     /// Harmless requests that were refused as quarantined.
@@ -153,11 +184,17 @@
     pub fn judge(&self) -> SiteVerdicts {
         let attempt = |id: &str| self.attempts.iter().find(|attempt| attempt.id == id);
         let undisturbed = |id: &str| attempt(id).is_some_and(|attempt| attempt.undisturbed);
-        let is_fatal = |id: &str| attempt(id).is_some_and(|attempt| attempt.is_fatal);
+        let is_kind = |id: &str, kind| attempt(id).is_some_and(|attempt| attempt.kind == kind);
         let mut ends: Vec<_> = self.endpoints.iter().filter_map(|e| e.ended_at).collect();
         ends.sort_unstable();
         let bound = ends.get(2).map(|third| third.deadline_after(SPREAD_TIME));
+        let mut part_ends: Vec<_> =
+            self.endpoints.iter().filter_map(|e| e.ended_by_part_at).collect();
+        part_ends.sort_unstable();
+        let part_bound = part_ends.get(FATAL_PART_CRASHES - 1);
+        let part_bound = part_bound.map(|fifth| fifth.deadline_after(STABLE_TIME));
         let arrivals = || self.endpoints.iter().flat_map(|endpoint| &endpoint.arrivals);
+        let is_late_part = |at: Timestamp| part_bound.is_some_and(|bound| bound.is_past(at));
         let is_late = |at: Timestamp| bound.is_some_and(|bound: Deadline| bound.is_past(at));
         let ran = |id: &String| self.endpoints.iter().any(|endpoint| endpoint.runs.contains(id));
         let refusals = self.attempts.iter().filter_map(|attempt| {
@@ -170,12 +207,20 @@
         });
         SiteVerdicts {
             late_sends: arrivals()
-                .filter(|(at, id)| is_late(*at) && is_fatal(id) && undisturbed(id))
+                .filter(|(at, id)| is_late(*at) && is_kind(id, CallKind::FatalRequest))
+                .filter(|(_, id)| undisturbed(id))
                 .count(),
+            late_parts: arrivals()
+                .filter(|(at, id)| is_late_part(*at) && is_kind(id, CallKind::FatalPart))
+                .filter(|(_, id)| undisturbed(id))
+                .count()
+                .saturating_sub(MAX_LATE_PARTS),
             over_limit: self.endpoints.iter().map(|e| e.windows_over(&undisturbed)).sum(),
             quarantined_others: refusals
                 .clone()
-                .filter(|(attempt, body)| !attempt.is_fatal && body.contains("quarantined"))
+                .filter(|(attempt, body)| {
+                    attempt.kind == CallKind::Sound && body.contains("quarantined")
+                })
                 .count(),
             false_refusals: refusals.filter(|(attempt, _)| ran(&attempt.id)).count(),
             wrong_answers: whole.filter(|(attempt, body)| !body.contains(&attempt.id)).count(),
@@ -251,11 +296,15 @@
 impl SoakRun {
     async fn step(&mut self, number: usize) -> anyhow::Result<()> {
         for entry in 0..self.site.entries.len() {
-            self.call(entry, format!("r-{number}-{entry}"), false)?;
+            self.call(entry, format!("r-{number}-{entry}"), CallKind::Sound)?;
         }
         if self.rng.random_bool(0.2) {
             let entry = self.rng.random_range(0..self.site.entries.len());
-            self.call(entry, format!("fatal-{number}"), true)?;
+            self.call(entry, format!("fatal-{number}"), CallKind::FatalRequest)?;
+        }
+        if number >= PARTS_FROM_STEP && self.rng.random_bool(0.1) {
+            let entry = self.rng.random_range(0..self.site.entries.len());
+            self.call(entry, format!("part-{number}"), CallKind::FatalPart)?;
         }
         if self.rng.random_bool(0.02) {
             self.disturb(number).await?;
@@ -391,12 +440,23 @@
         Ok(())
     }
 
-    fn call(&mut self, entry: usize, id: String, is_fatal: bool) -> anyhow::Result<()> {
-        let path = if is_fatal { FATAL_CALL.to_owned() } else { format!("/safe/{id}") };
-        let request = self.site.request(entry, SiteCall::new(&id, &path))?;
+    fn call(&mut self, entry: usize, id: String, kind: CallKind) -> anyhow::Result<()> {
+        let path = match kind {
+            CallKind::FatalRequest => FATAL_CALL.to_owned(),
+            CallKind::Sound | CallKind::FatalPart => format!("/safe/{id}"),
+        };
+        let topic = match kind {
+            CallKind::FatalPart => FATAL_PART.to_owned(),
+            CallKind::Sound | CallKind::FatalRequest => {
+                format!("{:x}", self.rng.random_range(0..TOPICS))
+            }
+        };
+        let prompt = format!("everyone:40,{topic}:200,own:80");
+        let call = SiteCall { prompt: Some(&prompt), ..SiteCall::new(&id, &path) };
+        let request = self.site.request(entry, call)?;
         let sent_at = Timestamp::now();
         let undisturbed = self.disturbed[entry].deadline_after(STABLE_TIME).is_past(sent_at);
-        let record = AttemptRecord { id, entry, is_fatal, sent_at, undisturbed, answer: None };
+        let record = AttemptRecord { id, entry, kind, sent_at, undisturbed, answer: None };
         let call = spawn(async move {
             let answer = HttpClient::default().send_and_read(request, CALL_TIME).await;
             let read_answer = |answer: Response<Bytes>| {
@@ -421,12 +481,14 @@
         }
         for (index, replica) in self.site.replicas.iter().enumerate() {
             let limits = self.limits.iter().filter(|limit| limit.endpoint == index);
-            let fatal = replica.fatal_arrivals();
+            let crash = replica.fatal_arrivals().first().copied();
+            let crash = crash.filter(|_| replica.has_ended());
             record.endpoints.push(EndpointRecord {
                 limits: limits.copied().collect(),
                 arrivals: replica.arrivals().into_iter().map(|a| (a.at, a.id)).collect(),
                 runs: replica.runs().into_keys().collect(),
-                ended_at: fatal.first().copied().filter(|_| replica.has_ended()),
+                ended_at: crash.filter(|fatal| !fatal.is_part).map(|fatal| fatal.at),
+                ended_by_part_at: crash.filter(|fatal| fatal.is_part).map(|fatal| fatal.at),
                 closed_from: self.closed_from(index),
                 backoffs: replica.backoffs().iter().filter_map(BackoffSpan::new).collect(),
             });
--- a/crates/testkit/src/stand_in/replica.rs
+++ b/crates/testkit/src/stand_in/replica.rs
@@ -80,6 +80,15 @@
     pub id: String,
 }
 
+/// A request that crashes the endpoint.
+#[derive(Debug, Clone, Copy)]
+pub struct FatalArrival {
+    /// Time at which it began to run.
+    pub at: Timestamp,
+    /// Whether a part of its prompt crashes the endpoint, not its path.
+    pub is_part: bool,
+}
+
 /// A refusal that requested backoff.
 #[derive(Debug, Clone)]
 pub struct BackoffRecord {
@@ -99,7 +108,7 @@
     mode: Mutex<ReplicaMode>,
     runs: Mutex<HashMap<String, u32>>,
     heads: Mutex<Vec<HeaderMap>>,
-    fatal: Mutex<Vec<Timestamp>>,
+    fatal: Mutex<Vec<FatalArrival>>,
     limit: Mutex<Option<f64>>,
     leaving: AtomicBool,
     left_at: Mutex<Option<Timestamp>>,
@@ -170,12 +179,12 @@
         self.ended.load(Ordering::SeqCst)
     }
 
-    /// Times at which fatal requests began to run.
-    pub fn fatal_arrivals(&self) -> Vec<Timestamp> {
+    /// Fatal requests that began to run.
+    pub fn fatal_arrivals(&self) -> Vec<FatalArrival> {
         self.fatal().clone()
     }
 
-    fn fatal(&self) -> MutexGuard<'_, Vec<Timestamp>> {
+    fn fatal(&self) -> MutexGuard<'_, Vec<FatalArrival>> {
         self.fatal.lock().unwrap_or_else(|poison| poison.into_inner())
     }
 
@@ -265,7 +274,7 @@
         let prompt = text("x-cassiawheel-prompt-prefix").and_then(|prompt| prompt.rsplit_once(','));
         let has_fatal_part = prompt.is_some_and(|(shared, _)| shared.split(',').any(is_fatal_part));
         if has_fatal_part || parts.uri.path().contains(FATAL_PATH) {
-            self.fatal().push(Timestamp::now());
+            self.fatal().push(FatalArrival { at: Timestamp::now(), is_part: has_fatal_part });
             Timer::after(FATAL_TIME).await;
             self.end();
         }
--- a/crates/testkit/tests/crashing_parts.rs
+++ b/crates/testkit/tests/crashing_parts.rs
@@ -61,8 +61,12 @@
         send_fatal(&mut site, route, 16).await?;
         let ended = site.ended();
         assert!((3..=MAX_CRASHED).contains(&ended), "{ended} endpoints ended");
-        let mut arrivals: Vec<_> =
-            site.replicas.iter().flat_map(|replica| replica.fatal_arrivals()).collect();
+        let mut arrivals: Vec<_> = site
+            .replicas
+            .iter()
+            .flat_map(|replica| replica.fatal_arrivals())
+            .map(|f| f.at)
+            .collect();
         arrivals.sort_unstable();
         let bound: Option<Deadline> = arrivals.get(4).map(|at| at.deadline_after(PROPAGATION_TIME));
         let late = arrivals.iter().filter(|at| bound.is_some_and(|bound| bound.is_past(**at)));
--- a/crates/testkit/tests/crashing_requests.rs
+++ b/crates/testkit/tests/crashing_requests.rs
@@ -63,8 +63,12 @@
             }
             let ended = site.ended();
             assert!((3..=MAX_CRASHED).contains(&ended), "{path}: {ended} endpoints ended");
-            let mut arrivals: Vec<_> =
-                site.replicas.iter().flat_map(|replica| replica.fatal_arrivals()).collect();
+            let mut arrivals: Vec<_> = site
+                .replicas
+                .iter()
+                .flat_map(|replica| replica.fatal_arrivals())
+                .map(|f| f.at)
+                .collect();
             arrivals.sort_unstable();
             let bound: Deadline = arrivals[2].deadline_after(PROPAGATION_TIME);
             let late = arrivals.iter().filter(|arrival| bound.is_past(**arrival)).count();
--- a/crates/testkit/tests/site_soak.rs
+++ b/crates/testkit/tests/site_soak.rs
@@ -5,7 +5,8 @@
 
 use cassiawheel_model::{Deadline, Timestamp};
 use cassiawheel_testkit::site_soak::{
-    AttemptRecord, BackoffSpan, EndpointRecord, LimitSpan, SiteRecord, SiteVerdicts, run_soak,
+    AttemptRecord, BackoffSpan, CallKind, EndpointRecord, LimitSpan, SiteRecord, SiteVerdicts,
+    run_soak,
 };
 use hyper::StatusCode;
 use rstest::rstest;
@@ -64,7 +65,7 @@
         day.attempts.push(AttemptRecord {
             id,
             entry: number as usize % 2,
-            is_fatal: false,
+            kind: CallKind::Sound,
             sent_at,
             undisturbed: true,
             answer,
@@ -78,8 +79,8 @@
             ..EndpointRecord::default()
         });
         let answer = Some((StatusCode::BAD_GATEWAY, String::new()));
-        let (is_fatal, undisturbed) = (true, true);
-        let record = AttemptRecord { id, entry: 0, is_fatal, sent_at, undisturbed, answer };
+        let (kind, undisturbed) = (CallKind::FatalRequest, true);
+        let record = AttemptRecord { id, entry: 0, kind, sent_at, undisturbed, answer };
         day.attempts.push(record);
     }
     day.endpoints.push(limited);
@@ -101,6 +102,20 @@
     day.attempts.iter_mut().for_each(|attempt| attempt.undisturbed = false);
     assert_eq!(day.judge(), none, "entries that were disturbed are exempt");
 
+    let mut day = valid_day();
+    for number in 0..9 {
+        let (id, sent_at) = (format!("part-{number}"), at(100 * number + 3_000 * (number / 5)));
+        let ended_by_part_at = (number < 5).then_some(sent_at);
+        let arrivals = vec![(sent_at, id.clone())];
+        day.endpoints.push(EndpointRecord { arrivals, ended_by_part_at, ..Default::default() });
+        let (kind, undisturbed) = (CallKind::FatalPart, true);
+        let record = AttemptRecord { id, entry: 0, kind, sent_at, undisturbed, answer: None };
+        day.attempts.push(record);
+    }
+    assert_eq!(day.judge(), SiteVerdicts { late_parts: 1, ..none }, "four, three are tolerated");
+    day.attempts.iter_mut().for_each(|attempt| attempt.undisturbed = false);
+    assert_eq!(day.judge(), none, "entries that were disturbed are exempt");
+
     let mut day = valid_day();
     let more = (0..6).map(|number| (at(8_010), format!("r-{number}")));
     day.endpoints[3].arrivals.extend(more);
