A stored bar of a prompt part holds whatever else is known of the part

Found on reading: a part that was known from an answer, or whose crashes had a common cause, was not barred by the row of the table service, so that entries differed. The failing test shows the second case.

--- a/crates/decide/src/answered_parts.rs
+++ b/crates/decide/src/answered_parts.rs
@@ -56,5 +56,5 @@
 }
 
 fn seconds(at: Timestamp) -> u64 {
-    at.0 / 1_000 & ((1 << TIME_BITS) - 1)
+    (at.0 / 1_000) & ((1 << TIME_BITS) - 1)
 }
--- a/crates/decide/src/crash_tracker.rs
+++ b/crates/decide/src/crash_tracker.rs
@@ -16,8 +16,9 @@
 //!
 //! The parts of prompts that requests share are tracked in the same way, each with a digest of its
 //! own. Popular parts are present at most crashes, so the evidence for them counts as well: a part
-//! that is known from a complete answer needs twice the weight, and crashes of several endpoints at
-//! the same time, which have a common cause, count against no part. Suspect parts are not delayed.
+//! that is known from a complete answer needs twice the weight; crashes of several endpoints at the
+//! same time, which have a common cause, count against no part; and a part is not barred if most
+//! endpoints crash without it. Suspect parts are not delayed.
 
 mod endpoint_crashes;
 
@@ -199,7 +200,8 @@
 
     /// Whether the evidence bars the request, beside all crashes of endpoints.
     fn is_barred(&self, all: &EndpointCrashes) -> bool {
-        if !self.is_prompt_part {
+        let has_stored_bar = self.counted_crashes().any(|crash| crash.event == CrashEvent::Barred);
+        if !self.is_prompt_part || has_stored_bar {
             return self.weight() >= BARRED_WEIGHT;
         }
         let is_known_good = self.answered.is_some();
@@ -267,16 +269,13 @@
         if at.deadline_after(BAR_DURATION).is_past(now) {
             return false;
         }
-        if let Some(endpoint) = row.event.endpoint_hash() {
+        let endpoint = row.event.endpoint_hash();
+        if let Some(endpoint) = endpoint {
             self.record_endpoint_crash(endpoint, at);
         }
-        let record = RecordedEvent {
-            event: row.event,
-            at,
-            change: self.changes + 1,
-            source,
-            has_common_cause: self.endpoint_crashes.has_common_cause(at),
-        };
+        let has_common_cause = endpoint.is_some() && self.endpoint_crashes.has_common_cause(at);
+        let change = self.changes + 1;
+        let record = RecordedEvent { event: row.event, at, change, source, has_common_cause };
         let is_prompt_part = row.digest.is_prompt_part();
         let is_new = match self.requests.entry(row.digest) {
             Entry::Occupied(known) => known.into_mut().apply(record),
@@ -301,7 +300,8 @@
         if !all.record(endpoint, at) || !all.has_common_cause(at) {
             return;
         }
-        for crash in self.requests.values_mut().flat_map(|request| &mut request.crashes) {
+        let crashes = self.requests.values_mut().flat_map(|request| &mut request.crashes);
+        for crash in crashes.filter(|crash| crash.event.endpoint_hash().is_some()) {
             crash.has_common_cause |= all.has_common_cause(crash.at);
         }
     }
--- a/crates/decide/tests/crash_parts.rs
+++ b/crates/decide/tests/crash_parts.rs
@@ -134,9 +134,11 @@
     fn strike(&mut self, ms: u64) {
         let count = self.endpoints.len();
         let struck: Vec<_> = match self.trouble {
-            Trouble::FailureDomain if ms >= 5_000 && ms % 4_000 == 0 => (0..count / 3).collect(),
-            Trouble::PowerLoss if ms >= 5_000 && ms % 4_000 == 0 => (0..count).collect(),
-            Trouble::RollingCrash if ms >= 5_000 && ms % ROLLING_MS == 0 => {
+            Trouble::FailureDomain if ms >= 5_000 && ms.is_multiple_of(4_000) => {
+                (0..count / 3).collect()
+            }
+            Trouble::PowerLoss if ms >= 5_000 && ms.is_multiple_of(4_000) => (0..count).collect(),
+            Trouble::RollingCrash if ms >= 5_000 && ms.is_multiple_of(ROLLING_MS) => {
                 vec![(ms / ROLLING_MS) as usize % count]
             }
             _ => Vec::new(),
@@ -336,6 +338,43 @@
     }
 }
 
+fn row(event: CrashEvent, age_ms: u32) -> CrashRecord {
+    CrashRecord { digest: part("fatal"), event, age_ms }
+}
+
+fn is_barred(tracker: &CrashTracker) -> bool {
+    matches!(tracker.verdict(part("fatal")), CrashVerdict::Barred { .. })
+}
+
+/// Guards against a bar from the table service that does not hold, because the part was answered
+/// before it became fatal, or because the endpoints that it crashed ended at about the same time.
+#[test]
+fn a_stored_bar_holds_whatever_else_is_known() {
+    let mut tracker = CrashTracker::default();
+    for endpoint in 1..=4 {
+        tracker.record(row(CrashEvent::EndedAtStart(endpoint), 0), None, at(0));
+    }
+    tracker.record(row(CrashEvent::Answered, 9_000), None, at(0));
+    assert!(!is_barred(&tracker), "the crashes have a common cause");
+    tracker.record(row(CrashEvent::Barred, 0), None, at(10));
+    assert!(is_barred(&tracker), "another entry has barred it");
+    tracker.record(row(CrashEvent::Answered, 0), None, at(500));
+    assert!(!is_barred(&tracker), "a later answer clears it");
+}
+
+/// Guards against barring a part that was answered before because of three crashes, and against
+/// never barring one that has become fatal.
+#[test]
+fn a_part_that_was_answered_before_needs_twice_the_weight() {
+    let mut tracker = CrashTracker::default();
+    for endpoint in 1..=6 {
+        let now = at(endpoint * 400);
+        tracker.record(row(CrashEvent::EndedAtStart(endpoint), 0), None, now);
+        tracker.record(row(CrashEvent::Answered, 60_000), None, now);
+        assert_eq!(is_barred(&tracker), endpoint == 6, "after {endpoint} crashes");
+    }
+}
+
 /// Compares the ways to treat parts; run with `--nocapture` for the figures.
 #[test]
 fn evidence_for_and_against_refuses_fewest_sound_requests() {
