--- a/crates/testkit/tests/crashing_parts.rs
+++ b/crates/testkit/tests/crashing_parts.rs
@@ -123,3 +123,32 @@
         Ok(())
     });
 }
+
+/// Time after an entry's start from which it refuses what was barred before.
+const START_TIME: Duration = Duration::from_millis(2_500);
+
+/// Guards against a part that crashes endpoints again after all entries have lost power.
+#[test]
+fn a_barred_part_outlives_all_entries() {
+    run(async {
+        let mut site = PlatformSite::start(6, 2).await?;
+        send_fatal(&mut site, "safe", 10).await?;
+        for entry in &mut site.entries {
+            entry.process.kill()?;
+        }
+        for entry in 0..2 {
+            site.restart_entry(entry)?;
+            site.wait_ready(&site.entries[entry], true).await?;
+        }
+        Timer::after(START_TIME).await;
+        let before = site.ended();
+        for entry in 0..2 {
+            let prompt = format!("aa:40,{FATAL_PART}:300,{entry}:9");
+            let call = SiteCall { prompt: Some(&prompt), ..SiteCall::new("after", "/safe/after") };
+            let status = send(&site, entry, call).await?;
+            assert_eq!(status, Some(StatusCode::SERVICE_UNAVAILABLE), "entry {entry}");
+        }
+        assert_eq!(site.ended(), before, "an endpoint ended again");
+        Ok(())
+    });
+}
