--- a/crates/model/tests/settings.rs
+++ b/crates/model/tests/settings.rs
@@ -194,7 +194,8 @@
         let pointer = paths[key.index(paths.len())].replace('.', "/");
         *tree.pointer_mut(&pointer).expect("the key") = value;
         let read = parse_settings::<EntrySettings>("entry.json", &tree.to_string());
-        if serde_json::from_value::<EntrySettings>(tree).is_err() {
+        // A drawn key may be a note, which is left out of the settings.
+        if serde_json::from_value::<EntrySettings>(strip_comments(tree)).is_err() {
             let findings = read.expect_err("a type that cannot be read is a finding");
             prop_assert!(findings.as_slice().iter().all(|finding| !finding.path.is_empty()));
         }
