--- a/crates/decide/src/crash_tracker/endpoint_crashes.rs
+++ b/crates/decide/src/crash_tracker/endpoint_crashes.rs
@@ -10,7 +10,7 @@
 /// Number of endpoints that crash within [`COMMON_SPAN_MS`] of each other by a common cause.
 const COMMON_CRASHES: usize = 3;
 
-/// Time between crashes that have a common cause, in milliseconds; covers the time of a message.
+/// Time between crashes that have a common cause, in milliseconds, including the time of a message.
 const COMMON_SPAN_MS: u64 = 75;
 
 /// The last crashes, each endpoint process once.
--- a/crates/decide/src/region_delay.rs
+++ b/crates/decide/src/region_delay.rs
@@ -21,7 +21,7 @@
 const DELAY_TTL_MS: u64 = 2_000;
 
 /// Delay above that of the entry's own region from which an answer of another one is late, in
-/// milliseconds. It uses up the usual latency target.
+/// milliseconds.
 const LATE_EXTRA_MS: u32 = 400;
 
 /// Fixed-point scale of the share of late answers.
--- a/crates/entry/src/caller/progress.rs
+++ b/crates/entry/src/caller/progress.rs
@@ -1,7 +1,7 @@
 //! The stage that a request has reached.
 //!
 //! A caller may disconnect at any stage. The request is then dropped with its connection to the
-//! endpoint, and the stage tells how much work was done for nobody.
+//! endpoint, and the stage shows how much work was wasted.
 
 use std::sync::atomic::{AtomicU8, Ordering};
 
--- a/crates/testkit/tests/crashing_parts.rs
+++ b/crates/testkit/tests/crashing_parts.rs
@@ -102,7 +102,7 @@
 }
 
 /// Guards against a refusal that claims too much or too little: nothing was run, and the caller is
-/// told to stay away for long.
+/// given a long `retry-after`.
 #[test]
 fn a_prompt_with_a_barred_part_is_refused_at_once() {
     run(async {
@@ -117,7 +117,7 @@
             assert!(Timestamp::now().since(sent_at) < Duration::from_millis(200), "refused late");
             assert_eq!(answer.status(), StatusCode::SERVICE_UNAVAILABLE, "entry {entry}");
             let wait_s: f64 = answer.headers()["retry-after"].to_str()?.parse()?;
-            assert!(wait_s > 60.0, "told to return after {wait_s} s");
+            assert!(wait_s > 60.0, "retry after {wait_s} s");
         }
         assert_eq!(site.runs_of("last"), 0);
         Ok(())
