Domain types for layers of a model

A range of layers, the layers that an engine has loaded, and the number of layers in the engine profile and in orders. The fields are optional on the wire; nothing uses them yet.

--- a/crates/agent/src/report.rs
+++ b/crates/agent/src/report.rs
@@ -39,6 +39,7 @@
         ordered: order.map(|order| order.manifest),
         engine_fencing: shared.engine_fencing.load(Ordering::Relaxed),
         limit: gate.limit(),
+        layers: None,
     }
 }
 
--- a/crates/decide/tests/control_traffic.rs
+++ b/crates/decide/tests/control_traffic.rs
@@ -44,6 +44,7 @@
         ordered: None,
         engine_fencing: 0,
         limit: 8,
+        layers: None,
     }
 }
 
--- a/crates/decide/tests/plan.rs
+++ b/crates/decide/tests/plan.rs
@@ -71,6 +71,7 @@
         ordered: None,
         engine_fencing: 0,
         limit: 8,
+        layers: None,
     }
 }
 
--- a/crates/decide/tests/roster.rs
+++ b/crates/decide/tests/roster.rs
@@ -43,6 +43,7 @@
         ordered: None,
         engine_fencing: 0,
         limit: 8,
+        layers: None,
     }
 }
 
--- a/crates/decide/tests/version_gap.rs
+++ b/crates/decide/tests/version_gap.rs
@@ -79,6 +79,7 @@
                 ordered: None,
                 engine_fencing: 0,
                 limit: 8,
+                layers: None,
             },
             order: None,
             switch_ends_at: 0,
--- a/crates/entry/src/control/orders.rs
+++ b/crates/entry/src/control/orders.rs
@@ -153,5 +153,6 @@
         fencing: planned.fencing,
         serve: planned.serve,
         origin: shared.origin_place(),
+        layers: shared.model_layers(),
     }
 }
--- a/crates/model/src/endpoint.rs
+++ b/crates/model/src/endpoint.rs
@@ -5,8 +5,8 @@
 use macro_rules_attribute::apply;
 
 use crate::{
-    FailureDomain, InstanceId, ManifestDigest, ModelVersion, PresetRevision, RegionName,
-    ServiceName, Timestamp,
+    FailureDomain, InstanceId, LoadedLayers, ManifestDigest, ModelVersion, PresetRevision,
+    RegionName, ServiceName, Timestamp,
 };
 
 /// What runs behind an agent.
@@ -92,6 +92,9 @@
     pub engine_fencing: u64,
     /// Most requests that the agent admits at a time.
     pub limit: u32,
+    /// Layers that the engine has loaded, if it has loaded some but not all.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub layers: Option<LoadedLayers>,
 }
 
 impl EndpointReport {
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod header;
 pub mod home;
 pub mod ids;
+pub mod layers;
 pub mod listing;
 pub mod manifest;
 pub mod outcome;
@@ -42,6 +43,7 @@
     ModelVersion, OperatorName, PresetName, RegionName, RequestId, RequestKey, ServiceName,
     WorkspaceId,
 };
+pub use layers::{EmptyRange, LayerRange, LoadedLayers};
 pub use listing::{ListedEndpoint, ListedRow};
 pub use manifest::{ChunkEntry, ChunkHash, ManifestError, WeightManifest};
 pub use outcome::{NotRunReason, OutcomeKind, RequestOutcome};
--- a/crates/model/src/target.rs
+++ b/crates/model/src/target.rs
@@ -56,6 +56,9 @@
     pub stride: u32,
     /// Typical length of an answer, in tokens.
     pub usual_answer: u32,
+    /// Number of layers of the model; zero if engines cannot load a part of them.
+    #[serde(default)]
+    pub layers: u32,
     /// Origin of the model's weights, if there is one.
     pub origin: Option<OriginPlace>,
 }
--- a/crates/testkit/src/samples.rs
+++ b/crates/testkit/src/samples.rs
@@ -40,6 +40,7 @@
         ordered: Some(ManifestDigest::of(b"sample")),
         engine_fencing: (14_999 << 20) + 1,
         limit: 32,
+        layers: None,
     };
     Ok(WireMessage::Control(ControlMessage::Report(Box::new(report))))
 }
--- a/crates/testkit/src/stand_in/peer.rs
+++ b/crates/testkit/src/stand_in/peer.rs
@@ -97,6 +97,7 @@
         ordered: None,
         engine_fencing: 0,
         limit: 0,
+        layers: None,
     })
 }
 
--- a/crates/wire/src/message/control.rs
+++ b/crates/wire/src/message/control.rs
@@ -157,6 +157,9 @@
     /// Origin of the weights, if it is defined by the preset.
     #[serde(default)]
     pub origin: Option<OriginPlace>,
+    /// Number of layers of the model; zero if the engine can only load all of them.
+    #[serde(default)]
+    pub layers: u32,
 }
 
 /// Address and location of an agent, for transfers of weights.
