Import an overdue chunk by one agent after the other, imports first

Cause: an import over a link of 7.6 Mbit/s begins 0.3 to 0.6 s after the first copy is held in another region and takes 0.2 s, close to the time-out of 0.7 s. After it each agent of the region imported the chunk (up to 39 imports of one chunk), which filled the link between the regions, so that the next imports were late as well. Ruled out: the pacer and the number of chunks at a time (the link of the agents was half idle), the origin (one copy in 3.2 s).

Change: agents take over in the order of their ranks, 300 ms apart, and an import goes before the chunks that the region has already, also beside the usual number of fetches.

--- a/crates/decide/src/select/imports.rs
+++ b/crates/decide/src/select/imports.rs
@@ -1,12 +1,14 @@
 //! Selects the chunks that an agent fetches from other regions.
 //!
 //! Of the agents of a region, the one with the first rank for a chunk imports it. If it
-//! does not, because it failed or its link stalls, any agent of the region may import a
-//! chunk that another agent has held for some time.
+//! does not, because it failed or its link stalls, the agents with the next ranks may import
+//! the chunk, one after another. All of them at once would fill the link between the
+//! regions, and the importers of the next chunks would be late as well.
 
 use cassiawheel_model::{Deadline, Timestamp};
 
 use super::{
+    ChunkPicker,
     bits::ChunkBits,
     owners::{AgentSlot, ChunkOwners, OWN_SLOT},
 };
@@ -17,6 +19,16 @@
 /// them.
 const IMPORT_TIMEOUT_MS: u64 = 700;
 
+/// Additional delay of each further rank in importing a chunk, in milliseconds.
+///
+/// An import over a link of 7.6 Mbit/s takes 120 to 320 ms.
+const IMPORT_STEP_MS: u64 = 300;
+
+/// Imports that may be in progress beside the usual number of fetches from peers.
+///
+/// The agents of a region wait for a chunk until its importer has it.
+const EXTRA_IMPORTS: usize = 1;
+
 /// Tracks which chunks of one manifest an agent may import.
 #[derive(Debug, Clone)]
 pub(super) struct ChunkImports {
@@ -84,13 +96,43 @@
         self.offered_at[index]
     }
 
-    /// Marks the chunks whose importer has timed out.
+    /// Marks the chunks that this agent may import because those with earlier ranks are late.
     pub(super) fn review(&mut self, now: Timestamp) {
         for (index, offered_at) in self.offered_at.iter().enumerate() {
-            let until = offered_at.map(|at| Deadline(at.0 + IMPORT_TIMEOUT_MS));
-            if self.local_holders[index] == 0 && until.is_some_and(|until| until.is_past(now)) {
+            let Some(offered_at) = offered_at.filter(|_| self.local_holders[index] == 0) else {
+                continue;
+            };
+            let first_at = offered_at.0 + IMPORT_TIMEOUT_MS;
+            if !Deadline(first_at).is_past(now) || self.overdue.contains(index) {
+                continue;
+            }
+            let before = self.owners.rank(OWN_SLOT, index).saturating_sub(1) as u64;
+            if Deadline(first_at + IMPORT_STEP_MS * before).is_past(now) {
                 self.overdue.insert(index);
             }
         }
     }
 }
+
+impl ChunkPicker {
+    /// Returns the slot of a peer in another region and the chunk to import from it.
+    ///
+    /// Imports precede the chunks that the region has already.
+    pub(super) fn select_import(&self, now: Timestamp) -> Option<(AgentSlot, usize)> {
+        let importing = self.fetching.values().filter(|order| order.is_import).count();
+        let from_peers = self.fetching.len() - self.origin_fetch_count;
+        if importing > EXTRA_IMPORTS || from_peers >= self.peer_fetch_limit(now) + EXTRA_IMPORTS {
+            return None;
+        }
+        let remote_peers = self.peers.iter().enumerate().filter(|(_, view)| {
+            view.is_remote && view.is_usable(now, self.settings.max_fetches_per_peer)
+        });
+        let offers = remote_peers.filter_map(|(position, view)| {
+            let mut offered = view.held.iter_common(&self.wanted);
+            let index = offered.find(|index| self.imports.may_import(*index))?;
+            Some((view.fetching, position + 1, index))
+        });
+        let (_, slot, index) = offers.min()?;
+        Some((slot, index))
+    }
+}
--- a/crates/decide/src/select/requests.rs
+++ b/crates/decide/src/select/requests.rs
@@ -15,6 +15,9 @@
         now: Timestamp,
         rng: &mut impl Rng,
     ) -> Option<(AgentSlot, usize)> {
+        if let Some(import) = self.select_import(now) {
+            return Some(import);
+        }
         if self.fetching.len() - self.origin_fetch_count >= self.peer_fetch_limit(now) {
             return None;
         }
@@ -31,7 +34,7 @@
     /// On a congested link many concurrent fetches build up a queue that delays everything
     /// else that the instance receives, so the number decreases as the latency exceeds
     /// `queue_ms`.
-    fn peer_fetch_limit(&self, now: Timestamp) -> usize {
+    pub(super) fn peer_fetch_limit(&self, now: Timestamp) -> usize {
         let limit = self.settings.max_peer_fetches;
         let target_ms = self.settings.queue_ms;
         if target_ms == 0 {
--- a/crates/decide/tests/chunk_regions.rs
+++ b/crates/decide/tests/chunk_regions.rs
@@ -358,3 +358,45 @@
     let fetched = from(&orders(&mut picker, at(402)), &ChunkSource::Origin);
     assert_eq!(fetched.len(), 1, "{fetched:?}");
 }
+
+/// Guards against a full link between regions. Each agent of a region imported a chunk whose
+/// importer was late, which made the importers of the next chunks late as well.
+#[test]
+fn an_overdue_chunk_is_imported_by_one_agent_after_the_other() {
+    let names: Vec<_> = (0..30).map(|number| format!("own-{number}")).collect();
+    let all: Vec<_> = (0..CHUNKS).collect();
+    let mut imports = vec![Vec::new(); CHUNKS];
+    for name in &names {
+        let mut picker = picker(settings(name));
+        for other in names.iter().filter(|other| *other != name) {
+            connect(&mut picker, other, NEAR, &[]);
+        }
+        connect(&mut picker, "far", FAR, &all);
+        for ms in (0..2_000).step_by(20) {
+            orders(&mut picker, at(ms)).iter().for_each(|order| imports[order.index].push(ms));
+        }
+    }
+    for (index, mut times) in imports.into_iter().enumerate() {
+        times.sort_unstable();
+        assert!(times.len() >= 3, "chunk {index}: {times:?}");
+        assert_eq!(times.iter().filter(|ms| **ms < 700).count(), 1, "chunk {index}: {times:?}");
+        let steps = times.windows(2).map(|pair| pair[1] - pair[0]);
+        assert!(steps.into_iter().all(|step| step >= 280), "chunk {index}: {times:?}");
+    }
+}
+
+/// Guards against a region that waits for a chunk because its importer first fetches chunks that
+/// the region has already.
+#[test]
+fn an_import_does_not_wait_for_chunks_of_the_region() {
+    let settings = PickerSettings { max_peer_fetches: 4, ..settings("own-a") };
+    let all: Vec<_> = (0..CHUNKS).collect();
+    let mut picker = picker(settings);
+    connect(&mut picker, "own-b", NEAR, &all[4..]);
+    connect(&mut picker, "far", FAR, &[]);
+    assert_eq!(orders(&mut picker, at(10)).len(), 4);
+    picker.peer_holds(&instance("far"), 0..4, at(20));
+    let imports = orders(&mut picker, at(20));
+    assert_eq!(imports.len(), 1, "one import goes beside the fetches in progress");
+    assert!(imports[0].is_import);
+}
