Choice of halves, order of their chunks, and release of loaded layers

Agents whose engines serve nothing are to load half of a version before all chunks have arrived. The decisions are which half comes first, which endpoints may load a part, what an engine's status says, and when another version may be loaded after layers were reported.

The picker prefers the own half only among chunks that peers of the region hold. Fetches from the origin and imports keep their order; without a preference, selection and use of randomness are unchanged.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod idempotency;
 pub mod item_requests;
 pub mod latch;
+pub mod layers;
 pub mod listing;
 pub mod manifest_search;
 pub mod overlay;
@@ -72,6 +73,7 @@
 pub use heartbeat::{LoadSchedule, SentReport};
 pub use item_requests::ItemRequests;
 pub use latch::RunLatch;
+pub use layers::{EngineHolding, LayerHalf, LayerRelease, PATH_RELEASE_MS};
 pub use listing::{EndpointListing, ListingUpdate};
 pub use manifest_search::{ManifestSearch, SearchStep};
 pub use overlay::{
--- a/crates/decide/src/select.rs
+++ b/crates/decide/src/select.rs
@@ -22,7 +22,7 @@
 mod requests;
 mod settings;
 
-use std::collections::HashMap;
+use std::{collections::HashMap, ops::Range};
 
 use cassiawheel_model::{Deadline, InstanceId, Timestamp};
 use rand::Rng;
@@ -42,6 +42,8 @@
     settings: PickerSettings,
     /// Chunks that are neither held nor being fetched.
     wanted: ChunkBits,
+    /// Chunks fetched from peers of the region before all others; empty for none.
+    preferred: ChunkBits,
     held: ChunkBits,
     missing: usize,
     fetching: HashMap<usize, FetchOrder>,
@@ -94,6 +96,7 @@
             schedule: OriginSchedule::new(settings.origin_chunk_ms, chunks, now),
             settings,
             wanted: ChunkBits::full(chunks),
+            preferred: ChunkBits::empty(chunks),
             held: ChunkBits::empty(chunks),
             missing: chunks,
             fetching: HashMap::new(),
@@ -123,6 +126,33 @@
         }
     }
 
+    /// Fetches the chunks in `indices` before the others, where other agents of the region hold
+    /// them.
+    ///
+    /// Fetches from the origin and from other regions keep their order, so that each chunk still
+    /// leaves the origin and crosses into a region once.
+    pub fn prefer(&mut self, indices: Range<usize>) {
+        indices.for_each(|index| {
+            self.preferred.insert(index);
+        });
+    }
+
+    /// Returns how many of the chunks in `indices` are held.
+    pub fn held_of(&self, indices: Range<usize>) -> usize {
+        indices.filter(|index| self.held.contains(*index)).count()
+    }
+
+    /// Records that a chunk believed to be held is missing or corrupt.
+    pub fn mark_lost(&mut self, index: usize) {
+        if self.held.remove(index) {
+            self.wanted.insert(index);
+            self.missing += 1;
+            if self.holders[index] == 0 {
+                self.unseeded.insert(index);
+            }
+        }
+    }
+
     /// Records the location of `peer`; without it the peer counts as in the same region.
     pub fn set_peer_location(&mut self, peer: &InstanceId, place: PeerLocation, now: Timestamp) {
         let slot = self.slot_with(peer, place, now);
--- a/crates/decide/src/select/bits.rs
+++ b/crates/decide/src/select/bits.rs
@@ -60,6 +60,12 @@
         self.words.iter().zip(&other.words).any(|(own, other)| own & other != 0)
     }
 
+    /// Whether all three sets have an index in common.
+    pub fn intersects_both(&self, one: &Self, other: &Self) -> bool {
+        let words = self.words.iter().zip(&one.words).zip(&other.words);
+        words.into_iter().any(|((own, one), other)| own & one & other != 0)
+    }
+
     /// Iterates over the indices in ascending order.
     pub fn iter(&self) -> impl Iterator<Item = usize> {
         indices(self.words.iter().copied())
--- a/crates/decide/tests/support/rounds.rs
+++ b/crates/decide/tests/support/rounds.rs
@@ -6,8 +6,10 @@
 
 use std::collections::{HashMap, VecDeque};
 
-use cassiawheel_decide::{ChunkPicker, ChunkSource, FetchFailure, FetchOrder, PickerSettings};
-use cassiawheel_model::{InstanceId, Timestamp};
+use cassiawheel_decide::{
+    ChunkPicker, ChunkSource, FetchFailure, FetchOrder, LayerHalf, PickerSettings,
+};
+use cassiawheel_model::{InstanceId, ManifestDigest, Timestamp};
 use rand::{Rng, SeedableRng, rngs::SmallRng, seq::SliceRandom};
 
 /// Duration of a round, in milliseconds of the pickers' clock.
@@ -40,6 +42,8 @@
     pub origin_rate: usize,
     /// Link profile of the agents.
     pub profile: LinkProfile,
+    /// Layers of the model; with more than one, each agent fetches half of them first.
+    pub layers: u32,
 }
 
 /// Settings of all agents for one link speed.
@@ -72,6 +76,7 @@
             origin_down: 0..0,
             origin_rate: ORIGIN_RATE,
             profile: WIDE,
+            layers: 0,
         }
     }
 }
@@ -95,6 +100,8 @@
     pub rounds: usize,
     /// Rounds until half of the agents held all chunks.
     pub half_rounds: usize,
+    /// Rounds until half of the agents held all chunks that they fetch first.
+    pub first_rounds: usize,
     pub bound: f64,
     pub origin_chunks: usize,
     pub chunks: usize,
@@ -148,6 +155,8 @@
 
 struct RoundAgent {
     picker: ChunkPicker,
+    /// Chunks that it fetches first.
+    first: std::ops::Range<usize>,
     name: InstanceId,
     running: bool,
     stalled: bool,
@@ -176,15 +185,20 @@
     let bound = lower_bound(plan.agents, plan.chunks, plan.origin_rate);
     let longest = plan.chunks * LONGEST_FACTOR;
     let mut half_rounds = None;
+    let mut first_rounds = None;
     while !bench.is_complete() && bench.round < longest {
         bench.run_round();
         if half_rounds.is_none() && bench.whole() * 2 >= plan.agents {
             half_rounds = Some(bench.round);
         }
+        if first_rounds.is_none() && bench.first_whole() * 2 >= plan.agents {
+            first_rounds = Some(bench.round);
+        }
     }
     RoundResult {
         rounds: bench.round,
         half_rounds: half_rounds.unwrap_or(bench.round),
+        first_rounds: first_rounds.unwrap_or(bench.round),
         bound,
         origin_chunks: bench.origin_sends.iter().sum(),
         chunks: plan.chunks,
@@ -237,6 +251,14 @@
         self.agents.iter().filter(|agent| agent.picker.missing() == 0).count()
     }
 
+    /// Agents that hold all chunks that they fetch first.
+    fn first_whole(&self) -> usize {
+        let holds_first = |agent: &&RoundAgent| {
+            agent.picker.held_of(agent.first.clone()) == agent.first.len()
+        };
+        self.agents.iter().filter(holds_first).count()
+    }
+
     fn run_round(&mut self) {
         self.start_faults();
         let mut order: Vec<_> = (0..self.agents.len()).collect();
@@ -420,7 +442,7 @@
 
 impl RoundAgent {
     fn new(plan: &RoundPlan, agent: usize) -> Self {
-        let name = InstanceId::new(&format!("endpoint-{agent}")).expect("a valid name");
+        let name = agent_name(agent);
         let profile = plan.profile;
         let turn_ms = profile.round_ms as f64 / plan.origin_rate as f64;
         let settings = PickerSettings {
@@ -440,10 +462,15 @@
         if agent < plan.full_holders {
             (0..plan.chunks).for_each(|index| picker.mark_held(index));
         }
+        let first = first_chunks(plan, &name);
+        if plan.layers > 1 {
+            picker.prefer(first.clone());
+        }
         let joins_later = |fault: &RoundFault| matches!(fault, RoundFault::Joins { agent: joining, .. } if *joining == agent);
         let lies = |fault: &RoundFault| matches!(fault, RoundFault::Lies { agent: liar } if *liar == agent);
         Self {
             picker,
+            first,
             name,
             running: !plan.faults.iter().any(joins_later),
             stalled: false,
@@ -468,6 +495,18 @@
     }
 }
 
+/// Chunks that the agent `own` fetches first; all of them if it has no preference.
+fn first_chunks(plan: &RoundPlan, own: &InstanceId) -> std::ops::Range<usize> {
+    let names: Vec<_> = (0..plan.agents).map(agent_name).collect();
+    let manifest = ManifestDigest::from([7; 32]);
+    let range = LayerHalf::first_of(manifest, own, names.iter()).range(plan.layers);
+    range.map_or(0..plan.chunks, |range| range.chunks(plan.chunks, plan.layers))
+}
+
+fn agent_name(agent: usize) -> InstanceId {
+    InstanceId::new(&format!("endpoint-{agent}")).expect("a valid name")
+}
+
 /// The first fetch in `queue` whose agent still waits for it and can receive in this round.
 fn take_deliverable(
     queue: &mut VecDeque<QueuedFetch>,
