Orders name the retired version and the layers of their own service

An agent has to know whether its engine may give up the version that it serves. Staleness of the report rules out a plain flag: an order for an endpoint that has switched since would let it stop an allowed version. The order therefore names the retired version. The number of layers comes from the target of the service instead of the highest number of any service, which would make an engine with fewer layers look incomplete.

--- a/crates/decide/src/layers.rs
+++ b/crates/decide/src/layers.rs
@@ -43,9 +43,8 @@
         others: impl Iterator<Item = &'a InstanceId>,
     ) -> Self {
         let subject = subject_of(&manifest.to_string());
-        let rank = |name: &InstanceId| {
-            (Reverse(rendezvous_weight(subject, name.as_str())), name.clone())
-        };
+        let rank =
+            |name: &InstanceId| (Reverse(rendezvous_weight(subject, name.as_str())), name.clone());
         let own_rank = rank(own);
         let (mut known, mut position) = (0_u64, 0_u64);
         for other in others.filter(|other| *other != own) {
--- a/crates/decide/src/plan.rs
+++ b/crates/decide/src/plan.rs
@@ -61,6 +61,10 @@
     pub serve: bool,
     /// Why the order is sent; logged with it.
     pub reason: PlanReason,
+    /// The version that the endpoint serves, if it may not answer any more.
+    pub retired: Option<ModelVersion>,
+    /// Number of layers of the service's model; zero if engines load whole versions only.
+    pub layers: u32,
 }
 
 impl PlannedOrder {
@@ -97,6 +101,7 @@
         let ahead = ahead.and_then(WantedWeights::of);
         let service = ServicePlan {
             revision: input.preset.revision,
+            layers: target.engine.as_ref().map_or(0, |engine| engine.layers),
             wanted,
             ahead: ahead.filter(|ahead| ahead.manifest != wanted.manifest),
             max_concurrent: max_concurrent_switches(target, selected.len()),
--- a/crates/decide/src/plan/service.rs
+++ b/crates/decide/src/plan/service.rs
@@ -2,7 +2,7 @@
 
 use std::cmp::Reverse;
 
-use cassiawheel_model::{EndpointReport, EndpointState, PresetRevision};
+use cassiawheel_model::{EndpointReport, EndpointState, ModelVersion, PresetRevision};
 
 use super::{
     PlanReason, PlannedOrder,
@@ -17,6 +17,7 @@
 
 pub(super) struct ServicePlan<'a> {
     pub(super) revision: PresetRevision,
+    pub(super) layers: u32,
     pub(super) wanted: WantedWeights<'a>,
     pub(super) ahead: Option<WantedWeights<'a>>,
     /// How many endpoints may be out of service at a time where no deadline is set.
@@ -137,6 +138,14 @@
         Some((self.ahead?, false, PlanReason::StageAhead))
     }
 
+    /// The version that the endpoint serves, if it may not answer any more.
+    fn retired_version<'a>(&self, report: &'a EndpointReport) -> Option<&'a ModelVersion> {
+        let EndpointState::Serving { version, .. } = &report.state else {
+            return None;
+        };
+        version.as_ref().filter(|_| self.schedule.is_some_and(|s| s.is_retired(report)))
+    }
+
     fn order(
         &self,
         report: &EndpointReport,
@@ -151,6 +160,8 @@
             fencing: next_token(self.revision, report, serve)?,
             serve,
             reason,
+            retired: self.retired_version(report).cloned(),
+            layers: self.layers,
         })
     }
 }
--- a/crates/decide/tests/support/rounds.rs
+++ b/crates/decide/tests/support/rounds.rs
@@ -253,9 +253,8 @@
 
     /// Agents that hold all chunks that they fetch first.
     fn first_whole(&self) -> usize {
-        let holds_first = |agent: &&RoundAgent| {
-            agent.picker.held_of(agent.first.clone()) == agent.first.len()
-        };
+        let holds_first =
+            |agent: &&RoundAgent| agent.picker.held_of(agent.first.clone()) == agent.first.len();
         self.agents.iter().filter(holds_first).count()
     }
 
--- a/crates/entry/src/control/orders.rs
+++ b/crates/entry/src/control/orders.rs
@@ -153,6 +153,7 @@
         fencing: planned.fencing,
         serve: planned.serve,
         origin: shared.origin_place(),
-        layers: shared.model_layers(),
+        layers: planned.layers,
+        retired: planned.retired.clone(),
     }
 }
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -179,13 +179,6 @@
         services.find_map(|target| target.engine.as_ref()?.origin.clone())
     }
 
-    /// Returns the number of layers of the model in the active preset; zero if it names none.
-    pub(crate) fn model_layers(&self) -> u32 {
-        let active_preset = self.active_preset.load();
-        let services = active_preset.iter().flat_map(|preset| preset.content.services.values());
-        services.filter_map(|target| target.engine.as_ref()).map(|e| e.layers).max().unwrap_or(0)
-    }
-
     /// Returns the number of entries that rank before this one for work that one entry does for
     /// all.
     pub(crate) fn own_rank(&self) -> u32 {
--- a/crates/wire/src/message/control.rs
+++ b/crates/wire/src/message/control.rs
@@ -160,6 +160,9 @@
     /// Number of layers of the model; zero if the engine can only load all of them.
     #[serde(default)]
     pub layers: u32,
+    /// The version that the endpoint serves, if it may not answer any more.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub retired: Option<ModelVersion>,
 }
 
 /// Address and location of an agent, for transfers of weights.
