--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -190,7 +190,10 @@
 ) -> Result<EngineResponse, RunFailure> {
     let answer = shared.engine.call(head, body).await.map_err(|error| match error {
         EngineError::NotSent(_) => RunFailure::NotRun(NotRunReason::ConnectFailed),
-        EngineError::Refused(detail) | EngineError::NoAnswer(detail) => RunFailure::Unknown(detail),
+        EngineError::Refused(detail)
+        | EngineError::Unsupported(detail)
+        | EngineError::NoAnswer(detail) => RunFailure::Unknown(detail),
+        EngineError::Damaged(_) => RunFailure::Unknown(error.to_string()),
     })?;
     // Another process may have changed the engine's weights without passing the gate.
     // The caller would get an answer of a version that it was not routed to.
--- a/crates/edge/src/engine.rs
+++ b/crates/edge/src/engine.rs
@@ -2,8 +2,8 @@
 
 use bytes::Bytes;
 use cassiawheel_model::{
-    HeaderField, LoadReport, ManifestDigest, ModelVersion, RequestHead, WeightManifest,
-    flags::pack_flags, record,
+    HeaderField, LayerRange, LoadReport, LoadedLayers, ManifestDigest, ModelVersion, RequestHead,
+    WeightManifest, flags::pack_flags, record,
 };
 use hyper::body::Incoming;
 use macro_rules_attribute::apply;
@@ -27,6 +27,9 @@
     pub staged: Vec<ManifestDigest>,
     /// Current load of the engine.
     pub load: LoadReport,
+    /// The layers that it has loaded, if it reports layers.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub layers: Option<LoadedLayers>,
 }
 
 fn tells_manifest() -> bool {
@@ -69,6 +72,17 @@
     pub fencing: u64,
 }
 
+/// An order to load the staged chunks of a range of layers.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LayerOrder {
+    /// Version and manifest of the staged chunks, and the fencing token.
+    pub load: LoadOrder,
+    /// The layers to load.
+    pub range: LayerRange,
+    /// Number of layers of the model.
+    pub layers: u32,
+}
+
 /// Why a call of an engine failed.
 #[derive(Debug, Clone, thiserror::Error)]
 pub enum EngineError {
@@ -78,6 +92,12 @@
     /// The engine refused; nothing happened.
     #[error("the engine refused: {0}")]
     Refused(String),
+    /// The engine has no such operation; nothing happened.
+    #[error("the engine refused: not supported: {0}")]
+    Unsupported(String),
+    /// Staged chunks that the order needs are missing or corrupt; nothing happened.
+    #[error("staged chunks {0:?} are missing or corrupt")]
+    Damaged(Vec<usize>),
     /// The outcome is unknown: the call may have had effects.
     #[error("the engine did not answer: {0}")]
     NoAnswer(String),
@@ -139,6 +159,11 @@
     /// Loads the staged weights, which then serve all requests.
     fn load_weights<'a>(&'a self, order: &'a LoadOrder) -> EdgeFuture<'a, Result<(), EngineError>>;
 
+    /// Loads a range of layers, after all chunks of the range were read back and verified.
+    ///
+    /// Requests can then pass through this engine and others that have the remaining layers.
+    fn load_layers<'a>(&'a self, order: &'a LayerOrder) -> EdgeFuture<'a, Result<(), EngineError>>;
+
     /// Runs a request and returns the head of its response.
     fn call<'a>(
         &'a self,
--- a/crates/edge/src/engine_http.rs
+++ b/crates/edge/src/engine_http.rs
@@ -11,8 +11,8 @@
 };
 
 use crate::{
-    ClientError, EdgeFuture, EngineError, EngineResponse, EngineStatus, HttpClient, LoadOrder,
-    ModelEngine, StagedBitmap,
+    ClientError, EdgeFuture, EngineError, EngineResponse, EngineStatus, HttpClient, LayerOrder,
+    LoadOrder, ModelEngine, StagedBitmap,
 };
 
 /// Header with the version that gave a response.
@@ -125,6 +125,15 @@
         })
     }
 
+    fn load_layers<'a>(
+        &'a self,
+        _order: &'a LayerOrder,
+    ) -> EdgeFuture<'a, Result<(), EngineError>> {
+        Box::pin(async {
+            Err(EngineError::Unsupported("this engine loads whole versions only".to_owned()))
+        })
+    }
+
     fn call<'a>(
         &'a self,
         head: &'a RequestHead,
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -24,7 +24,9 @@
 pub use endpoints::{
     BackoffRequest, EndpointProtocol, ForwardMetadata, ReportedLoad, ResponseMetadata,
 };
-pub use engine::{EngineError, EngineResponse, EngineStatus, LoadOrder, ModelEngine, StagedBitmap};
+pub use engine::{
+    EngineError, EngineResponse, EngineStatus, LayerOrder, LoadOrder, ModelEngine, StagedBitmap,
+};
 pub use engine_http::HttpEngine;
 pub use entry_rows::{ENTRY_KEY_PREFIX, EntryRow};
 pub use feed::{EndpointFeed, FeedError, FeedPage, FeedSource, OperatorFeed, OperatorRow};
--- a/crates/testkit/src/stand_in/engine.rs
+++ b/crates/testkit/src/stand_in/engine.rs
@@ -196,6 +196,7 @@
                 queued: 0,
                 measured_at: Timestamp::now(),
             },
+            layers: None,
         }
     }
 
--- a/crates/testkit/src/stand_in/plain.rs
+++ b/crates/testkit/src/stand_in/plain.rs
@@ -92,6 +92,7 @@
             fencing: 0,
             staged: Vec::new(),
             load,
+            layers: None,
         }
     }
 
