Agents load half of the layers while they stage the rest

An engine that serves nothing, or only a retired version, loads the own half as soon as its chunks are staged, beside staging. Where a model has at most one layer, nothing changes.

--- a/crates/agent/src/endpoint.rs
+++ b/crates/agent/src/endpoint.rs
@@ -20,6 +20,7 @@
 
 use crate::{
     keyed::ClaimWriter,
+    layers::LayerState,
     metrics::AgentMetrics,
     serve::{AgentClients, chosen_entries},
     transfer::TransferState,
@@ -50,6 +51,8 @@
     pub(crate) engine_fencing: AtomicU64,
     /// Chunks held and being fetched, and the connections that transfer them.
     pub(crate) transfer: TransferState,
+    /// Layers that the engine has loaded of a version that it does not hold completely.
+    pub(crate) layers: LayerState,
     /// Counters and gauges exported by this process.
     pub(crate) metrics: AgentMetrics,
     gate: Mutex<GateState>,
@@ -98,6 +101,7 @@
             released: bounded(1),
             claims: ClaimWriter::start(table.clone()),
             transfer: TransferState::new(&settings.transfer),
+            layers: LayerState::new(now),
             settings,
             engine,
             table,
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -8,6 +8,7 @@
 mod entry_link;
 mod entry_selection;
 mod keyed;
+mod layers;
 mod metrics;
 mod orders;
 mod report;
@@ -17,7 +18,7 @@
 
 use cassiawheel_model::settings::AgentSettings;
 
-pub use serve::AgentClients;
+pub use serve::{AgentClients, serve};
 
 /// Executor threads of an agent, which shares its instance with the engine.
 const THREADS: usize = 2;
--- a/crates/agent/src/metrics.rs
+++ b/crates/agent/src/metrics.rs
@@ -20,6 +20,12 @@
     pub(crate) reused_chunks: IntCounter,
     /// Chunks still missing of the weights being fetched.
     pub(crate) missing_chunks: IntGauge,
+    /// Layers that the engine has loaded of a version that it does not hold completely.
+    pub(crate) loaded_layers: IntGauge,
+    /// Loads of a part of the layers.
+    pub(crate) partial_loads: IntCounter,
+    /// Failed tries to load a part of the layers.
+    pub(crate) failed_partial_loads: IntCounter,
 }
 
 impl AgentMetrics {
@@ -30,11 +36,11 @@
             registry.register(Box::new(counter.clone()))?;
             Ok(counter)
         };
-        let missing_chunks = IntGauge::new(
-            "cassiawheel_agent_missing_chunks",
-            "Chunks still missing of the weights being fetched",
-        )?;
-        registry.register(Box::new(missing_chunks.clone()))?;
+        let gauge = |name: &str, help: &str| -> prometheus::Result<IntGauge> {
+            let gauge = IntGauge::new(format!("cassiawheel_agent_{name}"), help)?;
+            registry.register(Box::new(gauge.clone()))?;
+            Ok(gauge)
+        };
         Ok(Self {
             admitted: counter("admitted_total", "Requests admitted by the gate")?,
             refused: counter("refused_total", "Requests refused by the gate")?,
@@ -46,7 +52,19 @@
                 "reused_chunks_total",
                 "Chunks taken over from another version",
             )?,
-            missing_chunks,
+            missing_chunks: gauge(
+                "missing_chunks",
+                "Chunks still missing of the weights being fetched",
+            )?,
+            loaded_layers: gauge(
+                "loaded_layers",
+                "Layers loaded of a version that the engine does not hold completely",
+            )?,
+            partial_loads: counter("partial_loads_total", "Loads of a part of the layers")?,
+            failed_partial_loads: counter(
+                "failed_partial_loads_total",
+                "Failed tries to load a part of the layers",
+            )?,
         })
     }
 }
--- a/crates/agent/src/orders.rs
+++ b/crates/agent/src/orders.rs
@@ -20,7 +20,7 @@
 use cassiawheel_runtime::timeout;
 use cassiawheel_wire::{WireSender, message::WeightOrder};
 
-use crate::{endpoint::EndpointShared, report, transfer};
+use crate::{endpoint::EndpointShared, layers, report, transfer};
 
 /// Delay before a failed order is retried; doubles with every further failure.
 const MIN_BACKOFF: Duration = Duration::from_millis(100);
@@ -58,6 +58,7 @@
     if let Some(origin) = &order.origin {
         shared.origin.set_addr(origin.addr);
     }
+    shared.layers.record_order(&order);
     *newest = Some(order);
     drop(newest);
     shared.set_order_source(entry.clone());
@@ -159,9 +160,11 @@
 /// Runs before the first report: a report of an empty endpoint would make an entry
 /// order it to switch out of turn.
 pub(crate) async fn resume_engine(shared: &EndpointShared) {
-    let Some(Ok(status)) = timeout(RESUME_TIMEOUT, shared.engine.status()).await else {
+    let changes = shared.layers.release().changes();
+    let Some(Ok(status)) = timeout(RESUME_TIMEOUT, layers::read_status(shared)).await else {
         return;
     };
+    layers::observe_engine(shared, &status, changes);
     shared.engine_fencing.fetch_max(status.fencing, Ordering::Relaxed);
     adopt_engine_version(shared, &status);
 }
@@ -189,13 +192,19 @@
     shared: &Arc<EndpointShared>,
     order: &WeightOrder,
 ) -> anyhow::Result<OrderOutcome> {
-    let status = shared.engine.status().await?;
+    let status = layers::read_status(shared).await?;
     ensure_current(order, &status)?;
+    if status.layers.is_some() {
+        // Before the first order, the number of layers was unknown and the engine's version was
+        // not adopted.
+        adopt_engine_version(shared, &status);
+    }
     let is_loaded = status.serves(&order.version, order.manifest);
     if is_loaded && is_empty(shared) {
         // The engine's answer to the load order was lost, or the engine started with
         // these weights after the order had arrived.
         shared.gate().begin_switch()?;
+        layers::withdraw(shared);
         shared.gate().commit_switch(Some(order.version.clone()))?;
         report::send_report(shared);
     }
@@ -211,8 +220,8 @@
     if !transfer::stage(shared, order).await? {
         return Ok(OrderOutcome::Superseded);
     }
-    if order.serve {
-        switch_weights(shared, order).await?;
+    if order.serve && !switch_weights(shared, order).await? {
+        return Ok(OrderOutcome::Superseded);
     }
     Ok(OrderOutcome::Done)
 }
@@ -233,7 +242,7 @@
 ///
 /// Some engines ignore fencing tokens. A restarted agent has seen no order yet and
 /// would revert such an engine to an old version.
-fn ensure_current(order: &WeightOrder, status: &EngineStatus) -> anyhow::Result<()> {
+pub(crate) fn ensure_current(order: &WeightOrder, status: &EngineStatus) -> anyhow::Result<()> {
     anyhow::ensure!(
         order.fencing >= status.fencing,
         "the engine has already carried out order {}, which is newer than order {}",
@@ -243,10 +252,19 @@
     Ok(())
 }
 
-async fn switch_weights(shared: &EndpointShared, order: &WeightOrder) -> anyhow::Result<()> {
+/// Loads the staged weights and serves them; false if others were ordered meanwhile.
+async fn switch_weights(shared: &EndpointShared, order: &WeightOrder) -> anyhow::Result<bool> {
+    let _engine = shared.layers.lock_engine().await;
+    if !layers::await_release(shared, order, || !shared.is_still_ordered(order)).await {
+        return Ok(false);
+    }
     let before = shared.gate().state().clone();
     shared.gate().begin_switch()?;
-    announce_switch(shared).await;
+    let had_layers = shared.layers.release().reported().is_some();
+    // An engine with some layers gets only requests of paths, and loads the rest beside them.
+    if !had_layers {
+        announce_switch(shared).await;
+    }
     while !shared.gate().can_swap_weights() {
         shared.permit_released().await;
     }
@@ -254,18 +272,19 @@
         recover_failed_load(shared, before, &error).await;
         return Err(error);
     }
+    layers::withdraw(shared);
     let generation = shared.gate().commit_switch(Some(order.version.clone()))?;
     log::info!(target: "switch", version:% = order.version, generation = generation; "A new version serves.");
     report::send_report(shared);
     transfer::discard_other_staging(shared, &[order.manifest]).await;
-    Ok(())
+    Ok(true)
 }
 
 /// Reports to the entries that a switch has begun and waits until they stop routing here.
 ///
 /// Only needed where requests bypass the agent: those that arrive during the switch
 /// would wait in the engine until it has loaded the new version.
-async fn announce_switch(shared: &EndpointShared) {
+pub(crate) async fn announce_switch(shared: &EndpointShared) {
     let engine = &shared.settings.engine;
     if engine.is_direct() {
         report::send_report(shared);
@@ -280,7 +299,7 @@
     error: &anyhow::Error,
 ) {
     let refused = matches!(error.downcast_ref(), Some(EngineError::Refused(_)));
-    let loaded = shared.engine.status().await.ok().and_then(|status| status.version);
+    let loaded = layers::read_status(shared).await.ok().and_then(|status| status.version);
     let mut gate = shared.gate();
     // After a load order without an answer the engine may still change its weights;
     // requests admitted now could be answered from both versions.
@@ -302,7 +321,7 @@
     };
     ensure_current(order, &shared.engine.status().await?)?;
     shared.engine.load_weights(&load).await?;
-    let status = shared.engine.status().await?;
+    let status = layers::read_status(shared).await?;
     // The answer to a load order does not prove what is loaded: another process may
     // have sent an order in between.
     anyhow::ensure!(
--- a/crates/agent/src/report.rs
+++ b/crates/agent/src/report.rs
@@ -10,7 +10,7 @@
 use cassiawheel_wire::{ControlMessage, WireSender};
 use smol::Timer;
 
-use crate::{endpoint::EndpointShared, orders};
+use crate::{endpoint::EndpointShared, layers, orders};
 
 /// Builds a report of the endpoint's current state, without a sequence number.
 pub(crate) fn build_report(shared: &EndpointShared) -> EndpointReport {
@@ -39,7 +39,7 @@
         ordered: order.map(|order| order.manifest),
         engine_fencing: shared.engine_fencing.load(Ordering::Relaxed),
         limit: gate.limit(),
-        layers: None,
+        layers: layers::reported_layers(shared, gate.state()),
     }
 }
 
@@ -121,7 +121,8 @@
     let mut is_reached = true;
     loop {
         let before = shared.gate().state().clone();
-        let status = shared.engine.status().await;
+        let changes = shared.layers.release().changes();
+        let status = layers::read_status(&shared).await;
         if status.is_ok() && !is_reached {
             // A restarted engine has no weights; the backoff before the next try to
             // stage them may be seconds.
@@ -131,6 +132,7 @@
         is_reached = status.is_ok();
         if let Ok(status) = status {
             orders::check_engine(&shared, &before, &status);
+            layers::observe_engine(&shared, &status, changes);
             if shared.order().is_none() {
                 orders::adopt_engine_version(&shared, &status);
             }
--- a/crates/agent/src/serve.rs
+++ b/crates/agent/src/serve.rs
@@ -51,7 +51,7 @@
 }
 
 /// Runs the agent until a termination signal arrives, then drains.
-pub(crate) async fn serve(settings: AgentSettings, clients: AgentClients) -> anyhow::Result<()> {
+pub async fn serve(settings: AgentSettings, clients: AgentClients) -> anyhow::Result<()> {
     let mut signals = ProcessSignals::listen()?;
     // Both listeners are bound before anything else starts: if an address is in use,
     // the agent exits before it contacts an entry or its engine.
--- a/crates/agent/src/transfer/stage.rs
+++ b/crates/agent/src/transfer/stage.rs
@@ -3,12 +3,20 @@
 //! One task owns the chunk picker and receives events; fetches run in tasks of their
 //! own. It ends when all chunks are staged or another version is ordered.
 
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use std::{
+    collections::HashMap,
+    ops::Range,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 
 use anyhow::Context;
 use cassiawheel_decide::{ChunkPicker, ChunkSource, FetchOrder, PeerLocation, PickerSettings};
 use cassiawheel_model::{
-    InstanceId, ManifestDigest, OriginPlace, RegionName, Timestamp, WeightManifest,
+    InstanceId, LayerRange, ManifestDigest, OriginPlace, RegionName, Timestamp, WeightManifest,
     flags::iter_set_bits, settings::TransferMode,
 };
 use cassiawheel_runtime::{spawn, timeout};
@@ -25,7 +33,10 @@
     peer::{PeerClient, follow_peer},
     serve::read_held,
 };
-use crate::endpoint::EndpointShared;
+use crate::{
+    endpoint::EndpointShared,
+    layers::{self, HalfLoad, HalfOutcome},
+};
 
 /// Longest wait for an event before the picker is run again.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
@@ -57,6 +68,15 @@
     PeerSynced(InstanceId),
     /// A fetch succeeded, was deferred or failed.
     Fetched(FetchOrder, FetchEnd),
+    /// The load of the own half of the layers ended.
+    HalfEnded(HalfOutcome),
+}
+
+/// The half of the layers that is loaded before all chunks are staged.
+struct OwnHalf {
+    range: LayerRange,
+    chunks: Range<usize>,
+    is_loading: bool,
 }
 
 struct StagingTask {
@@ -68,6 +88,15 @@
     followers: HashMap<InstanceId, Task<()>>,
     sender: Sender<TransferEvent>,
     events: Receiver<TransferEvent>,
+    half: Option<OwnHalf>,
+    /// Tells the load of the half that staging has ended.
+    has_ended: Arc<AtomicBool>,
+}
+
+impl Drop for StagingTask {
+    fn drop(&mut self) {
+        self.has_ended.store(true, Ordering::Relaxed);
+    }
 }
 
 /// Stages the weights that `order` names; false if others were ordered meanwhile.
@@ -91,6 +120,7 @@
     discard_other_staging(shared, &keep).await;
     await_peers(shared).await;
     let mut task = StagingTask::new(shared.clone(), manifest, &held, order.origin.clone());
+    task.prefer_half(order);
     let is_complete = task.run(order).await;
     log::info!(target: "transfer", version:% = order.version, whole = is_complete; "A transfer ended.");
     Ok(is_complete)
@@ -212,6 +242,8 @@
             followers: HashMap::new(),
             sender,
             events,
+            half: None,
+            has_ended: Arc::default(),
         }
     }
 
@@ -222,6 +254,7 @@
                 return false;
             }
             self.start_fetches();
+            self.load_staged_half();
             self.shared.metrics.missing_chunks.set(self.picker.missing() as i64);
             self.wait_and_handle().await;
         }
@@ -229,6 +262,53 @@
         true
     }
 
+    /// Fetches the chunks of the own half of the layers first, if engines may load a part.
+    fn prefer_half(&mut self, order: &WeightOrder) {
+        let Some(range) = layers::own_half(&self.shared, order) else {
+            return;
+        };
+        let chunks = range.chunks(self.manifest.chunks.len(), order.layers);
+        self.picker.prefer(chunks.clone());
+        self.half = Some(OwnHalf { range, chunks, is_loading: false });
+    }
+
+    /// Starts to load the own half if it is staged and the engine may load it.
+    fn load_staged_half(&mut self) {
+        let Some(half) = &mut self.half else {
+            return;
+        };
+        let staged = self.picker.held_of(half.chunks.clone());
+        layers::give_up_older_layers(&self.shared, staged, half.chunks.len());
+        if staged < half.chunks.len() || half.is_loading {
+            return;
+        }
+        let Some(order) = layers::due_order(&self.shared) else {
+            return;
+        };
+        half.is_loading = true;
+        let staging_ended = self.has_ended.clone();
+        let load = HalfLoad { order, range: half.range, staging_ended };
+        let (shared, sender) = (self.shared.clone(), self.sender.clone());
+        // Detached: the order must not be abandoned half-way when staging ends first.
+        spawn(async move {
+            let outcome = load.run(&shared).await;
+            let _ = sender.send(TransferEvent::HalfEnded(outcome)).await;
+        })
+        .detach();
+    }
+
+    fn half_ended(&mut self, outcome: HalfOutcome) {
+        if let Some(half) = &mut self.half {
+            half.is_loading = false;
+        }
+        if let HalfOutcome::Damaged(chunks) = outcome {
+            for index in chunks {
+                self.picker.mark_lost(index);
+                self.shared.transfer.remove_chunk(self.manifest.digest, index);
+            }
+        }
+    }
+
     async fn wait_and_handle(&mut self) {
         let event = async { self.events.recv().await.ok() };
         let peers = async {
@@ -297,6 +377,7 @@
             TransferEvent::Fetched(order, outcome) => {
                 self.fetch_ended(&order, outcome, now);
             }
+            TransferEvent::HalfEnded(outcome) => self.half_ended(outcome),
         }
     }
 
--- a/crates/agent/src/transfer/state.rs
+++ b/crates/agent/src/transfer/state.rs
@@ -170,6 +170,14 @@
         inner.watchers.send(&gained);
     }
 
+    /// Marks a chunk as not staged, so that it is not sent to other agents.
+    pub(crate) fn remove_chunk(&self, manifest: ManifestDigest, index: usize) {
+        let mut inner = self.lock();
+        if let Some(slot) = inner.weights.get_mut(&manifest).and_then(|i| i.held.get_mut(index)) {
+            *slot = false;
+        }
+    }
+
     /// Sets which chunks are being fetched from the origin; notifies the watchers of a change.
     pub(crate) fn set_origin_fetches(&self, manifest: ManifestDigest, origin_fetches: Vec<usize>) {
         let indices: Vec<_> = origin_fetches.into_iter().map(|index| index as u32).collect();
