--- /dev/null
+++ b/crates/testkit/tests/layer_engine.rs
@@ -0,0 +1,146 @@
+//! The platform's engine adapter with orders for a range of layers.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use cassiawheel_edge::{EngineError, HttpClient, LayerOrder, LoadOrder, ModelEngine};
+use cassiawheel_model::{
+    ChunkDigest, ChunkEntry, ChunkHash, LayerRange, LoadedLayers, ModelVersion, WeightManifest,
+};
+use cassiawheel_platform::PlatformEngine;
+use cassiawheel_testkit::stand_in::layer_engine::LayerEngine;
+use rstest::rstest;
+use serde_json::json;
+use smol::Timer;
+
+const LAYERS: u32 = 4;
+const CHUNKS: usize = 8;
+
+fn run(test: impl Future<Output = anyhow::Result<()>>) {
+    cassiawheel_runtime::run(4, test).expect("the executor runs").expect("the test passes");
+}
+
+fn chunk_bytes(version: u64, index: usize) -> Bytes {
+    Bytes::from(format!("version {version}, chunk {index}"))
+}
+
+fn manifest(version: u64) -> anyhow::Result<WeightManifest> {
+    let entry = |index| {
+        let bytes = chunk_bytes(version, index);
+        ChunkEntry { digest: ChunkDigest::of(&bytes), bytes: bytes.len() as u32 }
+    };
+    let chunks: Vec<_> = (0..CHUNKS).map(entry).collect();
+    let (name, length) = (ModelVersion::new(&format!("m:{version}"))?, chunks[0].bytes);
+    Ok(WeightManifest::from_chunks(name, length, ChunkHash::Blake3, chunks))
+}
+
+fn load_order(manifest: &WeightManifest) -> LoadOrder {
+    LoadOrder { version: manifest.version.clone(), manifest: manifest.digest, fencing: 1 }
+}
+
+fn lower_half(manifest: &WeightManifest) -> anyhow::Result<LayerOrder> {
+    let range = LayerRange::new(0, LAYERS / 2)?;
+    Ok(LayerOrder { load: load_order(manifest), range, layers: LAYERS })
+}
+
+/// An engine, its adapter, and version 1 with the chunks below `staged` staged.
+async fn staged_engine(
+    staged: usize,
+) -> anyhow::Result<(LayerEngine, PlatformEngine, WeightManifest)> {
+    let engine = LayerEngine::start().await?;
+    let adapter = PlatformEngine::new(HttpClient::default(), engine.addr());
+    let first = manifest(1)?;
+    adapter.open_staging(&first).await?;
+    for index in 0..staged {
+        adapter.stage_chunk(first.digest, index, chunk_bytes(1, index)).await?;
+    }
+    Ok((engine, adapter, first))
+}
+
+/// Guards against a range that waits for chunks of other layers, or is ordered with other fields
+/// than the platform's, and against a part that is reported as a served version.
+#[rstest]
+fn a_range_is_loaded_without_the_other_chunks() {
+    run(async {
+        let (engine, adapter, first) = staged_engine(CHUNKS / 2).await?;
+        let order = lower_half(&first)?;
+        adapter.load_layers(&order).await?;
+        let sent = engine.state().orders[0].body.clone();
+        let expected = json!({
+            "operation": "start", "model": "m", "version": 1, "drain_mode": "queue",
+            "from": 0, "target": 2,
+        });
+        anyhow::ensure!(sent == expected, "{sent}");
+        let status = adapter.status().await?;
+        let loaded = LoadedLayers { version: first.version.clone(), range: order.range };
+        anyhow::ensure!(status.version.is_none() && status.layers == Some(loaded), "{status:?}");
+
+        for index in CHUNKS / 2..CHUNKS {
+            adapter.stage_chunk(first.digest, index, chunk_bytes(1, index)).await?;
+        }
+        adapter.load_weights(&load_order(&first)).await?;
+        let sent = engine.state().orders[1].body.clone();
+        anyhow::ensure!(sent.get("from").is_none() && sent.get("target").is_none(), "{sent}");
+        let status = adapter.status().await?;
+        anyhow::ensure!(status.version == Some(first.version) && status.layers.is_none());
+        Ok(())
+    });
+}
+
+/// Guards against an answer from layers of which a chunk is missing or corrupt.
+#[rstest]
+#[case::missing(None)]
+#[case::corrupt(Some(Bytes::from_static(b"corrupt")))]
+fn a_range_with_a_damaged_chunk_is_not_loaded(#[case] found: Option<Bytes>) {
+    run(async {
+        let (engine, adapter, first) = staged_engine(CHUNKS).await?;
+        engine.state().chunks.remove(&2);
+        if let Some(bytes) = found {
+            engine.state().chunks.insert(2, bytes);
+        }
+        let answer = adapter.load_layers(&lower_half(&first)?).await;
+        let is_named = matches!(&answer, Err(EngineError::Damaged(chunks)) if *chunks == [2]);
+        anyhow::ensure!(is_named && engine.state().orders.is_empty(), "{answer:?}");
+        Ok(())
+    });
+}
+
+/// Guards against an engine without ranges that is ordered to load parts again and again.
+#[rstest]
+fn a_refused_range_is_told_from_other_refusals() {
+    run(async {
+        let (engine, adapter, first) = staged_engine(CHUNKS).await?;
+        engine.state().refuses_ranges = true;
+        let answer = adapter.load_layers(&lower_half(&first)?).await;
+        anyhow::ensure!(matches!(answer, Err(EngineError::Unsupported(_))), "{answer:?}");
+        adapter.load_weights(&load_order(&first)).await?;
+        Ok(())
+    });
+}
+
+/// Guards against a mixture of two versions: the next one is staged over the chunks of the range
+/// while they are being checked.
+#[rstest]
+fn another_version_is_not_staged_between_check_and_order() {
+    run(async {
+        let (engine, adapter, first) = staged_engine(CHUNKS).await?;
+        engine.state().read_delay = Duration::from_millis(20);
+        let second = manifest(2)?;
+        let order = lower_half(&first)?;
+        let stage_next = async {
+            // By now the first chunk of the range has been checked.
+            Timer::after(Duration::from_millis(30)).await;
+            adapter.open_staging(&second).await?;
+            adapter.stage_chunk(second.digest, 0, chunk_bytes(2, 0)).await?;
+            anyhow::Ok(())
+        };
+        let (loaded, staged) =
+            futures_util::future::join(adapter.load_layers(&order), stage_next).await;
+        staged?;
+        loaded?;
+        let received = engine.state().orders[0].clone();
+        let is_first = |(index, bytes): (&usize, &Bytes)| *bytes == chunk_bytes(1, *index);
+        anyhow::ensure!(received.chunks.iter().all(is_first), "{received:?}");
+        Ok(())
+    });
+}
