--- a/crates/agent/src/layers.rs
+++ b/crates/agent/src/layers.rs
@@ -124,16 +124,16 @@
     shared.metrics.loaded_layers.set(i64::from(count));
 }
 
-/// Layers for the report; none once the endpoint serves a whole version.
+/// Layers for the report; none once the endpoint serves a whole version or leaves.
 pub(crate) fn reported_layers(
     shared: &EndpointShared,
     state: &EndpointState,
 ) -> Option<LoadedLayers> {
-    let is_serving = matches!(state, EndpointState::Serving { .. });
-    shared.layers.release().reported().filter(|_| !is_serving).cloned()
+    let may_report = matches!(state, EndpointState::Empty | EndpointState::Switching);
+    shared.layers.release().reported().filter(|_| may_report).cloned()
 }
 
-/// Stops reporting layers, as a whole version is served from now on.
+/// Stops reporting layers; false if none were reported.
 pub(crate) fn withdraw(shared: &EndpointShared) -> bool {
     let is_withdrawn = shared.layers.release().withdraw(Timestamp::now());
     if is_withdrawn {
--- a/crates/agent/src/orders.rs
+++ b/crates/agent/src/orders.rs
@@ -184,6 +184,7 @@
     let resumed = gate.begin_switch().and_then(|()| gate.commit_switch(Some(version.clone())));
     drop(gate);
     if resumed.is_ok() {
+        layers::withdraw(shared);
         log::info!(target: "switch", version:% = version; "Adopted the version that the engine serves.");
     }
 }
@@ -260,9 +261,10 @@
     }
     let before = shared.gate().state().clone();
     shared.gate().begin_switch()?;
-    let had_layers = shared.layers.release().reported().is_some();
-    // An engine with some layers gets only requests of paths, and loads the rest beside them.
-    if !had_layers {
+    let has_layers = shared.layers.release().reported().is_some();
+    // An empty endpoint with some layers gets only requests of paths; its engine loads the rest
+    // beside them.
+    if before != EndpointState::Empty || !has_layers {
         announce_switch(shared).await;
     }
     while !shared.gate().can_swap_weights() {
