Paths through endpoints that hold a part of the layers: formation and choice

A path can only be constructed if its members hold all layers of one version once and in order; engines do not check that. A path is chosen only when no whole endpoint has capacity, and counts at every member.

The type is in crates/model, since the edge and the platform do not depend on crates/decide. A member counts by the time of its agent's load report, kept apart from the loads that answers carry: an answer says nothing of layers.

--- a/crates/decide/src/endpoint_tracker.rs
+++ b/crates/decide/src/endpoint_tracker.rs
@@ -57,6 +57,14 @@
 /// Time past its due time at which a request counts as overdue, in microseconds.
 const OVERDUE_US: u64 = 1_000_000;
 
+/// Age of the last load report of its agent from which an endpoint is no member of a path, in
+/// milliseconds.
+///
+/// Loads arrive every 200 to 600 ms, so one or two may be lost. An agent loads another version only
+/// 2,500 ms after it has reported that it holds no layers, so that an entry which hears nothing more
+/// of it has stopped using the former ones.
+pub const PATH_TTL_MS: u64 = 1_500;
+
 /// Bits of a packed report that hold its timestamp; the rest holds the request count.
 const TIME_BITS: u32 = 48;
 
@@ -96,6 +104,10 @@
 pub struct EndpointTracker {
     in_flight: AtomicU32,
     report: AtomicU64,
+    /// When the endpoint's agent last reported its load; zero before.
+    heard_at: AtomicU64,
+    /// Until when the endpoint is no member of a path since it has refused to be one.
+    off_paths_until: AtomicU64,
     /// Requests of this entry in flight when the last report arrived.
     own_at_report: AtomicU32,
     hard_limit: AtomicU32,
@@ -245,6 +257,32 @@
         self.set_hard_limit(limit);
     }
 
+    /// Records that the endpoint's agent measured the load at `measured_at`.
+    ///
+    /// Answers carry loads as well, but only the agent reports which layers the engine holds.
+    pub fn record_heard(&self, measured_at: Timestamp) {
+        self.heard_at.fetch_max(measured_at.0, Ordering::Relaxed);
+    }
+
+    /// When the endpoint's agent last reported its load; zero before.
+    pub fn heard_at(&self) -> Timestamp {
+        Timestamp(self.heard_at.load(Ordering::Relaxed))
+    }
+
+    /// Records that the endpoint does not hold the layers of a path or cannot compute them.
+    ///
+    /// It may be used again after as long as its reported layers count, since it has then reported
+    /// them anew.
+    pub fn leave_paths(&self, now: Timestamp) {
+        self.off_paths_until.fetch_max(now.0 + PATH_TTL_MS, Ordering::Relaxed);
+    }
+
+    /// Whether the layers that the endpoint has reported may be used.
+    pub fn may_join_path(&self, now: Timestamp) -> bool {
+        now.0 < self.heard_at().0 + PATH_TTL_MS
+            && now.0 >= self.off_paths_until.load(Ordering::Relaxed)
+    }
+
     /// Requests of this entry that were in flight when the last report arrived.
     pub fn own_at_report(&self) -> u32 {
         self.own_at_report.load(Ordering::Relaxed)
--- a/crates/decide/src/route.rs
+++ b/crates/decide/src/route.rs
@@ -26,6 +26,7 @@
 use crate::{
     affinity::{PrefixRing, bounded_load},
     endpoint_tracker::EndpointTracker,
+    path_candidate::PathCandidate,
     slot_share::{SlotCompetitor, SlotShare},
 };
 
@@ -72,6 +73,8 @@
     /// every state change creates a new snapshot.
     ring: OnceLock<PrefixRing>,
     in_flight: Arc<AtomicU32>,
+    /// Paths through endpoints that hold a part of the layers each.
+    paths: Vec<Arc<PathCandidate>>,
 }
 
 /// Endpoints by service. Immutable; changes replace the whole snapshot.
@@ -120,12 +123,14 @@
     FirstWithRoom,
     /// All other endpoints are full or ejected.
     LastResort,
+    /// No endpoint with all layers has capacity; this is the first one of a path that has.
+    LayerPath,
 }
 
 /// A chosen endpoint and the basis of the choice, for the decision log.
 #[derive(Debug, Clone, Copy)]
 pub struct RouteChoice<'a> {
-    /// Endpoint that was chosen.
+    /// Endpoint that was chosen; the first one if the request is sent on a path.
     pub candidate: &'a RouteCandidate,
     /// Rule that selected the endpoint.
     pub reason: RouteReason,
@@ -133,6 +138,8 @@
     pub cost: u32,
     /// Number of endpoints that serve the service.
     pub candidates: usize,
+    /// Path that the request is sent on; `None` if the endpoint has all layers.
+    pub layer_path: Option<&'a Arc<PathCandidate>>,
 }
 
 /// Additional samples from the near endpoints if none of the first ones has capacity.
@@ -178,6 +185,7 @@
             Self::NamedLimit => "named-limit",
             Self::FirstWithRoom => "first-with-room",
             Self::LastResort => "last-resort",
+            Self::LayerPath => "layer-path",
         }
     }
 }
@@ -228,7 +236,7 @@
 
     /// Requests that this entry may have in flight at the endpoint, including the extra capacity of
     /// the query.
-    fn capacity(&self, query: &RouteQuery<'_>) -> u32 {
+    pub(crate) fn capacity(&self, query: &RouteQuery<'_>) -> u32 {
         self.limit(query.max_in_flight, query.now).saturating_add(query.extra_capacity)
     }
 
@@ -247,7 +255,7 @@
             && !query.excluded.contains(&self.instance)
     }
 
-    fn is_usable(&self, query: &RouteQuery<'_>) -> bool {
+    pub(crate) fn is_usable(&self, query: &RouteQuery<'_>) -> bool {
         self.is_eligible(query) && !self.tracker.is_ejected(query.now) && !self.is_slow(query.now)
     }
 }
@@ -262,7 +270,18 @@
         let positions =
             candidates.iter().enumerate().map(|(p, c)| (c.instance.clone(), p)).collect();
         let has_direct = candidates.iter().any(|c| matches!(c.path, EndpointPath::Direct(_)));
-        Self { candidates, near, paced, has_direct, positions, ring: OnceLock::new(), in_flight }
+        let (ring, paths) = (OnceLock::new(), Vec::new());
+        Self { candidates, near, paced, has_direct, positions, ring, in_flight, paths }
+    }
+
+    /// Adds paths, which are chosen only where no endpoint has capacity.
+    pub fn with_paths(self, paths: Vec<Arc<PathCandidate>>) -> Self {
+        Self { paths, ..self }
+    }
+
+    /// Number of paths whose members all accept requests.
+    pub fn available_paths(&self, now: Timestamp) -> usize {
+        self.paths.iter().filter(|path| path.is_available(now)).count()
     }
 
     /// Count of this entry's in-flight requests at all endpoints.
@@ -289,6 +308,11 @@
                 }
             }
         }
+        for path in self.paths.iter().filter(|path| path.is_available(now)) {
+            let tracker = &path.first().tracker;
+            let limit = tracker.limit().min(max_in_flight);
+            slots.add_endpoint(limit, tracker.own_at_report(), tracker.recent_others(now));
+        }
         slots.capacity()
     }
 
@@ -426,7 +450,25 @@
         query: &RouteQuery<'_>,
     ) -> RouteChoice<'a> {
         let cost = candidate.cost(query.now);
-        RouteChoice { candidate, reason, cost, candidates: self.candidates.len() }
+        let candidates = self.candidates.len();
+        RouteChoice { candidate, reason, cost, candidates, layer_path: None }
+    }
+
+    /// The path of lower cost of two random ones, or else the first usable one from a random start.
+    fn choose_path(&self, query: &RouteQuery<'_>, rng: &mut impl Rng) -> Option<RouteChoice<'_>> {
+        if self.paths.is_empty() {
+            return None;
+        }
+        let mut draw = || &self.paths[rng.random_range(0..self.paths.len())];
+        let drawn = [draw(), draw()].into_iter().filter(|path| path.is_usable(query));
+        let drawn = drawn.min_by_key(|path| path.first().cost(query.now));
+        let scan = || {
+            let (before, after) = self.paths.split_at(rng.random_range(0..self.paths.len()));
+            after.iter().chain(before).find(|path| path.is_usable(query))
+        };
+        let path = drawn.or_else(scan)?;
+        let choice = self.choice(path.first(), RouteReason::LayerPath, query);
+        Some(RouteChoice { layer_path: Some(path), ..choice })
     }
 }
 
@@ -477,11 +519,12 @@
     ) -> Option<RouteChoice<'a>> {
         loop {
             let choice = self.choose(query, rng)?;
-            if choice
-                .candidate
-                .tracker
-                .try_acquire_paced(choice.candidate.capacity(query), query.now)
-            {
+            let (candidate, now) = (choice.candidate, query.now);
+            let is_acquired = match choice.layer_path {
+                Some(path) => path.try_acquire(query),
+                None => candidate.tracker.try_acquire_paced(candidate.capacity(query), now),
+            };
+            if is_acquired {
                 return Some(choice);
             }
         }
@@ -493,6 +536,7 @@
         query: &RouteQuery<'_>,
         rng: &mut impl Rng,
     ) -> Option<RouteChoice<'a>> {
-        self.services.get(query.service)?.choose(query, rng)
+        let service = self.services.get(query.service)?;
+        service.choose(query, rng).or_else(|| service.choose_path(query, rng))
     }
 }
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod header;
 pub mod home;
 pub mod ids;
+pub mod layer_path;
 pub mod layers;
 pub mod listing;
 pub mod manifest;
@@ -43,6 +44,7 @@
     ModelVersion, OperatorName, PresetName, RegionName, RequestId, RequestKey, ServiceName,
     WorkspaceId,
 };
+pub use layer_path::{LayerPath, MAX_PATH_MEMBERS, PathError, PathMember};
 pub use layers::{EmptyRange, LayerRange, LoadedLayers};
 pub use listing::{ListedEndpoint, ListedRow};
 pub use manifest::{ChunkEntry, ChunkHash, ManifestError, WeightManifest};
