--- a/crates/decide/src/endpoint_tracker.rs
+++ b/crates/decide/src/endpoint_tracker.rs
@@ -277,10 +277,14 @@
         self.off_paths_until.fetch_max(now.0 + PATH_TTL_MS, Ordering::Relaxed);
     }
 
+    /// Whether the endpoint's agent has reported recently enough for its layers to count.
+    pub fn is_heard(&self, now: Timestamp) -> bool {
+        now.0 < self.heard_at().0 + PATH_TTL_MS
+    }
+
     /// Whether the layers that the endpoint has reported may be used.
     pub fn may_join_path(&self, now: Timestamp) -> bool {
-        now.0 < self.heard_at().0 + PATH_TTL_MS
-            && now.0 >= self.off_paths_until.load(Ordering::Relaxed)
+        self.is_heard(now) && now.0 >= self.off_paths_until.load(Ordering::Relaxed)
     }
 
     /// Requests of this entry that were in flight when the last report arrived.
--- a/crates/decide/src/route.rs
+++ b/crates/decide/src/route.rs
@@ -279,11 +279,6 @@
         Self { paths, ..self }
     }
 
-    /// Number of paths whose members all accept requests.
-    pub fn available_paths(&self, now: Timestamp) -> usize {
-        self.paths.iter().filter(|path| path.is_available(now)).count()
-    }
-
     /// Count of this entry's in-flight requests at all endpoints.
     pub fn in_flight(&self) -> &Arc<AtomicU32> {
         &self.in_flight
@@ -502,6 +497,12 @@
         self.candidates().filter(|c| !c.tracker.backoff().is_due(now)).count()
     }
 
+    /// Number of paths whose members all accept requests.
+    pub fn available_paths(&self, now: Timestamp) -> usize {
+        let paths = self.services.values().flat_map(|service| &service.paths);
+        paths.filter(|path| path.is_available(now)).count()
+    }
+
     /// All endpoints of all services.
     pub fn candidates(&self) -> impl Iterator<Item = &RouteCandidate> {
         self.services.values().flat_map(|service| &service.candidates)
--- a/crates/edge/src/endpoints.rs
+++ b/crates/edge/src/endpoints.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use cassiawheel_model::{InstanceId, ModelVersion, NamedLimit, RequestId, WorkspaceId};
+use cassiawheel_model::{InstanceId, LayerPath, ModelVersion, NamedLimit, RequestId, WorkspaceId};
 use hyper::{HeaderMap, http::response::Parts};
 
 /// Metadata that an entry adds to a request when it forwards it to an endpoint.
@@ -22,6 +22,8 @@
     pub last_event: Option<u64>,
     /// Whether other requests queued at the endpoint run before this one.
     pub is_low_priority: bool,
+    /// Endpoints that the request passes through; `None` if the endpoint has all layers.
+    pub path: Option<&'a LayerPath>,
 }
 
 /// Metadata in the header fields of an endpoint's response.
@@ -39,6 +41,8 @@
     pub limit: Option<NamedLimit>,
     /// Whether the endpoint states that it is leaving.
     pub is_leaving: bool,
+    /// Address or id of the member of a path that a refusal is about.
+    pub at_server: Option<String>,
     /// Backoff that the endpoint requests from this entry.
     pub backoff: BackoffRequest,
     /// Time for which the endpoint keeps an idle connection open.
--- a/crates/entry/src/caller.rs
+++ b/crates/entry/src/caller.rs
@@ -14,6 +14,7 @@
 mod identify;
 mod outcome;
 mod passthrough;
+mod path_attempt;
 mod progress;
 mod relay;
 mod routed;
@@ -33,6 +34,7 @@
 use hyper::{Request, Response, StatusCode, body::Incoming};
 
 pub(crate) use admit::EntryAdmission;
+pub(crate) use path_attempt::PathAttempt;
 pub(crate) use progress::{RequestProgress, RequestStage};
 pub(crate) use routed::{accept as accept_routed, answer_advice, answer_ready};
 
--- a/crates/entry/src/caller/attempts.rs
+++ b/crates/entry/src/caller/attempts.rs
@@ -9,8 +9,8 @@
 };
 
 use cassiawheel_decide::{
-    AttemptFailure, BAR_DURATION, EndpointPath, EndpointTracker, RepeatGuard, RetryBudget,
-    RetryStep, RetryTracker, RouteQuery, RouteSnapshot,
+    AttemptFailure, BAR_DURATION, EndpointPath, EndpointTracker, PathCandidate, RepeatGuard,
+    RetryBudget, RetryStep, RetryTracker, RouteChoice, RouteQuery, RouteSnapshot,
 };
 use cassiawheel_model::{
     Deadline, ForcedPreset, InstanceId, ModelVersion, NotRunReason, PresetRevision, Repeatability,
@@ -24,6 +24,7 @@
     crash_detection::{LostRun, RunTarget, await_turn, record_answered, record_lost_run},
     dispatch::{AttemptStream, DispatchedRequest, ResponseHead, dispatch},
     identify::IdentifiedRequest,
+    path_attempt::PathAttempt,
     progress::{RequestProgress, RequestStage},
 };
 use crate::{crashes::SuspectRun, shared::EntryShared};
@@ -97,23 +98,29 @@
     }
 }
 
-/// Counts one request at its endpoint and its service until dropped.
+/// Counts one request at its endpoint or path and its service until dropped.
 pub(crate) struct LoadGuard {
     tracker: Arc<EndpointTracker>,
+    /// Path of which the endpoint is the first member, if the request is sent on one.
+    path: Option<Arc<PathCandidate>>,
     service: Arc<AtomicU32>,
 }
 
 impl LoadGuard {
-    /// Takes over a request that the endpoint's counter already includes.
-    fn adopt(tracker: Arc<EndpointTracker>, service: Arc<AtomicU32>) -> Self {
+    /// Takes over a request that the counters of the choice already include.
+    fn adopt(choice: &RouteChoice<'_>, service: Arc<AtomicU32>) -> Self {
         service.fetch_add(1, Ordering::Relaxed);
-        Self { tracker, service }
+        let path = choice.layer_path.cloned();
+        Self { tracker: choice.candidate.tracker.clone(), path, service }
     }
 }
 
 impl Drop for LoadGuard {
     fn drop(&mut self) {
         self.tracker.release();
+        if let Some(path) = &self.path {
+            path.other_trackers().for_each(|tracker| tracker.release());
+        }
         self.service.fetch_sub(1, Ordering::Relaxed);
     }
 }
@@ -294,14 +301,18 @@
             log::info!(target: "route", request:% = head.id, workspace:% = head.workspace, service:% = head.service, revision = preset.revision.0, excluded = self.excluded.len(); "No endpoint for a request.");
             return Err(AttemptFailure::NotRun(no_endpoint_reason(&routes, head)));
         };
-        let candidate = choice.candidate;
-        log::info!(target: "route", request:% = head.id, workspace:% = head.workspace, endpoint:% = candidate.instance, reason = choice.reason.as_str(), cost = choice.cost, near = candidate.is_near, candidates = choice.candidates, revision = preset.revision.0, attempt = self.tracker.attempts() + 1; "Chose an endpoint.");
-        let load = LoadGuard::adopt(candidate.tracker.clone(), service.in_flight().clone());
+        let (candidate, layer_path) = (choice.candidate, choice.layer_path);
+        let path_text = layer_path.map(|path| path.path().to_string()).unwrap_or_default();
+        log::info!(target: "route", request:% = head.id, workspace:% = head.workspace, endpoint:% = candidate.instance, path = path_text, reason = choice.reason.as_str(), cost = choice.cost, near = candidate.is_near, candidates = choice.candidates, revision = preset.revision.0, attempt = self.tracker.attempts() + 1; "Chose an endpoint.");
+        let load = LoadGuard::adopt(&choice, service.in_flight().clone());
+        let path_attempt = layer_path.map(|path| PathAttempt::new(path.clone()));
         let (instance, path) = (candidate.instance.clone(), candidate.path);
         let born_at = candidate.born_at;
         let candidate_version = candidate.version.clone();
         let version = match path {
             EndpointPath::Agent => candidate.version.clone(),
+            // A member that has loaded another version since must not compute its layers.
+            EndpointPath::Direct(_) if path_attempt.is_some() => candidate.version.clone(),
             // The endpoint refuses the request if it serves another version after all.
             EndpointPath::Direct(_) => candidate.version.clone().filter(|_| allowed_far.is_some()),
         };
@@ -309,6 +320,7 @@
         self.excluded.push(instance.clone());
         self.tracker.begin_attempt();
         shared.metrics.attempts.inc();
+        shared.metrics.path_attempts.inc_by(u64::from(path_attempt.is_some()));
         let routed = RequestHead { revision: preset.revision, version, ..head.clone() };
         let sent = DispatchedRequest {
             instance: &instance,
@@ -317,19 +329,32 @@
             request: &self.request,
             last_event: self.last_event,
             progress: &self.progress,
+            path: path_attempt.as_ref(),
         };
         let start_by = shared.start_by(&head.service, candidate_version.as_ref());
-        let response: ResponseHead =
-            match dispatch(shared, path, sent, &load.tracker, start_by).await {
-                Ok(response) => response,
-                Err(end) => {
-                    record_failure(shared, &routed, self.excluded.last(), &load.tracker, &end);
-                    let target = RunTarget { instance, path };
-                    let lost_run = LostRun { target: &target, answering: false, end: &end };
-                    record_lost_run(shared, &self.request, lost_run).await;
-                    return Err(end);
+        let response: ResponseHead = match dispatch(shared, path, sent, &load.tracker, start_by)
+            .await
+        {
+            Ok(response) => response,
+            Err(end) => {
+                match &path_attempt {
+                    None => {
+                        record_failure(shared, &routed, self.excluded.last(), &load.tracker, &end)
+                    }
+                    Some(attempt) => {
+                        record_path_failure(attempt, &load.tracker, &end);
+                        if let Some(member) = attempt.refused_member() {
+                            self.excluded.pop();
+                            self.excluded.push(member.clone());
+                        }
+                    }
                 }
-            };
+                let target = RunTarget { instance, path };
+                let lost_run = LostRun { target: &target, answering: false, end: &end };
+                record_lost_run(shared, &self.request, lost_run).await;
+                return Err(end);
+            }
+        };
         load.tracker.record_success();
         self.progress.enter(RequestStage::Relaying);
         let delay_ms = Timestamp::now().since(now).as_millis() as u64;
@@ -411,6 +436,24 @@
     }
 }
 
+/// Updates the state of a path's members after an attempt without a response.
+fn record_path_failure(attempt: &PathAttempt, first: &EndpointTracker, end: &AttemptFailure) {
+    let now = Timestamp::now();
+    match end {
+        // The member that is named is already out of the paths.
+        _ if attempt.refused_member().is_some() => {}
+        AttemptFailure::NotRun(NotRunReason::Overloaded) => first.record_refusal(now),
+        AttemptFailure::NotRun(NotRunReason::ConnectFailed)
+        | AttemptFailure::Unknown(_)
+        | AttemptFailure::Lost(_) => {
+            if attempt.record_failure(now) {
+                log::warn!(target: "path", endpoint:% = attempt.path().first().instance, path:% = attempt.path(); "Ejected the first endpoint of a path that fails.");
+            }
+        }
+        AttemptFailure::NotRun(_) | AttemptFailure::Unanswered(_) => {}
+    }
+}
+
 fn final_outcome(end: AttemptFailure) -> RequestOutcome {
     match end {
         AttemptFailure::NotRun(reason) => RequestOutcome::NotRun {
--- a/crates/entry/src/caller/dispatch.rs
+++ b/crates/entry/src/caller/dispatch.rs
@@ -21,6 +21,7 @@
 
 use super::{
     identify::IdentifiedRequest,
+    path_attempt::PathAttempt,
     progress::{RequestProgress, RequestStage},
 };
 use crate::{
@@ -44,6 +45,8 @@
     pub(super) last_event: Option<u64>,
     /// Stage of the request.
     pub(super) progress: &'a RequestProgress,
+    /// Path of which the endpoint is the first member, if the request is sent on one.
+    pub(super) path: Option<&'a PathAttempt>,
 }
 
 /// Head of a response and the stream of its rest.
@@ -230,6 +233,7 @@
         version: head.version.as_ref(),
         last_event: sent.last_event,
         is_low_priority: sent.request.tier == AdmitTier::Returned,
+        path: sent.path.map(PathAttempt::path),
     };
     let request = DirectRequest {
         head,
@@ -237,6 +241,7 @@
         body: &sent.request.body,
         forward,
         progress: sent.progress,
+        path: sent.path,
     };
     let response = routed.direct.send(target, request).await?;
     if let Some(load) = response.metadata.load {
--- a/crates/entry/src/control/gossip.rs
+++ b/crates/entry/src/control/gossip.rs
@@ -25,6 +25,7 @@
 use crate::{
     limits::update_paces,
     overlay::{OverlayState, is_in_other_region},
+    paths::refresh_paths,
     routed::RoutedState,
     shared::EntryShared,
 };
@@ -89,6 +90,7 @@
         derive_stale_state(&shared, &routed);
         refresh_own_record(&shared, &routed);
         update_paces(&shared, &routed, Timestamp::now());
+        refresh_paths(&shared, &routed, Timestamp::now());
         let sent = send_updates(&shared, &routed, Timestamp::now());
         let span = if sent > LARGE_MESSAGE_ITEMS { LARGE_SEND_INTERVAL } else { MIN_SEND_INTERVAL };
         Timer::after(span).await;
@@ -312,8 +314,8 @@
     let mut roster = shared.roster();
     let mut changed = false;
     for report in reports {
-        let known = roster.member(&report.instance).map(|member| &member.report.state);
-        let is_change = known != Some(&report.state);
+        let known = roster.member(&report.instance).map(|member| &member.report);
+        let is_change = known.is_none_or(|known| !known.routes_alike(&report));
         changed |= roster.apply_report(report, now) && is_change;
     }
     drop(roster);
@@ -331,6 +333,7 @@
             let measured_at = Timestamp(now.0.saturating_sub(u64::from(row.age_ms)));
             let load = LoadReport { in_flight: row.load, queued: 0, measured_at };
             tracker.apply_report(&load, tracker.hard_limit());
+            tracker.record_heard(measured_at);
         }
     }
 }
--- a/crates/entry/src/direct.rs
+++ b/crates/entry/src/direct.rs
@@ -19,7 +19,7 @@
 
 use self::pool::{ConnectionPool, EndpointConnection};
 use crate::{
-    caller::{RequestProgress, RequestStage},
+    caller::{PathAttempt, RequestProgress, RequestStage},
     departures::DepartureMonitor,
     limits::LimitTracker,
 };
@@ -61,6 +61,8 @@
     pub(crate) forward: ForwardMetadata<'a>,
     /// Stage of the request.
     pub(crate) progress: &'a RequestProgress,
+    /// Path of which the endpoint is the first member, if the request is sent on one.
+    pub(crate) path: Option<&'a PathAttempt>,
 }
 
 /// Head of a response and the stream of its rest.
@@ -112,15 +114,20 @@
         target: DirectTarget<'_>,
         sent: DirectRequest<'_>,
     ) -> Result<DirectResponse, AttemptFailure> {
-        let head = sent.head;
+        let (head, path) = (sent.head, sent.path);
         let (reply, connection) = self.exchange(target, sent).await?;
         let (parts, body) = reply.into_parts();
         let metadata = self.protocol.read_metadata(&parts);
-        self.apply_statements(target, head, &parts, &metadata);
-        // Refusals are skipped unless they state a limit: they may come from another process, or
-        // from one that has not checked its limit.
-        if metadata.limit.is_some() || !metadata.not_run {
-            self.limits.observe(target.instance, metadata.limit);
+        if let Some(path) = path.filter(|_| is_answer_to(head, &metadata)) {
+            path.observe(head, parts.status, &metadata);
+        }
+        if !path.is_some_and(PathAttempt::is_about_other) {
+            self.apply_statements(target, head, &parts, &metadata);
+            // Refusals are skipped unless they state a limit: they may come from another process,
+            // or from one that has not checked its limit.
+            if metadata.limit.is_some() || !metadata.not_run {
+                self.limits.observe(target.instance, metadata.limit);
+            }
         }
         let stream = DirectStream {
             body,
@@ -128,7 +135,8 @@
             connection: Some(connection),
             metadata: metadata.clone(),
         };
-        match check_head(head, &parts, &metadata) {
+        let failure = path.and_then(|path| path.failure(&metadata));
+        match check_head(head, &parts, &metadata).and(failure.map_or(Ok(()), Err)) {
             Ok(()) => Ok(DirectResponse { parts, metadata, stream }),
             Err(end) => {
                 if matches!(end, AttemptFailure::NotRun(_)) {
@@ -223,6 +231,11 @@
     }
 }
 
+/// Whether the response repeats the id of this request.
+fn is_answer_to(head: &RequestHead, metadata: &ResponseMetadata) -> bool {
+    metadata.request.as_deref() == Some(head.id.as_str())
+}
+
 /// Checks that the response belongs to this request and comes from the endpoint itself.
 fn check_head(
     head: &RequestHead,
@@ -231,7 +244,7 @@
 ) -> Result<(), AttemptFailure> {
     // An endpoint may send a second response to an earlier request, which would be mistaken for the
     // response to the next one. The request id that every endpoint echoes identifies them.
-    if metadata.request.as_deref() != Some(head.id.as_str()) {
+    if !is_answer_to(head, metadata) {
         return Err(AttemptFailure::Unknown("the answer belongs to another request".to_owned()));
     }
     if metadata.not_run {
--- a/crates/entry/src/inner.rs
+++ b/crates/entry/src/inner.rs
@@ -209,8 +209,8 @@
     let (load, limit) = (report.load, report.limit);
     let instance = report.instance.clone();
     let mut roster = shared.roster();
-    let known = roster.member(&instance).map(|member| member.report.state.clone());
-    let changed = known.as_ref() != Some(&report.state);
+    let known = roster.member(&instance).map(|member| &member.report);
+    let changed = known.is_none_or(|known| !known.routes_alike(&report));
     let published = shared.routed.is_some().then(|| report.clone());
     if !roster.apply_report(report, Timestamp::now()) {
         return;
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -17,6 +17,7 @@
 mod link;
 mod metrics;
 mod overlay;
+mod paths;
 mod routed;
 mod serve;
 mod shared;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -17,6 +17,10 @@
     pub(crate) limited: IntGauge,
     /// Number of endpoints that get no requests because they have requested backoff.
     pub(crate) backed_off: IntGauge,
+    /// Number of paths of endpoints that accept requests.
+    pub(crate) paths: IntGauge,
+    /// Attempts sent on a path of endpoints.
+    pub(crate) path_attempts: IntCounter,
     /// Number of requests in progress.
     pub(crate) in_flight: IntGauge,
     /// Revision of the active preset.
@@ -54,6 +58,14 @@
                 name("backed_off_endpoints"),
                 "Endpoints that get no requests since they have requested backoff",
             )?,
+            paths: IntGauge::new(
+                name("layer_paths"),
+                "Paths of endpoints with a part of the layers each that accept requests",
+            )?,
+            path_attempts: IntCounter::new(
+                name("layer_path_attempts_total"),
+                "Attempts sent on a path of endpoints with a part of the layers each",
+            )?,
             in_flight: IntGauge::new(name("in_flight"), "Requests in progress")?,
             revision: IntGauge::new(name("revision"), "Revision of the preset in force")?,
             store_reads: IntCounter::new(name("store_reads_total"), "Reads of the table service")?,
@@ -77,6 +89,8 @@
         registry.register(Box::new(metrics.outcomes.clone()))?;
         registry.register(Box::new(metrics.abandoned.clone()))?;
         registry.register(Box::new(metrics.attempts.clone()))?;
+        registry.register(Box::new(metrics.paths.clone()))?;
+        registry.register(Box::new(metrics.path_attempts.clone()))?;
         registry.register(Box::new(metrics.in_flight.clone()))?;
         registry.register(Box::new(metrics.revision.clone()))?;
         registry.register(Box::new(metrics.store_reads.clone()))?;
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -30,6 +30,7 @@
     limits::cold_bound,
     link::AgentLink,
     metrics::EntryMetrics,
+    paths::{PathMonitor, PathSources, ServicePaths},
     routed::{RoutedState, direct_candidates, reports_by_endpoint},
 };
 
@@ -88,6 +89,8 @@
     peers: Mutex<EntryRoster>,
     peer_links: Mutex<Vec<PeerLink>>,
     requests: AtomicU64,
+    /// Paths through endpoints that hold a part of the layers each.
+    pub(crate) paths: PathMonitor,
 }
 
 impl EntryShared {
@@ -135,6 +138,7 @@
             peers: Mutex::default(),
             peer_links: Mutex::default(),
             requests: AtomicU64::new(0),
+            paths: PathMonitor::default(),
         }
     }
 
@@ -396,6 +400,7 @@
         drop((listing, roster));
         let tracker = self.counters().endpoint(&instance);
         tracker.apply_report(&load, tracker.hard_limit());
+        tracker.record_heard(load.measured_at);
     }
 
     /// Removes an endpoint from the list because another process answers at its address.
@@ -414,14 +419,18 @@
     pub(crate) fn rebuild_routes(&self) {
         let roster = self.roster();
         let mut counters = self.counters();
-        let services = match &self.routed {
+        let (mut services, mut paths) = match &self.routed {
             Some(routed) => self.listed_candidates(routed, &roster, &mut counters),
-            None => self.reported_candidates(&roster, &mut counters),
+            None => (self.reported_candidates(&roster, &mut counters), ServicePaths::new()),
         };
+        for service in paths.keys() {
+            services.entry(service.clone()).or_default();
+        }
         counters.drop_unused(Timestamp::now());
         let routed = services.into_iter().map(|(service, candidates)| {
             let in_flight = counters.service(&service);
-            (service, ServiceRoutes::new(candidates, in_flight))
+            let paths = paths.remove(&service).unwrap_or_default();
+            (service, ServiceRoutes::new(candidates, in_flight).with_paths(paths))
         });
         let snapshot = RouteSnapshot::new(routed.collect());
         // Stored while the roster is locked: a snapshot from before an endpoint began to leave must
@@ -459,16 +468,16 @@
         services
     }
 
-    /// Returns the endpoints in the platform's list that serve.
+    /// Returns the endpoints in the platform's list that serve, and the paths through others.
     fn listed_candidates(
         &self,
         routed: &RoutedState,
         roster: &EndpointRoster,
         counters: &mut CounterRegistry,
-    ) -> ServiceCandidates {
+    ) -> (ServiceCandidates, ServicePaths) {
         let mut services = ServiceCandidates::new();
         let Some(preset) = self.active_preset.load_full() else {
-            return services;
+            return (services, ServicePaths::new());
         };
         let mut counters_by_agent = HashMap::new();
         let reports = reports_by_endpoint(roster.members().map(|member| &member.report));
@@ -516,11 +525,22 @@
                 tracker,
             });
         }
+        let sources = PathSources {
+            routed,
+            preset: &preset,
+            own_region: &self.settings.place.region,
+            reports: &reports,
+            listing: &listing,
+            evacuations: &evacuations,
+            departures: &departures,
+            now,
+        };
+        let paths = self.paths.form(&sources, counters, &mut counters_by_agent);
         let listed: HashSet<_> = listing.endpoints().map(|listed| &listed.instance).collect();
         routed.direct.retain_listed(|instance| listed.contains(instance));
         counters.processes.keep_only(|instance| listed.contains(instance));
         routed.counters_by_agent.store(Arc::new(counters_by_agent));
-        services
+        (services, paths)
     }
 
     fn counters(&self) -> MutexGuard<'_, CounterRegistry> {
--- a/crates/model/src/endpoint.rs
+++ b/crates/model/src/endpoint.rs
@@ -102,6 +102,11 @@
     pub fn is_newer_than(&self, known: &Self) -> bool {
         (self.incarnation, self.sequence) > (known.incarnation, known.sequence)
     }
+
+    /// Whether requests are routed to the endpoint by this report as by `other`.
+    pub fn routes_alike(&self, other: &Self) -> bool {
+        self.state == other.state && self.layers == other.layers
+    }
 }
 
 /// How much of a manifest an endpoint holds.
--- a/crates/testkit/src/stand_in.rs
+++ b/crates/testkit/src/stand_in.rs
@@ -2,6 +2,7 @@
 
 pub mod engine;
 pub mod instances;
+pub mod layer_agent;
 pub mod limited_origin;
 pub mod link;
 pub mod origin;
--- a/crates/testkit/src/stand_in/replica.rs
+++ b/crates/testkit/src/stand_in/replica.rs
@@ -100,6 +100,17 @@
     pub value: String,
 }
 
+/// Refusal of the requests on a path, on account of one of its members.
+#[derive(Debug, Clone, Copy)]
+pub struct PathRefusal {
+    /// Status of the answer.
+    pub status: u16,
+    /// Position on the path of the member that is named.
+    pub position: usize,
+    /// Whether the request does not run; otherwise it is counted as run.
+    pub is_not_run: bool,
+}
+
 /// State of the endpoint: its mode, and the requests that it has received and run.
 #[derive(Debug)]
 pub struct Replica {
@@ -114,6 +125,7 @@
     left_at: Mutex<Option<Timestamp>>,
     backoff: Mutex<Option<String>>,
     backoffs: Mutex<Vec<BackoffRecord>>,
+    path_refusal: Mutex<Option<PathRefusal>>,
     arrivals: Mutex<Vec<RequestArrival>>,
     open: Arc<AtomicUsize>,
     ended: Arc<AtomicBool>,
@@ -143,6 +155,7 @@
             left_at: Mutex::default(),
             backoff: Mutex::default(),
             backoffs: Mutex::default(),
+            path_refusal: Mutex::default(),
             arrivals: Mutex::default(),
             open: Arc::default(),
             ended: Arc::default(),
@@ -219,6 +232,11 @@
             value.map(str::to_owned);
     }
 
+    /// Refuses the requests on a path from now on; `None` ends the refusals.
+    pub fn refuse_paths(&self, refusal: Option<PathRefusal>) {
+        *self.path_refusal.lock().unwrap_or_else(|poison| poison.into_inner()) = refusal;
+    }
+
     /// All refusals that requested backoff.
     pub fn backoffs(&self) -> Vec<BackoffRecord> {
         self.backoffs.lock().unwrap_or_else(|poison| poison.into_inner()).clone()
@@ -256,6 +274,9 @@
         if let Some(reply) = self.refuse_with_backoff(&id) {
             return reply;
         }
+        if let Some(reply) = text("path").and_then(|path| self.refuse_path(path, &id)) {
+            return reply;
+        }
         let mode = *self.mode.lock().unwrap_or_else(|poison| poison.into_inner());
         if mode == ReplicaMode::Refuses {
             let mut reply = self.reply(503, &id, full_body(""));
@@ -263,12 +284,7 @@
             return reply;
         }
         let body = read_body(body, 1 << 20).await.unwrap_or_default();
-        *self
-            .runs
-            .lock()
-            .unwrap_or_else(|poison| poison.into_inner())
-            .entry(id.clone())
-            .or_default() += 1;
+        self.count_run(&id);
         self.heads.lock().unwrap_or_else(|poison| poison.into_inner()).push(parts.headers.clone());
         let is_fatal_part = |part: &str| part.split(':').next() == Some(FATAL_PART);
         let prompt = text("x-cassiawheel-prompt-prefix").and_then(|prompt| prompt.rsplit_once(','));
@@ -307,6 +323,25 @@
         }
     }
 
+    fn count_run(&self, id: &str) {
+        let mut runs = self.runs.lock().unwrap_or_else(|poison| poison.into_inner());
+        *runs.entry(id.to_owned()).or_default() += 1;
+    }
+
+    fn refuse_path(&self, path: &str, id: &str) -> Option<Response<ReplyBody>> {
+        let refusal = *self.path_refusal.lock().unwrap_or_else(|poison| poison.into_inner());
+        let PathRefusal { status, position, is_not_run } = refusal?;
+        let (member, _) = path.split(',').nth(position)?.split_once('=')?;
+        let mut reply = self.reply(status, id, full_body(""));
+        reply.headers_mut().insert("at-server", member.parse().expect("valid"));
+        if is_not_run {
+            reply.headers_mut().insert("x-cassiawheel-not-executed", "1".parse().expect("valid"));
+        } else {
+            self.count_run(id);
+        }
+        Some(reply)
+    }
+
     fn refuse_with_backoff(&self, id: &str) -> Option<Response<ReplyBody>> {
         let value = self.backoff.lock().unwrap_or_else(|poison| poison.into_inner()).clone()?;
         let mut reply = self.reply(503, id, full_body(""));
