--- a/crates/testkit/src/stand_in/layer_agent.rs
+++ b/crates/testkit/src/stand_in/layer_agent.rs
@@ -102,44 +102,48 @@
     LoadReport { in_flight: 0, queued: 0, measured_at: Timestamp::now() }
 }
 
+/// Reports until the task is dropped; connects again when the connection has ended.
 async fn report_regularly(
     plan: LayerPlan,
     mut report: EndpointReport,
     state: Arc<Mutex<AgentState>>,
 ) {
-    let Ok((sender, _receiver)) = connect(plan.entry, plan.inner_key, None).await else {
-        return;
-    };
-    let hello = HelloMessage {
-        kind: ProcessKind::Agent,
-        instance: report.instance.clone(),
-        incarnation: report.incarnation,
-    };
-    if sender.send(hello).await.is_err() {
-        return;
-    }
     loop {
-        let AgentState { layers, is_silent } = lock(&state).clone();
-        if !is_silent && send_state(&sender, &mut report, layers).await.is_err() {
-            return;
+        if let Ok((sender, _receiver)) = connect(plan.entry, plan.inner_key, None).await {
+            let hello = HelloMessage {
+                kind: ProcessKind::Agent,
+                instance: report.instance.clone(),
+                incarnation: report.incarnation,
+            };
+            if sender.send(hello).await.is_ok() {
+                report_over(&sender, &mut report, &state).await;
+            }
         }
         Timer::after(REPORT_INTERVAL).await;
     }
 }
 
-/// Sends the load, and the whole report if the layers have changed.
-async fn send_state(
-    sender: &WireSender,
-    report: &mut EndpointReport,
-    layers: Option<LoadedLayers>,
-) -> anyhow::Result<()> {
-    if report.sequence > 0 && report.layers == layers {
-        sender.send(ControlMessage::Beat(idle())).await?;
-        return Ok(());
+/// Reports over one connection until it ends. The first report is whole, and so is each one after
+/// a change of the layers; the others are loads.
+async fn report_over(sender: &WireSender, report: &mut EndpointReport, state: &Mutex<AgentState>) {
+    let mut is_known = false;
+    loop {
+        let AgentState { layers, is_silent } = lock(state).clone();
+        let message = if is_silent {
+            // Entries ignore it, but it keeps the connection open.
+            ControlMessage::ReportWanted
+        } else if is_known && report.layers == layers {
+            ControlMessage::Beat(idle())
+        } else {
+            report.sequence += 1;
+            report.layers = layers;
+            report.load = idle();
+            ControlMessage::Report(Box::new(report.clone()))
+        };
+        if sender.send(message).await.is_err() {
+            return;
+        }
+        is_known |= !is_silent;
+        Timer::after(REPORT_INTERVAL).await;
     }
-    report.sequence += 1;
-    report.layers = layers;
-    report.load = idle();
-    sender.send(ControlMessage::Report(Box::new(report.clone()))).await?;
-    Ok(())
 }
--- a/crates/testkit/tests/layer_paths.rs
+++ b/crates/testkit/tests/layer_paths.rs
@@ -254,6 +254,8 @@
         paths.agents[silent].set_silent(true);
         // Answers of the first member must not count as reports of its agent.
         paths.site.load("safe", EXPIRY_TIME, "meanwhile").await?;
+        let log = std::fs::read_to_string(paths.site.log(0))?;
+        assert!(log.contains("expired"), "the reports ended first");
         paths.assert_unserved("silent").await?;
         paths.agents[silent].set_silent(false);
         paths.await_paths(1).await?;
