--- a/crates/entry/src/paths.rs
+++ b/crates/entry/src/paths.rs
@@ -5,7 +5,7 @@
 //! Used where the engine profile of the active preset names more than one layer.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, HashMap, HashSet},
     net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard,
@@ -15,8 +15,8 @@
 };
 
 use cassiawheel_decide::{
-    DepartureTable, EndpointListing, EndpointTracker, EvacuationTable, LayerHolder, MemberState,
-    PathCandidate, form_paths, rank::subject_of,
+    DepartureTable, EndpointListing, EndpointRoster, EndpointTracker, EvacuationTable, LayerHolder,
+    MemberState, PathCandidate, form_paths, rank::subject_of,
 };
 use cassiawheel_model::{
     Deadline, EndpointReport, EndpointState, ForcedPreset, InstanceId, LayerPath, ListedEndpoint,
@@ -43,7 +43,9 @@
     pub(crate) preset: &'a ForcedPreset,
     /// Region of the entry.
     pub(crate) own_region: &'a RegionName,
-    /// Reports by the address of the endpoint.
+    /// Endpoints whose agents are connected to an entry.
+    pub(crate) roster: &'a EndpointRoster,
+    /// Their reports by the address of the endpoint.
     pub(crate) reports: &'a HashMap<SocketAddr, &'a EndpointReport>,
     /// The list of endpoints.
     pub(crate) listing: &'a EndpointListing,
@@ -60,6 +62,8 @@
 enum Exclusion {
     /// Its failure domain is evacuated.
     Evacuated,
+    /// Two agents report about its address, and it is unknown which report applies.
+    ReportedTwice,
     /// It leaves.
     Leaving,
     /// It tolerates a low rate of requests only.
@@ -76,6 +80,7 @@
     fn as_str(self) -> &'static str {
         match self {
             Self::Evacuated => "evacuated",
+            Self::ReportedTwice => "reported-twice",
             Self::Leaving => "leaving",
             Self::Cold => "cold",
             Self::Limited => "limited",
@@ -127,6 +132,7 @@
         let has_layers = sources.reports.values().any(|report| report.layers.is_some())
             && sources.preset.content.services.keys().any(is_known);
         if has_layers {
+            formation.reported_twice = reported_twice(sources.roster);
             for listed in sources.listing.latest_per_addr(is_known) {
                 let report = sources.reports.get(&listed.addr).copied();
                 if let Some((report, layers)) =
@@ -212,6 +218,13 @@
     report.layers.as_ref().filter(|_| is_idle && report.service == listed.service)
 }
 
+/// Addresses of endpoints about which two agents report.
+fn reported_twice(roster: &EndpointRoster) -> HashSet<SocketAddr> {
+    let mut known = HashSet::new();
+    let addrs = roster.members().filter_map(|member| member.report.endpoint_addr);
+    addrs.filter(|addr| !known.insert(*addr)).collect()
+}
+
 /// First member of a dropped path that is no holder any more or excluded, and why.
 fn drop_reason<'a>(
     members: &'a [InstanceId],
@@ -234,6 +247,8 @@
 struct PathFormation {
     holders: Vec<WatchedHolder>,
     members: HashMap<ServiceName, Vec<LayerHolder>>,
+    /// Addresses about which two agents report.
+    reported_twice: HashSet<SocketAddr>,
     states: HashMap<InstanceId, MemberState>,
 }
 
@@ -258,7 +273,10 @@
             let delays = routed.region_delays(&listed.service, region, sources.own_region);
             tracker.set_region(delays);
         }
-        let exclusion = exclusion(sources, listed, &tracker);
+        let exclusion = match self.reported_twice.contains(&listed.addr) {
+            true => Some(Exclusion::ReportedTwice),
+            false => exclusion(sources, listed, &tracker),
+        };
         if exclusion.is_none() {
             // A pace from before the layers were loaded is updated for whole endpoints only.
             tracker.set_pace(None, sources.now);
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -529,6 +529,7 @@
             routed,
             preset: &preset,
             own_region: &self.settings.place.region,
+            roster,
             reports: &reports,
             listing: &listing,
             evacuations: &evacuations,
