Fourth load figure of endpoints, parsed and logged

An endpoint's load header may carry a fourth figure: how long work takes there at present, in percent. It is parsed and written as `speed` to the line "An answer begins." (0 if it is absent), so that its rate of change can be measured from logs. Nothing is decided by it yet.

--- a/crates/edge/src/endpoints.rs
+++ b/crates/edge/src/endpoints.rs
@@ -70,6 +70,9 @@
     pub waiting: u32,
     /// Maximum number of concurrent requests.
     pub slots: u32,
+    /// Time that work takes there at present, in percent of the usual time, if the endpoint states
+    /// it.
+    pub speed: Option<u32>,
 }
 
 /// Encodes the metadata of forwarded requests and parses that of responses.
--- a/crates/entry/src/caller/attempts.rs
+++ b/crates/entry/src/caller/attempts.rs
@@ -333,7 +333,7 @@
         load.tracker.record_success();
         self.progress.enter(RequestStage::Relaying);
         let delay_ms = Timestamp::now().since(now).as_millis() as u64;
-        log::info!(target: "answer", request:% = self.request.head.id, endpoint:% = instance, status = response.status, delay_ms = delay_ms; "An answer begins.");
+        log::info!(target: "answer", request:% = self.request.head.id, endpoint:% = instance, status = response.status, delay_ms = delay_ms, speed = response.speed.unwrap_or(0); "An answer begins.");
         Ok(StartedResponse {
             stream: response.stream,
             status: response.status,
--- a/crates/entry/src/caller/dispatch.rs
+++ b/crates/entry/src/caller/dispatch.rs
@@ -56,6 +56,8 @@
     pub(super) replayed: bool,
     /// Whether the response has a length or chunks, and does not end with its connection.
     pub(super) is_delimited: bool,
+    /// Time that work takes at the endpoint at present, in percent of the usual time, if stated.
+    pub(super) speed: Option<u32>,
 }
 
 /// One part of a response.
@@ -253,6 +255,7 @@
         version: head.version.clone(),
         revision: head.revision,
         replayed: false,
+        speed: response.metadata.load.and_then(|load| load.speed),
     })
 }
 
@@ -321,8 +324,16 @@
             }
             let headers = header_map(&headers, content_type.as_deref());
             let stream = AttemptStream::new(StreamKind::Link(stream));
-            let is_delimited = true;
-            Ok(ResponseHead { stream, status, headers, version, revision, replayed, is_delimited })
+            Ok(ResponseHead {
+                stream,
+                status,
+                headers,
+                version,
+                revision,
+                replayed,
+                is_delimited: true,
+                speed: None,
+            })
         }
         Some(RequestMessage::Refused { reason, .. }) => Err(AttemptFailure::NotRun(reason)),
         Some(RequestMessage::Failed { detail, .. }) => Err(match RepeatGuard::of(routed) {
