Cost of endpoints that are slow at the moment or have just started

Endpoints differ in speed, and entries noticed it only by late answers. The fourth load figure now multiplies the load in an endpoint's cost while it is younger than 400 ms, with a weight that falls linearly; a process younger than its service's cold_start_s costs up to four requests more. Nothing is refused because of either. A free slot at such an endpoint is not reused ahead of the comparison of costs: without that rule, the cost had almost no effect at endpoints that are half full.

An endpoint without the figure and without a warm-up time costs as before.

--- a/crates/decide/src/endpoint_tracker.rs
+++ b/crates/decide/src/endpoint_tracker.rs
@@ -13,7 +13,9 @@
 
 use cassiawheel_model::{LoadReport, Timestamp};
 
-use crate::{endpoint_backoff::EndpointBackoff, region_delay::RegionDelays};
+use crate::{
+    endpoint_backoff::EndpointBackoff, endpoint_speed::EndpointSpeed, region_delay::RegionDelays,
+};
 
 /// Age up to which a load report counts in full where no gate protects the endpoint, in
 /// milliseconds.
@@ -115,6 +117,7 @@
     /// When the next request may be sent, in microseconds.
     next_at_us: AtomicU64,
     backoff: EndpointBackoff,
+    speed: EndpointSpeed,
     /// Delays of the endpoint's region; not set if the region is not known.
     region: OnceLock<RegionDelays>,
 }
@@ -212,6 +215,11 @@
         &self.backoff
     }
 
+    /// Speed and warm-up of the endpoint.
+    pub fn speed(&self) -> &EndpointSpeed {
+        &self.speed
+    }
+
     /// Starts a backoff as [`EndpointBackoff::begin`] does.
     ///
     /// The adaptive limit is reset, so that requests return to the endpoint gradually.
--- a/crates/decide/src/route.rs
+++ b/crates/decide/src/route.rs
@@ -3,8 +3,8 @@
 //! Three endpoints are sampled at random, two of them near the entry, and the one with the lowest
 //! cost is chosen. Load reports lag, so choosing the minimum over all endpoints would send every
 //! entry to the same one. The cost combines the requests that this entry has in flight at the
-//! endpoint, the requests of other entries by the endpoint's last report, and the recent time until
-//! an answer begins. A prompt whose prefix an endpoint has probably cached goes there while that
+//! endpoint, the requests of other entries by the endpoint's last report, the recent time until an
+//! answer begins, and the endpoint's speed and warm-up ([`crate::endpoint_speed`]). A prompt whose prefix an endpoint has probably cached goes there while that
 //! endpoint's load stays close to the mean. Endpoints that fail repeatedly are ejected for a while.
 //!
 //! A choice reads one snapshot and atomics; it takes no lock and allocates nothing.
@@ -209,7 +209,9 @@
     fn cost(&self, now: Timestamp) -> u32 {
         let distance = if self.is_near { 0 } else { FAR_COST };
         let delay = self.tracker.delay_ms(now).saturating_sub(BASELINE_DELAY_MS) / DELAY_UNIT_MS;
-        self.tracker.load(now) * LOAD_COST + distance + delay
+        let load = self.tracker.load(now);
+        let extra = self.tracker.speed().extra_cost((load + 1) * LOAD_COST, now);
+        load * LOAD_COST + distance + delay + extra
     }
 
     /// Whether a request of this entry has ended at the endpoint since a report that showed it
@@ -219,6 +221,8 @@
         match self.path {
             EndpointPath::Agent => false,
             EndpointPath::Direct(_) if self.tracker.in_flight() >= own_at_report => false,
+            // Its cost is compared with that of other endpoints first.
+            EndpointPath::Direct(_) if self.tracker.speed().is_spared(now) => false,
             EndpointPath::Direct(_) => {
                 let reported = own_at_report + self.tracker.recent_others(now);
                 reported * BUSY_DIVISOR >= self.tracker.limit()
@@ -292,6 +296,16 @@
         slots.capacity()
     }
 
+    /// Whether requests reach any of the endpoints directly.
+    pub fn has_direct(&self) -> bool {
+        self.has_direct
+    }
+
+    /// Number of endpoints that are slow by their own recent reports.
+    pub fn slow_count(&self, now: Timestamp) -> usize {
+        self.candidates.iter().filter(|c| c.tracker.speed().is_slow(now)).count()
+    }
+
     /// When the first endpoint may get a request again, if all have requested backoff.
     pub fn backoff_end(&self, now: Timestamp) -> Option<Deadline> {
         let end = |c: &RouteCandidate| {
@@ -441,6 +455,11 @@
         self.services.get(service)
     }
 
+    /// All services with their endpoints.
+    pub fn services(&self) -> impl Iterator<Item = (&ServiceName, &ServiceRoutes)> {
+        self.services.iter()
+    }
+
     /// Whether the snapshot routes `service` to `instance` and lists it with `version`.
     pub fn serves(
         &self,
--- a/crates/decide/tests/caller_index.rs
+++ b/crates/decide/tests/caller_index.rs
@@ -39,6 +39,7 @@
         keys,
         workspace_homes: BTreeMap::new(),
         cold_limits: BTreeMap::new(),
+        warm_up_ms: BTreeMap::new(),
         needs_key: true,
         limits,
     }))
--- a/crates/decide/tests/homes.rs
+++ b/crates/decide/tests/homes.rs
@@ -117,6 +117,7 @@
         workspace_homes: BTreeMap::from([(workspace.clone(), workspace_homes)]),
         needs_key: true,
         cold_limits: BTreeMap::new(),
+        warm_up_ms: BTreeMap::new(),
         limits: CallerLimits { head_bytes: 1, body_bytes: 1, head_ms: 1, idle_ms: 1 },
     };
     (CallerIndex::new(Arc::new(table)), workspace)
--- a/crates/entry/src/caller/dispatch.rs
+++ b/crates/entry/src/caller/dispatch.rs
@@ -243,6 +243,9 @@
     let response = routed.direct.send(target, request).await?;
     if let Some(load) = response.metadata.load {
         tracker.apply_report(&load_report(load), tracker.hard_limit());
+        if let Some(percent) = load.speed {
+            tracker.speed().record(percent, Timestamp::now());
+        }
     }
     let headers = &response.parts.headers;
     let is_delimited =
--- a/crates/entry/src/routed.rs
+++ b/crates/entry/src/routed.rs
@@ -234,6 +234,13 @@
         self.versions.load().allowed(&engine.model, now)
     }
 
+    /// Returns the time that the endpoints of `service` take to warm up after their start.
+    pub(crate) fn warm_up(&self, service: &ServiceName) -> Option<Duration> {
+        let index = self.index.load();
+        let warm_up_ms = *index.as_ref()?.table().warm_up_ms.get(service)?;
+        Some(Duration::from_millis(warm_up_ms))
+    }
+
     /// Returns the schedule on which the platform requires the preset's model to change versions.
     pub(crate) fn rollout_schedule(
         &self,
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -491,6 +491,11 @@
             }
             let tracker = counters.endpoint(&listed.instance);
             tracker.set_hard_limit(candidate.limit);
+            if let (Some(born_at), Some(warm_up)) =
+                (listed.born_at, routed.warm_up(&listed.service))
+            {
+                tracker.speed().set_warm_up(born_at, warm_up, now);
+            }
             let region = routed.settings.regions.get(&listed.failure_domain).cloned();
             if let Some(region) = &region {
                 let own = &self.settings.place.region;
--- a/crates/model/src/routing.rs
+++ b/crates/model/src/routing.rs
@@ -100,6 +100,9 @@
     /// Limits of cold endpoints, by service.
     #[serde(default)]
     pub cold_limits: BTreeMap<ServiceName, ColdLimit>,
+    /// Times that endpoints take to warm up after their start, in milliseconds, by service.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub warm_up_ms: BTreeMap<ServiceName, u64>,
     /// Limits of callers' connections.
     pub limits: CallerLimits,
 }
