Free slots divided by the demand at each entry

Where one location had 40 % more callers, it was refused 23 of 100 requests and the others 12, because each entry used the same part of the free slots. Entries now gossip their rate of first-time requests while a service is short of slots, and an entry's part follows from its rate and those of the others, between a quarter and four times the even part. Without recent records of half of the other entries, where rates are within a tenth of each other or differ by chance only, and with more than 64 entries, the even part applies.

Ruled out: the sum of the known rates alone, by which missing records enlarge the parts of others; three standard deviations in the test for chance, which took even demand for uneven in a twentieth of the time.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod change;
 pub mod claim;
 pub mod crash_tracker;
+pub mod demand;
 pub mod departures;
 pub mod endpoint_backoff;
 pub mod endpoint_speed;
@@ -60,6 +61,7 @@
 };
 pub use claim::{ClaimRecord, ClaimReply, ClaimState, ClaimStep, ClaimTracker};
 pub use crash_tracker::{BAR_DURATION, CrashTracker, CrashVerdict};
+pub use demand::{DemandSample, DemandShare, DemandTable, ShareReason};
 pub use departures::DepartureTable;
 pub use endpoint_backoff::EndpointBackoff;
 pub use endpoint_speed::EndpointSpeed;
--- a/crates/decide/src/route.rs
+++ b/crates/decide/src/route.rs
@@ -296,6 +296,14 @@
         slots.capacity()
     }
 
+    /// Part of the slots of the endpoints that is in use, by their last reports; zero without slots.
+    pub fn used_fraction(&self, now: Timestamp) -> f64 {
+        let used = |c: &RouteCandidate| c.tracker.own_at_report() + c.tracker.recent_others(now);
+        let total: u32 = self.candidates.iter().map(|c| c.tracker.hard_limit()).sum();
+        let used: u32 = self.candidates.iter().map(|c| used(c).min(c.tracker.hard_limit())).sum();
+        f64::from(used) / f64::from(total.max(1))
+    }
+
     /// Whether requests reach any of the endpoints directly.
     pub fn has_direct(&self) -> bool {
         self.has_direct
--- a/crates/decide/src/slot_share.rs
+++ b/crates/decide/src/slot_share.rs
@@ -4,7 +4,8 @@
 //! are some hundred milliseconds old. If each entry used all of them, they would together send far
 //! more than fits, and every answer would be late. An entry therefore keeps the slots that its own
 //! requests held when the endpoints last reported, and adds only its part of those that were free.
-//! If more was in flight than fits, all entries give up the same fraction.
+//! The parts are even or follow the demand at each entry ([`crate::demand`]). If more was in flight
+//! than fits, all entries give up the same fraction.
 
 use cassiawheel_model::Timestamp;
 
@@ -29,17 +30,25 @@
     entries: usize,
     /// Fraction of a slot that is added before rounding down.
     rounding: f64,
+    /// Fraction of the free slots that this entry may use; `None` if all entries use the same.
+    fraction: Option<f64>,
 }
 
 impl SlotCompetitor {
     /// An entry that has the endpoints for itself.
-    pub const ALONE: Self = Self { entries: 1, rounding: 0.0 };
+    pub const ALONE: Self = Self { entries: 1, rounding: 0.0, fraction: None };
 
     /// One of `entries` entries. Their hashes make them round up at different times.
     pub fn new(entries: usize, instance_hash: u64, now: Timestamp) -> Self {
         let phase = instance_hash as f64 / u64::MAX as f64;
         let intervals = (now.0 / ROUNDING_INTERVAL_MS) as f64;
-        Self { entries: entries.max(1), rounding: (phase + intervals * ROUNDING_STEP).fract() }
+        let rounding = (phase + intervals * ROUNDING_STEP).fract();
+        Self { entries: entries.max(1), rounding, fraction: None }
+    }
+
+    /// The same entry with this fraction of the free slots; `None` for the even one.
+    pub fn with_fraction(self, fraction: Option<f64>) -> Self {
+        Self { fraction, ..self }
     }
 
     /// Fraction of the slots to leave free.
@@ -86,7 +95,10 @@
     /// Requests that the entry may have in flight at all endpoints together; zero if there are no
     /// slots.
     pub fn capacity(&self) -> u32 {
-        let part = self.free / self.competitor.entries as f64;
+        let part = match self.competitor.fraction {
+            Some(fraction) => self.free * fraction,
+            None => self.free / self.competitor.entries as f64,
+        };
         let open = self.free - self.total * DIVIDED_FRACTION;
         let capacity = (self.kept + part.max(open) + self.competitor.rounding) as u32;
         // An entry that holds no slot would otherwise never get one from the others.
--- a/crates/entry/src/caller/admit.rs
+++ b/crates/entry/src/caller/admit.rs
@@ -8,7 +8,7 @@
     time::Duration,
 };
 
-use cassiawheel_decide::{AdmitTicket, AdmitVerdict, ServiceAdmission};
+use cassiawheel_decide::{AdmitTicket, AdmitTier, AdmitVerdict, ServiceAdmission};
 use cassiawheel_model::{ForcedPreset, NotRunReason, ServiceName, Timestamp};
 use cassiawheel_runtime::timeout;
 use smol::channel::{Receiver, Sender, bounded};
@@ -59,7 +59,7 @@
         let preset = shared.active_preset.load();
         let target = preset.as_ref().and_then(|preset| preset.content.services.get(service));
         let max_in_flight = target.map_or(0, |target| target.max_in_flight);
-        let competitor = shared.slot_competitor(now);
+        let competitor = shared.slot_competitor(service, now);
         let routes = shared.routes.load();
         let routes = routes.service(service);
         let capacity = routes.map_or(0, |r| r.capacity(max_in_flight, competitor, now));
@@ -109,6 +109,9 @@
     if !shared.active_preset.load().as_ref().is_some_and(is_known) {
         return Ok(None);
     }
+    if request.tier == AdmitTier::Fresh {
+        shared.demand.count(&head.service);
+    }
     let admission = shared.admission(&head.service);
     let capacity = admission.refresh_capacity(shared, &head.service, now);
     if capacity == 0 {
--- a/crates/entry/src/control/gossip.rs
+++ b/crates/entry/src/control/gossip.rs
@@ -23,6 +23,7 @@
     operators,
 };
 use crate::{
+    demand::update_shares,
     limits::update_paces,
     overlay::{OverlayState, is_in_other_region},
     routed::RoutedState,
@@ -89,6 +90,7 @@
         derive_stale_state(&shared, &routed);
         refresh_own_record(&shared, &routed);
         update_paces(&shared, &routed, Timestamp::now());
+        update_shares(&shared, Timestamp::now());
         let sent = send_updates(&shared, &routed, Timestamp::now());
         let span = if sent > LARGE_MESSAGE_ITEMS { LARGE_SEND_INTERVAL } else { MIN_SEND_INTERVAL };
         Timer::after(span).await;
@@ -159,9 +161,12 @@
             wanted,
             evacuations,
             departures,
+            demands: Vec::new(),
         };
-        let mut loads_at = link.loads_at;
+        let (mut loads_at, mut demand_cursor) = (link.loads_at, link.demand_cursor);
         if loads_are_due {
+            (delta.demands, demand_cursor) =
+                shared.demand.rows_since(demand_cursor, link.number, now);
             (delta.loads, cursor) = store.loads_since(cursor, link.number, now);
             let span = if is_in_other_region { REMOTE_LOAD_INTERVAL } else { LOCAL_LOAD_INTERVAL };
             loads_at = now.deadline_after(span);
@@ -174,6 +179,7 @@
             link.limit_cursor = limit_cursor;
             link.evacuation_cursor = evacuation_cursor;
             link.departure_cursor = departure_cursor;
+            link.demand_cursor = demand_cursor;
             link.loads_at = loads_at;
         }
     }
@@ -283,6 +289,7 @@
     routed.crashes.apply_rows(&state.crashes, &crashes, Some(source));
     drop(state);
     routed.departures.merge(&delta.departures, source, now);
+    shared.demand.merge(&delta.demands, source, now);
     for order in delta.evacuations {
         operators::apply_evacuation(shared, routed, order, Some(source));
     }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -10,6 +10,7 @@
 mod control;
 mod counters;
 mod crashes;
+mod demand;
 mod departures;
 mod direct;
 mod inner;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -1,8 +1,11 @@
 //! Metrics of an entry.
 
+mod demand;
+
 use cassiawheel_model::OutcomeKind;
 use prometheus::{IntCounter, IntCounterVec, IntGauge, Opts, Registry};
 
+use self::demand::DemandMetrics;
 use crate::caller::RequestStage;
 
 /// Counters and gauges of an entry.
@@ -29,6 +32,8 @@
     pub(crate) store_failures: IntCounter,
     /// Calls of the operators' API that were refused because of a missing token or role.
     pub(crate) admin_refused: IntCounter,
+    /// Demand for services and shares of their slots.
+    pub(crate) demand: DemandMetrics,
 }
 
 impl EntryMetrics {
@@ -69,6 +74,7 @@
                 name("store_failures_total"),
                 "Reads of the table service that failed",
             )?,
+            demand: DemandMetrics::register(registry)?,
         };
         registry.register(Box::new(metrics.admin_refused.clone()))?;
         registry.register(Box::new(metrics.quarantined.clone()))?;
--- a/crates/entry/src/overlay.rs
+++ b/crates/entry/src/overlay.rs
@@ -82,6 +82,8 @@
     pub(crate) evacuation_cursor: u64,
     /// Change number up to which departures were sent to the other end.
     pub(crate) departure_cursor: u64,
+    /// Change number up to which demands were sent to the other end.
+    pub(crate) demand_cursor: u64,
 }
 
 impl Default for Overlay {
@@ -201,6 +203,7 @@
             requested: Vec::new(),
             evacuation_cursor,
             departure_cursor,
+            demand_cursor: 0,
         };
         self.links.push(link);
         number
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -27,6 +27,7 @@
     caller::EntryAdmission,
     control::{peers, staging::StagingRow, store::MeteredTable},
     counters::CounterRegistry,
+    demand::DemandMonitor,
     limits::cold_bound,
     link::AgentLink,
     metrics::EntryMetrics,
@@ -74,6 +75,8 @@
     pub(crate) progress: Mutex<ProgressSamples>,
     /// Additional state where callers are routed by a route table.
     pub(crate) routed: Option<Arc<RoutedState>>,
+    /// Demand for services and this entry's shares of their slots.
+    pub(crate) demand: DemandMonitor,
     default_retries: Arc<RetryBudget>,
     /// Number of callers' requests in progress.
     pub(crate) in_flight: AtomicU32,
@@ -109,6 +112,7 @@
         sources.push(settings.platform.table);
         let store = Arc::new(MeteredTable::new(table, &settings.control, &metrics));
         Self {
+            demand: DemandMonitor::new(&settings.place.instance),
             settings,
             incarnation: now.0,
             table: store.clone(),
@@ -201,10 +205,11 @@
         }
     }
 
-    /// Returns this entry as one of those that use the same endpoints.
-    pub(crate) fn slot_competitor(&self, now: Timestamp) -> SlotCompetitor {
+    /// Returns this entry as one of those that use the endpoints of `service`.
+    pub(crate) fn slot_competitor(&self, service: &ServiceName, now: Timestamp) -> SlotCompetitor {
         let instance_hash = subject_of(self.settings.place.instance.as_str());
         SlotCompetitor::new(self.peers().values().count() + 1, instance_hash, now)
+            .with_fraction(self.demand.fraction(service, now))
     }
 
     /// Returns the only versions that may answer requests for `service` now.
--- a/crates/model/src/gossip.rs
+++ b/crates/model/src/gossip.rs
@@ -54,6 +54,23 @@
     pub age_ms: u32,
 }
 
+/// Demand for a service at one entry.
+///
+/// Serialised without field names, since every entry sends one for each service each second.
+#[apply(record!)]
+#[derive(Copy)]
+#[serde(from = "(u64, u64, f32, u32)", into = "(u64, u64, f32, u32)")]
+pub struct DemandRecord {
+    /// Hash of the name of the entry's instance.
+    pub instance_hash: u64,
+    /// Hash of the name of the service.
+    pub service_hash: u64,
+    /// First-time requests per second.
+    pub per_second: f32,
+    /// Time since the rate was measured, in milliseconds.
+    pub age_ms: u32,
+}
+
 /// Version of a record or report, sent in place of it to a peer that may have it already.
 ///
 /// Serialised without field names, since many of them are sent when processes start together.
@@ -166,6 +183,9 @@
     /// Endpoints that have announced that they leave.
     #[serde(skip_serializing_if = "Vec::is_empty")]
     pub departures: Vec<DepartureRecord>,
+    /// Demand for services at entries, measured since the last message.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub demands: Vec<DemandRecord>,
 }
 
 impl CrashEvent {
@@ -202,6 +222,18 @@
     }
 }
 
+impl From<(u64, u64, f32, u32)> for DemandRecord {
+    fn from((instance_hash, service_hash, per_second, age_ms): (u64, u64, f32, u32)) -> Self {
+        Self { instance_hash, service_hash, per_second, age_ms }
+    }
+}
+
+impl From<DemandRecord> for (u64, u64, f32, u32) {
+    fn from(row: DemandRecord) -> Self {
+        (row.instance_hash, row.service_hash, row.per_second, row.age_ms)
+    }
+}
+
 impl EntryRecord {
     /// Whether this record supersedes `known`.
     pub fn is_newer_than(&self, known: &Self) -> bool {
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -33,8 +33,8 @@
 pub use evacuation::EvacuationOrder;
 pub use finding::{FindingList, InputFinding};
 pub use gossip::{
-    CrashEvent, CrashRecord, DepartureRecord, EntryRecord, GossipDelta, ItemVersion, LimitRecord,
-    LimitState, LoadRecord, QuarantinedRequest,
+    CrashEvent, CrashRecord, DemandRecord, DepartureRecord, EntryRecord, GossipDelta, ItemVersion,
+    LimitRecord, LimitState, LoadRecord, QuarantinedRequest,
 };
 pub use header::HeaderField;
 pub use home::{EVERYWHERE, HomeRegions};
--- a/crates/wire/tests/codec.rs
+++ b/crates/wire/tests/codec.rs
@@ -1,9 +1,9 @@
 //! Decoding of valid, damaged and arbitrary frames: the result is a message or an error, never
 //! a panic.
 
-use cassiawheel_model::InstanceId;
+use cassiawheel_model::{DemandRecord, GossipDelta, InstanceId};
 use cassiawheel_wire::{
-    HelloMessage, ProcessKind, RequestMessage, WireMessage,
+    ControlMessage, HelloMessage, ProcessKind, RequestMessage, WireMessage,
     codec::{decode, encode},
 };
 use proptest::prelude::*;
@@ -75,3 +75,28 @@
     assert!(decode(&vec![0x81; 1 << 20]).is_err());
     assert!(decode(&vec![0xc1; 1 << 20]).is_err());
 }
+
+fn gossip(demands: Vec<DemandRecord>) -> WireMessage {
+    ControlMessage::Gossip(Box::new(GossipDelta { demands, ..GossipDelta::default() })).into()
+}
+
+/// Guards against demand records that take more of the control traffic than planned: every entry
+/// sends one for each service each second, and each passes most links. A message without any has no
+/// field for them, as in builds that do not know it.
+#[test]
+fn demand_records_are_small_and_absent_where_there_are_none() {
+    let demand = |n: u64| DemandRecord {
+        instance_hash: u64::MAX - n,
+        service_hash: u64::MAX,
+        per_second: 17.3,
+        age_ms: 900,
+    };
+    let empty = encode(&gossip(Vec::new())).expect("encodes");
+    assert!(!empty.windows(7).any(|bytes| bytes == b"demands"));
+    let message = gossip((0..100).map(demand).collect());
+    let bytes = encode(&message).expect("encodes");
+    let record_bytes = (bytes.len() - empty.len()) as f64 / 100.0;
+    println!("{record_bytes} bytes a record");
+    assert!(record_bytes <= 28.0, "{record_bytes}");
+    assert_eq!(decode(&bytes).expect("decodes"), message);
+}
