--- a/crates/testkit/src/stand_in/replica.rs
+++ b/crates/testkit/src/stand_in/replica.rs
@@ -110,6 +110,7 @@
     heads: Mutex<Vec<HeaderMap>>,
     fatal: Mutex<Vec<FatalArrival>>,
     limit: Mutex<Option<f64>>,
+    load: Mutex<Option<String>>,
     leaving: AtomicBool,
     left_at: Mutex<Option<Timestamp>>,
     backoff: Mutex<Option<String>>,
@@ -139,6 +140,7 @@
             heads: Mutex::default(),
             fatal: Mutex::default(),
             limit: Mutex::default(),
+            load: Mutex::default(),
             leaving: AtomicBool::new(false),
             left_at: Mutex::default(),
             backoff: Mutex::default(),
@@ -203,6 +205,11 @@
         *self.limit.lock().unwrap_or_else(|poison| poison.into_inner()) = rate;
     }
 
+    /// Reports these load figures in its answers from now on; until then it is almost idle.
+    pub fn set_load(&self, figures: &str) {
+        *self.load.lock().unwrap_or_else(|poison| poison.into_inner()) = Some(figures.to_owned());
+    }
+
     /// States in every answer from now on that it is leaving.
     pub fn announce_leaving(&self) {
         self.leaving.store(true, Ordering::SeqCst);
@@ -326,7 +333,9 @@
         };
         put("x-cassiawheel-attempt-id", id);
         put("x-cassiawheel-replica-stamp", &format!("stamp-of-{}", self.id));
-        put("x-cassiawheel-replica-load", "1,0,8");
+        let load = self.load.lock().unwrap_or_else(|poison| poison.into_inner());
+        put("x-cassiawheel-replica-load", load.as_deref().unwrap_or("1,0,8"));
+        drop(load);
         put("keep-alive", "timeout=5");
         let limit = *self.limit.lock().unwrap_or_else(|poison| poison.into_inner());
         if self.leaving.load(Ordering::SeqCst) {
