Retry times from expected capacity

Refused callers were all told to retry after 2 s, came back in as dense a crowd and were refused for good; refusals by admission for a wait that would be too long named no time at all.

An entry keeps a plan of the callers that it has refused, and tells each the earliest time at which slots become free faster than first-time requests and earlier refused callers need them. Without such a time callers spread over the last half of the interval that they honour, and over its last quarter while nothing serves. The state is in memory and locked for refused callers only. Admission counts admitted and refused requests by urgency, and expected work.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -39,11 +39,13 @@
 pub mod rank;
 
 pub mod rate_limits;
+pub mod rate_meter;
 mod region_delay;
 pub mod request_work;
 pub mod restarts;
 pub mod resync;
 pub mod retry;
+pub mod retry_time;
 pub mod roster;
 pub mod route;
 pub mod select;
@@ -84,11 +86,13 @@
 pub use preset_holder::{Adoption, PresetHolder, StartHold};
 pub use preset_pull::{PeerRevision, PresetPull, PullStep, PullView};
 pub use rate_limits::{ColdBound, HolderRank, RateLimits};
+pub use rate_meter::RateMeter;
 pub use region_delay::{RegionDelay, RegionDelays};
 pub use request_work::RequestWork;
 pub use restarts::RestartDetector;
 pub use resync::ResyncSchedule;
 pub use retry::{AttemptFailure, RepeatGuard, RetryBudget, RetryStep, RetryTracker};
+pub use retry_time::{RefusedCaller, RetryOutlook, RetryPlan};
 pub use roster::{EndpointRoster, EntryRoster, PeerEntry};
 pub use route::{
     EndpointPath, RouteCandidate, RouteChoice, RouteQuery, RouteSnapshot, ServiceRoutes,
--- a/crates/entry/src/caller.rs
+++ b/crates/entry/src/caller.rs
@@ -16,6 +16,7 @@
 mod passthrough;
 mod progress;
 mod relay;
+mod retry_time;
 mod routed;
 
 use std::{
@@ -69,9 +70,9 @@
     let mut guard = RequestGuard::begin(shared.clone(), &identified.head);
     match admit::admit(&shared, &identified).await {
         Ok(permit) => guard.permit = permit,
-        Err(reason) => {
+        Err(refusal) => {
             guard.count_outcome(OutcomeKind::NotRun);
-            let failed = FailedRequest::before_attempts(&shared, reason);
+            let failed = FailedRequest::before_attempts(&shared, refusal.reason);
             return outcome::failure_reply(&identified.head, &failed);
         }
     }
--- a/crates/entry/src/caller/admit.rs
+++ b/crates/entry/src/caller/admit.rs
@@ -13,8 +13,11 @@
 use cassiawheel_runtime::timeout;
 use smol::channel::{Receiver, Sender, bounded};
 
-use super::identify::IdentifiedRequest;
-use crate::shared::EntryShared;
+use super::{identify::IdentifiedRequest, retry_time::RetryState};
+use crate::{
+    metrics::{ServiceAdmissionMetrics, urgency_label},
+    shared::EntryShared,
+};
 
 /// Time in milliseconds for which a computed capacity is reused.
 const CAPACITY_TTL_MS: u64 = 20;
@@ -25,6 +28,17 @@
     queue: ServiceAdmission<Sender<AdmitVerdict>>,
     capacity: AtomicU32,
     measured_at: AtomicU64,
+    retries: RetryState,
+    metrics: ServiceAdmissionMetrics,
+}
+
+/// A refusal by admission.
+pub(crate) struct AdmitRefusal {
+    /// Why the request was not admitted.
+    pub(crate) reason: NotRunReason,
+    /// Delay after which the caller is told to retry; none if there is no reason to expect capacity
+    /// at any time.
+    pub(crate) retry_after: Option<Duration>,
 }
 
 /// Admission of one request; frees the slot when dropped.
@@ -40,11 +54,13 @@
 
 impl EntryAdmission {
     /// Creates a queue in which at most `max_waiting` requests wait.
-    pub(crate) fn new(max_waiting: usize) -> Self {
+    pub(crate) fn new(max_waiting: usize, metrics: ServiceAdmissionMetrics) -> Self {
         Self {
             queue: ServiceAdmission::new(max_waiting),
             capacity: AtomicU32::new(0),
             measured_at: AtomicU64::new(0),
+            retries: RetryState::default(),
+            metrics,
         }
     }
 
@@ -69,8 +85,15 @@
     }
 
     fn release(&self) {
-        let capacity = self.capacity.load(Ordering::Relaxed);
-        self.queue.release(capacity, Timestamp::now(), send_verdict);
+        let (capacity, now) = (self.capacity.load(Ordering::Relaxed), Timestamp::now());
+        self.retries.count_release(now);
+        self.queue.release(capacity, now, send_verdict);
+    }
+
+    /// Returns the delay after which the caller of a refused request is told to retry.
+    fn assign_retry(&self, request: &IdentifiedRequest, capacity: u32, now: Timestamp) -> Duration {
+        self.metrics.count_told();
+        self.retries.assign(request, &self.queue, capacity, now)
     }
 }
 
@@ -100,22 +123,21 @@
 pub(crate) async fn admit(
     shared: &EntryShared,
     request: &IdentifiedRequest,
-) -> Result<Option<AdmitPermit>, NotRunReason> {
+) -> Result<Option<AdmitPermit>, AdmitRefusal> {
     let now = Timestamp::now();
     let (head, admit_by) = (&request.head, request.admit_by);
-    // Services that the preset does not contain get no queue. Otherwise callers could exhaust the
-    // memory with made-up names.
-    let is_known = |preset: &Arc<ForcedPreset>| preset.content.services.contains_key(&head.service);
-    if !shared.active_preset.load().as_ref().is_some_and(is_known) {
+    if !is_known_service(shared, &head.service) {
         return Ok(None);
     }
     let admission = shared.admission(&head.service);
+    admission.retries.count_arrival(request, now);
     let capacity = admission.refresh_capacity(shared, &head.service, now);
     if capacity == 0 {
         return Ok(None);
     }
     let rank = request.rank();
     if admission.queue.try_admit_ranked(request.tier, rank, capacity) {
+        admission.metrics.count_admitted(request.urgency, request.work);
         return Ok(Some(AdmitPermit { admission }));
     }
     let ticket = AdmitTicket {
@@ -130,12 +152,49 @@
     let max_wait: Duration = admit_by.remaining(now) / 2;
     let verdict = timeout(max_wait, slot.verdict.recv()).await;
     let refused = match verdict {
-        Some(Ok(AdmitVerdict::Admitted)) => return Ok(Some(AdmitPermit { admission })),
+        Some(Ok(AdmitVerdict::Admitted)) => {
+            admission.metrics.count_admitted(request.urgency, request.work);
+            return Ok(Some(AdmitPermit { admission }));
+        }
         Some(Ok(AdmitVerdict::Refused(reason))) => reason,
         Some(Err(_)) => NotRunReason::Overloaded,
         None => NotRunReason::DeadlineTooClose,
     };
+    admission.metrics.count_refused(request.urgency);
+    let now = Timestamp::now();
+    let capacity = admission.refresh_capacity(shared, &head.service, now);
+    let is_routed = shared.routed.is_some();
+    let retry_after = is_routed.then(|| admission.assign_retry(request, capacity, now));
     let (active, waiting) = (admission.queue.active(), admission.queue.waiting());
-    log::info!(target: "admit", request:% = head.id, workspace:% = head.workspace, reason:% = refused, active = active, waiting = waiting, capacity = capacity; "Refused a request.");
-    Err(refused)
+    let retry_ms = retry_after.unwrap_or_default().as_millis() as u64;
+    let (urgency, work_ms) = (urgency_label(request.urgency), request.work.as_ms());
+    log::info!(target: "admit", request:% = head.id, workspace:% = head.workspace, reason:% = refused, active = active, waiting = waiting, capacity = capacity, urgency:% = urgency, work_ms = work_ms, retry_ms = retry_ms; "Refused a request.");
+    Err(AdmitRefusal { reason: refused, retry_after })
+}
+
+/// Returns the delay after which the caller of a request that was admitted but not run is told to
+/// retry; none if the service is unknown.
+pub(crate) fn retry_after(
+    shared: &EntryShared,
+    request: &IdentifiedRequest,
+    reason: NotRunReason,
+) -> Option<Duration> {
+    let service = &request.head.service;
+    if !is_known_service(shared, service) {
+        return None;
+    }
+    let admission = shared.admission(service);
+    // Slots that admission takes for idle did not help this request, so they do not count.
+    let capacity = match reason {
+        NotRunReason::NoEndpoint => 0,
+        _ => admission.queue.active().max(1),
+    };
+    Some(admission.assign_retry(request, capacity, Timestamp::now()))
+}
+
+/// Whether the preset contains the service. Others get no queue, or callers could exhaust the
+/// memory with made-up names.
+fn is_known_service(shared: &EntryShared, service: &ServiceName) -> bool {
+    let is_known = |preset: &Arc<ForcedPreset>| preset.content.services.contains_key(service);
+    shared.active_preset.load().as_ref().is_some_and(is_known)
 }
--- a/crates/entry/src/caller/passthrough.rs
+++ b/crates/entry/src/caller/passthrough.rs
@@ -59,7 +59,7 @@
     failed: &FailedRequest,
 ) -> Response<ReplyBody> {
     guard.count_outcome(failed.outcome.kind());
-    failure_reply(attempts.head(), failed)
+    failure_reply(guard, &attempts.request, failed, None)
 }
 
 async fn read_whole(
--- a/crates/entry/src/caller/routed.rs
+++ b/crates/entry/src/caller/routed.rs
@@ -27,7 +27,9 @@
 use rand::Rng;
 
 use super::{
-    RequestGuard, admit, advice_candidates,
+    RequestGuard, admit,
+    admit::AdmitRefusal,
+    advice_candidates,
     attempts::{FailedRequest, RequestAttempts, StartedResponse},
     crash_detection, events,
     identify::{IdentifiedRequest, PromptPart, ResponseForm},
@@ -38,13 +40,6 @@
 /// Workspace of requests without an API key.
 const PUBLIC_WORKSPACE: &str = "public";
 
-/// Retry delay for callers that were refused because of overload.
-///
-/// A caller that retries has missed its latency target in any case, so the delay costs nothing and
-/// lets the overload pass: engines that lost their weights serve again after three to four seconds,
-/// and a burst lasts about as long.
-const OVERLOAD_RETRY_DELAY: Duration = Duration::from_millis(2_000);
-
 /// Divisor of a route's latency target that gives the time by which a request has to be admitted.
 ///
 /// The wait in the queue is at most half of that time, a quarter of the target. A busy engine takes
@@ -91,14 +86,14 @@
     // A quarantined request is refused before admission because it would use a slot for nothing.
     let admitted = match crash_detection::refuse_barred(&shared, &request) {
         Ok(()) => admit::admit(&shared, &request).await,
-        Err(reason) => Err(reason),
+        Err(reason) => Err(AdmitRefusal { reason, retry_after: None }),
     };
     match admitted {
         Ok(permit) => guard.permit = permit,
-        Err(reason) => {
+        Err(refusal) => {
             guard.count_outcome(OutcomeKind::NotRun);
-            let failed = FailedRequest::before_attempts(&shared, reason);
-            return failure_reply(&request.head, &failed);
+            let failed = FailedRequest::before_attempts(&shared, refusal.reason);
+            return failure_reply(&guard, &request, &failed, refusal.retry_after);
         }
     }
     let mut attempts = RequestAttempts::new(shared, request, guard.progress());
@@ -106,7 +101,7 @@
         Ok(response) => relay_reply(guard, attempts, response).await,
         Err(failed) => {
             guard.count_outcome(failed.outcome.kind());
-            failure_reply(attempts.head(), &failed)
+            failure_reply(&guard, &attempts.request, &failed, None)
         }
     }
 }
@@ -324,23 +319,33 @@
     }
 }
 
-/// Reply to a request that failed before any part of a response was sent.
-pub(super) fn failure_reply(head: &RequestHead, failed: &FailedRequest) -> Response<ReplyBody> {
+/// Reply to a request that failed before any part of a response was sent. `retry_after` is the
+/// delay that admission has already assigned to the caller.
+pub(super) fn failure_reply(
+    guard: &RequestGuard,
+    request: &IdentifiedRequest,
+    failed: &FailedRequest,
+    retry_after: Option<Duration>,
+) -> Response<ReplyBody> {
     let (status, error, message, wait_ms) = outcome::describe(&failed.outcome);
     let status = match &failed.outcome {
         RequestOutcome::NotRun { reason, .. } => not_run_status(*reason),
         _ => status,
     };
-    log::info!(target: "outcome", request:% = head.id, status = status.as_u16(), error = error, attempts = failed.attempts, cause:% = message; "A request failed.");
+    let wait = match (retry_after, wait_ms, &failed.outcome) {
+        (Some(wait), ..) => Some(wait),
+        (None, Some(wait_ms), RequestOutcome::NotRun { reason, .. }) => match reason {
+            NotRunReason::Quarantined | NotRunReason::BackedOff => {
+                Some(Duration::from_millis(wait_ms))
+            }
+            _ => admit::retry_after(&guard.shared, request, *reason),
+        },
+        (None, ..) => None,
+    };
+    let retry_ms = wait.unwrap_or_default().as_millis() as u64;
+    log::info!(target: "outcome", request:% = request.head.id, status = status.as_u16(), error = error, attempts = failed.attempts, retry_ms = retry_ms, cause:% = message; "A request failed.");
     let mut reply = error_reply(status, error, message);
-    if let Some(wait_ms) = wait_ms {
-        let wait = match failed.outcome {
-            RequestOutcome::NotRun {
-                reason: NotRunReason::Quarantined | NotRunReason::BackedOff,
-                ..
-            } => Duration::from_millis(wait_ms),
-            _ => OVERLOAD_RETRY_DELAY,
-        };
+    if let Some(wait) = wait {
         let wait_s = format!("{:.3}", wait.as_secs_f64());
         if let Ok(wait_s) = HeaderValue::from_str(&wait_s) {
             reply.headers_mut().insert(RETRY_AFTER, wait_s);
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -1,14 +1,20 @@
 //! Metrics of an entry.
 
+mod admission;
+
 use cassiawheel_model::OutcomeKind;
 use prometheus::{IntCounter, IntCounterVec, IntGauge, Opts, Registry};
 
+use self::admission::AdmissionMetrics;
+pub(crate) use self::admission::{ServiceAdmissionMetrics, urgency_label};
 use crate::caller::RequestStage;
 
 /// Counters and gauges of an entry.
 pub(crate) struct EntryMetrics {
     outcomes: IntCounterVec,
     abandoned: IntCounterVec,
+    /// Admission by service and urgency.
+    pub(crate) admission: AdmissionMetrics,
     /// Number of attempts sent to endpoints.
     pub(crate) attempts: IntCounter,
     /// Requests refused because endpoints crashed while running the same request.
@@ -44,6 +50,7 @@
                 Opts::new(name("abandoned_total"), "Requests whose caller disconnected, by stage"),
                 &["stage"],
             )?,
+            admission: AdmissionMetrics::register(registry)?,
             attempts: IntCounter::new(name("attempts_total"), "Attempts sent to endpoints")?,
             quarantined: IntCounter::new(
                 name("quarantined_total"),
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -367,7 +367,9 @@
         if let Some(admission) = self.admissions.load().get(service) {
             return admission.clone();
         }
-        let new_admission = Arc::new(EntryAdmission::new(self.settings.caller.queue_length));
+        let metrics = self.metrics.admission.service(service);
+        let max_waiting = self.settings.caller.queue_length;
+        let new_admission = Arc::new(EntryAdmission::new(max_waiting, metrics));
         self.admissions.rcu(|known| {
             let mut known = HashMap::clone(known);
             known.entry(service.clone()).or_insert_with(|| new_admission.clone());
