--- a/crates/decide/src/urgency_queue.rs
+++ b/crates/decide/src/urgency_queue.rs
@@ -17,7 +17,7 @@
 /// Fraction of its share of the offered requests that an urgency gets at least.
 ///
 /// Users count requests that are served less than a quarter as often as all others as starved. The
-/// fraction is a little larger because requests that give up while they wait do not use their turn.
+/// margin makes up for turns that are lost because none of its requests waits for long.
 pub(crate) const GUARANTEED_FRACTION: f64 = 0.3;
 
 /// Most requests that an urgency can be owed. More would admit a burst of old requests at once.
