--- a/crates/decide/src/retry_time.rs
+++ b/crates/decide/src/retry_time.rs
@@ -21,7 +21,7 @@
 /// Divisor of a caller's remaining time that gives the longest delay that it honours.
 const REMAINING_DIVISOR: u32 = 3;
 
-/// Longest delay, which bounds the memory of the plan; a third of the longest usual timeout.
+/// Longest delay; bounds the memory of the plan and the search for capacity.
 const MAX_DELAY: Duration = Duration::from_secs(20);
 
 /// Start of the part of the interval over which callers are spread if there is no capacity.
--- a/crates/entry/src/caller/retry_time.rs
+++ b/crates/entry/src/caller/retry_time.rs
@@ -12,7 +12,8 @@
 
 use super::identify::IdentifiedRequest;
 
-/// Bound of the factor from the rate of releases to the rate if all slots were in use.
+/// Bound of the factor from the rate of releases to the rate if all slots were in use. With few slots
+/// in use, the rate of their releases says little about the others.
 const MAX_IDLE_FACTOR: f64 = 4.0;
 
 /// What an entry knows about the callers of a service that it has refused.
