--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -1,10 +1,13 @@
 //! Metrics of an entry.
 
+mod admission;
 mod demand;
 
 use cassiawheel_model::OutcomeKind;
 use prometheus::{IntCounter, IntCounterVec, IntGauge, Opts, Registry};
 
+use self::admission::AdmissionMetrics;
+pub(crate) use self::admission::{ServiceAdmissionMetrics, urgency_label};
 use self::demand::DemandMetrics;
 use crate::caller::RequestStage;
 
@@ -12,6 +15,8 @@
 pub(crate) struct EntryMetrics {
     outcomes: IntCounterVec,
     abandoned: IntCounterVec,
+    /// Admission by service and urgency.
+    pub(crate) admission: AdmissionMetrics,
     /// Number of attempts sent to endpoints.
     pub(crate) attempts: IntCounter,
     /// Requests refused because endpoints crashed while running the same request.
@@ -53,6 +58,7 @@
                 Opts::new(name("abandoned_total"), "Requests whose caller disconnected, by stage"),
                 &["stage"],
             )?,
+            admission: AdmissionMetrics::register(registry)?,
             attempts: IntCounter::new(name("attempts_total"), "Attempts sent to endpoints")?,
             quarantined: IntCounter::new(
                 name("quarantined_total"),
