--- a/crates/decide/tests/urgency.rs
+++ b/crates/decide/tests/urgency.rs
@@ -44,6 +44,7 @@
         routes,
         keys: BTreeMap::new(),
         workspace_homes: homes.collect(),
+        warm_up_ms: BTreeMap::new(),
         workspace_urgencies: named.collect(),
         needs_key: false,
         cold_limits: BTreeMap::new(),
