Restarted agents of whole engines are not ordered to switch out of turn

A restarted agent learns the number of layers with its first order and reports an empty endpoint until then, although its engine may hold a whole version. The planner took it for empty and ordered the newest version to be served at once. It now counts such a report as one of an endpoint that serves.

--- a/crates/decide/src/plan.rs
+++ b/crates/decide/src/plan.rs
@@ -21,8 +21,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use cassiawheel_model::{
-    EndpointReport, FailureDomain, ForcedPreset, InstanceId, ManifestDigest, ModelVersion,
-    PresetContent, ServiceName, ServiceTarget, label,
+    EndpointReport, EndpointState, FailureDomain, ForcedPreset, InstanceId, ManifestDigest,
+    ModelVersion, PresetContent, ServiceName, ServiceTarget, label,
 };
 use macro_rules_attribute::apply;
 
@@ -96,7 +96,12 @@
         let Some(wanted) = WantedWeights::of(target) else {
             continue;
         };
-        let selected = select_endpoints(service, target, wanted, input.reports);
+        let layers = target.engine.as_ref().map_or(0, |engine| engine.layers);
+        let resumed = resumed_reports(service, layers, input.reports);
+        let reports =
+            input.reports.iter().map(|report| resumed.get(&report.instance).unwrap_or(report));
+        let reports: Vec<_> = reports.collect();
+        let selected = select_endpoints(service, target, wanted, &reports);
         let ahead = input.ahead.and_then(|content| content.services.get(service));
         let ahead = ahead.and_then(WantedWeights::of);
         let service = ServicePlan {
@@ -114,6 +119,26 @@
     orders
 }
 
+/// Reports of restarted agents whose engines hold a whole version, with that version as served.
+///
+/// Such an agent reports an empty endpoint, because it learns the number of layers with its first
+/// order. An order for an empty endpoint would make it switch out of turn.
+fn resumed_reports(
+    service: &ServiceName,
+    layers: u32,
+    reports: &[&EndpointReport],
+) -> BTreeMap<InstanceId, EndpointReport> {
+    let resumed = reports.iter().filter_map(|report| {
+        let held = report.layers.as_ref().filter(|_| report.service == *service)?;
+        let is_whole = held.range.from() == 0 && held.range.to() >= layers && layers > 0;
+        let is_idle = report.state == EndpointState::Empty;
+        let state = EndpointState::Serving { version: Some(held.version.clone()), generation: 0 };
+        let resumed = EndpointReport { state, ..EndpointReport::clone(report) };
+        (is_whole && is_idle).then(|| (report.instance.clone(), resumed))
+    });
+    resumed.collect()
+}
+
 fn fleet_progress(
     wanted: WantedWeights<'_>,
     rollout: Option<&RolloutSchedule>,
--- a/crates/decide/tests/plan.rs
+++ b/crates/decide/tests/plan.rs
@@ -8,9 +8,10 @@
     plan::{PlanInput, PlanReason, PlannedOrder, RolloutSchedule, ScheduledVersion, plan_orders},
 };
 use cassiawheel_model::{
-    ChangeId, Deadline, EndpointReport, EndpointRole, EndpointState, FailureDomain, ForcedPreset,
-    InstanceId, LoadReport, ManifestDigest, ModelVersion, OperatorName, PresetContent, PresetName,
-    PresetRevision, RegionName, ServiceKind, ServiceName, ServiceTarget, StagedWeights, Timestamp,
+    ChangeId, Deadline, EndpointReport, EndpointRole, EndpointState, EngineProfile, FailureDomain,
+    ForcedPreset, InstanceId, LayerRange, LoadReport, LoadedLayers, ManifestDigest, ModelVersion,
+    OperatorName, PresetContent, PresetName, PresetRevision, RegionName, ServiceKind, ServiceName,
+    ServiceTarget, StagedWeights, Timestamp,
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use rstest::rstest;
@@ -552,3 +553,41 @@
     let orders = superseded(CHUNKS, left_ms);
     assert!(orders.iter().all(|order| order.version == version("v3")));
 }
+
+/// Guards against a switch out of turn. A restarted agent does not know the number of layers and
+/// reports an empty endpoint although its engine holds a whole version.
+#[rstest]
+#[case::whole(0, 16, false)]
+#[case::lower_half(0, 8, true)]
+#[case::upper_half(8, 16, true)]
+fn a_restarted_agent_of_a_whole_engine_stages_first(
+    #[case] from: u32,
+    #[case] to: u32,
+    #[case] serve: bool,
+) {
+    let mut content = content("v2", 50, None);
+    for target in content.services.values_mut() {
+        target.engine = Some(engine(16));
+    }
+    let preset = preset(2, content);
+    let range = LayerRange::new(from, to).expect("a range with layers");
+    let layers = Some(LoadedLayers { version: version("v1"), range });
+    let restarted = EndpointReport { layers, ..report(0, EndpointState::Empty) };
+    let orders = plan(&preset, &[restarted, report(1, serving("v1"))]);
+    let order = orders.iter().find(|order| order.instance.as_str() == "endpoint-0");
+    assert_eq!(order.map(|order| order.serve), Some(serve));
+}
+
+fn engine(layers: u32) -> EngineProfile {
+    EngineProfile {
+        model: "m".to_owned(),
+        slots: 12,
+        read_per_ms: 20.0,
+        step_ms: 9.0,
+        stride: 5,
+        usual_prompt: 900,
+        usual_answer: 98,
+        layers,
+        origin: None,
+    }
+}
