--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -13,8 +13,10 @@
 pub mod change;
 pub mod claim;
 pub mod crash_tracker;
+pub mod demand;
 pub mod departures;
 pub mod endpoint_backoff;
+pub mod endpoint_speed;
 pub mod endpoint_tracker;
 pub mod entry_selector;
 pub mod evacuation;
@@ -42,18 +44,23 @@
 pub mod rank;
 
 pub mod rate_limits;
+pub mod rate_meter;
 mod region_delay;
+pub mod request_work;
 pub mod restarts;
 pub mod resync;
 pub mod retry;
+pub mod retry_time;
 pub mod roster;
 pub mod route;
 pub mod select;
 pub mod slot_share;
 pub mod switch_stagger;
+pub mod urgency;
+mod urgency_queue;
 pub mod versions;
 
-pub use admit::{AdmitTicket, AdmitTier, AdmitVerdict, ServiceAdmission};
+pub use admit::{AdmitRank, AdmitTicket, AdmitTier, AdmitVerdict, ServiceAdmission};
 pub use advice::{CallerLocation, EntryAdvice, EntryCandidate, advise};
 pub use answered_parts::AnsweredParts;
 pub use caller_index::{CallerIndex, UnknownKey, pick_service};
@@ -62,8 +69,10 @@
 };
 pub use claim::{ClaimRecord, ClaimReply, ClaimState, ClaimStep, ClaimTracker};
 pub use crash_tracker::{BAR_DURATION, CrashTracker, CrashVerdict};
+pub use demand::{DemandSample, DemandShare, DemandTable, ShareReason};
 pub use departures::DepartureTable;
 pub use endpoint_backoff::EndpointBackoff;
+pub use endpoint_speed::EndpointSpeed;
 pub use endpoint_tracker::{EndpointPace, EndpointTracker, PATH_TTL_MS};
 pub use entry_selector::EntrySelector;
 pub use evacuation::EvacuationTable;
@@ -87,10 +96,13 @@
 pub use preset_holder::{Adoption, PresetHolder, StartHold};
 pub use preset_pull::{PeerRevision, PresetPull, PullStep, PullView};
 pub use rate_limits::{ColdBound, HolderRank, RateLimits};
+pub use rate_meter::RateMeter;
 pub use region_delay::{RegionDelay, RegionDelays};
+pub use request_work::RequestWork;
 pub use restarts::RestartDetector;
 pub use resync::ResyncSchedule;
 pub use retry::{AttemptFailure, RepeatGuard, RetryBudget, RetryStep, RetryTracker};
+pub use retry_time::{RefusedCaller, RetryOutlook, RetryPlan};
 pub use roster::{EndpointRoster, EntryRoster, PeerEntry};
 pub use route::{
     EndpointPath, RouteCandidate, RouteChoice, RouteQuery, RouteSnapshot, ServiceRoutes,
@@ -100,4 +112,5 @@
 };
 pub use slot_share::{SlotCompetitor, SlotShare};
 pub use switch_stagger::SwitchStagger;
+pub use urgency::{RequestUrgency, UrgencyTable, engine_priority};
 pub use versions::{VersionRecord, VersionRegistry};
--- a/crates/entry/src/caller.rs
+++ b/crates/entry/src/caller.rs
@@ -17,6 +17,7 @@
 mod path_attempt;
 mod progress;
 mod relay;
+mod retry_time;
 mod routed;
 
 use std::{
@@ -71,9 +72,9 @@
     let mut guard = RequestGuard::begin(shared.clone(), &identified.head);
     match admit::admit(&shared, &identified).await {
         Ok(permit) => guard.permit = permit,
-        Err(reason) => {
+        Err(refusal) => {
             guard.count_outcome(OutcomeKind::NotRun);
-            let failed = FailedRequest::before_attempts(&shared, reason);
+            let failed = FailedRequest::before_attempts(&shared, refusal.reason);
             return outcome::failure_reply(&identified.head, &failed);
         }
     }
--- a/crates/entry/src/caller/dispatch.rs
+++ b/crates/entry/src/caller/dispatch.rs
@@ -6,7 +6,9 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use cassiawheel_decide::{AdmitTier, AttemptFailure, EndpointPath, EndpointTracker, RepeatGuard};
+use cassiawheel_decide::{
+    AttemptFailure, EndpointPath, EndpointTracker, RepeatGuard, engine_priority,
+};
 use cassiawheel_edge::{ForwardMetadata, ReportedLoad};
 use cassiawheel_model::{
     Deadline, HeaderField, InstanceId, LoadReport, ModelVersion, NotRunReason, PresetRevision,
@@ -59,6 +61,8 @@
     pub(super) replayed: bool,
     /// Whether the response has a length or chunks, and does not end with its connection.
     pub(super) is_delimited: bool,
+    /// Time that work takes at the endpoint at present, in percent of the usual time, if stated.
+    pub(super) speed: Option<u32>,
 }
 
 /// One part of a response.
@@ -232,8 +236,8 @@
         workspace: sent.request.workspace.as_ref(),
         version: head.version.as_ref(),
         last_event: sent.last_event,
-        is_low_priority: sent.request.tier == AdmitTier::Returned,
         path: sent.path.map(PathAttempt::path),
+        priority: engine_priority(sent.request.urgency, sent.request.tier),
     };
     let request = DirectRequest {
         head,
@@ -246,6 +250,9 @@
     let response = routed.direct.send(target, request).await?;
     if let Some(load) = response.metadata.load {
         tracker.apply_report(&load_report(load), tracker.hard_limit());
+        if let Some(percent) = load.speed {
+            tracker.speed().record(percent, Timestamp::now());
+        }
     }
     let headers = &response.parts.headers;
     let is_delimited =
@@ -258,6 +265,7 @@
         version: head.version.clone(),
         revision: head.revision,
         replayed: false,
+        speed: response.metadata.load.and_then(|load| load.speed),
     })
 }
 
@@ -326,8 +334,16 @@
             }
             let headers = header_map(&headers, content_type.as_deref());
             let stream = AttemptStream::new(StreamKind::Link(stream));
-            let is_delimited = true;
-            Ok(ResponseHead { stream, status, headers, version, revision, replayed, is_delimited })
+            Ok(ResponseHead {
+                stream,
+                status,
+                headers,
+                version,
+                revision,
+                replayed,
+                is_delimited: true,
+                speed: None,
+            })
         }
         Some(RequestMessage::Refused { reason, .. }) => Err(AttemptFailure::NotRun(reason)),
         Some(RequestMessage::Failed { detail, .. }) => Err(match RepeatGuard::of(routed) {
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -1,14 +1,22 @@
 //! Metrics of an entry.
 
+mod admission;
+mod demand;
+
 use cassiawheel_model::OutcomeKind;
 use prometheus::{IntCounter, IntCounterVec, IntGauge, Opts, Registry};
 
+use self::admission::AdmissionMetrics;
+pub(crate) use self::admission::{ServiceAdmissionMetrics, urgency_label};
+use self::demand::DemandMetrics;
 use crate::caller::RequestStage;
 
 /// Counters and gauges of an entry.
 pub(crate) struct EntryMetrics {
     outcomes: IntCounterVec,
     abandoned: IntCounterVec,
+    /// Admission by service and urgency.
+    pub(crate) admission: AdmissionMetrics,
     /// Number of attempts sent to endpoints.
     pub(crate) attempts: IntCounter,
     /// Requests refused because endpoints crashed while running the same request.
@@ -33,6 +41,8 @@
     pub(crate) store_failures: IntCounter,
     /// Calls of the operators' API that were refused because of a missing token or role.
     pub(crate) admin_refused: IntCounter,
+    /// Demand for services and shares of their slots.
+    pub(crate) demand: DemandMetrics,
 }
 
 impl EntryMetrics {
@@ -48,6 +58,7 @@
                 Opts::new(name("abandoned_total"), "Requests whose caller disconnected, by stage"),
                 &["stage"],
             )?,
+            admission: AdmissionMetrics::register(registry)?,
             attempts: IntCounter::new(name("attempts_total"), "Attempts sent to endpoints")?,
             quarantined: IntCounter::new(
                 name("quarantined_total"),
@@ -81,6 +92,7 @@
                 name("store_failures_total"),
                 "Reads of the table service that failed",
             )?,
+            demand: DemandMetrics::register(registry)?,
         };
         registry.register(Box::new(metrics.admin_refused.clone()))?;
         registry.register(Box::new(metrics.quarantined.clone()))?;
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -27,6 +27,7 @@
     caller::EntryAdmission,
     control::{peers, staging::StagingRow, store::MeteredTable},
     counters::CounterRegistry,
+    demand::DemandMonitor,
     limits::cold_bound,
     link::AgentLink,
     metrics::EntryMetrics,
@@ -75,6 +76,8 @@
     pub(crate) progress: Mutex<ProgressSamples>,
     /// Additional state where callers are routed by a route table.
     pub(crate) routed: Option<Arc<RoutedState>>,
+    /// Demand for services and this entry's shares of their slots.
+    pub(crate) demand: DemandMonitor,
     default_retries: Arc<RetryBudget>,
     /// Number of callers' requests in progress.
     pub(crate) in_flight: AtomicU32,
@@ -112,6 +115,7 @@
         sources.push(settings.platform.table);
         let store = Arc::new(MeteredTable::new(table, &settings.control, &metrics));
         Self {
+            demand: DemandMonitor::new(&settings.place.instance),
             settings,
             incarnation: now.0,
             table: store.clone(),
@@ -198,10 +202,11 @@
         }
     }
 
-    /// Returns this entry as one of those that use the same endpoints.
-    pub(crate) fn slot_competitor(&self, now: Timestamp) -> SlotCompetitor {
+    /// Returns this entry as one of those that use the endpoints of `service`.
+    pub(crate) fn slot_competitor(&self, service: &ServiceName, now: Timestamp) -> SlotCompetitor {
         let instance_hash = subject_of(self.settings.place.instance.as_str());
         SlotCompetitor::new(self.peers().values().count() + 1, instance_hash, now)
+            .with_fraction(self.demand.fraction(service, now))
     }
 
     /// Returns the only versions that may answer requests for `service` now.
@@ -364,7 +369,9 @@
         if let Some(admission) = self.admissions.load().get(service) {
             return admission.clone();
         }
-        let new_admission = Arc::new(EntryAdmission::new(self.settings.caller.queue_length));
+        let metrics = self.metrics.admission.service(service);
+        let max_waiting = self.settings.caller.queue_length;
+        let new_admission = Arc::new(EntryAdmission::new(max_waiting, metrics));
         self.admissions.rcu(|known| {
             let mut known = HashMap::clone(known);
             known.entry(service.clone()).or_insert_with(|| new_admission.clone());
@@ -493,6 +500,11 @@
             }
             let tracker = counters.endpoint(&listed.instance);
             tracker.set_hard_limit(candidate.limit);
+            if let (Some(born_at), Some(warm_up)) =
+                (listed.born_at, routed.warm_up(&listed.service))
+            {
+                tracker.speed().set_warm_up(born_at, warm_up, now);
+            }
             let region = routed.settings.regions.get(&listed.failure_domain).cloned();
             if let Some(region) = &region {
                 let own = &self.settings.place.region;
