Divide all free slots while a service recovers from an outage

Cause: after seconds in which no endpoint could serve, all entries have callers that return, and each used the idle slots that it saw, less a quarter.

Ruled out: endpoints that count as slow (few choices name a cost above 40).

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod layers;
 pub mod listing;
 pub mod manifest_search;
+pub mod outage_recovery;
 pub mod overlay;
 pub mod path_candidate;
 pub mod peering;
@@ -88,6 +89,7 @@
 pub use layers::{EngineHolding, LayerHalf, LayerRelease, PATH_RELEASE_MS};
 pub use listing::{EndpointListing, ListingUpdate};
 pub use manifest_search::{ManifestSearch, SearchStep};
+pub use outage_recovery::OutageRecovery;
 pub use overlay::{
     EntryLocation, FeedRole, feed_role, links_to_dial, reachable_entries, same_region_or_all,
 };
--- a/crates/decide/src/route.rs
+++ b/crates/decide/src/route.rs
@@ -333,6 +333,16 @@
         self.candidates.iter().filter(|c| c.tracker.speed().is_slow(now)).count()
     }
 
+    /// Whether any endpoint or path serves a version that may answer.
+    pub fn serves_any(&self, allowed: Option<&[ModelVersion]>) -> bool {
+        let is_allowed = |candidate: &RouteCandidate| {
+            let version = candidate.version.as_ref();
+            allowed.is_none_or(|allowed| version.is_none_or(|version| allowed.contains(version)))
+        };
+        let on_paths = self.paths.iter().map(|path| path.first());
+        self.candidates.iter().chain(on_paths).any(is_allowed)
+    }
+
     /// When the first endpoint may get a request again, if all have requested backoff.
     pub fn backoff_end(&self, now: Timestamp) -> Option<Deadline> {
         let end = |c: &RouteCandidate| {
--- a/crates/decide/src/slot_share.rs
+++ b/crates/decide/src/slot_share.rs
@@ -32,18 +32,20 @@
     rounding: f64,
     /// Fraction of the free slots that this entry may use; `None` if all entries use the same.
     fraction: Option<f64>,
+    /// Whether all free slots are divided, however many there are.
+    divides_all: bool,
 }
 
 impl SlotCompetitor {
     /// An entry that has the endpoints for itself.
-    pub const ALONE: Self = Self { entries: 1, rounding: 0.0, fraction: None };
+    pub const ALONE: Self = Self { entries: 1, rounding: 0.0, fraction: None, divides_all: false };
 
     /// One of `entries` entries. Their hashes make them round up at different times.
     pub fn new(entries: usize, instance_hash: u64, now: Timestamp) -> Self {
         let phase = instance_hash as f64 / u64::MAX as f64;
         let intervals = (now.0 / ROUNDING_INTERVAL_MS) as f64;
         let rounding = (phase + intervals * ROUNDING_STEP).fract();
-        Self { entries: entries.max(1), rounding, fraction: None }
+        Self { entries: entries.max(1), rounding, fraction: None, divides_all: false }
     }
 
     /// The same entry with this fraction of the free slots; `None` for the even one.
@@ -51,6 +53,14 @@
         Self { fraction, ..self }
     }
 
+    /// The same entry, with all free slots divided among the entries if `divides_all` is set.
+    ///
+    /// After an outage all entries have waiting callers, so that free slots beyond the divided
+    /// fraction are needed by each of them.
+    pub fn dividing_all(self, divides_all: bool) -> Self {
+        Self { divides_all, ..self }
+    }
+
     /// Fraction of the slots to leave free.
     fn headroom(&self) -> f64 {
         HEADROOM_FRACTION * (1.0 - 1.0 / self.entries as f64)
@@ -99,7 +109,10 @@
             Some(fraction) => self.free * fraction,
             None => self.free / self.competitor.entries as f64,
         };
-        let open = self.free - self.total * DIVIDED_FRACTION;
+        let open = match self.competitor.divides_all {
+            true => 0.0,
+            false => self.free - self.total * DIVIDED_FRACTION,
+        };
         let capacity = (self.kept + part.max(open) + self.competitor.rounding) as u32;
         // An entry that holds no slot would otherwise never get one from the others.
         capacity.max(u32::from(self.total > 0.0))
--- a/crates/entry/src/caller/admit.rs
+++ b/crates/entry/src/caller/admit.rs
@@ -8,7 +8,7 @@
     time::Duration,
 };
 
-use cassiawheel_decide::{AdmitTicket, AdmitTier, AdmitVerdict, ServiceAdmission};
+use cassiawheel_decide::{AdmitTicket, AdmitTier, AdmitVerdict, OutageRecovery, ServiceAdmission};
 use cassiawheel_model::{ForcedPreset, NotRunReason, ServiceName, Timestamp};
 use cassiawheel_runtime::timeout;
 use smol::channel::{Receiver, Sender, bounded};
@@ -29,6 +29,7 @@
     capacity: AtomicU32,
     measured_at: AtomicU64,
     retries: RetryState,
+    outage: OutageRecovery,
     metrics: ServiceAdmissionMetrics,
 }
 
@@ -60,6 +61,7 @@
             capacity: AtomicU32::new(0),
             measured_at: AtomicU64::new(0),
             retries: RetryState::default(),
+            outage: OutageRecovery::default(),
             metrics,
         }
     }
@@ -75,9 +77,14 @@
         let preset = shared.active_preset.load();
         let target = preset.as_ref().and_then(|preset| preset.content.services.get(service));
         let max_in_flight = target.map_or(0, |target| target.max_in_flight);
-        let competitor = shared.slot_competitor(service, now);
         let routes = shared.routes.load();
         let routes = routes.service(service);
+        let allowed = shared.allowed_versions(service, now);
+        if !routes.is_some_and(|routes| routes.serves_any(allowed.as_deref())) {
+            self.outage.record_unserved(now);
+        }
+        let competitor = shared.slot_competitor(service, now);
+        let competitor = competitor.dividing_all(self.outage.is_recovering(now));
         let capacity = routes.map_or(0, |r| r.capacity(max_in_flight, competitor, now));
         self.capacity.store(capacity, Ordering::Relaxed);
         self.measured_at.store(now.0, Ordering::Relaxed);
@@ -93,6 +100,8 @@
     /// Returns the delay after which the caller of a refused request is told to retry.
     fn assign_retry(&self, request: &IdentifiedRequest, capacity: u32, now: Timestamp) -> Duration {
         self.metrics.count_told();
+        // Endpoints with a version that may not answer count in the capacity.
+        let capacity = if self.outage.is_unserved(now) { 0 } else { capacity };
         self.retries.assign(request, &self.queue, capacity, now)
     }
 }
