--- a/crates/decide/tests/plan.rs
+++ b/crates/decide/tests/plan.rs
@@ -437,6 +437,28 @@
     assert!(reports[8..].iter().all(|report| first.contains(&report.instance)), "{first:?}");
 }
 
+/// Guards against an order that lets an endpoint give up an allowed version, or names no retired
+/// one and so keeps its engine from loading a part early. Layers are those of the service.
+#[test]
+fn orders_name_the_retired_version_and_the_layers() {
+    let mut preset = preset(1, content("v3", 50, None));
+    let target = preset.content.services.values_mut().next().expect("a service");
+    target.engine = Some(engine(32));
+    let mut reports = vec![report(0, serving("v1")), report(1, serving("v2"))];
+    reports.push(report(2, EndpointState::Empty));
+    let reports: Vec<_> = reports.iter().collect();
+    let schedule = schedule(&["v1"], 20_000);
+    let rollout = Some(&schedule);
+    let orders =
+        plan_orders(PlanInput { preset: &preset, ahead: None, reports: &reports, rollout });
+    assert_eq!(orders.len(), 3, "{orders:?}");
+    for order in orders {
+        let is_first = order.instance == reports[0].instance;
+        assert_eq!(order.retired, is_first.then(|| version("v1")), "{order:?}");
+        assert_eq!(order.layers, 32, "{order:?}");
+    }
+}
+
 /// Guards against new, still empty engines that count as switching during a rollout and
 /// block the others until after their deadline.
 #[test]
