--- a/crates/agent/src/layers.rs
+++ b/crates/agent/src/layers.rs
@@ -35,14 +35,19 @@
 /// Upper bound of that delay.
 const MAX_BACKOFF: Duration = Duration::from_secs(2);
 
+/// Number of ordered versions whose numbers of layers are kept.
+const MAX_TOTALS: usize = 4;
+
 /// Layers of the engine, as known to the tasks of an agent.
 pub(crate) struct LayerState {
     release: Mutex<LayerRelease>,
-    /// Number of layers of the model; none before the first order.
-    total: Mutex<Option<u32>>,
+    /// Numbers of layers by ordered version, newest last; empty before the first order.
+    totals: Mutex<Vec<(ModelVersion, u32)>>,
     /// The newest ordered manifest, and when it was first ordered.
     ordered: Mutex<Option<(ManifestDigest, Timestamp)>>,
     refuses_ranges: AtomicBool,
+    /// Whether the last status call failed.
+    engine_unreachable: AtomicBool,
     engine_lock: lock::Mutex<()>,
 }
 
@@ -51,9 +56,10 @@
     pub(crate) fn new(now: Timestamp) -> Self {
         Self {
             release: Mutex::new(LayerRelease::new(now)),
-            total: Mutex::default(),
+            totals: Mutex::default(),
             ordered: Mutex::default(),
             refuses_ranges: AtomicBool::new(false),
+            engine_unreachable: AtomicBool::new(false),
             engine_lock: lock::Mutex::new(()),
         }
     }
@@ -63,6 +69,11 @@
         self.release.lock().unwrap_or_else(|poison| poison.into_inner())
     }
 
+    /// Records whether the engine answered the last status call.
+    pub(crate) fn set_reachable(&self, is_reachable: bool) {
+        self.engine_unreachable.store(!is_reachable, Ordering::Relaxed);
+    }
+
     /// Excludes other loads of the engine until the guard is dropped.
     pub(crate) async fn lock_engine(&self) -> lock::MutexGuard<'_, ()> {
         self.engine_lock.lock().await
@@ -70,11 +81,15 @@
 
     /// Records the number of layers and the time of an accepted order.
     pub(crate) fn record_order(&self, order: &WeightOrder) {
-        let mut total = self.total.lock().unwrap_or_else(|poison| poison.into_inner());
+        let mut totals = self.totals.lock().unwrap_or_else(|poison| poison.into_inner());
         // An entry of an older build names no layers; the engine may still hold some.
-        if order.layers > 0 || total.is_none() {
-            *total = Some(order.layers);
+        if order.layers > 0 || totals.is_empty() {
+            totals.retain(|(version, _)| *version != order.version);
+            totals.push((order.version.clone(), order.layers));
+            let surplus = totals.len().saturating_sub(MAX_TOTALS);
+            totals.drain(..surplus);
         }
+        drop(totals);
         let mut ordered = self.ordered.lock().unwrap_or_else(|poison| poison.into_inner());
         if ordered.is_none_or(|(manifest, _)| manifest != order.manifest) {
             *ordered = Some((order.manifest, Timestamp::now()));
@@ -82,7 +97,10 @@
     }
 
     fn holding(&self, status: &EngineStatus) -> EngineHolding {
-        let total = *self.total.lock().unwrap_or_else(|poison| poison.into_inner());
+        let totals = self.totals.lock().unwrap_or_else(|poison| poison.into_inner());
+        let held = status.layers.as_ref().map(|layers| &layers.version);
+        let of_held = totals.iter().find(|(version, _)| Some(version) == held);
+        let total = of_held.or_else(|| totals.last()).map(|(_, total)| *total);
         EngineHolding::new(status.version.as_ref(), status.layers.as_ref(), total)
     }
 
@@ -129,7 +147,10 @@
     shared: &EndpointShared,
     state: &EndpointState,
 ) -> Option<LoadedLayers> {
-    let may_report = matches!(state, EndpointState::Empty | EndpointState::Switching);
+    // Entries would send requests on paths through a dead engine as long as its agent reports.
+    let is_unreachable = shared.layers.engine_unreachable.load(Ordering::Relaxed);
+    let is_idle = matches!(state, EndpointState::Empty | EndpointState::Switching);
+    let may_report = is_idle && !is_unreachable;
     shared.layers.release().reported().filter(|_| may_report).cloned()
 }
 
--- a/crates/agent/src/report.rs
+++ b/crates/agent/src/report.rs
@@ -66,7 +66,9 @@
     let now = Timestamp::now();
     let mut last = shared.last_report();
     let report = build_report(shared);
-    if last.as_ref().is_some_and(|last| last.covers(&report, now)) {
+    // A load would confirm withdrawn layers at an entry that the report has not reached yet.
+    let is_withdrawn = shared.layers.release().is_withdrawn_recently(now);
+    if !is_withdrawn && last.as_ref().is_some_and(|last| last.covers(&report, now)) {
         send_load(shared, report.load, now);
     } else {
         send_full_report(shared, &mut last, report);
@@ -130,6 +132,7 @@
             shared.transfer.wake();
         }
         is_reached = status.is_ok();
+        shared.layers.set_reachable(is_reached);
         if let Ok(status) = status {
             orders::check_engine(&shared, &before, &status);
             layers::observe_engine(&shared, &status, changes);
--- a/crates/decide/src/demand.rs
+++ b/crates/decide/src/demand.rs
@@ -333,7 +333,11 @@
         };
         let recent: Vec<_> = others.iter().filter_map(record).collect();
         let mut rates: Vec<_> = recent.iter().map(|known| f64::from(known.per_second)).collect();
-        rates.push(own_per_second);
+        // The published rate is as old as those of the others. With the current one, a rise of all
+        // rates would make each entry overestimate its part.
+        let published = record(&self.own).map(|known| f64::from(known.per_second));
+        let own_rate = published.unwrap_or(own_per_second);
+        rates.push(own_rate);
         let mean_per_second = rates.iter().sum::<f64>() / rates.len() as f64;
         let share = DemandShare {
             fraction: None,
@@ -354,7 +358,7 @@
         // An entry without a recent record gets the mean, so that the shares of the others do not
         // grow because of it.
         rates.resize(entries, mean_per_second);
-        let fraction = own_per_second * slots_per_rate(&rates);
+        let fraction = own_rate * slots_per_rate(&rates);
         let even = 1.0 / entries as f64;
         let (fraction, reason) = match fraction {
             fraction if fraction < even * MIN_FACTOR => {
--- a/crates/decide/src/layers.rs
+++ b/crates/decide/src/layers.rs
@@ -8,11 +8,14 @@
 use std::cmp::Reverse;
 
 use cassiawheel_model::{
-    Deadline, EndpointState, InstanceId, LayerRange, LoadedLayers, ManifestDigest, ModelVersion,
-    Timestamp,
+    Deadline, EndpointReport, EndpointState, InstanceId, LayerRange, LoadedLayers, ManifestDigest,
+    ModelVersion, Timestamp,
 };
 
-use crate::rank::{rendezvous_weight, subject_of};
+use crate::{
+    endpoint_tracker::PATH_TTL_MS,
+    rank::{rendezvous_weight, subject_of},
+};
 
 /// Time from the report without layers until another version may be loaded, in milliseconds.
 ///
@@ -104,6 +107,18 @@
     Part(LoadedLayers),
 }
 
+/// Version that the engine of a restarted agent holds completely, although the report says that the
+/// endpoint is empty.
+///
+/// Such an agent learns the number of layers with its first order. `layers` is the number of layers
+/// of the model, at most one if the configuration names none; a range that begins with the first
+/// layer is then complete, since such engines load no parts.
+pub fn resumed_version(report: &EndpointReport, layers: u32) -> Option<&ModelVersion> {
+    let held = report.layers.as_ref().filter(|_| report.state == EndpointState::Empty)?;
+    let is_whole = held.range.from() == 0 && (layers <= 1 || held.range.to() >= layers);
+    is_whole.then_some(&held.version)
+}
+
 impl EngineHolding {
     /// Interprets an engine's status.
     ///
@@ -213,6 +228,11 @@
         }
     }
 
+    /// Whether entries may still use layers that this process has withdrawn.
+    pub fn is_withdrawn_recently(&self, now: Timestamp) -> bool {
+        self.released.is_some() && now.0 < self.released_at.0 + PATH_TTL_MS
+    }
+
     /// Whether the layers of another version than `version` are reported.
     pub fn reports_other(&self, version: &ModelVersion) -> bool {
         self.reported.as_ref().is_some_and(|layers| layers.version != *version)
--- a/crates/decide/src/plan.rs
+++ b/crates/decide/src/plan.rs
@@ -32,6 +32,7 @@
     service::ServicePlan,
     weights::{FULLY_HELD, WantedWeights, held_percent},
 };
+use crate::layers::resumed_version;
 use crate::rank::{rendezvous_weight, subject_of};
 
 /// Input of [`plan_orders`].
@@ -129,12 +130,10 @@
     reports: &[&EndpointReport],
 ) -> BTreeMap<InstanceId, EndpointReport> {
     let resumed = reports.iter().filter_map(|report| {
-        let held = report.layers.as_ref().filter(|_| report.service == *service)?;
-        let is_whole = held.range.from() == 0 && held.range.to() >= layers && layers > 0;
-        let is_idle = report.state == EndpointState::Empty;
-        let state = EndpointState::Serving { version: Some(held.version.clone()), generation: 0 };
+        let version = resumed_version(report, layers).filter(|_| report.service == *service)?;
+        let state = EndpointState::Serving { version: Some(version.clone()), generation: 0 };
         let resumed = EndpointReport { state, ..EndpointReport::clone(report) };
-        (is_whole && is_idle).then(|| (report.instance.clone(), resumed))
+        Some((report.instance.clone(), resumed))
     });
     resumed.collect()
 }
--- a/crates/decide/src/retry_time.rs
+++ b/crates/decide/src/retry_time.rs
@@ -113,7 +113,10 @@
         };
         let delay = delay.clamp(MIN_DELAY, longest);
         let returns_at = (now.0 + delay.as_millis() as u64) / INTERVAL_MS;
-        self.told.entry(returns_at).or_insert([0; POSITIONS])[caller.position()] += 1;
+        // Clients retry once, so a caller that was refused before does not return.
+        if caller.tier == AdmitTier::Fresh {
+            self.told.entry(returns_at).or_insert([0; POSITIONS])[caller.position()] += 1;
+        }
         delay
     }
 
--- a/crates/decide/src/route.rs
+++ b/crates/decide/src/route.rs
@@ -334,12 +334,13 @@
     }
 
     /// Whether any endpoint or path serves a version that may answer.
-    pub fn serves_any(&self, allowed: Option<&[ModelVersion]>) -> bool {
+    pub fn serves_any(&self, allowed: Option<&[ModelVersion]>, now: Timestamp) -> bool {
         let is_allowed = |candidate: &RouteCandidate| {
             let version = candidate.version.as_ref();
             allowed.is_none_or(|allowed| version.is_none_or(|version| allowed.contains(version)))
         };
-        let on_paths = self.paths.iter().map(|path| path.first());
+        let available = self.paths.iter().filter(|path| path.is_available(now));
+        let on_paths = available.map(|path| path.first());
         self.candidates.iter().chain(on_paths).any(is_allowed)
     }
 
@@ -401,6 +402,9 @@
         if let Some(candidate) = more.or_else(|| self.scan(rng, |c| c.is_usable(query))) {
             return Some(self.choice(candidate, RouteReason::FirstWithRoom, query));
         }
+        if let Some(choice) = self.choose_path(query, rng) {
+            return Some(choice);
+        }
         let slow = self.candidates.iter().filter(|c| c.is_slow(query.now)).count();
         // If most endpoints are slow, the cause is elsewhere and no better choice exists.
         let may_be_slow = slow * 2 > self.candidates.len();
--- a/crates/decide/tests/layers.rs
+++ b/crates/decide/tests/layers.rs
@@ -324,3 +324,14 @@
     assert!(!should_give_up_layers(11, 24));
     assert!(should_give_up_layers(12, 24));
 }
+
+/// Guards against loads that confirm withdrawn layers at an entry that the report has not reached.
+#[test]
+fn loads_are_withheld_while_entries_may_use_withdrawn_layers() {
+    let mut release = LayerRelease::new(START);
+    assert!(!release.is_withdrawn_recently(START), "nothing was reported yet");
+    release.loaded(layers("v1", 0, 8));
+    release.withdraw(after(START, 100));
+    assert!(release.is_withdrawn_recently(after(START, 1_500)));
+    assert!(!release.is_withdrawn_recently(after(START, 1_600)));
+}
--- a/crates/decide/tests/plan.rs
+++ b/crates/decide/tests/plan.rs
@@ -5,6 +5,7 @@
 use cassiawheel_decide::{
     SwitchStagger,
     fencing::{OrderToken, next_token},
+    layers::resumed_version,
     plan::{PlanInput, PlanReason, PlannedOrder, RolloutSchedule, ScheduledVersion, plan_orders},
 };
 use cassiawheel_model::{
@@ -613,3 +614,26 @@
         origin: None,
     }
 }
+
+/// Guards against a whole engine that gets no requests after its agent has restarted, and against
+/// requests to an engine with a part as if it were whole.
+#[rstest]
+#[case::whole(16, 0, 16, true)]
+#[case::more_than_named(16, 0, 20, true)]
+#[case::lower_half(16, 0, 8, false)]
+#[case::upper_half(16, 8, 16, false)]
+#[case::layers_not_named(0, 0, 16, true)]
+#[case::one_layer(1, 0, 1, true)]
+fn a_restarted_agent_of_a_whole_engine_serves(
+    #[case] layers: u32,
+    #[case] from: u32,
+    #[case] to: u32,
+    #[case] is_whole: bool,
+) {
+    let range = LayerRange::new(from, to).expect("a range with layers");
+    let held = Some(LoadedLayers { version: version("v1"), range });
+    let with_layers = |state| EndpointReport { layers: held.clone(), ..report(0, state) };
+    let resumed = with_layers(EndpointState::Empty);
+    assert_eq!(resumed_version(&resumed, layers).is_some(), is_whole);
+    assert_eq!(resumed_version(&with_layers(EndpointState::Switching), layers), None);
+}
--- a/crates/decide/tests/retry_time.rs
+++ b/crates/decide/tests/retry_time.rs
@@ -73,3 +73,16 @@
     let urgent = assign(0, AdmitTier::Fresh);
     assert!(Some(returned) < last_fresh && urgent < Duration::from_millis(300), "{urgent:?}");
 }
+
+/// Guards against intervals that are kept for callers who do not return: clients retry once.
+#[test]
+fn callers_that_were_refused_twice_take_no_room() {
+    let mut plan = RetryPlan::default();
+    let outlook = outlook(60.0, 40.0);
+    for _ in 0..60 {
+        plan.assign(caller(5, AdmitTier::Returned), &outlook, NOW);
+    }
+    assert_eq!(plan.expected(NOW), 0);
+    let delay = plan.assign(caller(5, AdmitTier::Fresh), &outlook, NOW);
+    assert!(delay < Duration::from_millis(300), "{delay:?}");
+}
--- a/crates/entry/src/caller/admit.rs
+++ b/crates/entry/src/caller/admit.rs
@@ -80,11 +80,15 @@
         let routes = shared.routes.load();
         let routes = routes.service(service);
         let allowed = shared.allowed_versions(service, now);
-        if !routes.is_some_and(|routes| routes.serves_any(allowed.as_deref())) {
+        if !routes.is_some_and(|routes| routes.serves_any(allowed.as_deref(), now)) {
             self.outage.record_unserved(now);
         }
         let competitor = shared.slot_competitor(service, now);
-        let competitor = competitor.dividing_all(self.outage.is_recovering(now));
+        let competitor = match self.outage.is_recovering(now) {
+            // The rates of the entries are of different ages while all of them rise.
+            true => competitor.with_fraction(None).dividing_all(true),
+            false => competitor,
+        };
         let capacity = routes.map_or(0, |r| r.capacity(max_in_flight, competitor, now));
         self.capacity.store(capacity, Ordering::Relaxed);
         self.measured_at.store(now.0, Ordering::Relaxed);
@@ -198,7 +202,7 @@
     let admission = shared.admission(service);
     // Slots that admission takes for idle did not help this request, so they do not count.
     let capacity = match reason {
-        NotRunReason::NoEndpoint => 0,
+        NotRunReason::NoEndpoint | NotRunReason::ConnectFailed => 0,
         _ => admission.queue.active().max(1),
     };
     Some(admission.assign_retry(request, capacity, Timestamp::now()))
--- a/crates/entry/src/caller/path_attempt.rs
+++ b/crates/entry/src/caller/path_attempt.rs
@@ -64,8 +64,19 @@
     /// How the attempt failed if a member could not compute it and may have run a part of it.
     ///
     /// The status alone would tell a caller that the request was not run.
-    pub(crate) fn failure(&self, metadata: &ResponseMetadata) -> Option<AttemptFailure> {
-        let member = self.refused_member().filter(|_| !metadata.not_run)?;
+    pub(crate) fn failure(
+        &self,
+        status: StatusCode,
+        metadata: &ResponseMetadata,
+    ) -> Option<AttemptFailure> {
+        if metadata.not_run {
+            return None;
+        }
+        let member = match (self.refused_member(), status) {
+            (Some(member), _) => member.as_str(),
+            (None, StatusCode::SERVICE_UNAVAILABLE) => "a member",
+            (None, _) => return None,
+        };
         Some(AttemptFailure::Unknown(format!("{member} on the path failed")))
     }
 
--- a/crates/entry/src/demand.rs
+++ b/crates/entry/src/demand.rs
@@ -111,14 +111,26 @@
         self.state.lock().unwrap_or_else(|poison| poison.into_inner())
     }
 
-    /// Keeps counts for exactly the services that are reached directly.
-    fn refresh_counts(&self, routes: &RouteSnapshot) -> Arc<HashMap<ServiceName, Arc<AtomicU64>>> {
+    /// Keeps counts for the services that are reached directly, and for those that were before as
+    /// long as `is_configured` is true.
+    ///
+    /// Without an endpoint a service is not in the snapshot. If its demand were not counted
+    /// meanwhile, the rates of all entries would be wrong after an outage.
+    fn refresh_counts(
+        &self,
+        routes: &RouteSnapshot,
+        is_configured: impl Fn(&ServiceName) -> bool,
+    ) -> Arc<HashMap<ServiceName, Arc<AtomicU64>>> {
         let known = self.counts.load_full();
-        let direct = || routes.services().filter(|(_, routes)| routes.has_direct());
-        if direct().count() == known.len() && direct().all(|(name, _)| known.contains_key(name)) {
+        let direct = routes.services().filter(|(_, routes)| routes.has_direct());
+        let mut names: Vec<_> = direct.map(|(name, _)| name).collect();
+        names.extend(known.keys().filter(|name| is_configured(name)));
+        names.sort_unstable();
+        names.dedup();
+        if names.len() == known.len() && names.iter().all(|name| known.contains_key(*name)) {
             return known;
         }
-        let counts = direct().map(|(name, _)| {
+        let counts = names.into_iter().map(|name| {
             let count = known.get(name).cloned().unwrap_or_default();
             (name.clone(), count)
         });
@@ -139,7 +151,11 @@
     let others: Vec<_> =
         shared.peers().iter().map(|(instance, _)| subject_of(instance.as_str())).collect();
     let routes = shared.routes.load();
-    let counts = monitor.refresh_counts(&routes);
+    let preset = shared.active_preset.load();
+    let services = preset.as_ref().map(|preset| &preset.content.services);
+    let counts = monitor.refresh_counts(&routes, |name| {
+        services.is_some_and(|services| services.contains_key(name))
+    });
     shared.metrics.demand.retain(|name| counts.keys().any(|service| service.as_str() == name));
     let mut shares = HashMap::new();
     for (service, count) in counts.iter() {
--- a/crates/entry/src/direct.rs
+++ b/crates/entry/src/direct.rs
@@ -135,7 +135,7 @@
             connection: Some(connection),
             metadata: metadata.clone(),
         };
-        let failure = path.and_then(|path| path.failure(&metadata));
+        let failure = path.and_then(|path| path.failure(parts.status, &metadata));
         match check_head(head, &parts, &metadata).and(failure.map_or(Ok(()), Err)) {
             Ok(()) => Ok(DirectResponse { parts, metadata, stream }),
             Err(end) => {
--- a/crates/entry/src/paths.rs
+++ b/crates/entry/src/paths.rs
@@ -129,18 +129,19 @@
     ) -> ServicePaths {
         let mut formation = PathFormation::default();
         let is_known = |service: &ServiceName| layers_of(sources.preset, service) > 1;
-        let has_layers = sources.reports.values().any(|report| report.layers.is_some())
-            && sources.preset.content.services.keys().any(is_known);
-        if has_layers {
+        if sources.preset.content.services.keys().any(is_known) {
             formation.reported_twice = reported_twice(sources.roster);
             for listed in sources.listing.latest_per_addr(is_known) {
                 let report = sources.reports.get(&listed.addr).copied();
-                if let Some((report, layers)) =
-                    report.and_then(|r| Some((r, held_layers(r, listed)?)))
-                {
-                    let tracker = formation.add(sources, counters, listed, layers);
-                    by_agent.insert(subject_of(report.instance.as_str()), tracker);
-                }
+                let Some(report) = report else {
+                    continue;
+                };
+                let tracker = match held_layers(report, listed) {
+                    Some(layers) => formation.add(sources, counters, listed, layers),
+                    // Its loads count as soon as it reports layers.
+                    None => counters.endpoint(&listed.instance),
+                };
+                by_agent.insert(subject_of(report.instance.as_str()), tracker);
             }
         }
         let paths = formation.paths(sources.preset);
--- a/crates/entry/src/routed.rs
+++ b/crates/entry/src/routed.rs
@@ -14,7 +14,8 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use cassiawheel_decide::{
     CallerIndex, EndpointListing, EndpointTracker, EvacuationTable, FeedRole, PresetPull,
-    RegionDelay, RegionDelays, RetryBudget, VersionRegistry, plan::RolloutSchedule,
+    RegionDelay, RegionDelays, RetryBudget, VersionRegistry, layers::resumed_version,
+    plan::RolloutSchedule,
 };
 use cassiawheel_edge::{
     CallerProtocol, EndpointFeed, EndpointProtocol, OperatorFeed, TableStore, WeightSource,
@@ -336,10 +337,10 @@
     let candidate = |listed: &'a ListedEndpoint| {
         let target = preset.content.services.get(&listed.service)?;
         let limit = listed.slots;
-        if target.engine.is_none() {
+        let Some(engine) = &target.engine else {
             return Some(DirectCandidate { listed, version: None, limit });
-        }
-        let version = served_version(listed, reports.get(&listed.addr).copied())?;
+        };
+        let version = served_version(listed, reports.get(&listed.addr).copied(), engine.layers)?;
         Some(DirectCandidate { listed, version: Some(version), limit })
     };
     present.filter_map(candidate).collect()
@@ -348,10 +349,12 @@
 fn served_version(
     listed: &ListedEndpoint,
     report: Option<&EndpointReport>,
+    layers: u32,
 ) -> Option<ModelVersion> {
     match report.map(|report| &report.state) {
         Some(EndpointState::Serving { version, .. }) => version.clone(),
-        Some(EndpointState::Empty | EndpointState::Switching) => None,
+        Some(EndpointState::Empty) => resumed_version(report?, layers).cloned(),
+        Some(EndpointState::Switching) => None,
         // The report of a leaving agent does not describe its engine, which keeps running.
         Some(EndpointState::Draining) | None => listed.version.clone(),
     }
