--- a/crates/decide/src/route.rs
+++ b/crates/decide/src/route.rs
@@ -333,6 +333,17 @@
         self.candidates.iter().filter(|c| c.tracker.speed().is_slow(now)).count()
     }
 
+    /// Whether any endpoint or path serves a version that may answer.
+    pub fn serves_any(&self, allowed: Option<&[ModelVersion]>, now: Timestamp) -> bool {
+        let is_allowed = |candidate: &RouteCandidate| {
+            let version = candidate.version.as_ref();
+            allowed.is_none_or(|allowed| version.is_none_or(|version| allowed.contains(version)))
+        };
+        let available = self.paths.iter().filter(|path| path.is_available(now));
+        let on_paths = available.map(|path| path.first());
+        self.candidates.iter().chain(on_paths).any(is_allowed)
+    }
+
     /// When the first endpoint may get a request again, if all have requested backoff.
     pub fn backoff_end(&self, now: Timestamp) -> Option<Deadline> {
         let end = |c: &RouteCandidate| {
@@ -391,6 +402,9 @@
         if let Some(candidate) = more.or_else(|| self.scan(rng, |c| c.is_usable(query))) {
             return Some(self.choice(candidate, RouteReason::FirstWithRoom, query));
         }
+        if let Some(choice) = self.choose_path(query, rng) {
+            return Some(choice);
+        }
         let slow = self.candidates.iter().filter(|c| c.is_slow(query.now)).count();
         // If most endpoints are slow, the cause is elsewhere and no better choice exists.
         let may_be_slow = slow * 2 > self.candidates.len();
--- a/crates/decide/tests/plan.rs
+++ b/crates/decide/tests/plan.rs
@@ -5,6 +5,7 @@
 use cassiawheel_decide::{
     SwitchStagger,
     fencing::{OrderToken, next_token},
+    layers::resumed_version,
     plan::{PlanInput, PlanReason, PlannedOrder, RolloutSchedule, ScheduledVersion, plan_orders},
 };
 use cassiawheel_model::{
@@ -437,6 +438,28 @@
     assert!(reports[8..].iter().all(|report| first.contains(&report.instance)), "{first:?}");
 }
 
+/// Guards against an order that lets an endpoint give up an allowed version, or names no retired
+/// one and so keeps its engine from loading a part early. Layers are those of the service.
+#[test]
+fn orders_name_the_retired_version_and_the_layers() {
+    let mut preset = preset(1, content("v3", 50, None));
+    let target = preset.content.services.values_mut().next().expect("a service");
+    target.engine = Some(engine(32));
+    let mut reports = vec![report(0, serving("v1")), report(1, serving("v2"))];
+    reports.push(report(2, EndpointState::Empty));
+    let reports: Vec<_> = reports.iter().collect();
+    let schedule = schedule(&["v1"], 20_000);
+    let rollout = Some(&schedule);
+    let orders =
+        plan_orders(PlanInput { preset: &preset, ahead: None, reports: &reports, rollout });
+    assert_eq!(orders.len(), 3, "{orders:?}");
+    for order in orders {
+        let is_first = order.instance == reports[0].instance;
+        assert_eq!(order.retired, is_first.then(|| version("v1")), "{order:?}");
+        assert_eq!(order.layers, 32, "{order:?}");
+    }
+}
+
 /// Guards against new, still empty engines that count as switching during a rollout and
 /// block the others until after their deadline.
 #[test]
@@ -591,3 +614,26 @@
         origin: None,
     }
 }
+
+/// Guards against a whole engine that gets no requests after its agent has restarted, and against
+/// requests to an engine with a part as if it were whole.
+#[rstest]
+#[case::whole(16, 0, 16, true)]
+#[case::more_than_named(16, 0, 20, true)]
+#[case::lower_half(16, 0, 8, false)]
+#[case::upper_half(16, 8, 16, false)]
+#[case::layers_not_named(0, 0, 16, true)]
+#[case::one_layer(1, 0, 1, true)]
+fn a_restarted_agent_of_a_whole_engine_serves(
+    #[case] layers: u32,
+    #[case] from: u32,
+    #[case] to: u32,
+    #[case] is_whole: bool,
+) {
+    let range = LayerRange::new(from, to).expect("a range with layers");
+    let held = Some(LoadedLayers { version: version("v1"), range });
+    let with_layers = |state| EndpointReport { layers: held.clone(), ..report(0, state) };
+    let resumed = with_layers(EndpointState::Empty);
+    assert_eq!(resumed_version(&resumed, layers).is_some(), is_whole);
+    assert_eq!(resumed_version(&with_layers(EndpointState::Switching), layers), None);
+}
