--- a/crates/decide/src/admit.rs
+++ b/crates/decide/src/admit.rs
@@ -3,11 +3,11 @@
 //! While capacity is free, a request is admitted with one atomic step. Beyond that, requests wait
 //! in a bounded queue ordered by urgency, then by tier, then by the fair share of each workspace,
 //! then by priority, then by arrival. Fair shares count the expected work of requests. Urgencies
-//! are assigned by operators; the module `urgency_queue` describes how a less urgent
-//! request still gets its turn. Priority is chosen by callers and ranks below the fair share, or one workspace that marks all its
-//! requests as urgent would starve the others. First-time requests rank above all, because a
-//! request that was refused before has already missed its latency target; a slot for it would make
-//! a first-time request miss its target too. A request that would wait too long is refused at once,
+//! are assigned by operators; the module `urgency_queue` describes how a less urgent request still
+//! gets its turn. Priority is chosen by callers and ranks below the fair share, or one workspace
+//! that marks all its requests as urgent would starve the others. Among requests of equal urgency,
+//! first-time ones rank above all, because a request that was refused before has already missed its
+//! latency target; a slot for it would make a first-time request miss its target too. A request that would wait too long is refused at once,
 //! and a full queue sheds the lowest priority of the workspace with the most waiting requests.
 //! Refused requests were not run.
 
