Partial loads of layers are a setting of the agent, off by default

Cause: after a loss of power the agents waited for 2.5 s from their start, since an earlier process might have reported layers, and loaded halves before the whole.

Without the setting an engine that reports layers counts as whole, as before.

--- a/crates/agent/src/endpoint.rs
+++ b/crates/agent/src/endpoint.rs
@@ -101,7 +101,7 @@
             released: bounded(1),
             claims: ClaimWriter::start(table.clone()),
             transfer: TransferState::new(&settings.transfer),
-            layers: LayerState::new(now),
+            layers: LayerState::new(now, settings.transfer.partial_loads),
             settings,
             engine,
             table,
--- a/crates/agent/src/layers.rs
+++ b/crates/agent/src/layers.rs
@@ -40,6 +40,7 @@
 
 /// Layers of the engine, as known to the tasks of an agent.
 pub(crate) struct LayerState {
+    partial_loads: bool,
     release: Mutex<LayerRelease>,
     /// Numbers of layers by ordered version, newest last; empty before the first order.
     totals: Mutex<Vec<(ModelVersion, u32)>>,
@@ -52,9 +53,11 @@
 }
 
 impl LayerState {
-    /// State of a process that has just started.
-    pub(crate) fn new(now: Timestamp) -> Self {
+    /// State of a process that has just started; without `partial_loads`, reported layers count as
+    /// a whole version.
+    pub(crate) fn new(now: Timestamp, partial_loads: bool) -> Self {
         Self {
+            partial_loads,
             release: Mutex::new(LayerRelease::new(now)),
             totals: Mutex::default(),
             ordered: Mutex::default(),
@@ -101,6 +104,7 @@
         let held = status.layers.as_ref().map(|layers| &layers.version);
         let of_held = totals.iter().find(|(version, _)| Some(version) == held);
         let total = of_held.or_else(|| totals.last()).map(|(_, total)| *total);
+        let total = if self.partial_loads { total } else { Some(0) };
         EngineHolding::new(status.version.as_ref(), status.layers.as_ref(), total)
     }
 
--- a/crates/agent/src/orders.rs
+++ b/crates/agent/src/orders.rs
@@ -48,7 +48,10 @@
 }
 
 /// Accepts an order received over the connection `entry` if its fencing token is the highest.
-pub(crate) fn handle_order(shared: &EndpointShared, entry: &WireSender, order: WeightOrder) {
+pub(crate) fn handle_order(shared: &EndpointShared, entry: &WireSender, mut order: WeightOrder) {
+    if !shared.settings.transfer.partial_loads {
+        order.layers = 0;
+    }
     let mut newest = shared.order();
     // A planner that was paused may send an order that a later planner has replaced.
     if newest.as_ref().is_some_and(|known| known.fencing >= order.fencing) {
--- a/crates/agent/tests/layers.rs
+++ b/crates/agent/tests/layers.rs
@@ -416,6 +416,7 @@
         "platform": { "table": entry, "origin": entry, "instances": entry },
         "inner_key": KEY,
         "engine": { "addr": entry, "role": "model", "service": "chat", "notice_ms": 10 },
+        "transfer": { "partial_loads": true },
         "heartbeat_ms": 20,
     }))?)
 }
--- a/crates/model/src/settings/agent.rs
+++ b/crates/model/src/settings/agent.rs
@@ -143,6 +143,9 @@
     /// Time after which a chunk that few agents hold is read from the origin again, in
     /// milliseconds; with 0 it is not, so that only one copy is read.
     pub rescue_ms: u64,
+    /// Whether an engine that serves nothing loads half of the layers of a version before the rest
+    /// is staged, so that it takes part in paths.
+    pub partial_loads: bool,
 }
 
 impl Default for TransferSettings {
@@ -159,6 +162,7 @@
             cache_bytes: 64 << 20,
             queue_ms: 0,
             rescue_ms: 0,
+            partial_loads: false,
         }
     }
 }
