--- a/crates/entry/src/caller/admit.rs
+++ b/crates/entry/src/caller/admit.rs
@@ -22,6 +22,13 @@
 /// Time in milliseconds for which a computed capacity is reused.
 const CAPACITY_TTL_MS: u64 = 20;
 
+/// Retry delay of callers that were refused because of overload, where urgencies are not in use.
+///
+/// A caller that retries has missed its latency target in any case, so the delay costs nothing and
+/// lets the overload pass: engines that lost their weights serve again after three to four seconds,
+/// and a burst lasts about as long.
+const OVERLOAD_RETRY_DELAY: Duration = Duration::from_millis(2_000);
+
 /// Admission queue of one service.
 #[derive(Debug)]
 pub(crate) struct EntryAdmission {
@@ -179,8 +186,8 @@
     admission.metrics.count_refused(request.urgency);
     let now = Timestamp::now();
     let capacity = admission.refresh_capacity(shared, &head.service, now);
-    let is_routed = shared.routed.is_some();
-    let retry_after = is_routed.then(|| admission.assign_retry(request, capacity, now));
+    let is_planned = shared.routed.is_some() && request.urgency.is_some();
+    let retry_after = is_planned.then(|| admission.assign_retry(request, capacity, now));
     let (active, waiting) = (admission.queue.active(), admission.queue.waiting());
     let retry_ms = retry_after.unwrap_or_default().as_millis() as u64;
     let (urgency, work_ms) = (urgency_label(request.urgency), request.work.as_ms());
@@ -199,6 +206,9 @@
     if !is_known_service(shared, service) {
         return None;
     }
+    if request.urgency.is_none() {
+        return Some(OVERLOAD_RETRY_DELAY);
+    }
     let admission = shared.admission(service);
     // Slots that admission takes for idle did not help this request, so they do not count.
     let capacity = match reason {
