No range counts as a whole version where the configuration names no layers

The two cases of the new plan test that expected it are turned round: the failure it would let through, requests to an engine with a part, is the graver one. Agents without partial loads report no layers, so only a restarted agent with the setting is ordered to switch early.

--- a/crates/decide/src/layers.rs
+++ b/crates/decide/src/layers.rs
@@ -111,11 +111,10 @@
 /// endpoint is empty.
 ///
 /// Such an agent learns the number of layers with its first order. `layers` is the number of layers
-/// of the model, at most one if the configuration names none; a range that begins with the first
-/// layer is then complete, since such engines load no parts.
+/// of the model; where the configuration names at most one, no range counts as complete.
 pub fn resumed_version(report: &EndpointReport, layers: u32) -> Option<&ModelVersion> {
     let held = report.layers.as_ref().filter(|_| report.state == EndpointState::Empty)?;
-    let is_whole = held.range.from() == 0 && (layers <= 1 || held.range.to() >= layers);
+    let is_whole = layers > 1 && held.range.from() == 0 && held.range.to() >= layers;
     is_whole.then_some(&held.version)
 }
 
--- a/crates/decide/tests/plan.rs
+++ b/crates/decide/tests/plan.rs
@@ -622,8 +622,8 @@
 #[case::more_than_named(16, 0, 20, true)]
 #[case::lower_half(16, 0, 8, false)]
 #[case::upper_half(16, 8, 16, false)]
-#[case::layers_not_named(0, 0, 16, true)]
-#[case::one_layer(1, 0, 1, true)]
+#[case::layers_not_named(0, 0, 16, false)]
+#[case::one_layer(1, 0, 1, false)]
 fn a_restarted_agent_of_a_whole_engine_serves(
     #[case] layers: u32,
     #[case] from: u32,
