--- a/crates/testkit/tests/urgent_requests.rs
+++ b/crates/testkit/tests/urgent_requests.rs
@@ -67,6 +67,15 @@
 fn a_refused_caller_is_told_a_time_within_a_third_of_its_own() {
     run(async {
         let site = PlatformSite::start(1, 1).await?;
+        let urgent = with_priorities(2, [json!(0), json!(2)], Value::Null);
+        site.rows.put("op", "config", &urgent);
+        let attempt = std::cell::Cell::new(0);
+        wait_until(async || {
+            attempt.set(attempt.get() + 1);
+            let id = format!("in-force-{}", attempt.get());
+            Ok(priority(&site, &id, "/safe/x").await?.as_deref() == Some("0"))
+        })
+        .await?;
         let told_s = async |id: &str| {
             let answer = site.call(SiteCall::new(id, "/safe/x")).await?;
             anyhow::ensure!(answer.status() != StatusCode::OK, "answered");
@@ -84,3 +93,16 @@
         Ok(())
     });
 }
+
+/// Guards against callers of services without urgencies that are told another time than before.
+#[test]
+fn without_urgencies_a_refused_caller_is_told_two_seconds() {
+    run(async {
+        let site = PlatformSite::start(1, 1).await?;
+        site.replicas[0].set_mode(ReplicaMode::Refuses);
+        let answer = site.call(SiteCall::new("refused", "/safe/x")).await?;
+        anyhow::ensure!(answer.status() == StatusCode::TOO_MANY_REQUESTS, "{}", answer.status());
+        assert_eq!(answer.headers()["retry-after"], "2.000");
+        Ok(())
+    });
+}
