--- a/crates/decide/src/route.rs
+++ b/crates/decide/src/route.rs
@@ -4,8 +4,9 @@
 //! cost is chosen. Load reports lag, so choosing the minimum over all endpoints would send every
 //! entry to the same one. The cost combines the requests that this entry has in flight at the
 //! endpoint, the requests of other entries by the endpoint's last report, the recent time until an
-//! answer begins, and the endpoint's speed and warm-up ([`crate::endpoint_speed`]). A prompt whose prefix an endpoint has probably cached goes there while that
-//! endpoint's load stays close to the mean. Endpoints that fail repeatedly are ejected for a while.
+//! answer begins, and the endpoint's speed and warm-up ([`crate::endpoint_speed`]). A prompt whose
+//! prefix an endpoint has probably cached goes there while that endpoint's load stays close to the
+//! mean. Endpoints that fail repeatedly are ejected for a while.
 //!
 //! A choice reads one snapshot and atomics; it takes no lock and allocates nothing.
 
