--- a/crates/decide/src/admit.rs
+++ b/crates/decide/src/admit.rs
@@ -105,9 +105,8 @@
 /// Divisor of the capacity that is reserved for all urgencies except the least urgent one. An entry
 /// with fewer than six slots reserves none.
 ///
-/// In a burst of the least urgent requests on twelve slots for each of 32 entries, an eighth refuses
-/// 4 in 1,000 urgent callers twice, against 339 without urgencies. With a quarter, the reserved
-/// slots look idle to all entries at once, and they use up to 1.7 times the slots.
+/// Reserved slots look idle to all entries at once, so that a larger reserve lets them use far more
+/// slots than there are.
 const URGENT_RESERVE_DIVISOR: u32 = 8;
 
 impl AdmitTier {
--- a/crates/decide/src/demand.rs
+++ b/crates/decide/src/demand.rs
@@ -64,7 +64,7 @@
 
 /// Standard deviations by which the variance of the rates must exceed the one by chance.
 ///
-/// Three of them took even demand of 30 entries for uneven in a twentieth of the time.
+/// Fewer mistake the chance differences between some 30 entries for uneven demand.
 const MIN_DEVIATIONS: f64 = 4.0;
 
 /// Bounds of a share, as factors of the even one.
--- a/crates/decide/src/endpoint_speed.rs
+++ b/crates/decide/src/endpoint_speed.rs
@@ -13,7 +13,7 @@
 /// Age at which a reported speed stops counting, in milliseconds.
 ///
 /// Endpoints change their speed many times a second, so an older figure says little about the next
-/// request. The initial value; the age at which figures mislead has not been measured yet.
+/// request.
 const SPEED_TTL_MS: u64 = 400;
 
 /// Speed of an endpoint that works as fast as usual, in percent of the usual time.
