Logs and metrics tell how old the list is, what is kept in grace, and pauses

The hypotheses of the incident could not be told apart: nothing said that an endpoint without a row is kept, how old the list is when an endpoint is chosen, or that the process stood still.

Metrics: a histogram of the age at each choice, endpoints in grace, the longest pause. No decision is changed.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod outage_recovery;
 pub mod overlay;
 pub mod path_candidate;
+pub mod pause_detector;
 pub mod peering;
 pub mod plan;
 pub mod preset_holder;
@@ -94,6 +95,7 @@
     EntryLocation, FeedRole, feed_role, links_to_dial, reachable_entries, same_region_or_all,
 };
 pub use path_candidate::{MemberState, PathCandidate};
+pub use pause_detector::PauseDetector;
 pub use peering::{AgentLocation, chunk_peers};
 pub use preset_holder::{Adoption, PresetHolder, StartHold};
 pub use preset_pull::{PeerRevision, PresetPull, PullStep, PullView};
--- a/crates/entry/src/caller/attempts.rs
+++ b/crates/entry/src/caller/attempts.rs
@@ -303,7 +303,8 @@
         };
         let (candidate, layer_path) = (choice.candidate, choice.layer_path);
         let path_text = layer_path.map(|path| path.path().to_string()).unwrap_or_default();
-        log::info!(target: "route", request:% = head.id, workspace:% = head.workspace, endpoint:% = candidate.instance, path = path_text, reason = choice.reason.as_str(), cost = choice.cost, near = candidate.is_near, candidates = choice.candidates, revision = preset.revision.0, attempt = self.tracker.attempts() + 1; "Chose an endpoint.");
+        let (list_age_ms, list_position) = observe_list(shared, now);
+        log::info!(target: "route", request:% = head.id, workspace:% = head.workspace, endpoint:% = candidate.instance, path = path_text, reason = choice.reason.as_str(), cost = choice.cost, near = candidate.is_near, candidates = choice.candidates, list_age_ms = list_age_ms, list_position = list_position, revision = preset.revision.0, attempt = self.tracker.attempts() + 1; "Chose an endpoint.");
         let load = LoadGuard::adopt(&choice, service.in_flight().clone());
         let path_attempt = layer_path.map(|path| PathAttempt::new(path.clone()));
         let (instance, path) = (candidate.instance.clone(), candidate.path);
@@ -374,6 +375,16 @@
     }
 }
 
+/// Observes how current the list of endpoints is for a choice; returns its age and position.
+fn observe_list(shared: &EntryShared, now: Timestamp) -> (u64, u64) {
+    let Some(routed) = &shared.routed else {
+        return (0, 0);
+    };
+    let age = routed.freshness.age(now).unwrap_or_default();
+    shared.metrics.list.observe_age(age);
+    (age.as_millis() as u64, routed.freshness.position())
+}
+
 fn preset_in_force(
     shared: &EntryShared,
     head: &RequestHead,
--- a/crates/entry/src/control/listing.rs
+++ b/crates/entry/src/control/listing.rs
@@ -4,7 +4,7 @@
 
 use cassiawheel_decide::ListingUpdate;
 use cassiawheel_edge::{FeedError, FeedPage};
-use cassiawheel_model::{ListedEndpoint, ListedRow, StorePosition, Timestamp};
+use cassiawheel_model::{InstanceId, ListedEndpoint, ListedRow, StorePosition, Timestamp};
 use cassiawheel_wire::{ControlMessage, WireSender};
 use rand::Rng;
 use smol::Timer;
@@ -98,9 +98,18 @@
     let is_first = listing.position() == 0;
     let before: Vec<_> = listing.endpoints().cloned().collect();
     let in_grace = listing.in_grace();
+    let last_asked_at = listing.asked_at();
     let to_send = listing.apply_read(update, now);
     let changed = !listing.endpoints().eq(before.iter());
+    let kept: Vec<_> =
+        listing.in_grace().into_iter().filter(|instance| !in_grace.contains(instance)).collect();
+    routed.freshness.record(&listing);
     drop(listing);
+    if !kept.is_empty() {
+        let gap_ms = last_asked_at.map_or(0, |last| asked_at.since(last).as_millis() as u64);
+        let names: Vec<_> = kept.iter().map(InstanceId::as_str).collect();
+        log::warn!(target: "list", endpoints = names.join(","), position = position, gap_ms = gap_ms; "Endpoints without a row are kept for a grace period.");
+    }
     // The first read of a process is new only to itself: the others have their own first read or
     // already follow the list. If each of 45 entries that start together sent the whole list, it
     // would fill the links between regions for seconds.
@@ -136,6 +145,7 @@
 fn expire_missing(shared: &EntryShared, routed: &RoutedState, now: Timestamp) {
     let mut listing = routed.listing();
     let rows = listing.expire_missing(now);
+    shared.metrics.list.set_in_grace(listing.in_grace().len());
     let (position, asked_at, era) = (listing.position(), listing.asked_at(), listing.era());
     drop(listing);
     let Some(asked_at) = asked_at.filter(|_| !rows.is_empty()) else {
@@ -157,6 +167,7 @@
     let before: Vec<_> = listing.endpoints().cloned().collect();
     let is_known = listing.apply_update(&update);
     let changed = !listing.endpoints().eq(before.iter());
+    routed.freshness.record(&listing);
     drop(listing);
     if !is_known {
         request_listing(routed, sender);
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -2,13 +2,14 @@
 
 mod admission;
 mod demand;
+mod list;
 
 use cassiawheel_model::OutcomeKind;
 use prometheus::{IntCounter, IntCounterVec, IntGauge, Opts, Registry};
 
 use self::admission::AdmissionMetrics;
 pub(crate) use self::admission::{ServiceAdmissionMetrics, urgency_label};
-use self::demand::DemandMetrics;
+use self::{demand::DemandMetrics, list::ListMetrics};
 use crate::caller::RequestStage;
 
 /// Counters and gauges of an entry.
@@ -43,6 +44,8 @@
     pub(crate) admin_refused: IntCounter,
     /// Demand for services and shares of their slots.
     pub(crate) demand: DemandMetrics,
+    /// How current the list of endpoints is.
+    pub(crate) list: ListMetrics,
 }
 
 impl EntryMetrics {
@@ -93,6 +96,7 @@
                 "Reads of the table service that failed",
             )?,
             demand: DemandMetrics::register(registry)?,
+            list: ListMetrics::register(registry)?,
         };
         registry.register(Box::new(metrics.admin_refused.clone()))?;
         registry.register(Box::new(metrics.quarantined.clone()))?;
--- /dev/null
+++ b/crates/entry/src/metrics/list.rs
@@ -0,0 +1,57 @@
+//! Metrics of the list of endpoints and of how current it is when a request is routed.
+
+use std::time::Duration;
+
+use prometheus::{Gauge, Histogram, HistogramOpts, IntGauge, Registry};
+
+/// Upper bounds of the histogram of ages, in seconds.
+///
+/// An endpoint gets no requests from two seconds after its departure on.
+const AGE_BUCKETS: [f64; 8] = [0.25, 0.5, 0.75, 1.0, 1.25, 1.5, 2.0, 5.0];
+
+/// How current the list of endpoints is.
+pub(crate) struct ListMetrics {
+    age: Histogram,
+    in_grace: IntGauge,
+    longest_pause: Gauge,
+}
+
+impl ListMetrics {
+    /// Creates the metrics and registers them in `registry`.
+    pub(crate) fn register(registry: &Registry) -> prometheus::Result<Self> {
+        let age = HistogramOpts::new(
+            "cassiawheel_entry_list_age_seconds",
+            "Age of the list of endpoints when an endpoint is chosen",
+        );
+        let metrics = Self {
+            age: Histogram::with_opts(age.buckets(AGE_BUCKETS.to_vec()))?,
+            in_grace: IntGauge::new(
+                "cassiawheel_entry_endpoints_in_grace",
+                "Endpoints without a row that may return after an outage of the table service",
+            )?,
+            longest_pause: Gauge::new(
+                "cassiawheel_entry_longest_pause_seconds",
+                "Longest time for which the process stood still",
+            )?,
+        };
+        registry.register(Box::new(metrics.age.clone()))?;
+        registry.register(Box::new(metrics.in_grace.clone()))?;
+        registry.register(Box::new(metrics.longest_pause.clone()))?;
+        Ok(metrics)
+    }
+
+    /// Observes the age of the list when an endpoint is chosen.
+    pub(crate) fn observe_age(&self, age: Duration) {
+        self.age.observe(age.as_secs_f64());
+    }
+
+    /// Sets the number of endpoints in their grace period.
+    pub(crate) fn set_in_grace(&self, count: usize) {
+        self.in_grace.set(count as i64);
+    }
+
+    /// Sets the longest time for which the process stood still.
+    pub(crate) fn set_longest_pause(&self, span: Duration) {
+        self.longest_pause.set(span.as_secs_f64());
+    }
+}
--- a/crates/entry/src/routed.rs
+++ b/crates/entry/src/routed.rs
@@ -30,7 +30,7 @@
 
 use crate::{
     control::manifest_cache::ManifestCache, crashes::VerdictCache, departures::DepartureMonitor,
-    direct::DirectClient, limits::LimitTracker, overlay::Overlay,
+    direct::DirectClient, freshness::ListFreshness, limits::LimitTracker, overlay::Overlay,
 };
 
 /// Minimum number of entries among which the retries of a service are divided.
@@ -80,6 +80,8 @@
     feed_role: Mutex<FeedRole>,
     versions_changed: (Sender<()>, Receiver<()>),
     listing: Mutex<EndpointListing>,
+    /// How current the list of endpoints is.
+    pub(crate) freshness: ListFreshness,
     pull: Mutex<PresetPull<WireSender>>,
     /// Links to other entries.
     pub(crate) overlay: Overlay,
@@ -132,6 +134,7 @@
         Self {
             retry_bursts_from: now.deadline_after(retry_window),
             listing: Mutex::new(listing),
+            freshness: ListFreshness::default(),
             settings: adapters.settings,
             callers: adapters.callers,
             direct: Arc::new(direct),
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -30,6 +30,7 @@
     },
     inner::serve_inner,
     metrics::EntryMetrics,
+    pauses,
     routed::{RoutedAdapters, RoutedState},
     shared::EntryShared,
 };
@@ -168,6 +169,7 @@
     spawn(links::maintain_links(shared.clone(), routed.clone())).detach();
     spawn(gossip::send_changes(shared.clone(), routed.clone())).detach();
     spawn(quarantine::sync_barred(shared.clone(), routed.clone())).detach();
+    spawn(pauses::watch(shared.clone())).detach();
 }
 
 /// Starts the tasks that poll the platform's services.
