Only an observed outage of the table service keeps endpoints without a row

What callers saw: requests at an endpoint that had left, which refused them. Cause: a row that vanished between two reads more than a heartbeat apart counted as expired in an outage, and its endpoint was kept for 2.3 s after the read, whether or not any call to the table service had failed. The time between two reads is measured by this process alone: it also grows when the entries that read have ended, or when the process stands still. With the gap of 1.75 s at which entries of rank five read, an endpoint got requests up to 4 s after its removal; 2 s are allowed.

Change: a grace period needs a read that the store did not answer, sent after the last known state. A timeout of a process that stood still meanwhile is none, nor is a refusal for the rate of calls. An entry that has such evidence also applies it to what others remove, so that one which has just woken and has observed nothing cannot take live endpoints from all.

Ruled out: a longer minimum gap (any bound is passed by a longer pause), and the number of rows that vanish (an outage may expire one row, a scale-in remove several).

--- a/crates/decide/src/listing.rs
+++ b/crates/decide/src/listing.rs
@@ -9,6 +9,11 @@
 //! Positions belong to an era of the store. When it returns from an older copy, the rows of
 //! the copy replace nothing that is known to be over, and endpoints that the copy lacks get
 //! a grace period in which to register again.
+//!
+//! Rows also expire while the store is away and nobody can renew them; such endpoints get the
+//! same grace period. Only a read that the store did not answer shows that it was away. The time
+//! between two reads does not: the readers may have ended, or this process may have stood still,
+//! and an endpoint whose row was removed meanwhile must not get requests for longer.
 
 use std::{
     cmp::Ordering,
@@ -95,6 +100,8 @@
     grace: HashMap<InstanceId, Deadline>,
     /// Longest time between two reads in which no row can have expired, in milliseconds.
     outage_ms: u64,
+    /// When the latest read was sent that the store did not answer.
+    unanswered_at: Option<Timestamp>,
     /// Until when a requested snapshot is expected from another entry.
     snapshot_until: Deadline,
     /// Until when endpoints are cold, by their newest rows.
@@ -111,6 +118,7 @@
             asked_at: None,
             grace: HashMap::new(),
             outage_ms: heartbeat_ms,
+            unanswered_at: None,
             snapshot_until: Deadline(0),
             cold_until: HashMap::new(),
         }
@@ -212,6 +220,11 @@
         may_request
     }
 
+    /// Records a read that the store did not answer while this process ran.
+    pub fn record_unanswered(&mut self, asked_at: Timestamp) {
+        self.unanswered_at = self.unanswered_at.max(Some(asked_at));
+    }
+
     /// Applies a read of the platform's list; returns the update for the other entries.
     ///
     /// The read is of the current era, or all rows of a later one. The update of a new era is based
@@ -248,6 +261,7 @@
     pub fn apply_update(&mut self, update: &ListingUpdate) -> bool {
         let is_base_known =
             update.base == 0 || (update.base_era == self.era && update.base <= self.position);
+        let after_outage = self.follows_outage(update.asked_at);
         match update.era.cmp(&self.era) {
             Ordering::Less => return true,
             _ if !is_base_known => return false,
@@ -259,6 +273,14 @@
                 };
                 self.begin_grace(&vanished, update.asked_at);
             }
+            Ordering::Equal if after_outage => {
+                // The sender may have no evidence of an outage that this entry has observed.
+                let vanished = match update.base {
+                    0 => self.vanished(update),
+                    _ => update.rows.clone(),
+                };
+                self.begin_grace(&vanished, update.asked_at);
+            }
             Ordering::Equal if update.base == 0 && update.position > self.position => {
                 self.drop_missing(update);
             }
@@ -267,7 +289,7 @@
         if update.base == 0 {
             self.rebase_rows();
         }
-        match update.era > update.base_era {
+        match update.era > update.base_era || after_outage {
             true => self.take_unless_in_grace(&update.rows, update.asked_at),
             false => self.take_rows(&update.rows, update.asked_at),
         }
@@ -301,10 +323,13 @@
         }
     }
 
-    /// Whether rows can have expired since the last read because the list could not be written.
+    /// Whether rows can have expired since the last read because the store was away.
     fn follows_outage(&self, asked_at: Timestamp) -> bool {
-        let since_last = self.asked_at.map(|last| asked_at.since(last).as_millis() as u64);
-        since_last.is_some_and(|span_ms| span_ms > self.outage_ms)
+        let Some(last) = self.asked_at else {
+            return false;
+        };
+        let is_observed = self.unanswered_at.is_some_and(|unanswered| unanswered > last);
+        is_observed && asked_at.since(last).as_millis() as u64 > self.outage_ms
     }
 
     /// Removes endpoints whose grace period has ended; returns the rows for the other entries.
--- a/crates/decide/tests/listing.rs
+++ b/crates/decide/tests/listing.rs
@@ -6,6 +6,7 @@
 use cassiawheel_model::{
     Deadline, FailureDomain, InstanceId, ListedEndpoint, ListedRow, ServiceName, Timestamp,
 };
+use rstest::rstest;
 
 const HEARTBEAT_MS: u64 = 1_200;
 const START: Timestamp = Timestamp(1_000_000);
@@ -69,6 +70,7 @@
 #[test]
 fn rows_that_expired_in_an_outage_may_return() {
     let mut listing = read(vec![row("a", 1), row("b", 2)], 2);
+    listing.record_unanswered(at(4_000));
     let back_at = at(6_000);
     let published =
         listing.apply_read(update(vec![gone("a", 3), gone("b", 4)], 2, 4, back_at), back_at);
@@ -81,6 +83,34 @@
     assert_eq!(removed.iter().map(|row| &row.instance).collect::<Vec<_>>(), [&instance("b")]);
 }
 
+/// Guards against an outage that is assumed because this process read late.
+#[rstest]
+#[case::no_read_failed(None)]
+#[case::answered_since(Some(0))]
+fn a_row_removed_between_reads_that_lie_far_apart_is_dropped(#[case] unanswered_at: Option<u64>) {
+    for gap_ms in [1_199, 1_201, 1_750, 10_000] {
+        let mut listing = read(vec![row("a", 1), row("b", 2)], 2);
+        if let Some(ms) = unanswered_at {
+            listing.record_unanswered(at(ms));
+        }
+        listing.apply_read(update(vec![gone("a", 3)], 2, 3, at(gap_ms)), at(gap_ms + 8));
+        assert_eq!(names(&listing), ["b"], "{gap_ms} ms between the reads");
+    }
+}
+
+/// Guards against live endpoints that an entry which has observed no outage removes at all others.
+#[test]
+fn an_entry_that_observed_an_outage_keeps_what_another_removes() {
+    let mut woken = read(vec![row("a", 1), row("b", 2)], 2);
+    let published = woken.apply_read(update(vec![gone("a", 3)], 2, 3, at(6_000)), at(6_010));
+    let mut other = read(vec![row("a", 1), row("b", 2)], 2);
+    other.record_unanswered(at(500));
+    assert!(other.apply_update(&published));
+    assert_eq!(names(&other), ["a", "b"]);
+    other.expire_missing(at(8_400));
+    assert_eq!(names(&other), ["b"]);
+}
+
 /// After the history is lost the whole list is read; a row missing from it was removed.
 #[test]
 fn a_whole_read_shows_what_was_removed() {
@@ -162,6 +192,7 @@
 #[test]
 fn an_unusable_row_ends_its_endpoint_also_after_an_outage() {
     let mut listing = read(vec![row("a", 1), row("b", 2)], 2);
+    listing.record_unanswered(at(500));
     let unusable = ListedRow { is_unusable: true, ..gone("a", 3) };
     listing.apply_read(update(vec![unusable, gone("b", 4)], 2, 4, at(6_000)), at(6_000));
     assert_eq!(names(&listing), ["b"]);
--- a/crates/entry/src/control/listing.rs
+++ b/crates/entry/src/control/listing.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use cassiawheel_decide::ListingUpdate;
-use cassiawheel_edge::{FeedError, FeedPage};
+use cassiawheel_edge::{FeedError, FeedPage, StoreError};
 use cassiawheel_model::{InstanceId, ListedEndpoint, ListedRow, StorePosition, Timestamp};
 use cassiawheel_wire::{ControlMessage, WireSender};
 use rand::Rng;
@@ -58,6 +58,7 @@
             Err(FeedError::HistoryLost) => history_lost = true,
             Err(FeedError::Store(error)) => {
                 monitor.record_failure(&error);
+                record_unanswered(&shared, &routed, &error, now);
                 let wait = rand::rng().random_range(RETRY_DELAY_MS);
                 retry_at = Timestamp::now().deadline_after(Duration::from_millis(wait));
             }
@@ -77,6 +78,21 @@
     if has_others && is_new && is_alone { u32::MAX } else { shared.own_rank() }
 }
 
+/// Records a failed read as evidence that the store is away, if it is any.
+fn record_unanswered(
+    shared: &EntryShared,
+    routed: &RoutedState,
+    error: &StoreError,
+    asked_at: Timestamp,
+) {
+    // A call of a process that stood still times out although it was answered, and a refusal for
+    // the rate of calls is an answer.
+    let is_answered = matches!(error, StoreError::RateLimited { .. });
+    if !is_answered && !shared.pauses.stood_still_since(asked_at, Timestamp::now()) {
+        routed.listing().record_unanswered(asked_at);
+    }
+}
+
 fn apply_page(
     shared: &EntryShared,
     routed: &RoutedState,
