Every entry ends the grace period of an endpoint by itself

A reader that keeps an endpoint after an outage left its removal out of the update, but the update still took the others to the position after it. They learned of the removal only from the reader's message at the end of the grace period. If the reader ended or was cut off before, they kept the endpoint for as long as they ran: the feed does not name the row again.

Updates and whole lists now name the missing endpoints with the time in which they may return, and each entry ends that time by itself. The reader still tells of its end, for entries of older builds, which pass over the new field and behave as before.

Test `every_entry_ends_the_grace_period_by_itself`; it fails where the field is not read.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -88,7 +88,7 @@
 pub use latch::RunLatch;
 pub use layer_path::{LayerHolder, form_paths};
 pub use layers::{EngineHolding, LayerHalf, LayerRelease, PATH_RELEASE_MS};
-pub use listing::{EndpointListing, ListingUpdate};
+pub use listing::{EndpointListing, ExpiredRow, ListingUpdate};
 pub use manifest_search::{ManifestSearch, SearchStep};
 pub use outage_recovery::OutageRecovery;
 pub use overlay::{
--- a/crates/decide/src/listing.rs
+++ b/crates/decide/src/listing.rs
@@ -16,7 +16,6 @@
 //! and an endpoint whose row was removed meanwhile must not get requests for longer.
 
 use std::{
-    cmp::Ordering,
     collections::{BTreeMap, HashMap},
     net::SocketAddr,
     time::Duration,
@@ -62,6 +61,26 @@
     pub asked_at: Timestamp,
     /// Era of the store to which the positions belong.
     pub era: u64,
+    /// Endpoints whose rows have vanished up to `position`, with the time until which they may
+    /// return.
+    pub missing: Vec<(InstanceId, Deadline)>,
+}
+
+/// Time in which an endpoint may return whose row has vanished.
+#[derive(Debug, Clone, Copy)]
+struct GracePeriod {
+    until: Deadline,
+    /// Whether it began with a read of this entry, which then tells the others of its end.
+    is_own: bool,
+}
+
+/// An endpoint that has not returned in its grace period.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ExpiredRow {
+    /// Row that removes the endpoint.
+    pub row: ListedRow,
+    /// Whether the other entries have to be told.
+    pub is_own: bool,
 }
 
 /// Newest row of an endpoint.
@@ -96,8 +115,8 @@
     era: u64,
     position: u64,
     asked_at: Option<Timestamp>,
-    /// Endpoints whose rows vanished during an outage or with an era, with the end of their grace period.
-    grace: HashMap<InstanceId, Deadline>,
+    /// Endpoints whose rows vanished during an outage or with an era.
+    grace: HashMap<InstanceId, GracePeriod>,
     /// Longest time between two reads in which no row can have expired, in milliseconds.
     outage_ms: u64,
     /// When the latest read was sent that the store did not answer.
@@ -202,6 +221,7 @@
             position: self.position,
             asked_at: self.asked_at?,
             era,
+            missing: self.grace.iter().map(|(name, period)| (name.clone(), period.until)).collect(),
         })
     }
 
@@ -242,7 +262,8 @@
             update.rows.extend(vanished);
         }
         if after_outage {
-            self.begin_grace(&update.rows, now);
+            let removed = update.rows.iter().filter(|row| has_vanished(row));
+            self.begin_grace(removed.map(|row| &row.instance), now, true);
         }
         self.take_unless_in_grace(&update.rows, update.asked_at);
         self.advance(&update);
@@ -250,7 +271,11 @@
             (update.base_era, update.base) = (before.era, before.version);
         } else {
             let grace = &self.grace;
-            update.rows.retain(|row| row.endpoint.is_some() || !grace.contains_key(&row.instance));
+            let is_kept =
+                |row: &ListedRow| row.endpoint.is_none() && grace.contains_key(&row.instance);
+            let kept = update.rows.extract_if(.., |row| is_kept(row));
+            update.missing =
+                kept.map(|row| (row.instance.clone(), grace[&row.instance].until)).collect();
         }
         update
     }
@@ -261,38 +286,38 @@
     pub fn apply_update(&mut self, update: &ListingUpdate) -> bool {
         let is_base_known =
             update.base == 0 || (update.base_era == self.era && update.base <= self.position);
-        let after_outage = self.follows_outage(update.asked_at);
-        match update.era.cmp(&self.era) {
-            Ordering::Less => return true,
-            _ if !is_base_known => return false,
-            Ordering::Greater => {
-                self.begin_era(update.era);
-                let vanished = match update.base {
-                    0 => self.vanished(update),
-                    _ => update.rows.clone(),
-                };
-                self.begin_grace(&vanished, update.asked_at);
-            }
-            Ordering::Equal if after_outage => {
-                // The sender may have no evidence of an outage that this entry has observed.
-                let vanished = match update.base {
-                    0 => self.vanished(update),
-                    _ => update.rows.clone(),
-                };
-                self.begin_grace(&vanished, update.asked_at);
-            }
-            Ordering::Equal if update.base == 0 && update.position > self.position => {
-                self.drop_missing(update);
-            }
-            Ordering::Equal => {}
+        let is_new_era = update.era > self.era;
+        // The sender may have no evidence of an outage that this entry has observed.
+        let after_outage = is_new_era || self.follows_outage(update.asked_at);
+        if update.era < self.era {
+            return true;
+        }
+        if !is_base_known {
+            return false;
+        }
+        if is_new_era {
+            self.begin_era(update.era);
+        }
+        if after_outage {
+            let vanished = match update.base {
+                0 => self.vanished(update),
+                _ => update.rows.clone(),
+            };
+            let vanished = vanished.iter().filter(|row| has_vanished(row));
+            self.begin_grace(vanished.map(|row| &row.instance), update.asked_at, false);
+        } else if update.base == 0 && update.position > self.position {
+            self.drop_missing(update);
         }
         if update.base == 0 {
             self.rebase_rows();
         }
-        match update.era > update.base_era || after_outage {
+        match after_outage || update.era > update.base_era {
             true => self.take_unless_in_grace(&update.rows, update.asked_at),
             false => self.take_rows(&update.rows, update.asked_at),
         }
+        for (instance, until) in &update.missing {
+            self.begin_grace_until(instance, GracePeriod { until: *until, is_own: false });
+        }
         self.advance(update);
         true
     }
@@ -332,21 +357,21 @@
         is_observed && asked_at.since(last).as_millis() as u64 > self.outage_ms
     }
 
-    /// Removes endpoints whose grace period has ended; returns the rows for the other entries.
-    pub fn expire_missing(&mut self, now: Timestamp) -> Vec<ListedRow> {
+    /// Removes endpoints whose grace period has ended.
+    pub fn expire_missing(&mut self, now: Timestamp) -> Vec<ExpiredRow> {
         let expired: Vec<_> = self
             .grace
             .iter()
-            .filter(|(_, until)| until.is_past(now))
-            .map(|(instance, _)| instance.clone())
+            .filter(|(_, period)| period.until.is_past(now))
+            .map(|(instance, period)| (instance.clone(), period.is_own))
             .collect();
         let mut removed = Vec::new();
-        for instance in expired {
+        for (instance, is_own) in expired {
             self.grace.remove(&instance);
             let row =
                 ListedRow { instance, position: self.position, endpoint: None, is_unusable: false };
             self.take_rows(std::slice::from_ref(&row), now);
-            removed.push(row);
+            removed.push(ExpiredRow { row, is_own });
         }
         removed
     }
@@ -379,15 +404,23 @@
             .collect()
     }
 
-    /// Starts the grace period of the endpoints that `rows` remove.
-    fn begin_grace(&mut self, rows: &[ListedRow], now: Timestamp) {
+    /// Starts the grace periods of endpoints that are still listed here.
+    fn begin_grace<'a>(
+        &mut self,
+        vanished: impl Iterator<Item = &'a InstanceId>,
+        now: Timestamp,
+        is_own: bool,
+    ) {
         let until = now.deadline_after(GRACE_PERIOD);
-        // An unusable row has been written, so it has not expired.
-        for row in rows.iter().filter(|row| row.endpoint.is_none() && !row.is_unusable) {
-            let known = self.rows.get(&row.instance);
-            if known.is_some_and(|known| known.row.endpoint.is_some()) {
-                self.grace.entry(row.instance.clone()).or_insert(until);
-            }
+        for instance in vanished {
+            self.begin_grace_until(instance, GracePeriod { until, is_own });
+        }
+    }
+
+    fn begin_grace_until(&mut self, instance: &InstanceId, period: GracePeriod) {
+        let known = self.rows.get(instance);
+        if known.is_some_and(|known| known.row.endpoint.is_some()) {
+            self.grace.entry(instance.clone()).or_insert(period);
         }
     }
 
@@ -451,3 +484,8 @@
         self.asked_at = self.asked_at.max(Some(update.asked_at));
     }
 }
+
+/// Whether the row was removed; an unusable row has been written, so it has not expired.
+fn has_vanished(row: &ListedRow) -> bool {
+    row.endpoint.is_none() && !row.is_unusable
+}
--- a/crates/decide/tests/cold_start.rs
+++ b/crates/decide/tests/cold_start.rs
@@ -78,6 +78,7 @@
         asked_at: Timestamp(asked_at),
         era: 0,
         base_era: 0,
+        missing: Vec::new(),
     };
     listing.apply_read(read(row(5, 3_000), 0, 10_000), Timestamp(10_010));
     assert_eq!(listing.cold_until(&instance), Some(Deadline(13_000)));
--- a/crates/decide/tests/listing.rs
+++ b/crates/decide/tests/listing.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use cassiawheel_decide::{EndpointListing, ListingUpdate};
+use cassiawheel_decide::{EndpointListing, ExpiredRow, ListingUpdate};
 use cassiawheel_model::{
     Deadline, FailureDomain, InstanceId, ListedEndpoint, ListedRow, ServiceName, Timestamp,
 };
@@ -43,7 +43,7 @@
 }
 
 fn update(rows: Vec<ListedRow>, base: u64, position: u64, asked_at: Timestamp) -> ListingUpdate {
-    ListingUpdate { rows, base, base_era: 0, position, asked_at, era: 0 }
+    ListingUpdate { rows, base, base_era: 0, position, asked_at, era: 0, missing: Vec::new() }
 }
 
 fn names(listing: &EndpointListing) -> Vec<String> {
@@ -80,7 +80,7 @@
     assert!(listing.expire_missing(at(7_500)).is_empty());
     let removed = listing.expire_missing(at(8_400));
     assert_eq!(names(&listing), ["a"]);
-    assert_eq!(removed.iter().map(|row| &row.instance).collect::<Vec<_>>(), [&instance("b")]);
+    assert_eq!(removed, [ExpiredRow { row: gone("b", 5), is_own: true }]);
 }
 
 /// Guards against an outage that is assumed because this process read late.
@@ -98,6 +98,25 @@
     }
 }
 
+/// Guards against entries that learn of a removed row from the reading entry only, which may end
+/// before the grace period does, and then keep the endpoint.
+#[test]
+fn every_entry_ends_the_grace_period_by_itself() {
+    let mut reader = read(vec![row("a", 1), row("b", 2)], 2);
+    reader.record_unanswered(at(4_000));
+    let published = reader.apply_read(update(vec![gone("a", 3)], 2, 3, at(6_000)), at(6_008));
+    let mut other = read(vec![row("a", 1), row("b", 2)], 2);
+    assert!(other.apply_update(&published));
+    let mut joined = EndpointListing::new(HEARTBEAT_MS);
+    assert!(joined.apply_update(&reader.snapshot().expect("known")));
+    for listing in [&mut other, &mut joined] {
+        assert_eq!(names(listing), ["a", "b"]);
+        let expired = listing.expire_missing(at(8_400));
+        assert_eq!(names(listing), ["b"]);
+        assert!(expired.iter().all(|expired| !expired.is_own), "the reader tells of it");
+    }
+}
+
 /// Guards against live endpoints that an entry which has observed no outage removes at all others.
 #[test]
 fn an_entry_that_observed_an_outage_keeps_what_another_removes() {
--- a/crates/entry/src/control/listing.rs
+++ b/crates/entry/src/control/listing.rs
@@ -4,7 +4,9 @@
 
 use cassiawheel_decide::ListingUpdate;
 use cassiawheel_edge::{FeedError, FeedPage, StoreError};
-use cassiawheel_model::{InstanceId, ListedEndpoint, ListedRow, StorePosition, Timestamp};
+use cassiawheel_model::{
+    Deadline, InstanceId, ListedEndpoint, ListedRow, StorePosition, Timestamp,
+};
 use cassiawheel_wire::{ControlMessage, WireSender};
 use rand::Rng;
 use smol::Timer;
@@ -101,7 +103,8 @@
     asked_at: Timestamp,
 ) {
     let StorePosition { era, version: position } = page.position;
-    let update = ListingUpdate { rows: page.rows, base, base_era: era, position, asked_at, era };
+    let (rows, missing) = (page.rows, Vec::new());
+    let update = ListingUpdate { rows, base, base_era: era, position, asked_at, era, missing };
     let now = Timestamp::now();
     let mut listing = routed.listing();
     if era < listing.era() {
@@ -154,21 +157,36 @@
         age_ms: Timestamp::now().since(update.asked_at).as_millis() as u64,
         era: Some(update.era),
         base_era: (update.base_era != update.era).then_some(update.base_era),
+        missing: times_left(update.missing),
     };
     peers::send_to_peers(shared, &message);
 }
 
+/// Time in which each missing endpoint may still return, in milliseconds.
+fn times_left(missing: Vec<(InstanceId, Deadline)>) -> Vec<(InstanceId, u64)> {
+    let now = Timestamp::now();
+    missing
+        .into_iter()
+        .map(|(name, until)| (name, until.remaining(now).as_millis() as u64))
+        .collect()
+}
+
 fn expire_missing(shared: &EntryShared, routed: &RoutedState, now: Timestamp) {
     let mut listing = routed.listing();
-    let rows = listing.expire_missing(now);
+    let expired = listing.expire_missing(now);
     shared.metrics.list.set_in_grace(listing.in_grace().len());
     let (position, asked_at, era) = (listing.position(), listing.asked_at(), listing.era());
     drop(listing);
-    let Some(asked_at) = asked_at.filter(|_| !rows.is_empty()) else {
+    let Some(asked_at) = asked_at.filter(|_| !expired.is_empty()) else {
         return;
     };
-    let update = ListingUpdate { rows, base: position, base_era: era, position, asked_at, era };
-    send_changes(shared, update, &[]);
+    let own = expired.into_iter().filter(|expired| expired.is_own);
+    let rows: Vec<_> = own.map(|expired| expired.row).collect();
+    if !rows.is_empty() {
+        let (base, missing) = (position, Vec::new());
+        let update = ListingUpdate { rows, base, base_era: era, position, asked_at, era, missing };
+        send_changes(shared, update, &[]);
+    }
     log_change(shared, routed, "not-returned");
 }
 
@@ -224,6 +242,7 @@
         age_ms,
         era: Some(whole.era),
         base_era: None,
+        missing: times_left(whole.missing),
     });
 }
 
--- a/crates/entry/src/control/peers.rs
+++ b/crates/entry/src/control/peers.rs
@@ -172,12 +172,16 @@
             manifests::send_manifest(Some(routed), sender, manifest);
         }
         ControlMessage::Manifest(manifest) => routed.manifests.insert(manifest),
-        ControlMessage::Listing { rows, base, position, age_ms, era, base_era } => {
-            let asked_at = Timestamp(Timestamp::now().0.saturating_sub(age_ms));
+        ControlMessage::Listing { rows, base, position, age_ms, era, base_era, missing } => {
+            let now = Timestamp::now();
+            let asked_at = Timestamp(now.0.saturating_sub(age_ms));
+            let until = |left_ms| now.deadline_after(Duration::from_millis(left_ms));
+            let missing =
+                missing.into_iter().map(|(name, left_ms)| (name, until(left_ms))).collect();
             // A process that knows no eras cannot tell when they change.
             let era = era.unwrap_or_else(|| routed.listing().era());
             let base_era = base_era.unwrap_or(era);
-            let update = ListingUpdate { rows, base, base_era, position, asked_at, era };
+            let update = ListingUpdate { rows, base, base_era, position, asked_at, era, missing };
             listing::handle_listing(shared, routed, sender, update);
         }
         ControlMessage::ListingWanted => listing::send_listing(routed, sender),
--- a/crates/wire/src/message/control.rs
+++ b/crates/wire/src/message/control.rs
@@ -89,6 +89,10 @@
         /// Era to which the base belongs, if it is another one.
         #[serde(default)]
         base_era: Option<u64>,
+        /// Endpoints whose rows have vanished up to `position`, with the time in which they may
+        /// return, in milliseconds.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        missing: Vec<(InstanceId, u64)>,
     },
     /// Entry to entry: requests the complete list.
     ListingWanted,
