Rows missing from a whole list of another entry stay removed

An entry that lacks the base of an update requests the whole list. What was missing from it was forgotten together with its position, so an update of a slower path that arrived later, with an older row, listed the endpoint again, and no later read named it. The row is now kept as removed at the position of the whole list, as rows are that the feed names.

Test `a_row_missing_from_a_whole_list_does_not_return_with_an_older_update`, failed before.

--- a/crates/decide/src/listing.rs
+++ b/crates/decide/src/listing.rs
@@ -16,7 +16,7 @@
 //! and an endpoint whose row was removed meanwhile must not get requests for longer.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, HashMap, HashSet},
     net::SocketAddr,
     time::Duration,
 };
@@ -324,11 +324,20 @@
 
     /// Removes rows that a newer copy of the whole list does not contain.
     fn drop_missing(&mut self, update: &ListingUpdate) {
-        let kept: Vec<_> = update.rows.iter().map(|row| &row.instance).collect();
-        let position = update.position;
-        let newer_than = StorePosition { era: self.era, version: position };
-        self.rows
-            .retain(|instance, known| known.position() > newer_than || kept.contains(&instance));
+        let listed: HashSet<_> = update.rows.iter().map(|row| &row.instance).collect();
+        let position = StorePosition { era: self.era, version: update.position };
+        for (instance, known) in &mut self.rows {
+            if known.position() <= position && !listed.contains(instance) {
+                // Without the position of its removal, a late message would restore the endpoint.
+                known.era = position.era;
+                known.row = ListedRow {
+                    position: position.version,
+                    endpoint: None,
+                    is_unusable: false,
+                    instance: instance.clone(),
+                };
+            }
+        }
     }
 
     /// Begins an era, in which every position is newer than all before.
--- a/crates/decide/tests/listing.rs
+++ b/crates/decide/tests/listing.rs
@@ -150,6 +150,18 @@
     assert_eq!(listing.position(), 5);
 }
 
+/// Guards against an endpoint that returns with a late message after a whole list has shown that its
+/// row is gone.
+#[test]
+fn a_row_missing_from_a_whole_list_does_not_return_with_an_older_update() {
+    let mut listing = read(vec![row("a", 1), row("b", 2)], 2);
+    assert!(listing.apply_update(&update(vec![row("b", 2)], 0, 9, at(500))));
+    assert!(listing.apply_update(&update(vec![row("a", 4)], 2, 5, at(400))));
+    assert_eq!(names(&listing), ["b"]);
+    assert!(listing.apply_update(&update(vec![row("a", 12)], 9, 12, at(900))));
+    assert_eq!(names(&listing), ["a", "b"]);
+}
+
 /// An update whose base is unknown, because an earlier one was dropped, is not applied; the
 /// entry has to request the whole list.
 #[test]
