The endpoint is checked again before the first byte of a request

Between the choice of an endpoint and the first byte lie a connection that takes up to 500 ms, and any time for which the process gets no turn. An endpoint that left meanwhile got the request all the same.

Each tracker now tells whether its endpoint is still routed to; it is set where the routes are derived, so departures, removals, evacuations, switches and later processes under the same name all count. The client checks it after it has a connection, for every member of a path. A withdrawn choice counts neither as an attempt nor against the retry budget, as nothing was sent, also for requests that must not be repeated; eight are allowed for a request. Metric `cassiawheel_entry_withdrawn_choices_total`, a line of part route.

The test without a network holds the cost and the bound of withdrawals.

--- a/crates/decide/src/endpoint_tracker.rs
+++ b/crates/decide/src/endpoint_tracker.rs
@@ -6,7 +6,7 @@
 use std::{
     sync::{
         OnceLock,
-        atomic::{AtomicU32, AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
     },
     time::Duration,
 };
@@ -128,6 +128,8 @@
     interval_us: AtomicU64,
     /// When the next request may be sent, in microseconds.
     next_at_us: AtomicU64,
+    /// Whether requests may no longer be sent to the endpoint.
+    withdrawn: AtomicBool,
     backoff: EndpointBackoff,
     speed: EndpointSpeed,
     /// Delays of the endpoint's region; not set if the region is not known.
@@ -141,6 +143,16 @@
         self.region.get_or_init(|| delays);
     }
 
+    /// Sets whether requests may no longer be sent to the endpoint.
+    pub fn set_withdrawn(&self, is_withdrawn: bool) {
+        self.withdrawn.store(is_withdrawn, Ordering::Release);
+    }
+
+    /// Whether the endpoint has left the routes since it was chosen from a snapshot.
+    pub fn is_withdrawn(&self) -> bool {
+        self.withdrawn.load(Ordering::Acquire)
+    }
+
     /// Requests that this entry has in flight at the endpoint.
     pub fn in_flight(&self) -> u32 {
         self.in_flight.load(Ordering::Relaxed)
--- a/crates/decide/src/path_candidate.rs
+++ b/crates/decide/src/path_candidate.rs
@@ -72,6 +72,11 @@
         self.members.get(position).map(|member| member.tracker.as_ref())
     }
 
+    /// Whether a member has left the routes since the path was formed.
+    pub fn is_withdrawn(&self) -> bool {
+        self.members.iter().any(|member| member.tracker.is_withdrawn())
+    }
+
     /// Whether every member holds its layers by a recent report and accepts requests.
     pub fn is_available(&self, now: Timestamp) -> bool {
         self.members.iter().all(|member| {
--- a/crates/decide/src/retry.rs
+++ b/crates/decide/src/retry.rs
@@ -20,6 +20,8 @@
     Lost(String),
     /// The request may have run, and the claim on its key blocks all other attempts.
     Unanswered(String),
+    /// Nothing was sent: the endpoint left the routes between its choice and the first byte.
+    Withdrawn,
 }
 
 /// Next step after a failed attempt.
@@ -68,6 +70,9 @@
 /// finished. With the backoff, this many refusals span about a second.
 const MAX_SWITCHING_REFUSALS: u32 = 12;
 
+/// Choices that may be withdrawn before a request is given up.
+const MAX_WITHDRAWALS: u32 = 8;
+
 /// Retry state of one request.
 #[derive(Debug, Clone)]
 pub struct RetryTracker {
@@ -75,6 +80,7 @@
     deadline: Deadline,
     attempts: u32,
     switching_refusals: u32,
+    withdrawals: u32,
     max_attempts: u32,
     unknown: Option<String>,
     refused: Option<NotRunReason>,
@@ -88,6 +94,7 @@
             deadline,
             attempts: 0,
             switching_refusals: 0,
+            withdrawals: 0,
             max_attempts,
             unknown: None,
             refused: None,
@@ -112,10 +119,15 @@
         now: Timestamp,
         rng: &mut impl Rng,
     ) -> RetryStep {
+        if end == AttemptFailure::Withdrawn && self.withdrawals < MAX_WITHDRAWALS {
+            self.withdrawals += 1;
+            self.attempts = self.attempts.saturating_sub(1);
+            return RetryStep::Reroute(Deadline(now.0));
+        }
         let may_repeat = match &end {
             AttemptFailure::NotRun(reason) => reason.is_retryable(),
             AttemptFailure::Unknown(_) | AttemptFailure::Lost(_) => self.guard != RepeatGuard::None,
-            AttemptFailure::Unanswered(_) => false,
+            AttemptFailure::Unanswered(_) | AttemptFailure::Withdrawn => false,
         };
         let stale = end == AttemptFailure::NotRun(NotRunReason::StaleRevision);
         let switching = end == AttemptFailure::NotRun(NotRunReason::Switching)
@@ -140,7 +152,7 @@
             }
             // "No endpoint left" is less useful to the caller than the reason of the last refusal,
             // so it does not replace that one.
-            AttemptFailure::NotRun(NotRunReason::NoEndpoint) => {}
+            AttemptFailure::NotRun(NotRunReason::NoEndpoint) | AttemptFailure::Withdrawn => {}
             AttemptFailure::NotRun(reason) => self.refused = Some(reason),
         }
     }
@@ -159,9 +171,10 @@
             return RetryStep::Stop(AttemptFailure::Unknown(detail.clone()));
         }
         let end = match (end, self.refused) {
-            (AttemptFailure::NotRun(NotRunReason::NoEndpoint), Some(reason)) => {
-                AttemptFailure::NotRun(reason)
-            }
+            (
+                AttemptFailure::NotRun(NotRunReason::NoEndpoint) | AttemptFailure::Withdrawn,
+                Some(reason),
+            ) => AttemptFailure::NotRun(reason),
             (end, _) => end,
         };
         RetryStep::Stop(end)
--- a/crates/decide/tests/retry.rs
+++ b/crates/decide/tests/retry.rs
@@ -174,3 +174,18 @@
     }
     assert!(rest <= 20, "{rest} further attempts");
 }
+
+/// Guards against requests that are given up, or cost the retry budget, because an endpoint left
+/// before anything was sent to it.
+#[rstest]
+#[case(RepeatGuard::Idempotent)]
+#[case(RepeatGuard::None)]
+fn a_withdrawn_choice_costs_no_attempt(#[case] guard: RepeatGuard) {
+    let mut request = TestRequest::new(guard);
+    request.budget = RetryBudget::new(0.0, 0.0);
+    assert_eq!(request.after(AttemptFailure::Withdrawn), RetryStep::Reroute(Deadline(NOW.0)));
+    assert_eq!(request.tracker.attempts(), 0);
+    let withdrawn = |request: &mut TestRequest| request.after(AttemptFailure::Withdrawn);
+    let steps: Vec<_> = (0..20).map(|_| withdrawn(&mut request)).collect();
+    assert!(matches!(steps.last(), Some(RetryStep::Stop(_))), "the number is bounded: {steps:?}");
+}
--- a/crates/entry/src/caller/attempts.rs
+++ b/crates/entry/src/caller/attempts.rs
@@ -422,6 +422,10 @@
         // Another attempt with the same idempotency key may be the cause, so it is not counted as a
         // failure of the endpoint.
         AttemptFailure::Unanswered(_) => {}
+        AttemptFailure::Withdrawn => {
+            shared.metrics.list.count_withdrawn();
+            log::info!(target: "route", request:% = head.id, endpoint = instance.map_or("", InstanceId::as_str); "An endpoint was withdrawn before a request was sent.");
+        }
         AttemptFailure::NotRun(NotRunReason::Overloaded) => tracker.record_refusal(now),
         // The request named no version, so another process answers at this address. It refuses at
         // once and therefore looks idle; unless it is dropped here, it would attract further
@@ -461,7 +465,7 @@
                 log::warn!(target: "path", endpoint:% = attempt.path().first().instance, path:% = attempt.path(); "Ejected the first endpoint of a path that fails.");
             }
         }
-        AttemptFailure::NotRun(_) | AttemptFailure::Unanswered(_) => {}
+        AttemptFailure::NotRun(_) | AttemptFailure::Unanswered(_) | AttemptFailure::Withdrawn => {}
     }
 }
 
@@ -474,6 +478,9 @@
                 _ => Deadline(Timestamp::now().0 + RETRY_AFTER_MS),
             },
         },
+        AttemptFailure::Withdrawn => {
+            final_outcome(AttemptFailure::NotRun(NotRunReason::NoEndpoint))
+        }
         AttemptFailure::Unknown(detail)
         | AttemptFailure::Lost(detail)
         | AttemptFailure::Unanswered(detail) => RequestOutcome::Unknown { detail },
--- a/crates/entry/src/caller/path_attempt.rs
+++ b/crates/entry/src/caller/path_attempt.rs
@@ -24,6 +24,11 @@
         self.candidate.path()
     }
 
+    /// Whether a member has left the routes since the path was chosen.
+    pub(crate) fn is_withdrawn(&self) -> bool {
+        self.candidate.is_withdrawn()
+    }
+
     /// The member that a response is about as it refuses or cannot compute the request.
     pub(super) fn refused_member(&self) -> Option<&InstanceId> {
         let member = self.path().members().get(*self.refused.get()?)?;
--- a/crates/entry/src/counters.rs
+++ b/crates/entry/src/counters.rs
@@ -26,7 +26,16 @@
 
     /// Discards the tracker of an endpoint.
     pub(crate) fn reset(&mut self, instance: &InstanceId) {
-        self.endpoints.remove(instance);
+        if let Some(tracker) = self.endpoints.remove(instance) {
+            tracker.set_withdrawn(true);
+        }
+    }
+
+    /// Marks the endpoints for which `is_routed` is false as withdrawn.
+    pub(crate) fn withdraw_others(&self, is_routed: impl Fn(&InstanceId) -> bool) {
+        for (instance, tracker) in &self.endpoints {
+            tracker.set_withdrawn(!is_routed(instance));
+        }
     }
 
     /// Returns the number of requests that this entry has in progress at a service.
--- a/crates/entry/src/direct.rs
+++ b/crates/entry/src/direct.rs
@@ -205,6 +205,7 @@
         let mut request = self.request(sent)?;
         if head.repeat == Repeatability::Idempotent {
             while let Some(mut connection) = self.pool.take(target.instance, Timestamp::now()) {
+                check_routed(target, sent)?;
                 sent.progress.enter(RequestStage::Waiting);
                 match connection.send(request, head.deadline).await {
                     Ok(reply) => return Ok((reply, connection)),
@@ -220,6 +221,7 @@
             log::info!(target: "direct", request:% = head.id, endpoint:% = target.instance, cause:% = detail; "Cannot connect to an endpoint.");
             AttemptFailure::NotRun(NotRunReason::ConnectFailed)
         })?;
+        check_routed(target, sent)?;
         sent.progress.enter(RequestStage::Waiting);
         match connection.send(request, head.deadline).await {
             Ok(reply) => Ok((reply, connection)),
@@ -231,6 +233,15 @@
     }
 }
 
+/// Checks that the endpoint, and each member of the path, is still routed to.
+///
+/// Connecting takes up to half a second, in which an endpoint may leave.
+fn check_routed(target: DirectTarget<'_>, sent: DirectRequest<'_>) -> Result<(), AttemptFailure> {
+    let is_withdrawn =
+        target.tracker.is_withdrawn() || sent.path.is_some_and(PathAttempt::is_withdrawn);
+    if is_withdrawn { Err(AttemptFailure::Withdrawn) } else { Ok(()) }
+}
+
 /// Whether the response repeats the id of this request.
 fn is_answer_to(head: &RequestHead, metadata: &ResponseMetadata) -> bool {
     metadata.request.as_deref() == Some(head.id.as_str())
--- a/crates/entry/src/metrics/list.rs
+++ b/crates/entry/src/metrics/list.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use prometheus::{Gauge, Histogram, HistogramOpts, IntGauge, Registry};
+use prometheus::{Gauge, Histogram, HistogramOpts, IntCounter, IntGauge, Registry};
 
 /// Upper bounds of the histogram of ages, in seconds.
 ///
@@ -14,6 +14,7 @@
     age: Histogram,
     in_grace: IntGauge,
     longest_pause: Gauge,
+    withdrawn: IntCounter,
 }
 
 impl ListMetrics {
@@ -33,7 +34,12 @@
                 "cassiawheel_entry_longest_pause_seconds",
                 "Longest time for which the process stood still",
             )?,
+            withdrawn: IntCounter::new(
+                "cassiawheel_entry_withdrawn_choices_total",
+                "Choices of endpoints that left before the request was sent",
+            )?,
         };
+        registry.register(Box::new(metrics.withdrawn.clone()))?;
         registry.register(Box::new(metrics.age.clone()))?;
         registry.register(Box::new(metrics.in_grace.clone()))?;
         registry.register(Box::new(metrics.longest_pause.clone()))?;
@@ -45,6 +51,11 @@
         self.age.observe(age.as_secs_f64());
     }
 
+    /// Counts a choice that was withdrawn before the request was sent.
+    pub(crate) fn count_withdrawn(&self) {
+        self.withdrawn.inc();
+    }
+
     /// Sets the number of endpoints in their grace period.
     pub(crate) fn set_in_grace(&self, count: usize) {
         self.in_grace.set(count as i64);
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -430,6 +430,10 @@
         for service in paths.keys() {
             services.entry(service.clone()).or_default();
         }
+        let candidates = services.values().flatten().map(|candidate| &candidate.instance);
+        let members = paths.values().flatten().flat_map(|path| path.path().members());
+        let instances: HashSet<_> = candidates.chain(members.map(|m| &m.instance)).collect();
+        counters.withdraw_others(|instance| instances.contains(instance));
         counters.drop_unused(Timestamp::now());
         let routed = services.into_iter().map(|(service, candidates)| {
             let in_flight = counters.service(&service);
