Requests wait for a read of the list after the process stood still

What callers saw: requests at an endpoint that had left. Cause: a process that gets no time for seconds (a paused host, too few cores) goes on with what it knew before. Messages of other entries that waited in its sockets do not help to tell: they are as old as the pause, but state the age that they had when they were sent.

A task ticks every 100 ms; a tick that is 400 ms late shows a pause, and a request also sees a tick that has not run yet. After a pause the entry reads the list at once, at any rank, and requests wait until that read has ended and routes are derived, at most 500 ms after the pause. A read that fails ends the wait too: a store that is away serves nobody better. The check before the first byte counts a pause since the choice as a withdrawal.

Weighed: age of the list as the sign (during an outage it grows by itself, and callers would wait then), and messages of neighbours as the end of the wait (see above).

--- a/crates/decide/src/pause_detector.rs
+++ b/crates/decide/src/pause_detector.rs
@@ -52,10 +52,19 @@
         is_pause.then_some(span)
     }
 
-    /// Whether a pause has ended after `since`, also if no tick has noticed it yet.
+    /// Whether a pause has ended since `since`, also if no tick has noticed it yet.
     pub fn stood_still_since(&self, since: Timestamp, now: Timestamp) -> bool {
         let last = Timestamp(self.last_tick.load(Ordering::Acquire));
-        now.since(last) >= MIN_PAUSE || self.ended_at.load(Ordering::Acquire) > since.0
+        now.since(last) >= MIN_PAUSE || self.ended_at.load(Ordering::Acquire) >= since.0
+    }
+
+    /// When the end of the last pause was noticed, which is `now` if no tick has noticed it yet.
+    pub fn last_ended_at(&self, now: Timestamp) -> Timestamp {
+        let last = Timestamp(self.last_tick.load(Ordering::Acquire));
+        match now.since(last) >= MIN_PAUSE {
+            true => now,
+            false => Timestamp(self.ended_at.load(Ordering::Acquire)),
+        }
     }
 
     /// Length of the longest pause.
--- a/crates/entry/src/caller/attempts.rs
+++ b/crates/entry/src/caller/attempts.rs
@@ -215,6 +215,9 @@
     }
 
     async fn attempt(&mut self) -> Result<StartedResponse, AttemptFailure> {
+        if let Some(routed) = &self.shared.routed {
+            routed.freshness.hold().await;
+        }
         let preset =
             preset_in_force(&self.shared, &self.request.head).map_err(AttemptFailure::NotRun)?;
         self.revision = preset.revision;
--- a/crates/entry/src/control/listing.rs
+++ b/crates/entry/src/control/listing.rs
@@ -35,7 +35,10 @@
     loop {
         let now = Timestamp::now();
         expire_missing(&shared, &routed, now);
-        let next_read_at = routed.listing().next_read_at(read_rank(&shared, now)).max(retry_at);
+        let next_read_at = match routed.freshness.is_verified(now) {
+            true => routed.listing().next_read_at(read_rank(&shared, now)).max(retry_at),
+            false => retry_at,
+        };
         if !next_read_at.is_past(now) {
             Timer::after(next_read_at.remaining(now).min(TURN_CHECK_INTERVAL)).await;
             continue;
@@ -60,7 +63,7 @@
             Err(FeedError::HistoryLost) => history_lost = true,
             Err(FeedError::Store(error)) => {
                 monitor.record_failure(&error);
-                record_unanswered(&shared, &routed, &error, now);
+                record_unanswered(&routed, &error, now);
                 let wait = rand::rng().random_range(RETRY_DELAY_MS);
                 retry_at = Timestamp::now().deadline_after(Duration::from_millis(wait));
             }
@@ -81,17 +84,14 @@
 }
 
 /// Records a failed read as evidence that the store is away, if it is any.
-fn record_unanswered(
-    shared: &EntryShared,
-    routed: &RoutedState,
-    error: &StoreError,
-    asked_at: Timestamp,
-) {
+fn record_unanswered(routed: &RoutedState, error: &StoreError, asked_at: Timestamp) {
     // A call of a process that stood still times out although it was answered, and a refusal for
     // the rate of calls is an answer.
     let is_answered = matches!(error, StoreError::RateLimited { .. });
-    if !is_answered && !shared.pauses.stood_still_since(asked_at, Timestamp::now()) {
+    let is_paused = routed.freshness.pauses.stood_still_since(asked_at, Timestamp::now());
+    if !is_answered && !is_paused {
         routed.listing().record_unanswered(asked_at);
+        routed.freshness.record_verified(asked_at);
     }
 }
 
@@ -109,6 +109,8 @@
     let mut listing = routed.listing();
     if era < listing.era() {
         log::info!(target: "list", era = era, known = listing.era(); "Ignored a read of an earlier era of the store.");
+        drop(listing);
+        routed.freshness.record_verified(asked_at);
         return;
     }
     if era > listing.era() && listing.position() > 0 {
@@ -141,6 +143,7 @@
     if changed {
         log_change(shared, routed, "read");
     }
+    routed.freshness.record_verified(asked_at);
 }
 
 /// Sends changes to the other entries, without rows that only repeat a heartbeat.
--- a/crates/entry/src/direct.rs
+++ b/crates/entry/src/direct.rs
@@ -21,6 +21,7 @@
 use crate::{
     caller::{PathAttempt, RequestProgress, RequestStage},
     departures::DepartureMonitor,
+    freshness::ListFreshness,
     limits::LimitTracker,
 };
 
@@ -32,6 +33,7 @@
     protocol: Arc<dyn EndpointProtocol>,
     limits: Arc<LimitTracker>,
     departures: Arc<DepartureMonitor>,
+    freshness: Arc<ListFreshness>,
     pool: ConnectionPool,
 }
 
@@ -99,8 +101,9 @@
         protocol: Arc<dyn EndpointProtocol>,
         limits: Arc<LimitTracker>,
         departures: Arc<DepartureMonitor>,
+        freshness: Arc<ListFreshness>,
     ) -> Self {
-        Self { protocol, limits, departures, pool: ConnectionPool::default() }
+        Self { protocol, limits, departures, freshness, pool: ConnectionPool::default() }
     }
 
     /// Closes the connections of endpoints for which `is_listed` is false.
@@ -205,7 +208,7 @@
         let mut request = self.request(sent)?;
         if head.repeat == Repeatability::Idempotent {
             while let Some(mut connection) = self.pool.take(target.instance, Timestamp::now()) {
-                check_routed(target, sent)?;
+                self.check_routed(target, sent)?;
                 sent.progress.enter(RequestStage::Waiting);
                 match connection.send(request, head.deadline).await {
                     Ok(reply) => return Ok((reply, connection)),
@@ -221,7 +224,7 @@
             log::info!(target: "direct", request:% = head.id, endpoint:% = target.instance, cause:% = detail; "Cannot connect to an endpoint.");
             AttemptFailure::NotRun(NotRunReason::ConnectFailed)
         })?;
-        check_routed(target, sent)?;
+        self.check_routed(target, sent)?;
         sent.progress.enter(RequestStage::Waiting);
         match connection.send(request, head.deadline).await {
             Ok(reply) => Ok((reply, connection)),
@@ -231,15 +234,21 @@
             Err(failure) => Err(failure.into_end()),
         }
     }
-}
 
-/// Checks that the endpoint, and each member of the path, is still routed to.
-///
-/// Connecting takes up to half a second, in which an endpoint may leave.
-fn check_routed(target: DirectTarget<'_>, sent: DirectRequest<'_>) -> Result<(), AttemptFailure> {
-    let is_withdrawn =
-        target.tracker.is_withdrawn() || sent.path.is_some_and(PathAttempt::is_withdrawn);
-    if is_withdrawn { Err(AttemptFailure::Withdrawn) } else { Ok(()) }
+    /// Checks that the endpoint, and each member of the path, is still routed to.
+    ///
+    /// Connecting takes up to half a second, in which an endpoint may leave, and a process that stood
+    /// still since the choice does not know whether it has.
+    fn check_routed(
+        &self,
+        target: DirectTarget<'_>,
+        sent: DirectRequest<'_>,
+    ) -> Result<(), AttemptFailure> {
+        let is_withdrawn = target.tracker.is_withdrawn()
+            || sent.path.is_some_and(PathAttempt::is_withdrawn)
+            || self.freshness.must_hold(Timestamp::now());
+        if is_withdrawn { Err(AttemptFailure::Withdrawn) } else { Ok(()) }
+    }
 }
 
 /// Whether the response repeats the id of this request.
--- a/crates/entry/src/routed.rs
+++ b/crates/entry/src/routed.rs
@@ -81,7 +81,7 @@
     versions_changed: (Sender<()>, Receiver<()>),
     listing: Mutex<EndpointListing>,
     /// How current the list of endpoints is.
-    pub(crate) freshness: ListFreshness,
+    pub(crate) freshness: Arc<ListFreshness>,
     pull: Mutex<PresetPull<WireSender>>,
     /// Links to other entries.
     pub(crate) overlay: Overlay,
@@ -125,16 +125,22 @@
         let overlay = Overlay::default();
         let limits = Arc::new(LimitTracker::new(overlay.waker()));
         let departures = Arc::new(DepartureMonitor::new(overlay.waker()));
-        let direct = DirectClient::new(adapters.endpoints, limits.clone(), departures.clone());
-        let mut listing = EndpointListing::new(adapters.settings.list_heartbeat_ms);
         let now = Timestamp::now();
+        let freshness = Arc::new(ListFreshness::new(now));
+        let direct = DirectClient::new(
+            adapters.endpoints,
+            limits.clone(),
+            departures.clone(),
+            freshness.clone(),
+        );
+        let mut listing = EndpointListing::new(adapters.settings.list_heartbeat_ms);
         // The first read of the list starts together with the process.
         listing.begin_snapshot_request(now);
         let retry_window = Duration::from_millis(adapters.settings.retry_window_ms);
         Self {
             retry_bursts_from: now.deadline_after(retry_window),
             listing: Mutex::new(listing),
-            freshness: ListFreshness::default(),
+            freshness,
             settings: adapters.settings,
             callers: adapters.callers,
             direct: Arc::new(direct),
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -169,7 +169,7 @@
     spawn(links::maintain_links(shared.clone(), routed.clone())).detach();
     spawn(gossip::send_changes(shared.clone(), routed.clone())).detach();
     spawn(quarantine::sync_barred(shared.clone(), routed.clone())).detach();
-    spawn(pauses::watch(shared.clone())).detach();
+    spawn(pauses::watch(shared.clone(), routed.clone())).detach();
 }
 
 /// Starts the tasks that poll the platform's services.
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -12,9 +12,8 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use cassiawheel_decide::{
-    Adoption, EndpointPace, EndpointPath, EndpointRoster, EntryRoster, PauseDetector, PresetHolder,
-    RetryBudget, RouteCandidate, RouteSnapshot, ServiceRoutes, SlotCompetitor, StartHold,
-    rank::subject_of,
+    Adoption, EndpointPace, EndpointPath, EndpointRoster, EntryRoster, PresetHolder, RetryBudget,
+    RouteCandidate, RouteSnapshot, ServiceRoutes, SlotCompetitor, StartHold, rank::subject_of,
 };
 use cassiawheel_edge::{TableStore, WeightSource};
 use cassiawheel_model::{
@@ -95,8 +94,6 @@
     requests: AtomicU64,
     /// Paths through endpoints that hold a part of the layers each.
     pub(crate) paths: PathMonitor,
-    /// Detects that this process stood still.
-    pub(crate) pauses: PauseDetector,
 }
 
 impl EntryShared {
@@ -146,7 +143,6 @@
             peer_links: Mutex::default(),
             requests: AtomicU64::new(0),
             paths: PathMonitor::default(),
-            pauses: PauseDetector::new(now),
         }
     }
 
