Soak: rows removed without draining, readers and all entries that stand still

The soak drained endpoints by their rows only, paused one entry at a time, and took a paused entry for excused. Now rows are also removed without draining, the entries of the first ranks (up to all) stand still together, and a departure by its row, acknowledged while the store was stable, binds every entry whose process runs, pauses included. The verdict is shown to fail on a record with one thing wrong.

--- a/crates/testkit/src/platform_site.rs
+++ b/crates/testkit/src/platform_site.rs
@@ -172,6 +172,19 @@
         Ok(is_released)
     }
 
+    /// Removes the row of an endpoint and adds another one, unless it is listed no more. The removed
+    /// endpoint goes on serving. Returns whether it was listed.
+    pub async fn remove_row(&mut self, index: usize) -> anyhow::Result<bool> {
+        let id = &self.replicas[index].id;
+        let is_removed =
+            self.rows.keys("servers").contains(id) && !self.replicas[index].has_ended();
+        if is_removed {
+            self.rows.remove("servers", id);
+            self.add_replica(&format!("i-{}", self.replicas.len())).await?;
+        }
+        Ok(is_removed)
+    }
+
     /// Number of endpoints that have crashed.
     pub fn ended(&self) -> usize {
         self.replicas.iter().filter(|replica| replica.has_ended()).count()
--- a/crates/testkit/src/site_soak.rs
+++ b/crates/testkit/src/site_soak.rs
@@ -98,6 +98,9 @@
     /// Whether its entry had run undisturbed for [`STABLE_TIME`] before it was sent, and was
     /// not disturbed afterwards. Other attempts do not count for the rules.
     pub undisturbed: bool,
+    /// Whether its entry's process had run for [`STABLE_TIME`] before it was sent and went on
+    /// running, pauses included. Departures by rows count for these attempts.
+    pub in_service: bool,
     /// Status and body of the answer; none if the call failed or timed out.
     pub answer: Option<(StatusCode, String)>,
 }
@@ -144,6 +147,8 @@
     pub ended_by_part_at: Option<Timestamp>,
     /// Time from which it gets no new requests, once it has announced that it leaves.
     pub closed_from: Option<Timestamp>,
+    /// Time from which it gets no new requests by its row, also from entries that stood still.
+    pub unlisted_from: Option<Timestamp>,
     /// Backoffs that it has requested.
     pub backoffs: Vec<BackoffSpan>,
 }
@@ -173,7 +178,8 @@
     pub false_refusals: usize,
     /// Answers with status 200 that belong to another request.
     pub wrong_answers: usize,
-    /// Requests of undisturbed entries that reached an endpoint after its departure.
+    /// Requests of undisturbed entries that reached an endpoint after its departure, or of any entry
+    /// in service after a departure by its row.
     pub after_departure: usize,
     /// Backoffs during which an undisturbed entry sent an endpoint more than is allowed.
     pub broken_backoffs: usize,
@@ -184,6 +190,7 @@
     pub fn judge(&self) -> SiteVerdicts {
         let attempt = |id: &str| self.attempts.iter().find(|attempt| attempt.id == id);
         let undisturbed = |id: &str| attempt(id).is_some_and(|attempt| attempt.undisturbed);
+        let in_service = |id: &str| attempt(id).is_some_and(|attempt| attempt.in_service);
         let is_kind = |id: &str, kind| attempt(id).is_some_and(|attempt| attempt.kind == kind);
         let mut ends: Vec<_> = self.endpoints.iter().filter_map(|e| e.ended_at).collect();
         ends.sort_unstable();
@@ -224,7 +231,11 @@
                 .count(),
             false_refusals: refusals.filter(|(attempt, _)| ran(&attempt.id)).count(),
             wrong_answers: whole.filter(|(attempt, body)| !body.contains(&attempt.id)).count(),
-            after_departure: self.endpoints.iter().map(|e| e.after_departure(&undisturbed)).sum(),
+            after_departure: self
+                .endpoints
+                .iter()
+                .map(|e| e.after_departure(&undisturbed, &in_service))
+                .sum(),
             broken_backoffs: self.endpoints.iter().map(|e| e.broken_backoffs(&attempt)).sum(),
         }
     }
@@ -253,6 +264,10 @@
     rng: SmallRng,
     /// Time of the last disturbance of each entry.
     disturbed: Vec<Timestamp>,
+    /// Time of the last start of each entry.
+    started: Vec<Timestamp>,
+    /// Time of the last fault of the store.
+    store_disturbed: Timestamp,
     /// Frozen entries, each with the time at which it is resumed.
     paused: Vec<(usize, Deadline)>,
     limits: Vec<LimitSpan>,
@@ -273,6 +288,8 @@
     let copy = site.rows.copy();
     let mut run = SoakRun {
         disturbed: vec![Timestamp::now(); entries],
+        started: vec![Timestamp::now(); entries],
+        store_disturbed: Timestamp::now(),
         site,
         rng: SmallRng::seed_from_u64(seed),
         paused: Vec::new(),
@@ -378,6 +395,7 @@
             }
         }
         self.site.store_faults.set_down(false);
+        self.store_disturbed = Timestamp::now();
         self.drained.retain(|(_, at)| at.deadline_after(STABLE_TIME).is_past(now));
     }
 
@@ -390,38 +408,45 @@
         Some(Timestamp(first.deadline_after(DRAIN_TIME).0))
     }
 
+    /// Time from which an endpoint gets no new requests by its row.
+    fn unlisted_from(&self, endpoint: usize) -> Option<Timestamp> {
+        let (_, at) = self.drained.iter().find(|(drained, _)| *drained == endpoint)?;
+        Some(Timestamp(at.deadline_after(DRAIN_TIME).0))
+    }
+
     /// Kills and restarts every entry, to simulate a power loss.
     fn kill_all(&mut self) -> anyhow::Result<()> {
         for entry in 0..self.site.entries.len() {
             self.site.entries[entry].process.kill()?;
             self.site.restart_entry(entry)?;
             self.disturbed[entry] = Timestamp::now();
+            self.started[entry] = Timestamp::now();
         }
         self.paused.clear();
         Ok(())
     }
 
-    /// Injects a random fault: kills or freezes an entry, kills all entries, crashes or drains
-    /// an endpoint, or switches the store off or on.
+    /// Injects a random fault: kills or freezes an entry, kills or freezes all entries, crashes or
+    /// drains an endpoint or removes its row, or switches the store off or on.
     async fn disturb(&mut self, number: usize) -> anyhow::Result<()> {
         let now = Timestamp::now();
         let entry = self.rng.random_range(0..self.site.entries.len());
         let is_paused = self.paused.iter().any(|(paused, _)| *paused == entry);
-        match self.rng.random_range(0..9) {
+        match self.rng.random_range(0..12) {
             0 if !is_paused => {
                 self.site.entries[entry].process.kill()?;
                 self.site.restart_entry(entry)?;
                 self.disturbed[entry] = now;
+                self.started[entry] = now;
             }
             1 if !is_paused => {
-                self.site.entries[entry].process.pause()?;
                 let span = Duration::from_millis(self.rng.random_range(200..2_500));
-                self.paused.push((entry, now.deadline_after(span)));
-                self.disturbed[entry] = now;
+                self.pause(entry, now.deadline_after(span))?;
             }
             2 => {
                 let is_down = self.site.store_faults.is_down();
                 self.site.store_faults.set_down(!is_down);
+                self.store_disturbed = now;
                 self.drained.retain(|(_, at)| at.deadline_after(STABLE_TIME).is_past(now));
             }
             3 if number > KILL_STEP => self.kill_all()?,
@@ -432,6 +457,25 @@
                 }
             }
             5 => self.return_store().await,
+            6 => {
+                let endpoint = self.rng.random_range(0..self.site.replicas.len());
+                let is_stable = self.store_disturbed.deadline_after(STABLE_TIME).is_past(now)
+                    && !self.site.store_faults.is_down();
+                if self.site.remove_row(endpoint).await? && is_stable {
+                    self.drained.push((endpoint, now));
+                }
+            }
+            7 => {
+                // The entries of the first ranks read the list for the others.
+                let count = self.rng.random_range(1..=self.site.entries.len());
+                let until =
+                    now.deadline_after(Duration::from_millis(self.rng.random_range(200..2_500)));
+                for entry in 0..count {
+                    if !self.paused.iter().any(|(paused, _)| *paused == entry) {
+                        self.pause(entry, until)?;
+                    }
+                }
+            }
             _ => {
                 let endpoint = self.rng.random_range(0..self.site.replicas.len());
                 self.site.replicas[endpoint].end();
@@ -440,6 +484,13 @@
         Ok(())
     }
 
+    fn pause(&mut self, entry: usize, until: Deadline) -> anyhow::Result<()> {
+        self.site.entries[entry].process.pause()?;
+        self.paused.push((entry, until));
+        self.disturbed[entry] = Timestamp::now();
+        Ok(())
+    }
+
     fn call(&mut self, entry: usize, id: String, kind: CallKind) -> anyhow::Result<()> {
         let path = match kind {
             CallKind::FatalRequest => FATAL_CALL.to_owned(),
@@ -456,7 +507,9 @@
         let request = self.site.request(entry, call)?;
         let sent_at = Timestamp::now();
         let undisturbed = self.disturbed[entry].deadline_after(STABLE_TIME).is_past(sent_at);
-        let record = AttemptRecord { id, entry, kind, sent_at, undisturbed, answer: None };
+        let in_service = self.started[entry].deadline_after(STABLE_TIME).is_past(sent_at);
+        let record =
+            AttemptRecord { id, entry, kind, sent_at, undisturbed, in_service, answer: None };
         let call = spawn(async move {
             let answer = HttpClient::default().send_and_read(request, CALL_TIME).await;
             let read_answer = |answer: Response<Bytes>| {
@@ -477,6 +530,7 @@
             let mut attempt = call.await;
             // An attempt whose entry was disturbed after it was sent does not count either.
             attempt.undisturbed &= self.disturbed[entry] < attempt.sent_at;
+            attempt.in_service &= self.started[entry] < attempt.sent_at;
             record.attempts.push(attempt);
         }
         for (index, replica) in self.site.replicas.iter().enumerate() {
@@ -490,6 +544,7 @@
                 ended_at: crash.filter(|fatal| !fatal.is_part).map(|fatal| fatal.at),
                 ended_by_part_at: crash.filter(|fatal| fatal.is_part).map(|fatal| fatal.at),
                 closed_from: self.closed_from(index),
+                unlisted_from: self.unlisted_from(index),
                 backoffs: replica.backoffs().iter().filter_map(BackoffSpan::new).collect(),
             });
         }
--- a/crates/testkit/src/site_soak/statements.rs
+++ b/crates/testkit/src/site_soak/statements.rs
@@ -37,13 +37,18 @@
 }
 
 impl EndpointRecord {
-    /// Counts the requests of undisturbed entries after the endpoint was closed to new ones.
-    pub(super) fn after_departure(&self, undisturbed: &impl Fn(&str) -> bool) -> usize {
-        let Some(closed_from) = self.closed_from else {
-            return 0;
-        };
-        let late = self.arrivals.iter().filter(|(at, _)| *at > closed_from);
-        late.filter(|(_, id)| undisturbed(id)).count()
+    /// Counts the requests that arrived after the endpoint was closed to new ones.
+    pub(super) fn after_departure(
+        &self,
+        undisturbed: &impl Fn(&str) -> bool,
+        in_service: &impl Fn(&str) -> bool,
+    ) -> usize {
+        let is_after = |from: Option<Timestamp>, at: Timestamp| from.is_some_and(|from| at > from);
+        let late = self.arrivals.iter().filter(|(at, id)| {
+            (is_after(self.closed_from, *at) && undisturbed(id))
+                || (is_after(self.unlisted_from, *at) && in_service(id))
+        });
+        late.count()
     }
 
     /// Counts the backoffs during which the refused entry sent too many requests.
--- a/crates/testkit/tests/site_soak.rs
+++ b/crates/testkit/tests/site_soak.rs
@@ -68,6 +68,7 @@
             kind: CallKind::Sound,
             sent_at,
             undisturbed: true,
+            in_service: true,
             answer,
         });
     }
@@ -80,7 +81,8 @@
         });
         let answer = Some((StatusCode::BAD_GATEWAY, String::new()));
         let (kind, undisturbed) = (CallKind::FatalRequest, true);
-        let record = AttemptRecord { id, entry: 0, kind, sent_at, undisturbed, answer };
+        let record =
+            AttemptRecord { id, entry: 0, kind, sent_at, undisturbed, in_service: true, answer };
         day.attempts.push(record);
     }
     day.endpoints.push(limited);
@@ -109,7 +111,9 @@
         let arrivals = vec![(sent_at, id.clone())];
         day.endpoints.push(EndpointRecord { arrivals, ended_by_part_at, ..Default::default() });
         let (kind, undisturbed) = (CallKind::FatalPart, true);
-        let record = AttemptRecord { id, entry: 0, kind, sent_at, undisturbed, answer: None };
+        let in_service = true;
+        let record =
+            AttemptRecord { id, entry: 0, kind, sent_at, undisturbed, in_service, answer: None };
         day.attempts.push(record);
     }
     assert_eq!(day.judge(), SiteVerdicts { late_parts: 1, ..none }, "four, three are tolerated");
@@ -144,6 +148,10 @@
     assert_eq!(day.judge(), SiteVerdicts { after_departure: 1, ..none });
     day.attempts[59].undisturbed = false;
     assert_eq!(day.judge(), none, "an entry that was disturbed is exempt");
+    day.endpoints[3].unlisted_from = Some(at(32_400));
+    assert_eq!(day.judge(), SiteVerdicts { after_departure: 1, ..none }, "not so with its row");
+    day.attempts[59].in_service = false;
+    assert_eq!(day.judge(), none, "a process that has just started is exempt");
 
     let mut day = valid_day();
     let backoff =
