Grace periods follow the return of the store, not the first late read

Only an entry itself now ends a grace period that it has begun. Further reads are now sent 0.5 s and 1 s after one that is not answered, and after a timeout the next one at once. Evidence counts for 5.4 s: two timeouts and the grace period.

Price: while the store is silent an entry sends two calls a second in place of one each two seconds.

--- a/crates/decide/src/listing.rs
+++ b/crates/decide/src/listing.rs
@@ -46,6 +46,12 @@
 /// although the endpoints are alive. The platform specifies two seconds.
 const GRACE_PERIOD: Duration = Duration::from_millis(2_300);
 
+/// Longest time after an unanswered read for which rows are kept.
+///
+/// A process that runs notices the return of the store within two timeouts. One that stood still may
+/// notice it long afterwards, when endpoints that are alive have returned.
+const MAX_ABSENCE_AGE: Duration = Duration::from_millis(5_400);
+
 /// Time within which another entry is expected to send a requested snapshot.
 const SNAPSHOT_TIMEOUT: Duration = Duration::from_millis(250);
 
@@ -269,8 +275,8 @@
             update.rows.extend(vanished);
         }
         if after_outage {
-            let removed = update.rows.iter().filter(|row| has_vanished(row));
-            self.begin_grace(removed.map(|row| &row.instance), now, true);
+            let until = self.grace_end(is_new_era, now);
+            self.begin_grace(&update.rows, GracePeriod { until, is_own: true }, now);
         }
         self.take_unless_in_grace(&update.rows, update.asked_at);
         self.advance(&update);
@@ -306,24 +312,36 @@
             self.begin_era(update.era);
         }
         if after_outage {
-            let vanished = match update.base {
+            let mut removed = match update.base {
                 0 => self.vanished(update),
-                _ => update.rows.clone(),
+                _ => Vec::new(),
             };
-            let vanished = vanished.iter().filter(|row| has_vanished(row));
-            self.begin_grace(vanished.map(|row| &row.instance), update.asked_at, false);
+            // A whole list of a new era has been compared with what its sender knew.
+            if update.base != 0 || !is_new_era {
+                removed.extend(update.rows.iter().cloned());
+            }
+            let until = self.grace_end(is_new_era, update.asked_at);
+            self.begin_grace(&removed, GracePeriod { until, is_own: false }, update.asked_at);
         } else if update.base == 0 && update.position > self.position {
             self.drop_missing(update);
         }
         if update.base == 0 {
             self.rebase_rows();
         }
-        match after_outage || update.era > update.base_era {
-            true => self.take_unless_in_grace(&update.rows, update.asked_at),
-            false => self.take_rows(&update.rows, update.asked_at),
-        }
-        for (instance, until) in &update.missing {
-            self.begin_grace_until(instance, GracePeriod { until: *until, is_own: false });
+        // A whole list also contains the rows of missing endpoints, which does not mean that they have
+        // returned.
+        let missing = update.missing.iter().map(|(instance, _)| instance);
+        let periods: Vec<_> = missing.map(|instance| self.grace.get(instance).copied()).collect();
+        // The end of a grace period is up to this entry, since the sender may not have observed the
+        // outage.
+        self.take_unless_in_grace(&update.rows, update.asked_at);
+        // A sender that stood still may have shortened the time.
+        let own_until = after_outage.then(|| self.grace_end(is_new_era, update.asked_at));
+        let vanished_at = StorePosition { era: update.era, version: update.position };
+        for ((instance, until), known) in update.missing.iter().zip(periods) {
+            let until = own_until.map_or(*until, |own_until| own_until.max(*until));
+            let period = known.unwrap_or(GracePeriod { until, is_own: false });
+            self.begin_grace_until(instance, period, vanished_at);
         }
         self.advance(update);
         true
@@ -334,7 +352,8 @@
         let listed: HashSet<_> = update.rows.iter().map(|row| &row.instance).collect();
         let position = StorePosition { era: self.era, version: update.position };
         for (instance, known) in &mut self.rows {
-            if known.position() <= position && !listed.contains(instance) {
+            let is_kept = listed.contains(instance) || self.grace.contains_key(instance);
+            if known.position() <= position && !is_kept {
                 // Without the position of its removal, a late message would restore the endpoint.
                 known.era = position.era;
                 known.row = ListedRow {
@@ -420,22 +439,35 @@
             .collect()
     }
 
-    /// Starts the grace periods of endpoints that are still listed here.
-    fn begin_grace<'a>(
-        &mut self,
-        vanished: impl Iterator<Item = &'a InstanceId>,
-        now: Timestamp,
-        is_own: bool,
-    ) {
+    /// End of a grace period that begins at `now`.
+    fn grace_end(&self, is_new_era: bool, now: Timestamp) -> Deadline {
         let until = now.deadline_after(GRACE_PERIOD);
-        for instance in vanished {
-            self.begin_grace_until(instance, GracePeriod { until, is_own });
+        match self.unanswered_at.filter(|_| !is_new_era) {
+            Some(unanswered_at) => until.min(unanswered_at.deadline_after(MAX_ABSENCE_AGE)),
+            None => until,
         }
     }
 
-    fn begin_grace_until(&mut self, instance: &InstanceId, period: GracePeriod) {
-        let known = self.rows.get(instance);
-        if known.is_some_and(|known| known.row.endpoint.is_some()) {
+    /// Starts the grace periods of endpoints that are still listed here.
+    fn begin_grace(&mut self, removed: &[ListedRow], period: GracePeriod, now: Timestamp) {
+        if period.until.is_past(now) {
+            return;
+        }
+        for row in removed.iter().filter(|row| has_vanished(row)) {
+            let vanished_at = StorePosition { era: self.era, version: row.position };
+            self.begin_grace_until(&row.instance, period, vanished_at);
+        }
+    }
+
+    /// Starts the grace period of an endpoint unless its row is newer than its absence.
+    fn begin_grace_until(
+        &mut self,
+        instance: &InstanceId,
+        period: GracePeriod,
+        vanished_at: StorePosition,
+    ) {
+        let known = self.rows.get(instance).filter(|known| known.row.endpoint.is_some());
+        if known.is_some_and(|known| known.position() <= vanished_at) {
             self.grace.entry(instance.clone()).or_insert(period);
         }
     }
--- a/crates/entry/src/control/listing.rs
+++ b/crates/entry/src/control/listing.rs
@@ -9,7 +9,7 @@
 };
 use cassiawheel_wire::{ControlMessage, WireSender};
 use rand::Rng;
-use smol::Timer;
+use smol::{Timer, future::FutureExt};
 
 use super::{dependency::DependencyMonitor, peers};
 use crate::{routed::RoutedState, shared::EntryShared};
@@ -23,7 +23,10 @@
 /// Time after its start in which an entry discovers the others.
 const DISCOVERY_TIME: Duration = Duration::from_millis(1_500);
 
-/// Random delay before a failed read is retried, in milliseconds.
+/// Time after which a further read is sent while the store does not answer.
+const STAGE_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Random delay before a read that was refused is retried, in milliseconds.
 const RETRY_DELAY_MS: std::ops::Range<u64> = 200..500;
 
 /// Follows the list; runs until the process ends.
@@ -47,25 +50,30 @@
             let listing = routed.listing();
             (listing.era(), if history_lost { 0 } else { listing.position() })
         };
-        let read = match base {
-            0 => routed.list.read_all().await,
-            version => {
-                let position = StorePosition { era, version };
-                routed.list.read_changes(position, Duration::ZERO).await
-            }
-        };
-        match read {
+        let position = StorePosition { era, version: base };
+        let StagedRead { asked_at, unanswered_at, result } = read_staged(&routed, position).await;
+        if let Some(unanswered_at) = unanswered_at {
+            record_unanswered(&routed, unanswered_at);
+        }
+        match result {
             Ok(page) => {
                 monitor.record_success();
                 history_lost = false;
-                apply_page(&shared, &routed, page, base, now);
+                apply_page(&shared, &routed, page, base, asked_at);
             }
             Err(FeedError::HistoryLost) => history_lost = true,
             Err(FeedError::Store(error)) => {
                 monitor.record_failure(&error);
-                record_unanswered(&routed, &error, now);
-                let wait = rand::rng().random_range(RETRY_DELAY_MS);
-                retry_at = Timestamp::now().deadline_after(Duration::from_millis(wait));
+                // A refusal for the rate of calls is an answer.
+                if !matches!(error, StoreError::RateLimited { .. }) {
+                    record_unanswered(&routed, asked_at);
+                }
+                let failed_at = Timestamp::now();
+                let wait = match failed_at.since(asked_at) < STAGE_INTERVAL {
+                    true => rand::rng().random_range(RETRY_DELAY_MS),
+                    false => 0,
+                };
+                retry_at = failed_at.deadline_after(Duration::from_millis(wait));
             }
         }
     }
@@ -83,13 +91,39 @@
     if has_others && is_new && is_alone { u32::MAX } else { shared.own_rank() }
 }
 
-/// Records a failed read as evidence that the store is away, if it is any.
-fn record_unanswered(routed: &RoutedState, error: &StoreError, asked_at: Timestamp) {
-    // A call of a process that stood still times out although it was answered, and a refusal for
-    // the rate of calls is an answer.
-    let is_answered = matches!(error, StoreError::RateLimited { .. });
-    let is_paused = routed.freshness.pauses.stood_still_since(asked_at, Timestamp::now());
-    if !is_answered && !is_paused {
+/// A read of the list, and what earlier stages of it show.
+struct StagedRead {
+    /// When the read that has ended was sent.
+    asked_at: Timestamp,
+    /// When the last read before it was sent that the store has not answered.
+    unanswered_at: Option<Timestamp>,
+    result: Result<FeedPage<ListedRow>, FeedError>,
+}
+
+/// Reads the list after `position`, or all of it if its version is zero.
+///
+/// While the store does not answer, further reads are sent before the first has timed out. Otherwise the
+/// entry would notice the return of the store too late to tell for how long rows that have expired may
+/// return.
+async fn read_staged(routed: &RoutedState, position: StorePosition) -> StagedRead {
+    let stage = async |number: u32| {
+        Timer::after(STAGE_INTERVAL * number).await;
+        let asked_at = Timestamp::now();
+        let unanswered_at = (number > 0)
+            .then(|| Timestamp(asked_at.0.saturating_sub(STAGE_INTERVAL.as_millis() as u64)));
+        let result = match position.version {
+            0 => routed.list.read_all().await,
+            _ => routed.list.read_changes(position, Duration::ZERO).await,
+        };
+        StagedRead { asked_at, unanswered_at, result }
+    };
+    stage(0).or(stage(1).or(stage(2))).await
+}
+
+/// Records an unanswered read as evidence that the store was away, unless the process stood still: its
+/// reads time out although they were answered.
+fn record_unanswered(routed: &RoutedState, asked_at: Timestamp) {
+    if !routed.freshness.pauses.stood_still_since(asked_at, Timestamp::now()) {
         routed.listing().record_unanswered(asked_at);
         routed.freshness.record_verified(asked_at);
     }
