Requests wait for the list before admission

After a pause the entry admitted what had waited for it by the free slots of endpoints that had left; once the list was read, more was admitted than fits. They now wait before they are admitted, so that the queue is the one for the endpoints that are left; the check in each attempt stays, for retries.

--- a/crates/entry/src/caller/routed.rs
+++ b/crates/entry/src/caller/routed.rs
@@ -83,6 +83,10 @@
 
 async fn answer(shared: Arc<EntryShared>, request: IdentifiedRequest) -> Response<ReplyBody> {
     let mut guard = RequestGuard::begin(shared.clone(), &request.head);
+    if let Some(routed) = &shared.routed {
+        // Admission counts the free slots of endpoints that may have left.
+        routed.freshness.hold().await;
+    }
     // A quarantined request is refused before admission because it would use a slot for nothing.
     let admitted = match crash_detection::refuse_barred(&shared, &request) {
         Ok(()) => admit::admit(&shared, &request).await,
