Attempts that fail after a pause of the entry eject no endpoint

An entry that stood still for longer than the deadlines of its requests took their timeouts for failures of the endpoints, which had answered in time: three in a row eject an endpoint for a second, half of a service at most. Attempts during which the process stood still now count neither as failures of an endpoint nor of a path. Refusals count as before.

--- a/crates/entry/src/caller/attempts.rs
+++ b/crates/entry/src/caller/attempts.rs
@@ -342,6 +342,8 @@
             Ok(response) => response,
             Err(end) => {
                 match &path_attempt {
+                    // A timeout after a pause says nothing of the endpoint.
+                    _ if is_lost(&end) && shared.stood_still_since(now) => {}
                     None => {
                         record_failure(shared, &routed, self.excluded.last(), &load.tracker, &end)
                     }
@@ -412,6 +414,18 @@
     }
 }
 
+/// Whether the endpoint gave no answer, as far as this process knows.
+fn is_lost(end: &AttemptFailure) -> bool {
+    match end {
+        AttemptFailure::NotRun(NotRunReason::ConnectFailed)
+        | AttemptFailure::Unknown(_)
+        | AttemptFailure::Lost(_) => true,
+        AttemptFailure::NotRun(_) | AttemptFailure::Unanswered(_) | AttemptFailure::Withdrawn => {
+            false
+        }
+    }
+}
+
 /// Updates the state of the endpoint after an attempt without a response.
 fn record_failure(
     shared: &EntryShared,
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -180,6 +180,12 @@
         self.leaving.load(Ordering::Acquire)
     }
 
+    /// Whether this process stood still since `since`, so that what it measured shows nothing of others.
+    pub(crate) fn stood_still_since(&self, since: Timestamp) -> bool {
+        let pauses = self.routed.as_ref().map(|routed| &routed.freshness.pauses);
+        pauses.is_some_and(|pauses| pauses.stood_still_since(since, Timestamp::now()))
+    }
+
     /// Returns the origin of weights if the active preset names one.
     pub(crate) fn origin_place(&self) -> Option<OriginPlace> {
         let active_preset = self.active_preset.load();
--- a/crates/testkit/tests/departures_after_pauses.rs
+++ b/crates/testkit/tests/departures_after_pauses.rs
@@ -5,7 +5,7 @@
 use cassiawheel_edge::HttpClient;
 use cassiawheel_model::Timestamp;
 use cassiawheel_runtime::spawn;
-use cassiawheel_testkit::{PlatformSite, SiteCall};
+use cassiawheel_testkit::{PlatformSite, SiteCall, platform_site::wait_until};
 use hyper::StatusCode;
 use rstest::rstest;
 use smol::Timer;
@@ -122,10 +122,43 @@
         site.entries[paused].process.resume()?;
         let mut failed = load(&site, paused, Duration::from_secs(3)).await?;
         for call in waiting {
-            failed += usize::from(call.await?.status() != StatusCode::OK);
+            let answer = call.await?;
+            failed += usize::from(answer.status() != StatusCode::OK);
         }
         assert_eq!(late_arrivals(&site, 0, left_at), 0, "requests after the departure");
         assert_eq!(failed, 0, "the others serve");
         Ok(())
     });
 }
+
+/// Guards against endpoints that are ejected since their answers were read after a pause.
+#[test]
+fn a_pause_of_the_entry_ejects_no_endpoint() {
+    run(async {
+        let site = PlatformSite::start(4, 1).await?;
+        load(&site, 0, Duration::from_millis(300)).await?;
+        let calls = (0..60).map(|number| {
+            let (id, path) = (format!("running-{number}"), format!("/stream/{number}"));
+            let request = site.request(0, SiteCall::new(&id, &path));
+            spawn(async move {
+                HttpClient::default()
+                    .send_and_read(request?, CALL_TIME)
+                    .await
+                    .map_err(anyhow::Error::from)
+            })
+        });
+        let calls: Vec<_> = calls.collect();
+        Timer::after(Duration::from_millis(25)).await;
+        site.entries[0].process.pause()?;
+        Timer::after(Duration::from_millis(2_500)).await;
+        site.entries[0].process.resume()?;
+        for call in calls {
+            let _ = call.await;
+        }
+        let read_log = || std::fs::read_to_string(site.log(0));
+        wait_until(async || Ok(read_log()?.contains("The process stood still."))).await?;
+        let log = read_log()?;
+        assert!(!log.contains("Ejected an endpoint"), "the endpoints have answered in time");
+        Ok(())
+    });
+}
