Soak: removals while the readers of the list stand still

Now a row is removed in six of ten pauses, and at most five entries of the first ranks, or all, stand still together: with up to 14 of 15 the others were cut off from each other.

--- a/crates/testkit/src/site_soak.rs
+++ b/crates/testkit/src/site_soak.rs
@@ -49,6 +49,9 @@
 /// Step from which prompts with a fatal part are sent.
 const PARTS_FROM_STEP: usize = 40;
 
+/// Most entries of the first ranks that stand still together, unless all do. The others stay linked.
+const MAX_PAUSED_READERS: usize = 5;
+
 /// Number of steps between two copies of the store.
 const COPY_STEPS: usize = 60;
 
@@ -326,6 +329,12 @@
         if self.rng.random_bool(0.02) {
             self.disturb(number).await?;
         }
+        if self.rng.random_bool(0.01) {
+            self.pause_readers().await?;
+        }
+        if self.rng.random_bool(0.01) {
+            self.remove_row().await?;
+        }
         if self.rng.random_bool(0.015) {
             self.change_limit();
         }
@@ -367,6 +376,37 @@
         self.site.replicas[endpoint].set_limit(rate);
     }
 
+    /// Freezes the entries of the first ranks, which read the list for the others, or all entries, and
+    /// at times removes a row then.
+    async fn pause_readers(&mut self) -> anyhow::Result<()> {
+        let all = self.site.entries.len();
+        let readers = self.rng.random_range(1..=MAX_PAUSED_READERS.min(all));
+        let count = if self.rng.random_bool(0.3) { all } else { readers };
+        let span = Duration::from_millis(self.rng.random_range(200..2_500));
+        let until = Timestamp::now().deadline_after(span);
+        for entry in 0..count {
+            if !self.paused.iter().any(|(paused, _)| *paused == entry) {
+                self.pause(entry, until)?;
+            }
+        }
+        if self.rng.random_bool(0.6) {
+            self.remove_row().await?;
+        }
+        Ok(())
+    }
+
+    /// Removes the row of a random endpoint, which has not said that it leaves.
+    async fn remove_row(&mut self) -> anyhow::Result<()> {
+        let now = Timestamp::now();
+        let endpoint = self.rng.random_range(0..self.site.replicas.len());
+        let is_stable = self.store_disturbed.deadline_after(STABLE_TIME).is_past(now)
+            && !self.site.store_faults.is_down();
+        if self.site.remove_row(endpoint).await? && is_stable {
+            self.drained.push((endpoint, now));
+        }
+        Ok(())
+    }
+
     /// Has a random endpoint announce that it leaves, or request backoff for a while.
     fn change_statement(&mut self) {
         let endpoint = self.rng.random_range(0..self.site.replicas.len());
@@ -426,13 +466,13 @@
         Ok(())
     }
 
-    /// Injects a random fault: kills or freezes an entry, kills or freezes all entries, crashes or
-    /// drains an endpoint or removes its row, or switches the store off or on.
+    /// Injects a random fault: kills or freezes an entry, kills all entries, crashes or drains
+    /// an endpoint, or switches the store off or on.
     async fn disturb(&mut self, number: usize) -> anyhow::Result<()> {
         let now = Timestamp::now();
         let entry = self.rng.random_range(0..self.site.entries.len());
         let is_paused = self.paused.iter().any(|(paused, _)| *paused == entry);
-        match self.rng.random_range(0..12) {
+        match self.rng.random_range(0..9) {
             0 if !is_paused => {
                 self.site.entries[entry].process.kill()?;
                 self.site.restart_entry(entry)?;
@@ -457,25 +497,6 @@
                 }
             }
             5 => self.return_store().await,
-            6 => {
-                let endpoint = self.rng.random_range(0..self.site.replicas.len());
-                let is_stable = self.store_disturbed.deadline_after(STABLE_TIME).is_past(now)
-                    && !self.site.store_faults.is_down();
-                if self.site.remove_row(endpoint).await? && is_stable {
-                    self.drained.push((endpoint, now));
-                }
-            }
-            7 => {
-                // The entries of the first ranks read the list for the others.
-                let count = self.rng.random_range(1..=self.site.entries.len());
-                let until =
-                    now.deadline_after(Duration::from_millis(self.rng.random_range(200..2_500)));
-                for entry in 0..count {
-                    if !self.paused.iter().any(|(paused, _)| *paused == entry) {
-                        self.pause(entry, until)?;
-                    }
-                }
-            }
             _ => {
                 let endpoint = self.rng.random_range(0..self.site.replicas.len());
                 self.site.replicas[endpoint].end();
