Test of a pinned version's age starts its clock when the entry knows the version

The test started the outage of the origin when it had written the row; the entry counts from when it has read it, which it can't do earlier. With less between the row and the origin's clock than the entry took, the age is some ms short (2.498 s where 2.5 s were asked for, once).

The outage now starts when the entry has told of the version; the bound is the same, the whole outage.

--- a/crates/testkit/tests/origin_connections.rs
+++ b/crates/testkit/tests/origin_connections.rs
@@ -6,7 +6,7 @@
 };
 
 use cassiawheel_edge::WeightSource;
-use cassiawheel_model::{InstanceId, ModelVersion, WeightManifest};
+use cassiawheel_model::{InstanceId, ModelVersion, TargetVersion, WeightManifest};
 use cassiawheel_platform::PlatformOrigin;
 use cassiawheel_runtime::spawn;
 use cassiawheel_testkit::{
@@ -191,22 +191,32 @@
         drop(reserved);
         let site = PlatformSite::start(1, 1).await?;
         site.rows.put("op", "config", &model_config(2, "guide", addr, MAX_CONNECTIONS));
-        site.rows.put("op", "version/guide", &json!({ "model": "guide", "version": 2 }));
-
         let (sender, mut receiver) = connect(site.entries[0].control, INNER_KEY, None).await?;
         let instance = InstanceId::new("entry-other")?;
         sender.send(HelloMessage { kind: ProcessKind::Entry, instance, incarnation: 1 }).await?;
         let _heartbeats = spawn(send_heartbeats(sender));
+        site.rows.put("op", "version/guide", &json!({ "model": "guide", "version": 2 }));
+        let mut next_named = async || -> anyhow::Result<TargetVersion> {
+            loop {
+                let message = receiver.recv().await?;
+                if let WireMessage::Control(ControlMessage::Named(named)) = message {
+                    return Ok(named);
+                }
+            }
+        };
+        let unpinned = next_named().await?;
+        println!(
+            "named {:?} after the row, age {}",
+            Timestamp::now().since(put_at),
+            unpinned.age_ms
+        );
         Timer::after(OUTAGE_TIME).await;
         let _origin =
             LimitedOrigin::start_at(addr, MAX_CONNECTIONS, CHUNKS, Duration::ZERO).await?;
-        let announced = loop {
-            if let WireMessage::Control(ControlMessage::Named(named)) = receiver.recv().await?
-                && named.manifest.is_some()
-            {
-                break named;
-            }
-        };
+        let mut announced = unpinned;
+        while announced.manifest.is_none() {
+            announced = next_named().await?;
+        }
         let announced_age = Duration::from_millis(announced.age_ms);
         assert!(announced_age >= OUTAGE_TIME, "announced with an age of {announced_age:?}");
         Ok(())
