--- a/crates/decide/src/listing.rs
+++ b/crates/decide/src/listing.rs
@@ -15,6 +15,8 @@
 //! between two reads does not: the readers may have ended, or this process may have stood still,
 //! and an endpoint whose row was removed meanwhile must not get requests for longer.
 
+mod grace;
+
 use std::{
     collections::{BTreeMap, HashMap, HashSet},
     net::SocketAddr,
@@ -25,6 +27,8 @@
     Deadline, InstanceId, ListedEndpoint, ListedRow, ServiceName, StorePosition, Timestamp,
 };
 
+use self::grace::{GracePeriod, GracePeriods};
+
 /// Interval between two reads of the entry with the first rank.
 ///
 /// An endpoint must get no new requests two seconds after its row shows that it leaves; how these
@@ -40,18 +44,6 @@
 /// Rank from which on the delay stays the same.
 const MAX_RANK: u32 = 4;
 
-/// Grace period for rows that vanished during an outage of the list.
-///
-/// While the platform's store is down, endpoints cannot renew their rows, which expire
-/// although the endpoints are alive. The platform specifies two seconds.
-const GRACE_PERIOD: Duration = Duration::from_millis(2_300);
-
-/// Longest time after an unanswered read for which rows are kept.
-///
-/// A process that runs notices the return of the store within two timeouts. One that stood still may
-/// notice it long afterwards, when endpoints that are alive have returned.
-const MAX_ABSENCE_AGE: Duration = Duration::from_millis(5_400);
-
 /// Time within which another entry is expected to send a requested snapshot.
 const SNAPSHOT_TIMEOUT: Duration = Duration::from_millis(250);
 
@@ -75,14 +67,6 @@
     pub missing: Vec<(InstanceId, Deadline)>,
 }
 
-/// Time in which an endpoint may return whose row has vanished.
-#[derive(Debug, Clone, Copy)]
-struct GracePeriod {
-    until: Deadline,
-    /// Whether it began with a read of this entry, which then tells the others of its end.
-    is_own: bool,
-}
-
 /// An endpoint that has not returned in its grace period.
 #[derive(Debug, Clone, PartialEq)]
 pub struct ExpiredRow {
@@ -125,11 +109,9 @@
     position: u64,
     asked_at: Option<Timestamp>,
     /// Endpoints whose rows vanished during an outage or with an era.
-    grace: HashMap<InstanceId, GracePeriod>,
+    grace: GracePeriods,
     /// Longest time between two reads in which no row can have expired, in milliseconds.
     outage_ms: u64,
-    /// When the latest read was sent that the store did not answer.
-    unanswered_at: Option<Timestamp>,
     /// Until when a requested snapshot is expected from another entry.
     snapshot_until: Deadline,
     /// Until when endpoints are cold, by their newest rows.
@@ -144,9 +126,8 @@
             era: 0,
             position: 0,
             asked_at: None,
-            grace: HashMap::new(),
+            grace: GracePeriods::default(),
             outage_ms: heartbeat_ms,
-            unanswered_at: None,
             snapshot_until: Deadline(0),
             cold_until: HashMap::new(),
         }
@@ -234,7 +215,7 @@
             position: self.position,
             asked_at: self.asked_at?,
             era,
-            missing: self.grace.iter().map(|(name, period)| (name.clone(), period.until)).collect(),
+            missing: self.grace.deadlines().map(|(name, until)| (name.clone(), until)).collect(),
         })
     }
 
@@ -255,7 +236,7 @@
 
     /// Records a read that the store did not answer while this process ran.
     pub fn record_unanswered(&mut self, asked_at: Timestamp) {
-        self.unanswered_at = self.unanswered_at.max(Some(asked_at));
+        self.grace.record_unanswered(asked_at);
     }
 
     /// Applies a read of the platform's list; returns the update for the other entries.
@@ -275,7 +256,7 @@
             update.rows.extend(vanished);
         }
         if after_outage {
-            let until = self.grace_end(is_new_era, now);
+            let until = self.grace.end(is_new_era, now);
             self.begin_grace(&update.rows, GracePeriod { until, is_own: true }, now);
         }
         self.take_unless_in_grace(&update.rows, update.asked_at);
@@ -283,12 +264,10 @@
         if is_new_era && before.version > 0 {
             (update.base_era, update.base) = (before.era, before.version);
         } else {
-            let grace = &self.grace;
-            let is_kept =
-                |row: &ListedRow| row.endpoint.is_none() && grace.contains_key(&row.instance);
-            let kept = update.rows.extract_if(.., |row| is_kept(row));
+            let period = |row: &ListedRow| self.grace.get(&row.instance);
+            let kept = update.rows.extract_if(.., |row| has_vanished(row) && period(row).is_some());
             update.missing =
-                kept.map(|row| (row.instance.clone(), grace[&row.instance].until)).collect();
+                kept.filter_map(|row| Some((row.instance.clone(), period(&row)?.until))).collect();
         }
         update
     }
@@ -320,7 +299,7 @@
             if update.base != 0 || !is_new_era {
                 removed.extend(update.rows.iter().cloned());
             }
-            let until = self.grace_end(is_new_era, update.asked_at);
+            let until = self.grace.end(is_new_era, update.asked_at);
             self.begin_grace(&removed, GracePeriod { until, is_own: false }, update.asked_at);
         } else if update.base == 0 && update.position > self.position {
             self.drop_missing(update);
@@ -331,12 +310,12 @@
         // A whole list also contains the rows of missing endpoints, which does not mean that they have
         // returned.
         let missing = update.missing.iter().map(|(instance, _)| instance);
-        let periods: Vec<_> = missing.map(|instance| self.grace.get(instance).copied()).collect();
+        let periods: Vec<_> = missing.map(|instance| self.grace.get(instance)).collect();
         // The end of a grace period is up to this entry, since the sender may not have observed the
         // outage.
         self.take_unless_in_grace(&update.rows, update.asked_at);
         // A sender that stood still may have shortened the time.
-        let own_until = after_outage.then(|| self.grace_end(is_new_era, update.asked_at));
+        let own_until = after_outage.then(|| self.grace.end(is_new_era, update.asked_at));
         let vanished_at = StorePosition { era: update.era, version: update.position };
         for ((instance, until), known) in update.missing.iter().zip(periods) {
             let until = own_until.map_or(*until, |own_until| own_until.max(*until));
@@ -352,7 +331,7 @@
         let listed: HashSet<_> = update.rows.iter().map(|row| &row.instance).collect();
         let position = StorePosition { era: self.era, version: update.position };
         for (instance, known) in &mut self.rows {
-            let is_kept = listed.contains(instance) || self.grace.contains_key(instance);
+            let is_kept = listed.contains(instance) || self.grace.contains(instance);
             if known.position() <= position && !is_kept {
                 // Without the position of its removal, a late message would restore the endpoint.
                 known.era = position.era;
@@ -388,32 +367,24 @@
         let Some(last) = self.asked_at else {
             return false;
         };
-        let is_observed = self.unanswered_at.is_some_and(|unanswered| unanswered > last);
-        is_observed && asked_at.since(last).as_millis() as u64 > self.outage_ms
+        self.grace.was_away_since(last) && asked_at.since(last).as_millis() as u64 > self.outage_ms
     }
 
     /// Removes endpoints whose grace period has ended.
     pub fn expire_missing(&mut self, now: Timestamp) -> Vec<ExpiredRow> {
-        let expired: Vec<_> = self
-            .grace
-            .iter()
-            .filter(|(_, period)| period.until.is_past(now))
-            .map(|(instance, period)| (instance.clone(), period.is_own))
-            .collect();
         let mut removed = Vec::new();
-        for (instance, is_own) in expired {
-            self.grace.remove(&instance);
+        for (instance, period) in self.grace.take_expired(now) {
             let row =
                 ListedRow { instance, position: self.position, endpoint: None, is_unusable: false };
             self.take_rows(std::slice::from_ref(&row), now);
-            removed.push(ExpiredRow { row, is_own });
+            removed.push(ExpiredRow { row, is_own: period.is_own });
         }
         removed
     }
 
     /// Returns the endpoints whose rows vanished during an outage or with an era.
     pub fn in_grace(&self) -> Vec<InstanceId> {
-        self.grace.keys().cloned().collect()
+        self.grace.deadlines().map(|(instance, _)| instance.clone()).collect()
     }
 
     /// Removes an endpoint whose address is now used by another process.
@@ -439,15 +410,6 @@
             .collect()
     }
 
-    /// End of a grace period that begins at `now`.
-    fn grace_end(&self, is_new_era: bool, now: Timestamp) -> Deadline {
-        let until = now.deadline_after(GRACE_PERIOD);
-        match self.unanswered_at.filter(|_| !is_new_era) {
-            Some(unanswered_at) => until.min(unanswered_at.deadline_after(MAX_ABSENCE_AGE)),
-            None => until,
-        }
-    }
-
     /// Starts the grace periods of endpoints that are still listed here.
     fn begin_grace(&mut self, removed: &[ListedRow], period: GracePeriod, now: Timestamp) {
         if period.until.is_past(now) {
@@ -468,15 +430,14 @@
     ) {
         let known = self.rows.get(instance).filter(|known| known.row.endpoint.is_some());
         if known.is_some_and(|known| known.position() <= vanished_at) {
-            self.grace.entry(instance.clone()).or_insert(period);
+            self.grace.begin(instance, period);
         }
     }
 
     /// Takes the rows, but for removals of endpoints that are in their grace period.
     fn take_unless_in_grace(&mut self, rows: &[ListedRow], asked_at: Timestamp) {
-        let grace = &self.grace;
         let is_taken =
-            |row: &&ListedRow| row.endpoint.is_some() || !grace.contains_key(&row.instance);
+            |row: &&ListedRow| row.endpoint.is_some() || !self.grace.contains(&row.instance);
         let taken: Vec<_> = rows.iter().filter(is_taken).cloned().collect();
         self.take_rows(&taken, asked_at);
     }
--- /dev/null
+++ b/crates/decide/src/listing/grace.rs
@@ -0,0 +1,84 @@
+//! Grace periods of endpoints whose rows have vanished although they may be alive.
+
+use std::{collections::HashMap, time::Duration};
+
+use cassiawheel_model::{Deadline, InstanceId, Timestamp};
+
+/// Time in which an endpoint may register again.
+///
+/// While the platform's store is down, endpoints cannot renew their rows, which expire
+/// although the endpoints are alive. The platform specifies two seconds.
+const GRACE_PERIOD: Duration = Duration::from_millis(2_300);
+
+/// Longest time after an unanswered read for which rows are kept.
+///
+/// A process that runs notices the return of the store within two timeouts. One that stood still may
+/// notice it long afterwards, when endpoints that are alive have returned.
+const MAX_ABSENCE_AGE: Duration = Duration::from_millis(5_400);
+
+/// Time in which an endpoint may return.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct GracePeriod {
+    pub(super) until: Deadline,
+    /// Whether it began with a read of this entry, which then tells the others of its end.
+    pub(super) is_own: bool,
+}
+
+/// Grace periods, and the evidence that the store was away.
+#[derive(Debug, Clone, Default)]
+pub(super) struct GracePeriods {
+    periods: HashMap<InstanceId, GracePeriod>,
+    /// When the latest read was sent that the store did not answer.
+    unanswered_at: Option<Timestamp>,
+}
+
+impl GracePeriods {
+    /// Records a read that the store did not answer.
+    pub(super) fn record_unanswered(&mut self, asked_at: Timestamp) {
+        self.unanswered_at = self.unanswered_at.max(Some(asked_at));
+    }
+
+    /// Whether a read was not answered that was sent after `last`.
+    pub(super) fn was_away_since(&self, last: Timestamp) -> bool {
+        self.unanswered_at.is_some_and(|unanswered_at| unanswered_at > last)
+    }
+
+    /// End of a period that begins at `now`.
+    pub(super) fn end(&self, is_new_era: bool, now: Timestamp) -> Deadline {
+        let until = now.deadline_after(GRACE_PERIOD);
+        match self.unanswered_at.filter(|_| !is_new_era) {
+            Some(unanswered_at) => until.min(unanswered_at.deadline_after(MAX_ABSENCE_AGE)),
+            None => until,
+        }
+    }
+
+    /// Begins the period of an endpoint, unless it has one.
+    pub(super) fn begin(&mut self, instance: &InstanceId, period: GracePeriod) {
+        self.periods.entry(instance.clone()).or_insert(period);
+    }
+
+    /// Ends the period of an endpoint.
+    pub(super) fn remove(&mut self, instance: &InstanceId) {
+        self.periods.remove(instance);
+    }
+
+    /// Period of an endpoint, if it has one.
+    pub(super) fn get(&self, instance: &InstanceId) -> Option<GracePeriod> {
+        self.periods.get(instance).copied()
+    }
+
+    /// Whether an endpoint has a period.
+    pub(super) fn contains(&self, instance: &InstanceId) -> bool {
+        self.periods.contains_key(instance)
+    }
+
+    /// Endpoints with the ends of their periods.
+    pub(super) fn deadlines(&self) -> impl Iterator<Item = (&InstanceId, Deadline)> {
+        self.periods.iter().map(|(instance, period)| (instance, period.until))
+    }
+
+    /// Takes the endpoints whose periods have ended.
+    pub(super) fn take_expired(&mut self, now: Timestamp) -> Vec<(InstanceId, GracePeriod)> {
+        self.periods.extract_if(|_, period| period.until.is_past(now)).collect()
+    }
+}
