--- a/crates/decide/tests/departure_schedules.rs
+++ b/crates/decide/tests/departure_schedules.rs
@@ -89,13 +89,11 @@
 
 impl Store {
     fn draw(rng: &mut SmallRng) -> Self {
-        let outages: Vec<_> = match rng.random_range(0..3) {
-            0 => Vec::new(),
-            _ => {
-                let from = START + rng.random_range(3_000..9_000);
-                vec![from..from + rng.random_range(300..6_000)]
-            }
-        };
+        let mut outages: Vec<Window> = Vec::new();
+        if rng.random_range(0..3) > 0 {
+            let from = START + rng.random_range(3_000..9_000);
+            outages.push(from..from + rng.random_range(300..6_000));
+        }
         let mut store = Self {
             is_silent: rng.random_bool(0.5),
             position: 0,
@@ -330,7 +328,7 @@
     let mut draw = |chance: f64, longest: u64| -> Vec<Window> {
         let from = START + rng.random_range(2_000..SPAN_MS - 6_000);
         let window = from..from + rng.random_range(100..longest);
-        if rng.random_bool(chance) { vec![window] } else { Vec::new() }
+        std::iter::once(window).filter(|_| rng.random_bool(chance)).collect()
     };
     let together = draw(0.5, 5_000);
     let windows = (0..entries).map(|rank| {
--- a/crates/decide/tests/keyed_history/world.rs
+++ b/crates/decide/tests/keyed_history/world.rs
@@ -312,6 +312,7 @@
                 let end = if self.missing == MissingGuard::UnknownStays { last } else { end };
                 let response = match end {
                     AttemptFailure::NotRun(reason) => CallerResponse::NotRun(reason),
+                    AttemptFailure::Withdrawn => CallerResponse::NotRun(NotRunReason::NoEndpoint),
                     AttemptFailure::Unknown(_)
                     | AttemptFailure::Lost(_)
                     | AttemptFailure::Unanswered(_) => CallerResponse::Unknown,
--- a/crates/testkit/tests/origin_connections.rs
+++ b/crates/testkit/tests/origin_connections.rs
@@ -205,11 +205,6 @@
             }
         };
         let unpinned = next_named().await?;
-        println!(
-            "named {:?} after the row, age {}",
-            Timestamp::now().since(put_at),
-            unpinned.age_ms
-        );
         Timer::after(OUTAGE_TIME).await;
         let _origin =
             LimitedOrigin::start_at(addr, MAX_CONNECTIONS, CHUNKS, Duration::ZERO).await?;
