--- a/crates/decide/src/listing.rs
+++ b/crates/decide/src/listing.rs
@@ -72,7 +72,7 @@
 pub struct ExpiredRow {
     /// Row that removes the endpoint.
     pub row: ListedRow,
-    /// Whether the other entries have to be told.
+    /// Whether the other entries have to be notified.
     pub is_own: bool,
 }
 
--- a/crates/decide/src/listing/grace.rs
+++ b/crates/decide/src/listing/grace.rs
@@ -20,7 +20,7 @@
 #[derive(Debug, Clone, Copy)]
 pub(super) struct GracePeriod {
     pub(super) until: Deadline,
-    /// Whether it began with a read of this entry, which then tells the others of its end.
+    /// Whether it began with a read of this entry, which then notifies the others of its end.
     pub(super) is_own: bool,
 }
 
--- a/crates/entry/src/control/listing.rs
+++ b/crates/entry/src/control/listing.rs
@@ -103,7 +103,7 @@
 /// Reads the list after `position`, or all of it if its version is zero.
 ///
 /// While the store does not answer, further reads are sent before the first has timed out. Otherwise the
-/// entry would notice the return of the store too late to tell for how long rows that have expired may
+/// entry would notice the return of the store too late to limit the time in which expired rows may
 /// return.
 async fn read_staged(routed: &RoutedState, position: StorePosition) -> StagedRead {
     let stage = async |number: u32| {
