--- a/crates/testkit/src/site_soak.rs
+++ b/crates/testkit/src/site_soak.rs
@@ -49,9 +49,6 @@
 /// Step from which prompts with a fatal part are sent.
 const PARTS_FROM_STEP: usize = 40;
 
-/// Most entries of the first ranks that stand still together, unless all do. The others stay linked.
-const MAX_PAUSED_READERS: usize = 5;
-
 /// Number of steps between two copies of the store.
 const COPY_STEPS: usize = 60;
 
@@ -380,7 +377,7 @@
     /// at times removes a row then.
     async fn pause_readers(&mut self) -> anyhow::Result<()> {
         let all = self.site.entries.len();
-        let readers = self.rng.random_range(1..=MAX_PAUSED_READERS.min(all));
+        let readers = self.rng.random_range(1..=all);
         let count = if self.rng.random_bool(0.3) { all } else { readers };
         let span = Duration::from_millis(self.rng.random_range(200..2_500));
         let until = Timestamp::now().deadline_after(span);
