--- a/review/2/stale_check.rs
+++ b/review/2/stale_check.rs
@@ -29,8 +29,8 @@
 /// Pieces of a version, as on the site.
 const PIECES: usize = 48;
 const PIECE_BYTES: usize = 49_152;
-/// Length of the freeze; the site's days freeze `side` machines for 4 s, and one for 7.5 s.
-const FREEZE_MS: u64 = 4_000;
+/// Length of the freeze, from before the signal; the site's days freeze `side` machines for 4 s.
+const FREEZE_MS: u64 = 3_900;
 /// When a piece turns bad, after the freeze has begun.
 const ROT_AFTER_MS: u64 = 300;
 /// A piece that has turned bad within this time before a load is excused.
@@ -669,11 +669,12 @@
                 // The first time, the agent finds that all pieces are staged; the second time, it
                 // checks them before its order to load.
                 if trouble && frozen.is_none() && reads[number] == 2 {
+                    let begun = Instant::now();
                     signal("STOP", pids[number]);
                     // The engine's answer is on its way already; then it stands still as well.
                     thread::sleep(Duration::from_millis(30));
                     engines[number].frozen.store(true, Ordering::SeqCst);
-                    frozen = Some((number, Instant::now(), false));
+                    frozen = Some((number, begun, false));
                     note(format!("side-{number} stands still"));
                 }
             }
