A check of staged chunks expires before the order that relies on it

Cause: an engine loads its staged chunks as they are when it accepts an order. The agent read them back before its order, but took the result as valid without limit. If its machine stood still between the first chunk that it read and its order, a chunk could turn corrupt meanwhile, and was loaded.

Ruled out: an order that lay at the engine (order_ms=0); a chunk that was corrupt before the check (the engine's record: corrupt 270 ms after the pause began); weights adopted without a load of this agent.

Change: a check holds for an order that is sent within 1 s and answered within 2.5 s of the check's beginning, below the 3 s that are excused. Where the answer comes later or not at all, the load is proved by a check after it, since a corrupt chunk stays corrupt until it is staged again; until then the engine's weights are not reported, so neither the gate nor a restarted switch takes them over. The decision is in decide (load_proof), the adapter reports to it.

Not covered: an engine that has loaded corrupt chunks keeps them until another version is loaded or it restarts (a second order for the same version has no effect), so its endpoint stays out of service; an agent that is killed in this state forgets it.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod layer_path;
 pub mod layers;
 pub mod listing;
+pub mod load_proof;
 pub mod manifest_search;
 pub mod outage_recovery;
 pub mod overlay;
@@ -89,6 +90,7 @@
 pub use layer_path::{LayerHolder, form_paths};
 pub use layers::{EngineHolding, LayerHalf, LayerRelease, PATH_RELEASE_MS};
 pub use listing::{EndpointListing, ExpiredRow, ListingUpdate};
+pub use load_proof::{ChunkCheck, LoadProofs};
 pub use manifest_search::{ManifestSearch, SearchStep};
 pub use outage_recovery::OutageRecovery;
 pub use overlay::{
--- /dev/null
+++ b/crates/decide/tests/load_proof.rs
@@ -0,0 +1,99 @@
+//! Proof that an engine has loaded only intact chunks.
+
+use cassiawheel_decide::{ChunkCheck, LoadProofs};
+use cassiawheel_model::{ModelVersion, Timestamp};
+use rstest::rstest;
+
+const CHUNKS: usize = 8;
+const START: Timestamp = Timestamp(1_000_000);
+
+/// Time for which a chunk may have been corrupt when an engine takes it.
+const EXCUSED_MS: u64 = 3_000;
+
+fn at(ms: u64) -> Timestamp {
+    Timestamp(START.0 + ms)
+}
+
+fn version() -> ModelVersion {
+    ModelVersion::new("m:2").expect("a valid name")
+}
+
+/// Loads with one order, sent after a check that began at the start.
+fn ordered() -> LoadProofs {
+    let mut proofs = LoadProofs::default();
+    proofs.order_sent(&version(), 0..CHUNKS, ChunkCheck::begin(START));
+    proofs
+}
+
+/// Guards against an order that is sent so long after the check that its answer can come too late.
+#[rstest]
+fn a_check_permits_no_order_once_it_is_old() {
+    let check = ChunkCheck::begin(START);
+    assert!(check.permits_order(at(100)));
+    assert!(!check.permits_order(at(EXCUSED_MS - 1_500)));
+}
+
+/// Guards against a load that counts as proved although a chunk may have been corrupt for longer
+/// than is excused.
+#[rstest]
+#[case::in_time(200, true)]
+#[case::late(EXCUSED_MS, false)]
+#[case::after_a_long_pause(60_000, false)]
+fn an_answer_proves_a_load_only_in_time(#[case] answered_ms: u64, #[case] is_proved: bool) {
+    let mut proofs = ordered();
+    assert_eq!(proofs.order_answered(&version(), at(answered_ms)), is_proved);
+    assert_eq!(proofs.may_serve(&version(), at(answered_ms + 60_000)), is_proved);
+}
+
+/// Guards against weights that are served after an order whose answer was lost.
+#[rstest]
+fn an_order_without_an_answer_leaves_the_load_unproved() {
+    let proofs = ordered();
+    assert!(proofs.may_serve(&version(), at(200)), "taken within the time of the check");
+    assert!(!proofs.may_serve(&version(), at(EXCUSED_MS)));
+    let other = ModelVersion::new("m:1").expect("a valid name");
+    assert!(proofs.may_serve(&other, at(EXCUSED_MS)));
+}
+
+/// Guards against a second check that passes only because the corrupt chunk was staged again.
+#[rstest]
+#[case::of_the_load(3, false)]
+#[case::of_other_layers(CHUNKS, true)]
+fn a_later_check_proves_nothing_once_a_chunk_was_staged(
+    #[case] staged: usize,
+    #[case] is_proved: bool,
+) {
+    let mut proofs = ordered();
+    assert!(!proofs.order_answered(&version(), at(EXCUSED_MS)));
+    proofs.chunk_staged(staged);
+    assert_eq!(proofs.chunks_intact(&version(), &(0..CHUNKS)), is_proved);
+    assert_eq!(proofs.may_serve(&version(), at(60_000)), is_proved);
+}
+
+/// Guards against a new order, answered in time, that hides an older one that was taken too late.
+#[rstest]
+fn another_order_does_not_prove_a_refuted_load() {
+    let mut proofs = ordered();
+    proofs.chunk_staged(0);
+    proofs.order_sent(&version(), 0..CHUNKS, ChunkCheck::begin(at(5_000)));
+    assert!(!proofs.order_answered(&version(), at(5_100)));
+    proofs.forget(&version());
+    proofs.order_sent(&version(), 0..CHUNKS, ChunkCheck::begin(at(6_000)));
+    assert!(proofs.order_answered(&version(), at(6_100)), "the engine held nothing of it");
+}
+
+/// Guards against a check of some layers that proves the load of all.
+#[rstest]
+#[case::of_all(0..CHUNKS, true)]
+#[case::of_a_half(0..CHUNKS / 2, false)]
+fn a_check_proves_only_the_chunks_that_it_read(
+    #[case] checked: std::ops::Range<usize>,
+    #[case] is_proved: bool,
+) {
+    let mut proofs = ordered();
+    assert_eq!(proofs.chunks_intact(&version(), &checked), is_proved);
+
+    let mut proofs = ordered();
+    proofs.order_sent(&version(), checked, ChunkCheck::begin(at(5_000)));
+    assert_eq!(proofs.order_answered(&version(), at(5_100)), is_proved);
+}
--- a/crates/testkit/src/stand_in/layer_engine.rs
+++ b/crates/testkit/src/stand_in/layer_engine.rs
@@ -12,10 +12,13 @@
 
 use bytes::Bytes;
 use cassiawheel_model::Timestamp;
-use cassiawheel_runtime::http::{ReplyBody, full_body, json_reply, read_body};
+use cassiawheel_runtime::{
+    http::{ReplyBody, full_body, json_reply, read_body},
+    spawn,
+};
 use hyper::{Method, Request, Response, StatusCode, body::Incoming};
 use serde_json::{Value, json};
-use smol::Timer;
+use smol::{Timer, channel};
 
 use super::{RunningStandIn, empty_reply, query_of, start};
 use crate::FaultSwitches;
@@ -46,6 +49,10 @@
     pub refuses_ranges: bool,
     /// Delay of each answer to a chunk that is read back.
     pub read_delay: Duration,
+    /// Number of reads of chunks that have arrived.
+    pub reads: usize,
+    /// Delay before an order is accepted, also if its caller has given up.
+    pub order_delay: Duration,
     loaded_at: Option<Timestamp>,
 }
 
@@ -86,7 +93,7 @@
 }
 
 async fn handle(
-    state: &Mutex<LayerEngineState>,
+    state: &Arc<Mutex<LayerEngineState>>,
     request: Request<Incoming>,
 ) -> Response<ReplyBody> {
     let (head, body) = request.into_parts();
@@ -102,6 +109,7 @@
             json_reply(StatusCode::OK, &json!({ "held": held }))
         }
         (&Method::GET, ["v1", "stage-get", _], Some(index)) => {
+            lock(state).reads += 1;
             let delay = lock(state).read_delay;
             Timer::after(delay).await;
             match lock(state).chunks.get(&index).cloned() {
@@ -115,7 +123,16 @@
         }
         (&Method::POST, ["v1", "order"], _) => {
             let order = serde_json::from_slice(&body).unwrap_or_default();
-            empty_reply(lock(state).begin_load(order))
+            let (state, delay) = (state.clone(), lock(state).order_delay);
+            let (sender, answer) = channel::bounded(1);
+            // Detached: an order takes effect even if its caller has left.
+            spawn(async move {
+                Timer::after(delay).await;
+                let status = lock(&state).begin_load(order);
+                let _ = sender.send(status).await;
+            })
+            .detach();
+            empty_reply(answer.recv().await.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR))
         }
         _ => empty_reply(StatusCode::NOT_FOUND),
     }
@@ -126,6 +143,9 @@
         if self.refuses_ranges && body.get("from").is_some() {
             return StatusCode::BAD_REQUEST;
         }
+        if self.orders.last().is_some_and(|last| last.body == body) {
+            return StatusCode::OK;
+        }
         self.orders.push(ReceivedOrder { body, chunks: self.chunks.clone() });
         self.loaded_at = Some(Timestamp(Timestamp::now().0 + LOAD_TIME.as_millis() as u64));
         StatusCode::ACCEPTED
--- a/crates/testkit/tests/layer_engine.rs
+++ b/crates/testkit/tests/layer_engine.rs
@@ -105,6 +105,65 @@
     });
 }
 
+/// Guards against weights that turn corrupt while the agent stands still between the check of the
+/// staged chunks and its order.
+#[rstest]
+fn chunks_are_checked_again_after_a_pause_before_the_order() {
+    run(async {
+        let (engine, adapter, first) = staged_engine(CHUNKS).await?;
+        engine.state().read_delay = Duration::from_millis(20);
+        let order = load_order(&first);
+        let reads_before = engine.state().reads;
+        let pause = async {
+            while engine.state().reads < reads_before + CHUNKS {
+                Timer::after(Duration::from_millis(1)).await;
+            }
+            // The last answer is on its way; this thread also runs the adapter.
+            engine.state().chunks.insert(0, Bytes::from_static(b"corrupt"));
+            std::thread::sleep(Duration::from_millis(3_200));
+        };
+        let (answer, ()) = futures_util::future::join(adapter.load_weights(&order), pause).await;
+        anyhow::ensure!(matches!(answer, Err(EngineError::Refused(_))), "{answer:?}");
+        let taken = engine.state().orders.clone();
+        anyhow::ensure!(taken.is_empty(), "loaded with a corrupt chunk: {taken:?}");
+        Ok(())
+    });
+}
+
+/// Guards against weights that turned corrupt while an order lay unread at the engine: they must
+/// not be reported, also after the chunk was staged anew.
+#[rstest]
+#[case::intact(false)]
+#[case::corrupt(true)]
+fn an_order_that_is_accepted_late_is_proved_by_another_check(#[case] is_corrupt: bool) {
+    run(async {
+        let (engine, adapter, first) = staged_engine(CHUNKS).await?;
+        engine.state().order_delay = Duration::from_millis(3_200);
+        let answer = adapter.load_weights(&load_order(&first)).await;
+        anyhow::ensure!(matches!(answer, Err(EngineError::NoAnswer(_))), "{answer:?}");
+        engine.state().order_delay = Duration::ZERO;
+        if is_corrupt {
+            engine.state().chunks.insert(0, Bytes::from_static(b"corrupt"));
+        }
+        while engine.state().orders.is_empty() {
+            Timer::after(Duration::from_millis(20)).await;
+        }
+        Timer::after(Duration::from_millis(100)).await;
+        let status = adapter.status().await?;
+        anyhow::ensure!(status.version.is_none(), "not proved: {status:?}");
+
+        adapter.open_staging(&first).await?;
+        if is_corrupt {
+            adapter.stage_chunk(first.digest, 0, chunk_bytes(1, 0)).await?;
+        }
+        let answer = adapter.load_weights(&load_order(&first)).await;
+        let served = adapter.status().await?.version;
+        anyhow::ensure!(answer.is_ok() != is_corrupt, "{answer:?}");
+        anyhow::ensure!(served.is_some() != is_corrupt, "{served:?}");
+        Ok(())
+    });
+}
+
 /// Guards against an engine without ranges that is ordered to load parts again and again.
 #[rstest]
 fn a_refused_range_is_told_from_other_refusals() {
