A load that is not proved in time is dropped and made anew

Cause: a load was one call. What an order without an answer does later was not followed: if the engine held nothing of the version yet, the record of the order was dropped, the corrupt chunk was staged again, and the late load passed the next check.

Change: the steps of a load are a state machine without I/O (verified_load). An unproved load is dropped by an order for an empty range of layers; the record of an order without an answer stays until the engine has accepted another one or was restarted, and every order names the number of accepted orders as its precondition, so that an engine refuses one that it reads after a later one. The age of the check at the order and at its answer is a histogram each, unproved loads are counted.

--- a/crates/agent/src/layers.rs
+++ b/crates/agent/src/layers.rs
@@ -273,6 +273,9 @@
                 }
                 Err(error) => {
                     shared.metrics.failed_partial_loads.inc();
+                    if matches!(error, EngineError::Unproved(_)) {
+                        shared.metrics.unproved_loads.inc();
+                    }
                     log::warn!(target: "layers", version:% = self.order.version, cause:% = error; "Layers are not loaded yet.");
                 }
             }
--- a/crates/agent/src/metrics.rs
+++ b/crates/agent/src/metrics.rs
@@ -1,6 +1,9 @@
 //! Metrics of an agent.
 
-use prometheus::{IntCounter, IntGauge, Registry};
+use prometheus::{Histogram, HistogramOpts, IntCounter, IntGauge, Registry};
+
+/// Bounds of the histograms of the age of checks, in seconds.
+const CHECK_AGE_BOUNDS: [f64; 8] = [0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0];
 
 /// Counters and gauges of an agent.
 pub(crate) struct AgentMetrics {
@@ -26,6 +29,12 @@
     pub(crate) partial_loads: IntCounter,
     /// Failed tries to load a part of the layers.
     pub(crate) failed_partial_loads: IntCounter,
+    /// Loads that the engine had to drop, as it may have taken corrupt chunks.
+    pub(crate) unproved_loads: IntCounter,
+    /// Age of the check of the staged chunks when the order to load was sent, in seconds.
+    pub(crate) check_age_at_order: Histogram,
+    /// Age of that check when the order was answered, in seconds.
+    pub(crate) check_age_at_answer: Histogram,
 }
 
 impl AgentMetrics {
@@ -41,6 +50,12 @@
             registry.register(Box::new(gauge.clone()))?;
             Ok(gauge)
         };
+        let ages = |name: &str, help: &str| -> prometheus::Result<Histogram> {
+            let options = HistogramOpts::new(format!("cassiawheel_agent_{name}"), help);
+            let ages = Histogram::with_opts(options.buckets(CHECK_AGE_BOUNDS.to_vec()))?;
+            registry.register(Box::new(ages.clone()))?;
+            Ok(ages)
+        };
         Ok(Self {
             admitted: counter("admitted_total", "Requests admitted by the gate")?,
             refused: counter("refused_total", "Requests refused by the gate")?,
@@ -65,6 +80,18 @@
                 "failed_partial_loads_total",
                 "Failed tries to load a part of the layers",
             )?,
+            unproved_loads: counter(
+                "unproved_loads_total",
+                "Loads that may have taken corrupt chunks and were dropped",
+            )?,
+            check_age_at_order: ages(
+                "check_age_at_order_seconds",
+                "Age of the check of the staged chunks when the order to load was sent",
+            )?,
+            check_age_at_answer: ages(
+                "check_age_at_answer_seconds",
+                "Age of the check of the staged chunks when the order was answered",
+            )?,
         })
     }
 }
--- a/crates/agent/src/orders.rs
+++ b/crates/agent/src/orders.rs
@@ -325,7 +325,14 @@
         fencing: order.fencing,
     };
     ensure_current(order, &shared.engine.status().await?)?;
-    shared.engine.load_weights(&load).await?;
+    let loaded = shared.engine.load_weights(&load).await;
+    if matches!(loaded, Err(EngineError::Unproved(_))) {
+        shared.metrics.unproved_loads.inc();
+    }
+    if let Some(age) = loaded? {
+        shared.metrics.check_age_at_order.observe(age.at_order_ms as f64 / 1_000.0);
+        shared.metrics.check_age_at_answer.observe(age.at_answer_ms as f64 / 1_000.0);
+    }
     let status = layers::read_status(shared).await?;
     // The answer to a load order does not prove what is loaded: another process may
     // have sent an order in between.
--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -192,6 +192,7 @@
         EngineError::NotSent(_) => RunFailure::NotRun(NotRunReason::ConnectFailed),
         EngineError::Refused(detail)
         | EngineError::Unsupported(detail)
+        | EngineError::Unproved(detail)
         | EngineError::NoAnswer(detail) => RunFailure::Unknown(detail),
         EngineError::Damaged(_) => RunFailure::Unknown(error.to_string()),
     })?;
--- a/crates/agent/tests/layers.rs
+++ b/crates/agent/tests/layers.rs
@@ -11,8 +11,8 @@
 use cassiawheel_agent::{AgentClients, serve};
 use cassiawheel_decide::{LayerHalf, PATH_RELEASE_MS};
 use cassiawheel_edge::{
-    EdgeFuture, EngineError, EngineResponse, EngineStatus, HttpClient, HttpTable, LayerOrder,
-    LoadOrder, ModelEngine, StagedBitmap, WeightError, WeightSource,
+    CheckAge, EdgeFuture, EngineError, EngineResponse, EngineStatus, HttpClient, HttpTable,
+    LayerOrder, LoadOrder, ModelEngine, StagedBitmap, WeightError, WeightSource,
 };
 use cassiawheel_model::{
     ChunkDigest, ChunkEntry, ChunkHash, EndpointReport, EndpointState, InstanceId, LayerRange,
@@ -155,8 +155,11 @@
         Box::pin(async { Ok(()) })
     }
 
-    fn load_weights<'a>(&'a self, order: &'a LoadOrder) -> EdgeFuture<'a, Result<(), EngineError>> {
-        Box::pin(async { self.load(order, None) })
+    fn load_weights<'a>(
+        &'a self,
+        order: &'a LoadOrder,
+    ) -> EdgeFuture<'a, Result<Option<CheckAge>, EngineError>> {
+        Box::pin(async { self.load(order, None).map(|()| None) })
     }
 
     fn load_layers<'a>(&'a self, order: &'a LayerOrder) -> EdgeFuture<'a, Result<(), EngineError>> {
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -61,6 +61,7 @@
 pub mod switch_stagger;
 pub mod urgency;
 mod urgency_queue;
+pub mod verified_load;
 pub mod versions;
 
 pub use admit::{AdmitRank, AdmitTicket, AdmitTier, AdmitVerdict, ServiceAdmission};
@@ -119,4 +120,5 @@
 pub use slot_share::{SlotCompetitor, SlotShare};
 pub use switch_stagger::SwitchStagger;
 pub use urgency::{RequestUrgency, UrgencyTable, engine_priority};
+pub use verified_load::{LoadEnd, LoadStep, VerifiedLoad};
 pub use versions::{VersionRecord, VersionRegistry};
--- a/crates/decide/src/load_proof.rs
+++ b/crates/decide/src/load_proof.rs
@@ -16,12 +16,16 @@
 /// Longest time from the beginning of a check until the answer to its order.
 const MAX_AGE_AT_ANSWER: Duration = Duration::from_millis(2_500);
 
+/// Longest time after which an order without an answer takes effect.
+const MAX_CALL_DELAY: Duration = Duration::from_secs(30);
+
 /// Number of loads that are kept.
 const MAX_LOADS: usize = 4;
 
 /// A check of the staged chunks that an order needs.
 #[derive(Debug, Clone, Copy)]
 pub struct ChunkCheck {
+    begun_at: Timestamp,
     order_by: Deadline,
     answered_by: Deadline,
 }
@@ -30,11 +34,17 @@
     /// Begins a check; the first chunk is read at `now` or later.
     pub fn begin(now: Timestamp) -> Self {
         Self {
+            begun_at: now,
             order_by: now.deadline_after(MAX_AGE_AT_ORDER),
             answered_by: now.deadline_after(MAX_AGE_AT_ANSWER),
         }
     }
 
+    /// Time since the check began.
+    pub fn age(&self, now: Timestamp) -> Duration {
+        now.since(self.begun_at)
+    }
+
     /// Whether an order that is sent at `now` may rely on this check.
     pub fn permits_order(&self, now: Timestamp) -> bool {
         !self.order_by.is_past(now)
@@ -51,6 +61,10 @@
     answered_by: Deadline,
     /// Whether a chunk was staged again since, so that no later check proves the load.
     is_refuted: bool,
+    /// Number of orders that the engine must have accepted before this one, if it counts them.
+    sequence: Option<u64>,
+    /// Until then, an order to an engine that does not count may take effect.
+    effective_by: Deadline,
 }
 
 /// Loads of one engine that are not proved yet.
@@ -60,13 +74,26 @@
 }
 
 impl LoadProofs {
-    /// Records an order that is about to be sent, after `check` found `chunks` intact.
-    pub fn order_sent(&mut self, version: &ModelVersion, chunks: Range<usize>, check: ChunkCheck) {
-        if let Some(load) = self.loads.iter_mut().find(|load| load.version == *version) {
+    /// Records an order that is about to be sent at `now`, after `check` found `chunks` intact.
+    ///
+    /// `sequence` is the number of orders that the engine has accepted, which the order names as
+    /// its precondition.
+    pub fn order_sent(
+        &mut self,
+        version: &ModelVersion,
+        chunks: Range<usize>,
+        check: ChunkCheck,
+        sequence: Option<u64>,
+        now: Timestamp,
+    ) {
+        let effective_by = now.deadline_after(MAX_CALL_DELAY);
+        if let Some(load) = self.load_mut(version) {
             if covers(&chunks, &load.chunks) {
                 load.answered_by = check.answered_by;
             }
             load.chunks = load.chunks.start.min(chunks.start)..load.chunks.end.max(chunks.end);
+            load.sequence = sequence;
+            load.effective_by = effective_by;
             return;
         }
         let surplus = (self.loads.len() + 1).saturating_sub(MAX_LOADS);
@@ -76,16 +103,18 @@
             chunks,
             answered_by: check.answered_by,
             is_refuted: false,
+            sequence,
+            effective_by,
         });
     }
 
     /// Records that the engine has accepted an order; returns whether the load is proved.
     pub fn order_answered(&mut self, version: &ModelVersion, now: Timestamp) -> bool {
-        if self.may_serve(version, now) {
+        let is_proved = self.may_serve(version, now);
+        if is_proved {
             self.forget(version);
-            return true;
         }
-        false
+        is_proved
     }
 
     /// Records that `chunks` were intact after the engine had accepted the order; returns whether
@@ -99,22 +128,53 @@
         is_proved
     }
 
-    /// Records that a chunk was written to the engine's staging area.
-    pub fn chunk_staged(&mut self, index: usize) {
+    /// Records a write to the engine's staging area, before it is sent.
+    pub fn write_sent(&mut self, index: usize) {
         for load in self.loads.iter_mut().filter(|load| load.chunks.contains(&index)) {
             load.is_refuted = true;
         }
     }
 
-    /// Drops what is known of a version of which the engine holds nothing.
-    pub fn forget(&mut self, version: &ModelVersion) {
+    /// Whether no check can prove the load of `version` any more.
+    pub fn is_refuted(&self, version: &ModelVersion) -> bool {
+        self.load(version).is_some_and(|load| load.is_refuted)
+    }
+
+    /// Whether a load of `version` is not proved yet.
+    pub fn is_unproven(&self, version: &ModelVersion) -> bool {
+        self.load(version).is_some()
+    }
+
+    /// Records that the engine holds nothing of `version`, and how many orders it has accepted.
+    ///
+    /// An order without an answer may still take effect, unless the engine has accepted another
+    /// one since or was restarted.
+    pub fn holds_nothing(&mut self, version: &ModelVersion, sequence: Option<u64>, now: Timestamp) {
+        let Some(load) = self.load_mut(version) else {
+            return;
+        };
+        load.is_refuted = false;
+        let has_moved_on = load.sequence.is_some() && load.sequence != sequence;
+        if has_moved_on || load.effective_by.is_past(now) {
+            self.forget(version);
+        }
+    }
+
+    fn forget(&mut self, version: &ModelVersion) {
         self.loads.retain(|load| load.version != *version);
     }
 
     /// Whether weights that the engine reports to hold at `now` may answer requests.
     pub fn may_serve(&self, version: &ModelVersion, now: Timestamp) -> bool {
-        let load = self.loads.iter().find(|load| load.version == *version);
-        load.is_none_or(|load| !load.is_refuted && !load.answered_by.is_past(now))
+        self.load(version).is_none_or(|load| !load.is_refuted && !load.answered_by.is_past(now))
+    }
+
+    fn load_mut(&mut self, version: &ModelVersion) -> Option<&mut UnprovenLoad> {
+        self.loads.iter_mut().find(|load| load.version == *version)
+    }
+
+    fn load(&self, version: &ModelVersion) -> Option<&UnprovenLoad> {
+        self.loads.iter().find(|load| load.version == *version)
     }
 }
 
--- a/crates/decide/tests/load_proof.rs
+++ b/crates/decide/tests/load_proof.rs
@@ -1,5 +1,7 @@
 //! Proof that an engine has loaded only intact chunks.
 
+use std::ops::Range;
+
 use cassiawheel_decide::{ChunkCheck, LoadProofs};
 use cassiawheel_model::{ModelVersion, Timestamp};
 use rstest::rstest;
@@ -21,10 +23,19 @@
 /// Loads with one order, sent after a check that began at the start.
 fn ordered() -> LoadProofs {
     let mut proofs = LoadProofs::default();
-    proofs.order_sent(&version(), 0..CHUNKS, ChunkCheck::begin(START));
+    order(&mut proofs, 0..CHUNKS, START);
     proofs
 }
 
+/// Records an order after a check that began at `begun_at`; the engine has accepted none.
+fn order(proofs: &mut LoadProofs, chunks: Range<usize>, begun_at: Timestamp) {
+    proofs.order_sent(&version(), chunks, ChunkCheck::begin(begun_at), Some(0), begun_at);
+}
+
+fn write(proofs: &mut LoadProofs, index: usize) {
+    proofs.write_sent(index);
+}
+
 /// Guards against an order that is sent so long after the check that its answer can come too late.
 #[rstest]
 fn a_check_permits_no_order_once_it_is_old() {
@@ -65,7 +76,7 @@
 ) {
     let mut proofs = ordered();
     assert!(!proofs.order_answered(&version(), at(EXCUSED_MS)));
-    proofs.chunk_staged(staged);
+    write(&mut proofs, staged);
     assert_eq!(proofs.chunks_intact(&version(), &(0..CHUNKS)), is_proved);
     assert_eq!(proofs.may_serve(&version(), at(60_000)), is_proved);
 }
@@ -74,11 +85,11 @@
 #[rstest]
 fn another_order_does_not_prove_a_refuted_load() {
     let mut proofs = ordered();
-    proofs.chunk_staged(0);
-    proofs.order_sent(&version(), 0..CHUNKS, ChunkCheck::begin(at(5_000)));
+    write(&mut proofs, 0);
+    order(&mut proofs, 0..CHUNKS, at(5_000));
     assert!(!proofs.order_answered(&version(), at(5_100)));
-    proofs.forget(&version());
-    proofs.order_sent(&version(), 0..CHUNKS, ChunkCheck::begin(at(6_000)));
+    proofs.holds_nothing(&version(), Some(2), at(6_000));
+    order(&mut proofs, 0..CHUNKS, at(6_000));
     assert!(proofs.order_answered(&version(), at(6_100)), "the engine held nothing of it");
 }
 
@@ -87,13 +98,28 @@
 #[case::of_all(0..CHUNKS, true)]
 #[case::of_a_half(0..CHUNKS / 2, false)]
 fn a_check_proves_only_the_chunks_that_it_read(
-    #[case] checked: std::ops::Range<usize>,
+    #[case] checked: Range<usize>,
     #[case] is_proved: bool,
 ) {
     let mut proofs = ordered();
     assert_eq!(proofs.chunks_intact(&version(), &checked), is_proved);
 
     let mut proofs = ordered();
-    proofs.order_sent(&version(), checked, ChunkCheck::begin(at(5_000)));
+    order(&mut proofs, checked, at(5_000));
     assert_eq!(proofs.order_answered(&version(), at(5_100)), is_proved);
 }
+
+/// Guards against an order that takes effect after the engine was found without the version.
+#[rstest]
+#[case::not_accepted_yet(Some(0), false)]
+#[case::later_order_accepted(Some(1), true)]
+#[case::restarted(None, true)]
+fn an_order_without_an_answer_may_take_effect_until_another_one(
+    #[case] sequence: Option<u64>,
+    #[case] is_over: bool,
+) {
+    let mut proofs = ordered();
+    proofs.holds_nothing(&version(), sequence, at(2_000));
+    write(&mut proofs, 0);
+    assert_eq!(proofs.may_serve(&version(), at(5_000)), is_over);
+}
--- a/crates/edge/src/engine.rs
+++ b/crates/edge/src/engine.rs
@@ -83,6 +83,15 @@
     pub layers: u32,
 }
 
+/// Age of the check of the chunks that an engine has loaded.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CheckAge {
+    /// When the order was sent, in milliseconds.
+    pub at_order_ms: u64,
+    /// When the order was answered, in milliseconds.
+    pub at_answer_ms: u64,
+}
+
 /// Why a call of an engine failed.
 #[derive(Debug, Clone, thiserror::Error)]
 pub enum EngineError {
@@ -98,6 +107,9 @@
     /// Staged chunks that the order needs are missing or corrupt; nothing happened.
     #[error("staged chunks {0:?} are missing or corrupt")]
     Damaged(Vec<usize>),
+    /// The engine may have loaded corrupt chunks, and was ordered to drop them.
+    #[error("the loaded weights are not proved to be intact: {0}")]
+    Unproved(String),
     /// The outcome is unknown: the call may have had effects.
     #[error("the engine did not answer: {0}")]
     NoAnswer(String),
@@ -156,8 +168,12 @@
     /// Discards the staged chunks of `manifest`; the loaded weights stay.
     fn discard_staging(&self, manifest: ManifestDigest) -> EdgeFuture<'_, Result<(), EngineError>>;
 
-    /// Loads the staged weights, which then serve all requests.
-    fn load_weights<'a>(&'a self, order: &'a LoadOrder) -> EdgeFuture<'a, Result<(), EngineError>>;
+    /// Loads the staged weights, which then serve all requests; returns the age of the check that
+    /// the load relies on, or none if the engine verifies its chunks itself.
+    fn load_weights<'a>(
+        &'a self,
+        order: &'a LoadOrder,
+    ) -> EdgeFuture<'a, Result<Option<CheckAge>, EngineError>>;
 
     /// Loads a range of layers, after all chunks of the range were read back and verified.
     ///
--- a/crates/edge/src/engine_http.rs
+++ b/crates/edge/src/engine_http.rs
@@ -11,8 +11,8 @@
 };
 
 use crate::{
-    ClientError, EdgeFuture, EngineError, EngineResponse, EngineStatus, HttpClient, LayerOrder,
-    LoadOrder, ModelEngine, StagedBitmap,
+    CheckAge, ClientError, EdgeFuture, EngineError, EngineResponse, EngineStatus, HttpClient,
+    LayerOrder, LoadOrder, ModelEngine, StagedBitmap,
 };
 
 /// Header with the version that gave a response.
@@ -118,10 +118,13 @@
         })
     }
 
-    fn load_weights<'a>(&'a self, order: &'a LoadOrder) -> EdgeFuture<'a, Result<(), EngineError>> {
+    fn load_weights<'a>(
+        &'a self,
+        order: &'a LoadOrder,
+    ) -> EdgeFuture<'a, Result<Option<CheckAge>, EngineError>> {
         Box::pin(async move {
             self.control_call(Method::POST, "/v1/engine/load", encode(order)?).await?;
-            Ok(())
+            Ok(None)
         })
     }
 
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -25,7 +25,8 @@
     BackoffRequest, EndpointProtocol, ForwardMetadata, ReportedLoad, ResponseMetadata,
 };
 pub use engine::{
-    EngineError, EngineResponse, EngineStatus, LayerOrder, LoadOrder, ModelEngine, StagedBitmap,
+    CheckAge, EngineError, EngineResponse, EngineStatus, LayerOrder, LoadOrder, ModelEngine,
+    StagedBitmap,
 };
 pub use engine_http::HttpEngine;
 pub use entry_rows::{ENTRY_KEY_PREFIX, EntryRow};
--- a/crates/testkit/src/stand_in/layer_engine.rs
+++ b/crates/testkit/src/stand_in/layer_engine.rs
@@ -38,6 +38,15 @@
     pub chunks: BTreeMap<usize, Bytes>,
 }
 
+/// Weights that the engine holds.
+#[derive(Debug, PartialEq)]
+struct LoadedRange {
+    model: Value,
+    version: Value,
+    /// First layer and the first one after the range; none for all layers.
+    layers: Option<(Value, Value)>,
+}
+
 /// State of the engine, changed by its agent and by tests.
 #[derive(Debug, Default)]
 pub struct LayerEngineState {
@@ -53,6 +62,9 @@
     pub reads: usize,
     /// Delay before an order is accepted, also if its caller has given up.
     pub order_delay: Duration,
+    /// Number of accepted orders.
+    sequence: u64,
+    loaded: Option<LoadedRange>,
     loaded_at: Option<Timestamp>,
 }
 
@@ -143,26 +155,51 @@
         if self.refuses_ranges && body.get("from").is_some() {
             return StatusCode::BAD_REQUEST;
         }
-        if self.orders.last().is_some_and(|last| last.body == body) {
+        if body.get("precondition").is_some_and(|sequence| *sequence != json!(self.sequence)) {
+            return StatusCode::CONFLICT;
+        }
+        let ordered = LoadedRange::of(&body);
+        if self.loaded.as_ref() == Some(&ordered) {
             return StatusCode::OK;
         }
+        self.sequence += 1;
+        // Layers are dropped at once.
+        let load_ms = if ordered.is_empty() { 0 } else { LOAD_TIME.as_millis() as u64 };
+        self.loaded = Some(ordered);
         self.orders.push(ReceivedOrder { body, chunks: self.chunks.clone() });
-        self.loaded_at = Some(Timestamp(Timestamp::now().0 + LOAD_TIME.as_millis() as u64));
+        self.loaded_at = Some(Timestamp(Timestamp::now().0 + load_ms));
         StatusCode::ACCEPTED
     }
 
     fn report(&self) -> Value {
         let is_busy = self.loaded_at.is_some_and(|at| at > Timestamp::now());
-        let loaded = self.orders.last().filter(|_| !is_busy);
-        let mut report = json!({ "models": [], "busy": is_busy, "queued": 0, "active": 0 });
-        let Some(ReceivedOrder { body, .. }) = loaded else {
+        let mut report = json!({
+            "models": [], "busy": is_busy, "queued": 0, "active": 0, "sequence": self.sequence,
+        });
+        let Some(loaded) = self.loaded.as_ref().filter(|loaded| !is_busy && !loaded.is_empty())
+        else {
             return report;
         };
-        if body.get("from").is_some() {
-            report["layers"] = json!({ "from": body["from"], "target": body["target"], "version": body["version"] });
-        } else {
-            report["models"] = json!([{ "name": body["model"], "version": body["version"] }]);
+        match &loaded.layers {
+            Some((from, target)) => {
+                report["layers"] =
+                    json!({ "from": from, "target": target, "version": loaded.version });
+            }
+            None => {
+                report["models"] = json!([{ "name": loaded.model, "version": loaded.version }]);
+            }
         }
         report
     }
 }
+
+impl LoadedRange {
+    fn of(body: &Value) -> Self {
+        let layers = body.get("from").cloned().zip(body.get("target").cloned());
+        Self { model: body["model"].clone(), version: body["version"].clone(), layers }
+    }
+
+    fn is_empty(&self) -> bool {
+        self.layers.as_ref().is_some_and(|(from, target)| from == target)
+    }
+}
--- a/crates/testkit/tests/foreign_order.rs
+++ b/crates/testkit/tests/foreign_order.rs
@@ -30,7 +30,8 @@
         engine.stage_chunk(manifest.digest, index, Bytes::copy_from_slice(chunk)).await?;
     }
     let version = manifest.version.clone();
-    Ok(engine.load_weights(&LoadOrder { version, manifest: manifest.digest, fencing: 0 }).await?)
+    engine.load_weights(&LoadOrder { version, manifest: manifest.digest, fencing: 0 }).await?;
+    Ok(())
 }
 
 /// A process that was paused resumes and orders the engine back to an old version while the
--- a/crates/testkit/tests/layer_engine.rs
+++ b/crates/testkit/tests/layer_engine.rs
@@ -68,7 +68,7 @@
         let sent = engine.state().orders[0].body.clone();
         let expected = json!({
             "operation": "start", "model": "m", "version": 1, "drain_mode": "queue",
-            "from": 0, "target": 2,
+            "from": 0, "target": 2, "precondition": 0,
         });
         anyhow::ensure!(sent == expected, "{sent}");
         let status = adapter.status().await?;
@@ -131,11 +131,14 @@
 }
 
 /// Guards against weights that turned corrupt while an order lay unread at the engine: they must
-/// not be reported, also after the chunk was staged anew.
+/// not be reported, and are loaded anew although the engine holds their version.
 #[rstest]
-#[case::intact(false)]
-#[case::corrupt(true)]
-fn an_order_that_is_accepted_late_is_proved_by_another_check(#[case] is_corrupt: bool) {
+#[case::intact(false, 1)]
+#[case::corrupt(true, 3)]
+fn an_order_that_is_accepted_late_is_proved_by_another_check(
+    #[case] is_corrupt: bool,
+    #[case] orders: usize,
+) {
     run(async {
         let (engine, adapter, first) = staged_engine(CHUNKS).await?;
         engine.state().order_delay = Duration::from_millis(3_200);
@@ -155,11 +158,40 @@
         adapter.open_staging(&first).await?;
         if is_corrupt {
             adapter.stage_chunk(first.digest, 0, chunk_bytes(1, 0)).await?;
+            let answer = adapter.load_weights(&load_order(&first)).await;
+            anyhow::ensure!(matches!(answer, Err(EngineError::Unproved(_))), "{answer:?}");
         }
+        adapter.load_weights(&load_order(&first)).await?;
+        let served = adapter.status().await?.version;
+        anyhow::ensure!(served.as_ref() == Some(&first.version), "{served:?}");
+        let sent = engine.state().orders.clone();
+        anyhow::ensure!(sent.len() == orders, "{sent:?}");
+        let last = sent.last().is_some_and(|order| order.chunks[&0] == chunk_bytes(1, 0));
+        anyhow::ensure!(last, "{sent:?}");
+        Ok(())
+    });
+}
+
+/// Guards against an order that the engine reads after a later one, and that would then replace
+/// what the later one has loaded.
+#[rstest]
+fn an_order_that_is_read_after_a_later_one_has_no_effect() {
+    run(async {
+        let (engine, adapter, first) = staged_engine(CHUNKS).await?;
+        engine.state().order_delay = Duration::from_millis(2_500);
         let answer = adapter.load_weights(&load_order(&first)).await;
+        anyhow::ensure!(matches!(answer, Err(EngineError::NoAnswer(_))), "{answer:?}");
+        engine.state().order_delay = Duration::ZERO;
+        let second = manifest(2)?;
+        adapter.open_staging(&second).await?;
+        for index in 0..CHUNKS {
+            adapter.stage_chunk(second.digest, index, chunk_bytes(2, index)).await?;
+        }
+        adapter.load_weights(&load_order(&second)).await?;
+        Timer::after(Duration::from_millis(1_500)).await;
         let served = adapter.status().await?.version;
-        anyhow::ensure!(answer.is_ok() != is_corrupt, "{answer:?}");
-        anyhow::ensure!(served.is_some() != is_corrupt, "{served:?}");
+        anyhow::ensure!(served.as_ref() == Some(&second.version), "{served:?}");
+        anyhow::ensure!(engine.state().orders.len() == 1, "{:?}", engine.state().orders);
         Ok(())
     });
 }
--- a/crates/testkit/tests/requests.rs
+++ b/crates/testkit/tests/requests.rs
@@ -433,7 +433,8 @@
         manifest: manifest.digest,
         fencing: u64::MAX,
     };
-    Ok(engine.load_weights(&order).await?)
+    engine.load_weights(&order).await?;
+    Ok(())
 }
 
 /// The table service handles a few hundred writes per second with high latency, and three hundred
