A write without an answer calls for a check after the order

A write of a chunk that timed out may take effect later: between the check of the chunks and the order it puts a chunk of another version in place, and the engine loads it. Found by reading.

The record of loads keeps such writes for 30 s; a load of their chunks is proved by a second check only, and dropped if that finds a damaged chunk. Loads after answered writes still take one check.

a_write_without_an_answer_calls_for_a_check_after_the_order (adapter) failed before (the load was taken for good), and passes; so does the test of the record.

--- a/crates/decide/src/load_proof.rs
+++ b/crates/decide/src/load_proof.rs
@@ -5,6 +5,10 @@
 //! the machine may stand still between the check and the order, and an order may be accepted long
 //! after it was sent. A load whose order was not answered in time is proved by a check after it,
 //! since a corrupt chunk stays corrupt until it is staged again.
+//!
+//! A write of a chunk without an answer may also take effect late, and put a chunk of another
+//! version in place of one that was checked. Until it has certainly ended, a check after the order
+//! is needed as well.
 
 use std::{ops::Range, time::Duration};
 
@@ -16,7 +20,7 @@
 /// Longest time from the beginning of a check until the answer to its order.
 const MAX_AGE_AT_ANSWER: Duration = Duration::from_millis(2_500);
 
-/// Longest time after which an order without an answer takes effect.
+/// Longest time after which a write or an order without an answer takes effect.
 const MAX_CALL_DELAY: Duration = Duration::from_secs(30);
 
 /// Number of loads that are kept.
@@ -67,10 +71,19 @@
     effective_by: Deadline,
 }
 
+/// A write of a chunk that was not answered.
+#[derive(Debug)]
+struct PendingWrite {
+    index: usize,
+    /// Until then, the write may take effect.
+    ends_by: Deadline,
+}
+
 /// Loads of one engine that are not proved yet.
 #[derive(Debug, Default)]
 pub struct LoadProofs {
     loads: Vec<UnprovenLoad>,
+    writes: Vec<PendingWrite>,
 }
 
 impl LoadProofs {
@@ -129,10 +142,19 @@
     }
 
     /// Records a write to the engine's staging area, before it is sent.
-    pub fn write_sent(&mut self, index: usize) {
+    pub fn write_sent(&mut self, index: usize, now: Timestamp) {
         for load in self.loads.iter_mut().filter(|load| load.chunks.contains(&index)) {
             load.is_refuted = true;
         }
+        self.writes.retain(|write| !write.ends_by.is_past(now));
+        self.writes.push(PendingWrite { index, ends_by: now.deadline_after(MAX_CALL_DELAY) });
+    }
+
+    /// Records that a write took effect or failed for good.
+    pub fn write_ended(&mut self, index: usize) {
+        if let Some(position) = self.writes.iter().position(|write| write.index == index) {
+            self.writes.swap_remove(position);
+        }
     }
 
     /// Whether no check can prove the load of `version` any more.
@@ -166,7 +188,16 @@
 
     /// Whether weights that the engine reports to hold at `now` may answer requests.
     pub fn may_serve(&self, version: &ModelVersion, now: Timestamp) -> bool {
-        self.load(version).is_none_or(|load| !load.is_refuted && !load.answered_by.is_past(now))
+        self.load(version).is_none_or(|load| {
+            let in_time = !load.is_refuted && !load.answered_by.is_past(now);
+            in_time && !self.is_being_written(&load.chunks, now)
+        })
+    }
+
+    /// Whether a write may still change one of `chunks`.
+    fn is_being_written(&self, chunks: &Range<usize>, now: Timestamp) -> bool {
+        let pending = self.writes.iter().filter(|write| !write.ends_by.is_past(now));
+        pending.into_iter().any(|write| chunks.contains(&write.index))
     }
 
     fn load_mut(&mut self, version: &ModelVersion) -> Option<&mut UnprovenLoad> {
--- a/crates/decide/tests/load_proof.rs
+++ b/crates/decide/tests/load_proof.rs
@@ -33,7 +33,8 @@
 }
 
 fn write(proofs: &mut LoadProofs, index: usize) {
-    proofs.write_sent(index);
+    proofs.write_sent(index, at(4_000));
+    proofs.write_ended(index);
 }
 
 /// Guards against an order that is sent so long after the check that its answer can come too late.
@@ -109,6 +110,25 @@
     assert_eq!(proofs.order_answered(&version(), at(5_100)), is_proved);
 }
 
+/// Guards against a chunk of another version that a late write puts in place between the check and
+/// the order.
+#[rstest]
+#[case::answered(Some(0), 100, true)]
+#[case::unanswered(None, 100, false)]
+#[case::unanswered_long_ago(None, 60_000, true)]
+fn a_write_without_an_answer_calls_for_a_check_after_the_order(
+    #[case] ended: Option<usize>,
+    #[case] ordered_ms: u64,
+    #[case] is_proved: bool,
+) {
+    let mut proofs = LoadProofs::default();
+    proofs.write_sent(0, START);
+    ended.into_iter().for_each(|index| proofs.write_ended(index));
+    order(&mut proofs, 0..CHUNKS, at(ordered_ms));
+    assert_eq!(proofs.order_answered(&version(), at(ordered_ms + 50)), is_proved);
+    assert!(proofs.chunks_intact(&version(), &(0..CHUNKS)));
+}
+
 /// Guards against an order that takes effect after the engine was found without the version.
 #[rstest]
 #[case::not_accepted_yet(Some(0), false)]
--- a/crates/decide/tests/verified_load.rs
+++ b/crates/decide/tests/verified_load.rs
@@ -164,9 +164,10 @@
         for index in 0..CHUNKS {
             self.pass(1);
             if self.bad_since[index].is_some() {
-                self.proofs.write_sent(index);
+                self.proofs.write_sent(index, Timestamp(self.now));
                 self.pass(5);
                 self.bad_since[index] = None;
+                self.proofs.write_ended(index);
             }
         }
     }
--- a/crates/testkit/src/stand_in/layer_engine.rs
+++ b/crates/testkit/src/stand_in/layer_engine.rs
@@ -60,6 +60,8 @@
     pub read_delay: Duration,
     /// Number of reads of chunks that have arrived.
     pub reads: usize,
+    /// Delay before a chunk is stored, also if its sender has given up.
+    pub write_delay: Duration,
     /// Delay before an order is accepted, also if its caller has given up.
     pub order_delay: Duration,
     /// Number of accepted orders.
@@ -130,8 +132,16 @@
             }
         }
         (&Method::PUT, ["v1", "stage-put", _], Some(index)) => {
-            lock(state).chunks.insert(index, body);
-            empty_reply(StatusCode::OK)
+            let (state, delay) = (state.clone(), lock(state).write_delay);
+            let (sender, answer) = channel::bounded(1);
+            // Detached: a write takes effect even if its sender has left.
+            spawn(async move {
+                Timer::after(delay).await;
+                lock(&state).chunks.insert(index, body);
+                let _ = sender.send(StatusCode::OK).await;
+            })
+            .detach();
+            empty_reply(answer.recv().await.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR))
         }
         (&Method::POST, ["v1", "order"], _) => {
             let order = serde_json::from_slice(&body).unwrap_or_default();
--- a/crates/testkit/tests/layer_engine.rs
+++ b/crates/testkit/tests/layer_engine.rs
@@ -172,6 +172,36 @@
     });
 }
 
+/// Guards against a chunk of another version from a write that timed out and takes effect between
+/// the check of the chunks and the order.
+#[rstest]
+fn a_write_without_an_answer_calls_for_a_check_after_the_order() {
+    run(async {
+        let (engine, adapter, first) = staged_engine(CHUNKS).await?;
+        engine.state().write_delay = Duration::from_secs(60);
+        let bytes = Bytes::from_static(b"late");
+        let late = adapter.stage_chunk(first.digest, 0, bytes.clone()).await;
+        anyhow::ensure!(matches!(late, Err(EngineError::NoAnswer(_))), "{late:?}");
+        let reads_before = engine.state().reads;
+        engine.state().read_delay = Duration::from_millis(20);
+        let order = load_order(&first);
+        let take_effect = async {
+            while engine.state().reads < reads_before + CHUNKS {
+                Timer::after(Duration::from_millis(1)).await;
+            }
+            engine.state().chunks.insert(0, bytes);
+        };
+        let (answer, ()) =
+            futures_util::future::join(adapter.load_weights(&order), take_effect).await;
+        anyhow::ensure!(matches!(answer, Err(EngineError::Unproved(_))), "{answer:?}");
+        let reads = engine.state().reads - reads_before;
+        anyhow::ensure!(reads == 2 * CHUNKS, "{reads}");
+        let status = adapter.status().await?;
+        anyhow::ensure!(status.version.is_none(), "{status:?}");
+        Ok(())
+    });
+}
+
 /// Guards against an order that the engine reads after a later one, and that would then replace
 /// what the later one has loaded.
 #[rstest]
