Answers to calls of engines, origin and store have a largest size

The client of reports, orders, staged chunks, the origin and the store collected a body without a bound until its time was over. An engine that sends blanks without end as its report took an agent above its memory (seen by the users: 7 to 2,054 MB in 6 s, with 128 MB allowed).

--- a/crates/edge/src/client.rs
+++ b/crates/edge/src/client.rs
@@ -14,7 +14,7 @@
 
 use bytes::Bytes;
 use cassiawheel_runtime::{dial, spawn, timeout};
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::{
     Method, Request, Response, Uri,
     body::Incoming,
@@ -42,6 +42,21 @@
     /// The request may have reached the server.
     #[error("no answer: {0}")]
     NoAnswer(String),
+    /// The answer is longer than the call allows; the request may have had effects.
+    #[error("the answer is longer than {0} bytes")]
+    TooLong(usize),
+}
+
+/// Longest answer of a call that states no other bound, in bytes.
+pub const MAX_REPLY_BYTES: usize = 16 << 20;
+
+/// Bounds of an answer.
+#[derive(Debug, Clone, Copy)]
+pub struct ReplyBounds {
+    /// Longest time until it is complete.
+    pub max_wait: Duration,
+    /// Largest size of its body, in bytes.
+    pub max_bytes: usize,
 }
 
 /// A pooled HTTP client.
@@ -93,15 +108,15 @@
         })
     }
 
-    /// Calls `path` at `addr` and reads the whole response within `max_wait`; the body of a
-    /// `POST` is JSON.
+    /// Calls `path` at `addr` and reads the whole response, of at most `max_bytes`, within
+    /// `max_wait`; the body of a `POST` is JSON.
     pub async fn call(
         &self,
         method: Method,
         addr: SocketAddr,
         path: &str,
         body: Bytes,
-        max_wait: Duration,
+        bounds: ReplyBounds,
     ) -> Result<Response<Bytes>, ClientError> {
         let mut request = Request::builder().uri(format!("http://{addr}{path}"));
         if method == Method::POST {
@@ -114,7 +129,7 @@
             .method(method)
             .body(Full::new(body))
             .map_err(|error| ClientError::NotSent(error.to_string()))?;
-        self.send_and_read(request, max_wait).await
+        self.send_and_read_within(request, bounds).await
     }
 
     /// Sends `request` and reads the whole response within `max_wait`.
@@ -122,14 +137,26 @@
         &self,
         request: Request<Full<Bytes>>,
         max_wait: Duration,
+    ) -> Result<Response<Bytes>, ClientError> {
+        let bounds = ReplyBounds { max_wait, max_bytes: MAX_REPLY_BYTES };
+        self.send_and_read_within(request, bounds).await
+    }
+
+    async fn send_and_read_within(
+        &self,
+        request: Request<Full<Bytes>>,
+        bounds: ReplyBounds,
     ) -> Result<Response<Bytes>, ClientError> {
         let call = async {
             let (head, body) = self.send(request).await?.into_parts();
-            let body = body.collect().await;
-            let body = body.map_err(|error| ClientError::NoAnswer(error_chain(&error)))?;
+            let body = Limited::new(body, bounds.max_bytes).collect().await;
+            let body = body.map_err(|error| match error.is::<LengthLimitError>() {
+                true => ClientError::TooLong(bounds.max_bytes),
+                false => ClientError::NoAnswer(error_chain(error.as_ref())),
+            })?;
             Ok(Response::from_parts(head, body.to_bytes()))
         };
-        timeout(max_wait, call)
+        timeout(bounds.max_wait, call)
             .await
             .unwrap_or_else(|| Err(ClientError::NoAnswer("timed out".to_owned())))
     }
--- a/crates/edge/src/engine.rs
+++ b/crates/edge/src/engine.rs
@@ -120,6 +120,7 @@
         match error {
             ClientError::NotSent(detail) => Self::NotSent(detail),
             ClientError::NoAnswer(detail) => Self::NoAnswer(detail),
+            ClientError::TooLong(_) => Self::NoAnswer(error.to_string()),
         }
     }
 }
--- a/crates/edge/src/engine_http.rs
+++ b/crates/edge/src/engine_http.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     CheckAge, ClientError, EdgeFuture, EngineError, EngineResponse, EngineStatus, HttpClient,
-    LayerOrder, LoadOrder, ModelEngine, StagedBitmap,
+    LayerOrder, LoadOrder, MAX_REPLY_BYTES, ModelEngine, ReplyBounds, StagedBitmap,
 };
 
 /// Header with the version that gave a response.
@@ -46,7 +46,8 @@
         path: &str,
         body: Bytes,
     ) -> Result<Response<Bytes>, EngineError> {
-        let reply = self.client.call(method, self.addr, path, body, ORDER_TIMEOUT).await?;
+        let bounds = ReplyBounds { max_wait: ORDER_TIMEOUT, max_bytes: MAX_REPLY_BYTES };
+        let reply = self.client.call(method, self.addr, path, body, bounds).await?;
         if reply.status().is_success() {
             return Ok(reply);
         }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -20,7 +20,7 @@
 pub mod weights;
 
 pub use callers::{AdviceQuery, CallerHead, CallerProtocol, HeaderError};
-pub use client::{ClientError, HttpClient};
+pub use client::{ClientError, HttpClient, MAX_REPLY_BYTES, ReplyBounds};
 pub use endpoints::{
     BackoffRequest, EndpointProtocol, ForwardMetadata, ReportedLoad, ResponseMetadata,
 };
--- a/crates/edge/src/origin_client.rs
+++ b/crates/edge/src/origin_client.rs
@@ -5,13 +5,16 @@
 //! without them, an unreachable origin, one without a free connection and a slow one
 //! cannot be told apart when weights do not arrive.
 
-use std::{net::SocketAddr, sync::LazyLock, time::Duration};
+use std::{net::SocketAddr, sync::LazyLock};
 
 use bytes::Bytes;
 use hyper::{Method, StatusCode};
 use prometheus::{IntCounterVec, IntGauge, Opts, Registry};
 
-use crate::{ClientError, HttpClient, WeightError, table_http::retry_after};
+use crate::{ClientError, HttpClient, ReplyBounds, WeightError, table_http::retry_after};
+
+/// Least bound of an answer, in bytes.
+const MIN_REPLY_BYTES: usize = 64 << 10;
 
 /// Metrics of this process's connections and calls to the origin.
 pub struct OriginMetrics {
@@ -64,14 +67,17 @@
 }
 
 impl OriginClient {
-    /// Reads the resource `path` at `addr` within `max_wait`.
+    /// Reads the resource `path` at `addr` within `bounds`.
     pub async fn get(
         &self,
         addr: SocketAddr,
         path: &str,
-        max_wait: Duration,
+        bounds: ReplyBounds,
     ) -> Result<Bytes, WeightError> {
-        let reply = self.client.call(Method::GET, addr, path, Bytes::new(), max_wait).await;
+        // An answer that names an error may be longer than a small chunk.
+        let max_bytes = bounds.max_bytes.max(MIN_REPLY_BYTES);
+        let bounds = ReplyBounds { max_bytes, ..bounds };
+        let reply = self.client.call(Method::GET, addr, path, Bytes::new(), bounds).await;
         let reply = reply.inspect_err(|error| record_failure(path, error))?;
         match reply.status() {
             StatusCode::OK => Ok(reply.into_body()),
@@ -91,6 +97,7 @@
     let end = match error {
         ClientError::NotSent(_) => "unreached",
         ClientError::NoAnswer(_) => "broken",
+        ClientError::TooLong(_) => "too_long",
     };
     ORIGIN_METRICS.failures.with_label_values(&[end]).inc();
     let open = ORIGIN_METRICS.connections.get();
--- a/crates/edge/src/store_error.rs
+++ b/crates/edge/src/store_error.rs
@@ -26,6 +26,7 @@
         match error {
             ClientError::NotSent(detail) => Self::NoEffect(detail),
             ClientError::NoAnswer(detail) => Self::Unknown(detail),
+            ClientError::TooLong(_) => Self::Unknown(error.to_string()),
         }
     }
 }
--- a/crates/edge/src/weights.rs
+++ b/crates/edge/src/weights.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use cassiawheel_model::{ManifestError, ModelVersion, WeightManifest};
 
-use crate::{ClientError, EdgeFuture, OriginClient};
+use crate::{ClientError, EdgeFuture, MAX_REPLY_BYTES, OriginClient, ReplyBounds};
 
 /// Why weights could not be fetched.
 #[derive(Debug, Clone, thiserror::Error)]
@@ -66,8 +66,9 @@
         Self { client: OriginClient::default(), addr, timeout }
     }
 
-    async fn get(&self, path: String) -> Result<Bytes, WeightError> {
-        self.client.get(self.addr, &path, self.timeout).await
+    async fn get(&self, path: String, max_bytes: usize) -> Result<Bytes, WeightError> {
+        let bounds = ReplyBounds { max_wait: self.timeout, max_bytes };
+        self.client.get(self.addr, &path, bounds).await
     }
 }
 
@@ -77,7 +78,7 @@
         version: &'a ModelVersion,
     ) -> EdgeFuture<'a, Result<WeightManifest, WeightError>> {
         Box::pin(async move {
-            let text = self.get(format!("/v1/manifests/{version}")).await?;
+            let text = self.get(format!("/v1/manifests/{version}"), MAX_REPLY_BYTES).await?;
             let manifest: WeightManifest = serde_json::from_slice(&text)
                 .map_err(|error| WeightError::Failed(error.to_string()))?;
             manifest.verify()?;
@@ -90,7 +91,8 @@
         manifest: &'a WeightManifest,
         index: usize,
     ) -> EdgeFuture<'a, Result<Bytes, WeightError>> {
-        Box::pin(self.get(format!("/v1/weights/{}/{index}", manifest.digest)))
+        let path = format!("/v1/weights/{}/{index}", manifest.digest);
+        Box::pin(self.get(path, manifest.chunk_len(index)))
     }
 
     fn set_addr(&self, _addr: SocketAddr) {
--- a/crates/entry/src/cli/client.rs
+++ b/crates/entry/src/cli/client.rs
@@ -115,6 +115,9 @@
             Ok(Err(ClientError::NoAnswer(detail))) => {
                 Err(CallFailure::NoAnswer(format!("{}: {detail}", self.addr)))
             }
+            Ok(Err(error @ ClientError::TooLong(_))) => {
+                Err(CallFailure::NoAnswer(format!("{}: {error}", self.addr)))
+            }
             Err(error) => Err(CallFailure::NotSent(error.to_string())),
         }
     }
--- a/crates/model/src/manifest.rs
+++ b/crates/model/src/manifest.rs
@@ -130,6 +130,11 @@
         Ok(())
     }
 
+    /// Length of the chunk at `index`, in bytes; zero if there is none.
+    pub fn chunk_len(&self, index: usize) -> usize {
+        self.chunks.get(index).map_or(0, |entry| entry.bytes as usize)
+    }
+
     /// Checks that `bytes` are the chunk at `index`.
     pub fn verify_chunk(&self, index: usize, bytes: &[u8]) -> Result<(), ManifestError> {
         let entry = self.chunks.get(index).ok_or(ManifestError::UnknownChunk(index))?;
--- a/crates/testkit/src/burst/drive.rs
+++ b/crates/testkit/src/burst/drive.rs
@@ -193,7 +193,7 @@
             Err(ClientError::NotSent(_)) => {
                 return AttemptEnd { told: ToldOutcome::NotSent, retry_after: None };
             }
-            Err(ClientError::NoAnswer(_)) => {
+            Err(ClientError::NoAnswer(_) | ClientError::TooLong(_)) => {
                 return AttemptEnd { told: ToldOutcome::Cut, retry_after: None };
             }
         };
