Interim responses without end are given up

The HTTP library reads over interim responses (1xx) in a loop for as long as bytes are there.

Sockets of clients give way to other tasks after eight reads in a row, so that this, and every timer, gets its turn.

an_endless_answer_is_given_up, 5 cases with interim heads, failed before (96 MiB taken, all that the server sends); callers_are_served_beside_an_endless_answer, interim heads, failed before (5 of 24 callers refused).

Not changed: a body of one-byte chunks makes its callers wait until their deadline.

--- a/crates/edge/src/client.rs
+++ b/crates/edge/src/client.rs
@@ -13,7 +13,7 @@
 };
 
 use bytes::Bytes;
-use cassiawheel_runtime::{dial, spawn, timeout};
+use cassiawheel_runtime::{InterimWatch, YieldingSocket, dial, spawn, timeout};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::{
     Method, Request, Response, Uri,
@@ -26,7 +26,7 @@
     connect::{Connected, Connection},
 };
 use prometheus::IntGauge;
-use smol::net::TcpStream;
+use smol::future::FutureExt;
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 use tower_service::Service;
 
@@ -97,15 +97,23 @@
     /// Sends `request` and waits for the head of the response.
     pub async fn send(
         &self,
-        request: Request<Full<Bytes>>,
+        mut request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, ClientError> {
-        self.inner.request(request).await.map_err(|error| {
-            if error.is_connect() {
-                ClientError::NotSent(error_chain(&error))
-            } else {
-                ClientError::NoAnswer(error_chain(&error))
-            }
-        })
+        let watch = InterimWatch::attach(&mut request);
+        let answer = async {
+            self.inner.request(request).await.map_err(|error| {
+                if error.is_connect() {
+                    ClientError::NotSent(error_chain(&error))
+                } else {
+                    ClientError::NoAnswer(error_chain(&error))
+                }
+            })
+        };
+        let exceeded = async {
+            watch.exceeded().await;
+            Err(ClientError::NoAnswer("too many interim responses".to_owned()))
+        };
+        answer.or(exceeded).await
     }
 
     /// Calls `path` at `addr` and reads the whole response, of at most `max_bytes`, within
@@ -212,14 +220,14 @@
             if let Some(connections) = &connections {
                 connections.inc();
             }
-            Ok(ClientSocket { io: FuturesIo::new(stream), connections })
+            Ok(ClientSocket { io: FuturesIo::new(YieldingSocket::new(stream)), connections })
         })
     }
 }
 
 /// A socket that implements the connection traits of `hyper` and `hyper-util`.
 struct ClientSocket {
-    io: FuturesIo<TcpStream>,
+    io: FuturesIo<YieldingSocket>,
     /// Gauge that is decremented when the socket is dropped.
     connections: Option<IntGauge>,
 }
--- a/crates/entry/src/direct/pool.rs
+++ b/crates/entry/src/direct/pool.rs
@@ -9,10 +9,10 @@
 use bytes::Bytes;
 use cassiawheel_decide::AttemptFailure;
 use cassiawheel_model::{Deadline, InstanceId, Timestamp};
-use cassiawheel_runtime::{dial, reset_on_close, spawn, timeout};
+use cassiawheel_runtime::{InterimWatch, YieldingSocket, dial, reset_on_close, spawn, timeout};
 use http_body_util::Full;
 use hyper::{Request, Response, body::Incoming, client::conn::http1};
-use smol::Task;
+use smol::{Task, future::FutureExt};
 use smol_hyper::rt::FuturesIo;
 
 use super::DirectTarget;
@@ -91,8 +91,10 @@
     reset_on_close(&stream).map_err(|error| error.to_string())?;
     let mut builder = http1::Builder::new();
     builder.max_buf_size(BUFFER_BYTES);
-    let (sender, connection) =
-        builder.handshake(FuturesIo::new(stream)).await.map_err(|error| error.to_string())?;
+    let (sender, connection) = builder
+        .handshake(FuturesIo::new(YieldingSocket::new(stream)))
+        .await
+        .map_err(|error| error.to_string())?;
     let driver = spawn(async move {
         if let Err(error) = connection.await {
             log::debug!(target: "direct", endpoint:% = addr, cause:% = error; "A connection ended.");
@@ -106,20 +108,28 @@
     /// Sends a request and waits for the head of the response until `deadline`.
     pub(super) async fn send(
         &mut self,
-        request: Request<Full<Bytes>>,
+        mut request: Request<Full<Bytes>>,
         deadline: Deadline,
     ) -> Result<Response<Incoming>, SendFailure> {
         let span = deadline.remaining(Timestamp::now());
-        match timeout(span, self.sender.try_send_request(request)).await {
-            Some(Ok(reply)) => Ok(reply),
-            Some(Err(mut failure)) => {
-                let unsent = failure.take_message().map(Box::new);
-                Err(SendFailure {
-                    unsent,
-                    detail: failure.into_error().to_string(),
-                    is_closed: true,
-                })
-            }
+        let watch = InterimWatch::attach(&mut request);
+        let answer = async {
+            self.sender.try_send_request(request).await.map_err(|mut failure| SendFailure {
+                unsent: failure.take_message().map(Box::new),
+                detail: failure.into_error().to_string(),
+                is_closed: true,
+            })
+        };
+        let exceeded = async {
+            watch.exceeded().await;
+            Err(SendFailure {
+                unsent: None,
+                detail: "too many interim responses".to_owned(),
+                is_closed: false,
+            })
+        };
+        match timeout(span, answer.or(exceeded)).await {
+            Some(answer) => answer,
             None => Err(SendFailure {
                 unsent: None,
                 detail: "the endpoint gave no answer in time".to_owned(),
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -6,12 +6,16 @@
 pub mod dial;
 pub mod executor;
 pub mod http;
+mod interim_heads;
 pub mod listener;
 pub mod logging;
 pub mod pacer;
 pub mod probes;
 pub mod shutdown;
+mod yielding_socket;
 
 pub use dial::{dial, reset_on_close};
 pub use executor::{run, spawn, timeout};
+pub use interim_heads::InterimWatch;
 pub use shutdown::{ProcessSignals, ShutdownOutcome, ShutdownSignal, ShutdownTrigger};
+pub use yielding_socket::YieldingSocket;
--- a/crates/testkit/tests/endless_answers.rs
+++ b/crates/testkit/tests/endless_answers.rs
@@ -12,11 +12,13 @@
 };
 
 use bytes::Bytes;
-use cassiawheel_edge::{ClientError, HttpClient, ModelEngine, OriginClient, ReplyBounds};
+use cassiawheel_edge::{HttpClient, ModelEngine, OriginClient, ReplyBounds};
 use cassiawheel_platform::{PlatformEngine, RowClient};
 use cassiawheel_runtime::{spawn, timeout};
-use hyper::Method;
+use cassiawheel_testkit::{PlatformSite, SiteCall};
+use hyper::{Method, StatusCode};
 use rstest::rstest;
+use serde_json::json;
 
 /// Time within which each call must have failed.
 const MAX_WAIT: Duration = Duration::from_secs(5);
@@ -24,6 +26,7 @@
 /// Most bytes that a client may take of an endless answer; socket buffers come on top.
 const MAX_TAKEN_BYTES: usize = 48 << 20;
 
+const INTERIM_HEAD: &str = "HTTP/1.1 102 Processing\r\n\r\n";
 const OPEN_BODY: &str = "HTTP/1.1 200 OK\r\ncontent-type: application/json\r\n\r\n";
 const OPEN_HEAD: &str = "HTTP/1.1 200 OK\r\n";
 
@@ -107,7 +110,7 @@
 #[rstest]
 fn an_endless_answer_is_given_up(
     #[values(Call::Report, Call::Origin, Call::Rows, Call::Feed, Call::Plain)] kind: Call,
-    #[values((OPEN_BODY, " "), (OPEN_HEAD, "x: y\r\n"), ("", "z"))]
+    #[values((OPEN_BODY, " "), (INTERIM_HEAD, INTERIM_HEAD), (OPEN_HEAD, "x: y\r\n"), ("", "z"))]
     bytes: (&'static str, &'static str),
 ) {
     run(async {
@@ -124,3 +127,42 @@
         Ok(())
     });
 }
+
+/// Guards against an entry that answers nobody while one endpoint sends interim responses without
+/// end.
+#[rstest]
+#[case::interim_heads(INTERIM_HEAD, INTERIM_HEAD)]
+#[case::head(OPEN_HEAD, "x: y\r\n")]
+#[case::no_head("", "z")]
+fn callers_are_served_beside_an_endless_answer(
+    #[case] start: &'static str,
+    #[case] part: &'static str,
+) {
+    run(async {
+        let mut site = PlatformSite::prepare(1).await?;
+        let server = EndlessServer::start(start, part)?;
+        let row = json!({
+            "service": "ledger", "address": server.addr, "zone": "hall", "version": "v1", "slots": 8,
+            "state": "ready", "cold_remaining_ms": 0, "sequence": 1,
+        });
+        site.rows.put("servers", "i-raw", &row);
+        site.add_entry()?;
+        site.wait_ready(&site.entries[0], true).await?;
+        let calls = (0..24).map(|number| {
+            let site = &site;
+            async move {
+                let id = format!("e-{number}");
+                let call = site.call(SiteCall::new(&id, "/safe/x"));
+                timeout(MAX_WAIT, call).await.map(|answer| answer.map(|answer| answer.status()))
+            }
+        });
+        let answers = futures_util::future::join_all(calls).await;
+        let is_served = |answer: &Option<anyhow::Result<StatusCode>>| {
+            matches!(answer, Some(Ok(StatusCode::OK)))
+        };
+        let served = answers.iter().filter(|answer| is_served(answer)).count();
+        anyhow::ensure!(server.taken.load(Ordering::Relaxed) > 0, "the endpoint was never chosen");
+        anyhow::ensure!(served == answers.len(), "{served} of {}: {answers:?}", answers.len());
+        Ok(())
+    });
+}
