A version that was dropped does not count as new

Cause: a registry keeps eight versions of a model and drops the lowest. A dropped one that arrived again was inserted, dropped at once and reported as new, and was sent to all neighbours, the sender included. Each configuration names version 1 again, so all entries sent it to each other without end, and the queues of their links had no room for presets.

Change: the highest dropped number is kept; what is not above it is old. A new version is not sent back over the connection that it came from. Versions before the oldest kept one stay excluded once that one is exclusive; before, all were allowed then.

--- a/crates/decide/src/versions.rs
+++ b/crates/decide/src/versions.rs
@@ -33,15 +33,26 @@
     age_source: AgeSource,
 }
 
-/// Known versions of each model, newest last.
+/// Known versions of each model.
 #[derive(Debug, Clone, Default)]
 pub struct VersionRegistry {
-    models: BTreeMap<ModelName, Vec<VersionRecord>>,
+    models: BTreeMap<ModelName, ModelVersions>,
+}
+
+/// Known versions of one model, newest last.
+#[derive(Debug, Clone, Default)]
+struct ModelVersions {
+    versions: Vec<VersionRecord>,
+    /// Highest number that was dropped; lower ones are old, whether they were ever known or not.
+    dropped: Option<u64>,
 }
 
 impl VersionRegistry {
     /// Records a named version; returns whether it or its manifest is new.
     ///
+    /// A version older than all that are kept is not new: if each entry passed it on again
+    /// whenever it arrives, the entries would send it to each other without end.
+    ///
     /// `span` is the time from naming the version until no older one may answer.
     pub fn record(&mut self, named: &TargetVersion, span: Duration, now: Timestamp) -> bool {
         let named_at = Timestamp(now.0.saturating_sub(named.age_ms));
@@ -53,7 +64,11 @@
             named_at,
             age_source: named.age_source,
         };
-        let versions = self.models.entry(named.model.clone()).or_default();
+        let known = self.models.entry(named.model.clone()).or_default();
+        if known.dropped.is_some_and(|dropped| recorded.number <= dropped) {
+            return false;
+        }
+        let versions = &mut known.versions;
         let position = versions.partition_point(|known| known.number < recorded.number);
         if let Some(known) =
             versions.get_mut(position).filter(|known| known.number == recorded.number)
@@ -61,29 +76,30 @@
             return known.merge(&recorded);
         }
         versions.insert(position, recorded);
-        if versions.len() > MAX_VERSIONS {
-            versions.remove(0);
+        if versions.len() <= MAX_VERSIONS {
+            return true;
         }
-        true
+        known.dropped = Some(versions.remove(0).number);
+        position > 0
     }
 
     /// Returns the newest version of `model` whose manifest is known.
     ///
     /// Until the manifest of a newer one has been read, no endpoint can fetch it.
     pub fn newest_pinned(&self, model: &str) -> Option<&VersionRecord> {
-        self.models.get(model)?.iter().rfind(|known| known.manifest.is_some())
+        self.versions_of(model)?.iter().rfind(|known| known.manifest.is_some())
     }
 
     /// Returns the newest version of `model`.
     pub fn newest(&self, model: &str) -> Option<&VersionRecord> {
-        self.models.get(model)?.last()
+        self.versions_of(model)?.last()
     }
 
     /// Returns the only versions of `model` that may answer now; `None` if all may.
     pub fn allowed(&self, model: &str, now: Timestamp) -> Option<Vec<ModelVersion>> {
-        let versions = self.models.get(model)?;
+        let ModelVersions { versions, dropped } = self.models.get(model)?;
         let oldest = versions.iter().rposition(|known| known.exclusive_from.is_past(now))?;
-        if oldest == 0 {
+        if oldest == 0 && dropped.is_none() {
             // No older version is known that could be excluded.
             return None;
         }
@@ -92,14 +108,14 @@
 
     /// Returns when `version` of `model` must stop answering, if that is known.
     pub fn expires_at(&self, model: &str, version: &ModelVersion) -> Option<Deadline> {
-        let versions = self.models.get(model)?;
+        let versions = self.versions_of(model)?;
         let position = versions.iter().position(|known| known.version == *version)?;
         versions[position + 1..].iter().map(|newer| newer.exclusive_from).min()
     }
 
     /// Returns the rollout schedule of `model`.
     pub fn schedule(&self, model: &str, now: Timestamp) -> Option<RolloutSchedule> {
-        let versions = self.models.get(model)?;
+        let versions = self.versions_of(model)?;
         let names = versions.iter().map(|known| known.version.clone());
         let retired = match self.allowed(model, now) {
             Some(allowed) => names.filter(|name| !allowed.contains(name)).collect(),
@@ -120,12 +136,16 @@
 
     /// Returns all recorded versions with their age, to be sent to other processes.
     pub fn named(&self, now: Timestamp) -> Vec<TargetVersion> {
-        let of_model = |(model, versions): (&ModelName, &Vec<VersionRecord>)| {
-            let named = versions.iter().map(|known| known.named(model, now));
+        let of_model = |(model, known): (&ModelName, &ModelVersions)| {
+            let named = known.versions.iter().map(|known| known.named(model, now));
             named.collect::<Vec<_>>()
         };
         self.models.iter().flat_map(of_model).collect()
     }
+
+    fn versions_of(&self, model: &str) -> Option<&[VersionRecord]> {
+        Some(&self.models.get(model)?.versions)
+    }
 }
 
 impl VersionRecord {
--- a/crates/decide/tests/versions.rs
+++ b/crates/decide/tests/versions.rs
@@ -138,3 +138,26 @@
     assert_eq!(registry.expires_at("m", &version(2)).map(|end| end.0), Some(at(27_000).0));
     assert_eq!(registry.expires_at("m", &version(3)), None);
 }
+
+/// Guards against a dropped version that counts as new again, and against older ones that may
+/// answer because no version before the deadline is kept.
+#[test]
+fn a_dropped_version_is_old() {
+    let offers: Vec<_> = (1..=9).map(|number| (number, 0)).collect();
+    let mut registry = registry(&offers);
+    assert!(!registry.record(&named(1), SPAN, at(100)));
+    assert!(!registry.record(&named(2), SPAN, at(100)), "known");
+    assert!(registry.record(&named(10), SPAN, at(100)));
+    assert!(!registry.record(&named(2), SPAN, at(200)));
+    let newest = registry.newest("m").map(|newest| newest.number);
+    assert_eq!(newest, Some(10));
+}
+
+/// Guards against a dropped version that may answer again once the oldest kept one is exclusive.
+#[test]
+fn dropped_versions_stay_excluded() {
+    let named_at = |number: u64| 6_000 * (number - 1).min(2);
+    let offers: Vec<_> = (1..=9).map(|number| (number, named_at(number))).collect();
+    let registry = registry(&offers);
+    assert_eq!(registry.allowed("m", at(13_500)).map(|allowed| allowed.len()), Some(8));
+}
--- a/crates/entry/src/control/manifests.rs
+++ b/crates/entry/src/control/manifests.rs
@@ -87,7 +87,7 @@
     routed.manifests.insert(manifest.clone());
     // Sent before the version, so that receivers have it when they order the version.
     peers::send_to_peers(shared, &ControlMessage::Manifest(manifest));
-    apply_version(shared, routed, &pinned);
+    apply_version(shared, routed, &pinned, None);
 }
 
 /// Requests the manifest of a pinned version from the sender if it is missing here.
--- a/crates/entry/src/control/operators.rs
+++ b/crates/entry/src/control/operators.rs
@@ -13,7 +13,7 @@
 use cassiawheel_model::{
     AgeSource, Deadline, EvacuationOrder, PresetRevision, TargetVersion, Timestamp,
 };
-use cassiawheel_wire::ControlMessage;
+use cassiawheel_wire::{ControlMessage, WireSender};
 use rand::Rng;
 use smol::Timer;
 
@@ -116,7 +116,7 @@
             OperatorRow::Preset(preset) => peers::adopt(shared, &Arc::new(*preset)),
             OperatorRow::Version(named) => {
                 let named = TargetVersion { age_ms: age.as_millis() as u64, age_source, ..named };
-                apply_version(shared, routed, &named);
+                apply_version(shared, routed, &named, None);
             }
             OperatorRow::Evacuation(order) => apply_evacuation(shared, routed, order, None),
             OperatorRow::Invalid(detail) => {
@@ -158,12 +158,17 @@
     routed.overlay.notify_change();
 }
 
-/// Adds a named version and, if it is new, sends it to the neighbours.
-pub(crate) fn apply_version(shared: &EntryShared, routed: &RoutedState, named: &TargetVersion) {
+/// Adds a named version and, if it is new, sends it to the neighbours other than `source`.
+pub(crate) fn apply_version(
+    shared: &EntryShared,
+    routed: &RoutedState,
+    named: &TargetVersion,
+    source: Option<&WireSender>,
+) {
     if !routed.add_version(named) {
         return;
     }
     log::info!(target: "preset", version:% = named.version, manifest:? = named.manifest, age_ms = named.age_ms, age_source:? = named.age_source; "A version is named.");
     shared.plan_stale.store(true, Ordering::Release);
-    routed.overlay.send_to_neighbours(&ControlMessage::Named(named.clone()));
+    routed.overlay.send_to_neighbours(&ControlMessage::Named(named.clone()), source);
 }
--- a/crates/entry/src/control/peers.rs
+++ b/crates/entry/src/control/peers.rs
@@ -165,7 +165,7 @@
     };
     match message {
         ControlMessage::Named(named) => {
-            operators::apply_version(shared, routed, &named);
+            operators::apply_version(shared, routed, &named, Some(sender));
             manifests::request_manifest(routed, sender, &named);
         }
         ControlMessage::ManifestWanted { manifest } => {
--- a/crates/entry/src/overlay.rs
+++ b/crates/entry/src/overlay.rs
@@ -144,11 +144,12 @@
         state.send_flood(&message, None);
     }
 
-    /// Sends `message` to every neighbour.
+    /// Sends `message` to every neighbour other than `source`.
     ///
     /// For messages that each receiver forwards itself if they are new to it.
-    pub(crate) fn send_to_neighbours(&self, message: &ControlMessage) {
-        for link in &self.lock().links {
+    pub(crate) fn send_to_neighbours(&self, message: &ControlMessage, source: Option<&WireSender>) {
+        let is_source = |sender: &WireSender| source.is_some_and(|source| source.is_same(sender));
+        for link in self.lock().links.iter().filter(|link| !is_source(&link.sender)) {
             let _ = link.sender.try_send(message.clone());
         }
     }
--- a/crates/wire/src/socket.rs
+++ b/crates/wire/src/socket.rs
@@ -80,6 +80,11 @@
 }
 
 impl WireSender {
+    /// Whether both send over the same connection.
+    pub fn is_same(&self, other: &Self) -> bool {
+        self.queue.same_channel(&other.queue)
+    }
+
     /// Queues `message`; waits while the queue is full.
     pub async fn send(&self, message: impl Into<WireMessage>) -> Result<(), WireError> {
         self.queue.send(message.into()).await.map_err(|_| WireError::Closed)
