Request bodies in memory have a budget

Cause: each body was read whole, and once more copied, before admission; the sum over all connections had no bound.

Change: a body is reserved in an account before it is read, by its stated length or part by part, and read into one buffer. What does not fit is answered 503 at once, with a drawn time to come back; its body is received and dropped, so that the caller does not lose the answer to a reset.

Not done: answers that wait for slow callers and queues of links are not in the account; one workspace may fill it; what to refuse was not compared in two ways.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod affinity;
 mod answered_parts;
 pub mod budget;
+pub mod byte_budget;
 pub mod caller_index;
 pub mod change;
 pub mod claim;
@@ -67,6 +68,7 @@
 pub use admit::{AdmitRank, AdmitTicket, AdmitTier, AdmitVerdict, ServiceAdmission};
 pub use advice::{CallerLocation, EntryAdvice, EntryCandidate, advise};
 pub use answered_parts::AnsweredParts;
+pub use byte_budget::{ByteBudget, ByteReservation};
 pub use caller_index::{CallerIndex, UnknownKey, pick_service};
 pub use change::{
     ChangeAnswer, ChangeOutcome, ChangeRecord, ChangeRequest, ChangeStep, ChangeWriter, ForceRow,
--- a/crates/entry/src/admin/reply.rs
+++ b/crates/entry/src/admin/reply.rs
@@ -45,6 +45,9 @@
             let message = format!("the body is longer than {MAX_BODY_BYTES} bytes");
             error_reply(StatusCode::PAYLOAD_TOO_LARGE, "too-long", message)
         }
+        BodyError::NoRoom => {
+            error_reply(StatusCode::SERVICE_UNAVAILABLE, "no-room", "no room for the body")
+        }
         BodyError::Truncated => error_reply(StatusCode::BAD_REQUEST, "cut", "the body ended early"),
         BodyError::TimedOut => {
             let message = format!("the body did not arrive within {span:?}");
--- a/crates/entry/src/caller/identify.rs
+++ b/crates/entry/src/caller/identify.rs
@@ -4,18 +4,25 @@
 
 use bytes::Bytes;
 use cassiawheel_decide::{
-    AdmitRank, AdmitTier, RequestUrgency, RequestWork, affinity::prefix_digest,
+    AdmitRank, AdmitTier, ByteReservation, RequestUrgency, RequestWork, affinity::prefix_digest,
     idempotency::repeatability,
 };
 use cassiawheel_edge::engine_http::end_to_end_headers;
 use cassiawheel_model::{
-    Deadline, HomeRegions, PresetRevision, PriorityClass, RequestDigest, RequestHead, RequestKey,
-    ServiceName, Timestamp, WorkspaceId,
+    Deadline, HomeRegions, OutcomeKind, PresetRevision, PriorityClass, RequestDigest, RequestHead,
+    RequestKey, ServiceName, Timestamp, WorkspaceId,
+};
+use cassiawheel_runtime::http::{BodyError, ReplyBody, error_reply, read_body_reserved};
+use hyper::{
+    HeaderMap, Request, Response, StatusCode,
+    body::Incoming,
+    header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER},
 };
-use cassiawheel_runtime::http::{BodyError, ReplyBody, error_reply, read_body_within};
-use hyper::{HeaderMap, Request, Response, StatusCode, body::Incoming, header::CONTENT_TYPE};
 
-use super::SERVICE_PATH;
+use super::{
+    SERVICE_PATH,
+    outcome::{OUTCOME_HEADER, no_room_delay, outcome_text},
+};
 use crate::shared::EntryShared;
 
 /// Minimum time to read a body, so that a request whose deadline has nearly passed still gets a
@@ -42,6 +49,8 @@
     pub(crate) head: RequestHead,
     /// Request body.
     pub(crate) body: Bytes,
+    /// Memory reserved for the body.
+    pub(crate) _reservation: ByteReservation,
     /// Digest for crash detection, computed when first needed.
     pub(crate) digest: OnceLock<RequestDigest>,
     /// Parts of the prompt that other requests may share.
@@ -132,7 +141,14 @@
 
     /// Error reply for the caller.
     pub(crate) fn reply(self) -> Response<ReplyBody> {
-        error_reply(self.status, "bad-request", self.message)
+        if self.status != StatusCode::SERVICE_UNAVAILABLE {
+            return error_reply(self.status, "bad-request", self.message);
+        }
+        let mut reply = error_reply(self.status, "no-room", self.message);
+        let outcome = HeaderValue::from_static(outcome_text(OutcomeKind::NotRun));
+        reply.headers_mut().insert(OUTCOME_HEADER, outcome);
+        reply.headers_mut().insert(RETRY_AFTER, no_room_delay());
+        reply
     }
 }
 
@@ -172,7 +188,9 @@
     // indefinitely.
     let limit = Duration::from_millis(shared.settings.limits.body_ms);
     let span = limit.min(head.deadline.remaining(Timestamp::now()).max(MIN_BODY_TIMEOUT));
-    let body = read_body_within(body, settings.max_body_bytes, span).await;
+    let mut reservation = shared.buffered.begin();
+    let reserve = |bytes| reservation.grow(bytes);
+    let body = read_body_reserved(body, settings.max_body_bytes, span, reserve).await;
     let body = body.map_err(|error| match error {
         BodyError::TooLong => BadRequest {
             status: StatusCode::PAYLOAD_TOO_LARGE,
@@ -183,6 +201,10 @@
             status: StatusCode::REQUEST_TIMEOUT,
             message: format!("body: did not arrive within {span:?}"),
         },
+        BodyError::NoRoom => BadRequest {
+            status: StatusCode::SERVICE_UNAVAILABLE,
+            message: "body: there is no room for it in memory".to_owned(),
+        },
     })?;
     head.prefix = prefix_digest(&body, settings.prefix_bytes);
     Ok(IdentifiedRequest {
@@ -190,6 +212,7 @@
         admit_by: head.deadline,
         head,
         body,
+        _reservation: reservation,
         digest: OnceLock::new(),
         shared_parts: Vec::new(),
         fields: HeaderMap::new(),
--- a/crates/entry/src/caller/outcome.rs
+++ b/crates/entry/src/caller/outcome.rs
@@ -11,6 +11,7 @@
     header::{HeaderName, HeaderValue, RETRY_AFTER},
 };
 use macro_rules_attribute::apply;
+use rand::Rng;
 
 use super::attempts::FailedRequest;
 
@@ -29,6 +30,9 @@
 /// Retry delay for a request whose outcome is unknown, in milliseconds.
 const UNKNOWN_RETRY_MS: u64 = 1_000;
 
+/// Retry delay after a body found no room, in seconds.
+const NO_ROOM_RETRY_S: std::ops::Range<f64> = 0.3..1.0;
+
 /// Body of the reply to a failed request.
 #[apply(record!)]
 struct FailureBody {
@@ -39,6 +43,13 @@
     retry_after_ms: Option<u64>,
 }
 
+/// Delay after which a caller whose body found no room returns, in seconds; drawn, so that those of
+/// a burst do not return together.
+pub(crate) fn no_room_delay() -> HeaderValue {
+    let delay_s = rand::rng().random_range(NO_ROOM_RETRY_S);
+    HeaderValue::from_str(&format!("{delay_s:.3}")).unwrap_or(HeaderValue::from_static("1"))
+}
+
 /// Value of the outcome header.
 pub(crate) fn outcome_text(kind: OutcomeKind) -> &'static str {
     match kind {
--- a/crates/entry/src/caller/routed.rs
+++ b/crates/entry/src/caller/routed.rs
@@ -17,7 +17,7 @@
     RequestDigest, RequestHead, RequestOutcome, RouteKind, RouteRule, ServiceName, Timestamp,
     WorkspaceId,
 };
-use cassiawheel_runtime::http::{BodyError, ReplyBody, error_reply, full_body, read_body_within};
+use cassiawheel_runtime::http::{BodyError, ReplyBody, error_reply, full_body, read_body_reserved};
 use hyper::{
     Request, Response, StatusCode,
     body::Incoming,
@@ -33,7 +33,9 @@
     attempts::{FailedRequest, RequestAttempts, StartedResponse},
     crash_detection, events,
     identify::{IdentifiedRequest, PromptPart, ResponseForm},
-    outcome, passthrough,
+    outcome,
+    outcome::no_room_delay,
+    passthrough,
 };
 use crate::{routed::RoutedState, shared::EntryShared};
 
@@ -59,6 +61,8 @@
     UnknownKey,
     /// No region is a home of both the route and the workspace.
     NoHome,
+    /// There is no room in memory for the body.
+    NoRoom,
     /// The head or body is invalid.
     Bad(StatusCode, String),
 }
@@ -208,10 +212,14 @@
     let limits = index.table().limits;
     let span = Duration::from_millis(shared.settings.limits.body_ms)
         .min(head.deadline.remaining(Timestamp::now()));
-    let body = read_body_within(body, limits.body_bytes, span).await.map_err(body_refusal)?;
+    let mut reservation = shared.buffered.begin();
+    let reserve = |bytes| reservation.grow(bytes);
+    let body = read_body_reserved(body, limits.body_bytes, span, reserve).await;
+    let body = body.map_err(|error| body_refusal(&head, error))?;
     Ok(IdentifiedRequest {
         head,
         body,
+        _reservation: reservation,
         digest: OnceLock::new(),
         shared_parts,
         fields: routed.callers.end_to_end(&parts.headers),
@@ -286,8 +294,12 @@
     })
 }
 
-fn body_refusal(error: BodyError) -> CallerRefusal {
+fn body_refusal(head: &RequestHead, error: BodyError) -> CallerRefusal {
     match error {
+        BodyError::NoRoom => {
+            log::info!(target: "outcome", request:% = head.id; "Refused a request: there is no room for its body.");
+            CallerRefusal::NoRoom
+        }
         BodyError::TooLong => {
             CallerRefusal::Bad(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long".to_owned())
         }
@@ -318,6 +330,12 @@
                 let message = "the route and the workspace have no home region in common";
                 error_reply(status, NotRunReason::NoHome.code(), message)
             }
+            Self::NoRoom => {
+                let status = StatusCode::SERVICE_UNAVAILABLE;
+                let mut reply = error_reply(status, "no-room", "no room for the body");
+                reply.headers_mut().insert(RETRY_AFTER, no_room_delay());
+                reply
+            }
             Self::Bad(status, message) => error_reply(status, "bad-request", message),
         }
     }
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -12,8 +12,9 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use cassiawheel_decide::{
-    Adoption, EndpointPace, EndpointPath, EndpointRoster, EntryRoster, PresetHolder, RetryBudget,
-    RouteCandidate, RouteSnapshot, ServiceRoutes, SlotCompetitor, StartHold, rank::subject_of,
+    Adoption, ByteBudget, EndpointPace, EndpointPath, EndpointRoster, EntryRoster, PresetHolder,
+    RetryBudget, RouteCandidate, RouteSnapshot, ServiceRoutes, SlotCompetitor, StartHold,
+    rank::subject_of,
 };
 use cassiawheel_edge::{TableStore, WeightSource};
 use cassiawheel_model::{
@@ -79,6 +80,8 @@
     /// Demand for services and this entry's shares of their slots.
     pub(crate) demand: DemandMonitor,
     default_retries: Arc<RetryBudget>,
+    /// Bytes of callers' request bodies in memory.
+    pub(crate) buffered: Arc<ByteBudget>,
     /// Number of callers' requests in progress.
     pub(crate) in_flight: AtomicU32,
     /// Whether this entry is leaving.
@@ -116,6 +119,7 @@
         let store = Arc::new(MeteredTable::new(table, &settings.control, &metrics));
         Self {
             demand: DemandMonitor::new(&settings.place.instance),
+            buffered: ByteBudget::new(settings.limits.buffer_mb << 20),
             settings,
             incarnation: now.0,
             table: store.clone(),
--- a/crates/model/src/settings/listener.rs
+++ b/crates/model/src/settings/listener.rs
@@ -22,6 +22,8 @@
     pub head_ms: u64,
     /// Timeout for receiving a request body, in milliseconds.
     pub body_ms: u64,
+    /// Most bytes of callers' request bodies in memory, in MiB.
+    pub buffer_mb: usize,
     /// Timeout for writes to a client that reads nothing of its answer, in milliseconds.
     pub write_ms: u64,
 }
@@ -35,6 +37,7 @@
             head_bytes: 32 << 10,
             head_ms: 10_000,
             body_ms: 10_000,
+            buffer_mb: 128,
             write_ms: 30_000,
         }
     }
@@ -58,6 +61,11 @@
         );
         check_millis(findings, "limits.head_ms", self.head_ms, 100..=300_000);
         check_millis(findings, "limits.body_ms", self.body_ms, 100..=300_000);
+        findings.require(
+            (1..=1 << 20).contains(&self.buffer_mb),
+            "limits.buffer_mb",
+            format_args!("must lie between 1 and 1048576 MiB, is {}", self.buffer_mb),
+        );
         check_millis(findings, "limits.write_ms", self.write_ms, 100..=600_000);
     }
 }
--- a/crates/runtime/src/http.rs
+++ b/crates/runtime/src/http.rs
@@ -12,12 +12,12 @@
     convert::Infallible, future::Future, net::SocketAddr, pin::pin, sync::Arc, time::Duration,
 };
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use futures_util::future::{Either, select};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited, combinators::BoxBody};
 use hyper::{
     Request, Response, StatusCode,
-    body::Incoming,
+    body::{Body, Incoming},
     header::{CONTENT_TYPE, HeaderValue},
     service::service_fn,
 };
@@ -25,7 +25,7 @@
 use smol::net::{TcpListener, TcpStream};
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 
-use crate::{ShutdownSignal, listener::accept_connections, timeout};
+use crate::{ShutdownSignal, listener::accept_connections, spawn, timeout};
 use close_watch::WatchedSocket;
 use write_timeout::WriteTimeoutSocket;
 
@@ -121,6 +121,8 @@
     Truncated,
     /// The body was not received in time.
     TimedOut,
+    /// There is no room for the body; it was not read.
+    NoRoom,
 }
 
 /// Reads a whole body of at most `limit` bytes within [`BODY_TIMEOUT`].
@@ -142,6 +144,64 @@
     }
 }
 
+/// Reads a whole body of at most `limit` bytes within `span`, into memory that `reserve` grants.
+///
+/// `reserve` is called with the length that the caller states, before anything is read, or with
+/// that of each part. A refused body is received and dropped, so that the caller gets the answer.
+pub async fn read_body_reserved(
+    mut body: Incoming,
+    limit: usize,
+    span: Duration,
+    reserve: impl FnMut(usize) -> bool,
+) -> Result<Bytes, BodyError> {
+    let read = timeout(span, read_parts(&mut body, limit, reserve)).await;
+    let read = read.unwrap_or(Err(BodyError::TimedOut));
+    if read == Err(BodyError::NoRoom) {
+        spawn(async move { timeout(span, discard(body, limit)).await }).detach();
+    }
+    read
+}
+
+async fn read_parts(
+    body: &mut Incoming,
+    limit: usize,
+    mut reserve: impl FnMut(usize) -> bool,
+) -> Result<Bytes, BodyError> {
+    let stated = body.size_hint().exact().map(|length| length as usize);
+    if stated.is_some_and(|stated| stated > limit) {
+        return Err(BodyError::TooLong);
+    }
+    if stated.is_some_and(|stated| !reserve(stated)) {
+        return Err(BodyError::NoRoom);
+    }
+    let mut bytes = BytesMut::with_capacity(stated.unwrap_or(0));
+    while let Some(frame) = body.frame().await {
+        let Ok(part) = frame.map_err(|_| BodyError::Truncated)?.into_data() else {
+            continue;
+        };
+        if part.len() > limit - bytes.len() {
+            return Err(BodyError::TooLong);
+        }
+        if stated.is_none() && !reserve(part.len()) {
+            return Err(BodyError::NoRoom);
+        }
+        bytes.extend_from_slice(&part);
+    }
+    Ok(bytes.freeze())
+}
+
+/// Receives and drops the rest of a body, up to `limit` bytes.
+async fn discard(mut body: Incoming, limit: usize) {
+    let mut left = limit;
+    while let Some(Ok(frame)) = body.frame().await {
+        let length = frame.data_ref().map_or(0, Bytes::len);
+        match left.checked_sub(length) {
+            Some(rest) => left = rest,
+            None => return,
+        }
+    }
+}
+
 /// Creates a body from bytes in memory.
 pub fn full_body(bytes: impl Into<Bytes>) -> ReplyBody {
     Full::new(bytes.into()).map_err(|never| match never {}).boxed()
--- a/crates/runtime/tests/http.rs
+++ b/crates/runtime/tests/http.rs
@@ -4,7 +4,7 @@
 
 use cassiawheel_runtime::{
     ShutdownTrigger,
-    http::{BodyError, ListenerLimits, error_reply, full_body, read_body_within, serve},
+    http::{BodyError, ListenerLimits, error_reply, full_body, read_body_reserved, serve},
     spawn, timeout,
 };
 use hyper::{Response, StatusCode};
@@ -39,8 +39,12 @@
         if request.uri().path() == "/large" {
             return Response::new(full_body(vec![b'x'; 64 << 20]));
         }
-        match read_body_within(request.into_body(), 16, Duration::from_millis(300)).await {
+        let is_full = request.uri().path() == "/full";
+        let span = Duration::from_millis(300);
+        let reserve = |bytes| !is_full || bytes <= 2;
+        match read_body_reserved(request.into_body(), 16, span, reserve).await {
             Ok(body) => Response::new(full_body(body)),
+            Err(BodyError::NoRoom) => error_reply(StatusCode::SERVICE_UNAVAILABLE, "no-room", ""),
             Err(BodyError::TooLong) => error_reply(StatusCode::PAYLOAD_TOO_LARGE, "too-long", ""),
             Err(BodyError::TimedOut) => error_reply(StatusCode::REQUEST_TIMEOUT, "slow", ""),
             Err(BodyError::Truncated) => error_reply(StatusCode::BAD_REQUEST, "cut", ""),
@@ -134,3 +138,31 @@
         drop((held, waiting));
     });
 }
+
+/// Guards against a body that is read although there is no room for it, and against a caller that
+/// loses the refusal because the connection is reset while it still sends.
+#[rstest]
+#[case::length_stated("content-length: 12\r\n\r\n", "twelve bytes")]
+#[case::chunked("transfer-encoding: chunked\r\n\r\nc\r\n", "twelve bytes\r\n0\r\n\r\n")]
+fn a_body_without_room_is_refused_and_its_connection_kept(#[case] head: &str, #[case] body: &str) {
+    run(async {
+        let server = start().await;
+        let is_stated = head.starts_with("content-length");
+        let text = format!("POST /full HTTP/1.1\r\nhost: x\r\n{head}");
+        let mut stream = send(server.addr, &text).await;
+        if !is_stated {
+            stream.write_all(body.as_bytes()).await.expect("sends");
+        }
+        let mut answer = vec![0; 1024];
+        let read = timeout(TEST_TIMEOUT, stream.read(&mut answer)).await.expect("an answer");
+        let answer = String::from_utf8_lossy(&answer[..read.expect("an answer")]).into_owned();
+        assert!(answer.contains("503"), "{answer}");
+        if is_stated {
+            stream.write_all(body.as_bytes()).await.expect("sends");
+        }
+        let next = "POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 2\r\nconnection: close\r\n\r\nok";
+        stream.write_all(next.as_bytes()).await.expect("sends");
+        let next = read_to_close(stream).await;
+        assert!(next.contains("200") && next.ends_with("ok"), "{next}");
+    });
+}
--- a/crates/testkit/src/platform_site.rs
+++ b/crates/testkit/src/platform_site.rs
@@ -55,6 +55,8 @@
     pub replicas: Vec<Arc<Replica>>,
     /// Addresses on which the endpoints listen, in the order of `replicas`.
     addrs: Vec<SocketAddr>,
+    /// Memory that entries started from now on may use, in MB; zero if it has no limit.
+    pub memory_mb: u32,
     /// Entry processes, in the order of their start.
     pub entries: Vec<PlatformEntry>,
     store_addr: SocketAddr,
@@ -116,6 +118,7 @@
             replicas: Vec::new(),
             entries: Vec::new(),
             addrs: Vec::new(),
+            memory_mb: 0,
             _store: store,
             dir: tempfile::tempdir()?,
         };
@@ -250,10 +253,10 @@
              heartbeat_ms = 1200\n[zones]\nhall = \"north\"\n[listen]\n\
              front = \"{ip}:{FRONT_PORT}\"\nready = \"{ip}:{READY_PORT}\"\n\
              directory = \"{ip}:{DIRECTORY_PORT}\"\ncontrol = \"{ip}:{CONTROL_PORT}\"\n\
-             [limits]\ncpu_cores = 2\nmax_fds = 1024\n\
+             [limits]\ncpu_cores = 2\nmax_fds = 1024\nmemory_mb = {}\n\
              [bounds]\ngrace_s = 8\nversion_ms = 8000\nretry_budget_ratio = 0.2\n\
              retry_slack = 90\n[platform]\naddress = \"{}\"\n",
-            self.store_addr,
+            self.memory_mb, self.store_addr,
         )
     }
 
