A dropped crash does not count as new

A request keeps eight crashes and dropped the first that it had received. When another entry sent that one again, it counted as new, was sent on, and dropped the next one.

The earliest crash is dropped, and a crash that is dropped at once is not new. a_dropped_crash_is_old failed before.

--- a/crates/decide/src/crash_tracker.rs
+++ b/crates/decide/src/crash_tracker.rs
@@ -177,11 +177,16 @@
         if is_known || self.crashes.len() >= MAX_CRASHES && self.weight() >= BARRED_WEIGHT {
             return false;
         }
-        if self.crashes.len() >= MAX_CRASHES {
-            self.crashes.remove(0);
-        }
         self.crashes.push(record);
-        true
+        if self.crashes.len() <= MAX_CRASHES {
+            return true;
+        }
+        // What was dropped must not count as new when it arrives again.
+        let indices = 0..self.crashes.len();
+        let Some(oldest) = indices.min_by_key(|index| self.crashes[*index].at) else {
+            return true;
+        };
+        !self.crashes.remove(oldest).is_same_crash(record.event)
     }
 
     /// Crashes that no complete answer has cleared.
--- a/crates/decide/tests/crash_book.rs
+++ b/crates/decide/tests/crash_book.rs
@@ -405,3 +405,17 @@
     simulation.step();
     assert_eq!(simulation.barred_count(), 15);
 }
+
+/// Guards against an old crash that counts again after it was dropped.
+#[test]
+fn a_dropped_crash_is_old() {
+    let mut tracker = CrashTracker::default();
+    let crash =
+        |endpoint: u64| row(7, CrashEvent::EndedInAnswer(endpoint), 1_000 - endpoint as u32);
+    for endpoint in 1..=9 {
+        tracker.record(crash(endpoint), None, NOW);
+        // Cleared again and again, so that the request is never barred.
+        tracker.record(row(7, CrashEvent::Answered, 999 - endpoint as u32), None, NOW);
+    }
+    assert!(!tracker.record(crash(1), None, NOW));
+}
