Bars that do not fit are not written again

The store keeps 256 bars. With more of them, those that did not fit counted as missing at each check, and the same 256 were written again without end.

The bars are written if one of those to be kept is not stored. bars_that_do_not_fit_are_not_written_again failed before.

--- a/crates/decide/src/crash_tracker.rs
+++ b/crates/decide/src/crash_tracker.rs
@@ -359,7 +359,8 @@
         bars.extend(added);
         bars.sort_unstable_by_key(|bar| Reverse(bar.ended_at));
         bars.truncate(MAX_BARS);
-        Some(bars)
+        // Bars that do not fit are missing from the store for good.
+        bars.iter().any(|bar| !is_stored(&bar.digest)).then_some(bars)
     }
 
     /// Events to send over `link`, and the change number up to which it is current afterwards.
--- a/crates/decide/tests/crash_book.rs
+++ b/crates/decide/tests/crash_book.rs
@@ -419,3 +419,17 @@
     }
     assert!(!tracker.record(crash(1), None, NOW));
 }
+
+/// Guards against bars that are written to the store without end once there are too many.
+#[test]
+fn bars_that_do_not_fit_are_not_written_again() {
+    let mut tracker = CrashTracker::default();
+    for body in 0..300 {
+        for endpoint in 1..=3 {
+            let event = CrashEvent::EndedAtStart(body * 10 + endpoint);
+            tracker.record(row(body, event, body as u32), None, NOW);
+        }
+    }
+    let bars = tracker.bars_to_persist(&[], NOW).expect("some are to be added");
+    assert_eq!(tracker.bars_to_persist(&bars, NOW), None);
+}
