Manifests of replaced versions are not requested again

An entry kept four manifests, and entries repeat up to eight named versions to each other every 3 s. With five versions or more, each repetition requested the missing manifests, which took the place of others, without end, from every neighbour; the manifest of the version in force could be among those that went.

Only the manifests of the newest two versions of a model are requested, and sixteen are kept.

manifests_of_replaced_versions_are_not_requested_again failed before (4 requests in each of 8 repetitions) and passes.

--- a/crates/decide/src/versions.rs
+++ b/crates/decide/src/versions.rs
@@ -15,6 +15,9 @@
 /// Versions kept for each model; older ones have long been replaced.
 const MAX_VERSIONS: usize = 8;
 
+/// Newest versions of each model that agents may still be fetching.
+const FETCHED_VERSIONS: usize = 2;
+
 /// Assumed time in which a version can be fetched, in milliseconds.
 const DEFAULT_COPY_MS: u64 = 3_000;
 
@@ -95,6 +98,12 @@
         self.versions_of(model)?.last()
     }
 
+    /// Whether agents may still be fetching a version, so that its manifest is needed.
+    pub fn may_be_fetched(&self, model: &str, number: u64) -> bool {
+        let newest = self.versions_of(model).unwrap_or_default().iter().rev();
+        newest.take(FETCHED_VERSIONS).any(|known| known.number == number)
+    }
+
     /// Returns the only versions of `model` that may answer now; `None` if all may.
     pub fn allowed(&self, model: &str, now: Timestamp) -> Option<Vec<ModelVersion>> {
         let ModelVersions { versions, dropped } = self.models.get(model)?;
--- a/crates/entry/src/control/manifest_cache.rs
+++ b/crates/entry/src/control/manifest_cache.rs
@@ -8,8 +8,8 @@
 
 use cassiawheel_model::{Deadline, ManifestDigest, Timestamp, WeightManifest};
 
-/// Maximum number of cached manifests, enough for versions named within seconds of each other.
-const MAX_CACHED: usize = 4;
+/// Maximum number of cached manifests, enough for the newest two versions of eight models.
+const MAX_CACHED: usize = 16;
 
 /// Time within which another entry is expected to send a manifest.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(200);
--- a/crates/entry/src/control/manifests.rs
+++ b/crates/entry/src/control/manifests.rs
@@ -90,11 +90,15 @@
     apply_version(shared, routed, &pinned, None);
 }
 
-/// Requests the manifest of a pinned version from the sender if it is missing here.
+/// Requests the manifest of a pinned version from the sender if it is needed and missing here.
 pub(crate) fn request_manifest(routed: &RoutedState, sender: &WireSender, named: &TargetVersion) {
     let Some(manifest) = named.manifest else {
         return;
     };
+    // The cache has no room for those of all named versions, which entries repeat to each other.
+    if !routed.versions.load().may_be_fetched(&named.model, named.number) {
+        return;
+    }
     if routed.manifests.begin_request(manifest, Timestamp::now()) {
         let _ = sender.try_send(ControlMessage::ManifestWanted { manifest });
     }
--- a/crates/testkit/tests/origin_connections.rs
+++ b/crates/testkit/tests/origin_connections.rs
@@ -2,11 +2,15 @@
 
 use std::{
     net::{Ipv4Addr, SocketAddr},
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
     time::Duration,
 };
 
 use cassiawheel_edge::WeightSource;
-use cassiawheel_model::{InstanceId, ModelVersion, TargetVersion, WeightManifest};
+use cassiawheel_model::{AgeSource, InstanceId, ModelVersion, TargetVersion, WeightManifest};
 use cassiawheel_platform::PlatformOrigin;
 use cassiawheel_runtime::spawn;
 use cassiawheel_testkit::{
@@ -45,6 +49,9 @@
 /// Interval between the heartbeats of an entry.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Interval between repetitions of the named versions.
+const REPEAT_INTERVAL: Duration = Duration::from_millis(300);
+
 /// Time for the peer to notice a closed connection.
 const CLOSE_TIME: Duration = Duration::from_millis(200);
 
@@ -217,3 +224,62 @@
         Ok(())
     });
 }
+
+/// Guards against entries that send each other manifests without end, once there are more named
+/// versions than an entry keeps manifests of.
+#[test]
+fn manifests_of_replaced_versions_are_not_requested_again() {
+    run(async {
+        let origin = LimitedOrigin::start(MAX_CONNECTIONS, CHUNKS, Duration::ZERO).await?;
+        let site = PlatformSite::start(1, 1).await?;
+        site.rows.put("op", "config", &model_config(2, "guide", origin.addr, MAX_CONNECTIONS));
+        let (sender, mut receiver) = connect(site.entries[0].control, INNER_KEY, None).await?;
+        let instance = InstanceId::new("entry-other")?;
+        sender.send(HelloMessage { kind: ProcessKind::Entry, instance, incarnation: 1 }).await?;
+        let _heartbeats = spawn(send_heartbeats(sender.clone()));
+        let mut manifests = Vec::new();
+        for number in 2..=9 {
+            manifests.push(client_of(&origin).manifest(&version(number)).await?);
+        }
+        let requested = Arc::new(AtomicUsize::new(0));
+        let (counted, known, replies) = (requested.clone(), manifests.clone(), sender.clone());
+        let _answers = spawn(async move {
+            while let Ok(message) = receiver.recv().await {
+                let WireMessage::Control(ControlMessage::ManifestWanted { manifest }) = message
+                else {
+                    continue;
+                };
+                counted.fetch_add(1, Ordering::Relaxed);
+                let found = known.iter().find(|known| known.digest == manifest);
+                if let Some(found) = found {
+                    let manifest = Arc::new(found.clone());
+                    let _ = replies.send(ControlMessage::Manifest(manifest)).await;
+                }
+            }
+        });
+        // Entries repeat all named versions to each other.
+        let repeat_all = async |times: u32| -> anyhow::Result<()> {
+            for _ in 0..times {
+                for (number, manifest) in (2..).zip(&manifests) {
+                    let named = TargetVersion {
+                        model: "guide".to_owned(),
+                        number,
+                        version: version(number),
+                        manifest: Some(manifest.digest),
+                        age_ms: 60_000,
+                        age_source: AgeSource::Observed,
+                    };
+                    sender.send(ControlMessage::Named(named)).await?;
+                }
+                Timer::after(REPEAT_INTERVAL).await;
+            }
+            Ok(())
+        };
+        repeat_all(4).await?;
+        let first = requested.load(Ordering::Relaxed);
+        assert!(first > 0, "no manifest was requested");
+        repeat_all(8).await?;
+        assert_eq!(requested.load(Ordering::Relaxed), first, "manifests are requested again");
+        Ok(())
+    });
+}
