--- a/crates/testkit/tests/layer_engine.rs
+++ b/crates/testkit/tests/layer_engine.rs
@@ -172,6 +172,31 @@
     });
 }
 
+/// Guards against an engine that drops the version it holds because an order for the next one, which
+/// it has not read yet, cannot be proved.
+#[rstest]
+fn another_version_is_kept_when_a_load_is_not_proved() {
+    run(async {
+        let (engine, adapter, first) = staged_engine(CHUNKS).await?;
+        adapter.load_weights(&load_order(&first)).await?;
+        let second = manifest(2)?;
+        adapter.open_staging(&second).await?;
+        for index in 0..CHUNKS {
+            adapter.stage_chunk(second.digest, index, chunk_bytes(2, index)).await?;
+        }
+        engine.state().order_delay = Duration::from_secs(60);
+        let answer = adapter.load_weights(&load_order(&second)).await;
+        anyhow::ensure!(matches!(answer, Err(EngineError::NoAnswer(_))), "{answer:?}");
+        engine.state().order_delay = Duration::ZERO;
+        engine.state().chunks.insert(0, Bytes::from_static(b"corrupt"));
+        let answer = adapter.load_weights(&load_order(&second)).await;
+        anyhow::ensure!(matches!(answer, Err(EngineError::Unproved(_))), "{answer:?}");
+        let served = adapter.status().await?.version;
+        anyhow::ensure!(served.as_ref() == Some(&first.version), "{served:?}");
+        Ok(())
+    });
+}
+
 /// Guards against a chunk of another version from a write that timed out and takes effect between
 /// the check of the chunks and the order.
 #[rstest]
