--- a/crates/edge/src/client.rs
+++ b/crates/edge/src/client.rs
@@ -116,8 +116,8 @@
         answer.or(exceeded).await
     }
 
-    /// Calls `path` at `addr` and reads the whole response, of at most `max_bytes`, within
-    /// `max_wait`; the body of a `POST` is JSON.
+    /// Calls `path` at `addr` and reads the whole response within `bounds`; the body of a `POST` is
+    /// JSON.
     pub async fn call(
         &self,
         method: Method,
@@ -140,7 +140,8 @@
         self.send_and_read_within(request, bounds).await
     }
 
-    /// Sends `request` and reads the whole response within `max_wait`.
+    /// Sends `request` and reads the whole response, of at most [`MAX_REPLY_BYTES`], within
+    /// `max_wait`.
     pub async fn send_and_read(
         &self,
         request: Request<Full<Bytes>>,
