--- a/crates/runtime/src/yielding_socket.rs
+++ b/crates/runtime/src/yielding_socket.rs
@@ -17,7 +17,7 @@
 /// Number of reads in a row after which other tasks run.
 const READS_IN_A_ROW: u32 = 8;
 
-/// A socket that pretends to have no bytes from time to time.
+/// A socket whose reads return pending after some reads in a row.
 pub struct YieldingSocket {
     stream: TcpStream,
     reads: u32,
