Loads that were cut short are repeated: entries remember that an agent was loading

Callers could be answered from corrupt weights: an agent killed between a load that its engine accepted late and the proof of it left no trace; the next process adopted the engine's version, and entries without a report went by the platform's list, which names that version too.

An agent now says in its reports how the endpoint came to hold its weights (basis): loaded by this process, adopted, or unproved from the beginning of a switch until its load is proved. Reports are gossiped and kept by all entries, so no process of the agent needs a memory of its own:

- An entry that knows a report of a former process in a switch takes adopted weights for unproved.
It routes nothing there, and its orders to that endpoint ask to load again what is held.
- The agent then hides the engine's version, drops its layers and loads it anew.
- While the agent is gone, the last report of a load goes before the platform's list.

Ruled out: a record of the load in the engine's staging area, which needs no entry.

it needs the manifest first, so each restart would take its endpoint out of service for a while, and chunks of the next version that were already staged prove nothing.

An entry that has started since and has heard of no report from before is not protected; the wire fields are optional, older builds ignore them and their reports count as loaded.

--- a/crates/agent/src/endpoint.rs
+++ b/crates/agent/src/endpoint.rs
@@ -13,7 +13,9 @@
     EntrySelector, GateState, LoadSchedule, PresetHolder, SentReport, StartHold,
 };
 use cassiawheel_edge::{ModelEngine, TableStore, WeightSource};
-use cassiawheel_model::{EndpointState, LoadReport, Timestamp, settings::AgentSettings};
+use cassiawheel_model::{
+    EndpointState, LoadReport, Timestamp, WeightsBasis, settings::AgentSettings,
+};
 use cassiawheel_runtime::timeout;
 use cassiawheel_wire::{HelloMessage, ProcessKind, WireSender, message::WeightOrder};
 use smol::channel::{Receiver, Sender, bounded};
@@ -61,6 +63,7 @@
     order: Mutex<Option<WeightOrder>>,
     /// Connection to the entry that sent the newest order.
     order_source: Mutex<Option<WireSender>>,
+    basis: Mutex<WeightsBasis>,
     last_report: Mutex<Option<SentReport>>,
     load: Mutex<LoadReport>,
     entries: Mutex<Vec<EntryLink>>,
@@ -89,6 +92,7 @@
             start_hold: Mutex::new(StartHold::new(sources, now.deadline_after(START_TIMEOUT))),
             order: Mutex::default(),
             order_source: Mutex::default(),
+            basis: Mutex::new(WeightsBasis::Adopted),
             last_report: Mutex::default(),
             load: Mutex::new(LoadReport { in_flight: 0, queued: 0, measured_at: now }),
             entries: Mutex::default(),
@@ -150,6 +154,16 @@
         self.order().as_ref().map(|newest| newest.manifest) == Some(order.manifest)
     }
 
+    /// How the engine came to hold its weights.
+    pub(crate) fn basis(&self) -> WeightsBasis {
+        *self.basis.lock().unwrap_or_else(|poison| poison.into_inner())
+    }
+
+    /// Sets how the engine came to hold its weights.
+    pub(crate) fn set_basis(&self, basis: WeightsBasis) {
+        *self.basis.lock().unwrap_or_else(|poison| poison.into_inner()) = basis;
+    }
+
     /// Locks the last full report; none unless it was queued for every connected entry.
     pub(crate) fn last_report(&self) -> MutexGuard<'_, Option<SentReport>> {
         self.last_report.lock().unwrap_or_else(|poison| poison.into_inner())
--- a/crates/agent/src/orders.rs
+++ b/crates/agent/src/orders.rs
@@ -16,7 +16,7 @@
 use anyhow::Context;
 use cassiawheel_decide::Adoption;
 use cassiawheel_edge::{EngineError, EngineStatus, LoadOrder};
-use cassiawheel_model::{EndpointRole, EndpointState, ForcedPreset};
+use cassiawheel_model::{EndpointRole, EndpointState, ForcedPreset, WeightsBasis};
 use cassiawheel_runtime::timeout;
 use cassiawheel_wire::{WireSender, message::WeightOrder};
 
@@ -61,6 +61,11 @@
     if let Some(origin) = &order.origin {
         shared.origin.set_addr(origin.addr);
     }
+    if order.distrusts_held && shared.basis() == WeightsBasis::Adopted {
+        log::warn!(target: "switch", version:% = order.version; "The former process ended during a load: what the engine holds is loaded again.");
+        shared.engine.distrust_held();
+        shared.set_basis(WeightsBasis::Unproved);
+    }
     shared.layers.record_order(&order);
     *newest = Some(order);
     drop(newest);
@@ -210,6 +215,9 @@
         shared.gate().begin_switch()?;
         layers::withdraw(shared);
         shared.gate().commit_switch(Some(order.version.clone()))?;
+        if shared.basis() == WeightsBasis::Unproved {
+            shared.set_basis(WeightsBasis::Loaded);
+        }
         report::send_report(shared);
     }
     if is_loaded && gate_serves(shared, order) {
@@ -264,6 +272,7 @@
     }
     let before = shared.gate().state().clone();
     shared.gate().begin_switch()?;
+    shared.set_basis(WeightsBasis::Unproved);
     let has_layers = shared.layers.release().reported().is_some();
     // An empty endpoint with some layers gets only requests of paths; its engine loads the rest
     // beside them.
@@ -278,6 +287,7 @@
         return Err(error);
     }
     layers::withdraw(shared);
+    shared.set_basis(WeightsBasis::Loaded);
     let generation = shared.gate().commit_switch(Some(order.version.clone()))?;
     log::info!(target: "switch", version:% = order.version, generation = generation; "A new version serves.");
     report::send_report(shared);
@@ -313,6 +323,7 @@
         && loaded.as_ref() == Some(&version)
         && gate.commit_switch(Some(version)).is_ok()
     {
+        shared.set_basis(WeightsBasis::Loaded);
         return;
     }
     gate.abort_switch();
--- a/crates/agent/src/report.rs
+++ b/crates/agent/src/report.rs
@@ -40,6 +40,7 @@
         engine_fencing: shared.engine_fencing.load(Ordering::Relaxed),
         limit: gate.limit(),
         layers: layers::reported_layers(shared, gate.state()),
+        basis: shared.basis(),
     }
 }
 
--- a/crates/agent/tests/layers.rs
+++ b/crates/agent/tests/layers.rs
@@ -17,7 +17,7 @@
 use cassiawheel_model::{
     ChunkDigest, ChunkEntry, ChunkHash, EndpointReport, EndpointState, InstanceId, LayerRange,
     LoadReport, LoadedLayers, ManifestDigest, ModelVersion, RequestHead, Timestamp, WeightManifest,
-    settings::AgentSettings,
+    WeightsBasis, settings::AgentSettings,
 };
 use cassiawheel_runtime::spawn;
 use cassiawheel_wire::{ControlMessage, WireMessage, WireSender, accept, message::WeightOrder};
@@ -52,6 +52,8 @@
     whole: Option<ModelVersion>,
     layers: Option<LoadedLayers>,
     loads: Vec<ReceivedLoad>,
+    /// Whether what is held is not reported until the next load.
+    is_distrusted: bool,
     /// Whether orders with a range are refused as unknown.
     refuses_ranges: bool,
     /// Number of load orders whose answers are lost after they took effect.
@@ -89,6 +91,7 @@
         }
         let version = order.version.clone();
         inner.loads.push(ReceivedLoad { at: Timestamp::now(), version: version.clone(), range });
+        inner.is_distrusted = false;
         inner.whole = range.is_none().then(|| version.clone());
         inner.layers = range.map(|range| LoadedLayers { version, range });
         if inner.lost_answers > 0 {
@@ -104,7 +107,7 @@
         Box::pin(async {
             let inner = self.lock();
             Ok(EngineStatus {
-                version: inner.whole.clone(),
+                version: inner.whole.clone().filter(|_| !inner.is_distrusted),
                 manifest: None,
                 tells_manifest: false,
                 fencing: 0,
@@ -115,6 +118,10 @@
         })
     }
 
+    fn distrust_held(&self) {
+        self.lock().is_distrusted = true;
+    }
+
     fn open_staging<'a>(
         &'a self,
         manifest: &'a WeightManifest,
@@ -311,16 +318,13 @@
         layers: u32,
         retired: Option<ModelVersion>,
     ) -> anyhow::Result<()> {
+        let order = WeightOrder { layers, retired, ..whole_order(manifest) };
+        self.send(order).await
+    }
+
+    async fn send(&mut self, order: WeightOrder) -> anyhow::Result<()> {
         self.fencing += 2;
-        let order = WeightOrder {
-            version: manifest.version.clone(),
-            manifest: manifest.digest,
-            fencing: self.fencing + 1,
-            serve: true,
-            origin: None,
-            layers,
-            retired,
-        };
+        let order = WeightOrder { fencing: self.fencing + 1, ..order };
         let senders = self.senders.lock().expect("the lock is not poisoned").clone();
         for sender in senders {
             sender.send(ControlMessage::Order(order.clone())).await?;
@@ -369,6 +373,20 @@
     }
 }
 
+/// Order to serve a version, without a fencing token.
+fn whole_order(manifest: &WeightManifest) -> WeightOrder {
+    WeightOrder {
+        version: manifest.version.clone(),
+        manifest: manifest.digest,
+        fencing: 0,
+        serve: true,
+        origin: None,
+        layers: 0,
+        retired: None,
+        distrusts_held: false,
+    }
+}
+
 async fn serve_agent(
     stream: smol::net::TcpStream,
     entry: SocketAddr,
@@ -607,3 +625,30 @@
         Ok(())
     });
 }
+
+/// Guards against a restarted agent that serves what its former process had begun to load, and
+/// against a repeated load whose report says so for ever.
+#[rstest]
+fn weights_that_an_entry_distrusts_are_loaded_again(#[values(false, true)] distrusts_held: bool) {
+    run(async {
+        let engine = EngineInner { whole: Some(version(1)), ..EngineInner::default() };
+        let mut bench = Bench::start(engine).await?;
+        bench.wait("the adoption", |bench| bench.serves(1)).await?;
+        let basis = bench.last_report().map(|report| report.basis);
+        anyhow::ensure!(basis == Some(WeightsBasis::Adopted), "{basis:?}");
+        bench.send(WeightOrder { distrusts_held, ..whole_order(&manifest(1)) }).await?;
+        let expected = match distrusts_held {
+            true => WeightsBasis::Loaded,
+            false => WeightsBasis::Adopted,
+        };
+        if distrusts_held {
+            bench.wait("a load", |bench| bench.engine.loads().len() == 1).await?;
+        }
+        Timer::after(QUIET_TIME).await;
+        bench.wait("the version", |bench| bench.serves(1)).await?;
+        let (basis, loads) = (bench.last_report().map(|r| r.basis), bench.engine.loads());
+        anyhow::ensure!(basis == Some(expected), "{basis:?}");
+        anyhow::ensure!(loads.len() == usize::from(distrusts_held), "{loads:?}");
+        Ok(())
+    });
+}
--- a/crates/decide/src/load_proof.rs
+++ b/crates/decide/src/load_proof.rs
@@ -79,14 +79,60 @@
     ends_by: Deadline,
 }
 
+/// Versions that may answer requests without a load by this process.
+#[derive(Debug, Default)]
+enum TrustedVersions {
+    /// Any: no load of a former process was cut short.
+    #[default]
+    Any,
+    /// At most the one whose load was proved last.
+    Last(Option<ModelVersion>),
+}
+
 /// Loads of one engine that are not proved yet.
 #[derive(Debug, Default)]
 pub struct LoadProofs {
+    trusted: TrustedVersions,
     loads: Vec<UnprovenLoad>,
     writes: Vec<PendingWrite>,
 }
 
 impl LoadProofs {
+    /// Trusts no version that a former process has loaded.
+    pub fn distrust_held(&mut self) {
+        self.trusted = TrustedVersions::Last(None);
+    }
+
+    /// Records that the engine may hold `version`.
+    pub fn found_held(&mut self, version: &ModelVersion, sequence: Option<u64>, now: Timestamp) {
+        if self.is_unproven(version) || self.is_trusted(version) {
+            return;
+        }
+        self.loads.push(UnprovenLoad {
+            version: version.clone(),
+            chunks: 0..usize::MAX,
+            answered_by: Deadline(0),
+            // The former process may have staged chunks again since its load.
+            is_refuted: true,
+            sequence,
+            effective_by: now.deadline_after(MAX_CALL_DELAY),
+        });
+    }
+
+    fn is_trusted(&self, version: &ModelVersion) -> bool {
+        match &self.trusted {
+            TrustedVersions::Any => true,
+            TrustedVersions::Last(proved) => proved.as_ref() == Some(version),
+        }
+    }
+
+    fn proved(&mut self, version: &ModelVersion) {
+        self.forget(version);
+        if let TrustedVersions::Last(last) = &mut self.trusted {
+            *last = Some(version.clone());
+        }
+    }
+
     /// Records an order that is about to be sent at `now`, after `check` found `chunks` intact.
     ///
     /// `sequence` is the number of orders that the engine has accepted, which the order names as
@@ -125,7 +171,7 @@
     pub fn order_answered(&mut self, version: &ModelVersion, now: Timestamp) -> bool {
         let is_proved = self.may_serve(version, now);
         if is_proved {
-            self.forget(version);
+            self.proved(version);
         }
         is_proved
     }
@@ -136,7 +182,7 @@
         let load = self.loads.iter().find(|load| load.version == *version);
         let is_proved = load.is_none_or(|load| covers(chunks, &load.chunks) && !load.is_refuted);
         if is_proved {
-            self.forget(version);
+            self.proved(version);
         }
         is_proved
     }
@@ -172,6 +218,9 @@
     /// An order without an answer may still take effect, unless the engine has accepted another
     /// one since or was restarted.
     pub fn holds_nothing(&mut self, version: &ModelVersion, sequence: Option<u64>, now: Timestamp) {
+        if let TrustedVersions::Last(last) = &mut self.trusted {
+            last.take_if(|last| last == version);
+        }
         let Some(load) = self.load_mut(version) else {
             return;
         };
@@ -188,7 +237,7 @@
 
     /// Whether weights that the engine reports to hold at `now` may answer requests.
     pub fn may_serve(&self, version: &ModelVersion, now: Timestamp) -> bool {
-        self.load(version).is_none_or(|load| {
+        self.load(version).map_or(self.is_trusted(version), |load| {
             let in_time = !load.is_refuted && !load.answered_by.is_past(now);
             in_time && !self.is_being_written(&load.chunks, now)
         })
--- a/crates/decide/src/plan.rs
+++ b/crates/decide/src/plan.rs
@@ -66,6 +66,8 @@
     pub retired: Option<ModelVersion>,
     /// Number of layers of the service's model; zero if engines load whole versions only.
     pub layers: u32,
+    /// Whether weights that a former process of the agent has loaded must be loaded again.
+    pub distrusts_held: bool,
 }
 
 impl PlannedOrder {
@@ -120,18 +122,32 @@
     orders
 }
 
-/// Reports of restarted agents whose engines hold a whole version, with that version as served.
+/// Reports of restarted agents that differ from what their endpoints serve.
 ///
-/// Such an agent reports an empty endpoint, because it learns the number of layers with its first
-/// order. An order for an empty endpoint would make it switch out of turn.
+/// An agent whose engine holds a whole version reports an empty endpoint, because it learns the
+/// number of layers with its first order. An order for an empty endpoint would make it switch out of
+/// turn. Weights that may be corrupt serve nothing.
 fn resumed_reports(
     service: &ServiceName,
     layers: u32,
     reports: &[&EndpointReport],
 ) -> BTreeMap<InstanceId, EndpointReport> {
     let resumed = reports.iter().filter_map(|report| {
-        let version = resumed_version(report, layers).filter(|_| report.service == *service)?;
-        let state = EndpointState::Serving { version: Some(version.clone()), generation: 0 };
+        if report.service != *service {
+            return None;
+        }
+        let state = match &report.state {
+            EndpointState::Serving { .. } | EndpointState::Empty if report.is_unproved() => {
+                EndpointState::Empty
+            }
+            EndpointState::Empty => {
+                let version = resumed_version(report, layers)?.clone();
+                EndpointState::Serving { version: Some(version), generation: 0 }
+            }
+            EndpointState::Serving { .. } | EndpointState::Switching | EndpointState::Draining => {
+                return None;
+            }
+        };
         let resumed = EndpointReport { state, ..EndpointReport::clone(report) };
         Some((report.instance.clone(), resumed))
     });
--- a/crates/decide/src/plan/service.rs
+++ b/crates/decide/src/plan/service.rs
@@ -162,6 +162,7 @@
             reason,
             retired: self.retired_version(report).cloned(),
             layers: self.layers,
+            distrusts_held: report.is_unproved(),
         })
     }
 }
--- a/crates/decide/src/roster.rs
+++ b/crates/decide/src/roster.rs
@@ -7,7 +7,9 @@
 
 use std::collections::{BTreeMap, HashSet};
 
-use cassiawheel_model::{EndpointReport, InstanceId, LoadReport, PresetRevision, Timestamp};
+use cassiawheel_model::{
+    EndpointReport, InstanceId, LoadReport, PresetRevision, Timestamp, WeightsBasis,
+};
 
 use crate::advice::EntryCandidate;
 
@@ -97,8 +99,21 @@
 }
 
 impl EndpointRoster {
+    /// Marks the weights of a restarted agent as unproved if its former process was loading some
+    /// when it last reported.
+    pub fn check_basis(&self, report: &mut EndpointReport) {
+        let known = self.members.get(&report.instance).map(|member| &member.report);
+        let is_cut_short = known.is_some_and(|known| {
+            known.is_unproved() || known.is_loading() && known.incarnation < report.incarnation
+        });
+        if is_cut_short && report.basis == WeightsBasis::Adopted {
+            report.basis = WeightsBasis::Unproved;
+        }
+    }
+
     /// Applies a full report; false if a later incarnation is known.
-    pub fn apply_report(&mut self, report: EndpointReport, now: Timestamp) -> bool {
+    pub fn apply_report(&mut self, mut report: EndpointReport, now: Timestamp) -> bool {
+        self.check_basis(&mut report);
         let known = self.members.get(&report.instance).map(|member| member.report.incarnation);
         if known.is_some_and(|incarnation| incarnation > report.incarnation) {
             return false;
@@ -207,6 +222,13 @@
         self.members.get(instance).filter(|_| self.is_attached(instance))
     }
 
+    /// Reports by which requests are routed: those of connected endpoints, and the last ones of
+    /// agents that were lost during a load.
+    pub fn routing_reports(&self) -> impl Iterator<Item = &EndpointReport> {
+        let reports = self.members.values().map(|member| &member.report);
+        reports.filter(|report| self.is_attached(&report.instance) || report.is_loading())
+    }
+
     /// All connected endpoints, ordered by name.
     pub fn members(&self) -> impl Iterator<Item = &RosterMember> {
         self.members.values().filter(|member| self.is_attached(&member.report.instance))
--- a/crates/decide/src/verified_load.rs
+++ b/crates/decide/src/verified_load.rs
@@ -91,8 +91,9 @@
         sequence: Option<u64>,
         now: Timestamp,
     ) {
-        if !may_hold {
-            proofs.holds_nothing(&self.version, sequence, now);
+        match may_hold {
+            true => proofs.found_held(&self.version, sequence, now),
+            false => proofs.holds_nothing(&self.version, sequence, now),
         }
         self.sequence = sequence;
         self.step = match proofs.is_refuted(&self.version) {
--- a/crates/decide/tests/control_traffic.rs
+++ b/crates/decide/tests/control_traffic.rs
@@ -45,6 +45,7 @@
         engine_fencing: 0,
         limit: 8,
         layers: None,
+        basis: Default::default(),
     }
 }
 
--- a/crates/decide/tests/plan.rs
+++ b/crates/decide/tests/plan.rs
@@ -12,7 +12,7 @@
     ChangeId, Deadline, EndpointReport, EndpointRole, EndpointState, EngineProfile, FailureDomain,
     ForcedPreset, InstanceId, LayerRange, LoadReport, LoadedLayers, ManifestDigest, ModelVersion,
     OperatorName, PresetContent, PresetName, PresetRevision, RegionName, ServiceKind, ServiceName,
-    ServiceTarget, StagedWeights, Timestamp,
+    ServiceTarget, StagedWeights, Timestamp, WeightsBasis,
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use rstest::rstest;
@@ -74,6 +74,7 @@
         engine_fencing: 0,
         limit: 8,
         layers: None,
+        basis: Default::default(),
     }
 }
 
@@ -637,3 +638,15 @@
     assert_eq!(resumed_version(&resumed, layers).is_some(), is_whole);
     assert_eq!(resumed_version(&with_layers(EndpointState::Switching), layers), None);
 }
+
+/// Guards against an endpoint that is left out of service because its weights are not proved.
+#[rstest]
+fn unproved_weights_are_ordered_to_be_loaded_again(
+    #[values(serving("a"), EndpointState::Empty)] state: EndpointState,
+    #[values(WeightsBasis::Adopted, WeightsBasis::Unproved)] basis: WeightsBasis,
+) {
+    let report = EndpointReport { basis, ..report(0, state) };
+    let orders = plan(&preset(1, content("a", 100, None)), &[report]);
+    let distrusts = orders.iter().any(|order| order.serve && order.distrusts_held);
+    assert_eq!(distrusts, basis == WeightsBasis::Unproved, "{orders:?}");
+}
--- a/crates/decide/tests/roster.rs
+++ b/crates/decide/tests/roster.rs
@@ -8,13 +8,14 @@
 use cassiawheel_decide::{EndpointRoster, EntryRoster, PeerEntry, advice::EntryCandidate};
 use cassiawheel_model::{
     EndpointReport, EndpointRole, EndpointState, FailureDomain, InstanceId, LoadReport,
-    PresetRevision, RegionName, ServiceName, Timestamp,
+    PresetRevision, RegionName, ServiceName, Timestamp, WeightsBasis,
 };
 use proptest::{
     prelude::*,
     test_runner::{Config, RngSeed},
 };
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
+use rstest::rstest;
 
 fn instance(index: u8) -> InstanceId {
     InstanceId::new(&format!("endpoint-{index}")).expect("a valid id")
@@ -44,6 +45,7 @@
         engine_fencing: 0,
         limit: 8,
         layers: None,
+        basis: Default::default(),
     }
 }
 
@@ -280,3 +282,31 @@
     roster.keep_only(|name| *name == instance(1), Timestamp(20));
     assert_eq!(names(&roster), [instance(1)]);
 }
+
+/// Guards against weights of a load that was cut short with the agent's process.
+#[rstest]
+#[case::while_switching(EndpointState::Switching, WeightsBasis::Loaded, true)]
+#[case::unproved(EndpointState::Empty, WeightsBasis::Unproved, true)]
+#[case::serving(EndpointState::Serving { version: None, generation: 1 }, WeightsBasis::Loaded, false)]
+#[case::waiting(EndpointState::Empty, WeightsBasis::Loaded, false)]
+fn adopted_weights_are_unproved_after_a_load_that_was_cut_short(
+    #[case] state: EndpointState,
+    #[case] basis: WeightsBasis,
+    #[case] is_unproved: bool,
+) {
+    let mut roster = EndpointRoster::default();
+    roster.apply_report(EndpointReport { state, basis, ..report(0, 1) }, Timestamp(1));
+    roster.set_attached(HashSet::new());
+    let remembered = roster.routing_reports().count();
+    assert_eq!(remembered, usize::from(is_unproved), "the agent is lost");
+
+    let adopted = EndpointReport { basis: WeightsBasis::Adopted, ..report(0, 2) };
+    for sequence in 1..3 {
+        roster.apply_report(EndpointReport { sequence, ..adopted.clone() }, Timestamp(2));
+        roster.set_attached([instance(0)].into());
+        let known = roster.member(&instance(0)).map(|member| member.report.is_unproved());
+        assert_eq!(known, Some(is_unproved));
+    }
+    roster.apply_report(EndpointReport { sequence: 3, ..report(0, 2) }, Timestamp(3));
+    assert!(roster.member(&instance(0)).is_some_and(|member| !member.report.is_unproved()));
+}
--- a/crates/decide/tests/verified_load.rs
+++ b/crates/decide/tests/verified_load.rs
@@ -49,6 +49,7 @@
     Trouble { pauses: false, corruption: false, lost_answers: false, restarts: false };
 
 struct Simulation {
+    seed: u64,
     rng: StdRng,
     trouble: Trouble,
     now: u64,
@@ -62,12 +63,15 @@
     accepted: usize,
     last_answer: OrderAnswer,
     proofs: LoadProofs,
+    /// Last report of the agent, as its entries remember it.
+    is_loading: bool,
     version: ModelVersion,
 }
 
 impl Simulation {
     fn new(seed: u64, trouble: Trouble) -> Self {
         Self {
+            seed,
             rng: StdRng::seed_from_u64(seed),
             trouble,
             now: 1_000,
@@ -79,6 +83,7 @@
             accepted: 0,
             last_answer: OrderAnswer::None,
             proofs: LoadProofs::default(),
+            is_loading: false,
             version: ModelVersion::new("m:2").expect("a valid name"),
         }
     }
@@ -172,12 +177,25 @@
         }
     }
 
-    /// Tries once to load the version.
+    /// Replaces the agent's process by one that knows what the entries remember.
+    fn restart_agent(&mut self) {
+        self.proofs = LoadProofs::default();
+        if self.is_loading {
+            self.proofs.distrust_held();
+        }
+    }
+
+    /// Tries once to load the version; none if the agent is killed or the order is not accepted.
     fn load(&mut self) -> Option<LoadEnd> {
+        self.is_loading = true;
         let chunks: Range<usize> = 0..CHUNKS;
         let mut load = VerifiedLoad::new(self.version.clone(), chunks);
         loop {
             self.pass(1);
+            if self.happens(self.trouble.restarts, 0.05) {
+                self.restart_agent();
+                return None;
+            }
             match load.step() {
                 LoadStep::ReadReport => {
                     let (may_hold, sequence) = (self.held.is_some(), Some(self.sequence));
@@ -214,12 +232,12 @@
     fn run(&mut self) -> u64 {
         loop {
             if self.happens(self.trouble.restarts, 0.1) {
-                self.proofs = LoadProofs::default();
+                self.restart_agent();
             }
             self.pass(1);
             let is_shown = self.proofs.may_serve(&self.version, Timestamp(self.now));
             if let Some(is_bad) = self.held.filter(|_| is_shown) {
-                assert!(!is_bad, "corrupt weights are served");
+                assert!(!is_bad, "corrupt weights are served, seed {}", self.seed);
                 return self.now;
             }
             self.repair_chunks();
--- a/crates/decide/tests/version_gap.rs
+++ b/crates/decide/tests/version_gap.rs
@@ -80,6 +80,7 @@
                 engine_fencing: 0,
                 limit: 8,
                 layers: None,
+                basis: Default::default(),
             },
             order: None,
             switch_ends_at: 0,
--- a/crates/edge/src/engine.rs
+++ b/crates/edge/src/engine.rs
@@ -145,6 +145,11 @@
     /// Reads version and load.
     fn status(&self) -> EdgeFuture<'_, Result<EngineStatus, EngineError>>;
 
+    /// Stops reporting weights that a former process has loaded, until they are loaded again.
+    ///
+    /// An engine that verifies its chunks itself holds no corrupt weights.
+    fn distrust_held(&self) {}
+
     /// Opens staging for `manifest`, keeping chunks staged before.
     fn open_staging<'a>(
         &'a self,
--- a/crates/entry/src/control/gossip.rs
+++ b/crates/entry/src/control/gossip.rs
@@ -320,7 +320,8 @@
     }
     let mut roster = shared.roster();
     let mut changed = false;
-    for report in reports {
+    for mut report in reports {
+        roster.check_basis(&mut report);
         let known = roster.member(&report.instance).map(|member| &member.report);
         let is_change = known.is_none_or(|known| !known.routes_alike(&report));
         changed |= roster.apply_report(report, now) && is_change;
--- a/crates/entry/src/control/orders.rs
+++ b/crates/entry/src/control/orders.rs
@@ -155,5 +155,6 @@
         origin: shared.origin_place(),
         layers: planned.layers,
         retired: planned.retired.clone(),
+        distrusts_held: planned.distrusts_held,
     }
 }
--- a/crates/entry/src/inner.rs
+++ b/crates/entry/src/inner.rs
@@ -205,10 +205,11 @@
 /// Rebuilding the routes takes time proportional to the number of endpoints, so a rebuild for each
 /// heartbeat would take quadratic time. Only a changed state needs one; the load is stored in
 /// counters that all snapshots share.
-fn handle_report(shared: &EntryShared, report: EndpointReport) {
+fn handle_report(shared: &EntryShared, mut report: EndpointReport) {
     let (load, limit) = (report.load, report.limit);
     let instance = report.instance.clone();
     let mut roster = shared.roster();
+    roster.check_basis(&mut report);
     let known = roster.member(&instance).map(|member| &member.report);
     let changed = known.is_none_or(|known| !known.routes_alike(&report));
     let published = shared.routed.is_some().then(|| report.clone());
--- a/crates/entry/src/routed.rs
+++ b/crates/entry/src/routed.rs
@@ -360,6 +360,9 @@
     report: Option<&EndpointReport>,
     layers: u32,
 ) -> Option<ModelVersion> {
+    if report.is_some_and(EndpointReport::is_unproved) {
+        return None;
+    }
     match report.map(|report| &report.state) {
         Some(EndpointState::Serving { version, .. }) => version.clone(),
         Some(EndpointState::Empty) => resumed_version(report?, layers).cloned(),
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -494,7 +494,7 @@
             return (services, ServicePaths::new());
         };
         let mut counters_by_agent = HashMap::new();
-        let reports = reports_by_endpoint(roster.members().map(|member| &member.report));
+        let reports = reports_by_endpoint(roster.routing_reports());
         let listing = routed.listing();
         let evacuations = routed.evacuations();
         let now = Timestamp::now();
--- a/crates/model/src/endpoint.rs
+++ b/crates/model/src/endpoint.rs
@@ -39,6 +39,26 @@
     Draining,
 }
 
+/// How an endpoint came to hold its weights.
+#[apply(label!)]
+#[derive(Default)]
+#[serde(rename_all = "kebab-case")]
+pub enum WeightsBasis {
+    /// The reporting process has loaded them.
+    #[default]
+    Loaded,
+    /// A former process has loaded them.
+    Adopted,
+    /// A load was begun, and is not known to have taken intact chunks.
+    Unproved,
+}
+
+impl WeightsBasis {
+    fn is_loaded(&self) -> bool {
+        *self == Self::Loaded
+    }
+}
+
 /// Load of an endpoint, as reported by its engine.
 #[apply(record!)]
 #[derive(Copy, Eq)]
@@ -95,6 +115,9 @@
     /// Layers that the engine has loaded, if it has loaded some but not all.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub layers: Option<LoadedLayers>,
+    /// How the endpoint came to hold its weights.
+    #[serde(default, skip_serializing_if = "WeightsBasis::is_loaded")]
+    pub basis: WeightsBasis,
 }
 
 impl EndpointReport {
@@ -105,7 +128,19 @@
 
     /// Whether requests are routed to the endpoint by this report as by `other`.
     pub fn routes_alike(&self, other: &Self) -> bool {
-        self.state == other.state && self.layers == other.layers
+        self.state == other.state
+            && self.layers == other.layers
+            && self.is_unproved() == other.is_unproved()
+    }
+
+    /// Whether the weights may be corrupt.
+    pub fn is_unproved(&self) -> bool {
+        self.basis == WeightsBasis::Unproved
+    }
+
+    /// Whether the process was loading weights when it sent this report.
+    pub fn is_loading(&self) -> bool {
+        self.state == EndpointState::Switching || self.is_unproved()
     }
 }
 
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -30,6 +30,7 @@
 
 pub use endpoint::{
     EndpointReport, EndpointRole, EndpointState, LoadReport, NamedLimit, StagedWeights,
+    WeightsBasis,
 };
 pub use evacuation::EvacuationOrder;
 pub use finding::{FindingList, InputFinding};
--- a/crates/testkit/src/samples.rs
+++ b/crates/testkit/src/samples.rs
@@ -41,6 +41,7 @@
         engine_fencing: (14_999 << 20) + 1,
         limit: 32,
         layers: None,
+        basis: Default::default(),
     };
     Ok(WireMessage::Control(ControlMessage::Report(Box::new(report))))
 }
--- a/crates/testkit/src/stand_in/layer_agent.rs
+++ b/crates/testkit/src/stand_in/layer_agent.rs
@@ -10,7 +10,7 @@
 
 use cassiawheel_model::{
     EndpointReport, EndpointRole, EndpointState, FailureDomain, InstanceId, LoadReport,
-    LoadedLayers, PresetRevision, RegionName, ServiceName, Timestamp,
+    LoadedLayers, PresetRevision, RegionName, ServiceName, Timestamp, WeightsBasis,
 };
 use cassiawheel_runtime::spawn;
 use cassiawheel_wire::{ControlMessage, HelloMessage, ProcessKind, WireSender, connect};
@@ -40,6 +40,8 @@
 #[derive(Debug, Clone)]
 struct AgentState {
     layers: Option<LoadedLayers>,
+    endpoint: EndpointState,
+    basis: WeightsBasis,
     is_silent: bool,
 }
 
@@ -53,7 +55,12 @@
 impl LayerAgent {
     /// Starts an agent whose engine has loaded `layers`.
     pub fn start(plan: &LayerPlan, layers: Option<LoadedLayers>) -> anyhow::Result<Self> {
-        let state = Arc::new(Mutex::new(AgentState { layers, is_silent: false }));
+        let state = Arc::new(Mutex::new(AgentState {
+            layers,
+            endpoint: EndpointState::Empty,
+            basis: WeightsBasis::Loaded,
+            is_silent: false,
+        }));
         let report = build_report(plan)?;
         let task = spawn(report_regularly(plan.clone(), report, state.clone()));
         Ok(Self { state, _task: task })
@@ -64,6 +71,13 @@
         lock(&self.state).layers = layers;
     }
 
+    /// Changes the state of the endpoint and how it came to hold its weights.
+    pub fn set_state(&self, endpoint: EndpointState, basis: WeightsBasis) {
+        let mut state = lock(&self.state);
+        state.endpoint = endpoint;
+        state.basis = basis;
+    }
+
     /// Stops or continues the reports; the connection stays open.
     pub fn set_silent(&self, is_silent: bool) {
         lock(&self.state).is_silent = is_silent;
@@ -95,6 +109,7 @@
         engine_fencing: 0,
         limit: 0,
         layers: None,
+        basis: Default::default(),
     })
 }
 
@@ -124,19 +139,22 @@
 }
 
 /// Reports over one connection until it ends. The first report is whole, and so is each one after
-/// a change of the layers; the others are loads.
+/// a change; the others are loads.
 async fn report_over(sender: &WireSender, report: &mut EndpointReport, state: &Mutex<AgentState>) {
     let mut is_known = false;
     loop {
-        let AgentState { layers, is_silent } = lock(state).clone();
+        let AgentState { layers, endpoint, basis, is_silent } = lock(state).clone();
+        let is_same = report.layers == layers && report.state == endpoint && report.basis == basis;
         let message = if is_silent {
             // Entries ignore it, but it keeps the connection open.
             ControlMessage::ReportWanted
-        } else if is_known && report.layers == layers {
+        } else if is_known && is_same {
             ControlMessage::Beat(idle())
         } else {
             report.sequence += 1;
             report.layers = layers;
+            report.state = endpoint;
+            report.basis = basis;
             report.load = idle();
             ControlMessage::Report(Box::new(report.clone()))
         };
--- a/crates/testkit/src/stand_in/peer.rs
+++ b/crates/testkit/src/stand_in/peer.rs
@@ -98,6 +98,7 @@
         engine_fencing: 0,
         limit: 0,
         layers: None,
+        basis: Default::default(),
     })
 }
 
--- a/crates/testkit/tests/layer_engine.rs
+++ b/crates/testkit/tests/layer_engine.rs
@@ -172,6 +172,31 @@
     });
 }
 
+/// Guards against corrupt weights that a restarted agent serves: the former process was killed
+/// between an order that was accepted late and its proof, maybe after it had repaired a chunk.
+#[rstest]
+fn a_restarted_agent_repeats_a_load_that_was_cut_short() {
+    run(async {
+        let (engine, killed, first) = staged_engine(CHUNKS).await?;
+        killed.load_weights(&load_order(&first)).await?;
+        let adapter = PlatformEngine::new(HttpClient::default(), engine.addr());
+        let adopted = adapter.status().await?.version;
+        anyhow::ensure!(adopted.as_ref() == Some(&first.version), "{adopted:?}");
+        adapter.distrust_held();
+        let status = adapter.status().await?;
+        anyhow::ensure!(status.version.is_none() && status.layers.is_none(), "{status:?}");
+
+        adapter.open_staging(&first).await?;
+        let answer = adapter.load_weights(&load_order(&first)).await;
+        anyhow::ensure!(matches!(answer, Err(EngineError::Unproved(_))), "{answer:?}");
+        adapter.load_weights(&load_order(&first)).await?;
+        let served = adapter.status().await?.version;
+        anyhow::ensure!(served.as_ref() == Some(&first.version), "{served:?}");
+        anyhow::ensure!(engine.state().orders.len() == 3, "{:?}", engine.state().orders);
+        Ok(())
+    });
+}
+
 /// Guards against an engine that drops the version it holds because an order for the next one, which
 /// it has not read yet, cannot be proved.
 #[rstest]
--- a/crates/testkit/tests/layer_paths.rs
+++ b/crates/testkit/tests/layer_paths.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use cassiawheel_edge::HttpClient;
-use cassiawheel_model::{LayerRange, LoadedLayers, ModelVersion};
+use cassiawheel_model::{EndpointState, LayerRange, LoadedLayers, ModelVersion, WeightsBasis};
 use cassiawheel_testkit::{
     PlatformSite, SiteCall,
     platform_site::{config, wait_until},
@@ -66,19 +66,29 @@
         for entry in &site.entries {
             site.wait_ready(entry, true).await?;
         }
-        let mut agents = Vec::new();
+        let mut this = Self { site, agents: Vec::new() };
         for index in 0..endpoints {
-            let plan = LayerPlan {
-                instance: format!("agent-{index}"),
-                entry: site.entries[0].control,
-                inner_key: "cassiawheel-on-the-platform",
-                service: "ledger",
-                place: ("north", "hall"),
-                endpoint: addr_of(&site, index)?,
-            };
-            agents.push(LayerAgent::start(&plan, half(index, 1))?);
+            let agent = this.start_agent(index, half(index, 1))?;
+            this.agents.push(agent);
         }
-        Ok(Self { site, agents })
+        Ok(this)
+    }
+
+    /// Starts a process of the agent beside an endpoint.
+    fn start_agent(
+        &self,
+        index: usize,
+        layers: Option<LoadedLayers>,
+    ) -> anyhow::Result<LayerAgent> {
+        let plan = LayerPlan {
+            instance: format!("agent-{index}"),
+            entry: self.site.entries[0].control,
+            inner_key: "cassiawheel-on-the-platform",
+            service: "ledger",
+            place: ("north", "hall"),
+            endpoint: addr_of(&self.site, index)?,
+        };
+        LayerAgent::start(&plan, layers)
     }
 
     /// Starts as many endpoints as give `paths` paths, and waits until both entries use them.
@@ -312,3 +322,36 @@
         paths.assert_unserved("whole").await
     });
 }
+
+/// Guards against corrupt weights of an endpoint whose agent was killed during a load: the platform
+/// lists their version, and the next process of the agent adopts it.
+#[test]
+fn weights_of_a_load_that_was_cut_short_serve_only_once_they_are_loaded_again() {
+    run(async {
+        let mut paths = PathSite::start(1, LAYERS).await?;
+        let mut row = paths.site.row_of(0);
+        row["models"] = json!([{ "name": "m", "version": 1 }]);
+        paths.site.rows.put("servers", "i-0", &row);
+        let agent = &paths.agents[0];
+        let version = Some(ModelVersion::new("m:1")?);
+        let serving = EndpointState::Serving { version, generation: 1 };
+        agent.set_layers(None);
+        agent.set_state(serving.clone(), WeightsBasis::Loaded);
+        Timer::after(LEARN_TIME).await;
+        paths.assert_served("before").await?;
+
+        agent.set_state(EndpointState::Switching, WeightsBasis::Unproved);
+        Timer::after(LEARN_TIME).await;
+        paths.agents.clear();
+        Timer::after(EXPIRY_TIME).await;
+        paths.assert_unserved("without-agent").await?;
+
+        let restarted = paths.start_agent(0, None)?;
+        restarted.set_state(serving.clone(), WeightsBasis::Adopted);
+        Timer::after(LEARN_TIME).await;
+        paths.assert_unserved("adopted").await?;
+        restarted.set_state(serving, WeightsBasis::Loaded);
+        Timer::after(LEARN_TIME).await;
+        paths.assert_served("loaded").await
+    });
+}
--- a/crates/wire/src/message/control.rs
+++ b/crates/wire/src/message/control.rs
@@ -167,6 +167,9 @@
     /// The version that the endpoint serves, if it may not answer any more.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub retired: Option<ModelVersion>,
+    /// Whether weights that a former process of the agent has loaded must be loaded again.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub distrusts_held: bool,
 }
 
 /// Address and location of an agent, for transfers of weights.
