A load that was cut short is remembered for as long as its engine is listed

Reports of an agent that is connected to no entry are dropped after a minute, and with them the knowledge that it was loading: a later process of the agent was trusted again, and without one the platform's list. Entries now keep such a report while the platform lists its engine's address. Test: a_lost_agent_is_remembered_during_a_load_while_its_engine_is_listed; the former keep_only dropped it in all four cases.

--- a/crates/decide/src/roster.rs
+++ b/crates/decide/src/roster.rs
@@ -5,7 +5,10 @@
 //! work. It applies to one incarnation: a process that later starts as the same instance is a
 //! regular member.
 
-use std::collections::{BTreeMap, HashSet};
+use std::{
+    collections::{BTreeMap, HashSet},
+    net::SocketAddr,
+};
 
 use cassiawheel_model::{
     EndpointReport, InstanceId, LoadReport, PresetRevision, Timestamp, WeightsBasis,
@@ -137,8 +140,19 @@
     }
 
     /// Keeps only the endpoints for which `is_known` is true, and drops expired leave notices.
-    pub fn keep_only(&mut self, is_known: impl Fn(&InstanceId) -> bool, now: Timestamp) {
-        self.members.retain(|instance, _| is_known(instance));
+    ///
+    /// A load that was cut short is remembered for as long as its engine `is_listed`.
+    pub fn keep_only(
+        &mut self,
+        is_known: impl Fn(&InstanceId) -> bool,
+        is_listed: impl Fn(SocketAddr) -> bool,
+        now: Timestamp,
+    ) {
+        self.members.retain(|instance, member| {
+            let is_cut_short = member.report.is_loading();
+            let may_run = || member.report.endpoint_addr.is_some_and(&is_listed);
+            is_known(instance) || is_cut_short && may_run()
+        });
         let members = &self.members;
         self.marks.expire(now, |instance| members.contains_key(instance));
     }
--- a/crates/decide/tests/roster.rs
+++ b/crates/decide/tests/roster.rs
@@ -279,7 +279,7 @@
     assert!(!roster.set_attached(HashSet::from([instance(0)])), "no change");
     assert!(roster.set_attached(HashSet::from([instance(0), instance(1)])));
     assert_eq!(names(&roster), [instance(0), instance(1)], "its report was kept");
-    roster.keep_only(|name| *name == instance(1), Timestamp(20));
+    roster.keep_only(|name| *name == instance(1), |_| false, Timestamp(20));
     assert_eq!(names(&roster), [instance(1)]);
 }
 
@@ -310,3 +310,18 @@
     roster.apply_report(EndpointReport { sequence: 3, ..report(0, 2) }, Timestamp(3));
     assert!(roster.member(&instance(0)).is_some_and(|member| !member.report.is_unproved()));
 }
+
+/// Guards against a load that was cut short and is forgotten while its engine still runs.
+#[rstest]
+fn a_lost_agent_is_remembered_during_a_load_while_its_engine_is_listed(
+    #[values(true, false)] is_loading: bool,
+    #[values(true, false)] is_listed: bool,
+) {
+    let mut roster = EndpointRoster::default();
+    let basis = if is_loading { WeightsBasis::Unproved } else { WeightsBasis::Loaded };
+    let last = EndpointReport { basis, endpoint_addr: Some(addr()), ..report(0, 1) };
+    roster.apply_report(last, Timestamp(1));
+    roster.set_attached(HashSet::new());
+    roster.keep_only(|_| false, |listed| is_listed && listed == addr(), Timestamp(200_000));
+    assert_eq!(roster.routing_reports().count() == 1, is_loading && is_listed);
+}
--- a/crates/entry/src/control/links.rs
+++ b/crates/entry/src/control/links.rs
@@ -1,14 +1,14 @@
 //! Overlay links to other entries: which links are kept, and the messages sent over them.
 
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::{BTreeMap, BTreeSet, HashSet},
     net::SocketAddr,
     sync::Arc,
     time::Duration,
 };
 
 use cassiawheel_decide::{EntryLocation, LinkId, links_to_dial};
-use cassiawheel_model::{Deadline, RegionName, Timestamp};
+use cassiawheel_model::{Deadline, InstanceId, RegionName, Timestamp};
 use cassiawheel_runtime::{spawn, timeout};
 use cassiawheel_wire::{
     ControlMessage, HelloMessage, ProcessKind, WireMessage, WireReceiver, WireSender, connect,
@@ -84,7 +84,9 @@
     limits::expire(routed, now);
     departures::expire(routed, now);
     shared.metrics.backed_off.set(shared.routes.load().backed_off(now) as i64);
-    shared.roster().keep_only(|instance| reported.contains(instance), now);
+    let listed: HashSet<_> = routed.listing().endpoints().map(|listed| listed.addr).collect();
+    let is_known = |instance: &InstanceId| reported.contains(instance);
+    shared.roster().keep_only(is_known, |addr| listed.contains(&addr), now);
 }
 
 impl LinkManager {
