A body that never fits into the account gets 413

A body of more than seven eighths of limits.buffer_mb was answered 503 with a time to come back, although there is never room for it. The largest body is now the smaller one of the configured limit and the account's; can_ever_hold, which nothing used, is replaced by it. The test failed before: 503 in place of 413.

--- a/crates/decide/src/byte_budget.rs
+++ b/crates/decide/src/byte_budget.rs
@@ -43,9 +43,9 @@
         ByteReservation { budget: self.clone(), bytes: 0 }
     }
 
-    /// Whether a body of `bytes` can be buffered while nothing else is.
-    pub fn can_ever_hold(&self, bytes: usize) -> bool {
-        bytes <= self.limit_for(bytes)
+    /// Largest body that can be buffered while nothing else is, in bytes.
+    pub fn largest_body(&self) -> usize {
+        self.limit_for(usize::MAX).max(self.limit.min(SMALL_BYTES))
     }
 
     fn limit_for(&self, bytes: usize) -> usize {
--- a/crates/decide/tests/byte_budget.rs
+++ b/crates/decide/tests/byte_budget.rs
@@ -57,6 +57,8 @@
 #[rstest]
 fn a_body_above_the_limit_never_fits() {
     let budget = ByteBudget::new(LIMIT);
-    assert!(budget.can_ever_hold(7 * LARGE));
-    assert!(!budget.can_ever_hold(LIMIT));
+    assert_eq!(budget.largest_body(), 7 * LARGE);
+    assert!(budget.begin().grow(7 * LARGE));
+    assert!(!budget.begin().grow(7 * LARGE + 1));
+    assert_eq!(ByteBudget::new(1_000).largest_body(), 1_000);
 }
--- a/crates/entry/src/caller/identify.rs
+++ b/crates/entry/src/caller/identify.rs
@@ -190,11 +190,12 @@
     let span = limit.min(head.deadline.remaining(Timestamp::now()).max(MIN_BODY_TIMEOUT));
     let mut reservation = shared.buffered.begin();
     let reserve = |bytes| reservation.grow(bytes);
-    let body = read_body_reserved(body, settings.max_body_bytes, span, reserve).await;
+    let most = settings.max_body_bytes.min(shared.buffered.largest_body());
+    let body = read_body_reserved(body, most, span, reserve).await;
     let body = body.map_err(|error| match error {
         BodyError::TooLong => BadRequest {
             status: StatusCode::PAYLOAD_TOO_LARGE,
-            message: format!("body: longer than {} bytes", settings.max_body_bytes),
+            message: format!("body: longer than {most} bytes"),
         },
         BodyError::Truncated => BadRequest::new("body", "ended early"),
         BodyError::TimedOut => BadRequest {
--- a/crates/entry/src/caller/routed.rs
+++ b/crates/entry/src/caller/routed.rs
@@ -214,7 +214,8 @@
         .min(head.deadline.remaining(Timestamp::now()));
     let mut reservation = shared.buffered.begin();
     let reserve = |bytes| reservation.grow(bytes);
-    let body = read_body_reserved(body, limits.body_bytes, span, reserve).await;
+    let most = limits.body_bytes.min(shared.buffered.largest_body());
+    let body = read_body_reserved(body, most, span, reserve).await;
     let body = body.map_err(|error| body_refusal(&head, error))?;
     Ok(IdentifiedRequest {
         head,
--- a/crates/testkit/tests/buffered_bodies.rs
+++ b/crates/testkit/tests/buffered_bodies.rs
@@ -89,3 +89,19 @@
         Ok(())
     });
 }
+
+/// Guards against a caller that is told to come back with a body for which there is never room.
+#[rstest]
+fn a_body_that_never_fits_is_too_long() {
+    run(async {
+        let mut site = PlatformSite::prepare(1).await?;
+        site.memory_mb = 3;
+        site.add_entry()?;
+        site.wait_ready(&site.entries[0], true).await?;
+        let mut stream = begin_large(&site, "never").await?;
+        let head = read_head(&mut stream, ANSWER_TIMEOUT).await?.unwrap_or_default();
+        anyhow::ensure!(head.starts_with("http/1.1 413"), "{head}");
+        anyhow::ensure!(site.runs_of("never") == 0);
+        Ok(())
+    });
+}
