Gossip: items of processes that are gone are not sent to new peers

Entries keep a record or report of a process that is gone for a minute, and sent it over each new link meanwhile. Such items and their messages add up over the life of a deployment, until there is no room for those of new endpoints.

An item is now marked while its process is gone, and a link that is opened meanwhile does not get it. If the process returns, only the links that have missed it get it, so a healed cut does not resend all reports everywhere.

--- a/crates/decide/src/gossip.rs
+++ b/crates/decide/src/gossip.rs
@@ -4,6 +4,9 @@
 //! up to which its peer is current. A new link thus receives the whole state and an existing one
 //! only changes, and no item is sent back over the link that delivered it.
 //!
+//! Items of processes that are gone are kept for a while, so that a late copy is recognised as old,
+//! and are not sent to new peers: one that has dropped such an item would take it for new.
+//!
 //! Where the peer probably has an item from another link, its version is offered instead, and the
 //! peer requests the item if it lacks it ([`crate::item_requests`]).
 
@@ -39,6 +42,8 @@
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct LinkCursor {
     state: u64,
+    /// Number of changes when the link was first used.
+    first: Option<u64>,
     loads: u64,
 }
 
@@ -76,6 +81,16 @@
     change: u64,
     sources: Vec<LinkId>,
     received_at: Timestamp,
+    /// Number of changes when the item's process was found to be gone.
+    gone_at: Option<u64>,
+    returned: Option<ReturnedItem>,
+}
+
+/// Changes between which the process of an item seemed to be gone.
+#[derive(Debug, Clone, Copy)]
+struct ReturnedItem {
+    gone_at: u64,
+    change: u64,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -96,7 +111,14 @@
 
 impl<T> StoredItem<T> {
     fn new(item: T, Arrival { change, source, now }: Arrival) -> Self {
-        Self { item, change, sources: source.into_iter().collect(), received_at: now }
+        Self {
+            item,
+            change,
+            sources: source.into_iter().collect(),
+            received_at: now,
+            gone_at: None,
+            returned: None,
+        }
     }
 
     /// Replaces the item if `item` is newer; the sender of an equal copy becomes another source.
@@ -120,8 +142,32 @@
         offered > known
     }
 
-    fn is_due(&self, cursor: u64, link: LinkId) -> bool {
-        self.change > cursor && !self.sources.contains(&link)
+    fn is_due(&self, cursor: LinkCursor, link: LinkId) -> bool {
+        // Links that are older than the absence have got the item before.
+        let was_skipped = self.returned.is_some_and(|returned| {
+            let is_later_link = cursor.first.is_some_and(|first| first >= returned.gone_at);
+            is_later_link && returned.change > cursor.state
+        });
+        let is_new = self.change > cursor.state || was_skipped;
+        is_new && self.gone_at.is_none() && !self.sources.contains(&link)
+    }
+
+    /// Records as change number `change` whether the item's process is present; true if that has
+    /// changed.
+    fn set_present(&mut self, is_present: bool, change: u64) -> bool {
+        match (self.gone_at, is_present) {
+            (None, true) | (Some(_), false) => false,
+            (None, false) => {
+                self.gone_at = Some(change);
+                true
+            }
+            (Some(gone_at), true) => {
+                let gone_at = self.returned.map_or(gone_at, |earlier| earlier.gone_at);
+                self.gone_at = None;
+                self.returned = Some(ReturnedItem { gone_at, change });
+                true
+            }
+        }
     }
 }
 
@@ -233,8 +279,8 @@
         if cursor.state == self.changes {
             return 0;
         }
-        let records = self.records.values().filter(|stored| stored.is_due(cursor.state, link));
-        let reports = self.reports.values().filter(|stored| stored.is_due(cursor.state, link));
+        let records = self.records.values().filter(|stored| stored.is_due(cursor, link));
+        let reports = self.reports.values().filter(|stored| stored.is_due(cursor, link));
         records.count() + reports.count()
     }
 
@@ -246,17 +292,18 @@
         link: LinkId,
         is_eager: impl Fn(&RegionName) -> bool,
     ) -> DueState {
-        let mut due = DueState { cursor, ..DueState::default() };
+        let first = cursor.first.or(Some(self.changes));
+        let mut due = DueState { cursor: LinkCursor { first, ..cursor }, ..DueState::default() };
         if cursor.state == self.changes {
             return due;
         }
-        for stored in self.records.values().filter(|stored| stored.is_due(cursor.state, link)) {
+        for stored in self.records.values().filter(|stored| stored.is_due(cursor, link)) {
             match is_eager(&stored.item.region) {
                 true => due.records.push(stored.item.clone()),
                 false => due.offers.push(record_version(&stored.item)),
             }
         }
-        for stored in self.reports.values().filter(|stored| stored.is_due(cursor.state, link)) {
+        for stored in self.reports.values().filter(|stored| stored.is_due(cursor, link)) {
             match is_eager(&stored.item.region) {
                 true => due.reports.push(stored.item.clone()),
                 false => due.offers.push(report_version(&stored.item)),
@@ -363,6 +410,12 @@
         self.record_changes += (records_before - self.records.len()) as u64;
         self.reports.retain(|name, stored| is_present(name) || !is_old(stored.received_at));
         self.loads.retain(|_, known| now.0.saturating_sub(known.measured_at.0) < MAX_LOAD_AGE_MS);
+        for (name, stored) in &mut self.records {
+            self.changes += u64::from(stored.set_present(is_present(name), self.changes + 1));
+        }
+        for (name, stored) in &mut self.reports {
+            self.changes += u64::from(stored.set_present(is_present(name), self.changes + 1));
+        }
         let (records, reports) = (&self.records, &self.reports);
         self.names.retain(|_, name| records.contains_key(name) || reports.contains_key(name));
     }
