Departures: the time since an endpoint was listed counts on across entries

Each entry kept a departure for ten minutes after it had got it. One that restarted got it from a neighbour with the full time, and sent it back to those that had dropped it meanwhile: with a restart among 3, 9 or 41 entries every 50 s, departures of an endpoint that is listed nowhere were still held after an hour (simulation). They would add up until the 16,384 places are taken and departures of other endpoints are not recorded any more.

A departure now carries the time since its sender had the endpoint in its list, and is kept for the rest of the ten minutes; an entry that lists the endpoint begins anew. Older builds leave the field out and pass over it.

--- a/crates/decide/src/departures.rs
+++ b/crates/decide/src/departures.rs
@@ -55,13 +55,19 @@
             Some(known) => departure.born_at > known.born_at,
             None => self.departures.len() < MAX_DEPARTURES,
         };
+        // The time counts on across entries: one that has dropped a departure would otherwise take
+        // it for new, and keep it as long again.
+        let unlisted_time = Duration::from_secs(u64::from(departure.unlisted_s));
+        let Some(time_left) = RETENTION_TIME.checked_sub(unlisted_time) else {
+            return false;
+        };
         if is_new {
             self.changes += 1;
             let known = KnownDeparture {
                 born_at: departure.born_at,
                 change: self.changes,
                 source,
-                keep_until: now.deadline_after(RETENTION_TIME),
+                keep_until: now.deadline_after(time_left),
             };
             self.departures.insert(departure.endpoint, known);
         }
@@ -69,7 +75,12 @@
     }
 
     /// Departures to send over `link`, and the change number up to which it is current afterwards.
-    pub fn departures_since(&self, cursor: u64, link: LinkId) -> (Vec<DepartureRecord>, u64) {
+    pub fn departures_since(
+        &self,
+        cursor: u64,
+        link: LinkId,
+        now: Timestamp,
+    ) -> (Vec<DepartureRecord>, u64) {
         if cursor == self.changes {
             return (Vec::new(), cursor);
         }
@@ -78,6 +89,8 @@
         let due = due.map(|(endpoint, known)| DepartureRecord {
             endpoint: *endpoint,
             born_at: known.born_at,
+            unlisted_s: RETENTION_TIME.saturating_sub(known.keep_until.remaining(now)).as_secs()
+                as u32,
         });
         (due.collect(), self.changes)
     }
--- a/crates/decide/tests/departures.rs
+++ b/crates/decide/tests/departures.rs
@@ -2,6 +2,7 @@
 
 use cassiawheel_decide::{DepartureTable, rank::subject_of};
 use cassiawheel_model::{DepartureRecord, InstanceId, Timestamp};
+use rand::{Rng, SeedableRng, rngs::StdRng};
 use rstest::rstest;
 
 const NOW: Timestamp = Timestamp(1_000_000);
@@ -12,7 +13,7 @@
 
 fn departure(born_at: Option<u64>) -> DepartureRecord {
     let endpoint = subject_of(instance().as_str());
-    DepartureRecord { endpoint, born_at: born_at.map(Timestamp) }
+    DepartureRecord { endpoint, born_at: born_at.map(Timestamp), unlisted_s: 0 }
 }
 
 /// Guards against a departure that an older statement takes back, or that outlives its process.
@@ -39,14 +40,14 @@
 fn every_link_gets_a_departure_once() {
     let mut table = DepartureTable::default();
     table.record(departure(None), Some(1), NOW);
-    let (to_source, cursor) = table.departures_since(0, 1);
+    let (to_source, cursor) = table.departures_since(0, 1, NOW);
     assert!(to_source.is_empty());
-    assert!(table.departures_since(cursor, 1).0.is_empty());
-    let (to_other, cursor) = table.departures_since(0, 2);
+    assert!(table.departures_since(cursor, 1, NOW).0.is_empty());
+    let (to_other, cursor) = table.departures_since(0, 2, NOW);
     assert_eq!(to_other, [departure(None)]);
-    assert!(table.departures_since(cursor, 2).0.is_empty());
+    assert!(table.departures_since(cursor, 2, NOW).0.is_empty());
     table.record(departure(Some(9)), Some(2), NOW);
-    assert_eq!(table.departures_since(cursor, 1).0, [departure(Some(9))], "a later process");
+    assert_eq!(table.departures_since(cursor, 1, NOW).0, [departure(Some(9))], "a later process");
 }
 
 /// Guards against a departure that lapses while its endpoint is listed, and against a table that
@@ -63,3 +64,30 @@
     table.expire(|_| false, hours(6));
     assert!(table.is_empty());
 }
+
+/// Guards against departures that entries send each other without end as some of them restart, until
+/// there is no room for those of other endpoints.
+#[rstest]
+fn a_departure_is_forgotten_by_all(#[values(3, 9, 41)] entries: usize) {
+    let mut rng = StdRng::seed_from_u64(entries as u64);
+    let mut tables: Vec<_> = (0..entries).map(|_| DepartureTable::default()).collect();
+    for table in &mut tables {
+        table.record(departure(None), None, NOW);
+    }
+    for second in 1..3_600 {
+        let now = Timestamp(NOW.0 + second * 1_000);
+        let (from, to) = (rng.random_range(0..entries), rng.random_range(0..entries));
+        let (sent, _) = tables[from].departures_since(0, second, now);
+        let link = second + 10_000;
+        sent.into_iter().for_each(|departure| {
+            tables[to].record(departure, Some(link), now);
+        });
+        if second % 50 == 0 {
+            tables[rng.random_range(0..entries)] = DepartureTable::default();
+        }
+        for table in &mut tables {
+            table.expire(|_| false, now);
+        }
+    }
+    assert!(tables.iter().all(DepartureTable::is_empty));
+}
--- a/crates/entry/src/control/gossip.rs
+++ b/crates/entry/src/control/gossip.rs
@@ -133,7 +133,7 @@
         let (evacuations, evacuation_cursor) =
             routed.evacuations().orders_since(link.evacuation_cursor, link.number);
         let (departures, departure_cursor) =
-            routed.departures.table().departures_since(link.departure_cursor, link.number);
+            routed.departures.table().departures_since(link.departure_cursor, link.number, now);
         max_items = max_items.max(records.len() + reports.len());
         if records.is_empty()
             && reports.is_empty()
--- a/crates/entry/src/departures.rs
+++ b/crates/entry/src/departures.rs
@@ -41,7 +41,8 @@
 
     /// Records that an answer of the endpoint states that it leaves.
     pub(crate) fn observe_answer(&self, instance: &InstanceId, born_at: Option<Timestamp>) {
-        let departure = DepartureRecord { endpoint: subject_of(instance.as_str()), born_at };
+        let departure =
+            DepartureRecord { endpoint: subject_of(instance.as_str()), born_at, unlisted_s: 0 };
         if self.table().record(departure, None, Timestamp::now()) {
             log::info!(target: "list", endpoint:% = instance, source = "answer"; "An endpoint leaves.");
             self.notify_change();
@@ -67,7 +68,7 @@
         let mut table = self.table();
         for listed in listing.endpoints().filter(|listed| listed.is_leaving) {
             let endpoint = subject_of(listed.instance.as_str());
-            let departure = DepartureRecord { endpoint, born_at: listed.born_at };
+            let departure = DepartureRecord { endpoint, born_at: listed.born_at, unlisted_s: 0 };
             if table.record(departure, None, now) {
                 let _ = self.waker.try_send(());
             }
--- a/crates/model/src/gossip.rs
+++ b/crates/model/src/gossip.rs
@@ -145,6 +145,13 @@
     /// Start time of the process, if the endpoint reports it.
     #[serde(default)]
     pub born_at: Option<Timestamp>,
+    /// Time since the sender last had the endpoint in its list, in seconds.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub unlisted_s: u32,
+}
+
+fn is_zero(value: &u32) -> bool {
+    *value == 0
 }
 
 /// A request that is not sent to any endpoint, as stored in a row of the table service.
