A load whose answer was lost is reported as loaded

Found by reading: where the engine reports layers, as the platform's does, an agent whose order was accepted without an answer adopts the version from the engine's status, and its report kept basis unproved. Entries would have left the endpoint out of service until its next load. The status shows such a version only while its check holds or once it is proved, so its report says loaded. Test: a_load_whose_answer_was_lost_is_reported_as_loaded; with layers it failed before (unproved for 15 s).

--- a/crates/agent/src/endpoint.rs
+++ b/crates/agent/src/endpoint.rs
@@ -164,6 +164,13 @@
         *self.basis.lock().unwrap_or_else(|poison| poison.into_inner()) = basis;
     }
 
+    /// Records that the engine reports the weights of a load, which it does only once it is proved.
+    pub(crate) fn confirm_load(&self) {
+        if self.basis() == WeightsBasis::Unproved {
+            self.set_basis(WeightsBasis::Loaded);
+        }
+    }
+
     /// Locks the last full report; none unless it was queued for every connected entry.
     pub(crate) fn last_report(&self) -> MutexGuard<'_, Option<SentReport>> {
         self.last_report.lock().unwrap_or_else(|poison| poison.into_inner())
--- a/crates/agent/src/orders.rs
+++ b/crates/agent/src/orders.rs
@@ -192,6 +192,7 @@
     let resumed = gate.begin_switch().and_then(|()| gate.commit_switch(Some(version.clone())));
     drop(gate);
     if resumed.is_ok() {
+        shared.confirm_load();
         layers::withdraw(shared);
         log::info!(target: "switch", version:% = version; "Adopted the version that the engine serves.");
     }
@@ -215,9 +216,7 @@
         shared.gate().begin_switch()?;
         layers::withdraw(shared);
         shared.gate().commit_switch(Some(order.version.clone()))?;
-        if shared.basis() == WeightsBasis::Unproved {
-            shared.set_basis(WeightsBasis::Loaded);
-        }
+        shared.confirm_load();
         report::send_report(shared);
     }
     if is_loaded && gate_serves(shared, order) {
--- a/crates/agent/tests/layers.rs
+++ b/crates/agent/tests/layers.rs
@@ -52,6 +52,8 @@
     whole: Option<ModelVersion>,
     layers: Option<LoadedLayers>,
     loads: Vec<ReceivedLoad>,
+    /// Whether a whole version is reported with its layers, as by the platform's engine.
+    reports_layers: bool,
     /// Whether what is held is not reported until the next load.
     is_distrusted: bool,
     /// Whether orders with a range are refused as unknown.
@@ -106,6 +108,9 @@
     fn status(&self) -> EdgeFuture<'_, Result<EngineStatus, EngineError>> {
         Box::pin(async {
             let inner = self.lock();
+            let whole = inner.whole.clone().filter(|_| inner.reports_layers);
+            let all_layers = LayerRange::new(0, LAYERS).expect("not empty");
+            let whole = whole.map(|version| LoadedLayers { version, range: all_layers });
             Ok(EngineStatus {
                 version: inner.whole.clone().filter(|_| !inner.is_distrusted),
                 manifest: None,
@@ -113,7 +118,7 @@
                 fencing: 0,
                 staged: Vec::new(),
                 load: LoadReport { in_flight: 0, queued: 0, measured_at: Timestamp::now() },
-                layers: inner.layers.clone(),
+                layers: inner.layers.clone().or(whole),
             })
         })
     }
@@ -652,3 +657,19 @@
         Ok(())
     });
 }
+
+/// Guards against an endpoint that is left out of service because the answer to its load was lost.
+#[rstest]
+fn a_load_whose_answer_was_lost_is_reported_as_loaded(#[values(false, true)] reports_layers: bool) {
+    run(async {
+        let engine = EngineInner { lost_answers: 1, reports_layers, ..EngineInner::default() };
+        let mut bench = Bench::start(engine).await?;
+        bench.order(&manifest(1)).await?;
+        bench.wait("the version", |bench| bench.serves(1)).await?;
+        bench
+            .wait("its basis", |bench| {
+                bench.last_report().is_some_and(|report| report.basis == WeightsBasis::Loaded)
+            })
+            .await
+    });
+}
