An order to distrust what is held has no effect at an engine that verifies its chunks

Found by reading: such an engine repeats no load, and the agent's reports would have said unproved until the next switch; entries plan for such an endpoint as for an empty one. distrust_held now says whether the load will be repeated. Test: an_engine_that_verifies_its_chunks_is_trusted, which failed before.

--- a/crates/agent/src/orders.rs
+++ b/crates/agent/src/orders.rs
@@ -62,9 +62,12 @@
         shared.origin.set_addr(origin.addr);
     }
     if order.distrusts_held && shared.basis() == WeightsBasis::Adopted {
-        log::warn!(target: "switch", version:% = order.version; "The former process ended during a load: what the engine holds is loaded again.");
-        shared.engine.distrust_held();
-        shared.set_basis(WeightsBasis::Unproved);
+        let is_repeated = shared.engine.distrust_held();
+        log::warn!(target: "switch", version:% = order.version, is_repeated = is_repeated; "The former process ended during a load.");
+        shared.set_basis(match is_repeated {
+            true => WeightsBasis::Unproved,
+            false => WeightsBasis::Loaded,
+        });
     }
     shared.layers.record_order(&order);
     *newest = Some(order);
--- a/crates/agent/tests/layers.rs
+++ b/crates/agent/tests/layers.rs
@@ -52,6 +52,8 @@
     whole: Option<ModelVersion>,
     layers: Option<LoadedLayers>,
     loads: Vec<ReceivedLoad>,
+    /// Whether it never holds corrupt weights.
+    verifies_chunks: bool,
     /// Whether a whole version is reported with its layers, as by the platform's engine.
     reports_layers: bool,
     /// Whether what is held is not reported until the next load.
@@ -123,8 +125,10 @@
         })
     }
 
-    fn distrust_held(&self) {
-        self.lock().is_distrusted = true;
+    fn distrust_held(&self) -> bool {
+        let mut inner = self.lock();
+        inner.is_distrusted = !inner.verifies_chunks;
+        inner.is_distrusted
     }
 
     fn open_staging<'a>(
@@ -673,3 +677,22 @@
             .await
     });
 }
+
+/// Guards against an endpoint that counts as unproved for ever, as its engine repeats no load.
+#[rstest]
+fn an_engine_that_verifies_its_chunks_is_trusted() {
+    run(async {
+        let whole = Some(version(1));
+        let engine = EngineInner { whole, verifies_chunks: true, ..EngineInner::default() };
+        let mut bench = Bench::start(engine).await?;
+        bench.wait("the adoption", |bench| bench.serves(1)).await?;
+        bench.send(WeightOrder { distrusts_held: true, ..whole_order(&manifest(1)) }).await?;
+        bench
+            .wait("its basis", |bench| {
+                bench.last_report().is_some_and(|report| report.basis == WeightsBasis::Loaded)
+            })
+            .await?;
+        anyhow::ensure!(bench.serves(1) && bench.engine.loads().is_empty());
+        Ok(())
+    });
+}
--- a/crates/edge/src/engine.rs
+++ b/crates/edge/src/engine.rs
@@ -145,10 +145,11 @@
     /// Reads version and load.
     fn status(&self) -> EdgeFuture<'_, Result<EngineStatus, EngineError>>;
 
-    /// Stops reporting weights that a former process has loaded, until they are loaded again.
-    ///
-    /// An engine that verifies its chunks itself holds no corrupt weights.
-    fn distrust_held(&self) {}
+    /// Stops reporting weights that a former process has loaded, until they are loaded again; false
+    /// if the engine verifies its chunks itself and holds no corrupt weights.
+    fn distrust_held(&self) -> bool {
+        false
+    }
 
     /// Opens staging for `manifest`, keeping chunks staged before.
     fn open_staging<'a>(
