--- a/crates/decide/src/gossip.rs
+++ b/crates/decide/src/gossip.rs
@@ -143,7 +143,7 @@
     }
 
     fn is_due(&self, cursor: LinkCursor, link: LinkId) -> bool {
-        // Links that are older than the absence have got the item before.
+        // Older links have received the item before its process seemed to be gone.
         let was_skipped = self.returned.is_some_and(|returned| {
             let is_later_link = cursor.first.is_some_and(|first| first >= returned.gone_at);
             is_later_link && returned.change > cursor.state
--- a/crates/decide/tests/gossip_retention.rs
+++ b/crates/decide/tests/gossip_retention.rs
@@ -102,7 +102,7 @@
 }
 
 /// Guards against reports of departed endpoints that entries send each other without end, until
-/// there is no room for those of new ones: who has dropped one takes it for new.
+/// there is no room for those of new ones.
 #[rstest]
 fn a_departed_endpoint_is_forgotten_by_all(#[values(3, 9, 41)] entries: usize) {
     let mut network = Network::new(entries);
--- a/crates/entry/src/control/manifest_cache.rs
+++ b/crates/entry/src/control/manifest_cache.rs
@@ -8,7 +8,7 @@
 
 use cassiawheel_model::{Deadline, ManifestDigest, Timestamp, WeightManifest};
 
-/// Maximum number of cached manifests, enough for the newest two versions of eight models.
+/// Maximum number of cached manifests.
 const MAX_CACHED: usize = 16;
 
 /// Time within which another entry is expected to send a manifest.
