Metric: messages that the full queue of a connection dropped, by kind

A dropped message was visible only where it was flooded, as a log line without its kind. The metric counts every one, so that a message without end can be told from a neighbour that does not read, and presets that were lost from other messages.

--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -50,6 +50,18 @@
     pub incarnation: u64,
 }
 
+impl WireMessage {
+    /// Name of the kind of message, as used in metrics.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Hello(_) => "hello",
+            Self::Control(message) => message.kind(),
+            Self::Request(_) => "request",
+            Self::Chunk(_) => "chunk",
+        }
+    }
+}
+
 impl From<HelloMessage> for WireMessage {
     fn from(message: HelloMessage) -> Self {
         Self::Hello(message)
--- a/crates/wire/src/message/control.rs
+++ b/crates/wire/src/message/control.rs
@@ -185,3 +185,34 @@
     /// Region of the agent.
     pub region: RegionName,
 }
+
+impl ControlMessage {
+    /// Name of the kind of message, as used in metrics.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Report(_) => "report",
+            Self::Beat(_) => "beat",
+            Self::ReportWanted => "report-wanted",
+            Self::LoadWanted { .. } => "load-wanted",
+            Self::Leaving { .. } => "leaving",
+            Self::Drain { .. } => "drain",
+            Self::Force(_) => "preset",
+            Self::EntryAlive { .. } => "entry-alive",
+            Self::EntryBeat { .. } => "entry-beat",
+            Self::Order(_) => "order",
+            Self::Peers(_) => "peers",
+            Self::PresetWanted => "preset-wanted",
+            Self::Named(_) => "version",
+            Self::Listing { .. } => "listing",
+            Self::ListingWanted => "listing-wanted",
+            Self::ManifestWanted { .. } => "manifest-wanted",
+            Self::Manifest(_) => "manifest",
+            Self::ManifestUnknown { .. } => "manifest-unknown",
+            Self::Entries(_) => "entries",
+            Self::EntriesWanted { .. } => "entries-wanted",
+            Self::Gossip(_) => "gossip",
+            Self::Flood(message) => message.content.kind(),
+            Self::Orders(_) => "orders",
+        }
+    }
+}
--- a/crates/wire/src/socket.rs
+++ b/crates/wire/src/socket.rs
@@ -96,7 +96,10 @@
     pub fn try_send(&self, message: impl Into<WireMessage>) -> Result<bool, WireError> {
         match self.queue.try_send(message.into()) {
             Ok(()) => Ok(true),
-            Err(TrySendError::Full(_)) => Ok(false),
+            Err(TrySendError::Full(message)) => {
+                TRAFFIC.count_dropped(&message);
+                Ok(false)
+            }
             Err(TrySendError::Closed(_)) => Err(WireError::Closed),
         }
     }
--- a/crates/wire/src/traffic.rs
+++ b/crates/wire/src/traffic.rs
@@ -1,18 +1,19 @@
-//! Counters of the bytes sent and received, by kind of message.
+//! Counters of the bytes sent and received, and of dropped messages, by kind of message.
 //!
 //! Control traffic has its own bandwidth limit, so it is counted separately from
 //! requests and weights.
 
 use std::sync::LazyLock;
 
-use prometheus::{IntCounter, Registry};
+use prometheus::{IntCounter, IntCounterVec, Opts, Registry};
 
 use crate::WireMessage;
 
-/// Counters of bytes by direction and kind of message.
+/// Counters of bytes by direction and of dropped messages, by kind of message.
 pub struct TrafficCounters {
     sent: ConversationCounters,
     received: ConversationCounters,
+    dropped: IntCounterVec,
 }
 
 struct ConversationCounters {
@@ -29,6 +30,7 @@
         Self {
             sent: ConversationCounters::new("sent"),
             received: ConversationCounters::new("received"),
+            dropped: dropped_counter(),
         }
     }
 
@@ -39,7 +41,7 @@
                 registry.register(Box::new(counter.clone()))?;
             }
         }
-        Ok(())
+        registry.register(Box::new(self.dropped.clone()))
     }
 
     /// Counts a sent message of `bytes`.
@@ -47,12 +49,25 @@
         self.sent.counter(message).inc_by(bytes as u64);
     }
 
+    /// Counts a message that was dropped because the queue of its connection was full.
+    pub(crate) fn count_dropped(&self, message: &WireMessage) {
+        self.dropped.with_label_values(&[message.kind()]).inc();
+    }
+
     /// Counts a received message of `bytes`.
     pub(crate) fn count_received(&self, message: &WireMessage, bytes: usize) {
         self.received.counter(message).inc_by(bytes as u64);
     }
 }
 
+fn dropped_counter() -> IntCounterVec {
+    let name = "cassiawheel_wire_dropped_messages_total";
+    let help = "Messages dropped because the queue of their connection was full, by kind";
+    // The name is constant and valid, so this cannot fail at run time.
+    IntCounterVec::new(Opts::new(name, help), &["kind"])
+        .unwrap_or_else(|error| unreachable!("invalid metric name: {error}"))
+}
+
 impl ConversationCounters {
     fn new(direction: &str) -> Self {
         let counter = |conversation: &str| {
