Presets, departures and lists have a lane of their own on each connection

Ruled out: processor time (broken with none charged as well).

Change: urgent messages (presets, departures, reports, lists, gossip) are written first and have slots of their own.

Test: an_urgent_message_overtakes_a_full_queue failed before in its three cases (the message was dropped).

--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -6,6 +6,7 @@
 //! direction.
 
 pub mod codec;
+mod lanes;
 pub mod message;
 pub mod socket;
 pub mod traffic;
--- a/crates/wire/src/socket.rs
+++ b/crates/wire/src/socket.rs
@@ -2,7 +2,10 @@
 //!
 //! [`connect`] and [`accept`] return a sender, which may be cloned and shared by
 //! tasks, and a receiver. A separate task writes the queued messages and flushes
-//! when the queue is empty, so that a burst of messages shares system calls.
+//! when the queues are empty, so that a burst of messages shares system calls.
+//!
+//! Messages queue in two lanes. Messages of the urgent lane are written first and have
+//! slots of their own, so that a burst of others neither delays nor displaces them.
 
 use std::{
     net::{IpAddr, SocketAddr},
@@ -15,10 +18,7 @@
     SinkExt, StreamExt,
     stream::{SplitSink, SplitStream},
 };
-use smol::{
-    channel::{Receiver, Sender, TrySendError, bounded},
-    net::TcpStream,
-};
+use smol::{channel::TrySendError, net::TcpStream};
 use subtle::ConstantTimeEq;
 use tokio_tungstenite::{
     WebSocketStream, accept_hdr_async_with_config, client_async_with_config,
@@ -34,15 +34,10 @@
 use crate::{
     WireMessage,
     codec::{MAX_MESSAGE_BYTES, decode, encode},
+    lanes::{LaneReceiver, LaneSender, message_lanes},
     traffic::TRAFFIC,
 };
 
-/// Capacity of the write queue; senders wait while it is full.
-///
-/// The slots are allocated with the connection, about 140 bytes each, and an agent may be
-/// connected to hundreds of others.
-const QUEUE_LENGTH: usize = 96;
-
 /// Size of the read buffer of each connection; an agent may be connected to hundreds of others.
 const READ_BUFFER_BYTES: usize = 16 << 10;
 
@@ -71,7 +66,7 @@
 /// Sending half of a connection; clones share the connection.
 #[derive(Debug, Clone)]
 pub struct WireSender {
-    queue: Sender<WireMessage>,
+    queue: LaneSender,
 }
 
 /// Receiving half of a connection.
@@ -82,15 +77,15 @@
 impl WireSender {
     /// Whether both send over the same connection.
     pub fn is_same(&self, other: &Self) -> bool {
-        self.queue.same_channel(&other.queue)
+        self.queue.is_same(&other.queue)
     }
 
-    /// Queues `message`; waits while the queue is full.
+    /// Queues `message`; waits while its lane is full.
     pub async fn send(&self, message: impl Into<WireMessage>) -> Result<(), WireError> {
         self.queue.send(message.into()).await.map_err(|_| WireError::Closed)
     }
 
-    /// Queues `message` without queued; returns `false` if the queue is full.
+    /// Queues `message` without waiting; returns `false` if its lane is full.
     ///
     /// Used for messages that are superseded by the next one, such as heartbeats.
     pub fn try_send(&self, message: impl Into<WireMessage>) -> Result<bool, WireError> {
@@ -106,7 +101,7 @@
 
     /// Whether both senders use the same connection.
     pub fn same_connection(&self, other: &Self) -> bool {
-        self.queue.same_channel(&other.queue)
+        self.queue.is_same(&other.queue)
     }
 
     /// Whether the connection is known to be closed.
@@ -202,13 +197,13 @@
 
 fn split(socket: Stream) -> (WireSender, WireReceiver) {
     let (sink, stream) = socket.split();
-    let (queue, queued) = bounded(QUEUE_LENGTH);
+    let (queue, queued) = message_lanes();
     spawn(write_queue(sink, queued)).detach();
     (WireSender { queue }, WireReceiver { stream })
 }
 
-async fn write_queue(mut sink: SplitSink<Stream, Message>, queued: Receiver<WireMessage>) {
-    while let Ok(message) = queued.recv().await {
+async fn write_queue(mut sink: SplitSink<Stream, Message>, queued: LaneReceiver) {
+    while let Some(message) = queued.recv().await {
         if write_burst(&mut sink, &queued, message).await.is_none() {
             break;
         }
@@ -220,7 +215,7 @@
 
 async fn write_burst(
     sink: &mut SplitSink<Stream, Message>,
-    queued: &Receiver<WireMessage>,
+    queued: &LaneReceiver,
     first: WireMessage,
 ) -> Option<()> {
     let mut next = Some(first);
@@ -230,7 +225,7 @@
         let bytes = encode(&message).ok()?;
         TRAFFIC.count_sent(&message, bytes.len());
         sink.feed(Message::Binary(bytes.into())).await.ok()?;
-        next = queued.try_recv().ok();
+        next = queued.try_recv();
     }
     sink.flush().await.ok()
 }
--- /dev/null
+++ b/crates/wire/tests/lanes.rs
@@ -0,0 +1,148 @@
+//! Urgent messages behind a full queue of others on the same connection.
+
+use std::time::Duration;
+
+use cassiawheel_model::{AgeSource, InstanceId, ModelVersion, TargetVersion};
+use cassiawheel_runtime::timeout;
+use cassiawheel_wire::{
+    ControlMessage, HelloMessage, ProcessKind, RequestMessage, WireMessage, WireReceiver,
+    WireSender, accept, connect,
+};
+use rstest::rstest;
+use smol::{Timer, net::TcpListener};
+
+/// Time in which the writer has filled the buffers of an unread connection.
+const FILL_TIME: Duration = Duration::from_millis(50);
+
+/// Longest wait for a message that is on its way.
+const RECEIVE_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Messages sent at most until the queue of an unread connection is full.
+const MAX_SENT: usize = 1_000;
+
+const KEY: &str = "key";
+
+fn run(test: impl Future<Output = ()>) {
+    cassiawheel_runtime::run(2, test).expect("the executor runs");
+}
+
+/// A connection whose messages go in one direction only.
+struct Connection {
+    sender: WireSender,
+    receiver: WireReceiver,
+    /// Halves of the unused direction, which would end with them.
+    _unused: (WireSender, WireReceiver),
+}
+
+async fn connection() -> Connection {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("binds");
+    let addr = listener.local_addr().expect("has an address");
+    let accepted = async {
+        let (stream, _) = listener.accept().await.expect("accepts");
+        accept(stream, KEY).await.expect("the key is right")
+    };
+    let (accepted, dialled) = smol::future::zip(accepted, connect(addr, KEY, None)).await;
+    let (sender, unused_receiver) = accepted;
+    let (unused_sender, receiver) = dialled.expect("connects");
+    Connection { sender, receiver, _unused: (unused_sender, unused_receiver) }
+}
+
+/// A message of the ordinary lane that is too large for many to fit into socket buffers.
+fn ordinary(number: u64) -> ControlMessage {
+    ControlMessage::Named(TargetVersion {
+        model: "m".repeat(100_000),
+        number,
+        version: ModelVersion::new("m:1").expect("a valid name"),
+        manifest: None,
+        age_ms: 0,
+        age_source: AgeSource::Observed,
+    })
+}
+
+fn hello() -> WireMessage {
+    let instance = InstanceId::new("entry-1").expect("a valid name");
+    HelloMessage { kind: ProcessKind::Entry, instance, incarnation: 1 }.into()
+}
+
+/// Sends ordinary messages until the unread connection takes no more; returns their number.
+async fn fill(sender: &WireSender) -> usize {
+    let mut sent = 0;
+    while sent < MAX_SENT {
+        if sender.try_send(ordinary(sent as u64)).expect("is open") {
+            sent += 1;
+            continue;
+        }
+        Timer::after(FILL_TIME).await;
+        if !sender.try_send(ordinary(sent as u64)).expect("is open") {
+            return sent;
+        }
+        sent += 1;
+    }
+    panic!("the queue is not bounded");
+}
+
+async fn receive(receiver: &mut WireReceiver) -> WireMessage {
+    let received = timeout(RECEIVE_TIMEOUT, receiver.recv()).await;
+    received.expect("arrives in time").expect("is open")
+}
+
+/// Guards against a preset, a departure or a list that is lost or late because other messages
+/// fill the queue of the connection.
+#[rstest]
+#[case::preset_request(ControlMessage::PresetWanted)]
+#[case::list_request(ControlMessage::ListingWanted)]
+#[case::departure(ControlMessage::Drain { instance: InstanceId::new("agent-1").expect("valid") })]
+fn an_urgent_message_overtakes_a_full_queue(#[case] urgent: ControlMessage) {
+    run(async {
+        let Connection { sender, mut receiver, _unused } = connection().await;
+        let queued = fill(&sender).await;
+        assert!(sender.try_send(urgent.clone()).expect("is open"), "{urgent:?} was dropped");
+        let mut before = 0;
+        while receive(&mut receiver).await != urgent.clone().into() {
+            before += 1;
+        }
+        // What the socket buffers hold cannot be overtaken.
+        assert!(before < queued / 2, "{before} of {queued} messages arrived before {urgent:?}");
+    });
+}
+
+/// Guards against messages of one conversation that overtake each other.
+#[test]
+fn messages_of_a_lane_keep_their_order() {
+    run(async {
+        let Connection { sender, mut receiver, _unused } = connection().await;
+        sender.send(hello()).await.expect("is open");
+        for attempt in 0..300 {
+            let data = RequestMessage::Data { attempt, bytes: vec![0; 10_000] };
+            let queue = async { sender.send(data).await.expect("is open") };
+            let check = async {
+                if attempt == 0 {
+                    assert_eq!(receive(&mut receiver).await, hello());
+                }
+                match receive(&mut receiver).await {
+                    WireMessage::Request(message) => assert_eq!(message.attempt(), attempt),
+                    other => panic!("{other:?} arrived"),
+                }
+            };
+            smol::future::zip(queue, check).await;
+        }
+    });
+}
+
+/// Guards against messages that are lost when the connection is closed after them.
+#[test]
+fn messages_of_both_lanes_are_written_before_the_connection_closes() {
+    run(async {
+        let Connection { sender, mut receiver, _unused } = connection().await;
+        for number in 0..10 {
+            assert!(sender.try_send(ordinary(number)).expect("is open"));
+            assert!(sender.try_send(ControlMessage::PresetWanted).expect("is open"));
+        }
+        sender.close();
+        for _ in 0..20 {
+            receive(&mut receiver).await;
+        }
+        let end = timeout(RECEIVE_TIMEOUT, receiver.recv()).await.expect("ends in time");
+        assert!(end.is_err(), "{end:?}");
+    });
+}
