A request for a preset that was not sent is not waited for

An entry that could not queue its request for a newer preset waited for the response all the same: 0.5 s within its region, then 1, 2 and 4 s from another, while a change must be in force after two. The result of sending was not looked at.

Test: a_request_that_was_not_sent_is_not_waited_for; with an empty discard_request the next request comes after 500 ms (near) and 1,000 ms (far).

--- a/crates/decide/src/preset_pull.rs
+++ b/crates/decide/src/preset_pull.rs
@@ -98,8 +98,13 @@
     Done,
     /// Call [`PresetPull::step`] again at this deadline or on a new announcement.
     Wait(Deadline),
-    /// Request the preset from this entry.
-    Request(H),
+    /// Request the preset from this entry; [`PresetPull::discard_request`] if it cannot be sent.
+    Request {
+        /// Handle of the entry.
+        handle: H,
+        /// Whether the entry is in the same region.
+        is_near: bool,
+    },
 }
 
 /// Pulls newer presets from other entries.
@@ -192,7 +197,18 @@
             true => self.near_request = request,
             false => self.far_request = request,
         }
-        PullStep::Request(handle)
+        PullStep::Request { handle, is_near }
+    }
+
+    /// Discards the last request, which could not be sent.
+    ///
+    /// No response to it will arrive, so the next step may send another without waiting for one.
+    pub fn discard_request(&mut self, is_near: bool) {
+        self.asked.pop();
+        match is_near {
+            true => self.near_request = None,
+            false => self.far_request = None,
+        }
     }
 
     /// Selects a random entry among those with the newest revision, preferably one that got
--- a/crates/decide/tests/preset_pull.rs
+++ b/crates/decide/tests/preset_pull.rs
@@ -147,7 +147,7 @@
             }
             PullRule::SingleRequest if self.is_running => match self.pull.step(view, |_| true, rng)
             {
-                PullStep::Request(sender) => Some(sender),
+                PullStep::Request { handle, .. } => Some(handle),
                 PullStep::Wait(_) | PullStep::Done => None,
             },
             PullRule::PeriodicRetry | PullRule::SingleRequest => None,
@@ -270,3 +270,35 @@
         assert!(single.last_ms <= APPLY_MS, "seed {seed}: {single:?}");
     }
 }
+
+/// Guards against an entry that waits for the response to a request which the full queue of a
+/// connection has dropped, up to four seconds while a change must be in force after two.
+#[rstest]
+#[case::near(true)]
+#[case::far(false)]
+fn a_request_that_was_not_sent_is_not_waited_for(#[case] is_near: bool) {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut pull = PresetPull::default();
+    for sender in 0..2 {
+        let peer =
+            PeerRevision { instance: instance(sender), revision: NEW, is_near, handle: sender };
+        pull.observe(peer, OLD, Timestamp(START));
+    }
+    let view =
+        |now| PullView { known: OLD, follows_rows: false, near_rank: 0, now: Timestamp(now) };
+    let mut request_after = |now: u64, pull: &mut PresetPull<usize>| {
+        let mut times = (now..now + LONGEST_MS).step_by(STEP_MS as usize);
+        times.find(|now| {
+            matches!(pull.step(view(*now), |_| true, &mut rng), PullStep::Request { .. })
+        })
+    };
+    let mut now = request_after(START, &mut pull).expect("a first request");
+    for _ in 0..10 {
+        pull.discard_request(is_near);
+        let next = request_after(now + STEP_MS, &mut pull).expect("a further request");
+        assert_eq!(next, now + STEP_MS);
+        now = next;
+    }
+    let next = request_after(now + STEP_MS, &mut pull).expect("a further request");
+    assert!(next > now + STEP_MS, "a request that was sent is repeated at once");
+}
--- a/crates/entry/src/control/pull.rs
+++ b/crates/entry/src/control/pull.rs
@@ -52,9 +52,13 @@
         let step = routed.pull().step(view, is_open, &mut rand::rng());
         match step {
             PullStep::Done => return,
-            PullStep::Request(sender) => {
-                log::info!(target: "preset", revision = view.known.0; "Requesting a newer preset from another entry.");
-                let _ = sender.try_send(ControlMessage::PresetWanted);
+            PullStep::Request { handle, is_near } => {
+                if let Ok(true) = handle.try_send(ControlMessage::PresetWanted) {
+                    log::info!(target: "preset", revision = view.known.0; "Requesting a newer preset from another entry.");
+                } else {
+                    routed.pull().discard_request(is_near);
+                    Timer::after(CHECK_INTERVAL).await;
+                }
             }
             PullStep::Wait(until) => {
                 Timer::after(until.remaining(now).min(CHECK_INTERVAL)).await;
