A list of entries that an agent's full queue dropped is sent again

Found by going through all messages that a full queue drops: entries sent their agents the list of entries when it changed, and recorded it as sent whether it was queued or not. An agent that missed one knew nothing of new entries until the list changed again.

Test: a_list_that_a_full_queue_dropped_is_sent_again failed with a record that ignores the result (0 lists in place of 1).

--- a/crates/entry/src/control/links.rs
+++ b/crates/entry/src/control/links.rs
@@ -7,7 +7,7 @@
     time::Duration,
 };
 
-use cassiawheel_decide::{EntryLocation, LinkId, links_to_dial};
+use cassiawheel_decide::{EntryLocation, LinkId, SentEntryLists, links_to_dial};
 use cassiawheel_model::{Deadline, InstanceId, RegionName, Timestamp};
 use cassiawheel_runtime::{spawn, timeout};
 use cassiawheel_wire::{
@@ -45,7 +45,7 @@
     dialling: BTreeMap<SocketAddr, Task<()>>,
     /// Links that are no longer chosen, with the time at which they are closed.
     surplus: BTreeMap<SocketAddr, Deadline>,
-    sent_lists: BTreeMap<RegionName, Vec<SocketAddr>>,
+    sent_lists: SentEntryLists,
 }
 
 /// Keeps the chosen links open; runs until the process ends.
@@ -135,11 +135,12 @@
         drop(state);
         for (region, link) in agents {
             let list = &lists[&region];
-            if self.sent_lists.get(&region) != Some(list) {
-                let _ = link.sender.try_send(ControlMessage::Entries(list.clone()));
+            if self.sent_lists.is_due(&link.instance, &region, list) {
+                let queued = link.sender.try_send(ControlMessage::Entries(list.clone()));
+                self.sent_lists.record(&link.instance, !matches!(queued, Ok(false)));
             }
         }
-        self.sent_lists = lists;
+        self.sent_lists.finish(lists, |agent| links.contains_key(agent));
     }
 }
 
