Ordinary messages on the way over a connection are limited

A lane of its own does not help a preset where the buffers of the system are full of other messages: of an unread loopback connection they held 4.0 MB that nothing overtakes, 27 s over a link of 1.2 Mbit/s.

Change: after 8 KB of ordinary control messages the writer sends a ping, and it pauses them while 16 KB are not confirmed. Requests and chunks do not count. Pings are answered by the library, also in processes of earlier builds. A connection queues the newest preset only, and heartbeats of entries do not overtake it. Entries warn of a full link at most once in 5 s; gauges show how many messages are queued.

--- a/crates/agent/src/entry_link.rs
+++ b/crates/agent/src/entry_link.rs
@@ -154,7 +154,7 @@
 fn set_load_schedule(shared: &EndpointShared, sender: &WireSender, every_ms: u64) {
     let schedule = LoadSchedule::every(every_ms, Timestamp::now());
     let mut entries = shared.entries();
-    for link in entries.iter_mut().filter(|link| link.sender.same_connection(sender)) {
+    for link in entries.iter_mut().filter(|link| link.sender.is_same(sender)) {
         link.schedule = schedule;
     }
 }
--- a/crates/entry/src/control/links.rs
+++ b/crates/entry/src/control/links.rs
@@ -8,7 +8,7 @@
 };
 
 use cassiawheel_decide::{EntryLocation, LinkId, SentEntryLists, links_to_dial};
-use cassiawheel_model::{Deadline, InstanceId, RegionName, Timestamp};
+use cassiawheel_model::{Deadline, InstanceId, Timestamp};
 use cassiawheel_runtime::{spawn, timeout};
 use cassiawheel_wire::{
     ControlMessage, HelloMessage, ProcessKind, WireMessage, WireReceiver, WireSender, connect,
--- a/crates/entry/src/control/peers.rs
+++ b/crates/entry/src/control/peers.rs
@@ -193,7 +193,7 @@
 /// Records the address of the entry at the other end of a connection.
 fn record_link_addr(shared: &EntryShared, sender: &WireSender, addr: SocketAddr) {
     let mut links = shared.peer_links();
-    if let Some(link) = links.iter_mut().find(|link| link.sender.same_connection(sender)) {
+    if let Some(link) = links.iter_mut().find(|link| link.sender.is_same(sender)) {
         link.addr = Some(addr);
     }
 }
--- a/crates/entry/src/overlay.rs
+++ b/crates/entry/src/overlay.rs
@@ -19,6 +19,9 @@
 /// Time for which an unreachable entry is not chosen for links.
 const AVOID_TIME: Duration = Duration::from_secs(3);
 
+/// Minimum interval between two warnings that the queue of a link is full.
+const WARN_INTERVAL: Duration = Duration::from_secs(5);
+
 /// Pause after the derivation of membership and routes, for each known process.
 const DERIVE_PAUSE: Duration = Duration::from_micros(150);
 
@@ -84,6 +87,8 @@
     pub(crate) departure_cursor: u64,
     /// Change number up to which demands were sent to the other end.
     pub(crate) demand_cursor: u64,
+    /// When it may be logged again that the queue is full.
+    warn_at: Deadline,
 }
 
 impl Default for Overlay {
@@ -149,9 +154,7 @@
     /// For messages that each receiver forwards itself if they are new to it.
     pub(crate) fn send_to_neighbours(&self, message: &ControlMessage, source: Option<&WireSender>) {
         let is_source = |sender: &WireSender| source.is_some_and(|source| source.is_same(sender));
-        for link in self.lock().links.iter().filter(|link| !is_source(&link.sender)) {
-            let _ = link.sender.try_send(message.clone());
-        }
+        self.lock().send_to_links(message, |link| !is_source(&link.sender));
     }
 
     /// Forwards a flooded message; false if it was seen before.
@@ -166,11 +169,23 @@
 }
 
 impl OverlayState {
-    fn send_flood(&self, message: &FloodMessage, source: Option<LinkId>) {
-        for link in self.links.iter().filter(|link| Some(link.number) != source) {
-            let message = ControlMessage::Flood(Box::new(message.clone()));
-            if let Ok(false) = link.sender.try_send(message) {
-                log::warn!(target: "overlay", entry:% = link.instance; "The queue of a link is full.");
+    fn send_flood(&mut self, message: &FloodMessage, source: Option<LinkId>) {
+        let message = ControlMessage::Flood(Box::new(message.clone()));
+        self.send_to_links(&message, |link| Some(link.number) != source);
+    }
+
+    /// Sends `message` over the links that `is_receiver` selects.
+    fn send_to_links(
+        &mut self,
+        message: &ControlMessage,
+        is_receiver: impl Fn(&OverlayLink) -> bool,
+    ) {
+        let now = Timestamp::now();
+        for link in self.links.iter_mut().filter(|link| is_receiver(link)) {
+            let is_full = matches!(link.sender.try_send(message.clone()), Ok(false));
+            if is_full && link.warn_at.is_past(now) {
+                link.warn_at = now.deadline_after(WARN_INTERVAL);
+                log::warn!(target: "overlay", entry:% = link.instance, kind = message.kind(); "The queue of a link is full.");
             }
         }
     }
@@ -205,6 +220,7 @@
             evacuation_cursor,
             departure_cursor,
             demand_cursor: 0,
+            warn_at: Deadline(0),
         };
         self.links.push(link);
         number
--- a/crates/wire/src/lanes.rs
+++ b/crates/wire/src/lanes.rs
@@ -1,11 +1,14 @@
-//! Write queue of a connection, with one lane for each urgency of messages.
+//! Write queue of a connection, with a lane for each urgency of messages.
+//!
+//! Presets are not queued one after another: the queue holds the newest one only, so that a
+//! connection that is slow or was stalled does not carry those that it replaces.
 
-use smol::{
-    channel::{Receiver, SendError, Sender, TrySendError, bounded},
-    future,
-};
+use std::sync::{Arc, Mutex, MutexGuard};
 
-use crate::{ControlMessage, WireMessage};
+use cassiawheel_model::ForcedPreset;
+use smol::channel::{Receiver, SendError, Sender, TrySendError, WeakSender, bounded};
+
+use crate::{ControlMessage, WireMessage, traffic::TRAFFIC, window::SendWindow};
 
 /// Capacity of the lane of ordinary messages.
 ///
@@ -16,35 +19,75 @@
 /// Capacity of the lane of urgent messages, of which only a few are due at a time.
 const URGENT_LENGTH: usize = 32;
 
-/// Lane in which a message is queued.
+/// Lane in which a message is queued, in the order in which lanes are written.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum MessageLane {
-    /// Written before ordinary messages: presets, departures and membership, which must take
+    /// Departures, reports, lists, gossip and requests for presets, which are small or must take
     /// effect within seconds.
     Urgent,
-    /// Written when no urgent message is queued.
+    /// The newest preset.
+    Preset,
+    /// All other messages; written while the window of the connection is open.
     Ordinary,
 }
 
 /// Sending half of a write queue; clones share the queue.
 #[derive(Debug, Clone)]
-pub(crate) struct LaneSender {
+pub struct LaneSender {
     urgent: Sender<WireMessage>,
     ordinary: Sender<WireMessage>,
+    preset: Arc<PresetSlot>,
+    window: Arc<SendWindow>,
+    /// Holds an item while a message may be due.
+    queued: Sender<()>,
 }
 
 /// Receiving half of a write queue.
-pub(crate) struct LaneReceiver {
+pub struct LaneReceiver {
     urgent: Receiver<WireMessage>,
     ordinary: Receiver<WireMessage>,
+    preset: Arc<PresetSlot>,
+    window: Arc<SendWindow>,
+    queued: Receiver<()>,
+}
+
+/// Confirms to a write queue that the other end has read what was sent before a ping.
+#[derive(Debug)]
+pub struct LaneConfirmer {
+    window: Arc<SendWindow>,
+    queued: WeakSender<()>,
+}
+
+/// What is written next.
+#[derive(Debug, PartialEq)]
+pub enum WriteItem {
+    /// A message.
+    Message(WireMessage),
+    /// A ping, whose answer [`LaneConfirmer::confirm`] records.
+    Ping,
+}
+
+/// The newest preset that is due on a connection.
+#[derive(Debug, Default)]
+struct PresetSlot {
+    newest: Mutex<Option<Arc<ForcedPreset>>>,
 }
 
 /// Creates an empty write queue.
-pub(crate) fn message_lanes() -> (LaneSender, LaneReceiver) {
-    let (urgent_sender, urgent) = bounded(URGENT_LENGTH);
-    let (ordinary_sender, ordinary) = bounded(ORDINARY_LENGTH);
-    let sender = LaneSender { urgent: urgent_sender, ordinary: ordinary_sender };
-    (sender, LaneReceiver { urgent, ordinary })
+pub fn message_lanes() -> (LaneSender, LaneReceiver) {
+    let (urgent, urgent_receiver) = bounded(URGENT_LENGTH);
+    let (ordinary, ordinary_receiver) = bounded(ORDINARY_LENGTH);
+    let (queued, queued_receiver) = bounded(1);
+    let (preset, window) = (Arc::<PresetSlot>::default(), Arc::<SendWindow>::default());
+    let receiver = LaneReceiver {
+        urgent: urgent_receiver,
+        ordinary: ordinary_receiver,
+        preset: preset.clone(),
+        window: window.clone(),
+        queued: queued_receiver,
+    };
+    let sender = LaneSender { urgent, ordinary, preset, window, queued };
+    (sender, receiver)
 }
 
 impl WireMessage {
@@ -56,12 +99,22 @@
             Self::Request(_) | Self::Chunk(_) => MessageLane::Ordinary,
         }
     }
+
+    /// Whether the message counts for the window of its connection.
+    pub(crate) fn is_windowed(&self) -> bool {
+        match self {
+            Self::Control(message) => message.lane() == MessageLane::Ordinary,
+            Self::Hello(_) | Self::Request(_) | Self::Chunk(_) => false,
+        }
+    }
 }
 
 impl ControlMessage {
     /// Lane in which the message is queued.
     ///
-    /// A version is sent before its manifest is needed, so both are in the same lane.
+    /// Heartbeats of entries do not overtake the preset that was sent before them: a process that
+    /// starts takes the first one as the end of the initial state. Manifests do not follow the
+    /// versions that name them, so both are in the same lane.
     fn lane(&self) -> MessageLane {
         match self {
             Self::Report(_)
@@ -69,14 +122,14 @@
             | Self::ReportWanted
             | Self::Leaving { .. }
             | Self::Drain { .. }
-            | Self::Force(_)
-            | Self::EntryAlive { .. }
-            | Self::EntryBeat { .. }
             | Self::PresetWanted
             | Self::Listing { .. }
             | Self::ListingWanted
             | Self::Gossip(_) => MessageLane::Urgent,
-            Self::LoadWanted { .. }
+            Self::Force(_) => MessageLane::Preset,
+            Self::EntryAlive { .. }
+            | Self::EntryBeat { .. }
+            | Self::LoadWanted { .. }
             | Self::Order(_)
             | Self::Orders(_)
             | Self::Peers(_)
@@ -93,68 +146,160 @@
 
 impl LaneSender {
     /// Queues `message`; waits while its lane is full.
-    pub(crate) async fn send(&self, message: WireMessage) -> Result<(), SendError<WireMessage>> {
-        self.lane(&message).send(message).await
+    pub async fn send(&self, message: WireMessage) -> Result<(), SendError<WireMessage>> {
+        let lane = message.lane();
+        match self.lane(lane) {
+            Some(queue) => queue.send(message).await?,
+            None => self.replace_preset(message).map_err(SendError)?,
+        }
+        self.notify(lane);
+        Ok(())
     }
 
     /// Queues `message` if its lane has room.
-    pub(crate) fn try_send(&self, message: WireMessage) -> Result<(), TrySendError<WireMessage>> {
-        self.lane(&message).try_send(message)
+    pub fn try_send(&self, message: WireMessage) -> Result<(), TrySendError<WireMessage>> {
+        let lane = message.lane();
+        match self.lane(lane) {
+            Some(queue) => queue.try_send(message)?,
+            None => self.replace_preset(message).map_err(TrySendError::Closed)?,
+        }
+        self.notify(lane);
+        Ok(())
     }
 
     /// Whether both send to the same queue.
-    pub(crate) fn is_same(&self, other: &Self) -> bool {
+    pub fn is_same(&self, other: &Self) -> bool {
         self.ordinary.same_channel(&other.ordinary)
     }
 
     /// Whether the queue is closed.
-    pub(crate) fn is_closed(&self) -> bool {
-        self.ordinary.is_closed()
+    pub fn is_closed(&self) -> bool {
+        self.queued.is_closed()
     }
 
     /// Closes the queue; messages in it can still be received.
-    pub(crate) fn close(&self) {
+    pub fn close(&self) {
         self.urgent.close();
         self.ordinary.close();
+        // The other end may be about to close the connection and answer no ping.
+        self.window.remove_limit();
+        self.queued.close();
+    }
+
+    /// Returns the confirmer of this queue, which does not keep it open.
+    pub fn confirmer(&self) -> LaneConfirmer {
+        LaneConfirmer { window: self.window.clone(), queued: self.queued.downgrade() }
     }
 
-    fn lane(&self, message: &WireMessage) -> &Sender<WireMessage> {
-        match message.lane() {
-            MessageLane::Urgent => &self.urgent,
-            MessageLane::Ordinary => &self.ordinary,
+    /// Queue of a lane; `None` for presets, which are not queued one after another.
+    fn lane(&self, lane: MessageLane) -> Option<&Sender<WireMessage>> {
+        match lane {
+            MessageLane::Urgent => Some(&self.urgent),
+            MessageLane::Preset => None,
+            MessageLane::Ordinary => Some(&self.ordinary),
         }
     }
+
+    /// Makes the preset in `message` the one to be sent if it is the newest.
+    fn replace_preset(&self, message: WireMessage) -> Result<(), WireMessage> {
+        if self.is_closed() {
+            return Err(message);
+        }
+        if let WireMessage::Control(ControlMessage::Force(preset)) = message {
+            self.preset.replace(preset);
+        }
+        Ok(())
+    }
+
+    /// Wakes the receiver after a message was added to `lane`.
+    fn notify(&self, lane: MessageLane) {
+        TRAFFIC.add_queued(lane, 1);
+        // If an item is held already, the receiver is about to look for messages.
+        let _ = self.queued.try_send(());
+    }
 }
 
 impl LaneReceiver {
-    /// Receives the next message, urgent ones first; `None` once the queue is closed and empty.
-    pub(crate) async fn recv(&self) -> Option<WireMessage> {
-        future::or(
-            receive_until_closed(&self.urgent, &self.ordinary),
-            receive_until_closed(&self.ordinary, &self.urgent),
-        )
-        .await
+    /// Receives what is written next, urgent messages first; `None` once the queue is closed and
+    /// empty.
+    pub async fn recv(&self) -> Option<WriteItem> {
+        loop {
+            if let Some(item) = self.try_recv() {
+                return Some(item);
+            }
+            if self.queued.recv().await.is_err() {
+                self.window.remove_limit();
+                return self.try_recv();
+            }
+        }
+    }
+
+    /// Receives what is written next, urgent messages first, if anything is due.
+    pub fn try_recv(&self) -> Option<WriteItem> {
+        if self.window.take_ping() {
+            return Some(WriteItem::Ping);
+        }
+        let urgent = self.urgent.try_recv().ok();
+        let preset = || Some(ControlMessage::Force(self.preset.take()?).into());
+        let ordinary = || self.window.is_open().then(|| self.ordinary.try_recv().ok()).flatten();
+        urgent.or_else(preset).or_else(ordinary).map(WriteItem::Message)
     }
 
-    /// Receives the next message, urgent ones first, if one is queued.
-    pub(crate) fn try_recv(&self) -> Option<WireMessage> {
-        self.urgent.try_recv().or_else(|_| self.ordinary.try_recv()).ok()
+    /// Records that `message` was written with `bytes`.
+    pub fn record_sent(&self, message: &WireMessage, bytes: usize) {
+        self.window.record_sent(message, bytes);
     }
 
     /// Closes the queue.
-    pub(crate) fn close(&self) {
+    pub fn close(&self) {
         self.urgent.close();
         self.ordinary.close();
+        self.queued.close();
+    }
+}
+
+impl Drop for LaneReceiver {
+    fn drop(&mut self) {
+        self.close();
+        TRAFFIC.add_queued(MessageLane::Urgent, -(self.urgent.len() as i64));
+        TRAFFIC.add_queued(MessageLane::Ordinary, -(self.ordinary.len() as i64));
+    }
+}
+
+impl LaneConfirmer {
+    /// Records that the other end has answered the last ping.
+    pub fn confirm(&self) {
+        self.window.confirm();
+        self.notify();
+    }
+
+    fn notify(&self) {
+        if let Some(queued) = self.queued.upgrade() {
+            let _ = queued.try_send(());
+        }
+    }
+}
+
+impl Drop for LaneConfirmer {
+    fn drop(&mut self) {
+        self.window.remove_limit();
+        self.notify();
     }
 }
 
-/// Receives from `first`, or from `second` once `first` is closed and empty.
-async fn receive_until_closed(
-    first: &Receiver<WireMessage>,
-    second: &Receiver<WireMessage>,
-) -> Option<WireMessage> {
-    match first.recv().await {
-        Ok(message) => Some(message),
-        Err(_) => second.recv().await.ok(),
+impl PresetSlot {
+    fn replace(&self, preset: Arc<ForcedPreset>) {
+        let mut newest = self.lock();
+        if newest.as_ref().is_none_or(|held| held.revision < preset.revision) {
+            *newest = Some(preset);
+        }
+    }
+
+    fn take(&self) -> Option<Arc<ForcedPreset>> {
+        self.lock().take()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Option<Arc<ForcedPreset>>> {
+        self.newest.lock().unwrap_or_else(|poison| poison.into_inner())
     }
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -6,10 +6,11 @@
 //! direction.
 
 pub mod codec;
-mod lanes;
+pub mod lanes;
 pub mod message;
 pub mod socket;
 pub mod traffic;
+mod window;
 
 pub use codec::CodecError;
 pub use message::{
--- a/crates/wire/src/socket.rs
+++ b/crates/wire/src/socket.rs
@@ -4,8 +4,8 @@
 //! tasks, and a receiver. A separate task writes the queued messages and flushes
 //! when the queues are empty, so that a burst of messages shares system calls.
 //!
-//! Messages queue in two lanes. Messages of the urgent lane are written first and have
-//! slots of their own, so that a burst of others neither delays nor displaces them.
+//! Urgent messages and presets are queued apart from all others and written first, so that
+//! a burst of others neither delays nor displaces them.
 
 use std::{
     net::{IpAddr, SocketAddr},
@@ -13,6 +13,7 @@
 };
 
 use async_compat::{Compat, CompatExt};
+use bytes::Bytes;
 use cassiawheel_runtime::{dial, spawn, timeout};
 use futures_util::{
     SinkExt, StreamExt,
@@ -34,7 +35,7 @@
 use crate::{
     WireMessage,
     codec::{MAX_MESSAGE_BYTES, decode, encode},
-    lanes::{LaneReceiver, LaneSender, message_lanes},
+    lanes::{LaneConfirmer, LaneReceiver, LaneSender, WriteItem, message_lanes},
     traffic::TRAFFIC,
 };
 
@@ -72,6 +73,7 @@
 /// Receiving half of a connection.
 pub struct WireReceiver {
     stream: SplitStream<Stream>,
+    confirmer: LaneConfirmer,
 }
 
 impl WireSender {
@@ -99,11 +101,6 @@
         }
     }
 
-    /// Whether both senders use the same connection.
-    pub fn same_connection(&self, other: &Self) -> bool {
-        self.queue.is_same(&other.queue)
-    }
-
     /// Whether the connection is known to be closed.
     pub fn is_closed(&self) -> bool {
         self.queue.is_closed()
@@ -132,7 +129,9 @@
                     return Err(WireError::Frame("unexpected text frame".to_owned()));
                 }
                 Message::Close(_) => return Err(WireError::Closed),
-                Message::Ping(_) | Message::Pong(_) | Message::Frame(_) => {}
+                Message::Pong(_) => self.confirmer.confirm(),
+                // The library answers pings.
+                Message::Ping(_) | Message::Frame(_) => {}
             }
         }
     }
@@ -198,13 +197,14 @@
 fn split(socket: Stream) -> (WireSender, WireReceiver) {
     let (sink, stream) = socket.split();
     let (queue, queued) = message_lanes();
+    let confirmer = queue.confirmer();
     spawn(write_queue(sink, queued)).detach();
-    (WireSender { queue }, WireReceiver { stream })
+    (WireSender { queue }, WireReceiver { stream, confirmer })
 }
 
 async fn write_queue(mut sink: SplitSink<Stream, Message>, queued: LaneReceiver) {
-    while let Some(message) = queued.recv().await {
-        if write_burst(&mut sink, &queued, message).await.is_none() {
+    while let Some(item) = queued.recv().await {
+        if write_burst(&mut sink, &queued, item).await.is_none() {
             break;
         }
     }
@@ -216,15 +216,22 @@
 async fn write_burst(
     sink: &mut SplitSink<Stream, Message>,
     queued: &LaneReceiver,
-    first: WireMessage,
+    first: WriteItem,
 ) -> Option<()> {
     let mut next = Some(first);
-    while let Some(message) = next {
-        // If the message were skipped, its receiver would wait for it indefinitely, so an encoding
-        // error closes the connection instead.
-        let bytes = encode(&message).ok()?;
-        TRAFFIC.count_sent(&message, bytes.len());
-        sink.feed(Message::Binary(bytes.into())).await.ok()?;
+    while let Some(item) = next {
+        let frame = match item {
+            WriteItem::Message(message) => {
+                // If the message were skipped, its receiver would wait for it indefinitely, so an
+                // encoding error closes the connection instead.
+                let bytes = encode(&message).ok()?;
+                TRAFFIC.count_sent(&message, bytes.len());
+                queued.record_sent(&message, bytes.len());
+                Message::Binary(bytes.into())
+            }
+            WriteItem::Ping => Message::Ping(Bytes::new()),
+        };
+        sink.feed(frame).await.ok()?;
         next = queued.try_recv();
     }
     sink.flush().await.ok()
--- a/crates/wire/src/traffic.rs
+++ b/crates/wire/src/traffic.rs
@@ -1,19 +1,26 @@
-//! Counters of the bytes sent and received, and of dropped messages, by kind of message.
+//! Counters of the bytes sent and received, and of queued and dropped messages.
 //!
 //! Control traffic has its own bandwidth limit, so it is counted separately from
 //! requests and weights.
 
 use std::sync::LazyLock;
 
-use prometheus::{IntCounter, IntCounterVec, Opts, Registry};
+use prometheus::{IntCounter, IntCounterVec, IntGauge, Opts, Registry};
 
-use crate::WireMessage;
+use crate::{WireMessage, lanes::MessageLane};
 
 /// Counters of bytes by direction and of dropped messages, by kind of message.
 pub struct TrafficCounters {
     sent: ConversationCounters,
     received: ConversationCounters,
     dropped: IntCounterVec,
+    queued: LaneGauges,
+}
+
+/// Gauges of the messages queued on all connections.
+struct LaneGauges {
+    urgent: IntGauge,
+    ordinary: IntGauge,
 }
 
 struct ConversationCounters {
@@ -31,6 +38,7 @@
             sent: ConversationCounters::new("sent"),
             received: ConversationCounters::new("received"),
             dropped: dropped_counter(),
+            queued: LaneGauges::new(),
         }
     }
 
@@ -41,9 +49,21 @@
                 registry.register(Box::new(counter.clone()))?;
             }
         }
+        registry.register(Box::new(self.queued.urgent.clone()))?;
+        registry.register(Box::new(self.queued.ordinary.clone()))?;
         registry.register(Box::new(self.dropped.clone()))
     }
 
+    /// Changes the number of messages queued in `lane` by `count`.
+    pub(crate) fn add_queued(&self, lane: MessageLane, count: i64) {
+        match lane {
+            MessageLane::Urgent => self.queued.urgent.add(count),
+            MessageLane::Ordinary => self.queued.ordinary.add(count),
+            // A connection has one at most.
+            MessageLane::Preset => {}
+        }
+    }
+
     /// Counts a sent message of `bytes`.
     pub(crate) fn count_sent(&self, message: &WireMessage, bytes: usize) {
         self.sent.counter(message).inc_by(bytes as u64);
@@ -68,6 +88,19 @@
         .unwrap_or_else(|error| unreachable!("invalid metric name: {error}"))
 }
 
+impl LaneGauges {
+    fn new() -> Self {
+        let gauge = |lane: &str| {
+            let name = format!("cassiawheel_wire_queued_{lane}_messages");
+            let help = format!("Messages in the {lane} lanes of all connections");
+            // The names are constant and valid, so this cannot fail at run time.
+            IntGauge::new(name, help)
+                .unwrap_or_else(|error| unreachable!("invalid metric name: {error}"))
+        };
+        Self { urgent: gauge("urgent"), ordinary: gauge("ordinary") }
+    }
+}
+
 impl ConversationCounters {
     fn new(direction: &str) -> Self {
         let counter = |conversation: &str| {
--- a/crates/wire/tests/lanes.rs
+++ b/crates/wire/tests/lanes.rs
@@ -1,9 +1,12 @@
 //! Urgent messages behind a full queue of others on the same connection.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
-use cassiawheel_model::{AgeSource, InstanceId, ModelVersion, TargetVersion};
-use cassiawheel_runtime::timeout;
+use cassiawheel_model::{
+    AgeSource, ChangeId, ForcedPreset, InstanceId, ModelVersion, OperatorName, PresetContent,
+    PresetName, PresetRevision, TargetVersion, Timestamp,
+};
+use cassiawheel_runtime::{spawn, timeout};
 use cassiawheel_wire::{
     ControlMessage, HelloMessage, ProcessKind, RequestMessage, WireMessage, WireReceiver,
     WireSender, accept, connect,
@@ -17,6 +20,9 @@
 /// Longest wait for a message that is on its way.
 const RECEIVE_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Bytes that a narrow link of 1.2 Mbit/s transmits in 200 ms.
+const MAX_ON_THE_WAY: usize = 30_000;
+
 /// Messages sent at most until the queue of an unread connection is full.
 const MAX_SENT: usize = 1_000;
 
@@ -31,7 +37,7 @@
     sender: WireSender,
     receiver: WireReceiver,
     /// Halves of the unused direction, which would end with them.
-    _unused: (WireSender, WireReceiver),
+    unused: (WireSender, WireReceiver),
 }
 
 async fn connection() -> Connection {
@@ -44,13 +50,16 @@
     let (accepted, dialled) = smol::future::zip(accepted, connect(addr, KEY, None)).await;
     let (sender, unused_receiver) = accepted;
     let (unused_sender, receiver) = dialled.expect("connects");
-    Connection { sender, receiver, _unused: (unused_sender, unused_receiver) }
+    Connection { sender, receiver, unused: (unused_sender, unused_receiver) }
 }
 
-/// A message of the ordinary lane that is too large for many to fit into socket buffers.
+/// Size of an ordinary message.
+const ORDINARY_BYTES: usize = 10_000;
+
+/// A message of the ordinary lane, of which the buffers of the system hold hundreds.
 fn ordinary(number: u64) -> ControlMessage {
     ControlMessage::Named(TargetVersion {
-        model: "m".repeat(100_000),
+        model: "m".repeat(ORDINARY_BYTES),
         number,
         version: ModelVersion::new("m:1").expect("a valid name"),
         manifest: None,
@@ -59,13 +68,24 @@
     })
 }
 
+fn preset(revision: u64) -> ControlMessage {
+    ControlMessage::Force(Arc::new(ForcedPreset {
+        revision: PresetRevision(revision),
+        preset: PresetName::new("p").expect("a valid name"),
+        content: PresetContent { services: BTreeMap::new(), callers: None },
+        change: ChangeId::new("c").expect("a valid name"),
+        operator: OperatorName::new("o").expect("a valid name"),
+        changed_at: Timestamp(0),
+    }))
+}
+
 fn hello() -> WireMessage {
     let instance = InstanceId::new("entry-1").expect("a valid name");
     HelloMessage { kind: ProcessKind::Entry, instance, incarnation: 1 }.into()
 }
 
-/// Sends ordinary messages until the unread connection takes no more; returns their number.
-async fn fill(sender: &WireSender) -> usize {
+/// Sends ordinary messages until the unread connection takes no more.
+async fn fill(sender: &WireSender) {
     let mut sent = 0;
     while sent < MAX_SENT {
         if sender.try_send(ordinary(sent as u64)).expect("is open") {
@@ -74,7 +94,7 @@
         }
         Timer::after(FILL_TIME).await;
         if !sender.try_send(ordinary(sent as u64)).expect("is open") {
-            return sent;
+            return;
         }
         sent += 1;
     }
@@ -87,22 +107,65 @@
 }
 
 /// Guards against a preset, a departure or a list that is lost or late because other messages
-/// fill the queue of the connection.
+/// fill the queue of the connection or the buffers of the system.
 #[rstest]
 #[case::preset_request(ControlMessage::PresetWanted)]
 #[case::list_request(ControlMessage::ListingWanted)]
 #[case::departure(ControlMessage::Drain { instance: InstanceId::new("agent-1").expect("valid") })]
 fn an_urgent_message_overtakes_a_full_queue(#[case] urgent: ControlMessage) {
     run(async {
-        let Connection { sender, mut receiver, _unused } = connection().await;
-        let queued = fill(&sender).await;
+        let Connection { sender, mut receiver, unused: _unused } = connection().await;
+        fill(&sender).await;
         assert!(sender.try_send(urgent.clone()).expect("is open"), "{urgent:?} was dropped");
         let mut before = 0;
         while receive(&mut receiver).await != urgent.clone().into() {
             before += 1;
         }
-        // What the socket buffers hold cannot be overtaken.
-        assert!(before < queued / 2, "{before} of {queued} messages arrived before {urgent:?}");
+        let bytes = before * ORDINARY_BYTES;
+        assert!(bytes <= MAX_ON_THE_WAY, "{bytes} bytes arrived before {urgent:?}");
+    });
+}
+
+/// Guards against a process that gets presets one after another of which only the last matters.
+#[test]
+fn only_the_newest_preset_is_sent() {
+    run(async {
+        let Connection { sender, mut receiver, unused: _unused } = connection().await;
+        fill(&sender).await;
+        for revision in [2, 4, 3] {
+            assert!(sender.try_send(preset(revision)).expect("is open"));
+        }
+        sender.close();
+        let mut revisions = Vec::new();
+        while let Ok(message) = receiver.recv().await {
+            if let WireMessage::Control(ControlMessage::Force(preset)) = message {
+                revisions.push(preset.revision.0);
+            }
+        }
+        // The first one may have been written before the second one was queued.
+        assert!(matches!(revisions[..], [4] | [2, 4]), "{revisions:?}");
+    });
+}
+
+/// Guards against ordinary messages that stop once a window of them is sent.
+#[test]
+fn ordinary_messages_flow_while_they_are_read() {
+    run(async {
+        let Connection { sender, mut receiver, unused } = connection().await;
+        let (_unused_sender, mut confirmations) = unused;
+        // Answers to pings are read with the messages of the other direction.
+        let _reader = spawn(async move { confirmations.recv().await });
+        let queue = async {
+            for number in 0..MAX_SENT as u64 {
+                sender.send(ordinary(number)).await.expect("is open");
+            }
+        };
+        let read = async {
+            for number in 0..MAX_SENT as u64 {
+                assert_eq!(receive(&mut receiver).await, ordinary(number).into());
+            }
+        };
+        smol::future::zip(queue, read).await;
     });
 }
 
@@ -110,7 +173,7 @@
 #[test]
 fn messages_of_a_lane_keep_their_order() {
     run(async {
-        let Connection { sender, mut receiver, _unused } = connection().await;
+        let Connection { sender, mut receiver, unused: _unused } = connection().await;
         sender.send(hello()).await.expect("is open");
         for attempt in 0..300 {
             let data = RequestMessage::Data { attempt, bytes: vec![0; 10_000] };
@@ -133,7 +196,7 @@
 #[test]
 fn messages_of_both_lanes_are_written_before_the_connection_closes() {
     run(async {
-        let Connection { sender, mut receiver, _unused } = connection().await;
+        let Connection { sender, mut receiver, unused: _unused } = connection().await;
         for number in 0..10 {
             assert!(sender.try_send(ordinary(number)).expect("is open"));
             assert!(sender.try_send(ControlMessage::PresetWanted).expect("is open"));
