State that entries exchange does not delay a preset either

Gossip, reports and lists were in the urgent lane, without a limit.

Change: a lane for state counts for the window and comes after presets. Entries do not add gossip where some waits, since later gossip includes it. A new revision is announced at once by gossip of its own, which is urgent.

--- a/crates/entry/src/control/gossip.rs
+++ b/crates/entry/src/control/gossip.rs
@@ -12,7 +12,7 @@
 };
 use cassiawheel_model::{
     Deadline, EndpointReport, EntryRecord, GossipDelta, InstanceId, LoadRecord, LoadReport,
-    RegionName, Timestamp,
+    PresetRevision, RegionName, Timestamp,
 };
 use cassiawheel_runtime::timeout;
 use cassiawheel_wire::ControlMessage;
@@ -113,7 +113,8 @@
     let own_region = &shared.settings.place.region;
     let OverlayState { store, crashes, links, item_requests, .. } = &mut *state;
     let mut max_items = 0;
-    for link in links {
+    // What is not sent now is merged with later changes, and leaves room for other messages.
+    for link in links.iter_mut().filter(|link| !link.sender.is_congested()) {
         let is_in_other_region = is_in_other_region(store, &link.instance, own_region);
         // While many processes start together, or where another path is shorter, the other end
         // probably has an item already.
@@ -188,9 +189,12 @@
     max_items
 }
 
-/// Schedules an immediate message with the current revision to every neighbour.
-pub(crate) fn announce_revision(routed: &RoutedState) {
+/// Sends the current revision to every neighbour, before other gossip.
+pub(crate) fn announce_revision(routed: &RoutedState, revision: PresetRevision) {
+    let delta = GossipDelta { revision, ..GossipDelta::default() };
     for link in &mut routed.overlay.lock().links {
+        let _ = link.sender.try_send(ControlMessage::Gossip(Box::new(delta.clone())));
+        // Repeats it where the queue is full.
         link.loads_at = Deadline(0);
     }
     routed.overlay.notify_change();
--- a/crates/entry/src/control/peers.rs
+++ b/crates/entry/src/control/peers.rs
@@ -68,7 +68,7 @@
     if let Some(routed) = &shared.routed {
         // Route tables are large and some neighbours already have this one, so only the revision is
         // pushed and entries that lack the preset pull it.
-        gossip::announce_revision(routed);
+        gossip::announce_revision(routed, preset.revision);
         return;
     }
     let message = ControlMessage::Force(preset.clone());
--- a/crates/testkit/tests/flooded_links.rs
+++ b/crates/testkit/tests/flooded_links.rs
@@ -35,6 +35,9 @@
 const NEAR_GOSSIP_MS: u64 = 200;
 const FAR_GOSSIP_MS: u64 = 600;
 
+/// Interval of gossip while the state of many processes changes, in milliseconds.
+const CHURN_GOSSIP_MS: u64 = 20;
+
 /// One-way delays within and between regions, in milliseconds.
 const NEAR_MS: u64 = 1;
 const FAR_MS: u64 = 12;
@@ -49,6 +52,10 @@
 const PRESET_BYTES: u64 = 20_000;
 const ORDINARY_BYTES: u64 = 2_000;
 const URGENT_BYTES: u64 = 300;
+const ITEM_BYTES: u64 = 8;
+
+/// Items in a message of gossip meanwhile: more than a narrow link transmits in its interval.
+const CHURN_ITEMS: usize = 400;
 const FRAME_BYTES: u64 = 10;
 
 /// Probability in which a message is lost on the way and sent again after a while.
@@ -85,6 +92,8 @@
     now: u64,
     entries: Vec<PlayedEntry>,
     links: Vec<FloodedLink>,
+    /// Whether the state of many processes changes.
+    has_churn: bool,
     dropped: BTreeMap<&'static str, usize>,
     presets_sent: usize,
 }
@@ -120,6 +129,9 @@
     match message {
         WireMessage::Control(ControlMessage::Force(_)) => PRESET_BYTES,
         WireMessage::Control(ControlMessage::Named(_)) => ORDINARY_BYTES,
+        WireMessage::Control(ControlMessage::Gossip(delta)) => {
+            URGENT_BYTES + ITEM_BYTES * delta.wanted.len() as u64
+        }
         _ => URGENT_BYTES,
     }
 }
@@ -198,7 +210,7 @@
 }
 
 impl Deployment {
-    fn new(count: usize, seed: u64) -> Self {
+    fn new(count: usize, has_churn: bool, seed: u64) -> Self {
         let entry = |_| PlayedEntry {
             preset: Some(preset(1)),
             pull: PresetPull::default(),
@@ -210,6 +222,7 @@
             now: START_MS,
             entries: (0..count).map(entry).collect(),
             links: links_of(count),
+            has_churn,
             dropped: BTreeMap::new(),
             presets_sent: 0,
         }
@@ -229,8 +242,19 @@
     fn adopt(&mut self, entry: usize, preset: Arc<ForcedPreset>) {
         if preset.revision > self.entries[entry].revision() {
             self.entries[entry].preset = Some(preset);
-            let links = self.links.iter_mut().filter(|link| link.from == entry);
-            links.for_each(|link| link.gossip_at = 0);
+            self.announce(entry);
+        }
+    }
+
+    /// Announces the preset of an entry to its neighbours.
+    fn announce(&mut self, entry: usize) {
+        let revision = self.entries[entry].revision();
+        let delta = GossipDelta { revision, ..GossipDelta::default() };
+        for link in 0..self.links.len() {
+            if self.links[link].from == entry {
+                self.send(link, ControlMessage::Gossip(Box::new(delta.clone())));
+                self.links[link].gossip_at = 0;
+            }
         }
     }
 
@@ -251,13 +275,17 @@
 
     fn gossip(&mut self, link: usize) {
         let FloodedLink { from, is_near, gossip_at, .. } = self.links[link];
-        let revision = self.entries[from].revision();
-        if gossip_at > self.now {
+        if gossip_at > self.now || self.links[link].sender.is_congested() {
             return;
         }
-        let delta = GossipDelta { revision, ..GossipDelta::default() };
+        let (interval, items) = match (self.has_churn, is_near) {
+            (true, _) => (CHURN_GOSSIP_MS, CHURN_ITEMS),
+            (false, true) => (NEAR_GOSSIP_MS, 0),
+            (false, false) => (FAR_GOSSIP_MS, 0),
+        };
+        let revision = self.entries[from].revision();
+        let delta = GossipDelta { revision, wanted: vec![0; items], ..GossipDelta::default() };
         if self.send(link, ControlMessage::Gossip(Box::new(delta))) {
-            let interval = if is_near { NEAR_GOSSIP_MS } else { FAR_GOSSIP_MS };
             self.links[link].gossip_at = self.now + interval;
         }
     }
@@ -345,9 +373,10 @@
 #[rstest]
 fn changes_are_in_force_in_time_over_full_links(
     #[values(9, 41)] count: usize,
+    #[values(false, true)] has_churn: bool,
     #[values(1, 2, 3, 4, 5)] seed: u64,
 ) {
-    let mut deployment = Deployment::new(count, seed);
+    let mut deployment = Deployment::new(count, has_churn, seed);
     let first_of = |region| (0..count).find(|entry| region_of(*entry, count) == region);
     let followers: Vec<_> = (0..REGIONS - 1).filter_map(first_of).collect();
     let took: Vec<_> = (2..2 + CHANGES)
--- a/crates/wire/src/lanes.rs
+++ b/crates/wire/src/lanes.rs
@@ -5,7 +5,7 @@
 
 use std::sync::{Arc, Mutex, MutexGuard};
 
-use cassiawheel_model::ForcedPreset;
+use cassiawheel_model::{ForcedPreset, GossipDelta};
 use smol::channel::{Receiver, SendError, Sender, TrySendError, WeakSender, bounded};
 
 use crate::{ControlMessage, WireMessage, traffic::TRAFFIC, window::SendWindow};
@@ -17,16 +17,24 @@
 const ORDINARY_LENGTH: usize = 96;
 
 /// Capacity of the lane of urgent messages, of which only a few are due at a time.
-const URGENT_LENGTH: usize = 32;
+const URGENT_LENGTH: usize = 16;
+
+/// Capacity of the lane of state.
+const STATE_LENGTH: usize = 32;
+
+/// Number of queued messages with state from which on a connection is congested.
+const CONGESTED_LENGTH: usize = 4;
 
 /// Lane in which a message is queued, in the order in which lanes are written.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum MessageLane {
-    /// Departures, reports, lists, gossip and requests for presets, which are small or must take
-    /// effect within seconds.
+    /// Small messages that must take effect within seconds: departures, announcements of presets
+    /// and requests for presets and lists.
     Urgent,
     /// The newest preset.
     Preset,
+    /// Reports, lists and gossip; written while the window of the connection is open.
+    State,
     /// All other messages; written while the window of the connection is open.
     Ordinary,
 }
@@ -35,6 +43,7 @@
 #[derive(Debug, Clone)]
 pub struct LaneSender {
     urgent: Sender<WireMessage>,
+    state: Sender<WireMessage>,
     ordinary: Sender<WireMessage>,
     preset: Arc<PresetSlot>,
     window: Arc<SendWindow>,
@@ -45,6 +54,7 @@
 /// Receiving half of a write queue.
 pub struct LaneReceiver {
     urgent: Receiver<WireMessage>,
+    state: Receiver<WireMessage>,
     ordinary: Receiver<WireMessage>,
     preset: Arc<PresetSlot>,
     window: Arc<SendWindow>,
@@ -76,17 +86,19 @@
 /// Creates an empty write queue.
 pub fn message_lanes() -> (LaneSender, LaneReceiver) {
     let (urgent, urgent_receiver) = bounded(URGENT_LENGTH);
+    let (state, state_receiver) = bounded(STATE_LENGTH);
     let (ordinary, ordinary_receiver) = bounded(ORDINARY_LENGTH);
     let (queued, queued_receiver) = bounded(1);
     let (preset, window) = (Arc::<PresetSlot>::default(), Arc::<SendWindow>::default());
     let receiver = LaneReceiver {
         urgent: urgent_receiver,
+        state: state_receiver,
         ordinary: ordinary_receiver,
         preset: preset.clone(),
         window: window.clone(),
         queued: queued_receiver,
     };
-    let sender = LaneSender { urgent, ordinary, preset, window, queued };
+    let sender = LaneSender { urgent, state, ordinary, preset, window, queued };
     (sender, receiver)
 }
 
@@ -103,7 +115,10 @@
     /// Whether the message counts for the window of its connection.
     pub(crate) fn is_windowed(&self) -> bool {
         match self {
-            Self::Control(message) => message.lane() == MessageLane::Ordinary,
+            Self::Control(message) => match message.lane() {
+                MessageLane::Urgent | MessageLane::Preset => false,
+                MessageLane::State | MessageLane::Ordinary => true,
+            },
             Self::Hello(_) | Self::Request(_) | Self::Chunk(_) => false,
         }
     }
@@ -117,15 +132,15 @@
     /// versions that name them, so both are in the same lane.
     fn lane(&self) -> MessageLane {
         match self {
-            Self::Report(_)
-            | Self::Beat(_)
-            | Self::ReportWanted
-            | Self::Leaving { .. }
+            Self::Leaving { .. }
             | Self::Drain { .. }
             | Self::PresetWanted
-            | Self::Listing { .. }
             | Self::ListingWanted
-            | Self::Gossip(_) => MessageLane::Urgent,
+            | Self::ReportWanted => MessageLane::Urgent,
+            Self::Gossip(delta) if is_announcement(delta) => MessageLane::Urgent,
+            Self::Report(_) | Self::Beat(_) | Self::Listing { .. } | Self::Gossip(_) => {
+                MessageLane::State
+            }
             Self::Force(_) => MessageLane::Preset,
             Self::EntryAlive { .. }
             | Self::EntryBeat { .. }
@@ -144,6 +159,11 @@
     }
 }
 
+/// Whether gossip carries nothing but the revision of the sender's preset.
+fn is_announcement(delta: &GossipDelta) -> bool {
+    *delta == GossipDelta { revision: delta.revision, ..GossipDelta::default() }
+}
+
 impl LaneSender {
     /// Queues `message`; waits while its lane is full.
     pub async fn send(&self, message: WireMessage) -> Result<(), SendError<WireMessage>> {
@@ -167,6 +187,11 @@
         Ok(())
     }
 
+    /// Whether messages with state wait, so that state which can be merged should not be added.
+    pub fn is_congested(&self) -> bool {
+        self.state.len() >= CONGESTED_LENGTH
+    }
+
     /// Whether both send to the same queue.
     pub fn is_same(&self, other: &Self) -> bool {
         self.ordinary.same_channel(&other.ordinary)
@@ -180,6 +205,7 @@
     /// Closes the queue; messages in it can still be received.
     pub fn close(&self) {
         self.urgent.close();
+        self.state.close();
         self.ordinary.close();
         // The other end may be about to close the connection and answer no ping.
         self.window.remove_limit();
@@ -196,6 +222,7 @@
         match lane {
             MessageLane::Urgent => Some(&self.urgent),
             MessageLane::Preset => None,
+            MessageLane::State => Some(&self.state),
             MessageLane::Ordinary => Some(&self.ordinary),
         }
     }
@@ -239,10 +266,13 @@
         if self.window.take_ping() {
             return Some(WriteItem::Ping);
         }
-        let urgent = self.urgent.try_recv().ok();
         let preset = || Some(ControlMessage::Force(self.preset.take()?).into());
-        let ordinary = || self.window.is_open().then(|| self.ordinary.try_recv().ok()).flatten();
-        urgent.or_else(preset).or_else(ordinary).map(WriteItem::Message)
+        let message = self.urgent.try_recv().ok().or_else(preset).or_else(|| {
+            let is_open = self.window.is_open();
+            is_open.then(|| self.state.try_recv().or_else(|_| self.ordinary.try_recv()).ok())?
+        })?;
+        TRAFFIC.add_queued(message.lane(), -1);
+        Some(WriteItem::Message(message))
     }
 
     /// Records that `message` was written with `bytes`.
@@ -253,6 +283,7 @@
     /// Closes the queue.
     pub fn close(&self) {
         self.urgent.close();
+        self.state.close();
         self.ordinary.close();
         self.queued.close();
     }
@@ -262,6 +293,7 @@
     fn drop(&mut self) {
         self.close();
         TRAFFIC.add_queued(MessageLane::Urgent, -(self.urgent.len() as i64));
+        TRAFFIC.add_queued(MessageLane::State, -(self.state.len() as i64));
         TRAFFIC.add_queued(MessageLane::Ordinary, -(self.ordinary.len() as i64));
     }
 }
--- a/crates/wire/src/socket.rs
+++ b/crates/wire/src/socket.rs
@@ -101,6 +101,11 @@
         }
     }
 
+    /// Whether messages with state wait, so that state which can be merged should not be added.
+    pub fn is_congested(&self) -> bool {
+        self.queue.is_congested()
+    }
+
     /// Whether the connection is known to be closed.
     pub fn is_closed(&self) -> bool {
         self.queue.is_closed()
--- a/crates/wire/src/traffic.rs
+++ b/crates/wire/src/traffic.rs
@@ -20,6 +20,7 @@
 /// Gauges of the messages queued on all connections.
 struct LaneGauges {
     urgent: IntGauge,
+    state: IntGauge,
     ordinary: IntGauge,
 }
 
@@ -50,6 +51,7 @@
             }
         }
         registry.register(Box::new(self.queued.urgent.clone()))?;
+        registry.register(Box::new(self.queued.state.clone()))?;
         registry.register(Box::new(self.queued.ordinary.clone()))?;
         registry.register(Box::new(self.dropped.clone()))
     }
@@ -58,6 +60,7 @@
     pub(crate) fn add_queued(&self, lane: MessageLane, count: i64) {
         match lane {
             MessageLane::Urgent => self.queued.urgent.add(count),
+            MessageLane::State => self.queued.state.add(count),
             MessageLane::Ordinary => self.queued.ordinary.add(count),
             // A connection has one at most.
             MessageLane::Preset => {}
@@ -97,7 +100,7 @@
             IntGauge::new(name, help)
                 .unwrap_or_else(|error| unreachable!("invalid metric name: {error}"))
         };
-        Self { urgent: gauge("urgent"), ordinary: gauge("ordinary") }
+        Self { urgent: gauge("urgent"), state: gauge("state"), ordinary: gauge("ordinary") }
     }
 }
 
--- a/crates/wire/src/window.rs
+++ b/crates/wire/src/window.rs
@@ -1,42 +1,42 @@
-//! Limit of the ordinary messages that are on the way over a connection.
+//! Limit of the messages that are on the way over a connection.
 //!
 //! What the buffers of the system hold cannot be overtaken: over a narrow link, or to a process
 //! that is slow to read, urgent messages would wait behind it for seconds. The sender therefore
-//! confirms by a ping how far the other end has read, and pauses ordinary messages until then.
-//! Requests and chunks do not count; they are limited by credit of their own.
+//! confirms by pings how far the other end has read, and pauses messages that are not urgent
+//! until then. Requests and chunks do not count; they are limited by credit of their own.
 
 use std::sync::{Mutex, MutexGuard};
 
 use crate::WireMessage;
 
-/// Maximum size of unconfirmed ordinary messages, in bytes.
+/// Maximum size of unconfirmed messages, in bytes.
 ///
-/// A narrow link of 1.2 Mbit/s transmits it in 110 ms. Ordinary control messages have a few
-/// hundred bytes, manifests a few thousand.
+/// A narrow link of 1.2 Mbit/s transmits it in 110 ms; between regions that are 25 ms apart it
+/// allows 640 KB a second, many times what entries exchange.
 const WINDOW_BYTES: u64 = 16 << 10;
 
-/// Window of ordinary messages on a connection.
+/// Window of a connection.
 #[derive(Debug, Default)]
 pub(crate) struct SendWindow {
     state: Mutex<WindowState>,
 }
 
-/// Positions in the ordinary bytes of a connection.
+/// Positions in the bytes of a connection that count for its window.
 #[derive(Debug, Default)]
 struct WindowState {
     sent: u64,
     confirmed: u64,
-    /// Position that the outstanding ping confirms.
+    /// Position that the answer to the outstanding ping confirms.
     pinged: Option<u64>,
-    /// Whether pongs are no longer read.
+    /// Whether answers to pings are no longer read.
     is_unlimited: bool,
 }
 
 impl SendWindow {
-    /// Whether ordinary messages may be sent.
+    /// Whether messages that count may be sent.
     pub(crate) fn is_open(&self) -> bool {
         let state = self.lock();
-        state.is_unlimited || state.sent - state.confirmed < WINDOW_BYTES
+        state.is_unlimited || state.unconfirmed() < WINDOW_BYTES
     }
 
     /// Records that `message` was written with `bytes`.
@@ -49,7 +49,7 @@
     /// Whether a ping has to be sent now; counts as sent if so.
     pub(crate) fn take_ping(&self) -> bool {
         let mut state = self.lock();
-        let is_due = state.pinged.is_none() && state.sent - state.confirmed >= WINDOW_BYTES / 2;
+        let is_due = state.pinged.is_none() && state.unconfirmed() >= WINDOW_BYTES / 2;
         if is_due {
             state.pinged = Some(state.sent);
         }
@@ -73,3 +73,9 @@
         self.state.lock().unwrap_or_else(|poison| poison.into_inner())
     }
 }
+
+impl WindowState {
+    fn unconfirmed(&self) -> u64 {
+        self.sent - self.confirmed
+    }
+}
