--- a/crates/testkit/src/stand_in/layer_agent.rs
+++ b/crates/testkit/src/stand_in/layer_agent.rs
@@ -124,7 +124,8 @@
     state: Arc<Mutex<AgentState>>,
 ) {
     loop {
-        if let Ok((sender, _receiver)) = connect(plan.entry, plan.inner_key, None).await {
+        if let Ok((sender, mut receiver)) = connect(plan.entry, plan.inner_key, None).await {
+            let _reader = spawn(async move { while receiver.recv().await.is_ok() {} });
             let hello = HelloMessage {
                 kind: ProcessKind::Agent,
                 instance: report.instance.clone(),
--- a/crates/testkit/src/stand_in/peer.rs
+++ b/crates/testkit/src/stand_in/peer.rs
@@ -103,9 +103,10 @@
 }
 
 async fn report_regularly(plan: FaultyPlan, report: EndpointReport) {
-    let Ok((sender, _receiver)) = connect(plan.entry, plan.inner_key, None).await else {
+    let Ok((sender, mut receiver)) = connect(plan.entry, plan.inner_key, None).await else {
         return;
     };
+    let _reader = spawn(async move { while receiver.recv().await.is_ok() {} });
     let hello = HelloMessage {
         kind: ProcessKind::Agent,
         instance: report.instance.clone(),
