State and other messages of a connection take turns

State came before versions and orders without a limit, so that entries which exchange much state over a narrow link would not have sent a version at all (found by reading; a version must be served within its time as well).

Test: state_and_other_messages_take_turns (before: six messages with state first).

--- a/crates/wire/src/lanes.rs
+++ b/crates/wire/src/lanes.rs
@@ -3,7 +3,10 @@
 //! Presets are not queued one after another: the queue holds the newest one only, so that a
 //! connection that is slow or was stalled does not carry those that it replaces.
 
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{
+    Arc, Mutex, MutexGuard,
+    atomic::{AtomicBool, Ordering},
+};
 
 use cassiawheel_model::{ForcedPreset, GossipDelta};
 use smol::channel::{Receiver, SendError, Sender, TrySendError, WeakSender, bounded};
@@ -35,7 +38,7 @@
     Preset,
     /// Reports, lists and gossip; written while the window of the connection is open.
     State,
-    /// All other messages; written while the window of the connection is open.
+    /// All other messages; written in turns with state.
     Ordinary,
 }
 
@@ -58,6 +61,8 @@
     ordinary: Receiver<WireMessage>,
     preset: Arc<PresetSlot>,
     window: Arc<SendWindow>,
+    /// Whether an ordinary message is next where some wait beside state.
+    ordinary_is_next: AtomicBool,
     queued: Receiver<()>,
 }
 
@@ -96,6 +101,7 @@
         ordinary: ordinary_receiver,
         preset: preset.clone(),
         window: window.clone(),
+        ordinary_is_next: AtomicBool::new(false),
         queued: queued_receiver,
     };
     let sender = LaneSender { urgent, state, ordinary, preset, window, queued };
@@ -267,14 +273,29 @@
             return Some(WriteItem::Ping);
         }
         let preset = || Some(ControlMessage::Force(self.preset.take()?).into());
-        let message = self.urgent.try_recv().ok().or_else(preset).or_else(|| {
-            let is_open = self.window.is_open();
-            is_open.then(|| self.state.try_recv().or_else(|_| self.ordinary.try_recv()).ok())?
-        })?;
+        let message = self
+            .urgent
+            .try_recv()
+            .ok()
+            .or_else(preset)
+            .or_else(|| self.window.is_open().then(|| self.next_in_turn())?)?;
         TRAFFIC.add_queued(message.lane(), -1);
         Some(WriteItem::Message(message))
     }
 
+    /// Receives state and ordinary messages in turns, so that neither holds up the other.
+    fn next_in_turn(&self) -> Option<WireMessage> {
+        let ordinary_is_next = self.ordinary_is_next.load(Ordering::Relaxed);
+        let (first, second) = match ordinary_is_next {
+            true => (&self.ordinary, &self.state),
+            false => (&self.state, &self.ordinary),
+        };
+        let message = first.try_recv().or_else(|_| second.try_recv()).ok()?;
+        let was_state = message.lane() == MessageLane::State;
+        self.ordinary_is_next.store(was_state, Ordering::Relaxed);
+        Some(message)
+    }
+
     /// Records that `message` was written with `bytes`.
     pub fn record_sent(&self, message: &WireMessage, bytes: usize) {
         self.window.record_sent(message, bytes);
--- a/crates/wire/tests/lanes.rs
+++ b/crates/wire/tests/lanes.rs
@@ -3,13 +3,14 @@
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use cassiawheel_model::{
-    AgeSource, ChangeId, ForcedPreset, InstanceId, ModelVersion, OperatorName, PresetContent,
-    PresetName, PresetRevision, TargetVersion, Timestamp,
+    AgeSource, ChangeId, ForcedPreset, InstanceId, LoadReport, ModelVersion, OperatorName,
+    PresetContent, PresetName, PresetRevision, TargetVersion, Timestamp,
 };
 use cassiawheel_runtime::{spawn, timeout};
 use cassiawheel_wire::{
     ControlMessage, HelloMessage, ProcessKind, RequestMessage, WireMessage, WireReceiver,
     WireSender, accept, connect,
+    lanes::{WriteItem, message_lanes},
 };
 use rstest::rstest;
 use smol::{Timer, net::TcpListener};
@@ -169,6 +170,24 @@
     });
 }
 
+/// Guards against versions and orders that are not sent while entries exchange much state.
+#[test]
+fn state_and_other_messages_take_turns() {
+    let (sender, receiver) = message_lanes();
+    let load = LoadReport { in_flight: 1, queued: 0, measured_at: Timestamp(0) };
+    for number in 0..10 {
+        sender.try_send(ControlMessage::Beat(load).into()).expect("has room");
+        sender.try_send(ordinary(number).into()).expect("has room");
+    }
+    let mut received = Vec::new();
+    for _ in 0..6 {
+        if let Some(WriteItem::Message(message)) = receiver.try_recv() {
+            received.push(message.kind());
+        }
+    }
+    assert_eq!(received, ["beat", "version", "beat", "version", "beat", "version"]);
+}
+
 /// Guards against messages of one conversation that overtake each other.
 #[test]
 fn messages_of_a_lane_keep_their_order() {
