Only entries with a link to another region wait for each other to request a preset there

An entry waited 100 ms, at most 500, for each entry of its region that ranks before it until it requested a preset from another region, also for those that have no link there and can request nothing. A region that the table service rejects got changes later for it.

Test: only_entries_with_a_link_to_another_region_rank_for_it.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -99,7 +99,8 @@
 pub use manifest_search::{ManifestSearch, SearchStep};
 pub use outage_recovery::OutageRecovery;
 pub use overlay::{
-    EntryLocation, FeedRole, feed_role, links_to_dial, reachable_entries, same_region_or_all,
+    EntryLocation, FeedRole, far_link_rank, feed_role, links_to_dial, reachable_entries,
+    same_region_or_all,
 };
 pub use path_candidate::{MemberState, PathCandidate};
 pub use pause_detector::PauseDetector;
--- a/crates/decide/src/overlay.rs
+++ b/crates/decide/src/overlay.rs
@@ -132,6 +132,21 @@
     }
 }
 
+/// Number of entries in the region of `own` that rank before it and have a link to another region.
+///
+/// Only such entries can request anything from another region.
+pub fn far_link_rank(own: &InstanceId, present: &[&EntryRecord]) -> u32 {
+    let regions: HashMap<_, _> =
+        present.iter().map(|record| (&record.instance, &record.region)).collect();
+    let Some(own_region) = regions.get(own) else {
+        return 0;
+    };
+    let is_far = |instance| regions.get(instance).is_some_and(|region| region != own_region);
+    let before = present.iter().filter(|record| record.instance < *own);
+    let near = before.filter(|record| record.region == **own_region);
+    near.filter(|record| record.neighbours.iter().any(is_far)).count() as u32
+}
+
 /// Entries reachable from `own` over links that both ends confirm.
 pub fn reachable_entries<'a>(
     own: &'a InstanceId,
--- a/crates/decide/src/preset_pull.rs
+++ b/crates/decide/src/preset_pull.rs
@@ -85,7 +85,8 @@
     pub known: PresetRevision,
     /// Whether this entry follows the operators' rows, which deliver the preset as well.
     pub follows_rows: bool,
-    /// Rank of this entry in its region, in an order that all entries share.
+    /// Rank of this entry among those of its region with a link to another one, in an order that
+    /// all entries share.
     pub near_rank: u32,
     /// Current time.
     pub now: Timestamp,
--- a/crates/decide/tests/overlay.rs
+++ b/crates/decide/tests/overlay.rs
@@ -7,7 +7,7 @@
 
 use cassiawheel_decide::{
     EntryLocation, EntrySelector, FeedRole, FloodFilter, GossipStore, LinkCursor, LinkId,
-    feed_role, links_to_dial, rank::subject_of, reachable_entries,
+    far_link_rank, feed_role, links_to_dial, rank::subject_of, reachable_entries,
 };
 use cassiawheel_model::{
     EntryRecord, FailureDomain, InstanceId, LoadRecord, RegionName, Timestamp,
@@ -353,3 +353,29 @@
     records.iter_mut().for_each(|record| record.follows_rows = false);
     assert_eq!(roles(&records), initial, "with all rejected, the same entries continue");
 }
+
+/// Guards against an entry that waits for others of its region before it requests a preset from
+/// another region, although they have no link there.
+#[test]
+fn only_entries_with_a_link_to_another_region_rank_for_it() {
+    let record = |(index, region, neighbours): (usize, &str, &[usize])| EntryRecord {
+        instance: name(index),
+        incarnation: 1,
+        sequence: 1,
+        region: RegionName::new(region).expect("valid"),
+        failure_domain: FailureDomain::new("hall").expect("valid"),
+        inner_addr: addr(index),
+        caller_addr: addr(index),
+        leaving: false,
+        advised: true,
+        follows_rows: true,
+        neighbours: neighbours.iter().map(|other| name(*other)).collect(),
+        agents: Vec::new(),
+    };
+    let west =
+        [(0, "west", &[1][..]), (1, "west", &[0, 2]), (2, "west", &[1, 4]), (3, "west", &[4])];
+    let records: Vec<_> = west.into_iter().chain([(4, "east", &[2, 3][..])]).map(record).collect();
+    let present: Vec<_> = records.iter().collect();
+    let ranks: Vec<_> = (0..5).map(|index| far_link_rank(&name(index), &present)).collect();
+    assert_eq!(ranks, [0, 0, 0, 1, 0]);
+}
--- a/crates/entry/src/control/pull.rs
+++ b/crates/entry/src/control/pull.rs
@@ -5,7 +5,7 @@
     time::Duration,
 };
 
-use cassiawheel_decide::{FeedRole, PeerRevision, PullStep, PullView};
+use cassiawheel_decide::{FeedRole, PeerRevision, PullStep, PullView, far_link_rank};
 use cassiawheel_model::{FailureDomain, InstanceId, PresetRevision, Timestamp};
 use cassiawheel_runtime::spawn;
 use cassiawheel_wire::{ControlMessage, WireSender};
@@ -39,13 +39,14 @@
 
 /// Requests presets until no entry is known to have a newer one.
 async fn pull_preset(shared: Arc<EntryShared>, routed: Arc<RoutedState>) {
+    let own = &shared.settings.place.instance;
     loop {
         let now = Timestamp::now();
         let view = PullView {
             known: shared.known_revision(),
             follows_rows: routed.follows_rows.load(Ordering::Relaxed)
                 && routed.feed_role() == FeedRole::Follow,
-            near_rank: near_rank(&shared, &routed),
+            near_rank: near_rank(&routed, own),
             now,
         };
         let is_open = |sender: &WireSender| !sender.is_closed();
@@ -67,13 +68,8 @@
     }
 }
 
-/// Number of nearby entries that rank before this one.
-fn near_rank(shared: &EntryShared, routed: &RoutedState) -> u32 {
-    let own = &shared.settings.place.instance;
-    let near = &routed.settings.near_domains;
-    let peers = shared.peers();
-    let before = peers
-        .iter()
-        .filter(|(instance, peer)| *instance < own && near.contains(&peer.advice.failure_domain));
-    before.count() as u32
+/// Rank of the entry `own` for requests to other regions.
+fn near_rank(routed: &RoutedState, own: &InstanceId) -> u32 {
+    let state = routed.overlay.lock();
+    far_link_rank(own, &state.present(own))
 }
--- a/crates/testkit/tests/flooded_links.rs
+++ b/crates/testkit/tests/flooded_links.rs
@@ -2,15 +2,17 @@
 
 use std::{
     collections::{BTreeMap, VecDeque},
+    net::SocketAddr,
     sync::Arc,
 };
 
 use cassiawheel_decide::{
-    EntryLocation, PeerRevision, PresetPull, PullStep, PullView, links_to_dial,
+    EntryLocation, PeerRevision, PresetPull, PullStep, PullView, far_link_rank, links_to_dial,
 };
 use cassiawheel_model::{
-    AgeSource, ChangeId, ForcedPreset, GossipDelta, InstanceId, ModelVersion, OperatorName,
-    PresetContent, PresetName, PresetRevision, RegionName, TargetVersion, Timestamp,
+    AgeSource, ChangeId, EntryRecord, FailureDomain, ForcedPreset, GossipDelta, InstanceId,
+    ModelVersion, OperatorName, PresetContent, PresetName, PresetRevision, RegionName,
+    TargetVersion, Timestamp,
 };
 use cassiawheel_wire::{
     ControlMessage, WireMessage,
@@ -92,6 +94,8 @@
     now: u64,
     entries: Vec<PlayedEntry>,
     links: Vec<FloodedLink>,
+    /// Ranks of the entries for requests to other regions.
+    ranks: Vec<u32>,
     /// Whether the state of many processes changes.
     has_churn: bool,
     dropped: BTreeMap<&'static str, usize>,
@@ -106,6 +110,14 @@
     InstanceId::new(&format!("entry-{entry:03}")).expect("valid")
 }
 
+fn region_name(entry: usize, entries: usize) -> RegionName {
+    RegionName::new(&format!("region-{}", region_of(entry, entries))).expect("valid")
+}
+
+fn addr(entry: usize) -> SocketAddr {
+    ([10, 0, 0, entry as u8], 7700).into()
+}
+
 fn preset(revision: u64) -> Arc<ForcedPreset> {
     Arc::new(ForcedPreset {
         revision: PresetRevision(revision),
@@ -138,10 +150,8 @@
 
 /// Both directions of each link that `count` entries keep.
 fn links_of(count: usize) -> Vec<FloodedLink> {
-    let place = |entry: usize| EntryLocation {
-        inner_addr: ([10, 0, 0, entry as u8], 7700).into(),
-        region: RegionName::new(&format!("region-{}", region_of(entry, count))).expect("valid"),
-    };
+    let place =
+        |entry: usize| EntryLocation { inner_addr: addr(entry), region: region_name(entry, count) };
     let places: Vec<_> = (0..count).map(place).collect();
     let mut pairs = Vec::new();
     for (from, own) in places.iter().enumerate() {
@@ -171,6 +181,26 @@
     pairs.into_iter().map(link).collect()
 }
 
+fn ranks(links: &[FloodedLink], count: usize) -> Vec<u32> {
+    let record = |entry: usize| EntryRecord {
+        instance: instance(entry),
+        incarnation: 1,
+        sequence: 1,
+        region: region_name(entry, count),
+        failure_domain: FailureDomain::new("hall").expect("valid"),
+        inner_addr: addr(entry),
+        caller_addr: addr(entry),
+        leaving: false,
+        advised: true,
+        follows_rows: true,
+        neighbours: links.iter().filter(|l| l.from == entry).map(|l| instance(l.to)).collect(),
+        agents: Vec::new(),
+    };
+    let records: Vec<_> = (0..count).map(record).collect();
+    let present: Vec<_> = records.iter().collect();
+    (0..count).map(|entry| far_link_rank(&instance(entry), &present)).collect()
+}
+
 impl FloodedLink {
     /// Writes what is due while the buffers of the system have room.
     fn write(&mut self, now: u64, rng: &mut SmallRng) {
@@ -217,11 +247,13 @@
             is_pulling: false,
             pull_at: 0,
         };
+        let links = links_of(count);
         Self {
             rng: SmallRng::seed_from_u64(seed),
             now: START_MS,
             entries: (0..count).map(entry).collect(),
-            links: links_of(count),
+            ranks: ranks(&links, count),
+            links,
             has_churn,
             dropped: BTreeMap::new(),
             presets_sent: 0,
@@ -328,7 +360,7 @@
     /// Plays the pull of an entry, as its task does.
     fn pull(&mut self, entry: usize) {
         let now = Timestamp(self.now);
-        let near_rank = self.near_rank(entry);
+        let near_rank = self.ranks[entry];
         let played = &mut self.entries[entry];
         if !played.is_pulling || played.pull_at > self.now {
             return;
@@ -346,12 +378,6 @@
         }
     }
 
-    fn near_rank(&self, entry: usize) -> u32 {
-        let count = self.entries.len();
-        let region = region_of(entry, count);
-        (0..entry).filter(|other| region_of(*other, count) == region).count() as u32
-    }
-
     /// Makes a change that the table service sends to `followers`; returns the time until it is in
     /// force everywhere, in milliseconds.
     fn change(&mut self, revision: u64, followers: &[usize]) -> u64 {
