A test of an address in use takes six different addresses

The test closed each listener before it opened the next, and the kernel gave the port out again. All are open now until each address is known; what is checked stays the same.

--- a/crates/testkit/tests/product_process.rs
+++ b/crates/testkit/tests/product_process.rs
@@ -75,7 +75,11 @@
     let bind = || TcpListener::bind("127.0.0.1:0").expect("listens");
     let addr = |listener: &TcpListener| listener.local_addr().expect("an address").to_string();
     let (used, peer) = (bind(), bind());
-    let free: Vec<SocketAddr> = (0..6).map(|_| bind().local_addr().expect("an address")).collect();
+    // Held together, so that no address is given out twice.
+    let held: Vec<_> = (0..6).map(|_| bind()).collect();
+    let free: Vec<SocketAddr> =
+        held.iter().map(|listener| listener.local_addr().expect("an address")).collect();
+    drop(held);
     let settings = json!({
         "place": { "instance": "entry", "region": "r", "failure_domain": "d" },
         "listen": { "caller": free[0], "admin": free[1], "inner": free[2], "metrics": addr(&used) },
